Lay out the workspace: types, messages, and the platform's contracts

The packages, the ids and the messages come first, so that every other part can be built against them at the same time. docs/PLATFORM.md states what the stand-ins have to keep to. Nothing runs yet.

--- /dev/null
+++ b/crates/sagespool-claims/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once as pure decisions: claims, kept answers, quarantine.
--- /dev/null
+++ b/crates/sagespool-cli/src/main.rs
@@ -0,0 +1,3 @@
+//! sagespool
+
+fn main() {}
--- /dev/null
+++ b/crates/sagespool-daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! sagespoold
+
+fn main() {}
--- /dev/null
+++ b/crates/sagespool-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry role: callers' HTTP, the home of branches, dispatch to sidecars.
--- /dev/null
+++ b/crates/sagespool-ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! Budgets as pure decisions: books, grants, reservations, charges.
--- /dev/null
+++ b/crates/sagespool-link/src/lib.rs
@@ -0,0 +1,1 @@
+//! Typed messages between the processes of the fleet, over QUIC.
--- /dev/null
+++ b/crates/sagespool-membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Heartbeats, incarnations, leaving and configuration versions as pure decisions.
--- /dev/null
+++ b/crates/sagespool-messages/src/lib.rs
@@ -0,0 +1,31 @@
+//! The messages that processes of the fleet send each other.
+//!
+//! A [`PeerRequest`] opens a stream of its own; the receiver answers with one
+//! [`PeerReply`], or, for a dispatch or an attach, with [`DispatchEvent`]s up
+//! to a final one. All are encoded by `postcard`, so a field may only be
+//! added together with a new message version of the link.
+
+mod charges;
+mod claims;
+mod dispatch;
+mod members;
+mod operations;
+mod reserve;
+mod wire;
+
+pub use charges::{ChargeRecord, ChargeReport, ChargesDurable, SealReply, SealRequest, SealScope};
+pub use claims::{ClaimReply, ClaimRequest, CrashReport, KeyReply, KeyRequest, KeyState};
+pub use dispatch::{
+    AttachRequest, CallTarget, CancelRequest, DispatchEnd, DispatchEvent, DispatchRequest,
+    HeaderPair, ResumePoint, StopCause,
+};
+pub use members::{Heartbeat, LoadReport, MemberInfo, MemberRole, ServedUpstream, UpstreamKind};
+pub use operations::{
+    EngineOrder, MemberStatus, OrderReply, OrderRequest, RunningRequest, SpendStatus, StatusQuery,
+    StatusReply,
+};
+pub use reserve::{
+    FinishReport, FinishState, RecallReply, RecallRequest, RefusalNotice, ReserveReply,
+    ReserveRequest, ReservedCharge,
+};
+pub use wire::{PeerReply, PeerRequest};
--- /dev/null
+++ b/crates/sagespool-metrics/src/lib.rs
@@ -0,0 +1,1 @@
+//! Metrics of a process: histograms by class and branch, counters, exposition.
--- /dev/null
+++ b/crates/sagespool-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of the platform: object API and instance list.
--- /dev/null
+++ b/crates/sagespool-routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choosing an upstream as pure decisions: load, affinity, queues, retries, limits.
--- /dev/null
+++ b/crates/sagespool-types/src/digest.rs
@@ -0,0 +1,149 @@
+//! Digests: of an idempotency key, of a request's content, of a secret.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use twox_hash::XxHash3_128;
+
+use crate::{BranchName, ParseFault};
+
+macro_rules! digests {
+    ($($(#[$doc:meta])* $name:ident, $wanted:literal;)*) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(pub u128);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:032x}", self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseFault;
+
+            fn from_str(text: &str) -> Result<Self, ParseFault> {
+                let fault = |_| ParseFault::new($wanted, text, "up to 32 hexadecimal digits");
+                u128::from_str_radix(text, 16).map(Self).map_err(fault)
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = ParseFault;
+
+            fn try_from(text: String) -> Result<Self, ParseFault> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(digest: $name) -> String {
+                digest.to_string()
+            }
+        }
+    )*};
+}
+
+digests! {
+    /// Digest of a branch and its caller's idempotency key, the same in every process.
+    KeyDigest, "a key digest";
+    /// Digest of what a request asks for, the same under another key or through another entry.
+    ContentDigest, "a content digest";
+}
+
+/// Cryptographic where callers choose the input: a caller must not be able
+/// to make its key collide with another branch's.
+fn cryptographic(parts: &[&[u8]]) -> u128 {
+    let mut hasher = Sha256::new();
+    for part in parts {
+        hasher.update((part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let sum = hasher.finalize();
+    let mut first = [0; 16];
+    first.copy_from_slice(&sum[..16]);
+    u128::from_le_bytes(first)
+}
+
+impl KeyDigest {
+    /// The digest of a caller's key; two branches may use the same key text.
+    pub fn of(branch: &BranchName, key: &str) -> Self {
+        Self(cryptographic(&[branch.as_str().as_bytes(), key.as_bytes()]))
+    }
+}
+
+impl ContentDigest {
+    /// The digest of a request's target and body.
+    pub fn of(target: &str, body: &[u8]) -> Self {
+        Self(cryptographic(&[target.as_bytes(), body]))
+    }
+
+    /// A fast digest for content that no caller chooses.
+    pub fn fast(body: &[u8]) -> Self {
+        Self(XxHash3_128::oneshot(body))
+    }
+}
+
+/// SHA-256 of a bearer token, in lower-case hexadecimal. The token itself is never kept.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct SecretHash(String);
+
+impl SecretHash {
+    /// The hash of a secret.
+    pub fn of(secret: &str) -> Self {
+        let sum = Sha256::digest(secret.as_bytes());
+        Self(sum.iter().map(|byte| format!("{byte:02x}")).collect())
+    }
+
+    /// The hash in lower-case hexadecimal.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for SecretHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "SecretHash({}…)", &self.0[..8])
+    }
+}
+
+impl fmt::Display for SecretHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for SecretHash {
+    type Err = ParseFault;
+
+    fn from_str(text: &str) -> Result<Self, ParseFault> {
+        let fits = text.len() == 64
+            && text.chars().all(|c| c.is_ascii_digit() || ('a'..='f').contains(&c));
+        if !fits {
+            return Err(ParseFault::new(
+                "a key hash",
+                text,
+                "SHA-256 as 64 lower-case hexadecimal digits",
+            ));
+        }
+        Ok(Self(text.to_owned()))
+    }
+}
+
+impl TryFrom<String> for SecretHash {
+    type Error = ParseFault;
+
+    fn try_from(text: String) -> Result<Self, ParseFault> {
+        text.parse()
+    }
+}
+
+impl From<SecretHash> for String {
+    fn from(hash: SecretHash) -> String {
+        hash.0
+    }
+}
--- /dev/null
+++ b/crates/sagespool-types/src/ids.rs
@@ -0,0 +1,177 @@
+//! Ids that processes choose for themselves.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ParseFault;
+
+macro_rules! hex_ids {
+    ($($(#[$doc:meta])* $name:ident($inner:ty, $width:literal), $wanted:literal;)*) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(pub $inner);
+
+        impl $name {
+            /// A new random id.
+            pub fn random() -> Self {
+                let bytes: [u8; size_of::<$inner>()] = std::array::from_fn(|_| fastrand::u8(..));
+                Self(<$inner>::from_le_bytes(bytes))
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!("{:0", $width, "x}"), self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseFault;
+
+            fn from_str(text: &str) -> Result<Self, ParseFault> {
+                let fault = || ParseFault::new($wanted, text, "hexadecimal digits");
+                if text.is_empty() || text.starts_with('+') {
+                    return Err(fault());
+                }
+                <$inner>::from_str_radix(text, 16).map(Self).map_err(|_| fault())
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = ParseFault;
+
+            fn try_from(text: String) -> Result<Self, ParseFault> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(id: $name) -> String {
+                id.to_string()
+            }
+        }
+    )*};
+}
+
+hex_ids! {
+    /// One run of one process: a restarted process has another incarnation.
+    IncarnationId(u64, "16"), "an incarnation id";
+    /// One request of a caller, chosen by the entry that accepted it.
+    RequestId(u128, "32"), "a request id";
+    /// One command of an operator, chosen by whoever gives it, so that giving it twice does it once.
+    CommandId(u128, "32"), "a command id";
+}
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident($inner:ty), $wanted:literal;)*) => {$(
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl $name {
+            /// The number after this one.
+            pub fn next(self) -> Self {
+                Self(self.0.saturating_add(1))
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseFault;
+
+            fn from_str(text: &str) -> Result<Self, ParseFault> {
+                text.parse().map(Self).map_err(|_| ParseFault::new($wanted, text, "a whole number"))
+            }
+        }
+    )*};
+}
+
+counters! {
+    /// The place of a charge within its grant, counted from 0.
+    SequenceNumber(u64), "a sequence number";
+    /// Which try at a request this is, counted from 1.
+    AttemptNumber(u32), "an attempt number";
+    /// A fencing number: an order with a lower one than seen before is stale.
+    FenceNumber(u64), "a fencing number";
+}
+
+/// A grant: an amount of a branch's budget that one incarnation may spend.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct GrantId {
+    /// The incarnation that asked for the grant and alone may spend it.
+    pub holder: IncarnationId,
+    /// Counted by the holder, so that an id is never used twice.
+    pub number: u64,
+}
+
+impl fmt::Display for GrantId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.holder, self.number)
+    }
+}
+
+impl FromStr for GrantId {
+    type Err = ParseFault;
+
+    fn from_str(text: &str) -> Result<Self, ParseFault> {
+        let fault =
+            || ParseFault::new("a grant id", text, "HOLDER-NUMBER, as `00c0ffee00c0ffee-7`");
+        let (holder, number) = text.split_once('-').ok_or_else(fault)?;
+        let holder = holder.parse().map_err(|_| fault())?;
+        let number = number.parse().map_err(|_| fault())?;
+        Ok(Self { holder, number })
+    }
+}
+
+impl TryFrom<String> for GrantId {
+    type Error = ParseFault;
+
+    fn try_from(text: String) -> Result<Self, ParseFault> {
+        text.parse()
+    }
+}
+
+impl From<GrantId> for String {
+    fn from(id: GrantId) -> String {
+        id.to_string()
+    }
+}
+
+/// A charge: one request paid from one grant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ChargeId {
+    /// The grant that pays.
+    pub grant: GrantId,
+    /// The place within the grant.
+    pub sequence: SequenceNumber,
+}
+
+impl fmt::Display for ChargeId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.grant, self.sequence)
+    }
+}
+
+impl FromStr for ChargeId {
+    type Err = ParseFault;
+
+    fn from_str(text: &str) -> Result<Self, ParseFault> {
+        let fault = || ParseFault::new("a charge id", text, "GRANT/SEQUENCE");
+        let (grant, sequence) = text.split_once('/').ok_or_else(fault)?;
+        let grant = grant.parse().map_err(|_| fault())?;
+        let sequence = sequence.parse().map_err(|_| fault())?;
+        Ok(Self { grant, sequence })
+    }
+}
