Tell homes which claims need the store and which grants a sidecar refused

A keyed idempotent request needs no store write, only the home's memory; a grant that a sidecar refuses must not be reserved from again, or the request would circle.

--- a/crates/sagespool-messages/src/claims.rs
+++ b/crates/sagespool-messages/src/claims.rs
@@ -26,6 +26,9 @@
         pub sidecar: IncarnationId,
         /// That sidecar's upstream.
         pub upstream: UpstreamName,
+        /// True if the claim must be durable in the store before the request runs; else the home's
+        /// memory is enough.
+        pub durable: bool,
         /// Time left until the request's deadline.
         pub time_left: std::time::Duration,
     }
--- a/crates/sagespool-messages/src/reserve.rs
+++ b/crates/sagespool-messages/src/reserve.rs
@@ -82,6 +82,9 @@
         Ran(ChargeRecord),
         /// Surely never ran: the reservation is given back whole.
         NotRun,
+        /// Surely never ran, because a sidecar refused the grant (sealed, or older than the
+        /// sidecar): nothing new is to be reserved from it.
+        GrantUnusable,
         /// The entry can't tell what ran; the sidecars will.
         Unknown,
     }
