--- a/crates/sagespool-daemon/src/main.rs
+++ b/crates/sagespool-daemon/src/main.rs
@@ -1,3 +1,25 @@
-//! sagespoold
+//! sagespoold: one process of the fleet, as entry or sidecar.
 
-fn main() {}
+mod options;
+mod process;
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+use crate::options::DaemonOptions;
+
+const USAGE_FAULT: u8 = 2;
+
+fn main() -> ExitCode {
+    let options = DaemonOptions::parse_args_default_or_exit();
+    if options.version {
+        println!("sagespoold {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(path) = options.settings else {
+        eprintln!("sagespoold needs a settings file\nhelp: sagespoold FILE, for example examples/entry.json");
+        return ExitCode::from(USAGE_FAULT);
+    };
+    process::run(&path)
+}
--- /dev/null
+++ b/crates/sagespool-daemon/src/process.rs
@@ -0,0 +1,88 @@
+//! One process from its settings to its graceful stop.
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use sagespool_entry::EntryRole;
+use sagespool_log::{log_event, start_log};
+use sagespool_settings::{ProcessSettings, RoleSettings, load_process};
+use sagespool_sidecar::SidecarRole;
+
+/// The settings are not acceptable.
+const SETTINGS_FAULT: u8 = 2;
+/// The process couldn't start.
+const START_FAULT: u8 = 1;
+/// The process stopped, but something was still running or couldn't be handed back.
+const UNCLEAN_STOP: u8 = 3;
+
+/// A role that runs.
+enum RunningRole {
+    Entry(EntryRole),
+    Sidecar(SidecarRole),
+}
+
+/// Runs a process from its settings file until it is told to stop.
+pub fn run(path: &Path) -> ExitCode {
+    let settings = match load_process(path) {
+        Ok(settings) => settings,
+        Err(report) => {
+            eprintln!("{report:?}");
+            return ExitCode::from(SETTINGS_FAULT);
+        }
+    };
+    start_log(settings.log.level);
+    smol::block_on(run_role(settings))
+}
+
+async fn run_role(settings: ProcessSettings) -> ExitCode {
+    // Signals are taken before anything starts, so that none is missed.
+    let signals = Signals::new([Signal::Term, Signal::Int]);
+    let mut signals = match signals {
+        Ok(signals) => signals,
+        Err(error) => {
+            log_event!(error, "signals-unavailable", error = error);
+            return ExitCode::from(START_FAULT);
+        }
+    };
+    let stop_limit = settings.stop_limit;
+    let role = match start_role(settings) {
+        Ok(role) => role,
+        Err(detail) => {
+            log_event!(error, "start-failed", detail = detail);
+            return ExitCode::from(START_FAULT);
+        }
+    };
+    signals.next().await;
+    log_event!(info, "stop-asked", limit_ms = stop_limit.as_millis());
+    let clean = stop_role(role, stop_limit).await;
+    if clean { ExitCode::SUCCESS } else { ExitCode::from(UNCLEAN_STOP) }
+}
+
+fn start_role(settings: ProcessSettings) -> Result<RunningRole, String> {
+    match settings.role.clone() {
+        RoleSettings::Entry(entry) => {
+            let started = EntryRole::start(settings, entry);
+            started.map(RunningRole::Entry).map_err(|report| format!("{report:?}"))
+        }
+        RoleSettings::Sidecar(sidecar) => {
+            let started = SidecarRole::start(settings, sidecar);
+            started.map(RunningRole::Sidecar).map_err(|report| format!("{report:?}"))
+        }
+    }
+}
+
+async fn stop_role(role: RunningRole, limit: Duration) -> bool {
+    match role {
+        RunningRole::Entry(entry) => {
+            let report = entry.stop(limit).await;
+            report.cut == 0 && report.unwritten_books == 0
+        }
+        RunningRole::Sidecar(sidecar) => {
+            let report = sidecar.stop(limit).await;
+            report.cut == 0 && report.unreported == 0
+        }
+    }
+}
--- /dev/null
+++ b/crates/sagespool-entry/src/caller/answer.rs
@@ -0,0 +1,278 @@
+//! Answers in HTTP: whole JSON, server-sent events, or a service's own bytes.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use async_channel::Receiver;
+use futures_lite::{AsyncRead, Stream};
+use sagespool_messages::{HeaderPair, RefusalNotice, StopCause};
+use sagespool_types::{RequestId, TokenCount};
+use serde_json::json;
+use trillium::{Body, Conn, HeaderName, KnownHeaderName, Status};
+
+use super::CompletionCall;
+use super::fault::{refusal_body, respond_refusal, with_request_headers};
+use crate::run::{AnswerEvent, AnswerReceiver};
+
+/// Chunks of a stream that may wait for a slow caller.
+const EVENT_BACKLOG: usize = 64;
+
+/// A body's bytes as they come in over a channel.
+struct ChannelReader {
+    chunks: Pin<Box<Receiver<Vec<u8>>>>,
+    rest: Vec<u8>,
+    taken: usize,
+}
+
+impl AsyncRead for ChannelReader {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let reader = self.get_mut();
+        while reader.taken == reader.rest.len() {
+            match reader.chunks.as_mut().poll_next(context) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(None) => return Poll::Ready(Ok(0)),
+                Poll::Ready(Some(chunk)) => {
+                    reader.rest = chunk;
+                    reader.taken = 0;
+                }
+            }
+        }
+        let length = buffer.len().min(reader.rest.len() - reader.taken);
+        let end = reader.taken + length;
+        buffer[..length].copy_from_slice(&reader.rest[reader.taken..end]);
+        reader.taken = end;
+        Poll::Ready(Ok(length))
+    }
+}
+
+fn streaming_body(chunks: Receiver<Vec<u8>>) -> Body {
+    let reader = ChannelReader { chunks: Box::pin(chunks), rest: Vec::new(), taken: 0 };
+    Body::new_streaming(reader, None)
+}
+
+fn finish_reason(stop: StopCause) -> &'static str {
+    match stop {
+        StopCause::Stop => "stop",
+        StopCause::Length => "length",
+    }
+}
+
+fn no_answer() -> RefusalNotice {
+    RefusalNotice {
+        reason: sagespool_types::RefusalReason::OutcomeUnknown,
+        run_state: sagespool_types::RunState::Unknown,
+        message: "the request ended without a word about its outcome".into(),
+        retry_after: Some(Duration::from_secs(1)),
+    }
+}
+
+fn usage(call: &CompletionCall, tokens: u32) -> serde_json::Value {
+    json!({
+        "prompt_tokens": call.prompt_tokens,
+        "completion_tokens": tokens,
+        "total_tokens": call.prompt_tokens + tokens,
+    })
+}
+
+/// A whole answer, or why there is none.
+struct CollectedAnswer {
+    status: u16,
+    headers: Vec<HeaderPair>,
+    data: Vec<u8>,
+    tokens: u32,
+    end: CollectedEnd,
+}
+
+enum CollectedEnd {
+    Whole { billed: TokenCount, stop: StopCause },
+    Refused { notice: RefusalNotice, billed: TokenCount },
+}
+
+async fn collect(answers: AnswerReceiver) -> CollectedAnswer {
+    let mut answer = CollectedAnswer {
+        status: 200,
+        headers: Vec::new(),
+        data: Vec::new(),
+        tokens: 0,
+        end: CollectedEnd::Refused { notice: no_answer(), billed: TokenCount::ZERO },
+    };
+    while let Ok(event) = answers.recv().await {
+        match event {
+            AnswerEvent::Head { status, headers } => {
+                answer.status = status;
+                answer.headers = headers;
+            }
+            AnswerEvent::Piece { tokens, data } => {
+                answer.tokens += tokens;
+                answer.data.extend_from_slice(&data);
+            }
+            AnswerEvent::Whole { billed, stop } => {
+                answer.end = CollectedEnd::Whole { billed, stop };
+                break;
+            }
+            AnswerEvent::Refused { notice, billed } => {
+                answer.end = CollectedEnd::Refused { notice, billed };
+                break;
+            }
+        }
+    }
+    answer
+}
+
+/// A chat completion as one JSON document. A caller that goes away before it is there drops the
+/// answers, which the run notices.
+pub(super) async fn respond_whole(
+    mut conn: Conn,
+    call: &CompletionCall,
+    request: RequestId,
+    answers: AnswerReceiver,
+) -> Conn {
+    let Some(answer) = conn.cancel_on_disconnect(collect(answers)).await else {
+        return conn;
+    };
+    let (billed, stop) = match answer.end {
+        CollectedEnd::Whole { billed, stop } => (billed, stop),
+        CollectedEnd::Refused { notice, billed } => {
+            return respond_refusal(conn, &notice, request, billed);
+        }
+    };
+    let body = json!({
+        "id": request.to_string(),
+        "object": "chat.completion",
+        "model": call.model,
+        "choices": [{
+            "index": 0,
+            "message": {"role": "assistant", "content": String::from_utf8_lossy(&answer.data)},
+            "finish_reason": finish_reason(stop),
+        }],
+        "usage": usage(call, answer.tokens),
+        "sagespool": {"request_id": request.to_string(), "billed": billed},
+    });
+    with_request_headers(conn, request, billed)
+        .with_response_header(KnownHeaderName::ContentType, "application/json")
+        .with_status(Status::Ok)
+        .with_body(body.to_string())
+        .halt()
+}
+
+fn event_line(value: &serde_json::Value) -> Vec<u8> {
+    format!("data: {value}\n\n").into_bytes()
+}
+
+fn chunk_line(call: &CompletionCall, request: &str, text: &str) -> Vec<u8> {
+    event_line(&json!({
+        "id": request,
+        "object": "chat.completion.chunk",
+        "model": call.model,
+        "choices": [{"index": 0, "delta": {"content": text}, "finish_reason": null}],
+    }))
+}
+
+fn closing_lines(call: &CompletionCall, request: &str, tokens: u32, billed: TokenCount, stop: StopCause) -> Vec<u8> {
+    let mut lines = event_line(&json!({
+        "id": request,
+        "object": "chat.completion.chunk",
+        "model": call.model,
+        "choices": [{"index": 0, "delta": {}, "finish_reason": finish_reason(stop)}],
+        "usage": usage(call, tokens),
+        "sagespool": {"request_id": request, "billed": billed},
+    }));
+    lines.extend_from_slice(b"data: [DONE]\n\n");
+    lines
+}
+
+/// A chat completion as server-sent events. The status is sent with the first piece, so that a
+/// refusal before it still is a plain refusal; one after it is an event `error` with no `[DONE]`.
+pub(super) async fn respond_events(
+    mut conn: Conn,
+    call: CompletionCall,
+    request: RequestId,
+    answers: AnswerReceiver,
+) -> Conn {
+    let Some(first) = conn.cancel_on_disconnect(answers.recv()).await else {
+        return conn;
+    };
+    let first = match first {
+        Ok(AnswerEvent::Refused { notice, billed }) => {
+            return respond_refusal(conn, &notice, request, billed);
+        }
+        Ok(event) => event,
+        Err(_) => return respond_refusal(conn, &no_answer(), request, TokenCount::ZERO),
+    };
+    let (sender, chunks) = async_channel::bounded(EVENT_BACKLOG);
+    smol::spawn(pump_events(call, request, first, answers, sender)).detach();
+    conn.with_response_header("sagespool-request-id", request.to_string())
+        .with_response_header(KnownHeaderName::ContentType, "text/event-stream")
+        .with_response_header(KnownHeaderName::CacheControl, "no-cache")
+        .with_status(Status::Ok)
+        .with_body(streaming_body(chunks))
+        .halt()
+}
+
+async fn pump_events(
+    call: CompletionCall,
+    request: RequestId,
+    first: AnswerEvent,
+    answers: AnswerReceiver,
+    sender: async_channel::Sender<Vec<u8>>,
+) {
+    let id = request.to_string();
+    let mut tokens = 0;
+    let mut next = Ok(first);
+    while let Ok(event) = next {
+        let (chunk, last) = match event {
+            AnswerEvent::Head { .. } => (Vec::new(), false),
+            AnswerEvent::Piece { tokens: more, data } => {
+                tokens += more;
+                (chunk_line(&call, &id, &String::from_utf8_lossy(&data)), false)
+            }
+            AnswerEvent::Whole { billed, stop } => (closing_lines(&call, &id, tokens, billed, stop), true),
+            AnswerEvent::Refused { notice, billed } => (error_lines(&notice, request, billed), true),
+        };
+        // A caller that went away drops the body and with it the channel; returning drops the
+        // answers, which the run notices.
+        if sender.send(chunk).await.is_err() || last {
+            return;
+        }
+        next = answers.recv().await;
+    }
+    let _ = sender.send(error_lines(&no_answer(), request, TokenCount::ZERO)).await;
+}
+
+fn error_lines(notice: &RefusalNotice, request: RequestId, billed: TokenCount) -> Vec<u8> {
+    let body = refusal_body(notice, request, billed);
+    format!("event: error\ndata: {body}\n\n").into_bytes()
+}
+
+fn with_service_headers(mut conn: Conn, headers: Vec<HeaderPair>) -> Conn {
+    for pair in headers {
+        let own = ["content-length", "transfer-encoding", "connection", "keep-alive", "date", "server"];
+        if own.contains(&pair.name.as_str()) {
+            continue;
+        }
+        conn.response_headers_mut().append(HeaderName::from(pair.name), pair.value);
+    }
+    conn
+}
+
+/// A plain service's answer, whole: a broken one must be told from a whole one by its status.
+pub(super) async fn respond_service(mut conn: Conn, request: RequestId, answers: AnswerReceiver) -> Conn {
+    let Some(answer) = conn.cancel_on_disconnect(collect(answers)).await else {
+        return conn;
+    };
+    let billed = match answer.end {
+        CollectedEnd::Whole { billed, .. } => billed,
+        CollectedEnd::Refused { notice, billed } => {
+            return respond_refusal(conn, &notice, request, billed);
+        }
+    };
+    let conn = with_service_headers(conn, answer.headers);
+    let status = Status::try_from(answer.status).unwrap_or(Status::BadGateway);
+    with_request_headers(conn, request, billed).with_status(status).with_body(answer.data).halt()
+}
--- /dev/null
+++ b/crates/sagespool-entry/src/caller/headers.rs
@@ -0,0 +1,113 @@
+//! What callers say in headers: key, deadline, class, non-idempotent.
+
+use std::time::Duration;
+
+use sagespool_settings::{ClassEntry, FleetConfiguration};
+use sagespool_types::ClassName;
+use trillium::Headers;
+
+use super::CallFault;
+
+const LONGEST_KEY: usize = 255;
+
+/// The checked headers of a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallHeaders {
+    /// The caller's idempotency key.
+    pub key: Option<String>,
+    /// Time from now to the deadline.
+    pub time_left: Duration,
+    /// The class.
+    pub class: ClassName,
+    /// The class's priority; lower goes first.
+    pub priority: u8,
+    /// The caller says that this request may never run twice.
+    pub non_idempotent: bool,
+}
+
+fn text<'a>(headers: &'a Headers, name: &'static str) -> Result<Option<&'a str>, CallFault> {
+    let Some(values) = headers.get_values(name) else {
+        return Ok(None);
+    };
+    if values.len() > 1 {
+        let message = format!("the header {name} is given {} times", values.len());
+        return Err(CallFault::bad("repeated-header", message, "give it once"));
+    }
+    let value = values.one().and_then(|value| value.as_str());
+    let fault =
+        || CallFault::bad("header-text", format!("the header {name} is not text"), "ASCII text");
+    value.map(|value| Some(value.trim())).ok_or_else(fault)
+}
+
+/// The idempotency key, if one is given.
+fn read_key(headers: &Headers) -> Result<Option<String>, CallFault> {
+    let Some(key) = text(headers, "idempotency-key")? else {
+        return Ok(None);
+    };
+    let fits = !key.is_empty() && key.len() <= LONGEST_KEY && key.chars().all(|c| c.is_ascii_graphic());
+    if !fits {
+        let message = format!("the idempotency key has {} characters or odd ones", key.len());
+        let help = format!("1 to {LONGEST_KEY} printable ASCII characters without spaces");
+        return Err(CallFault::bad("idempotency-key", message, help));
+    }
+    Ok(Some(key.to_owned()))
+}
+
+fn read_class<'a>(
+    headers: &Headers,
+    config: &'a FleetConfiguration,
+) -> Result<&'a ClassEntry, CallFault> {
+    let Some(name) = text(headers, "sagespool-class")? else {
+        return Ok(config.default_class());
+    };
+    let known = || {
+        let names: Vec<String> = config.classes().map(|class| class.name.to_string()).collect();
+        format!("one of: {}", names.join(", "))
+    };
+    let fault = || CallFault::bad("unknown-class", format!("no class is called `{name}`"), known());
+    let name: ClassName = name.parse().map_err(|_| fault())?;
+    config.class(&name).ok_or_else(fault)
+}
+
+fn read_deadline(headers: &Headers, class: &ClassEntry) -> Result<Duration, CallFault> {
+    let Some(given) = text(headers, "sagespool-deadline-ms")? else {
+        return Ok(Duration::from_millis(class.deadline_ms));
+    };
+    let longest = class.longest_deadline_ms;
+    let fault = || {
+        let message = format!("`{given}` is not a deadline of class {}", class.name);
+        CallFault::bad("deadline", message, format!("whole milliseconds from 1 to {longest}"))
+    };
+    let millis: u64 = given.parse().map_err(|_| fault())?;
+    if millis == 0 || millis > longest {
+        return Err(fault());
+    }
+    Ok(Duration::from_millis(millis))
+}
+
+fn read_non_idempotent(headers: &Headers) -> Result<bool, CallFault> {
+    match text(headers, "sagespool-non-idempotent")? {
+        None | Some("false") => Ok(false),
+        Some("true") => Ok(true),
+        Some(other) => {
+            let message = format!("sagespool-non-idempotent is `{other}`");
+            Err(CallFault::bad("non-idempotent", message, "`true` or `false`"))
+        }
+    }
+}
+
+/// Checks every header that the fleet reads.
+///
+/// # Errors
+/// The first header that is not acceptable.
+pub fn read_headers(
+    headers: &Headers,
+    config: &FleetConfiguration,
+) -> Result<CallHeaders, CallFault> {
+    let key = read_key(headers)?;
+    let class = read_class(headers, config)?;
+    let time_left = read_deadline(headers, class)?;
+    let non_idempotent = read_non_idempotent(headers)?;
+    let (class, priority) = (class.name.clone(), class.priority);
+    Ok(CallHeaders { key, time_left, class, priority, non_idempotent })
+}
--- /dev/null
+++ b/crates/sagespool-entry/src/caller/server.rs
@@ -0,0 +1,272 @@
+//! The entry's HTTP server.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::AsyncReadExt;
+use sagespool_messages::CallTarget;
+use sagespool_settings::FleetConfiguration;
+use sagespool_types::{
+    BranchName, ClockTime, ContentDigest, KeyDigest, RefusalReason, RequestId, RunState,
+    ServiceName, TokenCount,
+};
+use trillium::{Conn, KnownHeaderName, Status};
+use trillium_server_common::ServerHandle;
+
+use super::answer::{respond_events, respond_service, respond_whole};
+use super::fault::respond_refusal;
+use super::headers::CallHeaders;
+use super::identity::{check_branch, read_identity};
+use super::service_call::read_service_call;
+use super::{CallFault, read_completion, read_headers};
+use crate::run::{RequestOrder, start_run};
+use crate::state::EntryState;
+
+const COMPLETIONS_PATH: &str = "/v1/chat/completions";
+const SERVICES_PREFIX: &str = "/services/";
+
+/// Starts serving callers on the address, and returns the handle that stops it.
+pub fn serve(state: Arc<EntryState>, listen: SocketAddr) -> ServerHandle {
+    let handler = move |conn: Conn| {
+        let state = Arc::clone(&state);
+        async move { route(state, conn).await }
+    };
+    trillium_smol::config()
+        .with_socketaddr(listen)
+        .with_nodelay()
+        .without_signals()
+        .spawn(handler)
+}
+
+async fn route(state: Arc<EntryState>, conn: Conn) -> Conn {
+    let path = conn.path().to_owned();
+    match path.as_str() {
+        "/healthz" => conn.ok("ok\n").halt(),
+        "/readyz" => respond_ready(&state, conn),
+        "/metrics" => respond_metrics(&state, conn),
+        COMPLETIONS_PATH => completion(state, conn).await,
+        _ if path.starts_with(SERVICES_PREFIX) => service(state, conn, &path).await,
+        _ if path.starts_with("/operator/") => crate::operator::route(state, conn).await,
+        _ => {
+            let message = format!("nothing is served at {path}");
+            let help = format!("{COMPLETIONS_PATH} or {SERVICES_PREFIX}NAME/…");
+            let fault = CallFault::new(Status::NotFound, "unknown-path", message, help);
+            fault.respond(conn, RequestId::random())
+        }
+    }
+}
+
+fn respond_ready(state: &EntryState, conn: Conn) -> Conn {
+    match state.not_ready_because() {
+        None => conn.ok("ready\n").halt(),
+        Some(reason) => {
+            conn.with_status(Status::ServiceUnavailable).with_body(format!("{reason}\n")).halt()
+        }
+    }
+}
+
+fn respond_metrics(state: &EntryState, conn: Conn) -> Conn {
+    let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+    state.refresh_gauges();
+    conn.with_response_header(KnownHeaderName::ContentType, content_type)
+        .with_status(Status::Ok)
+        .with_body(state.metrics.encode())
+        .halt()
+}
+
+/// What every accepted call has.
+struct AcceptedCall {
+    request: RequestId,
+    arrived: ClockTime,
+    branch: BranchName,
+    headers: CallHeaders,
+    body: Vec<u8>,
+    config: Arc<FleetConfiguration>,
+}
+
+fn not_accepting(state: &EntryState) -> Option<sagespool_messages::RefusalNotice> {
+    let (reason, message) = if state.is_leaving() {
+        (RefusalReason::Leaving, "this entry is leaving; another takes the request")
+    } else if state.config.current().is_none() {
+        (RefusalReason::NotReady, "this entry has no configuration yet")
+    } else {
+        return None;
+    };
+    Some(sagespool_messages::RefusalNotice {
+        reason,
+        run_state: RunState::NotRun,
+        message: message.into(),
+        retry_after: Some(Duration::from_millis(200)),
+    })
+}
+
+async fn read_body(conn: &mut Conn, most: usize) -> Result<Vec<u8>, CallFault> {
+    let too_large = || {
+        let message = format!("the body is over {most} bytes");
+        let help = format!("at most {most} bytes");
+        CallFault::new(Status::PayloadTooLarge, "body-too-large", message, help)
+    };
+    let declared = conn.request_headers().get_str(KnownHeaderName::ContentLength);
+    let declared: Option<usize> = declared.and_then(|length| length.parse().ok());
+    if declared.is_some_and(|length| length > most) {
+        return Err(too_large());
+    }
+    let mut body = Vec::new();
+    let reader = conn.request_body();
+    let unread = |error| CallFault::bad("unreadable-body", format!("the body can't be read: {error}"), "a whole body");
+    reader.take(most as u64 + 1).read_to_end(&mut body).await.map_err(unread)?;
+    if body.len() > most {
+        return Err(too_large());
+    }
+    Ok(body)
+}
+
+/// Checks who calls and the headers, then reads the body: nobody unknown makes the entry hold one.
+async fn accept(
+    state: &EntryState,
+    conn: &mut Conn,
+    config: Arc<FleetConfiguration>,
+    request: RequestId,
+) -> Result<AcceptedCall, CallFault> {
+    let arrived = ClockTime::now();
+    let branch = read_identity(conn.request_headers(), &config)?;
+    check_branch(conn.request_headers(), &branch)?;
+    let headers = read_headers(conn.request_headers(), &config)?;
+    let body = read_body(conn, state.settings.body_limit.0 as usize).await?;
+    Ok(AcceptedCall { request, arrived, branch, headers, body, config })
+}
+
+fn check_method(conn: &Conn) -> Result<(), CallFault> {
+    if conn.method() == trillium::Method::Post {
+        return Ok(());
+    }
+    let message = format!("{} isn't possible here", conn.method());
+    Err(CallFault::new(Status::MethodNotAllowed, "method", message, "POST"))
+}
+
+/// Refuses a non-idempotent request without a key: sent again, it couldn't be told from a new one.
+fn check_key(headers: &CallHeaders, non_idempotent: bool) -> Result<(), CallFault> {
+    if !non_idempotent || headers.key.is_some() {
+        return Ok(());
+    }
+    let message = "a request that may never run twice needs an idempotency key";
+    Err(CallFault::bad("key-needed", message, "send `Idempotency-Key: KEY`, the same when sending again"))
+}
+
+/// What a call asks for, apart from what all calls have.
+struct CallWork {
+    service: ServiceName,
+    target: CallTarget,
+    content: ContentDigest,
+    amount: TokenCount,
+    non_idempotent: bool,
+    prefix: Option<u128>,
+}
+
+fn order_of(call: AcceptedCall, work: CallWork) -> RequestOrder {
+    let key = call.headers.key.as_deref().map(|key| KeyDigest::of(&call.branch, key));
+    RequestOrder::builder()
+        .request(call.request)
+        .branch(call.branch)
+        .service(work.service)
+        .class(call.headers.class)
+        .priority(call.headers.priority)
+        .maybe_key(key)
+        .content(work.content)
+        .non_idempotent(work.non_idempotent)
+        .amount(work.amount)
+        .arrived(call.arrived)
+        .deadline(call.arrived.after(call.headers.time_left))
+        .target(work.target)
+        .body(Arc::new(call.body))
+        .maybe_prefix(work.prefix)
+        .build()
+}
+
+async fn completion(state: Arc<EntryState>, mut conn: Conn) -> Conn {
+    let request = RequestId::random();
+    if let Err(fault) = check_method(&conn) {
+        return fault.respond(conn, request);
+    }
+    if let Some(notice) = not_accepting(&state) {
+        return respond_refusal(conn, &notice, request, TokenCount::ZERO);
+    }
+    let Some(config) = state.config.current() else {
+        return conn;
+    };
+    let call = match accept(&state, &mut conn, config, request).await {
+        Ok(call) => call,
+        Err(fault) => return fault.respond(conn, request),
+    };
+    let parsed = read_completion(&call.body, &call.config).and_then(|parsed| {
+        let declared = call.config.is_non_idempotent(&call.branch, &parsed.service, "POST", COMPLETIONS_PATH);
+        let non_idempotent = declared || call.headers.non_idempotent;
+        check_key(&call.headers, non_idempotent)?;
+        Ok((parsed, non_idempotent))
+    });
+    let (parsed, non_idempotent) = match parsed {
+        Ok(parsed) => parsed,
+        Err(fault) => return fault.respond(conn, request),
+    };
+    state.metrics.admitted(&call.headers.class, &call.branch);
+    let work = CallWork {
+        service: parsed.service.clone(),
+        target: CallTarget::Completion {
+            model: parsed.model.clone(),
+            max_tokens: parsed.max_tokens,
+            prompt_tokens: parsed.prompt_tokens,
+            resume: None,
+        },
+        content: parsed.content,
+        amount: parsed.greatest_cost(),
+        non_idempotent,
+        prefix: Some(parsed.prefix),
+    };
+    let answers = start_run(Arc::clone(&state), order_of(call, work));
+    if parsed.stream {
+        return respond_events(conn, parsed, request, answers).await;
+    }
+    respond_whole(conn, &parsed, request, answers).await
+}
+
+async fn service(state: Arc<EntryState>, mut conn: Conn, path: &str) -> Conn {
+    let request = RequestId::random();
+    if let Some(notice) = not_accepting(&state) {
+        return respond_refusal(conn, &notice, request, TokenCount::ZERO);
+    }
+    let Some(config) = state.config.current() else {
+        return conn;
+    };
+    let call = match accept(&state, &mut conn, config, request).await {
+        Ok(call) => call,
+        Err(fault) => return fault.respond(conn, request),
+    };
+    let rest = path.strip_prefix(SERVICES_PREFIX).unwrap_or_default();
+    let (name, inner) = rest.split_once('/').unwrap_or((rest, ""));
+    let query = conn.querystring();
+    let inner = if query.is_empty() { format!("/{inner}") } else { format!("/{inner}?{query}") };
+    let method = conn.method().as_str();
+    let parsed = read_service_call(name, method, &inner, conn.request_headers(), &call.body, &call.config);
+    let parsed = parsed.and_then(|parsed| {
+        let declared = call.config.is_non_idempotent(&call.branch, &parsed.service, method, &inner);
+        let non_idempotent = declared || call.headers.non_idempotent;
+        check_key(&call.headers, non_idempotent)?;
+        Ok((parsed, non_idempotent))
+    });
+    let (parsed, non_idempotent) = match parsed {
+        Ok(parsed) => parsed,
+        Err(fault) => return fault.respond(conn, request),
+    };
+    state.metrics.admitted(&call.headers.class, &call.branch);
+    let work = CallWork {
+        service: parsed.service,
+        target: parsed.target,
+        content: parsed.content,
+        amount: TokenCount(u64::from(parsed.price)),
+        non_idempotent,
+        prefix: None,
+    };
+    let answers = start_run(Arc::clone(&state), order_of(call, work));
+    respond_service(conn, request, answers).await
+}
--- /dev/null
+++ b/crates/sagespool-entry/src/caller/service_call.rs
@@ -0,0 +1,92 @@
+//! Calls of plain services: reading what a caller asks of one.
+
+use sagespool_messages::{CallTarget, HeaderPair};
+use sagespool_settings::{FleetConfiguration, ServiceEntry};
+use sagespool_types::{ContentDigest, ServiceName};
+use trillium::{Headers, Status};
+
+use super::CallFault;
+
+/// Headers that concern one connection, or the fleet, and are not passed on.
+const KEPT_HEADERS: [&str; 14] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "idempotency-key",
+    "keep-alive",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "accept-encoding",
+];
+
+/// A checked call of a plain service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServiceCall {
+    /// The service.
+    pub service: ServiceName,
+    /// The method, path, headers and price.
+    pub target: CallTarget,
+    /// What it asks for.
+    pub content: ContentDigest,
+    /// The settled price.
+    pub price: u32,
+}
+
+fn passed_on(headers: &Headers) -> Vec<HeaderPair> {
+    let mut pairs = Vec::new();
+    for (name, values) in headers.iter() {
+        let name = name.as_ref().to_ascii_lowercase();
+        if KEPT_HEADERS.contains(&name.as_str()) || name.starts_with("sagespool-") {
+            continue;
+        }
+        for value in values.iter().filter_map(|value| value.as_str()) {
+            pairs.push(HeaderPair { name: name.clone(), value: value.to_owned() });
+        }
+    }
+    pairs
+}
+
+fn find_service<'a>(
+    name: &str,
+    config: &'a FleetConfiguration,
+) -> Result<&'a ServiceEntry, CallFault> {
+    let fault = || {
+        let text = format!("no plain service is called `{name}`");
+        CallFault::new(Status::NotFound, "unknown-service", text, "a service of the configuration")
+    };
+    let name: ServiceName = name.parse().map_err(|_| fault())?;
+    let service = config.service(&name).ok_or_else(fault)?;
+    if service.kind != sagespool_messages::UpstreamKind::Service {
+        return Err(fault());
+    }
+    Ok(service)
+}
+
+/// Reads and checks a service call. `path` is what follows the service's name, with its query.
+///
+/// # Errors
+/// 404 for an unknown service or one of model engines.
+pub fn read_service_call(
+    name: &str,
+    method: &str,
+    path: &str,
+    headers: &Headers,
+    body: &[u8],
+    config: &FleetConfiguration,
+) -> Result<ServiceCall, CallFault> {
+    let service = find_service(name, config)?;
+    let target = CallTarget::Service {
+        method: method.to_owned(),
+        path: path.to_owned(),
+        headers: passed_on(headers),
+        price: service.price,
+    };
+    let content = ContentDigest::of(&format!("{name} {method} {path}"), body);
+    Ok(ServiceCall { service: service.name.clone(), target, content, price: service.price })
+}
--- /dev/null
+++ b/crates/sagespool-entry/src/heartbeats.rs
@@ -0,0 +1,74 @@
+//! Heartbeats with other processes, and the instance list as their seed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sagespool_membership::ListedAddress;
+use sagespool_messages::{MemberRole, PeerReply, PeerRequest};
+use sagespool_platform::ListedState;
+use sagespool_types::ClockTime;
+
+use crate::state::EntryState;
+
+const ROUND: Duration = Duration::from_millis(100);
+const BEAT_LIMIT: Duration = Duration::from_millis(900);
+const LIST_WAIT: Duration = Duration::from_secs(20);
+const LIST_PAUSE: Duration = Duration::from_secs(1);
+
+/// Sends heartbeats as they fall due and keeps the routing table on the members' newest word.
+pub(crate) async fn run_heartbeats(state: Arc<EntryState>) {
+    loop {
+        let now = ClockTime::now();
+        for (address, beat) in state.members.due(now) {
+            let state = Arc::clone(&state);
+            smol::spawn(async move {
+                let request = PeerRequest::Heartbeat(beat);
+                match state.link().ask(address, &request, BEAT_LIMIT).await {
+                    Ok(PeerReply::Heartbeat(reply)) => {
+                        state.members.answered(address, &reply, ClockTime::now());
+                        refresh_upstreams(&state);
+                    }
+                    _ => state.members.unanswered(address, ClockTime::now()),
+                }
+            })
+            .detach();
+        }
+        refresh_upstreams(&state);
+        smol::Timer::after(ROUND).await;
+    }
+}
+
+/// Brings what the members say of their upstreams to the routing table.
+pub(crate) fn refresh_upstreams(state: &EntryState) {
+    let now = ClockTime::now();
+    let live = state.members.live(MemberRole::Sidecar, now);
+    for member in &live {
+        state.upstreams.observe(member, now);
+    }
+    state.upstreams.keep_only(&live);
+    let entries = state.members.live(MemberRole::Entry, now).len();
+    state.upstreams.set_entries(entries as u32);
+}
+
+/// Follows the platform's instance list.
+pub(crate) async fn run_instance_watch(state: Arc<EntryState>) {
+    let mut after = None;
+    loop {
+        let Ok(listing) = state.instances.list(after, LIST_WAIT).await else {
+            smol::Timer::after(LIST_PAUSE).await;
+            continue;
+        };
+        after = Some(listing.revision);
+        let listed: Vec<ListedAddress> = listing
+            .instances
+            .into_iter()
+            .map(|item| ListedAddress {
+                instance: item.instance,
+                role: item.role,
+                address: item.address,
+                leaving: item.state == ListedState::Leaving,
+            })
+            .collect();
+        state.members.listed(&listed, ClockTime::now());
+    }
+}
--- /dev/null
+++ b/crates/sagespool-entry/src/home/books.rs
@@ -0,0 +1,114 @@
+//! Writing books: grants asked for and charges settled, by conditional updates.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use event_listener::Event;
+use sagespool_ledger::{BookRecord, book_key};
+use sagespool_log::log_event;
+use sagespool_platform::{StoreError, StoredObject};
+use sagespool_types::{BookNumber, ClockTime, StoreRevision};
+
+use crate::state::EntryState;
+
+const CONFLICT_TRIES: u32 = 20;
+const WRITER_TICK: Duration = Duration::from_millis(100);
+/// After a failed write the store is left alone for so long, unless a request waits.
+const FAILURE_PAUSE: Duration = Duration::from_millis(500);
+
+/// The books as last seen in the store, each under its own lock so that one process never races
+/// itself over a book.
+#[derive(Default)]
+pub(crate) struct BookWriter {
+    books: Mutex<HashMap<BookNumber, Arc<async_lock::Mutex<Option<StoredObject<BookRecord>>>>>>,
+    /// Told when a book is due before its turn.
+    pub(crate) due: Event,
+}
+
+impl BookWriter {
+    fn book(&self, book: BookNumber) -> Arc<async_lock::Mutex<Option<StoredObject<BookRecord>>>> {
+        let mut books = self.books.lock().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(books.entry(book).or_default())
+    }
+}
+
+async fn read_book(state: &EntryState, book: BookNumber) -> Result<StoredObject<BookRecord>, StoreError> {
+    let stored = state.objects.get::<BookRecord>(&book_key(book)).await?;
+    let empty = || StoredObject { version: StoreRevision::ZERO, value: BookRecord::default() };
+    Ok(stored.unwrap_or_else(empty))
+}
+
+/// Brings the book in the store up to what this home wants of it, and this home up to what is in
+/// the store. Returns once an acknowledged write or a fresh read shows the book's present state.
+///
+/// The guard against answers lost after the write took effect: after any failure the book is read
+/// again and `apply` finds by id what an earlier write did, so nothing is granted or settled twice.
+///
+/// # Errors
+/// What the store said, after bounded tries.
+pub(crate) async fn write_book(state: &EntryState, book: BookNumber, fresh: bool) -> Result<(), StoreError> {
+    let held = state.books.book(book);
+    let mut cached = held.lock().await;
+    if fresh {
+        *cached = None;
+    }
+    for _ in 0..CONFLICT_TRIES {
+        let stored = match cached.take() {
+            Some(stored) => stored,
+            None => {
+                let stored = read_book(state, book).await?;
+                state.ledger.observe(book, &stored.value, stored.version, ClockTime::now());
+                state.budget_changed.notify(usize::MAX);
+                stored
+            }
+        };
+        let mut record = stored.value.clone();
+        if !state.ledger.apply(book, &mut record, ClockTime::now()) {
+            *cached = Some(stored);
+            return Ok(());
+        }
+        match state.objects.put(&book_key(book), stored.version, &record).await {
+            Ok(version) => {
+                state.ledger.observe(book, &record, version, ClockTime::now());
+                state.budget_changed.notify(usize::MAX);
+                *cached = Some(StoredObject { version, value: record });
+                return Ok(());
+            }
+            Err(StoreError::Conflict { .. }) => {}
+            Err(StoreError::Uncertain) => {
+                log_event!(info, "book-write-uncertain", book = book);
+            }
+            Err(error) => return Err(error),
+        }
+    }
+    Err(StoreError::Unavailable)
+}
+
+/// Writes books as they fall due, for the process's whole life.
+pub(crate) async fn run_book_writer(state: Arc<EntryState>) {
+    loop {
+        let due = state.books.due.listen();
+        let books = state.ledger.books_due(ClockTime::now());
+        let writes = books.into_iter().map(|book| {
+            let state = Arc::clone(&state);
+            smol::spawn(async move {
+                let written = write_book(&state, book, false).await;
+                if let Err(error) = &written {
+                    log_event!(warn, "book-unwritten", book = book, error = error);
+                }
+                written.is_ok()
+            })
+        });
+        let writes: Vec<_> = writes.collect();
+        let mut failed = false;
+        for write in writes {
+            failed |= !write.await;
+        }
+        let pause = if failed { FAILURE_PAUSE } else { WRITER_TICK };
+        futures_lite::future::or(due, async {
+            smol::Timer::after(pause).await;
+        })
+        .await;
+    }
+}
--- /dev/null
+++ b/crates/sagespool-entry/src/home/crashes.rs
@@ -0,0 +1,103 @@
+//! Requests that take upstreams down: told to every entry, kept in the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sagespool_claims::{CrashVerdict, QuarantineRecord, QUARANTINE_KEY};
+use sagespool_log::log_event;
+use sagespool_messages::{CrashReport, MemberRole, PeerRequest};
+use sagespool_platform::StoreError;
+use sagespool_types::{ClockTime, ContentDigest, StoreRevision, WallTime};
+
+use crate::state::EntryState;
+
+const TELL_LIMIT: Duration = Duration::from_secs(1);
+const STORE_TRIES: u32 = 8;
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+const WATCH_PAUSE: Duration = Duration::from_secs(1);
+
+/// Counts a crash here and tells every other entry, before the request may be tried again: else a
+/// caller that sends it through another entry could take down one more upstream than it must.
+pub(crate) async fn spread_crash(state: &Arc<EntryState>, report: &CrashReport) {
+    record_crash(state, report);
+    let others = state.members.live(MemberRole::Entry, ClockTime::now());
+    let mut told = Vec::new();
+    for member in others {
+        if member.incarnation == state.incarnation {
+            continue;
+        }
+        let (link, request) = (state.link().clone(), PeerRequest::ReportCrash(report.clone()));
+        told.push(smol::spawn(async move { link.ask(member.address, &request, TELL_LIMIT).await }));
+    }
+    for answer in told {
+        if let Err(error) = answer.await {
+            log_event!(warn, "crash-untold", content = report.content, error = error);
+        }
+    }
+}
+
+/// Counts a crash that this entry saw or was told of.
+pub(crate) fn record_crash(state: &Arc<EntryState>, report: &CrashReport) {
+    let verdict = state.crashes.record(report, ClockTime::now());
+    log_event!(
+        warn, "upstream-crash", content = report.content, upstream = report.upstream,
+        attempt = report.attempt, verdict = format!("{verdict:?}")
+    );
+    if verdict == CrashVerdict::Stopped {
+        smol::spawn(keep_verdict(Arc::clone(state), report.content)).detach();
+    }
+}
+
+/// Keeps a verdict in the store, so that it outlives every entry.
+async fn keep_verdict(state: Arc<EntryState>, content: ContentDigest) {
+    for _ in 0..STORE_TRIES {
+        let stored = match state.objects.get::<QuarantineRecord>(QUARANTINE_KEY).await {
+            Ok(stored) => stored,
+            Err(_) => {
+                smol::Timer::after(WATCH_PAUSE).await;
+                continue;
+            }
+        };
+        let (version, mut record) = match stored {
+            Some(stored) => (stored.version, stored.value),
+            None => (StoreRevision::ZERO, QuarantineRecord::default()),
+        };
+        if !record.stop(content, WallTime::now()) {
+            return;
+        }
+        match state.objects.put(QUARANTINE_KEY, version, &record).await {
+            Ok(_) => return,
+            Err(StoreError::Conflict { .. } | StoreError::Uncertain) => {}
+            Err(_) => {
+                smol::Timer::after(WATCH_PAUSE).await;
+            }
+        }
+    }
+    log_event!(warn, "verdict-unkept", content = content);
+}
+
+/// Follows the store's record of stopped requests: those that other entries or earlier runs
+/// stopped, and those that an operator let go again.
+pub(crate) async fn run_crash_watch(state: Arc<EntryState>) {
+    loop {
+        let Ok(listing) = state.objects.list::<QuarantineRecord>(QUARANTINE_KEY).await else {
+            smol::Timer::after(WATCH_PAUSE).await;
+            continue;
+        };
+        for (_, stored) in &listing.items {
+            state.crashes.adopt(&stored.value, ClockTime::now());
+        }
+        let mut after = listing.revision;
+        loop {
+            let changes = state.objects.watch::<QuarantineRecord>(QUARANTINE_KEY, after, WATCH_WAIT).await;
+            let Ok(changes) = changes else {
+                smol::Timer::after(WATCH_PAUSE).await;
+                break;
+            };
+            after = changes.revision;
+            for record in changes.changes.iter().filter_map(|change| change.value.as_ref()) {
+                state.crashes.adopt(record, ClockTime::now());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sagespool-entry/src/home/mod.rs
@@ -0,0 +1,20 @@
+//! The home of branches: budgets, keys and claims, for this entry's callers and other entries'.
+
+mod books;
+mod claims;
+mod crashes;
+mod finish;
+mod keys;
+mod recall;
+mod recovery;
+mod reserve;
+
+pub(crate) use books::{BookWriter, run_book_writer, write_book};
+pub(crate) use claims::ClaimWriter;
+pub use claims::claim;
+pub(crate) use crashes::{record_crash, run_crash_watch, spread_crash};
+pub use finish::finish;
+pub(crate) use finish::take_report;
+pub(crate) use recall::give_back;
+pub(crate) use recovery::{resolve_orphans, run_recovery};
+pub use reserve::reserve;
--- /dev/null
+++ b/crates/sagespool-entry/src/home/recall.rs
@@ -0,0 +1,76 @@
+//! Recalling unspent grants: asking other holders, and giving back when asked.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sagespool_ledger::book_of;
+use sagespool_messages::{PeerReply, PeerRequest, RecallReply, RecallRequest};
+use sagespool_types::{BranchName, ClockTime, GrantId, IncarnationId, TokenCount};
+
+use super::books::write_book;
+use crate::state::EntryState;
+
+const RECALL_LIMIT: Duration = Duration::from_secs(2);
+
+/// What a round of recalls brought.
+#[derive(Default)]
+pub(super) struct RecallSum {
+    /// What the others have reserved for running requests.
+    pub(super) running: TokenCount,
+}
+
+fn holders(others: &[(GrantId, IncarnationId, TokenCount)]) -> Vec<IncarnationId> {
+    let mut holders: Vec<IncarnationId> = others.iter().map(|(_, holder, _)| *holder).collect();
+    holders.sort_unstable();
+    holders.dedup();
+    holders
+}
+
+/// Asks every other holder of the branch's grants for what it doesn't need.
+pub(super) async fn recall_others(
+    state: &EntryState,
+    branch: &BranchName,
+    wanted: TokenCount,
+    others: &[(GrantId, IncarnationId, TokenCount)],
+    deadline: ClockTime,
+) -> RecallSum {
+    let limit = deadline.since(ClockTime::now()).min(RECALL_LIMIT);
+    let request = PeerRequest::Recall(RecallRequest { branch: branch.clone(), wanted });
+    let mut asked = Vec::new();
+    for holder in holders(others) {
+        let Some(member) = state.members.find(holder) else {
+            continue;
+        };
+        let (link, request) = (state.link().clone(), request.clone());
+        asked.push(smol::spawn(async move { ask_holder(&link, member.address, &request, limit).await }));
+    }
+    let mut sum = RecallSum::default();
+    for reply in asked {
+        if let Some(reply) = reply.await {
+            sum.running += reply.running;
+        }
+    }
+    sum
+}
+
+async fn ask_holder(
+    link: &sagespool_link::LinkEndpoint,
+    address: SocketAddr,
+    request: &PeerRequest,
+    limit: Duration,
+) -> Option<RecallReply> {
+    match link.ask(address, request, limit).await {
+        Ok(PeerReply::Recall(reply)) => Some(reply),
+        _ => None,
+    }
+}
+
+/// Gives back what this home holds of a branch and doesn't need, durable before it says so.
+pub(crate) async fn give_back(state: &EntryState, request: &RecallRequest) -> RecallReply {
+    let returned = state.ledger.give_back(&request.branch, request.wanted, ClockTime::now());
+    let written = write_book(state, book_of(&request.branch), false).await;
+    let spend = state.ledger.spend(Some(&request.branch));
+    let running = spend.iter().map(|spend| spend.reserved).sum();
+    let returned = if written.is_ok() { returned } else { TokenCount::ZERO };
+    RecallReply { returned, running }
+}
--- /dev/null
+++ b/crates/sagespool-entry/src/peers.rs
@@ -0,0 +1,74 @@
+//! Answering what other processes ask of an entry.
+
+use std::sync::Arc;
+
+use sagespool_link::{PeerCall, PeerHandler};
+use sagespool_messages::{
+    MemberRole, MemberStatus, PeerReply, PeerRequest, StatusQuery, StatusReply,
+};
+use sagespool_types::{ClockTime, WallTime};
+
+use crate::home;
+use crate::state::EntryState;
+
+/// The handler that the link calls for every request of a peer.
+pub(crate) fn peer_handler(state: Arc<EntryState>) -> PeerHandler {
+    Arc::new(move |call: PeerCall| {
+        let state = Arc::clone(&state);
+        Box::pin(async move {
+            let reply = answer(&state, call.request).await;
+            call.responder.reply(reply).await;
+        })
+    })
+}
+
+async fn answer(state: &Arc<EntryState>, request: PeerRequest) -> PeerReply {
+    match request {
+        PeerRequest::Heartbeat(beat) => {
+            let reply = state.members.received(&beat, ClockTime::now());
+            if beat.from.role == MemberRole::Sidecar {
+                crate::heartbeats::refresh_upstreams(state);
+            }
+            PeerReply::Heartbeat(reply)
+        }
+        PeerRequest::Reserve(order) => PeerReply::Reserve(home::reserve(state, &order).await),
+        PeerRequest::Claim(claim) => PeerReply::Claim(home::claim(state, &claim).await),
+        PeerRequest::Finish(report) => {
+            home::finish(state, &report);
+            PeerReply::Done
+        }
+        PeerRequest::ReportCharges(report) => {
+            PeerReply::ChargesDurable(home::take_report(state, &report))
+        }
+        PeerRequest::Recall(request) => PeerReply::Recall(home::give_back(state, &request).await),
+        PeerRequest::ReportCrash(report) => {
+            home::record_crash(state, &report);
+            PeerReply::Done
+        }
+        PeerRequest::Status(query) => PeerReply::Status(status(state, &query)),
+        PeerRequest::Dispatch(_)
+        | PeerRequest::Attach(_)
+        | PeerRequest::Cancel(_)
+        | PeerRequest::Seal(_)
+        | PeerRequest::FindKey(_)
+        | PeerRequest::Order(_) => PeerReply::Unsupported("this process is an entry".into()),
+    }
+}
+
+/// This entry's state, as it knows it.
+pub(crate) fn status(state: &EntryState, query: &StatusQuery) -> StatusReply {
+    StatusReply {
+        at: WallTime::now(),
+        from: state.incarnation,
+        revision: state.objects.seen_revision(),
+        member: MemberStatus {
+            info: state.members.own(),
+            up_for: ClockTime::now().since(state.started),
+            in_flight: state.in_flight(),
+        },
+        spend: state.ledger.spend(query.branch.as_ref()),
+        running: Vec::new(),
+        running_cut: false,
+        members: state.members.members(),
+    }
+}
--- /dev/null
+++ b/crates/sagespool-entry/src/role.rs
@@ -0,0 +1,129 @@
+//! Starting and stopping an entry.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use error_stack::{Report, ResultExt};
+use sagespool_ledger::BOOK_COUNT;
+use sagespool_link::{LinkEndpoint, LinkIdentity};
+use sagespool_log::log_event;
+use sagespool_settings::{EntrySettings, ProcessSettings};
+use sagespool_types::{BookNumber, ClockTime};
+use trillium_server_common::ServerHandle;
+
+use crate::state::EntryState;
+use crate::{caller, configuration, heartbeats, home, peers};
+
+/// An entry that couldn't be started.
+#[derive(Debug)]
+pub struct RoleFault {
+    /// What was being done.
+    pub doing: &'static str,
+}
+
+impl fmt::Display for RoleFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the entry couldn't be started: {}", self.doing)
+    }
+}
+
+impl std::error::Error for RoleFault {}
+
+/// What was left when an entry stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopReport {
+    /// Requests that still ran when the time limit came.
+    pub cut: u32,
+    /// Books that couldn't be handed back to the store.
+    pub unwritten_books: u32,
+}
+
+/// A running entry.
+pub struct EntryRole {
+    state: Arc<EntryState>,
+    server: ServerHandle,
+}
+
+impl EntryRole {
+    /// Starts an entry: its link, its tasks and its HTTP server.
+    ///
+    /// # Errors
+    /// If the certificates can't be read or an address can't be taken.
+    pub fn start(process: ProcessSettings, settings: EntrySettings) -> Result<Self, Report<RoleFault>> {
+        let fault = |doing| RoleFault { doing };
+        let files = &process.link;
+        let identity = LinkIdentity::from_files(&files.certificate, &files.key, &files.authority)
+            .change_context(fault("reading the link's certificates"))?;
+        let state = Arc::new(EntryState::new(process, settings));
+        let handler = peers::peer_handler(Arc::clone(&state));
+        let link = LinkEndpoint::start(state.process.link.listen, identity, handler)
+            .change_context(fault("opening the link's address"))?;
+        state.take_link(link);
+        start_tasks(&state);
+        let server = caller::serve(Arc::clone(&state), state.process.http.listen);
+        log_event!(
+            info, "entry-started", instance = state.process.instance,
+            incarnation = state.incarnation, centre = state.process.centre
+        );
+        Ok(Self { state, server })
+    }
+
+    /// What the tasks share.
+    pub fn state(&self) -> &Arc<EntryState> {
+        &self.state
+    }
+
+    /// Stops gracefully: nothing new, what runs may end, grants go back to their books. What still
+    /// runs at the time limit is counted and logged, never cut in silence.
+    pub async fn stop(self, limit: Duration) -> StopReport {
+        let state = &self.state;
+        state.leaving.store(true, Ordering::Relaxed);
+        state.members.update_own(|own| own.leaving = true);
+        let deadline = ClockTime::now().after(limit);
+        wait_for_runs(state, deadline).await;
+        let cut = state.in_flight();
+        let unwritten_books = hand_back(state).await;
+        log_event!(info, "entry-stopped", cut = cut, unwritten_books = unwritten_books);
+        self.server.shut_down().await;
+        state.link().close().await;
+        StopReport { cut, unwritten_books }
+    }
+}
+
+fn start_tasks(state: &Arc<EntryState>) {
+    smol::spawn(configuration::run_configuration(Arc::clone(state))).detach();
+    smol::spawn(heartbeats::run_heartbeats(Arc::clone(state))).detach();
+    smol::spawn(heartbeats::run_instance_watch(Arc::clone(state))).detach();
+    smol::spawn(home::run_book_writer(Arc::clone(state))).detach();
+    smol::spawn(home::run_recovery(Arc::clone(state))).detach();
+    smol::spawn(home::run_crash_watch(Arc::clone(state))).detach();
+}
+
+async fn wait_for_runs(state: &EntryState, deadline: ClockTime) {
+    loop {
+        let done = state.run_done.listen();
+        let now = ClockTime::now();
+        if state.in_flight() == 0 || now >= deadline {
+            return;
+        }
+        let left = deadline.since(now);
+        futures_lite::future::or(done, async {
+            smol::Timer::after(left).await;
+        })
+        .await;
+    }
+}
+
+/// Returns every unspent grant, and says how many books the store didn't take.
+async fn hand_back(state: &Arc<EntryState>) -> u32 {
+    state.ledger.return_all(ClockTime::now());
+    let mut unwritten = 0;
+    for book in (0..BOOK_COUNT).map(BookNumber) {
+        if state.ledger.holds(book) && home::write_book(state, book, false).await.is_err() {
+            unwritten += 1;
+        }
+    }
+    unwritten
+}
--- /dev/null
+++ b/crates/sagespool-entry/src/run/attach.rs
@@ -0,0 +1,137 @@
+//! Attaching to a key that runs, or whose answer is kept, at a sidecar.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use sagespool_messages::{
+    AttachRequest, DispatchEnd, DispatchEvent, KeyState, PeerRequest, RefusalNotice,
+};
+use sagespool_types::{ClockTime, IncarnationId, RefusalReason, RunState, TokenCount};
+
+use super::drive::RunEnd;
+use super::{AnswerEvent, RequestOrder};
+use crate::state::EntryState;
+
+/// How an attach ended.
+pub(super) enum AttachEnd {
+    /// The caller has its end.
+    Ended(RunEnd),
+    /// The key's state has changed meanwhile: ask the home again.
+    AskAgain,
+}
+
+fn refused(reason: RefusalReason, run_state: RunState, message: &str) -> AttachEnd {
+    AttachEnd::Ended(RunEnd::refused(reason, run_state, message))
+}
+
+/// Brings the answer of a key that is known already, instead of a second run.
+pub(super) async fn attach(
+    state: &Arc<EntryState>,
+    order: &RequestOrder,
+    answers: &Sender<AnswerEvent>,
+    known: KeyState,
+) -> AttachEnd {
+    match known {
+        KeyState::Pending => AttachEnd::AskAgain,
+        KeyState::OtherContent => refused(
+            RefusalReason::KeyReused,
+            RunState::NotRun,
+            "the same idempotency key came with another request before",
+        ),
+        KeyState::Unknown { .. } => refused(
+            RefusalReason::OutcomeUnknown,
+            RunState::Unknown,
+            "a request with this key ran or may have run, and its answer can't be had; it is not run again",
+        ),
+        KeyState::At { sidecar, content, .. } => {
+            if content != order.content {
+                return refused(
+                    RefusalReason::KeyReused,
+                    RunState::NotRun,
+                    "the same idempotency key came with another request before",
+                );
+            }
+            attach_at(state, order, answers, sidecar).await
+        }
+    }
+}
+
+async fn attach_at(
+    state: &Arc<EntryState>,
+    order: &RequestOrder,
+    answers: &Sender<AnswerEvent>,
+    sidecar: IncarnationId,
+) -> AttachEnd {
+    let (Some(member), Some(key)) = (state.members.find(sidecar), order.key) else {
+        return AttachEnd::AskAgain;
+    };
+    let time_left = order.time_left(ClockTime::now());
+    if time_left.is_zero() {
+        return refused(
+            RefusalReason::DeadlineExceeded,
+            RunState::Unknown,
+            "the deadline passed while the request with this key still ran",
+        );
+    }
+    let request = AttachRequest { request: order.request, key, content: order.content, time_left };
+    let opened = state.link().open(member.address, &PeerRequest::Attach(request), time_left).await;
+    let Ok(mut stream) = opened else {
+        return AttachEnd::AskAgain;
+    };
+    let mut passed = false;
+    loop {
+        let limit = order.time_left(ClockTime::now()) + Duration::from_millis(500);
+        let next = futures_lite::future::or(async { stream.next().await }, async {
+            smol::Timer::after(limit).await;
+            None
+        })
+        .await;
+        let Some(Ok(event)) = next else {
+            if passed || order.time_left(ClockTime::now()).is_zero() {
+                return refused(
+                    RefusalReason::OutcomeUnknown,
+                    RunState::Unknown,
+                    "the answer of the running request broke off; ask again with the same key",
+                );
+            }
+            return AttachEnd::AskAgain;
+        };
+        let sent = match event {
+            DispatchEvent::Started => true,
+            DispatchEvent::Head { status, headers } => {
+                passed = true;
+                answers.send(AnswerEvent::Head { status, headers }).await.is_ok()
+            }
+            DispatchEvent::Piece { tokens, data, .. } => {
+                passed = true;
+                answers.send(AnswerEvent::Piece { tokens, data }).await.is_ok()
+            }
+            DispatchEvent::End(end) => return end_of(end, passed),
+        };
+        if !sent {
+            return refused(RefusalReason::OutcomeUnknown, RunState::Unknown, "the caller went away");
+        }
+    }
+}
+
+fn end_of(end: DispatchEnd, passed: bool) -> AttachEnd {
+    match end {
+        DispatchEnd::Whole { charge, stop } => {
+            AttachEnd::Ended(RunEnd::Whole { billed: charge.used, stop })
+        }
+        DispatchEnd::Refused(notice) if notice.reason == RefusalReason::NotReady && !passed => {
+            AttachEnd::AskAgain
+        }
+        DispatchEnd::Refused(notice) => AttachEnd::Ended(RunEnd::Refused {
+            notice: RefusalNotice { run_state: RunState::Unknown, ..notice },
+            billed: TokenCount::ZERO,
+        }),
+        DispatchEnd::Broken { .. } | DispatchEnd::GrantUnusable(_) if !passed => AttachEnd::AskAgain,
+        _ => refused(
+            RefusalReason::OutcomeUnknown,
+            RunState::Unknown,
+            "the running request with this key broke off; ask again with the same key",
+        ),
+    }
+}
--- /dev/null
+++ b/crates/sagespool-entry/src/run/drive.rs
@@ -0,0 +1,188 @@
+//! The course of a run: reserve, then attempts, then the end is told to the home.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use sagespool_log::log_event;
+use sagespool_messages::{
+    ChargeRecord, FinishReport, FinishState, KeyState, RefusalNotice, ReserveReply, ReservedCharge,
+    StopCause,
+};
+use sagespool_types::{ClockTime, RefusalReason, RunState, TokenCount};
+
+use super::attach::{AttachEnd, attach};
+use super::attempt::{AttemptEnd, AttemptRun};
+use super::events::{AnswerEvent, AnswerReceiver};
+use super::{RequestOrder, homes};
+use crate::state::EntryState;
+
+/// Pieces that may wait for a slow caller before the upstream is slowed down.
+const ANSWER_BACKLOG: usize = 256;
+/// A grant may be refused by a sidecar that started after it was made; each further reservation
+/// comes from a newer grant, so more than a few in a row means something else is wrong.
+const MOST_RESERVATIONS: u32 = 8;
+const PENDING_PAUSE: Duration = Duration::from_millis(20);
+
+/// How a run ended.
+pub(super) enum RunEnd {
+    /// The caller has its whole answer.
+    Whole {
+        /// What is billed.
+        billed: TokenCount,
+        /// Why it ended.
+        stop: StopCause,
+    },
+    /// The caller is refused.
+    Refused {
+        /// Why, and whether it ran.
+        notice: RefusalNotice,
+        /// What is billed.
+        billed: TokenCount,
+    },
+}
+
+impl RunEnd {
+    /// A refusal of a request that used nothing.
+    pub(super) fn refused(reason: RefusalReason, run_state: RunState, message: impl Into<String>) -> Self {
+        let retry_after = retry_hint(reason);
+        let notice = RefusalNotice { reason, run_state, message: message.into(), retry_after };
+        Self::Refused { notice, billed: TokenCount::ZERO }
+    }
+}
+
+fn retry_hint(reason: RefusalReason) -> Option<Duration> {
+    match reason {
+        RefusalReason::NoUpstream | RefusalReason::UpstreamFailed => Some(Duration::from_secs(1)),
+        RefusalReason::Overloaded | RefusalReason::LimitReached => Some(Duration::from_secs(1)),
+        RefusalReason::ClaimUnreachable | RefusalReason::BudgetUnreachable => Some(Duration::from_secs(5)),
+        RefusalReason::Leaving | RefusalReason::NotReady => Some(Duration::from_millis(200)),
+        _ => None,
+    }
+}
+
+/// Starts a request's run in the background and returns where its answer arrives. The run goes on
+/// when the receiver is dropped if the request has a key, since its caller may come back for the
+/// answer; otherwise it is cancelled.
+pub fn start_run(state: Arc<EntryState>, order: RequestOrder) -> AnswerReceiver {
+    let (sender, receiver) = async_channel::bounded(ANSWER_BACKLOG);
+    state.run_started();
+    smol::spawn(async move {
+        let end = drive(&state, &order, &sender).await;
+        report_end(&state, &order, &end);
+        state.run_ended();
+        let event = match end {
+            RunEnd::Whole { billed, stop } => AnswerEvent::Whole { billed, stop },
+            RunEnd::Refused { notice, billed } => AnswerEvent::Refused { notice, billed },
+        };
+        // A caller that went away takes no answer; nothing more can be done for it here.
+        let _ = sender.send(event).await;
+    })
+    .detach();
+    receiver
+}
+
+fn report_end(state: &EntryState, order: &RequestOrder, end: &RunEnd) {
+    let took = ClockTime::now().since(order.arrived);
+    let millis = took.as_millis();
+    match end {
+        RunEnd::Whole { billed, .. } => {
+            state.metrics.observe_whole(&order.class, &order.branch, took);
+            state.metrics.billed(&order.branch, *billed);
+            log_event!(debug, "request-answered", request = order.request, branch = order.branch, billed = billed, millis = millis);
+        }
+        RunEnd::Refused { notice, billed } => {
+            state.metrics.refused(notice.reason, &order.branch);
+            state.metrics.billed(&order.branch, *billed);
+            log_event!(
+                info, "request-refused", request = order.request, branch = order.branch,
+                reason = notice.reason, run_state = notice.run_state, billed = billed,
+                millis = millis, detail = notice.message
+            );
+        }
+    }
+}
+
+async fn drive(state: &Arc<EntryState>, order: &RequestOrder, answers: &Sender<AnswerEvent>) -> RunEnd {
+    let mut reservations = 0;
+    while reservations < MOST_RESERVATIONS {
+        let now = ClockTime::now();
+        if order.time_left(now).is_zero() {
+            return RunEnd::refused(RefusalReason::DeadlineExceeded, RunState::NotRun, "the deadline passed before it could run");
+        }
+        let question = order.reserve_request(state.incarnation, now);
+        let (reply, reserved_at) = homes::reserve(state, &question).await;
+        match reply {
+            ReserveReply::Reserved(reserved) => {
+                reservations += 1;
+                if let Some(end) = run_reserved(state, order, answers, reserved, reserved_at).await {
+                    return end;
+                }
+            }
+            ReserveReply::Known(KeyState::Pending) => {
+                smol::Timer::after(PENDING_PAUSE).await;
+            }
+            ReserveReply::Known(known) => match attach(state, order, answers, known).await {
+                AttachEnd::Ended(end) => return end,
+                AttachEnd::AskAgain => {
+                    smol::Timer::after(PENDING_PAUSE).await;
+                }
+            },
+            ReserveReply::Refused(notice) => {
+                return RunEnd::Refused { notice, billed: TokenCount::ZERO };
+            }
+            ReserveReply::NotHome => {
+                smol::Timer::after(PENDING_PAUSE).await;
+            }
+        }
+    }
+    RunEnd::refused(RefusalReason::BudgetUnreachable, RunState::NotRun, "no grant of the branch was usable at any upstream")
+}
+
+/// Runs a paid request; nothing if it has to be reserved again.
+async fn run_reserved(
+    state: &Arc<EntryState>,
+    order: &RequestOrder,
+    answers: &Sender<AnswerEvent>,
+    reserved: ReservedCharge,
+    reserved_at: Option<SocketAddr>,
+) -> Option<RunEnd> {
+    let charge = reserved.charge;
+    let mut run = AttemptRun::new(state, order, answers, reserved, reserved_at);
+    let end = run.drive().await;
+    let rerun_tokens = run.rerun_tokens;
+    let finish = |finish_state: FinishState| FinishReport {
+        request: order.request,
+        branch: order.branch.clone(),
+        charge,
+        state: finish_state,
+        key: order.key,
+        rerun_tokens,
+    };
+    let (report, end) = match end {
+        AttemptEnd::Whole { charge, stop } => {
+            let billed = charge.used;
+            (finish(FinishState::Ran(charge)), Some(RunEnd::Whole { billed, stop }))
+        }
+        AttemptEnd::Refused { notice, ran } => {
+            let billed = ran.as_ref().map_or(TokenCount::ZERO, |record: &ChargeRecord| record.used);
+            let state = ran.map_or(FinishState::NotRun, FinishState::Ran);
+            (finish(state), Some(RunEnd::Refused { notice, billed }))
+        }
+        AttemptEnd::Unsure { notice } => {
+            let end = RunEnd::Refused { notice, billed: TokenCount::ZERO };
+            (finish(FinishState::Unknown), Some(end))
+        }
+        AttemptEnd::GrantUnusable => (finish(FinishState::GrantUnusable), None),
+        AttemptEnd::Known(known) => {
+            homes::finish(state, reserved_at, &finish(FinishState::NotRun)).await;
+            return match attach(state, order, answers, known).await {
+                AttachEnd::Ended(end) => Some(end),
+                AttachEnd::AskAgain => None,
+            };
+        }
+    };
+    homes::finish(state, reserved_at, &report).await;
+    end
+}
--- /dev/null
+++ b/crates/sagespool-entry/src/run/homes.rs
@@ -0,0 +1,77 @@
+//! Asking a branch's home, which may be this entry or another.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sagespool_log::log_event;
+use sagespool_messages::{
+    ClaimReply, ClaimRequest, FinishReport, MemberInfo, PeerReply, PeerRequest, ReserveReply,
+    ReserveRequest,
+};
+use sagespool_types::{BranchName, ClockTime};
+
+use crate::home;
+use crate::state::EntryState;
+
+/// How often the end of a request is told to a home that doesn't answer. After that the sidecar's
+/// report tells it, which goes on until it is durable.
+const FINISH_TRIES: u32 = 4;
+const FINISH_LIMIT: Duration = Duration::from_secs(2);
+
+fn other_home(state: &EntryState, branch: &BranchName) -> Option<MemberInfo> {
+    let home = state.members.home_of(branch, ClockTime::now())?;
+    (home.incarnation != state.incarnation).then_some(home)
+}
+
+/// Asks the branch's home to reserve. A home that can't be reached is replaced by this entry: two
+/// homes for a branch cost a second grant, never correctness, since each spends its own grants.
+pub(super) async fn reserve(state: &EntryState, order: &ReserveRequest) -> (ReserveReply, Option<SocketAddr>) {
+    let Some(other) = other_home(state, &order.branch) else {
+        return (home::reserve(state, order).await, None);
+    };
+    let request = PeerRequest::Reserve(order.clone());
+    match state.link().ask(other.address, &request, order.time_left).await {
+        Ok(PeerReply::Reserve(ReserveReply::NotHome)) => (home::reserve(state, order).await, None),
+        Ok(PeerReply::Reserve(reply)) => (reply, Some(other.address)),
+        Ok(_) => (home::reserve(state, order).await, None),
+        Err(error) => {
+            log_event!(warn, "home-unreachable", home = other.instance, branch = order.branch, error = error);
+            let time_left = order.time_left;
+            let order = ReserveRequest { time_left, ..order.clone() };
+            (home::reserve(state, &order).await, None)
+        }
+    }
+}
+
+/// Asks whoever reserved for the request to place the claim.
+pub(super) async fn claim(
+    state: &EntryState,
+    reserved_at: Option<SocketAddr>,
+    claim: &ClaimRequest,
+) -> ClaimReply {
+    let Some(address) = reserved_at else {
+        return home::claim(state, claim).await;
+    };
+    let request = PeerRequest::Claim(claim.clone());
+    match state.link().ask(address, &request, claim.time_left).await {
+        Ok(PeerReply::Claim(reply)) => reply,
+        Ok(_) | Err(_) => home::claim(state, claim).await,
+    }
+}
+
+/// Tells whoever reserved how the request ended.
+pub(super) async fn finish(state: &EntryState, reserved_at: Option<SocketAddr>, report: &FinishReport) {
+    let Some(address) = reserved_at else {
+        home::finish(state, report);
+        return;
+    };
+    let request = PeerRequest::Finish(report.clone());
+    for _ in 0..FINISH_TRIES {
+        let told = state.link().ask(address, &request, FINISH_LIMIT).await;
+        if told.is_ok() {
+            return;
+        }
+        smol::Timer::after(Duration::from_millis(200)).await;
+    }
+    log_event!(warn, "finish-untold", request = report.request, charge = report.charge);
+}
--- /dev/null
+++ b/crates/sagespool-entry/src/run/mod.rs
@@ -0,0 +1,12 @@
+//! One request's run: paid by the branch's home, tried at upstreams, its answer passed on.
+
+mod attach;
+mod attempt;
+mod drive;
+mod events;
+mod homes;
+mod order;
+
+pub use drive::start_run;
+pub use events::{AnswerEvent, AnswerReceiver};
+pub use order::RequestOrder;
