Add the ledger: books, grants, reservations, recovery as pure decisions

A grant's amount leaves the book's free part by one conditional update before anything is spent from it, and belongs to one incarnation. Applying a home's wishes to a book that already holds them changes nothing, so a lost answer is met by reading again. Seals are durable in the book before any sidecar hears of them.

--- /dev/null
+++ b/crates/sagespool-ledger/src/home.rs
@@ -0,0 +1,388 @@
+//! The budgets that one process holds grants of.
+
+use std::collections::{BTreeMap, HashSet};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use sagespool_messages::{
+    ChargeRecord, FinishReport, FinishState, ReserveRequest, ReservedCharge, SpendStatus,
+};
+use sagespool_types::{
+    BookNumber, BranchName, ChargeId, ClockTime, GrantId, IncarnationId, StoreRevision, TokenCount,
+};
+
+use crate::grant::OpenCharge;
+use crate::purse::{AskMoment, BranchPurse};
+use crate::{
+    BOOK_COUNT, BookRecord, BudgetMode, HeldBack, LedgerPolicy, OrphanCharge, SequenceSet, book_of,
+};
+
+/// Why a reservation isn't possible from what the home holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ShortNotice {
+    /// What the fleet lacks for it as far as this home knows; zero if asking the store may do.
+    pub missing: TokenCount,
+    /// What this home's running requests hold and may give back.
+    pub may_return: TokenCount,
+    /// Free in the book as last read; none if it was never read.
+    pub book_free: Option<TokenCount>,
+    /// Grants of other holders, with what isn't settled of them.
+    pub others: Vec<(GrantId, IncarnationId, TokenCount)>,
+}
+
+/// The answer to a reservation.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ReserveDecision {
+    /// Held.
+    Reserved(ReservedCharge),
+    /// Not from what is held now.
+    Short(ShortNotice),
+}
+
+/// The purses of one book's branches.
+#[derive(Debug, Default)]
+struct BookShard {
+    purses: BTreeMap<BranchName, BranchPurse>,
+    /// The newest version of the book seen.
+    version: StoreRevision,
+    /// Grants of other holders that are outstanding, with their settled charges.
+    outstanding: BTreeMap<GrantId, SequenceSet>,
+    /// Grants that this process has sealed.
+    sealed: HashSet<GrantId>,
+    last_apply: Option<ClockTime>,
+}
+
+/// The least time between two writes of a book for grants that run low.
+const LOW_GAP: Duration = Duration::from_secs(1);
+
+/// The budgets that one process holds grants of, in shards by book, each under its own lock.
+#[derive(Debug)]
+pub struct HomeLedger {
+    incarnation: IncarnationId,
+    policy: LedgerPolicy,
+    shards: Vec<Mutex<BookShard>>,
+    next_grant: AtomicU64,
+    leaving: AtomicBool,
+}
+
+impl HomeLedger {
+    /// An empty ledger of one incarnation.
+    pub fn new(incarnation: IncarnationId, policy: LedgerPolicy) -> Self {
+        let shards = (0..BOOK_COUNT).map(|_| Mutex::default()).collect();
+        Self {
+            incarnation,
+            policy,
+            shards,
+            next_grant: AtomicU64::new(0),
+            leaving: AtomicBool::new(false),
+        }
+    }
+
+    fn shard(&self, book: BookNumber) -> MutexGuard<'_, BookShard> {
+        let shard = &self.shards[book.0 as usize % self.shards.len()];
+        shard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn shard_of(&self, branch: &BranchName) -> MutexGuard<'_, BookShard> {
+        self.shard(book_of(branch))
+    }
+
+    /// Says which parts of a branch's budget are kept for which classes.
+    pub fn hold_back(&self, branch: &BranchName, held_back: Vec<HeldBack>) {
+        self.shard_of(branch).purses.entry(branch.clone()).or_default().held_back = held_back;
+    }
+
+    /// Holds a request's greatest possible cost, if a grant covers it.
+    pub fn reserve(&self, order: &ReserveRequest, now: ClockTime) -> ReserveDecision {
+        let mut shard = self.shard_of(&order.branch);
+        let purse = shard.purses.entry(order.branch.clone()).or_default();
+        let open = OpenCharge {
+            request: order.request,
+            reserved: order.amount,
+            entry: order.entry,
+            deadline: now.after(order.time_left),
+            evidence: None,
+            entry_gone: false,
+            asked: None,
+        };
+        if let Some((charge, grant_revision)) = purse.reserve(&order.class, open, &self.policy, now)
+        {
+            let amount = order.amount;
+            return ReserveDecision::Reserved(ReservedCharge { charge, grant_revision, amount });
+        }
+        ReserveDecision::Short(ShortNotice {
+            missing: purse.missing(&order.class, order.amount),
+            may_return: purse.reserved(),
+            book_free: purse.view.seen.then_some(purse.view.free),
+            others: purse.view.others.clone(),
+        })
+    }
+
+    /// Notes that a request waits for a grant; the next apply asks for it.
+    pub fn urgent(&self, branch: &BranchName, amount: TokenCount, now: ClockTime) {
+        let mut shard = self.shard_of(branch);
+        shard.purses.entry(branch.clone()).or_default().note_need(amount, now);
+    }
+
+    /// Takes in how a request ended, as its entry saw it.
+    pub fn finish(&self, report: &FinishReport, _now: ClockTime) {
+        let mut shard = self.shard_of(&report.branch);
+        let purse = shard.purses.get_mut(&report.branch);
+        let Some(grant) = purse.and_then(|purse| purse.grant_mut(&report.charge.grant)) else {
+            return;
+        };
+        let sequence = report.charge.sequence;
+        match &report.state {
+            FinishState::Ran(record) => {
+                grant.settle(sequence, record.used);
+            }
+            FinishState::NotRun => {
+                grant.settle(sequence, TokenCount::ZERO);
+            }
+            FinishState::GrantUnusable => {
+                grant.settle(sequence, TokenCount::ZERO);
+                grant.closing = true;
+                grant.shrink();
+            }
+            FinishState::Unknown => {
+                if let Some(open) = grant.open.get_mut(&sequence) {
+                    open.entry_gone = true;
+                    if let Some(used) = open.settled_by_evidence() {
+                        grant.settle(sequence, used);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes in what a sidecar witnessed.
+    pub fn witness(&self, record: &ChargeRecord, _now: ClockTime) {
+        let mut shard = self.shard_of(&record.branch);
+        let purse = shard.purses.get_mut(&record.branch);
+        let Some(grant) = purse.and_then(|purse| purse.grant_mut(&record.charge.grant)) else {
+            return;
+        };
+        let sequence = record.charge.sequence;
+        let Some(open) = grant.open.get_mut(&sequence) else {
+            return;
+        };
+        open.witness(record);
+        if let Some(used) = open.settled_by_evidence() {
+            grant.settle(sequence, used);
+        }
+    }
+
+    /// Notes that an entry is gone; returns its charges that no sidecar's word has settled yet.
+    pub fn entry_gone(&self, entry: IncarnationId, now: ClockTime) -> Vec<OrphanCharge> {
+        self.orphans(now, |open| open.entry == entry)
+    }
+
+    /// Charges that should have ended long ago by their deadline: their entry lost the word, or never
+    /// had the reservation's answer.
+    pub fn overdue(&self, now: ClockTime) -> Vec<OrphanCharge> {
+        let grace = self.policy.overdue_after;
+        self.orphans(now, |open| {
+            let late = now.since(open.deadline) >= grace;
+            late && open.asked.is_none_or(|asked| now.since(asked) >= grace)
+        })
+    }
+
+    fn orphans(&self, now: ClockTime, concerns: impl Fn(&OpenCharge) -> bool) -> Vec<OrphanCharge> {
+        let mut orphans = Vec::new();
+        for shard in &self.shards {
+            let mut shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
+            for (branch, purse) in &mut shard.purses {
+                for grant in &mut purse.grants {
+                    let mut settled = Vec::new();
+                    for (sequence, open) in &mut grant.open {
+                        if !concerns(open) {
+                            continue;
+                        }
+                        open.entry_gone = true;
+                        open.asked = Some(now);
+                        if let Some(used) = open.settled_by_evidence() {
+                            settled.push((*sequence, used));
+                            continue;
+                        }
+                        let charge = ChargeId { grant: grant.id, sequence: *sequence };
+                        orphans.push(OrphanCharge {
+                            branch: branch.clone(),
+                            charge,
+                            request: open.request,
+                        });
+                    }
+                    for (sequence, used) in settled {
+                        grant.settle(sequence, used);
+                    }
+                }
+            }
+        }
+        orphans
+    }
+
+    /// Ends an orphaned charge with what all sidecars together say it used.
+    pub fn resolve(&self, branch: &BranchName, charge: &ChargeId, used: TokenCount) -> bool {
+        let mut shard = self.shard_of(branch);
+        let purse = shard.purses.get_mut(branch);
+        let grant = purse.and_then(|purse| purse.grant_mut(&charge.grant));
+        grant.is_some_and(|grant| grant.settle(charge.sequence, used))
+    }
+
+    /// Books whose turn has come to be written.
+    pub fn books_due(&self, now: ClockTime) -> Vec<BookNumber> {
+        let mut due = Vec::new();
+        for (number, shard) in self.shards.iter().enumerate() {
+            let mut shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
+            let waited = shard.last_apply.map_or(Duration::MAX, |last| now.since(last));
+            for purse in shard.purses.values_mut() {
+                purse.retire_idle(&self.policy, now);
+            }
+            let settle_turn = waited >= self.settle_gap();
+            let low_turn = waited >= LOW_GAP;
+            let policy = &self.policy;
+            let wanted = shard.purses.values().any(|purse| {
+                (settle_turn && purse.wants_write(policy, now))
+                    || (low_turn && purse.runs_low(policy, now))
+            });
+            if wanted {
+                due.push(BookNumber(number as u64));
+            }
+        }
+        due
+    }
+
+    fn settle_gap(&self) -> Duration {
+        match self.policy.mode {
+            BudgetMode::EachRequest => Duration::ZERO,
+            _ => self.policy.settle_interval,
+        }
+    }
+
+    /// Puts what this home wants into a book as read at version `base`; true if that changed it. The
+    /// caller writes it on condition of that version. `seen` is the newest revision of the whole
+    /// store that this process has seen: a grant asked for now is made after it.
+    pub fn apply(
+        &self,
+        book: BookNumber,
+        record: &mut BookRecord,
+        base: StoreRevision,
+        seen: StoreRevision,
+        now: ClockTime,
+    ) -> bool {
+        let mut shard = self.shard(book);
+        shard.last_apply = Some(now);
+        let holder = self.incarnation;
+        let mut new_id =
+            || GrantId { holder, number: self.next_grant.fetch_add(1, Ordering::Relaxed) };
+        let asking = AskMoment { base, seen: seen.max(base), now };
+        let mut changed = false;
+        for (branch, purse) in &mut shard.purses {
+            let Some(account) = record.branches.get_mut(branch) else {
+                continue;
+            };
+            changed |= purse.apply(account, asking, &self.policy, &mut new_id);
+        }
+        changed
+    }
+
+    /// Takes in a book as it is in the store at a version, from a read or an acknowledged write.
+    /// Older versions than seen before are passed over.
+    pub fn observe(
+        &self,
+        book: BookNumber,
+        record: &BookRecord,
+        version: StoreRevision,
+        now: ClockTime,
+    ) {
+        let mut shard = self.shard(book);
+        if version < shard.version {
+            return;
+        }
+        shard.version = version;
+        let own = self.incarnation;
+        let leaving = self.leaving.load(Ordering::Relaxed);
+        for (branch, purse) in &mut shard.purses {
+            if let Some(account) = record.branches.get(branch) {
+                purse.observe(account, own, version, now);
+                if leaving {
+                    purse.return_all();
+                }
+            }
+        }
+        shard.outstanding.clear();
+        for account in record.branches.values() {
+            for (id, grant) in &account.grants {
+                if grant.sealed_by == Some(own) {
+                    shard.sealed.insert(*id);
+                    shard.outstanding.insert(*id, grant.charges.clone());
+                }
+            }
+        }
+    }
+
+    /// Which of these charges are settled in the store, so that their witness may forget them.
+    ///
+    /// A charge of a grant that isn't outstanding counts as settled only for this process's own
+    /// grants and those it sealed: of others it may not have heard yet.
+    pub fn durable(&self, charges: &[(BranchName, ChargeId)]) -> Vec<ChargeId> {
+        let is_durable = |(branch, charge): &(BranchName, ChargeId)| {
+            let mut shard = self.shard_of(branch);
+            let purse = shard.purses.get_mut(branch);
+            if let Some(grant) = purse.and_then(|purse| purse.grant_mut(&charge.grant)) {
+                let open = grant.open.contains_key(&charge.sequence);
+                return !open && !grant.unsettled.contains_key(&charge.sequence);
+            }
+            if let Some(settled) = shard.outstanding.get(&charge.grant) {
+                return settled.contains(charge.sequence);
+            }
+            charge.grant.holder == self.incarnation || shard.sealed.contains(&charge.grant)
+        };
+        charges.iter().filter(|charge| is_durable(charge)).map(|(_, charge)| *charge).collect()
+    }
+
+    /// Gives up to `wanted` of a branch's unspent tokens back; the next apply returns them.
+    pub fn give_back(
+        &self,
+        branch: &BranchName,
+        wanted: TokenCount,
+        _now: ClockTime,
+    ) -> TokenCount {
+        let mut shard = self.shard_of(branch);
+        shard.purses.get_mut(branch).map_or(TokenCount::ZERO, |purse| purse.give_back(wanted))
+    }
+
+    /// Hands every grant back, for a graceful stop; nothing new is reserved.
+    pub fn return_all(&self, _now: ClockTime) {
+        self.leaving.store(true, Ordering::Relaxed);
+        for shard in &self.shards {
+            let mut shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
+            shard.purses.values_mut().for_each(BranchPurse::return_all);
+        }
+    }
+
+    /// True if grants of the book's branches are held, or may be.
+    pub fn holds(&self, book: BookNumber) -> bool {
+        self.shard(book).purses.values().any(|purse| !purse.is_empty())
+    }
+
+    /// What is held of one branch's budget, or of all.
+    pub fn spend(&self, branch: Option<&BranchName>) -> Vec<SpendStatus> {
+        if let Some(branch) = branch {
+            let shard = self.shard_of(branch);
+            return shard
+                .purses
+                .get(branch)
+                .map(|purse| purse.status(branch))
+                .into_iter()
+                .collect();
+        }
+        let mut all = Vec::new();
+        for shard in &self.shards {
+            let shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
+            let held = shard.purses.iter().filter(|(_, purse)| !purse.grants.is_empty());
+            all.extend(held.map(|(branch, purse)| purse.status(branch)));
+        }
+        all
+    }
+}
--- /dev/null
+++ b/crates/sagespool-ledger/src/purse.rs
@@ -0,0 +1,407 @@
+//! What a home holds of one branch's budget.
+
+use std::time::Duration;
+
+use sagespool_messages::SpendStatus;
+use sagespool_types::{
+    BranchName, ChargeId, ClassName, ClockTime, GrantId, IncarnationId, RequestId, StoreRevision,
+    TokenCount,
+};
+
+use crate::account::BranchAccount;
+use crate::grant::{HeldGrant, OpenCharge};
+use crate::{BudgetMode, GrantRecord, LedgerPolicy};
+
+/// Part of a branch's remaining budget that only one class may use.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldBack {
+    /// The class.
+    pub class: ClassName,
+    /// How much is kept for it.
+    pub tokens: TokenCount,
+}
+
+/// A reservation that nobody will report on any more: sidecars have to be asked what ran.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OrphanCharge {
+    /// The branch.
+    pub branch: BranchName,
+    /// The charge.
+    pub charge: ChargeId,
+    /// The request.
+    pub request: RequestId,
+}
+
+/// A grant that a write asked for whose outcome may not be known.
+#[derive(Debug, Clone, Copy)]
+struct AskedGrant {
+    id: GrantId,
+    /// The book's version that the write was based on. Once the book has a later one, a write that
+    /// was still on its way can't take effect any more.
+    base: StoreRevision,
+}
+
+/// When a write of a book is being made up.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct AskMoment {
+    /// The book's version that the write is conditional on.
+    pub(crate) base: StoreRevision,
+    /// The newest revision of the whole store seen.
+    pub(crate) seen: StoreRevision,
+    pub(crate) now: ClockTime,
+}
+
+/// What requests wait for.
+#[derive(Debug, Clone, Copy, Default)]
+struct WaitingNeed {
+    sum: TokenCount,
+    least: TokenCount,
+    at: ClockTime,
+}
+
+/// The book's word on the branch, as last read.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct BookView {
+    pub(crate) free: TokenCount,
+    pub(crate) prepaid: TokenCount,
+    pub(crate) others: Vec<(GrantId, IncarnationId, TokenCount)>,
+    pub(crate) seen: bool,
+}
+
+/// Waiting requests repeat their need at least this often.
+const NEED_LASTS: Duration = Duration::from_secs(2);
+/// Grants held of one branch before the oldest is handed back.
+const MOST_GRANTS: usize = 6;
+/// A grant with less than this part of a new one left is handed back.
+const REMNANT_PART: u64 = 8;
+
+/// What a home holds of one branch's budget.
+#[derive(Debug, Default)]
+pub(crate) struct BranchPurse {
+    /// Oldest first.
+    pub(crate) grants: Vec<HeldGrant>,
+    asked: Vec<AskedGrant>,
+    pub(crate) view: BookView,
+    pub(crate) held_back: Vec<HeldBack>,
+    need: WaitingNeed,
+    demand: f64,
+    demand_at: ClockTime,
+    /// Spent under grants that are closed, for the static split.
+    spent_closed: TokenCount,
+}
+
+impl BranchPurse {
+    /// What new requests may reserve.
+    pub(crate) fn available(&self) -> TokenCount {
+        self.grants.iter().map(HeldGrant::available).sum()
+    }
+
+    fn unspent(&self) -> TokenCount {
+        self.grants.iter().map(HeldGrant::unspent).sum()
+    }
+
+    /// What running requests hold and may give back.
+    pub(crate) fn reserved(&self) -> TokenCount {
+        self.grants.iter().map(|grant| grant.reserved).sum()
+    }
+
+    /// What is kept from a class for the others.
+    fn kept_from(&self, class: &ClassName) -> TokenCount {
+        self.held_back.iter().filter(|held| held.class != *class).map(|held| held.tokens).sum()
+    }
+
+    /// What a request of the class lacks of what this home could ever hand out now; zero if only the
+    /// store has to be asked.
+    pub(crate) fn missing(&self, class: &ClassName, amount: TokenCount) -> TokenCount {
+        let remaining = self.view.free + self.unspent();
+        (amount + self.kept_from(class)).less(remaining)
+    }
+
+    /// Holds an amount from the oldest grant that covers it.
+    pub(crate) fn reserve(
+        &mut self,
+        class: &ClassName,
+        open: OpenCharge,
+        policy: &LedgerPolicy,
+        now: ClockTime,
+    ) -> Option<(ChargeId, StoreRevision)> {
+        let amount = open.reserved;
+        if self.missing(class, amount) > TokenCount::ZERO {
+            return None;
+        }
+        let grant =
+            self.grants.iter_mut().find(|grant| grant.available() >= amount && !grant.closing)?;
+        let charge = grant.reserve(open, now);
+        let revision = grant.revision;
+        if policy.mode == BudgetMode::EachRequest {
+            grant.closing = true;
+        }
+        self.note_demand(amount, policy, now);
+        Some((charge, revision))
+    }
+
+    fn demand_now(&self, policy: &LedgerPolicy, now: ClockTime) -> f64 {
+        let passed = now.since(self.demand_at).as_secs_f64();
+        self.demand * 0.5_f64.powf(passed / policy.demand_half_life.as_secs_f64())
+    }
+
+    /// Demand is a decaying sum; over its mean life it gives the rate.
+    fn note_demand(&mut self, amount: TokenCount, policy: &LedgerPolicy, now: ClockTime) {
+        self.demand = self.demand_now(policy, now) + amount.0 as f64;
+        self.demand_at = now;
+    }
+
+    /// What the present demand will use within the time that grants should last.
+    fn target(&self, policy: &LedgerPolicy, now: ClockTime) -> TokenCount {
+        let mean_life = policy.demand_half_life.as_secs_f64() / std::f64::consts::LN_2;
+        let rate = self.demand_now(policy, now) / mean_life;
+        TokenCount((rate * policy.grant_ahead.as_secs_f64()) as u64)
+    }
+
+    /// Notes that a request waits for a grant.
+    pub(crate) fn note_need(&mut self, amount: TokenCount, now: ClockTime) {
+        let fresh = now.since(self.need.at) < NEED_LASTS && self.need.sum > TokenCount::ZERO;
+        if !fresh {
+            self.need = WaitingNeed { sum: amount, least: amount, at: now };
+            return;
+        }
+        self.need.sum += amount;
+        self.need.least = self.need.least.min(amount);
+        self.need.at = now;
+    }
+
+    fn waiting_need(&self, now: ClockTime) -> Option<WaitingNeed> {
+        let fresh = now.since(self.need.at) < NEED_LASTS && self.need.sum > TokenCount::ZERO;
+        fresh.then_some(self.need)
+    }
+
+    /// True if a write would bring something, apart from waiting requests, who ask by themselves.
+    pub(crate) fn wants_write(&self, policy: &LedgerPolicy, now: ClockTime) -> bool {
+        let to_settle = self.grants.iter().any(|grant| !grant.unsettled.is_empty());
+        let to_close = self.grants.iter().any(|grant| grant.closing && grant.open.is_empty());
+        let to_return = self.grants.iter().any(|grant| grant.amount < grant.stored_amount);
+        to_settle || to_close || to_return || self.runs_low(policy, now)
+    }
+
+    /// True if the grants last for less than half the time they should, and the book has more.
+    pub(crate) fn runs_low(&self, policy: &LedgerPolicy, now: ClockTime) -> bool {
+        if policy.mode != BudgetMode::Escrow || self.view.free == TokenCount::ZERO {
+            return false;
+        }
+        self.available().0 < self.target(policy, now).0 / 2
+    }
+
+    /// Marks grants that nobody has used for long, to be handed back.
+    pub(crate) fn retire_idle(&mut self, policy: &LedgerPolicy, now: ClockTime) {
+        for grant in &mut self.grants {
+            let idle = grant.open.is_empty() && now.since(grant.last_used) >= policy.idle_after;
+            if idle && !grant.closing {
+                grant.closing = true;
+                grant.shrink();
+            }
+        }
+    }
+
+    /// Puts what this home wants into the account as just read; true if that changed it. Doing so
+    /// again, on an account where an earlier write took effect unknown to this home, changes nothing
+    /// twice: charges are found by number, grants by id, amounts only ever go down.
+    pub(crate) fn apply(
+        &mut self,
+        account: &mut BranchAccount,
+        asking: AskMoment,
+        policy: &LedgerPolicy,
+        new_id: &mut dyn FnMut() -> GrantId,
+    ) -> bool {
+        let AskMoment { base, seen, now } = asking;
+        let mut changed = self.apply_held(account);
+        let Some((least, aim)) = self.wish(account, policy, now) else {
+            return changed;
+        };
+        if self.free_for(account, policy) < least && self.shrink_all() {
+            changed |= self.apply_held(account);
+        }
+        let free = self.free_for(account, policy);
+        if free < least || free == TokenCount::ZERO {
+            return changed;
+        }
+        let amount = aim.min(free).max(least);
+        let earlier = self.asked.iter().find(|asked| asked.base == base).map(|asked| asked.id);
+        let id = earlier.unwrap_or_else(new_id);
+        if earlier.is_none() {
+            self.asked.push(AskedGrant { id, base });
+        }
+        let record = GrantRecord {
+            amount,
+            settled: TokenCount::ZERO,
+            charges: Default::default(),
+            asked_at: seen,
+            sealed_by: None,
+            in_doubt: false,
+        };
+        account.grants.insert(id, record);
+        true
+    }
+
+    fn apply_held(&self, account: &mut BranchAccount) -> bool {
+        let mut changed = false;
+        for grant in &self.grants {
+            let Some(record) = account.grants.get_mut(&grant.id) else {
+                continue;
+            };
+            for (sequence, used) in &grant.unsettled {
+                if record.charges.insert(*sequence) {
+                    record.settled = (record.settled + *used).min(record.amount);
+                    changed = true;
+                }
+            }
+            if grant.amount < record.amount {
+                record.amount = grant.amount.max(record.settled);
+                changed = true;
+            }
+            if grant.closing && grant.open.is_empty() {
+                account.close(&grant.id);
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    /// The least that helps and what is aimed at, if a grant is wanted.
+    fn wish(
+        &self,
+        account: &BranchAccount,
+        policy: &LedgerPolicy,
+        now: ClockTime,
+    ) -> Option<(TokenCount, TokenCount)> {
+        let need = self.waiting_need(now);
+        if policy.mode == BudgetMode::EachRequest {
+            return need.map(|need| (need.least, need.least));
+        }
+        let lacking = self.target(policy, now).less(self.available());
+        // Half of what is free at most is taken ahead, so that near the end of a budget one home
+        // doesn't strand what another's request needs.
+        let ahead = lacking.min(TokenCount(account.free().0 / 2));
+        match need {
+            Some(need) => Some((need.least, need.sum.max(ahead))),
+            None if self.runs_low(policy, now) => Some((TokenCount(1), ahead)),
+            None => None,
+        }
+    }
+
+    fn free_for(&self, account: &BranchAccount, policy: &LedgerPolicy) -> TokenCount {
+        let BudgetMode::StaticSplit { entries } = policy.mode else {
+            return account.free();
+        };
+        let share = TokenCount(account.prepaid.0 / u64::from(entries.max(1)));
+        let held: TokenCount = self.grants.iter().map(|grant| grant.amount).sum();
+        account.free().min(share.less(self.spent_closed + held))
+    }
+
+    /// Gives all unspent parts back, so that a request that none of them covers gets one that does.
+    fn shrink_all(&mut self) -> bool {
+        let mut shrunk = false;
+        for grant in &mut self.grants {
+            shrunk |= grant.shrink() > TokenCount::ZERO;
+            grant.closing = true;
+        }
+        shrunk
+    }
+
+    /// Gives back up to what is wanted; what was given back isn't reserved from any more.
+    pub(crate) fn give_back(&mut self, wanted: TokenCount) -> TokenCount {
+        let mut given = TokenCount::ZERO;
+        for grant in &mut self.grants {
+            if given >= wanted {
+                break;
+            }
+            given += grant.shrink();
+        }
+        given
+    }
+
+    /// Hands everything back.
+    pub(crate) fn return_all(&mut self) {
+        self.shrink_all();
+        self.need = WaitingNeed::default();
+        self.demand = 0.0;
+    }
+
+    /// Takes in the account as it is in the store at a version.
+    pub(crate) fn observe(
+        &mut self,
+        account: &BranchAccount,
+        own: IncarnationId,
+        version: StoreRevision,
+        now: ClockTime,
+    ) {
+        let others = account.grants.iter().filter(|(id, _)| id.holder != own);
+        self.view = BookView {
+            free: account.free(),
+            prepaid: account.prepaid,
+            others: others.map(|(id, record)| (*id, id.holder, record.rest())).collect(),
+            seen: true,
+        };
+        self.observe_asked(account, version, now);
+        self.observe_held(account);
+    }
+
+    fn observe_asked(&mut self, account: &BranchAccount, version: StoreRevision, now: ClockTime) {
+        for asked in std::mem::take(&mut self.asked) {
+            match account.grants.get(&asked.id) {
+                // Sealed before this home knew of it: it was believed dead. The sealer accounts for
+                // the grant; nothing ran under it.
+                Some(record) if record.sealed_by.is_some() => {}
+                Some(record) => self.adopt(HeldGrant::new(asked.id, record, version, now)),
+                None if version > asked.base => {}
+                None => self.asked.push(asked),
+            }
+        }
+    }
+
+    fn adopt(&mut self, new: HeldGrant) {
+        self.need = WaitingNeed { sum: self.need.sum.less(new.amount), ..self.need };
+        let crowded = self.grants.len() >= MOST_GRANTS;
+        for (place, grant) in self.grants.iter_mut().enumerate() {
+            let remnant = grant.available().0 < new.amount.0 / REMNANT_PART;
+            if !grant.closing && (remnant || (crowded && place == 0)) {
+                grant.closing = true;
+                grant.shrink();
+            }
+        }
+        self.grants.push(new);
+    }
+
+    fn observe_held(&mut self, account: &BranchAccount) {
+        let spent_closed = &mut self.spent_closed;
+        self.grants.retain_mut(|grant| {
+            let Some(record) = account.grants.get(&grant.id) else {
+                *spent_closed += grant.used;
+                return false;
+            };
+            grant.unsettled.retain(|sequence, _| !record.charges.contains(*sequence));
+            grant.stored_amount = record.amount;
+            // Sealed while this process was paused or cut off: sidecars start nothing more under it.
+            grant.closing |= record.sealed_by.is_some();
+            true
+        });
+    }
+
+    /// The held grant of that id.
+    pub(crate) fn grant_mut(&mut self, id: &GrantId) -> Option<&mut HeldGrant> {
+        self.grants.iter_mut().find(|grant| grant.id == *id)
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.grants.is_empty() && self.asked.is_empty()
+    }
+
+    pub(crate) fn status(&self, branch: &BranchName) -> SpendStatus {
+        let charged = self.grants.iter().flat_map(|grant| grant.unsettled.values().copied()).sum();
+        SpendStatus {
+            branch: branch.clone(),
+            granted: self.grants.iter().map(|grant| grant.amount.less(grant.settled_used())).sum(),
+            reserved: self.reserved(),
+            charged,
+        }
+    }
+}
