Add event logs and process metrics

Others write against both now: log_event! gives one key=value line on standard error, FleetMetrics keeps histograms by class and by branch apart, with at most 200 branch labels. chrono was in the lock already (through spdlog-rs); it writes the RFC 3339 time.

--- /dev/null
+++ b/crates/sagespool-metrics/src/fleet.rs
@@ -0,0 +1,258 @@
+//! The metrics that a process exposes.
+
+use std::fmt::{self, Debug};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use sagespool_types::{BranchName, ClassName, ConfigVersion, RefusalReason, TokenCount};
+
+use crate::labels::{
+    BranchLabel, CauseLabel, ClassLabel, DirectionLabel, KindLabel, LabelBound, ReasonLabel,
+};
+use crate::timings::TimingSet;
+use crate::{DropCause, LinkDirection, RequestTimings, StoreCallKind};
+
+/// Branches with labels of their own; later ones are counted as `other`.
+const MOST_BRANCH_LABELS: usize = 200;
+
+/// More classes than a configuration may have, for those that it has dropped.
+const MOST_CLASS_LABELS: usize = 64;
+
+const METRIC_PREFIX: &str = "sagespool";
+
+/// Everything that one process counts. Clones share the counts.
+#[derive(Clone)]
+pub struct FleetMetrics {
+    inner: Arc<MetricSet>,
+}
+
+struct MetricSet {
+    registry: Registry,
+    classes: LabelBound,
+    branches: LabelBound,
+    timings: TimingSet,
+    counters: CounterSet,
+    gauges: GaugeSet,
+}
+
+struct CounterSet {
+    admitted: Family<ClassLabel, Counter>,
+    branch_admitted: Family<BranchLabel, Counter>,
+    refused: Family<ReasonLabel, Counter>,
+    branch_refused: Family<BranchLabel, Counter>,
+    billed: Family<BranchLabel, Counter>,
+    rerun: Counter,
+    store_calls: Family<KindLabel, Counter>,
+    dropped: Family<CauseLabel, Counter>,
+    control_bytes: Family<DirectionLabel, Counter>,
+    rejected_callers: Counter,
+}
+
+struct GaugeSet {
+    in_flight: Gauge,
+    members: Gauge,
+    config_version: Gauge,
+}
+
+impl FleetMetrics {
+    /// Metrics of a process, all zero.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix(METRIC_PREFIX);
+        let timings = TimingSet::register(&mut registry);
+        let counters = CounterSet::register(&mut registry);
+        let gauges = GaugeSet::register(&mut registry);
+        let classes = LabelBound::new(MOST_CLASS_LABELS);
+        let branches = LabelBound::new(MOST_BRANCH_LABELS);
+        let set = MetricSet { registry, classes, branches, timings, counters, gauges };
+        Self { inner: Arc::new(set) }
+    }
+
+    /// The histograms of one class and branch, to keep for the length of a request.
+    pub fn timings(&self, class: &ClassName, branch: &BranchName) -> RequestTimings {
+        self.inner.timings.of(&self.inner.class_label(class), &self.inner.branch_label(branch))
+    }
+
+    /// Time from a request's arrival to its first token.
+    pub fn observe_first_token(&self, class: &ClassName, branch: &BranchName, took: Duration) {
+        self.timings(class, branch).first_token(took);
+    }
+
+    /// Time between two tokens of an answer.
+    pub fn observe_between_tokens(&self, class: &ClassName, branch: &BranchName, took: Duration) {
+        self.timings(class, branch).between_tokens(took);
+    }
+
+    /// Time from a request's arrival to the end of its answer.
+    pub fn observe_whole(&self, class: &ClassName, branch: &BranchName, took: Duration) {
+        self.timings(class, branch).whole(took);
+    }
+
+    /// Time that a request waited for an upstream.
+    pub fn observe_queue_wait(&self, class: &ClassName, branch: &BranchName, took: Duration) {
+        self.timings(class, branch).queue_wait(took);
+    }
+
+    /// A request was admitted.
+    pub fn admitted(&self, class: &ClassName, branch: &BranchName) {
+        let counters = &self.inner.counters;
+        counters.admitted.get_or_create(&self.inner.class_label(class)).inc();
+        counters.branch_admitted.get_or_create(&self.inner.branch_label(branch)).inc();
+    }
+
+    /// A request was refused.
+    pub fn refused(&self, reason: RefusalReason, branch: &BranchName) {
+        let counters = &self.inner.counters;
+        counters.refused.get_or_create(&ReasonLabel { reason: reason.as_str() }).inc();
+        counters.branch_refused.get_or_create(&self.inner.branch_label(branch)).inc();
+    }
+
+    /// A caller gave no key, an unknown one, or a malformed request: no branch to count it for.
+    pub fn rejected_caller(&self) {
+        self.inner.counters.rejected_callers.inc();
+    }
+
+    /// Tokens billed to a branch.
+    pub fn billed(&self, branch: &BranchName, tokens: TokenCount) {
+        let label = self.inner.branch_label(branch);
+        self.inner.counters.billed.get_or_create(&label).inc_by(tokens.0);
+    }
+
+    /// Tokens of lost attempts, which no branch pays.
+    pub fn rerun_tokens(&self, tokens: TokenCount) {
+        self.inner.counters.rerun.inc_by(tokens.0);
+    }
+
+    /// One call to the platform's store.
+    pub fn store_call(&self, kind: StoreCallKind) {
+        self.inner.counters.store_calls.get_or_create(&KindLabel { kind }).inc();
+    }
+
+    /// Calls to the platform's store since the process started, where a client keeps the sum.
+    pub fn store_calls_total(&self, kind: StoreCallKind, total: u64) {
+        raise(&self.inner.counters.store_calls, &KindLabel { kind }, total);
+    }
+
+    /// An answer, or a part of one, was thrown away.
+    pub fn dropped_answer(&self, cause: DropCause) {
+        self.inner.counters.dropped.get_or_create(&CauseLabel { cause }).inc();
+    }
+
+    /// Bytes of control traffic since the process started, as the link sums them.
+    pub fn control_bytes_total(&self, direction: LinkDirection, total: u64) {
+        raise(&self.inner.counters.control_bytes, &DirectionLabel { direction }, total);
+    }
+
+    /// Requests running in this process now.
+    pub fn set_in_flight(&self, count: u64) {
+        self.inner.gauges.in_flight.set(as_gauge(count));
+    }
+
+    /// Members that this process believes alive.
+    pub fn set_members(&self, count: u64) {
+        self.inner.gauges.members.set(as_gauge(count));
+    }
+
+    /// The configuration in force here.
+    pub fn set_config_version(&self, version: ConfigVersion) {
+        self.inner.gauges.config_version.set(as_gauge(version.0));
+    }
+
+    /// Everything as OpenMetrics text.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        encode(&mut text, &self.inner.registry).expect("writing to a string doesn't fail");
+        text
+    }
+}
+
+impl Default for FleetMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Debug for FleetMetrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("FleetMetrics").finish_non_exhaustive()
+    }
+}
+
+impl MetricSet {
+    fn class_label(&self, class: &ClassName) -> ClassLabel {
+        ClassLabel { class: self.classes.label_of(class.as_str()) }
+    }
+
+    fn branch_label(&self, branch: &BranchName) -> BranchLabel {
+        BranchLabel { branch: self.branches.label_of(branch.as_str()) }
+    }
+}
+
+impl CounterSet {
+    fn register(registry: &mut Registry) -> Self {
+        let set = Self {
+            admitted: Family::default(),
+            branch_admitted: Family::default(),
+            refused: Family::default(),
+            branch_refused: Family::default(),
+            billed: Family::default(),
+            rerun: Counter::default(),
+            store_calls: Family::default(),
+            dropped: Family::default(),
+            control_bytes: Family::default(),
+            rejected_callers: Counter::default(),
+        };
+        registry.register("admitted", "Requests admitted, by class", set.admitted.clone());
+        let branch_admitted = set.branch_admitted.clone();
+        registry.register("branch_admitted", "Requests admitted, by branch", branch_admitted);
+        registry.register("refused", "Requests refused, by reason", set.refused.clone());
+        let branch_refused = set.branch_refused.clone();
+        registry.register("branch_refused", "Requests refused, by branch", branch_refused);
+        registry.register("billed_tokens", "Tokens billed, by branch", set.billed.clone());
+        let rerun_help = "Tokens of lost attempts, which no branch pays";
+        registry.register("rerun_tokens", rerun_help, set.rerun.clone());
+        let calls_help = "Calls to the platform's store, by kind";
+        registry.register("store_calls", calls_help, set.store_calls.clone());
+        let dropped_help = "Answers or parts of them thrown away, by cause";
+        registry.register("dropped_answers", dropped_help, set.dropped.clone());
+        let control_help = "Bytes of control traffic over the link, by direction";
+        registry.register("control_bytes", control_help, set.control_bytes.clone());
+        let rejected_help = "Requests without a valid key or form, for which no branch is known";
+        registry.register("rejected_callers", rejected_help, set.rejected_callers.clone());
+        set
+    }
+}
+
+impl GaugeSet {
+    fn register(registry: &mut Registry) -> Self {
+        let set = Self {
+            in_flight: Gauge::default(),
+            members: Gauge::default(),
+            config_version: Gauge::default(),
+        };
+        registry.register("in_flight", "Requests running in this process", set.in_flight.clone());
+        registry.register("members", "Members believed alive", set.members.clone());
+        let version_help = "Version of the configuration in force";
+        registry.register("config_version", version_help, set.config_version.clone());
+        set
+    }
+}
+
+/// Sets a counter to a sum kept elsewhere. Two readers of the sum may come in
+/// the wrong order, and a counter that falls reads as a restart: it only rises.
+fn raise<S>(family: &Family<S, Counter>, label: &S, total: u64)
+where
+    S: EncodeLabelSet + Clone + std::hash::Hash + Eq,
+{
+    family.get_or_create(label).inner().fetch_max(total, Ordering::Relaxed);
+}
+
+fn as_gauge(count: u64) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- a/crates/sagespool-metrics/src/lib.rs
+++ b/crates/sagespool-metrics/src/lib.rs
@@ -1,1 +1,23 @@
 //! Metrics of a process: histograms by class and branch, counters, exposition.
+//!
+//! ```
+//! use std::time::Duration;
+//! use sagespool_metrics::FleetMetrics;
+//! use sagespool_types::{BranchName, ClassName};
+//!
+//! let metrics = FleetMetrics::new();
+//! let class: ClassName = "lookup".parse()?;
+//! let branch: BranchName = "ruwi-bids".parse()?;
+//! metrics.admitted(&class, &branch);
+//! metrics.observe_first_token(&class, &branch, Duration::from_millis(4));
+//! assert!(metrics.encode().contains("sagespool_admitted_total{class=\"lookup\"} 1"));
+//! # Ok::<(), sagespool_types::ParseFault>(())
+//! ```
+
+mod fleet;
+mod labels;
+mod timings;
+
+pub use fleet::FleetMetrics;
+pub use labels::{DropCause, LinkDirection, StoreCallKind};
+pub use timings::RequestTimings;
