Add checked settings and the fleet's configuration schema

One walker over a JSON document collects every fault with its path, what was found, what is allowed and the nearest known name; secrets and values of unknown fields are never shown.

--- /dev/null
+++ b/crates/sagespool-settings/src/configuration/index.rs
@@ -0,0 +1,294 @@
+//! The configuration that a process has in force.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fmt::{self, Debug};
+use std::sync::Arc;
+
+use sagespool_types::{BranchName, ClassName, ModelName, ServiceName};
+
+use crate::configuration::token::TokenIndex;
+use crate::node::{field_path, nearest_of};
+use crate::{
+    BRANCH_SHARDS, BranchEntry, BranchObject, ClassEntry, FleetObject, ModelEntry, ServiceEntry,
+    SettingsFault, SettingsFaults, branch_object_key, branch_shard,
+};
+
+/// One state of the configuration, with the lookups of a request's way.
+///
+/// A change makes a new one that shares what didn't change, so that with
+/// 57,000 branches a change of one of them costs one shard. What refers to a
+/// class or service that isn't there is without effect: two objects change
+/// one after the other, and the state between must not stop a process.
+#[derive(Clone)]
+pub struct FleetConfiguration {
+    fleet: Arc<FleetIndex>,
+    shards: Vec<Arc<BranchObject>>,
+    tokens: TokenIndex,
+}
+
+struct FleetIndex {
+    object: FleetObject,
+    classes: HashMap<ClassName, usize>,
+    services: HashMap<ServiceName, usize>,
+    models: HashMap<ModelName, (usize, usize)>,
+}
+
+impl FleetConfiguration {
+    /// A configuration of checked objects; shards that aren't given are empty.
+    pub fn build(
+        fleet: FleetObject,
+        branches: impl IntoIterator<Item = (u64, BranchObject)>,
+    ) -> Self {
+        let mut configuration = Self {
+            fleet: Arc::new(FleetIndex::new(fleet)),
+            shards: vec![Arc::default(); BRANCH_SHARDS as usize],
+            tokens: TokenIndex::new(),
+        };
+        for (shard, object) in branches {
+            configuration.replace_shard(shard, object);
+        }
+        configuration
+    }
+
+    /// The same with another fleet object.
+    pub fn with_fleet(&self, fleet: FleetObject) -> Self {
+        let mut changed = self.clone();
+        changed.fleet = Arc::new(FleetIndex::new(fleet));
+        changed
+    }
+
+    /// The same with another object of one shard.
+    pub fn with_branches(&self, shard: u64, object: BranchObject) -> Self {
+        let mut changed = self.clone();
+        changed.replace_shard(shard, object);
+        changed
+    }
+
+    /// The fleet's object.
+    pub fn fleet(&self) -> &FleetObject {
+        &self.fleet.object
+    }
+
+    /// One shard of the branches.
+    pub fn shard(&self, shard: u64) -> Option<&BranchObject> {
+        Some(self.shards.get(usize::try_from(shard).ok()?)?)
+    }
+
+    /// Every branch, by shard and name.
+    pub fn branches(&self) -> impl Iterator<Item = (&BranchName, &BranchEntry)> {
+        self.shards.iter().flat_map(|object| &object.branches)
+    }
+
+    /// The branch that a bearer token belongs to; none if it is unknown or revoked.
+    pub fn branch_by_token(&self, token: &str) -> Option<&BranchName> {
+        self.tokens.owner_of(token)
+    }
+
+    /// A branch.
+    pub fn branch(&self, branch: &BranchName) -> Option<&BranchEntry> {
+        self.shard(branch_shard(branch))?.branches.get(branch)
+    }
+
+    /// A class.
+    pub fn class(&self, class: &ClassName) -> Option<&ClassEntry> {
+        let place = *self.fleet.classes.get(class)?;
+        Some(&self.fleet.object.classes[place])
+    }
+
+    /// The class of requests that name none.
+    pub fn default_class(&self) -> &ClassEntry {
+        self.class(&self.fleet.object.default_class)
+            .expect("a checked object has its default class")
+    }
+
+    /// A service.
+    pub fn service(&self, service: &ServiceName) -> Option<&ServiceEntry> {
+        let place = *self.fleet.services.get(service)?;
+        Some(&self.fleet.object.services[place])
+    }
+
+    /// The service whose engines serve a model.
+    pub fn service_of_model(&self, model: &ModelName) -> Option<&ServiceEntry> {
+        let (place, _) = *self.fleet.models.get(model)?;
+        Some(&self.fleet.object.services[place])
+    }
+
+    /// A model.
+    pub fn model(&self, model: &ModelName) -> Option<&ModelEntry> {
+        let (place, inner) = *self.fleet.models.get(model)?;
+        Some(&self.fleet.object.services[place].models[inner])
+    }
+
+    /// Whether a call may never run twice, by the service's rules or the branch's.
+    pub fn is_non_idempotent(
+        &self,
+        branch: &BranchName,
+        service: &ServiceName,
+        method: &str,
+        path: &str,
+    ) -> bool {
+        let service_says = self.service(service).is_some_and(|entry| {
+            entry.non_idempotent.iter().any(|rule| rule.matches(method, path))
+        });
+        service_says || self.branch_declares(branch, service, method, path)
+    }
+
+    fn branch_declares(
+        &self,
+        branch: &BranchName,
+        service: &ServiceName,
+        method: &str,
+        path: &str,
+    ) -> bool {
+        let Some(entry) = self.branch(branch) else { return false };
+        let mut rules = entry.non_idempotent.iter().filter(|rule| rule.service == *service);
+        rules.any(|rule| rule.route.matches(method, path))
+    }
+
+    /// Checks a change, before it is accepted, for what one object alone doesn't show: classes
+    /// and services that branches refer to, keys that two branches share.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of `changed` that isn't in force already: an old one must not stop the
+    /// change that mends another.
+    pub fn check_change(&self, changed: &Self) -> Result<(), SettingsFaults> {
+        let present = self.faults();
+        let mut faults = changed.faults();
+        faults.retain(|fault| !present.contains(fault));
+        if faults.is_empty() {
+            return Ok(());
+        }
+        Err(SettingsFaults { faults })
+    }
+
+    /// Every reference that leads nowhere, every key that two branches share, every branch in
+    /// another shard than its own.
+    pub fn faults(&self) -> Vec<SettingsFault> {
+        let mut faults = Vec::new();
+        for (shard, object) in (0..).zip(&self.shards) {
+            for (name, entry) in &object.branches {
+                let path =
+                    field_path(&format!("{}:$.branches", branch_object_key(shard)), name.as_str());
+                self.note_misplaced(shard, name, &path, &mut faults);
+                self.note_shared_keys(name, entry, &path, &mut faults);
+                self.note_references(entry, &path, &mut faults);
+            }
+        }
+        faults
+    }
+
+    fn note_misplaced(
+        &self,
+        shard: u64,
+        name: &BranchName,
+        path: &str,
+        faults: &mut Vec<SettingsFault>,
+    ) {
+        let own = branch_shard(name);
+        if own == shard {
+            return;
+        }
+        let allowed = format!("this branch only in {}", branch_object_key(own));
+        faults.push(new_fault(path.to_owned(), "a branch of another shard".to_owned(), allowed));
+    }
+
+    fn note_shared_keys(
+        &self,
+        name: &BranchName,
+        entry: &BranchEntry,
+        path: &str,
+        faults: &mut Vec<SettingsFault>,
+    ) {
+        for (index, hash) in entry.key_hashes.iter().enumerate() {
+            if let Some(other) = self.tokens.other_owner(hash, name) {
+                let path = format!("{path}.key_hashes[{index}]");
+                let found = format!("a key that branch `{other}` has too");
+                faults.push(new_fault(path, found, "a key of its own for each branch".to_owned()));
+            }
+        }
+    }
+
+    fn note_references(&self, entry: &BranchEntry, path: &str, faults: &mut Vec<SettingsFault>) {
+        let fleet = &self.fleet.object;
+        for (index, held) in entry.held_back.iter().enumerate() {
+            if !self.fleet.classes.contains_key(&held.class) {
+                let path = format!("{path}.held_back[{index}].class");
+                let words = fleet.classes.iter().map(|class| class.name.as_str()).collect();
+                faults.push(unknown_word(path, held.class.as_str(), words));
+            }
+        }
+        for (index, rule) in entry.non_idempotent.iter().enumerate() {
+            if !self.fleet.services.contains_key(&rule.service) {
+                let path = format!("{path}.non_idempotent[{index}].service");
+                let words = fleet.services.iter().map(|service| service.name.as_str()).collect();
+                faults.push(unknown_word(path, rule.service.as_str(), words));
+            }
+        }
+    }
+
+    /// Keys of branches in a shard that isn't theirs are left out: the branch itself isn't found.
+    fn replace_shard(&mut self, shard: u64, object: BranchObject) {
+        let Some(place) = usize::try_from(shard).ok().filter(|at| *at < self.shards.len()) else {
+            return;
+        };
+        let old = std::mem::replace(&mut self.shards[place], Arc::new(object));
+        let new = self.shards[place].clone();
+        for (name, hash) in keys_missing_in(&old.branches, &new.branches) {
+            self.tokens.remove(hash, name);
+        }
+        let added = keys_missing_in(&new.branches, &old.branches);
+        for (name, hash) in added.filter(|(name, _)| branch_shard(name) == shard) {
+            self.tokens.add(hash, name);
+        }
+    }
+}
+
+impl Debug for FleetConfiguration {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let branches: usize = self.shards.iter().map(|object| object.branches.len()).sum();
+        f.debug_struct("FleetConfiguration")
+            .field("fleet", &self.fleet.object)
+            .field("branches", &branches)
+            .finish_non_exhaustive()
+    }
+}
+
+impl FleetIndex {
+    fn new(object: FleetObject) -> Self {
+        let classes = object.classes.iter().enumerate();
+        let classes = classes.map(|(place, class)| (class.name.clone(), place)).collect();
+        let services = object.services.iter().enumerate();
+        let services = services.map(|(place, service)| (service.name.clone(), place)).collect();
+        let mut models = HashMap::new();
+        for (place, service) in object.services.iter().enumerate() {
+            for (inner, model) in service.models.iter().enumerate() {
+                models.insert(model.name.clone(), (place, inner));
+            }
+        }
+        Self { object, classes, services, models }
+    }
+}
+
+type BranchMap = BTreeMap<BranchName, BranchEntry>;
+
+fn keys_missing_in<'a>(
+    from: &'a BranchMap,
+    other: &'a BranchMap,
+) -> impl Iterator<Item = (&'a BranchName, &'a sagespool_types::SecretHash)> {
+    from.iter().flat_map(move |(name, entry)| {
+        let kept = other.get(name).map_or(&[][..], |entry| &entry.key_hashes);
+        let missing = entry.key_hashes.iter().filter(move |hash| !kept.contains(hash));
+        missing.map(move |hash| (name, hash))
+    })
+}
+
+fn new_fault(path: String, found: String, allowed: String) -> SettingsFault {
+    SettingsFault { path, found, allowed, nearest: None }
+}
+
+fn unknown_word(path: String, found: &str, words: Vec<&str>) -> SettingsFault {
+    let nearest = nearest_of(found, &words);
+    let allowed = format!("one of `{}`", words.join("`, `"));
+    SettingsFault { path, found: format!("{found:?}"), allowed, nearest }
+}
--- /dev/null
+++ b/crates/sagespool-settings/src/configuration/shard.rs
@@ -0,0 +1,35 @@
+//! Which object of the store holds what.
+
+use std::collections::BTreeMap;
+
+use sagespool_types::BranchName;
+use twox_hash::XxHash3_64;
+
+use crate::BranchObject;
+
+/// The object that holds the classes and services.
+pub const FLEET_OBJECT_KEY: &str = "configuration/fleet";
+
+/// How many objects the branches are spread over. At 57,000 branches each
+/// holds about 900, well under the store's 1 MB a value.
+pub const BRANCH_SHARDS: u64 = 64;
+
+/// The shard that a branch is in, the same in every process and version.
+pub fn branch_shard(branch: &BranchName) -> u64 {
+    XxHash3_64::oneshot(branch.as_str().as_bytes()) % BRANCH_SHARDS
+}
+
+/// The object that holds a shard: `configuration/branches/7`.
+pub fn branch_object_key(shard: u64) -> String {
+    format!("configuration/branches/{shard}")
+}
+
+/// Spreads branches over the shards; those without a branch are left out.
+pub fn split_branches(object: BranchObject) -> BTreeMap<u64, BranchObject> {
+    let mut shards: BTreeMap<u64, BranchObject> = BTreeMap::new();
+    for (name, entry) in object.branches {
+        let shard = shards.entry(branch_shard(&name)).or_default();
+        shard.branches.insert(name, entry);
+    }
+    shards
+}
--- /dev/null
+++ b/crates/sagespool-settings/src/process/mod.rs
@@ -0,0 +1,17 @@
+//! The settings file of one process.
+
+mod common;
+mod entry;
+mod file;
+mod sidecar;
+
+pub use common::{
+    HttpSettings, LinkSettings, LogSettings, PlatformSettings, ProcessSettings, RoleSettings,
+    check_process,
+};
+pub use entry::{
+    BudgetChoice, EntrySettings, HttpLimits, LedgerSettings, PolicySettings, QueueSettings,
+    RoutingChoice,
+};
+pub use file::{SettingsError, check_files, load_process};
+pub use sidecar::{AnswerSettings, SidecarSettings, UpstreamSettings};
