Give the configuration its version and the metrics typed labels

The entry asks for the version in force, all classes and models, and sums of store calls and link bytes; the labels of metrics are in kebab case now.

--- a/crates/sagespool-metrics/src/fleet.rs
+++ b/crates/sagespool-metrics/src/fleet.rs
@@ -14,10 +14,11 @@
 use sagespool_types::{BranchName, ClassName, ConfigVersion, RefusalReason, TokenCount};
 
 use crate::labels::{
-    BranchLabel, CauseLabel, ClassLabel, DirectionLabel, KindLabel, LabelBound, ReasonLabel,
+    BranchLabel, CauseLabel, ClassLabel, KindLabel, LabelBound, LinkTraffic, ReasonLabel,
+    TrafficLabel,
 };
 use crate::timings::TimingSet;
-use crate::{DropCause, LinkDirection, RequestTimings, StoreCallKind};
+use crate::{DropCause, RequestTimings, StoreCallKind};
 
 /// Branches with labels of their own; later ones are counted as `other`.
 const MOST_BRANCH_LABELS: usize = 200;
@@ -48,10 +49,10 @@
     refused: Family<ReasonLabel, Counter>,
     branch_refused: Family<BranchLabel, Counter>,
     billed: Family<BranchLabel, Counter>,
-    rerun: Counter,
+    rerun: Family<BranchLabel, Counter>,
     store_calls: Family<KindLabel, Counter>,
     dropped: Family<CauseLabel, Counter>,
-    control_bytes: Family<DirectionLabel, Counter>,
+    link_bytes: Family<TrafficLabel, Counter>,
     rejected_callers: Counter,
 }
 
@@ -124,9 +125,10 @@
         self.inner.counters.billed.get_or_create(&label).inc_by(tokens.0);
     }
 
-    /// Tokens of lost attempts, which no branch pays.
-    pub fn rerun_tokens(&self, tokens: TokenCount) {
-        self.inner.counters.rerun.inc_by(tokens.0);
+    /// Tokens of lost attempts at a branch's requests, which the branch doesn't pay.
+    pub fn rerun(&self, branch: &BranchName, tokens: TokenCount) {
+        let label = self.inner.branch_label(branch);
+        self.inner.counters.rerun.get_or_create(&label).inc_by(tokens.0);
     }
 
     /// One call to the platform's store.
@@ -134,9 +136,12 @@
         self.inner.counters.store_calls.get_or_create(&KindLabel { kind }).inc();
     }
 
-    /// Calls to the platform's store since the process started, where a client keeps the sum.
-    pub fn store_calls_total(&self, kind: StoreCallKind, total: u64) {
-        raise(&self.inner.counters.store_calls, &KindLabel { kind }, total);
+    /// Calls to the platform's store since the process started, as its client sums them.
+    pub fn set_store_calls(&self, reads: u64, writes: u64, watches: u64) {
+        let calls = &self.inner.counters.store_calls;
+        raise(calls, &KindLabel { kind: StoreCallKind::Read }, reads);
+        raise(calls, &KindLabel { kind: StoreCallKind::Write }, writes);
+        raise(calls, &KindLabel { kind: StoreCallKind::Watch }, watches);
     }
 
     /// An answer, or a part of one, was thrown away.
@@ -144,9 +149,11 @@
         self.inner.counters.dropped.get_or_create(&CauseLabel { cause }).inc();
     }
 
-    /// Bytes of control traffic since the process started, as the link sums them.
-    pub fn control_bytes_total(&self, direction: LinkDirection, total: u64) {
-        raise(&self.inner.counters.control_bytes, &DirectionLabel { direction }, total);
+    /// Bytes over the link since the process started, as the link sums them.
+    pub fn set_link_bytes(&self, control: u64, payload: u64) {
+        let bytes = &self.inner.counters.link_bytes;
+        raise(bytes, &TrafficLabel { traffic: LinkTraffic::Control }, control);
+        raise(bytes, &TrafficLabel { traffic: LinkTraffic::Payload }, payload);
     }
 
     /// Requests running in this process now.
@@ -202,10 +209,10 @@
             refused: Family::default(),
             branch_refused: Family::default(),
             billed: Family::default(),
-            rerun: Counter::default(),
+            rerun: Family::default(),
             store_calls: Family::default(),
             dropped: Family::default(),
-            control_bytes: Family::default(),
+            link_bytes: Family::default(),
             rejected_callers: Counter::default(),
         };
         registry.register("admitted", "Requests admitted, by class", set.admitted.clone());
@@ -215,14 +222,14 @@
         let branch_refused = set.branch_refused.clone();
         registry.register("branch_refused", "Requests refused, by branch", branch_refused);
         registry.register("billed_tokens", "Tokens billed, by branch", set.billed.clone());
-        let rerun_help = "Tokens of lost attempts, which no branch pays";
+        let rerun_help = "Tokens of lost attempts, which no branch pays, by branch";
         registry.register("rerun_tokens", rerun_help, set.rerun.clone());
         let calls_help = "Calls to the platform's store, by kind";
         registry.register("store_calls", calls_help, set.store_calls.clone());
         let dropped_help = "Answers or parts of them thrown away, by cause";
         registry.register("dropped_answers", dropped_help, set.dropped.clone());
-        let control_help = "Bytes of control traffic over the link, by direction";
-        registry.register("control_bytes", control_help, set.control_bytes.clone());
+        let link_help = "Bytes over the link, control and payload apart";
+        registry.register("link_bytes", link_help, set.link_bytes.clone());
         let rejected_help = "Requests without a valid key or form, for which no branch is known";
         registry.register("rejected_callers", rejected_help, set.rejected_callers.clone());
         set
--- a/crates/sagespool-metrics/src/labels.rs
+++ b/crates/sagespool-metrics/src/labels.rs
@@ -1,43 +1,68 @@
 //! Labels, and the bound on how many of them there are.
 
 use std::collections::HashSet;
+use std::fmt::{self, Write};
 use std::hash::Hash;
 use std::sync::RwLock;
 
-use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
-
-/// Kinds of calls to the platform's store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
-#[allow(missing_docs)]
-pub enum StoreCallKind {
-    Read,
-    Write,
-    Watch,
-    Conflict,
-    Failure,
-}
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
+
+macro_rules! label_values {
+    ($($(#[$doc:meta])* $visibility:vis enum $name:ident {
+        $($(#[$variant_doc:meta])* $variant:ident = $label:literal,)*
+    })*) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+        $visibility enum $name {
+            $($(#[$variant_doc])* $variant,)*
+        }
 
-/// Why an answer, or a part of one, was thrown away.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
-pub enum DropCause {
-    /// Its caller had gone.
-    CallerGone,
-    /// It came after its deadline.
-    Late,
-    /// It came from an attempt that another had replaced.
-    Superseded,
-    /// It repeated what had come already.
-    Duplicate,
-    /// It belonged to another request.
-    Crossed,
+        impl EncodeLabelValue for $name {
+            fn encode(&self, encoder: &mut LabelValueEncoder) -> fmt::Result {
+                encoder.write_str(match self {
+                    $(Self::$variant => $label,)*
+                })
+            }
+        }
+    )*};
 }
 
-/// Which way bytes went over the link.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
-#[allow(missing_docs)]
-pub enum LinkDirection {
-    Sent,
-    Received,
+label_values! {
+    /// Kinds of calls to the platform's store.
+    pub enum StoreCallKind {
+        /// A read of one object or a list.
+        Read = "read",
+        /// A write, conditional or not.
+        Write = "write",
+        /// A watch that waits for a change.
+        Watch = "watch",
+        /// A write that came too late: the object had changed.
+        Conflict = "conflict",
+        /// A call without an answer, or refused for its rate or an outage.
+        Failure = "failure",
+    }
+
+    /// Why an answer, or a part of one, was thrown away.
+    pub enum DropCause {
+        /// Its caller had gone.
+        CallerGone = "caller-gone",
+        /// It came after its deadline.
+        Late = "late",
+        /// It came from an attempt that another had replaced.
+        Superseded = "superseded",
+        /// It repeated what had come already.
+        Duplicate = "duplicate",
+        /// It belonged to another request.
+        Crossed = "crossed",
+    }
+
+    /// What goes over the link.
+    pub(crate) enum LinkTraffic {
+        /// Everything but requests' and answers' content.
+        Control = "control",
+        /// Requests' and answers' content.
+        Payload = "payload",
+    }
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -66,8 +91,8 @@
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub(crate) struct DirectionLabel {
-    pub direction: LinkDirection,
+pub(crate) struct TrafficLabel {
+    pub traffic: LinkTraffic,
 }
 
 /// The label of everything beyond the bound. Not a name that a branch can't
--- a/crates/sagespool-metrics/src/lib.rs
+++ b/crates/sagespool-metrics/src/lib.rs
@@ -19,5 +19,5 @@
 mod timings;
 
 pub use fleet::FleetMetrics;
-pub use labels::{DropCause, LinkDirection, StoreCallKind};
+pub use labels::{DropCause, StoreCallKind};
 pub use timings::RequestTimings;
--- a/crates/sagespool-settings/src/configuration/index.rs
+++ b/crates/sagespool-settings/src/configuration/index.rs
@@ -4,13 +4,13 @@
 use std::fmt::{self, Debug};
 use std::sync::Arc;
 
-use sagespool_types::{BranchName, ClassName, ModelName, ServiceName};
+use sagespool_types::{BranchName, ClassName, ConfigVersion, ModelName, SecretHash, ServiceName};
 
 use crate::configuration::token::TokenIndex;
 use crate::node::{field_path, nearest_of};
 use crate::{
     BRANCH_SHARDS, BranchEntry, BranchObject, ClassEntry, FleetObject, ModelEntry, ServiceEntry,
-    SettingsFault, SettingsFaults, branch_object_key, branch_shard,
+    SettingsFault, SettingsFaults, branch_object_key, branch_shard, split_branches,
 };
 
 /// One state of the configuration, with the lookups of a request's way.
@@ -21,6 +21,7 @@
 /// one after the other, and the state between must not stop a process.
 #[derive(Clone)]
 pub struct FleetConfiguration {
+    version: ConfigVersion,
     fleet: Arc<FleetIndex>,
     shards: Vec<Arc<BranchObject>>,
     tokens: TokenIndex,
@@ -34,36 +35,44 @@
 }
 
 impl FleetConfiguration {
-    /// A configuration of checked objects; shards that aren't given are empty.
-    pub fn build(
+    /// A configuration of checked objects, whichever shards the branches come in.
+    pub fn build<'a>(
+        version: ConfigVersion,
         fleet: FleetObject,
-        branches: impl IntoIterator<Item = (u64, BranchObject)>,
+        branches: impl IntoIterator<Item = &'a BranchObject>,
     ) -> Self {
         let mut configuration = Self {
+            version,
             fleet: Arc::new(FleetIndex::new(fleet)),
             shards: vec![Arc::default(); BRANCH_SHARDS as usize],
             tokens: TokenIndex::new(),
         };
-        for (shard, object) in branches {
+        let all = branches.into_iter().flat_map(|object| object.branches.clone()).collect();
+        for (shard, object) in split_branches(BranchObject { branches: all }) {
             configuration.replace_shard(shard, object);
         }
         configuration
     }
 
     /// The same with another fleet object.
-    pub fn with_fleet(&self, fleet: FleetObject) -> Self {
-        let mut changed = self.clone();
+    pub fn with_fleet(&self, version: ConfigVersion, fleet: FleetObject) -> Self {
+        let mut changed = Self { version, ..self.clone() };
         changed.fleet = Arc::new(FleetIndex::new(fleet));
         changed
     }
 
     /// The same with another object of one shard.
-    pub fn with_branches(&self, shard: u64, object: BranchObject) -> Self {
-        let mut changed = self.clone();
+    pub fn with_branches(&self, version: ConfigVersion, shard: u64, object: BranchObject) -> Self {
+        let mut changed = Self { version, ..self.clone() };
         changed.replace_shard(shard, object);
         changed
     }
 
+    /// The store's revision of its newest object.
+    pub fn version(&self) -> ConfigVersion {
+        self.version
+    }
+
     /// The fleet's object.
     pub fn fleet(&self) -> &FleetObject {
         &self.fleet.object
@@ -95,6 +104,11 @@
         Some(&self.fleet.object.classes[place])
     }
 
+    /// Every class.
+    pub fn classes(&self) -> impl Iterator<Item = &ClassEntry> {
+        self.fleet.object.classes.iter()
+    }
+
     /// The class of requests that name none.
     pub fn default_class(&self) -> &ClassEntry {
         self.class(&self.fleet.object.default_class)
@@ -107,6 +121,16 @@
         Some(&self.fleet.object.services[place])
     }
 
+    /// Every service.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceEntry> {
+        self.fleet.object.services.iter()
+    }
+
+    /// Every model of every service.
+    pub fn models(&self) -> impl Iterator<Item = &ModelEntry> {
+        self.services().flat_map(|service| &service.models)
+    }
+
     /// The service whose engines serve a model.
     pub fn service_of_model(&self, model: &ModelName) -> Option<&ServiceEntry> {
         let (place, _) = *self.fleet.models.get(model)?;
@@ -167,9 +191,9 @@
     pub fn faults(&self) -> Vec<SettingsFault> {
         let mut faults = Vec::new();
         for (shard, object) in (0..).zip(&self.shards) {
+            let parent = format!("{}:$.branches", branch_object_key(shard));
             for (name, entry) in &object.branches {
-                let path =
-                    field_path(&format!("{}:$.branches", branch_object_key(shard)), name.as_str());
+                let path = field_path(&parent, name.as_str());
                 self.note_misplaced(shard, name, &path, &mut faults);
                 self.note_shared_keys(name, entry, &path, &mut faults);
                 self.note_references(entry, &path, &mut faults);
@@ -275,7 +299,7 @@
 fn keys_missing_in<'a>(
     from: &'a BranchMap,
     other: &'a BranchMap,
-) -> impl Iterator<Item = (&'a BranchName, &'a sagespool_types::SecretHash)> {
+) -> impl Iterator<Item = (&'a BranchName, &'a SecretHash)> {
     from.iter().flat_map(move |(name, entry)| {
         let kept = other.get(name).map_or(&[][..], |entry| &entry.key_hashes);
         let missing = entry.key_hashes.iter().filter(move |hash| !kept.contains(hash));
--- a/crates/sagespool-settings/src/configuration/mod.rs
+++ b/crates/sagespool-settings/src/configuration/mod.rs
@@ -13,4 +13,7 @@
 pub use fleet::{ClassEntry, FleetObject, ModelEntry, ServiceEntry, check_fleet, read_fleet};
 pub use index::FleetConfiguration;
 pub use route::{LimitEntry, RouteRule};
-pub use shard::{BRANCH_SHARDS, FLEET_OBJECT_KEY, branch_object_key, branch_shard, split_branches};
+pub use shard::{
+    BRANCH_SHARDS, CONFIGURATION_PREFIX, FLEET_OBJECT_KEY, branch_object_key, branch_object_shard,
+    branch_shard, split_branches,
+};
--- a/crates/sagespool-settings/src/configuration/shard.rs
+++ b/crates/sagespool-settings/src/configuration/shard.rs
@@ -7,6 +7,9 @@
 
 use crate::BranchObject;
 
+/// Every object of the configuration, and nothing else, has a key that begins so.
+pub const CONFIGURATION_PREFIX: &str = "configuration/";
+
 /// The object that holds the classes and services.
 pub const FLEET_OBJECT_KEY: &str = "configuration/fleet";
 
@@ -21,7 +24,15 @@
 
 /// The object that holds a shard: `configuration/branches/7`.
 pub fn branch_object_key(shard: u64) -> String {
-    format!("configuration/branches/{shard}")
+    format!("{BRANCH_OBJECT_PREFIX}{shard}")
+}
+
+const BRANCH_OBJECT_PREFIX: &str = "configuration/branches/";
+
+/// The shard that an object's key names; none for every other key.
+pub fn branch_object_shard(key: &str) -> Option<u64> {
+    let shard = key.strip_prefix(BRANCH_OBJECT_PREFIX)?.parse().ok()?;
+    (shard < BRANCH_SHARDS && branch_object_key(shard) == key).then_some(shard)
 }
 
 /// Spreads branches over the shards; those without a branch are left out.
--- a/crates/sagespool-settings/src/lib.rs
+++ b/crates/sagespool-settings/src/lib.rs
@@ -20,17 +20,17 @@
 mod secret;
 
 pub use configuration::{
-    BRANCH_SHARDS, BranchEntry, BranchObject, BranchRule, ClassEntry, FLEET_OBJECT_KEY,
-    FleetConfiguration, FleetObject, HeldBack, LimitEntry, ModelEntry, RouteRule, ServiceEntry,
-    branch_object_key, branch_shard, check_branches, check_fleet, read_branches, read_fleet,
-    split_branches,
+    BRANCH_SHARDS, BranchEntry, BranchObject, BranchRule, CONFIGURATION_PREFIX, ClassEntry,
+    FLEET_OBJECT_KEY, FleetConfiguration, FleetObject, HeldBack, LimitEntry, ModelEntry, RouteRule,
+    ServiceEntry, branch_object_key, branch_object_shard, branch_shard, check_branches,
+    check_fleet, read_branches, read_fleet, split_branches,
 };
 pub use fault::{SettingsFault, SettingsFaults};
 pub use process::{
-    AnswerSettings, BudgetChoice, EntrySettings, HttpLimits, HttpSettings, LedgerSettings,
-    LinkSettings, LogSettings, PlatformSettings, PolicySettings, ProcessSettings, QueueSettings,
-    RoleSettings, RoutingChoice, SettingsError, SidecarSettings, UpstreamSettings, check_files,
-    check_process, load_process,
+    AnswerSettings, BudgetChoice, EntrySettings, HttpSettings, LedgerSettings, LinkSettings,
+    LogSettings, PlatformSettings, PolicySettings, ProcessSettings, QueueSettings, RoleSettings,
+    RoutingChoice, SettingsError, SidecarSettings, UpstreamSettings, check_files, check_process,
+    load_process,
 };
 pub use sagespool_log::LogLevel;
 pub use secret::SecretText;
--- a/crates/sagespool-settings/src/process/entry.rs
+++ b/crates/sagespool-settings/src/process/entry.rs
@@ -9,8 +9,10 @@
 /// The settings of an entry.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EntrySettings {
-    /// Limits on what callers send; in the file they stand under `http`.
-    pub limits: HttpLimits,
+    /// The longest body of a caller; in the file it stands under `http`.
+    pub body_limit: ByteCount,
+    /// The longest head of a caller, request line and headers; in the file under `http` too.
+    pub header_limit: ByteCount,
     /// How requests are routed and paid for.
     pub policy: PolicySettings,
     /// How the home keeps its books.
@@ -19,15 +21,6 @@
     pub queue: QueueSettings,
 }
 
-/// Limits on what callers send.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct HttpLimits {
-    /// The longest body.
-    pub body: ByteCount,
-    /// The longest head: request line and headers.
-    pub header: ByteCount,
-}
-
 /// How requests are routed and paid for. Other than the first of each, the
 /// choices are there to be measured against.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -117,11 +110,18 @@
     let policy = object.or("policy", DEFAULT_POLICY, |node| node.object(read_policy));
     let ledger = object.or("ledger", DEFAULT_LEDGER, |node| node.object(read_ledger));
     let queue = object.or("queue", DEFAULT_QUEUE, |node| node.object(read_queue));
-    Some(EntrySettings { limits: limits?, policy: policy?, ledger: ledger?, queue: queue? })
+    let (body_limit, header_limit) = limits?;
+    Some(EntrySettings {
+        body_limit,
+        header_limit,
+        policy: policy?,
+        ledger: ledger?,
+        queue: queue?,
+    })
 }
 
-/// `http` itself, and that it is an object, is checked with the common fields.
-fn read_limits(object: &ObjectNode) -> Option<HttpLimits> {
+/// The longest body and the longest head. `http` itself, and that it is an object, is checked with the common fields.
+fn read_limits(object: &ObjectNode) -> Option<(ByteCount, ByteCount)> {
     let http = object.peek("http")?;
     let body = http.or("body_limit_bytes", DEFAULT_BODY_LIMIT, |node| {
         node.number(1..=GREATEST_BODY_LIMIT).map(ByteCount)
@@ -129,7 +129,7 @@
     let header = http.or("header_limit_bytes", DEFAULT_HEADER_LIMIT, |node| {
         node.number(KILOBYTE..=GREATEST_HEADER_LIMIT).map(ByteCount)
     });
-    Some(HttpLimits { body: body?, header: header? })
+    Some((body?, header?))
 }
 
 fn read_policy(object: &ObjectNode) -> Option<PolicySettings> {
--- a/crates/sagespool-settings/src/process/mod.rs
+++ b/crates/sagespool-settings/src/process/mod.rs
@@ -10,8 +10,7 @@
     check_process,
 };
 pub use entry::{
-    BudgetChoice, EntrySettings, HttpLimits, LedgerSettings, PolicySettings, QueueSettings,
-    RoutingChoice,
+    BudgetChoice, EntrySettings, LedgerSettings, PolicySettings, QueueSettings, RoutingChoice,
 };
 pub use file::{SettingsError, check_files, load_process};
 pub use sidecar::{AnswerSettings, SidecarSettings, UpstreamSettings};
