--- a/crates/sagespool-settings/src/process/entry.rs
+++ b/crates/sagespool-settings/src/process/entry.rs
@@ -120,7 +120,8 @@
     })
 }
 
-/// The longest body and the longest head. `http` itself, and that it is an object, is checked with the common fields.
+/// The longest body and the longest head. `http` itself, and that it is an object, is checked
+/// with the common fields.
 fn read_limits(object: &ObjectNode) -> Option<(ByteCount, ByteCount)> {
     let http = object.peek("http")?;
     let body = http.or("body_limit_bytes", DEFAULT_BODY_LIMIT, |node| {
