--- /dev/null
+++ b/crates/sagespool-routing/src/baseline.rs
@@ -0,0 +1,39 @@
+//! The three policies that the own one is measured against.
+
+use fastrand::Rng;
+
+use crate::upstream::UpstreamState;
+
+fn reported(upstream: &UpstreamState) -> u32 {
+    upstream.load.report().running + upstream.load.report().waiting
+}
+
+/// Each usable upstream in turn.
+pub(crate) fn round_robin(usable: &[usize], turn: &mut usize) -> Option<usize> {
+    *turn = turn.wrapping_add(1);
+    usable.get(*turn % usable.len().max(1)).copied()
+}
+
+/// The lowest load in the newest report, ties at random.
+pub(crate) fn least_reported(
+    usable: &[usize],
+    upstreams: &[UpstreamState],
+    random: &mut Rng,
+) -> Option<usize> {
+    let least = usable.iter().map(|place| reported(&upstreams[*place])).min()?;
+    let tied = usable.iter().copied().filter(|place| reported(&upstreams[*place]) == least);
+    let tied: Vec<usize> = tied.collect();
+    random.choice(&tied).copied()
+}
+
+/// The less loaded, by the newest reports, of two random ones.
+pub(crate) fn two_choices(
+    usable: &[usize],
+    upstreams: &[UpstreamState],
+    random: &mut Rng,
+) -> Option<usize> {
+    let first = *random.choice(usable)?;
+    let second = *random.choice(usable)?;
+    let is_less = reported(&upstreams[second]) < reported(&upstreams[first]);
+    Some(if is_less { second } else { first })
+}
--- a/crates/sagespool-routing/src/lib.rs
+++ b/crates/sagespool-routing/src/lib.rs
@@ -1,1 +1,33 @@
 //! Choosing an upstream as pure decisions: load, affinity, queues, retries, limits.
+//!
+//! Nothing here does I/O, reads a clock or starts a thread. Each decision takes
+//! the present time, and all state is kept in shards, each under its own lock,
+//! so that one service never waits for another.
+//!
+//! The way of a request through an entry:
+//!
+//! 1. [`BranchLimits`] says whether its branch, class and upstream may take one more;
+//! 2. [`AdmissionQueue`] lets it go, lets it wait, or refuses it at once;
+//! 3. [`UpstreamTable`] chooses where it runs, and learns how that went;
+//! 4. after a failure, [`RetryBudget`] says whether it may be tried elsewhere.
+
+mod affinity;
+mod baseline;
+mod ejection;
+mod limits;
+mod load;
+mod policy;
+mod queue;
+mod retry;
+mod service;
+mod smooth;
+mod table;
+mod upstream;
+
+pub use affinity::{CacheEvent, CacheEventKind};
+pub use limits::{BranchLimits, LimitRefusal, LimitRule, LimitScope};
+pub use policy::{PolicyKind, RoutingPolicy};
+pub use queue::{AdmissionQueue, OfferOutcome, QueuePolicy, QueueRelease, QueueTicket};
+pub use retry::{RetryBudget, RetryPolicy};
+pub use service::{AttemptOutcome, AttemptResult, RouteChoice, RouteWish, ServiceRoom};
+pub use table::UpstreamTable;
--- /dev/null
+++ b/crates/sagespool-routing/src/limits.rs
@@ -0,0 +1,197 @@
+//! Requests a second and running at once, for a branch, a class and an upstream.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::hash::{BuildHasher, RandomState};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use sagespool_types::{BranchName, ClassName, ClockTime, RefusalReason, UpstreamName, derives};
+
+use crate::table::lock;
+
+const SHARDS: usize = 16;
+/// How long a limit on running requests is asked to be waited for.
+const RUNNING_RETRY: Duration = Duration::from_millis(500);
+/// A bucket holds what this time brings.
+const BURST: Duration = Duration::from_secs(1);
+const MICROS: u64 = 1_000_000;
+
+derives! { record;
+    /// What a limit applies to.
+    #[derive(Eq, PartialOrd, Ord, Hash)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum LimitScope {
+        /// All requests of a branch.
+        Branch(BranchName),
+        /// A branch's requests of one class.
+        BranchClass(BranchName, ClassName),
+        /// All requests of a class.
+        Class(ClassName),
+        /// All requests to an upstream.
+        Upstream(UpstreamName),
+    }
+}
+
+impl fmt::Display for LimitScope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Branch(branch) => write!(f, "branch {branch}"),
+            Self::BranchClass(branch, class) => write!(f, "class {class} of branch {branch}"),
+            Self::Class(class) => write!(f, "class {class}"),
+            Self::Upstream(upstream) => write!(f, "upstream {upstream}"),
+        }
+    }
+}
+
+derives! { record;
+    /// A limit, for the whole fleet.
+    pub struct LimitRule {
+        /// What it applies to.
+        pub scope: LimitScope,
+        /// Requests running at once.
+        pub running: Option<u32>,
+        /// Requests a second.
+        pub requests_per_second: Option<u32>,
+    }
+}
+
+/// A request is over a limit; it did not run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LimitRefusal {
+    /// The limit that is reached.
+    pub scope: LimitScope,
+    /// When to come back.
+    pub retry_after: Duration,
+}
+
+impl LimitRefusal {
+    /// The reason as callers read it.
+    pub fn reason(&self) -> RefusalReason {
+        RefusalReason::LimitReached
+    }
+}
+
+impl fmt::Display for LimitRefusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let millis = self.retry_after.as_millis();
+        write!(f, "the limit of {} is reached: come back in {millis} ms", self.scope)
+    }
+}
+
+impl std::error::Error for LimitRefusal {}
+
+#[derive(Debug, Clone, Copy)]
+struct LimitUse {
+    running: u32,
+    /// Millionths of a request.
+    tokens: u64,
+    filled: ClockTime,
+}
+
+/// Counts what runs and how fast it comes, in shards by scope.
+#[derive(Debug)]
+pub struct BranchLimits {
+    shards: [Mutex<HashMap<LimitScope, LimitUse>>; SHARDS],
+    hasher: RandomState,
+    entries: AtomicU32,
+}
+
+impl Default for BranchLimits {
+    fn default() -> Self {
+        let shards = std::array::from_fn(|_| Mutex::default());
+        Self { shards, hasher: RandomState::new(), entries: AtomicU32::new(1) }
+    }
+}
+
+impl BranchLimits {
+    /// Nothing runs.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// How many entries share the limits, this one included. One where the branch's home decides.
+    pub fn set_entries(&self, entries: u32) {
+        self.entries.store(entries.max(1), Ordering::Relaxed);
+    }
+
+    /// Lets a request through all of its rules, or through none.
+    ///
+    /// # Errors
+    ///
+    /// The first rule whose limit is reached.
+    pub fn admit(&self, rules: &[LimitRule], now: ClockTime) -> Result<(), LimitRefusal> {
+        for (done, rule) in rules.iter().enumerate() {
+            if let Err(refusal) = self.admit_one(rule, now) {
+                self.undo(&rules[..done]);
+                return Err(refusal);
+            }
+        }
+        Ok(())
+    }
+
+    /// A request that was let through ended.
+    pub fn ended(&self, rules: &[LimitRule]) {
+        for rule in rules {
+            let mut shard = lock(self.shard(&rule.scope));
+            if let Some(used) = shard.get_mut(&rule.scope) {
+                used.running = used.running.saturating_sub(1);
+            }
+        }
+    }
+
+    /// Forgets scopes that nothing runs under and whose bucket is full again.
+    pub fn expire(&self, now: ClockTime) {
+        for shard in &self.shards {
+            lock(shard).retain(|_, used| used.running > 0 || now.since(used.filled) < BURST);
+        }
+    }
+
+    /// Requests of a scope that run now, by this process's count.
+    pub fn running(&self, scope: &LimitScope) -> u32 {
+        lock(self.shard(scope)).get(scope).map_or(0, |used| used.running)
+    }
+
+    fn admit_one(&self, rule: &LimitRule, now: ClockTime) -> Result<(), LimitRefusal> {
+        let entries = self.entries.load(Ordering::Relaxed);
+        let mut shard = lock(self.shard(&rule.scope));
+        let full = |rate: u32| u64::from(rate) * MICROS / u64::from(entries);
+        let burst = |rate: u32| full(rate).max(MICROS);
+        let start = rule.requests_per_second.map_or(0, burst);
+        let fresh = LimitUse { running: 0, tokens: start, filled: now };
+        let used = shard.entry(rule.scope.clone()).or_insert(fresh);
+        let refuse = |retry_after| LimitRefusal { scope: rule.scope.clone(), retry_after };
+        if rule.running.is_some_and(|most| used.running >= most.div_ceil(entries)) {
+            return Err(refuse(RUNNING_RETRY));
+        }
+        if let Some(rate) = rule.requests_per_second {
+            let gained = now.since(used.filled).as_micros() as u64 * full(rate) / MICROS;
+            used.tokens = used.tokens.saturating_add(gained).min(burst(rate));
+            used.filled = now;
+            if used.tokens < MICROS {
+                let missing = MICROS - used.tokens;
+                let wait = missing * MICROS / full(rate).max(1);
+                return Err(refuse(Duration::from_micros(wait)));
+            }
+            used.tokens -= MICROS;
+        }
+        used.running += 1;
+        Ok(())
+    }
+
+    fn undo(&self, rules: &[LimitRule]) {
+        for rule in rules {
+            let mut shard = lock(self.shard(&rule.scope));
+            let Some(used) = shard.get_mut(&rule.scope) else { continue };
+            used.running = used.running.saturating_sub(1);
+            if rule.requests_per_second.is_some() {
+                used.tokens += MICROS;
+            }
+        }
+    }
+
+    fn shard(&self, scope: &LimitScope) -> &Mutex<HashMap<LimitScope, LimitUse>> {
+        &self.shards[self.hasher.hash_one(scope) as usize % SHARDS]
+    }
+}
--- /dev/null
+++ b/crates/sagespool-routing/src/retry.rs
@@ -0,0 +1,110 @@
+//! How many retries a service's requests may cause.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use sagespool_types::{ClockTime, ServiceName};
+
+use crate::table::lock;
+
+/// The window is counted in so many slices.
+const SLICES: usize = 10;
+
+/// Settings of [`RetryBudget`].
+#[derive(Debug, Clone, bon::Builder)]
+pub struct RetryPolicy {
+    /// Retries as a share of the requests in the window, in thousandths.
+    #[builder(default = 150)]
+    pub share_per_mille: u32,
+    /// Retries that are always allowed in a window, so that a quiet service can retry at all.
+    #[builder(default = 3)]
+    pub floor: u32,
+    /// How far back requests and retries count.
+    #[builder(default = Duration::from_secs(10))]
+    pub window: Duration,
+}
+
+impl Default for RetryPolicy {
+    fn default() -> Self {
+        Self::builder().build()
+    }
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct SliceCount {
+    slice: u64,
+    requests: u32,
+    retries: u32,
+}
+
+#[derive(Debug, Default)]
+struct RetryWindow {
+    slices: [SliceCount; SLICES],
+}
+
+impl RetryWindow {
+    fn slice(&mut self, number: u64) -> &mut SliceCount {
+        let slice = &mut self.slices[number as usize % SLICES];
+        if slice.slice != number {
+            *slice = SliceCount { slice: number, ..SliceCount::default() };
+        }
+        slice
+    }
+
+    fn totals(&self, number: u64) -> (u64, u64) {
+        let recent = |slice: &&SliceCount| slice.slice + SLICES as u64 > number;
+        let recent = self.slices.iter().filter(recent);
+        recent.fold((0, 0), |(requests, retries), slice| {
+            (requests + u64::from(slice.requests), retries + u64::from(slice.retries))
+        })
+    }
+}
+
+/// Retries as a share of recent requests, for each service by itself.
+///
+/// Guards against a retry storm: when upstreams fail because they are
+/// overloaded, retrying every failure multiplies the load that made them fail.
+/// A share bounds the factor, however much fails.
+#[derive(Debug, Default)]
+pub struct RetryBudget {
+    policy: RetryPolicy,
+    windows: Mutex<HashMap<ServiceName, std::sync::Arc<Mutex<RetryWindow>>>>,
+}
+
+impl RetryBudget {
+    /// A budget with these settings.
+    pub fn new(policy: RetryPolicy) -> Self {
+        Self { policy, windows: Mutex::default() }
+    }
+
+    /// Counts a request's first attempt.
+    pub fn request(&self, service: &ServiceName, now: ClockTime) {
+        let window = self.window(service);
+        lock(&window).slice(self.slice_number(now)).requests += 1;
+    }
+
+    /// Whether one more retry may go; counts it if so.
+    pub fn try_retry(&self, service: &ServiceName, now: ClockTime) -> bool {
+        let window = self.window(service);
+        let mut window = lock(&window);
+        let number = self.slice_number(now);
+        let (requests, retries) = window.totals(number);
+        let share = requests * u64::from(self.policy.share_per_mille) / 1000;
+        if retries >= share.max(u64::from(self.policy.floor)) {
+            return false;
+        }
+        window.slice(number).retries += 1;
+        true
+    }
+
+    fn window(&self, service: &ServiceName) -> std::sync::Arc<Mutex<RetryWindow>> {
+        lock(&self.windows).entry(service.clone()).or_default().clone()
+    }
+
+    fn slice_number(&self, now: ClockTime) -> u64 {
+        let slice = (self.policy.window.as_micros() as u64 / SLICES as u64).max(1);
+        // From 1, so that the empty slices of a new window count as past.
+        now.0 / slice + SLICES as u64
+    }
+}
--- /dev/null
+++ b/crates/sagespool-routing/src/upstream.rs
@@ -0,0 +1,99 @@
+//! What this entry knows of one upstream.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sagespool_messages::{MemberInfo, ServedUpstream};
+use sagespool_types::{CentreName, ClockTime, IncarnationId, ModelName, UpstreamName};
+
+use crate::RoutingPolicy;
+use crate::ejection::EjectionState;
+use crate::load::LoadView;
+use crate::smooth::SmoothedValue;
+
+/// One upstream, through its sidecar.
+#[derive(Debug)]
+pub(crate) struct UpstreamState {
+    pub(crate) id: IncarnationId,
+    pub(crate) name: UpstreamName,
+    pub(crate) address: SocketAddr,
+    pub(crate) models: Vec<ModelName>,
+    pub(crate) capacity: u32,
+    pub(crate) is_near: bool,
+    /// Healthy and not leaving: may get new work.
+    pub(crate) takes_work: bool,
+    pub(crate) load: LoadView,
+    pub(crate) ejection: EjectionState,
+    /// Seconds to the first token where nothing waited before.
+    pub(crate) first_token: SmoothedValue,
+    /// Seconds that a request holds its place.
+    pub(crate) run_time: SmoothedValue,
+    /// Share of attempts that failed.
+    pub(crate) failures: SmoothedValue,
+    /// Own attempts without a first token yet, oldest first.
+    pub(crate) pending: VecDeque<(u64, ClockTime)>,
+    /// The highest cache event number seen.
+    pub(crate) cache_number: u64,
+}
+
+impl UpstreamState {
+    pub(crate) fn new(member: &MemberInfo, served: &ServedUpstream) -> Self {
+        Self {
+            id: member.incarnation,
+            name: served.upstream.clone(),
+            address: member.address,
+            models: Vec::new(),
+            capacity: 1,
+            is_near: false,
+            takes_work: false,
+            load: LoadView::default(),
+            ejection: EjectionState::default(),
+            first_token: SmoothedValue::default(),
+            run_time: SmoothedValue::default(),
+            failures: SmoothedValue::default(),
+            pending: VecDeque::new(),
+            cache_number: 0,
+        }
+    }
+
+    /// Takes a description in; true if who may be sent here changed.
+    pub(crate) fn observe(
+        &mut self,
+        member: &MemberInfo,
+        served: &ServedUpstream,
+        own_centre: &CentreName,
+        policy: &RoutingPolicy,
+        now: ClockTime,
+    ) -> bool {
+        let takes_work = served.healthy && !member.leaving;
+        let is_near = member.centre == *own_centre;
+        let is_same = takes_work == self.takes_work
+            && is_near == self.is_near
+            && self.models == served.models;
+        self.address = member.address;
+        self.capacity = served.capacity.max(1);
+        self.takes_work = takes_work;
+        self.is_near = is_near;
+        if !is_same {
+            self.models = served.models.clone();
+        }
+        self.load.observe(&served.load, policy, now);
+        !is_same
+    }
+
+    pub(crate) fn serves(&self, model: Option<&ModelName>) -> bool {
+        model.is_none_or(|model| self.models.contains(model))
+    }
+
+    /// How long the oldest own attempt has been without a first token.
+    pub(crate) fn oldest_pending(&self, now: ClockTime) -> Duration {
+        self.pending.front().map_or(Duration::ZERO, |(_, since)| now.since(*since))
+    }
+
+    /// Drops an attempt from those without a first token.
+    pub(crate) fn settle_pending(&mut self, attempt: u64) -> bool {
+        let place = self.pending.iter().position(|(pending, _)| *pending == attempt);
+        place.is_some_and(|place| self.pending.remove(place).is_some())
+    }
+}
