Add the membership view: gossip, suspicion, rendezvous, applied versions

Cause: entries and sidecars need to know who is there, who is leaving and which entry is home of a branch, without a coordination service. Change: MemberTable keeps one process's view as pure decisions. Heartbeats gain suspicion notes and slice digests, so that a large fleet passes on only changes and repairs gaps in bounded pieces. AppliedVersions keeps configuration from going back.

--- a/crates/sagespool-membership/src/lib.rs
+++ b/crates/sagespool-membership/src/lib.rs
@@ -1,1 +1,28 @@
 //! Heartbeats, incarnations, leaving and configuration versions as pure decisions.
+//!
+//! [`MemberTable`] is one process's view of the fleet. Its owner calls
+//! [`MemberTable::due`] every 100 ms or so, sends what it returns, and hands
+//! back what the peers answered. Nothing here opens a socket or reads a clock.
+//!
+//! Nothing that must always hold rests on this view: it says who should try,
+//! while the store's conditional updates and the sidecars decide what may run.
+
+mod description;
+mod home;
+mod news;
+mod policy;
+mod record;
+mod rounds;
+mod seeds;
+mod seniority;
+mod sizing;
+mod table;
+mod versions;
+mod view;
+
+pub use policy::MembershipPolicy;
+pub use record::ListedAddress;
+pub use seniority::first_number;
+pub use sizing::encoded_bytes;
+pub use table::{MemberChanges, MemberTable};
+pub use versions::{AppliedVersions, VersionOffer};
--- /dev/null
+++ b/crates/sagespool-membership/src/record.rs
@@ -0,0 +1,97 @@
+//! What a view keeps of one member.
+
+use std::net::SocketAddr;
+
+use sagespool_messages::{MemberInfo, MemberRole};
+use sagespool_types::{ClockTime, InstanceName, derives};
+
+derives! { record;
+    /// An instance as the platform's list shows it.
+    pub struct ListedAddress {
+        /// Its name.
+        pub instance: InstanceName,
+        /// Its role.
+        pub role: MemberRole,
+        /// Where its link is reached.
+        pub address: SocketAddr,
+        /// Whether the list shows it as leaving.
+        pub leaving: bool,
+    }
+}
+
+/// What is believed of a member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum MemberState {
+    /// It was heard of, and nobody says otherwise.
+    Alive,
+    /// It doesn't answer someone; a number above `number` refutes that.
+    Suspect { since: ClockTime, number: u64 },
+    /// It did not refute the suspicion in time; a number above `number` still does.
+    Dead { since: ClockTime, number: u64 },
+    /// A newer run of its instance was heard of.
+    Replaced { since: ClockTime },
+}
+
+/// One incarnation in a view.
+#[derive(Debug, Clone)]
+pub(crate) struct MemberRecord {
+    pub(crate) info: MemberInfo,
+    pub(crate) state: MemberState,
+    /// When a higher number of it was last heard of, from anyone.
+    pub(crate) heard: ClockTime,
+    /// When it last spoke to this process.
+    pub(crate) direct: Option<ClockTime>,
+    /// When it last called this process by itself.
+    pub(crate) called: Option<ClockTime>,
+    /// Calls to it in a row that were not answered.
+    pub(crate) missed: u32,
+    /// Its place in the log of changes.
+    pub(crate) changed: u64,
+}
+
+impl MemberRecord {
+    pub(crate) fn new(info: MemberInfo, now: ClockTime) -> Self {
+        Self {
+            info,
+            state: MemberState::Alive,
+            heard: now,
+            direct: None,
+            called: None,
+            missed: 0,
+            changed: 0,
+        }
+    }
+
+    /// Alive or suspected: part of the view.
+    pub(crate) fn is_present(&self) -> bool {
+        matches!(self.state, MemberState::Alive | MemberState::Suspect { .. })
+    }
+
+    /// Believed dead, or replaced by a newer run.
+    pub(crate) fn is_gone(&self) -> bool {
+        !self.is_present()
+    }
+
+    /// The number that must be exceeded to be believed alive.
+    pub(crate) fn refuted_above(&self) -> u64 {
+        match self.state {
+            MemberState::Suspect { number, .. } | MemberState::Dead { number, .. } => {
+                number.max(self.info.number)
+            }
+            MemberState::Alive | MemberState::Replaced { .. } => self.info.number,
+        }
+    }
+
+    /// False once calls from here fail, though others may still reach it.
+    pub(crate) fn is_reachable(&self, missed_limit: u32) -> bool {
+        match self.missed {
+            0 => true,
+            missed => missed < missed_limit && self.direct.is_some(),
+        }
+    }
+
+    /// Fit to be given work: alive, and calls from here arrive.
+    pub(crate) fn is_usable(&self, missed_limit: u32) -> bool {
+        self.state == MemberState::Alive && self.is_reachable(missed_limit)
+    }
+}
--- a/crates/sagespool-messages/src/lib.rs
+++ b/crates/sagespool-messages/src/lib.rs
@@ -19,7 +19,9 @@
     AttachRequest, CallTarget, CancelRequest, DispatchEnd, DispatchEvent, DispatchRequest,
     HeaderPair, ResumePoint, StopCause,
 };
-pub use members::{Heartbeat, LoadReport, MemberInfo, MemberRole, ServedUpstream, UpstreamKind};
+pub use members::{
+    Heartbeat, LoadReport, MemberInfo, MemberRole, ServedUpstream, SuspectNote, UpstreamKind,
+};
 pub use operations::{
     EngineOrder, MemberStatus, OrderReply, OrderRequest, RunningRequest, SpendStatus, StatusQuery,
     StatusReply,
--- a/crates/sagespool-messages/src/members.rs
+++ b/crates/sagespool-messages/src/members.rs
@@ -113,5 +113,19 @@
         pub others: Vec<MemberInfo>,
         /// Digest of the sender's view, to find gaps.
         pub view_digest: u64,
+        /// Members that the sender suspects or believes dead.
+        pub suspects: Vec<SuspectNote>,
+        /// Digests of the slices of the sender's view, while a gap is being repaired.
+        pub slices: Vec<u32>,
+    }
+}
+
+derives! { value;
+    /// A member that doesn't answer. It refutes the note with a higher number.
+    pub struct SuspectNote {
+        /// The member.
+        pub incarnation: IncarnationId,
+        /// The newest number of it that is known.
+        pub number: u64,
     }
 }
