--- a/crates/sagespool-membership/src/policy.rs
+++ b/crates/sagespool-membership/src/policy.rs
@@ -66,7 +66,7 @@
     #[builder(default = 1)]
     pub watched_each_round: usize,
     /// Time without discoveries after which the view counts as complete.
-    #[builder(default = Duration::from_secs(10))]
+    #[builder(default = Duration::from_secs(5))]
     pub settle_after: Duration,
     /// A gap between calls of `due` that shows that this process itself was paused.
     #[builder(default = Duration::from_millis(1200))]
--- a/crates/sagespool-membership/src/record.rs
+++ b/crates/sagespool-membership/src/record.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use sagespool_messages::{MemberInfo, MemberRole};
+use sagespool_messages::{MemberInfo, MemberRole, SuspectNote};
 use sagespool_types::{ClockTime, InstanceName, derives};
 
 derives! { record;
@@ -45,6 +45,8 @@
     pub(crate) called: Option<ClockTime>,
     /// Calls to it in a row that were not answered.
     pub(crate) missed: u32,
+    /// When it last refuted a suspicion.
+    pub(crate) refuted: Option<ClockTime>,
     /// Its place in the log of changes.
     pub(crate) changed: u64,
 }
@@ -58,6 +60,7 @@
             direct: None,
             called: None,
             missed: 0,
+            refuted: None,
             changed: 0,
         }
     }
@@ -82,6 +85,17 @@
         }
     }
 
+    /// What to tell others of a member that is suspected or believed dead.
+    pub(crate) fn note(&self) -> Option<SuspectNote> {
+        match self.state {
+            MemberState::Suspect { .. } | MemberState::Dead { .. } => Some(SuspectNote {
+                incarnation: self.info.incarnation,
+                number: self.refuted_above(),
+            }),
+            MemberState::Alive | MemberState::Replaced { .. } => None,
+        }
+    }
+
     /// False once calls from here fail, though others may still reach it.
     pub(crate) fn is_reachable(&self, missed_limit: u32) -> bool {
         match self.missed {
--- a/crates/sagespool-membership/src/rounds.rs
+++ b/crates/sagespool-membership/src/rounds.rs
@@ -9,7 +9,7 @@
 
 use crate::description::slice_of;
 use crate::policy::MembershipPolicy;
-use crate::record::MemberState;
+use crate::record::{MemberRecord, MemberState};
 use crate::sizing::{NOTE_BYTES, encoded_bytes};
 use crate::view::{MemberView, MergeResult};
 
@@ -97,6 +97,7 @@
             self.plan_round(now, &mut targets);
         } else if self.may_hurry(now) {
             targets.extend(self.partners(Duration::ZERO, now));
+            targets.extend(self.caller_addresses());
         }
         self.plan_probes(now, &mut targets);
         targets.extend(self.rounds.repairs.iter().copied());
@@ -186,12 +187,21 @@
             .collect()
     }
 
+    /// Some members are nobody's chosen neighbour; they are reached as callers.
+    fn caller_addresses(&self) -> Vec<SocketAddr> {
+        let callers = self.callers.iter().filter_map(|caller| self.records.get(caller));
+        callers.map(|record| record.info.address).collect()
+    }
+
     /// Neighbours of a larger fleet are chosen at random, and one is replaced
     /// now and then, so that each member is called by someone it didn't know
     /// within a few minutes, and views that drifted apart meet.
     fn renew_neighbours(&mut self, now: ClockTime) {
-        let present = &self.present;
-        self.rounds.neighbours.retain(|neighbour| present.contains(neighbour));
+        let (records, limit) = (&self.records, self.policy.missed_limit);
+        let usable = |neighbour: &IncarnationId| {
+            records.get(neighbour).is_some_and(|record| record.is_usable(limit))
+        };
+        self.rounds.neighbours.retain(usable);
         if self.is_mesh() {
             return;
         }
@@ -286,9 +296,7 @@
 
     fn beat_for(&mut self, address: SocketAddr) -> Heartbeat {
         let mut beat = self.news_beat();
-        if let Some(note) = self.note_for(address) {
-            beat.suspects.push(note);
-        }
+        beat.suspects.extend(self.note_for(address));
         if self.rounds.repairs.remove(&address) {
             beat.slices = self.digest.slices();
         }
@@ -304,38 +312,27 @@
         let present = self.by_address.get(&address);
         let present = present.and_then(|incarnation| self.records.get(incarnation));
         let record = present.or_else(|| dead().find(|record| record.info.address == address))?;
-        match record.state {
-            MemberState::Suspect { .. } | MemberState::Dead { .. } => Some(SuspectNote {
-                incarnation: record.info.incarnation,
-                number: record.refuted_above(),
-            }),
-            MemberState::Alive | MemberState::Replaced { .. } => None,
-        }
+        record.note()
     }
 
     /// A heartbeat with as much news as fits.
     fn news_beat(&mut self) -> Heartbeat {
         let mut others = Vec::new();
-        let mut suspects = Vec::new();
-        let mut room = self.policy.news_bytes;
+        let mut suspects = self.open_questions();
+        let mut room = self.policy.news_bytes.saturating_sub(suspects.len() * NOTE_BYTES);
         for incarnation in self.news.newest_first() {
             let Some(record) = self.records.get(&incarnation) else { continue };
-            let note = match record.state {
-                MemberState::Alive => None,
-                MemberState::Replaced { .. } => continue,
-                MemberState::Suspect { .. } | MemberState::Dead { .. } => {
-                    Some(SuspectNote { incarnation, number: record.refuted_above() })
-                }
-            };
+            let note = record.note();
             let cost = note.map_or_else(|| encoded_bytes(&record.info), |_| NOTE_BYTES);
             if cost > room {
                 break;
             }
-            room -= cost;
             match note {
+                Some(note) if suspects.contains(&note) => continue,
                 Some(note) => suspects.push(note),
                 None => others.push(record.info.clone()),
             }
+            room -= cost;
             self.news.sent(incarnation);
         }
         Heartbeat {
@@ -347,6 +344,16 @@
         }
     }
 
+    /// In a mesh every suspicion is told to everyone until it is settled: who
+    /// heard from the member says so.
+    fn open_questions(&self) -> Vec<SuspectNote> {
+        if !self.is_mesh() {
+            return Vec::new();
+        }
+        let suspects = self.suspects.iter().filter_map(|incarnation| self.records.get(incarnation));
+        suspects.filter_map(MemberRecord::note).collect()
+    }
+
     /// Takes a peer's heartbeat in; what is returned sets the peer right.
     fn take_in(&mut self, beat: &Heartbeat, called: bool, now: ClockTime) -> Correction {
         let mut correction = Correction::default();
@@ -359,6 +366,7 @@
                 MergeResult::Taken => {}
                 MergeResult::Known => self.news.known_already(info.incarnation),
                 MergeResult::Refuted(note) => correction.suspects.push(note),
+                MergeResult::Outnumbered(newest) => correction.others.push(*newest),
             }
         }
         self.contact(sender, called, now);
@@ -386,11 +394,7 @@
     pub(crate) fn answered(&mut self, address: SocketAddr, beat: &Heartbeat, now: ClockTime) {
         self.advance(now);
         self.seeds.answered(address);
-        let there = self.by_address.get(&address).copied();
-        if let Some(there) = there.filter(|there| *there != beat.from.incarnation) {
-            // Another run answers at its address: this one is surely not there any more.
-            self.replace(there, now);
-        }
+        self.evict(address, &beat.from, now);
         let mut correction = self.take_in(beat, false, now);
         if !beat.slices.is_empty() {
             correction.others.extend(self.differing_members(&beat.slices, &beat.others));
--- a/crates/sagespool-membership/src/view.rs
+++ b/crates/sagespool-membership/src/view.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use sagespool_messages::{MemberInfo, MemberRole, SuspectNote};
 use sagespool_types::{ClockTime, IncarnationId, InstanceName};
@@ -19,9 +20,18 @@
 const MOST_CHECKS: usize = 3;
 /// Silence of a caller, in gossip periods, after which it is called back.
 const SILENT_PERIODS: u32 = 2;
+/// Waits between calls to a member that doesn't answer double so often.
+const MOST_DOUBLINGS: u32 = 7;
+/// Time in which this process doesn't suspect a member for its own missed
+/// calls, once the member refuted such a suspicion.
+const BROKEN_LINK_TIME: Duration = Duration::from_secs(30);
+
+/// How far a restarted process outnumbers its predecessor's rumour: members
+/// know different numbers of it, but none so many rounds apart.
+const RIVAL_MARGIN: u64 = 1000;
 
 /// What a peer's word on a member was worth.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub(crate) enum MergeResult {
     /// It was news, or at least newer.
     Taken,
@@ -29,6 +39,8 @@
     Known,
     /// It speaks of a member believed dead, and doesn't refute that.
     Refuted(SuspectNote),
+    /// A newer run of the same instance is known.
+    Outnumbered(Box<MemberInfo>),
 }
 
 #[derive(Debug)]
@@ -119,6 +131,7 @@
             return MergeResult::Known;
         }
         if info.instance == self.own.instance && !self.admits_rival(info) {
+            self.remember_replaced(info, now);
             return MergeResult::Known;
         }
         match self.records.get(&info.incarnation).map(|record| record.state) {
@@ -142,7 +155,7 @@
         if newer_by_revision(info, &self.own).is_some() || !self.rivals.insert(info.incarnation) {
             return true;
         }
-        self.own.number = info.number + 1;
+        self.own.number = info.number + RIVAL_MARGIN;
         self.rounds.announce_own();
         false
     }
@@ -154,7 +167,7 @@
         self.rounds.discovered += 1;
         if !self.supersede(info, now) {
             self.remember_replaced(info, now);
-            return MergeResult::Known;
+            return self.outnumbered(info);
         }
         self.records.insert(info.incarnation, MemberRecord::new(info.clone(), now));
         self.enter(info.incarnation);
@@ -165,11 +178,20 @@
     fn reconsider(&mut self, info: &MemberInfo, now: ClockTime) -> MergeResult {
         let Some(record) = self.records.get(&info.incarnation) else { return MergeResult::Known };
         if info.number <= record.info.number || !self.supersede(info, now) {
-            return MergeResult::Known;
+            return self.outnumbered(info);
         }
         self.bring_back(info, now)
     }
 
+    /// The sender is told of the newer run: if it is that older one itself and
+    /// lives, it learns it.
+    fn outnumbered(&self, info: &MemberInfo) -> MergeResult {
+        let newest = self.newest.get(&info.instance).and_then(|newest| self.records.get(newest));
+        newest.map_or(MergeResult::Known, |newest| {
+            MergeResult::Outnumbered(Box::new(newest.info.clone()))
+        })
+    }
+
     fn revive(&mut self, info: &MemberInfo, now: ClockTime) -> MergeResult {
         let Some(record) = self.records.get(&info.incarnation) else { return MergeResult::Known };
         let number = record.refuted_above();
@@ -207,7 +229,7 @@
         record.heard = now;
         self.describe(&before, info);
         if refutes {
-            self.clear_suspicion(info.incarnation);
+            self.clear_suspicion(info.incarnation, now);
         }
         MergeResult::Taken
     }
@@ -227,6 +249,19 @@
         }
     }
 
+    /// Another process answers at a member's address: the member is surely not
+    /// there any more, whatever their numbers say.
+    pub(crate) fn evict(&mut self, address: SocketAddr, answering: &MemberInfo, now: ClockTime) {
+        let Some(there) = self.by_address.get(&address).copied() else { return };
+        if there == answering.incarnation {
+            return;
+        }
+        self.replace(there, now);
+        if self.newest.get(&answering.instance) == Some(&there) {
+            self.newest.remove(&answering.instance);
+        }
+    }
+
     /// Makes room for a run of an instance, unless a newer one is known.
     fn supersede(&mut self, info: &MemberInfo, now: ClockTime) -> bool {
         let Some(incarnation) = self.newest.get(&info.instance).copied() else { return true };
@@ -251,7 +286,7 @@
     fn remember_replaced(&mut self, info: &MemberInfo, now: ClockTime) {
         let mut record = MemberRecord::new(info.clone(), now);
         record.state = MemberState::Replaced { since: now };
-        self.records.insert(info.incarnation, record);
+        self.records.entry(info.incarnation).or_insert(record);
     }
 
     /// A member is part of the view from now on.
@@ -285,21 +320,29 @@
         self.log_change(incarnation);
     }
 
-    /// A peer, or this process itself, finds that a member doesn't answer.
-    /// The own information is returned if it is newer than the accuser's.
+    /// A peer finds that a member doesn't answer.
+    ///
+    /// In a mesh, whoever heard from the member lately says so and the accuser
+    /// is set right with what is returned. In a larger fleet the suspicion is
+    /// passed on, the member hears of it on some way, and refutes it itself:
+    /// a third party's word would only say that it lived some seconds ago.
     pub(crate) fn accuse(&mut self, note: &SuspectNote, now: ClockTime) -> Option<MemberInfo> {
         if note.incarnation == self.own.incarnation {
             self.refute(note.number);
             return None;
         }
+        let mesh = self.is_mesh();
         let record = self.records.get_mut(&note.incarnation)?;
-        if record.info.number > note.number && record.is_present() {
-            let evidence = record.info.clone();
-            self.check_rumour(note.incarnation, now);
-            return Some(evidence);
-        }
+        let spoke = record.direct.is_some_and(|at| now.since(at) < self.policy.suspect_after);
         match &mut record.state {
-            MemberState::Alive => self.suspect(note, now),
+            MemberState::Alive if mesh && spoke => return Some(record.info.clone()),
+            MemberState::Alive => {
+                let number = note.number.max(record.info.number);
+                self.suspect(&SuspectNote { number, ..*note }, now);
+                if spoke {
+                    self.check_rumour(note.incarnation, now);
+                }
+            }
             MemberState::Suspect { number, .. } | MemberState::Dead { number, .. } => {
                 *number = note.number.max(*number);
                 self.news.known_already(note.incarnation);
@@ -325,12 +368,13 @@
         }
     }
 
-    fn clear_suspicion(&mut self, incarnation: IncarnationId) {
+    fn clear_suspicion(&mut self, incarnation: IncarnationId, now: ClockTime) {
         if !self.suspects.remove(&incarnation) {
             return;
         }
         if let Some(record) = self.records.get_mut(&incarnation) {
             record.state = MemberState::Alive;
+            record.refuted = Some(now);
         }
         self.rounds.urgent = true;
         self.spread(incarnation);
@@ -358,25 +402,34 @@
         }
         record.heard = now;
         if called {
+            // A single call may be a check, and a check of a check would never end.
+            let limit = self.policy.gossip_period * SILENT_PERIODS;
+            let again = record.called.is_some_and(|before| now.since(before) < limit);
             record.called = Some(now);
-            self.callers.insert(incarnation);
+            if again {
+                self.callers.insert(incarnation);
+            }
         }
         if record.state == MemberState::Alive {
             self.probes.remove(&incarnation);
         }
     }
 
-    /// A call to an address was not answered.
+    /// A call to an address was not answered. It is called again, ever more
+    /// rarely; from the second time on the member is suspected.
     pub(crate) fn missed(&mut self, address: SocketAddr, now: ClockTime) {
         let Some(incarnation) = self.by_address.get(&address).copied() else { return };
         let Some(record) = self.records.get_mut(&incarnation) else { return };
         record.missed += 1;
-        let note = SuspectNote { incarnation, number: record.info.number };
+        let wait = self.policy.retry_gap * 2_u32.pow(record.missed.min(MOST_DOUBLINGS) - 1);
         let silent = record.missed >= self.policy.missed_limit;
+        // Only the link from here is broken: others would be troubled for nothing.
+        let refuted = record.refuted.is_some_and(|at| now.since(at) < BROKEN_LINK_TIME);
         let alive = record.state == MemberState::Alive;
+        let note = SuspectNote { incarnation, number: record.info.number };
         self.homes = None;
-        self.probes.insert(incarnation, now.after(self.policy.retry_gap));
-        if silent && alive {
+        self.probes.insert(incarnation, now.after(wait));
+        if silent && alive && !refuted {
             self.suspect(&note, now);
         }
     }
--- /dev/null
+++ b/crates/sagespool-membership/tests/fleet/mod.rs
@@ -0,0 +1,156 @@
+//! Processes in memory that exchange heartbeats, with links that can be cut.
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sagespool_membership::{ListedAddress, MemberTable, MembershipPolicy};
+use sagespool_messages::{MemberInfo, MemberRole};
+use sagespool_types::{ClockTime, ConfigVersion, IncarnationId, StoreRevision};
+
+pub const TICK: Duration = Duration::from_millis(100);
+
+/// A description of a process on instance `place`, in its run `run`.
+pub fn info(place: u16, run: u64, role: MemberRole) -> MemberInfo {
+    let serves = (role == MemberRole::Sidecar).then(|| sagespool_messages::ServedUpstream {
+        upstream: format!("core-{place}").parse().unwrap(),
+        kind: sagespool_messages::UpstreamKind::Engine,
+        service: "sage-core".parse().unwrap(),
+        models: vec!["sage-large".parse().unwrap()],
+        capacity: 32,
+        healthy: true,
+        load: Default::default(),
+    });
+    MemberInfo {
+        instance: format!("{role}-{place}").parse().unwrap(),
+        incarnation: IncarnationId(run * 1_000_000 + u64::from(place)),
+        number: run * 1_000_000,
+        role,
+        region: "muscat".parse().unwrap(),
+        centre: ["ghala", "rusayl", "seeb", "qurum"][usize::from(place) % 4].parse().unwrap(),
+        address: address(place),
+        leaving: false,
+        config: ConfigVersion(1),
+        started_at: Some(StoreRevision(run)),
+        serves,
+    }
+}
+
+pub fn address(place: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, (place / 250) as u8, (place % 250) as u8], 7000))
+}
+
+pub struct Fleet {
+    pub tables: BTreeMap<SocketAddr, MemberTable>,
+    pub paused: BTreeSet<SocketAddr>,
+    /// Links cut in both directions.
+    pub cut: BTreeSet<(SocketAddr, SocketAddr)>,
+    pub now: ClockTime,
+    pub exchanges: u64,
+    pub policy: MembershipPolicy,
+}
+
+impl Fleet {
+    /// Entries first, then sidecars; each knows the addresses of the first three.
+    pub fn start(entries: u16, sidecars: u16, policy: MembershipPolicy) -> Self {
+        let mut fleet = Self {
+            tables: BTreeMap::new(),
+            paused: BTreeSet::new(),
+            cut: BTreeSet::new(),
+            now: ClockTime::from_millis(1000),
+            exchanges: 0,
+            policy,
+        };
+        for place in 0..entries + sidecars {
+            let role = if place < entries { MemberRole::Entry } else { MemberRole::Sidecar };
+            fleet.join(info(place, 1, role));
+        }
+        fleet
+    }
+
+    pub fn join(&mut self, info: MemberInfo) {
+        let address = info.address;
+        let table = MemberTable::new(info.clone(), self.policy.clone(), info.incarnation.0);
+        let seeds: Vec<_> = (0..3).map(self::address).collect();
+        table.seeds(&seeds, self.now);
+        self.tables.insert(address, table);
+    }
+
+    pub fn at(&self, place: u16) -> &MemberTable {
+        &self.tables[&address(place)]
+    }
+
+    pub fn kill(&mut self, place: u16) {
+        self.tables.remove(&address(place));
+    }
+
+    pub fn cut(&mut self, left: u16, right: u16) {
+        self.cut.insert((address(left), address(right)));
+        self.cut.insert((address(right), address(left)));
+    }
+
+    fn deliver(&mut self, from: SocketAddr, to: SocketAddr, beat: &sagespool_messages::Heartbeat) {
+        self.exchanges += 1;
+        let open = !self.cut.contains(&(from, to)) && !self.paused.contains(&to);
+        let peer = self.tables.get(&to).filter(|_| open);
+        let reply = peer.map(|peer| peer.received(beat, self.now));
+        let sender = &self.tables[&from];
+        match reply {
+            Some(reply) => sender.answered(to, &reply, self.now),
+            None => sender.unanswered(to, self.now),
+        }
+    }
+
+    pub fn step(&mut self) {
+        self.now = self.now.after(TICK);
+        let places: Vec<_> = self.tables.keys().copied().collect();
+        for from in places {
+            if self.paused.contains(&from) {
+                continue;
+            }
+            for (to, beat) in self.tables[&from].due(self.now) {
+                self.deliver(from, to, &beat);
+            }
+        }
+    }
+
+    pub fn run(&mut self, ticks: u32) {
+        for _ in 0..ticks {
+            self.step();
+        }
+    }
+
+    /// Runs until the condition holds; the ticks that took, or nothing after `most`.
+    pub fn run_until(&mut self, most: u32, holds: impl Fn(&Self) -> bool) -> Option<u32> {
+        for ticks in 0..=most {
+            if holds(self) {
+                return Some(ticks);
+            }
+            self.step();
+        }
+        None
+    }
+
+    /// Everyone knows everyone.
+    pub fn is_complete(&self) -> bool {
+        let count = self.tables.len();
+        self.tables.values().all(|table| table.members().len() == count)
+    }
+
+    /// All running members but those given hold the condition.
+    pub fn all_but(&self, places: &[u16], holds: impl Fn(&MemberTable) -> bool) -> bool {
+        let left_out: Vec<_> = places.iter().map(|place| address(*place)).collect();
+        let others = self.tables.iter().filter(|(address, _)| !left_out.contains(address));
+        others.into_iter().all(|(_, table)| holds(table))
+    }
+}
+
+pub fn listed(info: &MemberInfo, leaving: bool) -> ListedAddress {
+    ListedAddress {
+        instance: info.instance.clone(),
+        role: info.role,
+        address: info.address,
+        leaving,
+    }
+}
--- /dev/null
+++ b/crates/sagespool-membership/tests/leaving_spread.rs
@@ -0,0 +1,75 @@
+//! A member that leaves is known to leave.
+
+mod fleet;
+
+use fleet::{Fleet, address, info, listed};
+use sagespool_membership::{MemberTable, MembershipPolicy};
+use sagespool_messages::MemberRole;
+
+fn known_leaving(fleet: &Fleet, place: u16) -> bool {
+    let member = address(place);
+    fleet.all_but(&[], |table| {
+        let seen = table.members().into_iter().find(|info| info.address == member);
+        seen.is_some_and(|info| info.leaving)
+    })
+}
+
+/// An upstream is about to be taken down; the sidecar knows, the instance list
+/// says it much later. Every entry that has not heard after 3 s sends it work
+/// that it has to refuse.
+#[test]
+fn leaving_spreads() {
+    for (entries, sidecars) in [(3, 13), (20, 80)] {
+        let mut fleet = Fleet::start(entries, sidecars, MembershipPolicy::default());
+        fleet.run_until(600, Fleet::is_complete).expect("the fleet assembles");
+        fleet.run(300);
+        fleet.at(entries + 2).update_own(|own| own.leaving = true);
+        let known = fleet.run_until(30, |fleet| known_leaving(fleet, entries + 2));
+        assert!(known.is_some(), "{entries} entries, {sidecars} sidecars");
+    }
+}
+
+/// A process that is told to stop tells its peers, and a later change of its
+/// description must not make them send it work again.
+#[test]
+fn leaving_sticks() {
+    let table = MemberTable::new(info(0, 1, MemberRole::Entry), MembershipPolicy::default(), 7);
+    table.update_own(|own| own.leaving = true);
+    table.update_own(|own| own.leaving = false);
+    assert!(table.own().leaving);
+}
+
+#[test]
+fn immediate_round() {
+    let mut fleet = Fleet::start(2, 2, MembershipPolicy::default());
+    fleet.run(50);
+    // Right after a round nothing is due.
+    fleet.run_until(20, |fleet| fleet.at(0).due(fleet.now).is_empty()).expect("rounds end");
+    let now = fleet.now.after(std::time::Duration::from_millis(1));
+    assert!(fleet.at(0).due(now).is_empty());
+    fleet.at(0).update_own(|own| own.leaving = true);
+    let beats = fleet.at(0).due(now);
+    assert_eq!(beats.len(), 3, "everyone is told at once");
+    assert!(beats.iter().all(|(_, beat)| beat.from.leaving));
+}
+
+/// The platform lists an instance as leaving while its process does not know
+/// yet, and takes it back: the list is followed both ways.
+#[test]
+fn listed_leaving() {
+    let mut fleet = Fleet::start(3, 3, MembershipPolicy::default());
+    fleet.run(50);
+    let sidecar = fleet.at(4).own();
+    let before = fleet.at(0).changes_since(0).number;
+    for leaving in [true, false] {
+        fleet.at(0).listed(&[listed(&sidecar, leaving)], fleet.now);
+        let live = fleet.at(0).live(MemberRole::Sidecar, fleet.now);
+        let seen = live.iter().find(|info| info.incarnation == sidecar.incarnation);
+        assert_eq!(seen.map(|info| info.leaving), Some(leaving));
+        let changes = fleet.at(0).changes_since(before);
+        assert!(changes.updated.iter().any(|info| info.incarnation == sidecar.incarnation));
+    }
+    let own = fleet.at(0).own();
+    assert!(fleet.at(0).listed(&[listed(&own, true)], fleet.now), "it is told of itself");
+    assert!(fleet.is_complete(), "the list removes nobody");
+}
--- /dev/null
+++ b/crates/sagespool-membership/tests/rendezvous_home.rs
@@ -0,0 +1,94 @@
+//! Which entry is home of a branch.
+
+mod fleet;
+
+use std::collections::BTreeMap;
+
+use fleet::{Fleet, address, info};
+use sagespool_membership::MembershipPolicy;
+use sagespool_messages::MemberRole;
+use sagespool_types::{BranchName, InstanceName};
+
+fn branches(count: u32) -> Vec<BranchName> {
+    (0..count).map(|number| format!("branch-{number}").parse().unwrap()).collect()
+}
+
+fn homes(fleet: &Fleet, place: u16) -> BTreeMap<BranchName, InstanceName> {
+    let table = fleet.at(place);
+    let home = |branch: &BranchName| table.home_of(branch, fleet.now).unwrap().instance;
+    branches(400).into_iter().map(|branch| (branch.clone(), home(&branch))).collect()
+}
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::start(5, 6, MembershipPolicy::default());
+    fleet.run_until(100, Fleet::is_complete).expect("the fleet assembles");
+    fleet
+}
+
+#[test]
+fn same_everywhere() {
+    let fleet = fleet();
+    let expected = homes(&fleet, 0);
+    for place in 1..11 {
+        assert_eq!(homes(&fleet, place), expected, "entries and sidecars agree");
+    }
+    let mut shares: BTreeMap<_, u32> = BTreeMap::new();
+    for home in expected.values() {
+        *shares.entry(home).or_default() += 1;
+    }
+    assert_eq!(shares.len(), 5);
+    assert!(shares.values().all(|share| (40..=120).contains(share)), "{shares:?}");
+}
+
+/// A home dies, leaves or restarts. Only its own branches may move: each that
+/// moves takes new grants and has its old ones sealed.
+#[test]
+fn few_moves() {
+    let changes: [(&str, fn(&mut Fleet)); 2] = [
+        ("killed", |fleet| fleet.kill(2)),
+        ("leaving", |fleet| fleet.at(2).update_own(|own| own.leaving = true)),
+    ];
+    for (change, apply) in changes {
+        let mut fleet = fleet();
+        let before = homes(&fleet, 0);
+        let moved = before.values().find(|home| home.as_str() == "entry-2").cloned().unwrap();
+        apply(&mut fleet);
+        fleet.run(40);
+        for (branch, home) in homes(&fleet, 0) {
+            let expected = before[&branch] == home || before[&branch] == moved;
+            assert!(expected && home != moved, "{change}: {branch} moved to {home}");
+        }
+        fleet.kill(2);
+        fleet.join(info(2, 2, MemberRole::Entry));
+        fleet.run(40);
+        assert_eq!(homes(&fleet, 0), before, "{change}: it gets its branches back");
+    }
+}
+
+#[test]
+fn own_region() {
+    let mut fleet = fleet();
+    let mut other = info(30, 1, MemberRole::Entry);
+    other.region = "bc-coast".parse().unwrap();
+    fleet.join(other);
+    fleet.run(50);
+    assert!(homes(&fleet, 0).values().all(|home| home.as_str() != "entry-30"));
+    assert!(homes(&fleet, 30).values().all(|home| home.as_str() == "entry-30"));
+}
+
+/// Requests to a home fail while its heartbeats still count as fresh. Two
+/// failures in a row are enough to turn to the next home in order, well before
+/// the silence shows.
+#[test]
+fn unanswered_home() {
+    let fleet = fleet();
+    let branch = &branches(1)[0];
+    let order = fleet.at(9).homes_of(branch, 5, fleet.now);
+    assert_eq!(fleet.at(9).home_of(branch, fleet.now).as_ref(), order.first());
+    for _ in 0..2 {
+        fleet.at(9).unanswered(order[0].address, fleet.now);
+    }
+    assert_eq!(fleet.at(9).home_of(branch, fleet.now).as_ref(), order.get(1));
+    assert!(fleet.at(9).find(order[0].incarnation).is_some());
+    assert_ne!(order[0].address, address(9));
+}
