--- a/crates/sagespool-testkit/src/instance_list.rs
+++ b/crates/sagespool-testkit/src/instance_list.rs
@@ -97,6 +97,11 @@
         state.listed()
     }
 
+    /// How many calls wait for a change at this moment.
+    pub fn waiting_calls(&self) -> usize {
+        self.list.changed.total_listeners()
+    }
+
     /// Answers waiting calls, takes no new one, and returns when the open ones have ended.
     pub async fn stop(self) {
         self.end_waiting();
