Add engine and plain service stand-ins with a witness log

The routers are tested against small stand-ins of their upstreams. Both crash as a process does: every connection breaks and the port refuses, and they come back on the same port, which a bound socket holds meanwhile.

--- /dev/null
+++ b/crates/sagespool-testkit/src/engine/batch.rs
@@ -0,0 +1,331 @@
+//! Continuous batching: which requests run, which wait, and how far each is.
+//!
+//! All decisions take the time as an argument; who calls holds the lock.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use sagespool_messages::UpstreamKind;
+use sagespool_types::{AttemptNumber, ClockTime, TokenCount};
+
+use super::EngineOptions;
+use super::cache::{CacheFeed, PrefixCache};
+use super::load::EngineLoad;
+use super::request::CompletionOrder;
+use super::stream::{RunStream, StreamEnd};
+use crate::lagged::LaggedState;
+use crate::witness::{RunEnd, RunMarker, RunStart, RunTally};
+
+/// The number of a run within one engine stand.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct RunNumber(u64);
+
+/// A request as it arrived.
+pub(crate) struct ArrivedRequest {
+    pub(crate) order: CompletionOrder,
+    pub(crate) request: Option<String>,
+    pub(crate) attempt: Option<AttemptNumber>,
+    pub(crate) key: Option<String>,
+    pub(crate) at: ClockTime,
+}
+
+impl ArrivedRequest {
+    fn is(&self, request: &str, attempt: Option<AttemptNumber>) -> bool {
+        let attempt_fits = attempt.is_none() || self.attempt == attempt;
+        self.request.as_deref() == Some(request) && attempt_fits
+    }
+}
+
+/// Why a request isn't taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SubmitRefusal {
+    UnknownModel,
+    QueueFull,
+}
+
+struct WaitingRun {
+    arrived: ArrivedRequest,
+    stream: Arc<RunStream>,
+}
+
+struct ActiveRun {
+    arrived: ArrivedRequest,
+    stream: Arc<RunStream>,
+    tally: RunTally,
+    /// Seconds of work until the first token.
+    prefill_left: f64,
+    /// Tokens of work that aren't a whole token yet.
+    credit: f64,
+    /// The next token's place in the whole answer.
+    next: u32,
+}
+
+/// One start of an engine: everything that a crash loses.
+pub(crate) struct EngineBatch {
+    options: Arc<EngineOptions>,
+    /// Models and adapters that it serves.
+    pub(crate) models: Vec<String>,
+    /// Models that are being loaded.
+    pub(crate) loading: Vec<String>,
+    pub(crate) role: String,
+    pub(crate) feed: CacheFeed,
+    cache: PrefixCache,
+    load: LaggedState<EngineLoad>,
+    waiting: BTreeMap<(u8, RunNumber), WaitingRun>,
+    running: BTreeMap<RunNumber, ActiveRun>,
+    next_number: u64,
+    advanced_at: ClockTime,
+    poisoned: bool,
+}
+
+/// The pace of an engine, set by its faults.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct EnginePace {
+    pub(crate) frozen: bool,
+    pub(crate) slow_factor: f64,
+}
+
+impl EngineBatch {
+    pub(crate) fn new(options: Arc<EngineOptions>, now: ClockTime) -> Self {
+        let models: Vec<String> = options.models.iter().map(|model| model.to_string()).collect();
+        let idle = EngineLoad::idle(&options, models.clone(), options.role.clone());
+        Self {
+            models,
+            loading: Vec::new(),
+            role: options.role.clone(),
+            feed: CacheFeed::new(options.cache_lag, options.cache_gap_share, options.seed),
+            cache: PrefixCache::new(options.cached_prefixes),
+            load: LaggedState::new(options.load_lag, idle),
+            waiting: BTreeMap::new(),
+            running: BTreeMap::new(),
+            next_number: 0,
+            advanced_at: now,
+            poisoned: false,
+            options,
+        }
+    }
+
+    /// Whether anything runs, so that time makes a difference.
+    pub(crate) fn is_busy(&self) -> bool {
+        !self.running.is_empty()
+    }
+
+    /// Whether a poisonous prompt has started, so that the engine must crash.
+    pub(crate) fn is_poisoned(&self) -> bool {
+        self.poisoned
+    }
+
+    /// The load as it was a lag ago, and its number.
+    pub(crate) fn load_seen(&mut self, now: ClockTime) -> (u64, EngineLoad) {
+        self.load.seen(now)
+    }
+
+    /// Takes a request in; it runs at once if a slot is free.
+    pub(crate) fn submit(
+        &mut self,
+        arrived: ArrivedRequest,
+        pace: EnginePace,
+        now: ClockTime,
+    ) -> Result<(RunNumber, Arc<RunStream>), SubmitRefusal> {
+        self.advance(pace, now);
+        if !self.models.contains(&arrived.order.model) {
+            return Err(SubmitRefusal::UnknownModel);
+        }
+        let free = self.running.len() < self.options.capacity;
+        if !free && self.waiting.len() >= self.options.queue_limit {
+            return Err(SubmitRefusal::QueueFull);
+        }
+        let number = RunNumber(self.next_number);
+        self.next_number += 1;
+        let stream = Arc::new(RunStream::default());
+        let place = (arrived.order.priority, number);
+        self.waiting.insert(place, WaitingRun { arrived, stream: stream.clone() });
+        self.fill_slots(now);
+        self.note_load(pace, now);
+        Ok((number, stream))
+    }
+
+    /// Does the work of the time since the last call.
+    pub(crate) fn advance(&mut self, pace: EnginePace, now: ClockTime) {
+        let passed = now.since(self.advanced_at).as_secs_f64();
+        self.advanced_at = self.advanced_at.max(now);
+        if pace.frozen || self.poisoned {
+            return;
+        }
+        let work = passed / pace.slow_factor;
+        let rate = self.options.token_rate.0 as f64;
+        let mut prefilled = Vec::new();
+        for run in self.running.values_mut() {
+            if run.advance(work, rate, now) {
+                prefilled.push(run.arrived.order.prefix);
+            }
+        }
+        for prefix in prefilled {
+            self.cache_prefix(prefix, now);
+        }
+        self.end_finished(now);
+        self.fill_slots(now);
+        self.note_load(pace, now);
+    }
+
+    /// Cancels the runs of a request; whether there was one.
+    pub(crate) fn cancel(
+        &mut self,
+        request: &str,
+        attempt: Option<AttemptNumber>,
+        pace: EnginePace,
+        now: ClockTime,
+    ) -> bool {
+        self.advance(pace, now);
+        let is_meant = |arrived: &ArrivedRequest| arrived.is(request, attempt);
+        let running = self.running.iter().filter(|(_, run)| is_meant(&run.arrived));
+        let waiting = self.waiting.iter().filter(|(_, run)| is_meant(&run.arrived));
+        let mut numbers: Vec<_> = running.map(|(number, _)| *number).collect();
+        numbers.extend(waiting.map(|((_, number), _)| *number));
+        for &number in &numbers {
+            self.take_out(number, RunEnd::Cancelled, now);
+        }
+        self.fill_slots(now);
+        self.note_load(pace, now);
+        !numbers.is_empty()
+    }
+
+    /// Stops a run whose caller went away; does nothing if it has ended.
+    pub(crate) fn give_up(&mut self, number: RunNumber, pace: EnginePace, now: ClockTime) {
+        self.advance(pace, now);
+        self.take_out(number, RunEnd::Dropped, now);
+        self.fill_slots(now);
+        self.note_load(pace, now);
+    }
+
+    /// Ends everything as a crash does. What wasn't made by the last tick is never made.
+    pub(crate) fn crash(&mut self, now: ClockTime) {
+        for run in std::mem::take(&mut self.waiting).into_values() {
+            run.stream.end(StreamEnd::Broken);
+        }
+        for run in std::mem::take(&mut self.running).into_values() {
+            run.tally.end(RunEnd::Crashed, now);
+            run.stream.end(StreamEnd::Broken);
+        }
+    }
+
+    fn take_out(&mut self, number: RunNumber, end: RunEnd, now: ClockTime) {
+        let closed = StreamEnd::Closed("cancelled");
+        if let Some(run) = self.running.remove(&number) {
+            run.tally.end(end, now);
+            run.stream.end(closed);
+        }
+        let place = self.waiting.keys().find(|(_, waiting)| *waiting == number).copied();
+        if let Some(run) = place.and_then(|place| self.waiting.remove(&place)) {
+            run.stream.end(closed);
+        }
+    }
+
+    fn end_finished(&mut self, now: ClockTime) {
+        let finished = self.running.extract_if(.., |_, run| run.is_finished());
+        for (_, run) in finished {
+            run.tally.end(RunEnd::Finished, now);
+            run.stream.end(StreamEnd::Closed(run.arrived.order.finish_reason));
+        }
+    }
+
+    fn fill_slots(&mut self, now: ClockTime) {
+        while self.running.len() < self.options.capacity && !self.poisoned {
+            let Some(((_, number), run)) = self.waiting.pop_first() else {
+                return;
+            };
+            let run = self.start(run, now);
+            self.poisoned |= run.arrived.order.poisonous;
+            self.running.insert(number, run);
+        }
+    }
+
+    fn start(&mut self, run: WaitingRun, now: ClockTime) -> ActiveRun {
+        let WaitingRun { arrived, stream } = run;
+        let order = &arrived.order;
+        let start = RunStart {
+            upstream: self.options.name.clone(),
+            kind: UpstreamKind::Engine,
+            request: arrived.request.clone(),
+            attempt: arrived.attempt,
+            marker: RunMarker::find(&order.prompt),
+            key: arrived.key.clone(),
+            prompt_tokens: TokenCount(order.prompt_tokens),
+            resumed_from: TokenCount(order.resumed_from.into()),
+            arrived_at: arrived.at,
+        };
+        let tally = self.options.witness.start(start, now);
+        let cached = self.cache.hit(order.prefix);
+        let fresh_tokens = if cached { 0 } else { order.prompt_tokens };
+        let prefill = self.options.prompt_token_time.as_secs_f64() * fresh_tokens as f64;
+        let base = self.options.first_token_base.as_secs_f64();
+        // Above 0 even where all times are 0: every run begins by reading its prompt.
+        let prefill_left = (base + prefill).max(f64::MIN_POSITIVE);
+        let next = order.resumed_from;
+        ActiveRun { stream, tally, prefill_left, credit: 0.0, next, arrived }
+    }
+
+    fn cache_prefix(&mut self, prefix: u128, now: ClockTime) {
+        for (change, prefix) in self.cache.store(prefix) {
+            self.feed.push(change, prefix, now);
+        }
+    }
+
+    /// Notes the present load, which others see after the lag.
+    pub(crate) fn note_load(&mut self, pace: EnginePace, now: ClockTime) {
+        let load = self.load_now(pace);
+        self.load.note(load, now);
+    }
+
+    /// The load at this moment.
+    pub(crate) fn load_now(&self, pace: EnginePace) -> EngineLoad {
+        let making = self.running.values().filter(|run| run.prefill_left <= 0.0).count();
+        let rate = self.options.token_rate.0 as f64 / pace.slow_factor;
+        EngineLoad {
+            running: self.running.len(),
+            waiting: self.waiting.len(),
+            capacity: self.options.capacity,
+            tokens_per_second: (making as f64 * rate) as u64,
+            models: self.models.clone(),
+            role: self.role.clone(),
+        }
+    }
+}
+
+impl ActiveRun {
+    /// Does some seconds of work; whether that made the first token.
+    fn advance(&mut self, work: f64, rate: f64, now: ClockTime) -> bool {
+        let was_prefilling = self.prefill_left > 0.0;
+        let left = self.prefill_left - work;
+        self.prefill_left = left.max(0.0);
+        if left > 0.0 {
+            return false;
+        }
+        if was_prefilling {
+            // The first token is there as soon as the prompt is read.
+            self.credit = 1.0 - left * rate;
+        } else {
+            self.credit += work * rate;
+        }
+        self.make_tokens(now);
+        was_prefilling
+    }
+
+    fn make_tokens(&mut self, now: ClockTime) {
+        let order = &self.arrived.order;
+        let whole = self.credit.floor();
+        let made = (whole as u32).min(order.length - self.next);
+        if made == 0 {
+            return;
+        }
+        self.credit -= whole;
+        self.next += made;
+        let total = self.next - order.resumed_from;
+        self.tally.produced(TokenCount(total.into()), now);
+        self.stream.make_available(self.next);
+    }
+
+    fn is_finished(&self) -> bool {
+        self.prefill_left <= 0.0 && self.next >= self.arrived.order.length
+    }
+}
--- /dev/null
+++ b/crates/sagespool-testkit/src/engine/mod.rs
@@ -0,0 +1,292 @@
+//! A stand-in of a model engine.
+//!
+//! It batches continuously, caches prompt prefixes, and answers each prompt with words that
+//! depend on nothing but the prompt, so that a caller's whole answer can be checked. It runs
+//! in the process that starts it, on a port that the system chooses.
+
+mod answer;
+mod batch;
+mod cache;
+mod http;
+mod load;
+mod options;
+mod orders;
+mod request;
+mod stream;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, Weak};
+use std::time::Duration;
+
+use error_stack::Report;
+use event_listener::Event;
+use sagespool_types::{ClockTime, UpstreamName};
+use smol::Timer;
+use trillium_smol::SmolRuntime;
+
+pub use answer::{answer_text, answer_token, natural_length, prompt_tokens};
+use batch::{EngineBatch, EnginePace};
+pub use cache::{CacheChange, CacheEvent, prefix_digest};
+pub use load::EngineLoad;
+pub use options::EngineOptions;
+use orders::OrderBook;
+pub use orders::{AdapterName, EngineOrder, FencedOrder, OrderRecord};
+pub(crate) use request::is_poisonous;
+
+use crate::fault_gate::{FaultGate, StandGone, StartNumber};
+use crate::stand_server::{StandError, StandServer, lock};
+use crate::witness::WitnessLog;
+
+/// A model engine stand-in. Clones are the same engine; the last one dropped ends it.
+#[derive(Clone)]
+pub struct EngineStand {
+    owner: Arc<EngineOwner>,
+}
+
+struct EngineOwner(Arc<EngineShared>);
+
+impl Drop for EngineOwner {
+    fn drop(&mut self) {
+        self.0.crash(None);
+    }
+}
+
+/// What the stand, its server and its ticker share.
+pub(crate) struct EngineShared {
+    options: Arc<EngineOptions>,
+    server: StandServer,
+    gate: FaultGate,
+    state: Mutex<EngineState>,
+    /// Notified when something runs after an idle time.
+    work_came: Event,
+    /// Notified when the cache has a new event.
+    feed_grown: Event,
+}
+
+struct EngineState {
+    pace: EnginePace,
+    batch: EngineBatch,
+    orders: OrderBook,
+}
+
+impl EngineStand {
+    /// Starts an engine on a port of the loopback interface.
+    ///
+    /// # Errors
+    ///
+    /// [`StandError::Listen`] if no port can be listened on.
+    pub fn start(options: EngineOptions) -> Result<Self, Report<StandError>> {
+        let options = Arc::new(options);
+        let now = ClockTime::now();
+        let state = EngineState {
+            pace: EnginePace { frozen: false, slow_factor: 1.0 },
+            batch: EngineBatch::new(options.clone(), now),
+            orders: OrderBook::new(options.honours_fences),
+        };
+        let shared = Arc::new(EngineShared {
+            options,
+            server: StandServer::reserve()?,
+            gate: FaultGate::new(),
+            state: Mutex::new(state),
+            work_came: Event::new(),
+            feed_grown: Event::new(),
+        });
+        shared.restart()?;
+        SmolRuntime::default().spawn(keep_ticking(Arc::downgrade(&shared)));
+        Ok(Self { owner: Arc::new(EngineOwner(shared)) })
+    }
+
+    /// Where it is reached, also after a restart.
+    pub fn address(&self) -> SocketAddr {
+        self.shared().server.address()
+    }
+
+    /// Its name.
+    pub fn name(&self) -> &UpstreamName {
+        &self.shared().options.name
+    }
+
+    /// Where it notes its runs.
+    pub fn witness(&self) -> &WitnessLog {
+        &self.shared().options.witness
+    }
+
+    /// Whether it runs, rather than lies crashed.
+    pub fn is_serving(&self) -> bool {
+        self.shared().gate.start().is_some()
+    }
+
+    /// The load at this moment, without the lag of its reports.
+    pub fn load_now(&self) -> EngineLoad {
+        let state = lock(&self.shared().state);
+        state.batch.load_now(state.pace)
+    }
+
+    /// Every order that reached it, in order.
+    pub fn orders(&self) -> Vec<OrderRecord> {
+        lock(&self.shared().state).orders.records()
+    }
+
+    /// Crashes: every connection breaks, the port refuses, and cache, queue and loaded
+    /// models are lost. Does nothing if it lies crashed already.
+    pub fn crash(&self) {
+        self.shared().crash(None);
+    }
+
+    /// Starts again on the same port, with the models of its first start.
+    ///
+    /// # Errors
+    ///
+    /// [`StandError::Listen`] if the port can't be listened on.
+    pub fn restart(&self) -> Result<(), Report<StandError>> {
+        self.shared().restart()
+    }
+
+    /// Freezes or thaws it: a frozen engine keeps its connections, makes no tokens and
+    /// answers no call.
+    pub fn freeze(&self, frozen: bool) {
+        let shared = self.shared();
+        shared.change_pace(|pace| pace.frozen = frozen);
+        shared.gate.freeze(frozen);
+    }
+
+    /// Makes all its work take so many times as long; 1 is its usual pace.
+    pub fn slow_factor(&self, factor: f64) {
+        assert!(factor > 0.0, "a slow factor is above 0");
+        self.shared().change_pace(|pace| pace.slow_factor = factor);
+    }
+
+    fn shared(&self) -> &Arc<EngineShared> {
+        &self.owner.0
+    }
+}
+
+impl EngineShared {
+    /// Does something with the batch of a start, and then what that led to.
+    ///
+    /// # Errors
+    ///
+    /// The start has ended. Without this check a request that was being read when the engine
+    /// crashed would run in the next start, though its connection is gone.
+    fn with_batch<T>(
+        self: &Arc<Self>,
+        start: StartNumber,
+        action: impl FnOnce(&mut EngineBatch, EnginePace, ClockTime) -> T,
+    ) -> Result<T, StandGone> {
+        let mut state = lock(&self.state);
+        if self.gate.start() != Some(start) {
+            return Err(StandGone);
+        }
+        let pace = state.pace;
+        let was_busy = state.batch.is_busy();
+        let newest_event = state.batch.feed.newest();
+        let outcome = action(&mut state.batch, pace, ClockTime::now());
+        let poisoned = state.batch.is_poisoned();
+        let work_came = !was_busy && state.batch.is_busy();
+        let feed_grown = state.batch.feed.newest() > newest_event;
+        drop(state);
+        if work_came {
+            self.work_came.notify(usize::MAX);
+        }
+        if feed_grown {
+            self.feed_grown.notify(usize::MAX);
+        }
+        if poisoned {
+            self.crash(Some(start));
+            self.restart_later(start);
+        }
+        Ok(outcome)
+    }
+
+    fn change_pace(&self, change: impl FnOnce(&mut EnginePace)) {
+        let mut state = lock(&self.state);
+        let now = ClockTime::now();
+        let old_pace = state.pace;
+        state.batch.advance(old_pace, now);
+        change(&mut state.pace);
+        let new_pace = state.pace;
+        state.batch.note_load(new_pace, now);
+    }
+
+    /// Ends the present start, or only the given one.
+    fn crash(&self, only: Option<StartNumber>) {
+        let mut state = lock(&self.state);
+        if only.is_some() && self.gate.start() != only {
+            return;
+        }
+        if self.gate.end().is_none() {
+            return;
+        }
+        self.server.stop();
+        state.batch.crash(ClockTime::now());
+    }
+
+    fn restart(self: &Arc<Self>) -> Result<(), Report<StandError>> {
+        let mut state = lock(&self.state);
+        let Some(start) = self.gate.begin() else {
+            return Ok(());
+        };
+        state.pace.frozen = false;
+        state.batch = EngineBatch::new(self.options.clone(), ClockTime::now());
+        let served = self.server.serve(http::routes(self.clone(), start));
+        if served.is_err() {
+            self.gate.end();
+        }
+        served
+    }
+
+    /// Starts again some time after a poisonous prompt, unless somebody did so before.
+    fn restart_later(self: &Arc<Self>, crashed: StartNumber) {
+        let Some(time) = self.options.restart_after else {
+            return;
+        };
+        let engine = Arc::downgrade(self);
+        SmolRuntime::default().spawn(async move {
+            Timer::after(time).await;
+            let Some(engine) = engine.upgrade() else {
+                return;
+            };
+            if engine.gate.newest_start() == crashed {
+                engine.restart().expect("the port is held for this engine");
+            }
+        });
+    }
+
+    /// Does the work since the last tick; whether there is more to do.
+    fn tick(self: &Arc<Self>) -> bool {
+        let Some(start) = self.gate.start() else {
+            return false;
+        };
+        let busy = self.with_batch(start, |batch, pace, now| {
+            batch.advance(pace, now);
+            batch.is_busy()
+        });
+        busy.unwrap_or(false)
+    }
+}
+
+/// Lets an engine work, tick by tick, for as long as it exists.
+async fn keep_ticking(engine: Weak<EngineShared>) {
+    loop {
+        let Some(shared) = engine.upgrade() else {
+            return;
+        };
+        let tick = shared.options.tick;
+        let work_came = shared.work_came.listen();
+        if shared.tick() {
+            drop(work_came);
+            drop(shared);
+            Timer::after(tick).await;
+        } else {
+            drop(shared);
+            futures_lite::future::or(work_came, wait_idle()).await;
+        }
+    }
+}
+
+/// The longest an idle ticker sleeps, so that it notices that its engine is gone.
+const IDLE_TICK: Duration = Duration::from_millis(500);
+
+async fn wait_idle() {
+    Timer::after(IDLE_TICK).await;
+}
--- /dev/null
+++ b/crates/sagespool-testkit/src/plain_service/http.rs
@@ -0,0 +1,187 @@
+//! The service's HTTP calls.
+
+use std::sync::Arc;
+
+use futures_lite::future;
+use sagespool_messages::UpstreamKind;
+use sagespool_types::{ClockTime, TokenCount};
+use serde_json::json;
+use trillium::{Conn, Handler, KnownHeaderName, Status};
+use trillium_router::Router;
+
+use super::{FailureShares, ServiceLoad, ServiceShared, service_answer};
+use crate::engine::is_poisonous;
+use crate::fault_gate::{StandGone, StartNumber};
+use crate::http_answer::{answer_error, answer_json, attempt_of, header_text};
+use crate::stand_server::{break_connection, lock};
+use crate::witness::{RunEnd, RunMarker, RunStart, RunTally};
+
+/// One call of one start of a service.
+#[derive(Clone)]
+struct ServiceCall {
+    service: Arc<ServiceShared>,
+    start: StartNumber,
+}
+
+/// The calls of one start of a service.
+pub(super) fn routes(service: Arc<ServiceShared>, start: StartNumber) -> impl Handler {
+    let call = ServiceCall { service, start };
+    let load_call = call.clone();
+    let health_call = call.clone();
+    let router = Router::new()
+        .get("/healthz", move |conn: Conn| healthz(health_call.clone(), conn))
+        .get("/load", move |conn: Conn| load(load_call.clone(), conn));
+    let any_call = move |conn: Conn| {
+        let call = call.clone();
+        async move {
+            match call.answer(conn).await {
+                Ok(conn) => conn,
+                Err(conn) => answer_error(conn, Status::ServiceUnavailable, "the service is down"),
+            }
+        }
+    };
+    (router, any_call)
+}
+
+async fn healthz(call: ServiceCall, conn: Conn) -> Conn {
+    match call.service.gate.pass(call.start).await {
+        Ok(()) => answer_json(conn, Status::Ok, &json!({})),
+        Err(StandGone) => answer_error(conn, Status::ServiceUnavailable, "the service is down"),
+    }
+}
+
+async fn load(call: ServiceCall, conn: Conn) -> Conn {
+    if call.service.gate.pass(call.start).await.is_err() {
+        return answer_error(conn, Status::ServiceUnavailable, "the service is down");
+    }
+    let (number, load) = call.service.load_seen();
+    let ServiceLoad { running, waiting, capacity } = load;
+    let report = json!({
+        "number": number, "running": running, "waiting": waiting, "capacity": capacity,
+    });
+    answer_json(conn, Status::Ok, &report)
+}
+
+/// What a call's run ended in.
+enum CallOutcome {
+    /// It didn't run.
+    Failed,
+    /// It ran; its answer is to be lost.
+    Unanswered,
+    /// It ran.
+    Answered,
+}
+
+impl ServiceCall {
+    /// Runs a call; the error is its connection, if the service crashed meanwhile.
+    async fn answer(&self, mut conn: Conn) -> Result<Conn, Conn> {
+        let arrived_at = ClockTime::now();
+        if self.service.gate.pass(self.start).await.is_err() {
+            return Err(conn);
+        }
+        let Ok(body) = conn.request_body().read_bytes().await else {
+            return Ok(answer_error(conn, Status::BadRequest, "the body could not be read"));
+        };
+        let path = conn.path_and_query().to_owned();
+        let poisonous = is_poisonous(&path) || is_poisonous(&String::from_utf8_lossy(&body));
+        let start = RunStart {
+            upstream: self.service.options.name.clone(),
+            kind: UpstreamKind::Service,
+            request: header_text(&conn, "x-request-id"),
+            attempt: attempt_of(&conn),
+            marker: find_marker(&path, &body),
+            key: header_text(&conn, "idempotency-key"),
+            prompt_tokens: TokenCount::ZERO,
+            resumed_from: TokenCount::ZERO,
+            arrived_at,
+        };
+        match self.run(start, poisonous).await {
+            Ok(CallOutcome::Failed) => {
+                Ok(answer_error(conn, Status::InternalServerError, "failed before it ran"))
+            }
+            Ok(CallOutcome::Unanswered) => {
+                break_connection(&conn);
+                Err(conn)
+            }
+            Ok(CallOutcome::Answered) => {
+                let answer = service_answer(&path, &body);
+                let conn = conn
+                    .with_status(Status::Ok)
+                    .with_response_header(KnownHeaderName::ContentType, "application/json")
+                    .with_body(answer);
+                Ok(conn.halt())
+            }
+            Err(StandGone) => Err(conn),
+        }
+    }
+
+    async fn run(&self, start: RunStart, poisonous: bool) -> Result<CallOutcome, StandGone> {
+        let service = &self.service;
+        let waiting = LoadGuard::new(service, |load| &mut load.waiting);
+        let gone = async { Err(service.gate.ended(self.start).await) };
+        let slot = async { Ok(service.slots.acquire().await) };
+        let _slot = future::or(slot, gone).await?;
+        drop(waiting);
+        let _running = LoadGuard::new(service, |load| &mut load.running);
+        if service.rolls(|shares: &FailureShares| shares.before_running) {
+            return Ok(CallOutcome::Failed);
+        }
+        let tally = self.begin(start)?;
+        if poisonous {
+            service.crash(Some(self.start));
+            service.restart_later(self.start);
+            return Err(StandGone);
+        }
+        let latency = lock(&service.state).latency;
+        service.gate.delay(self.start, latency).await?;
+        service.gate.pass(self.start).await?;
+        let answered = !service.rolls(|shares: &FailureShares| shares.after_running);
+        let end = if answered { RunEnd::Finished } else { RunEnd::Unanswered };
+        self.end(&tally, end);
+        match answered {
+            true => Ok(CallOutcome::Answered),
+            false => Ok(CallOutcome::Unanswered),
+        }
+    }
+
+    /// Notes a run, unless the service crashed: the call then never runs.
+    fn begin(&self, start: RunStart) -> Result<RunTally, StandGone> {
+        let service = &self.service;
+        let mut state = lock(&service.state);
+        if service.gate.start() != Some(self.start) {
+            return Err(StandGone);
+        }
+        let tally = service.options.witness.start(start, ClockTime::now());
+        state.running.insert(tally.number(), tally.clone());
+        Ok(tally)
+    }
+
+    fn end(&self, tally: &RunTally, end: RunEnd) {
+        let mut state = lock(&self.service.state);
+        state.running.remove(&tally.number());
+        tally.end(end, ClockTime::now());
+    }
+}
+
+fn find_marker(path: &str, body: &[u8]) -> Option<RunMarker> {
+    RunMarker::find(path).or_else(|| RunMarker::find(&String::from_utf8_lossy(body)))
+}
+
+/// Counts a call in the load for as long as it lives.
+struct LoadGuard<'a> {
+    service: &'a ServiceShared,
+    count_of: fn(&mut ServiceLoad) -> &mut usize,
+}
+
+impl<'a> LoadGuard<'a> {
+    fn new(service: &'a ServiceShared, count_of: fn(&mut ServiceLoad) -> &mut usize) -> Self {
+        service.change_load(|load| *count_of(load) += 1);
+        Self { service, count_of }
+    }
+}
+
+impl Drop for LoadGuard<'_> {
+    fn drop(&mut self) {
+        self.service.change_load(|load| *(self.count_of)(load) -= 1);
+    }
+}
--- /dev/null
+++ b/crates/sagespool-testkit/src/plain_service/mod.rs
@@ -0,0 +1,272 @@
+//! A stand-in of a plain service: it takes any call, and notes how often each ran.
+
+mod http;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bon::Builder;
+use error_stack::Report;
+use sagespool_types::{ClockTime, UpstreamName, derives};
+use serde_json::json;
+use smol::Timer;
+use trillium_smol::SmolRuntime;
+use twox_hash::XxHash3_64;
+
+use crate::fault_gate::{FaultGate, StartNumber};
+use crate::lagged::LaggedState;
+use crate::stand_server::{StandError, StandServer, lock};
+use crate::witness::{RunEnd, RunMarker, RunTally, WitnessLog};
+
+/// How a service stand behaves.
+#[derive(Clone, Builder)]
+pub struct ServiceOptions {
+    /// Its name in the witness log.
+    pub name: UpstreamName,
+    /// Calls that run at once; more wait.
+    #[builder(default = 64)]
+    pub capacity: usize,
+    /// Time that a call takes.
+    #[builder(default = Duration::from_millis(5))]
+    pub latency: Duration,
+    /// Which share of the calls fails, and how.
+    #[builder(default)]
+    pub failures: FailureShares,
+    /// How old the load is that it reports.
+    #[builder(default = Duration::from_millis(200))]
+    pub load_lag: Duration,
+    /// Time from a crash by a poisonous call to its restart; none: it stays down.
+    #[builder(required, default = Some(Duration::from_secs(1)))]
+    pub restart_after: Option<Duration>,
+    /// Where it notes its runs.
+    #[builder(default)]
+    pub witness: WitnessLog,
+    /// Decides which calls fail.
+    #[builder(default = 1)]
+    pub seed: u64,
+}
+
+/// Shares of a service's calls that fail, each from 0 to 1.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct FailureShares {
+    /// Answered with 500, and not run.
+    pub before_running: f64,
+    /// Run, but the connection breaks instead of an answer.
+    pub after_running: f64,
+}
+
+derives! { value;
+    /// A service's load at some moment.
+    pub struct ServiceLoad {
+        /// Calls that run.
+        pub running: usize,
+        /// Calls that wait.
+        pub waiting: usize,
+        /// Calls that can run at once.
+        pub capacity: usize,
+    }
+}
+
+/// The body of the answer to a call; `path` is path and query as they were sent.
+pub fn service_answer(path: &str, body: &[u8]) -> String {
+    let path_hash = XxHash3_64::oneshot(path.as_bytes());
+    let digest = XxHash3_64::oneshot_with_seed(path_hash, body);
+    json!({ "path": path, "bytes": body.len(), "digest": format!("{digest:016x}") }).to_string()
+}
+
+/// A plain service stand-in. Clones are the same service; the last one dropped ends it.
+#[derive(Clone)]
+pub struct ServiceStand {
+    owner: Arc<ServiceOwner>,
+}
+
+struct ServiceOwner(Arc<ServiceShared>);
+
+impl Drop for ServiceOwner {
+    fn drop(&mut self) {
+        self.0.crash(None);
+    }
+}
+
+struct ServiceShared {
+    options: ServiceOptions,
+    server: StandServer,
+    gate: FaultGate,
+    slots: async_lock::Semaphore,
+    state: Mutex<ServiceState>,
+}
+
+struct ServiceState {
+    latency: Duration,
+    failures: FailureShares,
+    random: fastrand::Rng,
+    present: ServiceLoad,
+    load: LaggedState<ServiceLoad>,
+    running: BTreeMap<u64, RunTally>,
+}
+
+impl ServiceStand {
+    /// Starts a service on a port of the loopback interface.
+    ///
+    /// # Errors
+    ///
+    /// [`StandError::Listen`] if no port can be listened on.
+    pub fn start(options: ServiceOptions) -> Result<Self, Report<StandError>> {
+        let idle = ServiceLoad { running: 0, waiting: 0, capacity: options.capacity };
+        let state = ServiceState {
+            latency: options.latency,
+            failures: options.failures,
+            random: fastrand::Rng::with_seed(options.seed),
+            present: idle,
+            load: LaggedState::new(options.load_lag, idle),
+            running: BTreeMap::new(),
+        };
+        let shared = Arc::new(ServiceShared {
+            server: StandServer::reserve()?,
+            gate: FaultGate::new(),
+            slots: async_lock::Semaphore::new(options.capacity),
+            state: Mutex::new(state),
+            options,
+        });
+        shared.restart()?;
+        Ok(Self { owner: Arc::new(ServiceOwner(shared)) })
+    }
+
+    /// Where it is reached, also after a restart.
+    pub fn address(&self) -> SocketAddr {
+        self.shared().server.address()
+    }
+
+    /// Its name.
+    pub fn name(&self) -> &UpstreamName {
+        &self.shared().options.name
+    }
+
+    /// Where it notes its runs.
+    pub fn witness(&self) -> &WitnessLog {
+        &self.shared().options.witness
+    }
+
+    /// Whether it runs, rather than lies crashed.
+    pub fn is_serving(&self) -> bool {
+        self.shared().gate.start().is_some()
+    }
+
+    /// The load at this moment, without the lag of its reports.
+    pub fn load_now(&self) -> ServiceLoad {
+        lock(&self.shared().state).present
+    }
+
+    /// How often this service ran an idempotency key.
+    pub fn runs_of_key(&self, key: &str) -> usize {
+        let runs = self.witness().runs_of_key(key);
+        runs.iter().filter(|run| run.start.upstream == *self.name()).count()
+    }
+
+    /// How often this service ran a marked call.
+    pub fn runs_of(&self, marker: &RunMarker) -> usize {
+        let runs = self.witness().runs_of(marker);
+        runs.iter().filter(|run| run.start.upstream == *self.name()).count()
+    }
+
+    /// Crashes: every connection breaks and the port refuses.
+    pub fn crash(&self) {
+        self.shared().crash(None);
+    }
+
+    /// Starts again on the same port.
+    ///
+    /// # Errors
+    ///
+    /// [`StandError::Listen`] if the port can't be listened on.
+    pub fn restart(&self) -> Result<(), Report<StandError>> {
+        self.shared().restart()
+    }
+
+    /// Freezes or thaws it: a frozen service keeps its connections and answers no call.
+    pub fn freeze(&self, frozen: bool) {
+        self.shared().gate.freeze(frozen);
+    }
+
+    /// Changes the time that a call takes, for calls that start from now on.
+    pub fn set_latency(&self, latency: Duration) {
+        lock(&self.shared().state).latency = latency;
+    }
+
+    /// Changes which share of the calls fails.
+    pub fn set_failures(&self, failures: FailureShares) {
+        lock(&self.shared().state).failures = failures;
+    }
+
+    fn shared(&self) -> &Arc<ServiceShared> {
+        &self.owner.0
+    }
+}
+
+impl ServiceShared {
+    fn restart(self: &Arc<Self>) -> Result<(), Report<StandError>> {
+        let mut state = lock(&self.state);
+        let Some(start) = self.gate.begin() else {
+            return Ok(());
+        };
+        state.load = LaggedState::new(self.options.load_lag, state.present);
+        let served = self.server.serve(http::routes(self.clone(), start));
+        if served.is_err() {
+            self.gate.end();
+        }
+        served
+    }
+
+    /// Ends the present start, or only the given one.
+    fn crash(&self, only: Option<StartNumber>) {
+        let mut state = lock(&self.state);
+        if only.is_some() && self.gate.start() != only {
+            return;
+        }
+        if self.gate.end().is_none() {
+            return;
+        }
+        self.server.stop();
+        let now = ClockTime::now();
+        for tally in std::mem::take(&mut state.running).into_values() {
+            tally.end(RunEnd::Crashed, now);
+        }
+    }
+
+    /// Starts again some time after a poisonous call, unless somebody did so before.
+    fn restart_later(self: &Arc<Self>, crashed: StartNumber) {
+        let Some(time) = self.options.restart_after else {
+            return;
+        };
+        let service = Arc::downgrade(self);
+        SmolRuntime::default().spawn(async move {
+            Timer::after(time).await;
+            let Some(service) = service.upgrade() else {
+                return;
+            };
+            if service.gate.newest_start() == crashed {
+                service.restart().expect("the port is held for this service");
+            }
+        });
+    }
+
+    fn change_load(&self, change: impl FnOnce(&mut ServiceLoad)) {
+        let mut state = lock(&self.state);
+        change(&mut state.present);
+        let present = state.present;
+        state.load.note(present, ClockTime::now());
+    }
+
+    fn load_seen(&self) -> (u64, ServiceLoad) {
+        lock(&self.state).load.seen(ClockTime::now())
+    }
+
+    /// Whether the next call is among those that fail.
+    fn rolls(&self, share_of: impl Fn(&FailureShares) -> f64) -> bool {
+        let mut state = lock(&self.state);
+        let share = share_of(&state.failures);
+        state.random.f64() < share
+    }
+}
--- /dev/null
+++ b/crates/sagespool-testkit/src/stand_server.rs
@@ -0,0 +1,221 @@
+//! A stand's HTTP server, which can crash and come back on the same port.
+//!
+//! A crash has to look as it does to the peers of a process that dies: every
+//! open connection ends, whatever it was doing, and the port refuses.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::io;
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard, Weak};
+
+use error_stack::{Report, ResultExt};
+use smol::Async;
+use socket2::{Domain, Socket, Type};
+use trillium::{Conn, Handler};
+use trillium_server_common::{Acceptor, Binding, ServerHandle, Transport};
+use trillium_smol::{SmolTransport, async_net};
+
+const BACKLOG: i32 = 4096;
+const MOST_CONNECTIONS: usize = 100_000;
+const FEWEST_BEFORE_PURGE: usize = 64;
+
+/// Why a stand can't start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StandError {
+    /// No port of the loopback interface could be listened on.
+    Listen,
+}
+
+impl fmt::Display for StandError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a stand can't listen on a port of the loopback interface")
+    }
+}
+
+impl std::error::Error for StandError {}
+
+/// Locks a mutex whose holders don't panic.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no holder of this lock panics")
+}
+
+/// A server at one address that outlives its crashes.
+pub(crate) struct StandServer {
+    held: Socket,
+    address: SocketAddr,
+    serving: Mutex<Option<ServingState>>,
+}
+
+struct ServingState {
+    listener: TcpListener,
+    connections: Arc<ConnectionTable>,
+    handle: ServerHandle,
+}
+
+impl StandServer {
+    /// Reserves a port that the system chooses.
+    ///
+    /// The reserving socket is bound but never listens. While the stand is
+    /// crashed the port refuses, yet nobody else is given it, so a restart
+    /// can't fail for a port that was taken meanwhile.
+    pub(crate) fn reserve() -> Result<Self, Report<StandError>> {
+        let (held, address) = reserve_port().change_context(StandError::Listen)?;
+        Ok(Self { held, address, serving: Mutex::new(None) })
+    }
+
+    /// Where the stand is reached.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Starts to serve; does nothing if it serves already.
+    pub(crate) fn serve(&self, handler: impl Handler) -> Result<(), Report<StandError>> {
+        let mut serving = lock(&self.serving);
+        if serving.is_some() {
+            return Ok(());
+        }
+        let listener = self.listen().change_context(StandError::Listen)?;
+        let accepting = listener.try_clone().change_context(StandError::Listen)?;
+        let accepting =
+            async_net::TcpListener::try_from(accepting).change_context(StandError::Listen)?;
+        let connections = Arc::new(ConnectionTable::default());
+        let handle = trillium_smol::config()
+            .without_signals()
+            .with_nodelay()
+            .with_max_connections(Some(MOST_CONNECTIONS))
+            .with_acceptor(TrackedAcceptor(connections.clone()))
+            .with_shared_state(connections.clone())
+            .with_prebound_server(accepting)
+            .spawn(handler);
+        *serving = Some(ServingState { listener, connections, handle });
+        Ok(())
+    }
+
+    /// Breaks every connection and refuses new ones, from this call on.
+    pub(crate) fn stop(&self) {
+        let Some(serving) = lock(&self.serving).take() else {
+            return;
+        };
+        // `shutdown` takes a listening socket out of its state at once, however many
+        // descriptors of it the accept loop still holds.
+        let listener = Socket::from(serving.listener);
+        let _ = listener.shutdown(Shutdown::Both);
+        serving.handle.shut_down();
+        serving.connections.break_all();
+    }
+
+    fn listen(&self) -> io::Result<TcpListener> {
+        debug_assert!(self.held.local_addr().is_ok());
+        let socket = reusable_socket()?;
+        socket.bind(&self.address.into())?;
+        socket.listen(BACKLOG)?;
+        Ok(socket.into())
+    }
+}
+
+fn reusable_socket() -> io::Result<Socket> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    Ok(socket)
+}
+
+fn reserve_port() -> io::Result<(Socket, SocketAddr)> {
+    let socket = reusable_socket()?;
+    let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    socket.bind(&any_port.into())?;
+    let address = socket.local_addr()?;
+    let address = address.as_socket().ok_or(io::ErrorKind::AddrNotAvailable)?;
+    Ok((socket, address))
+}
+
+/// The open connections of one start of a server.
+#[derive(Default)]
+pub(crate) struct ConnectionTable {
+    state: Mutex<TableState>,
+}
+
+#[derive(Default)]
+struct TableState {
+    closed: bool,
+    purge_at: usize,
+    // Weak, so that a connection closes when the server is done with it.
+    streams: HashMap<SocketAddr, Weak<Async<TcpStream>>>,
+}
+
+impl ConnectionTable {
+    fn add(&self, stream: &Arc<Async<TcpStream>>) -> io::Result<()> {
+        let peer = stream.get_ref().peer_addr()?;
+        let mut state = lock(&self.state);
+        // A connection that was accepted just before a crash arrives here after it.
+        if state.closed {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        if state.streams.len() >= state.purge_at {
+            state.streams.retain(|_, stream| stream.strong_count() > 0);
+            state.purge_at = (state.streams.len() * 2).max(FEWEST_BEFORE_PURGE);
+        }
+        state.streams.insert(peer, Arc::downgrade(stream));
+        Ok(())
+    }
+
+    fn find(&self, peer: SocketAddr) -> Option<Arc<Async<TcpStream>>> {
+        lock(&self.state).streams.get(&peer)?.upgrade()
+    }
+
+    fn break_all(&self) {
+        let mut state = lock(&self.state);
+        state.closed = true;
+        let streams = std::mem::take(&mut state.streams);
+        for stream in streams.into_values().filter_map(|stream| stream.upgrade()) {
+            let _ = stream.get_ref().shutdown(Shutdown::Both);
+        }
+    }
+}
+
+/// The TCP connection that a request came over.
+pub(crate) fn connection_of(conn: &Conn) -> Option<Arc<Async<TcpStream>>> {
+    let table = conn.shared_state::<Arc<ConnectionTable>>()?;
+    let inner: &trillium_http::Conn<Box<dyn trillium::Transport>> = conn.as_ref();
+    let peer = inner.transport().peer_addr().ok()??;
+    table.find(peer)
+}
+
+/// Breaks the TCP connection that a request came over.
+pub(crate) fn break_connection(conn: &Conn) {
+    if let Some(stream) = connection_of(conn) {
+        let _ = stream.get_ref().shutdown(Shutdown::Both);
+    }
+}
+
+/// Ends once the peer of a connection has closed it.
+pub(crate) async fn peer_gone(stream: Arc<Async<TcpStream>>) {
+    let mut byte = [0];
+    match stream.peek(&mut byte).await {
+        Ok(0) | Err(_) => {}
+        // The peer sent on: the end can't be seen before that is read.
+        Ok(_) => std::future::pending().await,
+    }
+}
+
+#[derive(Clone)]
+struct TrackedAcceptor(Arc<ConnectionTable>);
+
+impl<U: Transport + Clone> Acceptor<Binding<SmolTransport<async_net::TcpStream>, U>>
+    for TrackedAcceptor
+{
+    type Output = Binding<SmolTransport<async_net::TcpStream>, U>;
+    type Error = io::Error;
+
+    async fn accept(&self, input: Self::Output) -> io::Result<Self::Output> {
+        if let Some(transport) = input.get_tcp() {
+            let stream: Arc<Async<TcpStream>> = transport.clone().into_inner().into();
+            self.0.add(&stream)?;
+        }
+        Ok(input)
+    }
+
+    fn is_secure(&self) -> bool {
+        false
+    }
+}
--- /dev/null
+++ b/crates/sagespool-testkit/src/witness/marker.rs
@@ -0,0 +1,60 @@
+//! The marker of a request, placed by whoever sends it.
+
+use std::fmt;
+use std::str::FromStr;
+
+use sagespool_types::{BranchName, ParseFault};
+
+const MARKER_PREFIX: &str = "mark:";
+const MARKER_HELP: &str = "mark:BRANCH/NUMBER, as `mark:ruwi-bids/17`";
+
+/// Which request of which branch a run belongs to, as text `mark:BRANCH/NUMBER`.
+///
+/// ```
+/// use sagespool_testkit::RunMarker;
+///
+/// let marker = RunMarker::find("Compare mark:ruwi-bids/17 with the file.").unwrap();
+/// assert_eq!(marker.to_string(), "mark:ruwi-bids/17");
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RunMarker {
+    /// The branch that sent the request.
+    pub branch: BranchName,
+    /// The request's number within the branch.
+    pub number: u64,
+}
+
+impl RunMarker {
+    /// The first marker in a text.
+    pub fn find(text: &str) -> Option<Self> {
+        text.split(MARKER_PREFIX).skip(1).find_map(Self::read)
+    }
+
+    /// The marker at the start of a text that follows the prefix.
+    fn read(text: &str) -> Option<Self> {
+        let (branch, rest) = text.split_once('/')?;
+        let branch = branch.parse().ok()?;
+        let digits = rest.bytes().take_while(u8::is_ascii_digit).count();
+        let number = rest[..digits].parse().ok()?;
+        Some(Self { branch, number })
+    }
+}
+
+impl fmt::Display for RunMarker {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{MARKER_PREFIX}{}/{}", self.branch, self.number)
+    }
+}
+
+impl FromStr for RunMarker {
+    type Err = ParseFault;
+
+    fn from_str(text: &str) -> Result<Self, ParseFault> {
+        let fault = || ParseFault::new("a marker", text, MARKER_HELP);
+        let marker = Self::find(text).ok_or_else(fault)?;
+        if marker.to_string() != text {
+            return Err(fault());
+        }
+        Ok(marker)
+    }
+}
