--- a/crates/sagespool-testkit/src/engine/http.rs
+++ b/crates/sagespool-testkit/src/engine/http.rs
@@ -129,9 +129,9 @@
         return answer_error(conn, Status::BadRequest, "no request is named");
     };
     let attempt = attempt_of(&conn);
-    let cancelled = call.engine.with_batch(call.start, |batch, pace, now| {
-        batch.cancel(&request, attempt, pace, now)
-    });
+    let cancelled = call
+        .engine
+        .with_batch(call.start, |batch, pace, now| batch.cancel(&request, attempt, pace, now));
     match cancelled {
         Ok(cancelled) => answer_json(conn, Status::Ok, &json!({ "cancelled": cancelled })),
         Err(gone) => answer_gone(conn, gone),
@@ -206,11 +206,13 @@
                 let served = format!("{}.{}", name.model, name.adapter);
                 self.begin_load(served, name.adapter)
             }
-            EngineOrder::UnloadModel(model) => self.engine.with_batch(self.start, |batch, pace, now| {
-                batch.loading.retain(|loading| *loading != model);
-                batch.models.retain(|served| *served != model);
-                batch.note_load(pace, now);
-            }),
+            EngineOrder::UnloadModel(model) => {
+                self.engine.with_batch(self.start, |batch, pace, now| {
+                    batch.loading.retain(|loading| *loading != model);
+                    batch.models.retain(|served| *served != model);
+                    batch.note_load(pace, now);
+                })
+            }
             EngineOrder::SetRole(role) => self.engine.with_batch(self.start, |batch, pace, now| {
                 batch.role = role;
                 batch.note_load(pace, now);
--- a/crates/sagespool-testkit/src/engine/orders.rs
+++ b/crates/sagespool-testkit/src/engine/orders.rs
@@ -62,11 +62,7 @@
     }
 
     /// Notes an order; an error is the newest number that makes it too old.
-    pub(crate) fn take(
-        &mut self,
-        fenced: &FencedOrder,
-        now: ClockTime,
-    ) -> Result<(), FenceNumber> {
+    pub(crate) fn take(&mut self, fenced: &FencedOrder, now: ClockTime) -> Result<(), FenceNumber> {
         let newer = self.newest.filter(|newest| *newest > fenced.fence);
         let refusal = newer.filter(|_| self.honours_fences);
         self.newest = self.newest.max(Some(fenced.fence));
--- a/crates/sagespool-testkit/src/lib.rs
+++ b/crates/sagespool-testkit/src/lib.rs
@@ -6,6 +6,7 @@
 mod lagged;
 mod plain_service;
 mod stand_server;
+mod weight_store;
 mod witness;
 
 pub use engine::{
@@ -13,8 +14,7 @@
     FencedOrder, OrderRecord, answer_text, answer_token, natural_length, prefix_digest,
     prompt_tokens,
 };
-pub use plain_service::{
-    FailureShares, ServiceLoad, ServiceOptions, ServiceStand, service_answer,
-};
+pub use plain_service::{FailureShares, ServiceLoad, ServiceOptions, ServiceStand, service_answer};
 pub use stand_server::StandError;
+pub use weight_store::{WeightLoad, WeightOptions, WeightStand};
 pub use witness::{RunEnd, RunMarker, RunRecord, RunStart, RunTally, TokenUse, WitnessLog};
--- /dev/null
+++ b/crates/sagespool-testkit/src/weight_store.rs
@@ -0,0 +1,192 @@
+//! A stand-in of the weight store: slow, and limited in its rate.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bon::Builder;
+use error_stack::Report;
+use sagespool_types::ClockTime;
+use serde_json::json;
+use trillium::{Conn, Status};
+use trillium_router::{Router, RouterConnExt};
+
+use crate::fault_gate::{FaultGate, StartNumber};
+use crate::http_answer::{answer_error, answer_json};
+use crate::stand_server::{StandError, StandServer, lock};
+
+/// How a weight stand behaves.
+#[derive(Debug, Clone, Builder)]
+pub struct WeightOptions {
+    /// Time that a load takes.
+    #[builder(default = Duration::from_millis(200))]
+    pub load_time: Duration,
+    /// Loads that may begin at once after an idle time.
+    #[builder(default = 2)]
+    pub burst: u32,
+    /// Time from one load to the next once the burst is used up.
+    #[builder(default = Duration::from_millis(500))]
+    pub interval: Duration,
+}
+
+/// A load of a model's weights, as it was asked for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WeightLoad {
+    /// When.
+    pub at: ClockTime,
+    /// The model.
+    pub model: String,
+    /// Whether it was within the rate.
+    pub taken: bool,
+}
+
+/// A weight store stand-in. Clones are the same store; the last one dropped ends it.
+#[derive(Clone)]
+pub struct WeightStand {
+    owner: Arc<WeightOwner>,
+}
+
+struct WeightOwner(Arc<WeightShared>);
+
+impl Drop for WeightOwner {
+    fn drop(&mut self) {
+        self.0.crash();
+    }
+}
+
+struct WeightShared {
+    options: WeightOptions,
+    server: StandServer,
+    gate: FaultGate,
+    state: Mutex<WeightState>,
+}
+
+struct WeightState {
+    bucket: LoadBucket,
+    loads: Vec<WeightLoad>,
+}
+
+impl WeightStand {
+    /// Starts a weight store on a port of the loopback interface.
+    ///
+    /// # Errors
+    ///
+    /// [`StandError::Listen`] if no port can be listened on.
+    pub fn start(options: WeightOptions) -> Result<Self, Report<StandError>> {
+        let bucket = LoadBucket::full(options.burst, options.interval);
+        let shared = Arc::new(WeightShared {
+            server: StandServer::reserve()?,
+            gate: FaultGate::new(),
+            state: Mutex::new(WeightState { bucket, loads: Vec::new() }),
+            options,
+        });
+        shared.restart()?;
+        Ok(Self { owner: Arc::new(WeightOwner(shared)) })
+    }
+
+    /// Where it is reached, also after a restart.
+    pub fn address(&self) -> SocketAddr {
+        self.owner.0.server.address()
+    }
+
+    /// Every load that it was asked for, in order.
+    pub fn loads(&self) -> Vec<WeightLoad> {
+        lock(&self.owner.0.state).loads.clone()
+    }
+
+    /// Crashes: every connection breaks and the port refuses.
+    pub fn crash(&self) {
+        self.owner.0.crash();
+    }
+
+    /// Starts again on the same port.
+    ///
+    /// # Errors
+    ///
+    /// [`StandError::Listen`] if the port can't be listened on.
+    pub fn restart(&self) -> Result<(), Report<StandError>> {
+        self.owner.0.restart()
+    }
+
+    /// Freezes or thaws it: a frozen store keeps its connections and answers no call.
+    pub fn freeze(&self, frozen: bool) {
+        self.owner.0.gate.freeze(frozen);
+    }
+}
+
+impl WeightShared {
+    fn restart(self: &Arc<Self>) -> Result<(), Report<StandError>> {
+        let Some(start) = self.gate.begin() else {
+            return Ok(());
+        };
+        let store = self.clone();
+        let weights = move |conn: Conn| {
+            let store = store.clone();
+            async move { store.answer(conn, start).await }
+        };
+        let served = self.server.serve(Router::new().get("/weights/:model", weights));
+        if served.is_err() {
+            self.gate.end();
+        }
+        served
+    }
+
+    fn crash(&self) {
+        if self.gate.end().is_some() {
+            self.server.stop();
+        }
+    }
+
+    async fn answer(&self, conn: Conn, start: StartNumber) -> Conn {
+        let down = "the weight store is down";
+        if self.gate.pass(start).await.is_err() {
+            return answer_error(conn, Status::ServiceUnavailable, down);
+        }
+        let Some(model) = conn.param("model").map(str::to_owned) else {
+            return answer_error(conn, Status::BadRequest, "no model is named");
+        };
+        if let Err(retry_after) = self.take(&model, ClockTime::now()) {
+            // Rounded up: whoever waits that long is within the rate.
+            let retry_after = retry_after.as_millis() as u64 + 1;
+            let conn = conn.with_response_header("retry-after-ms", retry_after.to_string());
+            return answer_error(conn, Status::TooManyRequests, "over the rate of loads");
+        }
+        if self.gate.delay(start, self.options.load_time).await.is_err() {
+            return answer_error(conn, Status::ServiceUnavailable, down);
+        }
+        answer_json(conn, Status::Ok, &json!({ "model": model }))
+    }
+
+    fn take(&self, model: &str, now: ClockTime) -> Result<(), Duration> {
+        let mut state = lock(&self.state);
+        let taken = state.bucket.take(now);
+        let load = WeightLoad { at: now, model: model.to_owned(), taken: taken.is_ok() };
+        state.loads.push(load);
+        taken
+    }
+}
+
+/// A rate limit with a burst: each load moves the time at which the burst is whole again.
+struct LoadBucket {
+    burst: u32,
+    interval: Duration,
+    whole_at: ClockTime,
+}
+
+impl LoadBucket {
+    fn full(burst: u32, interval: Duration) -> Self {
+        Self { burst: burst.max(1), interval, whole_at: ClockTime(0) }
+    }
+
+    /// Takes a load, or says how long until one may be taken.
+    fn take(&mut self, now: ClockTime) -> Result<(), Duration> {
+        let whole_at = self.whole_at.max(now).after(self.interval);
+        let taken_ahead = whole_at.since(now);
+        let most_ahead = self.interval * self.burst;
+        if taken_ahead > most_ahead {
+            return Err(taken_ahead - most_ahead);
+        }
+        self.whole_at = whole_at;
+        Ok(())
+    }
+}
--- a/crates/sagespool-testkit/src/witness/log.rs
+++ b/crates/sagespool-testkit/src/witness/log.rs
@@ -197,10 +197,7 @@
         records
     }
 
-    fn count_by<K: Ord>(
-        &self,
-        key_of: impl Fn(RunRecord) -> Option<K>,
-    ) -> BTreeMap<K, usize> {
+    fn count_by<K: Ord>(&self, key_of: impl Fn(RunRecord) -> Option<K>) -> BTreeMap<K, usize> {
         let mut counts = BTreeMap::new();
         for key in self.runs().into_iter().filter_map(key_of) {
             *counts.entry(key).or_default() += 1;
--- /dev/null
+++ b/crates/sagespool-testkit/tests/weight_store.rs
@@ -0,0 +1,88 @@
+//! The contract of the weight store.
+
+mod calls;
+
+use std::time::Duration;
+
+use calls::{client, get, post, run, until, url};
+use sagespool_testkit::{EngineOptions, EngineStand, WeightOptions, WeightStand};
+use serde_json::json;
+
+const HOUR: Duration = Duration::from_secs(3600);
+
+fn store(burst: u32, interval: Duration) -> WeightStand {
+    let options = WeightOptions::builder()
+        .load_time(Duration::from_millis(1))
+        .burst(burst)
+        .interval(interval)
+        .build();
+    WeightStand::start(options).unwrap()
+}
+
+#[test]
+fn rate_limit() {
+    run(async {
+        let store = store(2, HOUR);
+        for (model, status) in [("one", 200), ("two", 200), ("three", 429), ("four", 429)] {
+            let answer = get(store.address(), &format!("/weights/{model}")).await.unwrap();
+            assert_eq!(answer.status, status, "{model}");
+        }
+        let refused = client().get(url(store.address(), "/weights/five")).await.unwrap();
+        let retry_after = refused.response_headers().get_str("retry-after-ms").unwrap();
+        let retry_after: u64 = retry_after.parse().unwrap();
+        assert!((1..=HOUR.as_millis() as u64 + 1).contains(&retry_after));
+        let taken: Vec<_> = store.loads().iter().map(|load| load.taken).collect();
+        assert_eq!(taken, [true, true, false, false, false]);
+    });
+}
+
+#[test]
+fn rate_returns() {
+    run(async {
+        let store = store(1, Duration::from_millis(5));
+        for _ in 0..200 {
+            if store.loads().iter().filter(|load| load.taken).count() == 3 {
+                return;
+            }
+            get(store.address(), "/weights/one").await.unwrap();
+        }
+        panic!("three loads fit into the rate sooner or later");
+    });
+}
+
+#[test]
+fn crash_restart() {
+    run(async {
+        let store = store(9, HOUR);
+        store.crash();
+        assert!(get(store.address(), "/weights/one").await.is_err(), "the port refuses");
+        store.restart().unwrap();
+        assert_eq!(get(store.address(), "/weights/one").await.unwrap().status, 200);
+    });
+}
+
+#[test]
+fn engine_load() {
+    // An engine that is ordered to load a model while the store is over its rate must go on
+    // asking, and serve the model only once it has the weights.
+    run(async {
+        let store = store(1, Duration::from_millis(50));
+        let options = EngineOptions::builder()
+            .name("engine-1".parse().unwrap())
+            .models(Vec::new())
+            .load_time(Duration::ZERO)
+            .weight_store(store.address())
+            .build();
+        let engine = EngineStand::start(options).unwrap();
+        for (fence, model) in ["one", "two"].into_iter().enumerate() {
+            let order = json!({ "fence": fence, "order": { "load_model": model } });
+            assert_eq!(post(engine.address(), "/orders", &order).await.unwrap().status, 200);
+        }
+        until("both are loaded", || engine.load_now().models.len() == 2).await;
+        let loads = store.loads();
+        for model in ["one", "two"] {
+            let taken = loads.iter().filter(|load| load.taken && load.model == model).count();
+            assert_eq!(taken, 1, "{model}");
+        }
+    });
+}
