--- a/crates/sagespool-testkit/src/instance_list.rs
+++ b/crates/sagespool-testkit/src/instance_list.rs
@@ -24,7 +24,7 @@
 use event_listener::Event;
 use sagespool_types::{ClockTime, InstanceName};
 
-use crate::stand_server::{StandServer, StartError};
+use crate::loopback_server::{StandServer, StartError};
 use state::{ListChange, ListState};
 
 pub use state::{InstanceEntry, InstanceState};
--- a/crates/sagespool-testkit/src/object_api.rs
+++ b/crates/sagespool-testkit/src/object_api.rs
@@ -27,7 +27,7 @@
 use error_stack::Report;
 use sagespool_types::{ClockTime, StoreRevision};
 
-use crate::stand_server::{StandServer, StartError};
+use crate::loopback_server::{StandServer, StartError};
 use shared::SharedStore;
 
 pub use calls::{LARGEST_VALUE, LONGEST_KEY};
