Add the fault proxy for TCP and UDP links

Tests put faults on pairs of names: cuts (also one way and between groups), delays, loss, reordering and doubling of UDP packets, and resets of TCP connections.

--- /dev/null
+++ b/crates/sagespool-testkit/src/proxy/delay_line.rs
@@ -0,0 +1,112 @@
+//! Holds UDP packets back until they are due.
+
+use std::cmp::{Ordering, Reverse};
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use async_channel::{Receiver, Sender};
+use futures_lite::FutureExt;
+use smol::Timer;
+
+use super::threads::TaskSpawner;
+use super::udp::UdpPath;
+
+/// A packet on its way.
+pub(super) struct DelayedPacket {
+    pub(super) due: Instant,
+    pub(super) path: Arc<UdpPath>,
+    pub(super) packet: Vec<u8>,
+}
+
+/// The entrance of the line; one line serves a whole proxy.
+#[derive(Clone)]
+pub(super) struct DelayLine {
+    entrance: Sender<DelayedPacket>,
+}
+
+impl DelayLine {
+    pub(super) fn start(spawner: &TaskSpawner) -> Self {
+        let (entrance, arrivals) = async_channel::unbounded();
+        spawner.spawn(deliver_when_due(arrivals));
+        Self { entrance }
+    }
+
+    pub(super) fn enter(&self, delayed: DelayedPacket) {
+        // The line ends with the proxy, and then nothing arrives any more.
+        let _ = self.entrance.try_send(delayed);
+    }
+}
+
+/// A packet in its order: by the time it is due, then by arrival.
+struct QueuedPacket {
+    number: u64,
+    delayed: DelayedPacket,
+}
+
+impl QueuedPacket {
+    fn rank(&self) -> (Instant, u64) {
+        (self.delayed.due, self.number)
+    }
+}
+
+impl PartialEq for QueuedPacket {
+    fn eq(&self, other: &Self) -> bool {
+        self.rank() == other.rank()
+    }
+}
+
+impl Eq for QueuedPacket {}
+
+impl PartialOrd for QueuedPacket {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for QueuedPacket {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.rank().cmp(&other.rank())
+    }
+}
+
+async fn deliver_when_due(arrivals: Receiver<DelayedPacket>) {
+    let mut queue = BinaryHeap::new();
+    for number in 0.. {
+        let next_due = queue.peek().map(|Reverse(next): &Reverse<QueuedPacket>| next.delayed.due);
+        match next_arrival(&arrivals, next_due).await {
+            LineEvent::Arrived(delayed) => queue.push(Reverse(QueuedPacket { number, delayed })),
+            LineEvent::Due => {}
+            LineEvent::Ended => return,
+        }
+        deliver_due(&mut queue, Instant::now());
+    }
+}
+
+enum LineEvent {
+    Arrived(DelayedPacket),
+    Due,
+    Ended,
+}
+
+async fn next_arrival(arrivals: &Receiver<DelayedPacket>, due: Option<Instant>) -> LineEvent {
+    let arrived = async {
+        match arrivals.recv().await {
+            Ok(delayed) => LineEvent::Arrived(delayed),
+            Err(_) => LineEvent::Ended,
+        }
+    };
+    let Some(due) = due else { return arrived.await };
+    let passed = async {
+        Timer::at(due).await;
+        LineEvent::Due
+    };
+    passed.or(arrived).await
+}
+
+fn deliver_due(queue: &mut BinaryHeap<Reverse<QueuedPacket>>, now: Instant) {
+    while queue.peek().is_some_and(|Reverse(next)| next.delayed.due <= now) {
+        let Some(Reverse(next)) = queue.pop() else { return };
+        next.delayed.path.deliver(&next.delayed.packet);
+    }
+}
