Add the sidecar's decisions: charge book, key memory, meter and dispatch

The charge book seals and witnesses, the key memory attaches and fences, the meter cuts an answer at its reservation; the dispatcher checks in order and runs completions and service calls, each on a connection of its own so that "could it have run" is decidable.

--- /dev/null
+++ b/crates/sagespool-sidecar/src/charge_book/grant.rs
@@ -0,0 +1,197 @@
+//! What is known of one grant.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use sagespool_messages::{ChargeRecord, SealRequest, SealScope};
+use sagespool_types::{AttemptNumber, ClockTime, IncarnationId, SequenceNumber, TokenCount};
+
+use super::{ChargeRefusal, ChargeWish, ReportPolicy};
+
+/// One grant's charges and seals.
+#[derive(Debug, Default)]
+pub(super) struct GrantState {
+    sealed: bool,
+    reporter: Option<IncarnationId>,
+    sealed_charges: BTreeSet<SequenceNumber>,
+    durable: BTreeSet<SequenceNumber>,
+    charges: BTreeMap<SequenceNumber, Vec<AttemptState>>,
+    touched: ClockTime,
+}
+
+/// One attempt under a charge.
+#[derive(Debug)]
+struct AttemptState {
+    record: ChargeRecord,
+    non_idempotent: bool,
+    due: ClockTime,
+    wait: Option<Duration>,
+}
+
+impl GrantState {
+    pub(super) fn reporter(&self) -> Option<IncarnationId> {
+        self.reporter
+    }
+
+    pub(super) fn open(&mut self, wish: &ChargeWish, now: ClockTime) -> Result<(), ChargeRefusal> {
+        let sequence = wish.reserved.charge.sequence;
+        if self.durable.contains(&sequence) {
+            return Err(ChargeRefusal::RunBefore { attempt: None });
+        }
+        self.check_attempts(sequence, wish)?;
+        if self.sealed {
+            return Err(ChargeRefusal::GrantSealed);
+        }
+        if self.sealed_charges.contains(&sequence) {
+            return Err(ChargeRefusal::ChargeSealed);
+        }
+        self.touched = now;
+        self.charges.entry(sequence).or_default().push(AttemptState::new(wish));
+        Ok(())
+    }
+
+    /// A non-idempotent request that may have run is not run by any later
+    /// attempt either, whatever its entry believes.
+    fn check_attempts(
+        &self,
+        sequence: SequenceNumber,
+        wish: &ChargeWish,
+    ) -> Result<(), ChargeRefusal> {
+        let earlier = self.charges.get(&sequence).map(Vec::as_slice).unwrap_or_default();
+        let blocks = |state: &&AttemptState| {
+            state.record.attempt >= wish.attempt || state.non_idempotent || wish.non_idempotent
+        };
+        let blocking = earlier.iter().filter(blocks).map(|state| state.record.attempt).max();
+        match blocking {
+            Some(attempt) => Err(ChargeRefusal::RunBefore { attempt: Some(attempt) }),
+            None => Ok(()),
+        }
+    }
+
+    pub(super) fn update(
+        &mut self,
+        sequence: SequenceNumber,
+        attempt: AttemptNumber,
+        used: TokenCount,
+    ) -> Option<()> {
+        let state = self.running(sequence, attempt)?;
+        state.record.used = used;
+        Some(())
+    }
+
+    pub(super) fn end(
+        &mut self,
+        sequence: SequenceNumber,
+        attempt: AttemptNumber,
+        whole: bool,
+        due: ClockTime,
+    ) -> Option<ChargeRecord> {
+        let state = self.running(sequence, attempt)?;
+        state.record.ended = true;
+        state.record.whole = whole;
+        state.due = due;
+        Some(state.record.clone())
+    }
+
+    pub(super) fn withdraw(
+        &mut self,
+        sequence: SequenceNumber,
+        attempt: AttemptNumber,
+        due: ClockTime,
+    ) -> Option<()> {
+        if self.sealed || self.sealed_charges.contains(&sequence) {
+            self.update(sequence, attempt, TokenCount::ZERO);
+            return self.end(sequence, attempt, false, due).map(|_| ());
+        }
+        let attempts = self.charges.get_mut(&sequence)?;
+        attempts.retain(|state| state.record.attempt != attempt);
+        if attempts.is_empty() {
+            self.charges.remove(&sequence);
+        }
+        Some(())
+    }
+
+    pub(super) fn seal(&mut self, request: &SealRequest, due: ClockTime) -> Vec<ChargeRecord> {
+        self.reporter = Some(request.reporter);
+        for state in self.charges.values_mut().flatten() {
+            state.wait = None;
+            state.due = due;
+        }
+        match &request.scope {
+            SealScope::WholeGrant => {
+                self.sealed = true;
+                self.charges.values().flatten().map(|state| state.record.clone()).collect()
+            }
+            SealScope::Charges(sequences) => {
+                self.sealed_charges.extend(sequences);
+                let known = sequences.iter().filter_map(|sequence| self.charges.get(sequence));
+                known.flatten().map(|state| state.record.clone()).collect()
+            }
+        }
+    }
+
+    pub(super) fn collect_due(
+        &mut self,
+        policy: &ReportPolicy,
+        now: ClockTime,
+        batch: &mut Vec<ChargeRecord>,
+    ) {
+        let ended = self.charges.values_mut().flatten().filter(|state| state.record.ended);
+        for state in ended.filter(|state| state.due <= now) {
+            if batch.len() >= policy.batch {
+                return;
+            }
+            batch.push(state.record.clone());
+            let wait = state.wait.map_or(policy.repeat_after, |wait| wait * 2);
+            let wait = wait.min(policy.longest_wait);
+            state.wait = Some(wait);
+            state.due = now.after(wait);
+        }
+    }
+
+    pub(super) fn durable(&mut self, sequence: SequenceNumber, now: ClockTime) -> Option<()> {
+        self.touched = now;
+        let attempts = self.charges.get_mut(&sequence)?;
+        attempts.retain(|state| !state.record.ended);
+        if attempts.is_empty() {
+            self.charges.remove(&sequence);
+        }
+        self.durable.insert(sequence);
+        Some(())
+    }
+
+    pub(super) fn count_unsettled(&self) -> usize {
+        self.charges.values().flatten().filter(|state| state.record.ended).count()
+    }
+
+    pub(super) fn is_idle(&self, policy: &ReportPolicy, now: ClockTime) -> bool {
+        let is_free = self.charges.is_empty() && !self.sealed && self.sealed_charges.is_empty();
+        is_free && now.since(self.touched) >= policy.idle_after
+    }
+
+    fn running(
+        &mut self,
+        sequence: SequenceNumber,
+        attempt: AttemptNumber,
+    ) -> Option<&mut AttemptState> {
+        let attempts = self.charges.get_mut(&sequence)?;
+        attempts.iter_mut().find(|state| state.record.attempt == attempt && !state.record.ended)
+    }
+}
+
+impl AttemptState {
+    fn new(wish: &ChargeWish) -> Self {
+        let record = ChargeRecord {
+            charge: wish.reserved.charge,
+            branch: wish.branch.clone(),
+            request: wish.request,
+            key: wish.key,
+            attempt: wish.attempt,
+            used: TokenCount::ZERO,
+            ended: false,
+            whole: false,
+        };
+        let due = ClockTime::default();
+        Self { record, non_idempotent: wish.non_idempotent, due, wait: None }
+    }
+}
--- /dev/null
+++ b/crates/sagespool-sidecar/src/dispatcher.rs
@@ -0,0 +1,212 @@
+//! The last gate before a request runs, and what follows from letting it in.
+
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use bon::Builder;
+use sagespool_log::log_event;
+use sagespool_messages::{
+    AttachRequest, CancelRequest, DispatchEvent, DispatchRequest, UpstreamKind,
+};
+use sagespool_types::{ByteCount, ClockTime, IncarnationId, ServiceName, TokenCount, UpstreamName};
+
+use crate::admission::attach_refused;
+use crate::attempt::{AdmittedAttempt, AttemptEnd};
+use crate::run_completion::{CompletionTarget, EngineRest};
+use crate::run_service::ServiceTarget;
+use crate::running::{RunningTable, StopReason};
+use crate::{
+    AnswerReader, ChargeBook, KeyMemory, KeyRefusal, KeyRetention, LoadWatch, ReportPolicy,
+    UpstreamClient,
+};
+
+/// The memory for answers of keyed requests, if nothing else is said.
+const KEPT_ANSWERS: ByteCount = ByteCount(64 << 20);
+
+/// What a dispatcher is to know of its place.
+#[derive(Debug, Clone, Builder)]
+pub struct DispatchOptions {
+    /// The sidecar's incarnation.
+    pub sidecar: IncarnationId,
+    /// The upstream's name.
+    pub upstream: UpstreamName,
+    /// Its service.
+    pub service: ServiceName,
+    /// What it is.
+    pub kind: UpstreamKind,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// The most memory for kept answers.
+    #[builder(default = KEPT_ANSWERS)]
+    pub kept_answers: ByteCount,
+    /// How long keys are remembered.
+    #[builder(default)]
+    pub retention: KeyRetention,
+    /// How charges are reported.
+    #[builder(default)]
+    pub reports: ReportPolicy,
+}
+
+/// Checks, runs and witnesses every request for one upstream.
+#[derive(Debug)]
+pub struct Dispatcher {
+    pub(crate) sidecar: IncarnationId,
+    pub(crate) kind: UpstreamKind,
+    service: ServiceName,
+    pub(crate) leaving: AtomicBool,
+    pub(crate) upstream: UpstreamClient,
+    pub(crate) charges: ChargeBook,
+    pub(crate) keys: KeyMemory,
+    pub(crate) load: LoadWatch,
+    pub(crate) running: Arc<RunningTable>,
+}
+
+impl Dispatcher {
+    /// A dispatcher that runs nothing until [`ChargeBook::started`] was called.
+    pub fn new(options: DispatchOptions) -> Arc<Self> {
+        let DispatchOptions { sidecar, kept_answers, retention, .. } = options;
+        Arc::new(Self {
+            sidecar,
+            kind: options.kind,
+            service: options.service.clone(),
+            leaving: AtomicBool::new(false),
+            upstream: UpstreamClient::new(options.address),
+            charges: ChargeBook::new(sidecar, options.reports),
+            keys: KeyMemory::new(sidecar, kept_answers, retention),
+            load: LoadWatch::new(options.upstream, options.service, options.kind),
+            running: Arc::default(),
+        })
+    }
+
+    /// The charges it has witnessed.
+    pub fn charges(&self) -> &ChargeBook {
+        &self.charges
+    }
+
+    /// The keys it remembers.
+    pub fn keys(&self) -> &KeyMemory {
+        &self.keys
+    }
+
+    /// The upstream's load.
+    pub fn load(&self) -> &LoadWatch {
+        &self.load
+    }
+
+    /// The upstream.
+    pub fn upstream(&self) -> &UpstreamClient {
+        &self.upstream
+    }
+
+    /// The service that the upstream belongs to.
+    pub fn service(&self) -> &ServiceName {
+        &self.service
+    }
+
+    /// How many attempts run.
+    pub fn running_count(&self) -> usize {
+        self.running.count()
+    }
+
+    /// From now on takes nothing new, or takes it again.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.leaving.store(is_leaving, Ordering::SeqCst);
+    }
+
+    /// Resolves when no attempt runs.
+    pub async fn finished(&self) {
+        self.running.empty().await;
+    }
+
+    /// Stops every attempt, since the sidecar must end. How many there were.
+    pub fn stop_running(&self) -> usize {
+        self.running.stop_all(StopReason::SidecarStops)
+    }
+
+    /// Runs a request, or tells why not; the answer is read as it comes.
+    pub async fn dispatch(
+        self: &Arc<Self>,
+        dispatch: DispatchRequest,
+        now: ClockTime,
+    ) -> AnswerReader {
+        let (attempt, reader) = match self.admit(dispatch, now).await {
+            Ok(admitted) => admitted,
+            Err(end) => return end.reader(),
+        };
+        self.load.dispatched();
+        let dispatcher = Arc::clone(self);
+        smol::spawn(async move { dispatcher.run(attempt).await }).detach();
+        reader
+    }
+
+    /// The answer to a key that runs or is kept here.
+    pub fn attach(&self, request: &AttachRequest) -> AnswerReader {
+        let reader = self.keys.attach(request).and_then(|log| {
+            let lost = KeyRefusal::AnswerLost { request: request.request };
+            log.reader().ok_or(lost)
+        });
+        reader.unwrap_or_else(attach_refused)
+    }
+
+    /// Stops an attempt that its entry has given up.
+    pub fn cancel(&self, request: &CancelRequest) {
+        self.running.stop(request.request, request.attempt, StopReason::Cancelled);
+    }
+
+    async fn run(&self, attempt: AdmittedAttempt) {
+        let (end, rest) = {
+            let mut stopped = pin!(attempt.stopped());
+            self.call_upstream(&attempt, stopped.as_mut()).await
+        };
+        self.finish(&attempt, end, ClockTime::now());
+        self.free_engine(&attempt, rest).await;
+    }
+
+    async fn call_upstream(
+        &self,
+        attempt: &AdmittedAttempt,
+        stopped: Pin<&mut impl Future<Output = StopReason>>,
+    ) -> (AttemptEnd, EngineRest) {
+        if let Some(target) = ServiceTarget::of(&attempt.target) {
+            return (self.run_service(attempt, target, stopped).await, EngineRest::Nothing);
+        }
+        let target = CompletionTarget::of(&attempt.target).expect("a call is one or the other");
+        let meter = target.meter(attempt.reserved).expect("admitted only if it is covered");
+        self.run_completion(attempt, target, meter, stopped).await
+    }
+
+    /// Notes what an attempt has used; never more than was reserved.
+    pub(crate) fn note_used(&self, attempt: &AdmittedAttempt, used: TokenCount) {
+        let used = used.min(attempt.reserved);
+        attempt.place.attempt.note_used(used);
+        self.charges.update(attempt.charge, attempt.attempt, used);
+    }
+
+    /// Ends an attempt everywhere, the asker last: what it does next must find
+    /// the charge and the key in their final state.
+    fn finish(&self, attempt: &AdmittedAttempt, end: AttemptEnd, now: ClockTime) {
+        let is_whole = matches!(end, AttemptEnd::Whole(_));
+        let charge = if end.may_have_run() {
+            self.charges.end(attempt.charge, attempt.attempt, is_whole, now)
+        } else {
+            self.charges.withdraw(attempt.charge, attempt.attempt, now);
+            None
+        };
+        if let Some(wish) = &attempt.key {
+            self.keys.end(wish, end.key_ending(), now);
+        }
+        log_event!(
+            info,
+            "attempt-ended",
+            request = attempt.request,
+            attempt = attempt.attempt,
+            branch = attempt.branch,
+            charge = attempt.charge,
+            outcome = end.as_str(),
+            used = charge.as_ref().map_or(TokenCount::ZERO, |charge| charge.used)
+        );
+        attempt.log.push(DispatchEvent::End(end.tell(charge)));
+    }
+}
--- /dev/null
+++ b/crates/sagespool-sidecar/src/load_watch.rs
@@ -0,0 +1,114 @@
+//! What the sidecar knows of its upstream's load and health.
+
+use std::sync::Mutex;
+
+use sagespool_messages::{LoadReport, ServedUpstream, UpstreamKind};
+use sagespool_types::{ServiceName, UpstreamName};
+
+use crate::shards::lock;
+use crate::upstream::EngineLoad;
+
+/// An upstream that answers late is down after so many times in a row; one
+/// that refuses connections is down at once.
+const MISSES_ALLOWED: u32 = 1;
+
+/// The upstream, as its sidecar knows it.
+#[derive(Debug)]
+pub struct LoadWatch {
+    upstream: UpstreamName,
+    service: ServiceName,
+    kind: UpstreamKind,
+    state: Mutex<WatchState>,
+}
+
+#[derive(Debug, Default)]
+struct WatchState {
+    number: u64,
+    misses: u32,
+    healthy: bool,
+    newest: Option<EngineLoad>,
+    dispatched: u64,
+    told: Option<ServedUpstream>,
+}
+
+/// One look at the upstream.
+#[derive(Debug, Clone, PartialEq)]
+pub struct UpstreamSample {
+    /// Whether it answered that it is well.
+    pub healthy: bool,
+    /// Its load, if it told.
+    pub load: Option<EngineLoad>,
+}
+
+impl LoadWatch {
+    /// A watch that has not seen its upstream yet: not healthy until it answers.
+    pub fn new(upstream: UpstreamName, service: ServiceName, kind: UpstreamKind) -> Self {
+        Self { upstream, service, kind, state: Mutex::default() }
+    }
+
+    /// Counts a dispatch that was let in, so that an entry which reads the
+    /// load can tell which of its own dispatches the figures don't show yet.
+    pub fn dispatched(&self) {
+        lock(&self.state).dispatched += 1;
+    }
+
+    /// Notes that the upstream was found down while a request ran.
+    pub fn upstream_down(&self) {
+        let mut state = lock(&self.state);
+        state.healthy = false;
+        state.misses = MISSES_ALLOWED + 1;
+    }
+
+    /// Whether the upstream answered when last looked at.
+    pub fn is_healthy(&self) -> bool {
+        lock(&self.state).healthy
+    }
+
+    /// Takes in a look at the upstream.
+    pub fn observe(&self, sample: UpstreamSample) {
+        let mut state = lock(&self.state);
+        state.misses = if sample.healthy { 0 } else { state.misses + 1 };
+        let never_seen = state.newest.is_none() && !state.healthy;
+        state.healthy = sample.healthy || (state.misses <= MISSES_ALLOWED && !never_seen);
+        if let Some(load) = sample.load {
+            state.newest = Some(load);
+        }
+    }
+
+    /// The upstream as others are to know it, if that differs from what they
+    /// were told last.
+    pub fn news(&self) -> Option<ServedUpstream> {
+        let mut state = lock(&self.state);
+        let mut served = self.describe(&state);
+        let is_told = state.told.as_ref().is_some_and(|told| {
+            served.load.number = told.load.number;
+            *told == served
+        });
+        if is_told {
+            return None;
+        }
+        state.number += 1;
+        served.load.number = state.number;
+        state.told = Some(served.clone());
+        Some(served)
+    }
+
+    fn describe(&self, state: &WatchState) -> ServedUpstream {
+        let load = state.newest.as_ref();
+        ServedUpstream {
+            upstream: self.upstream.clone(),
+            kind: self.kind,
+            service: self.service.clone(),
+            models: load.map(|load| load.models.clone()).unwrap_or_default(),
+            capacity: load.map_or(1, |load| load.capacity),
+            healthy: state.healthy,
+            load: LoadReport {
+                number: 0,
+                running: load.map_or(0, |load| load.running),
+                waiting: load.map_or(0, |load| load.waiting),
+                tokens_per_second: load.map_or(0, |load| load.tokens_per_second as u32),
+                dispatched: state.dispatched,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/sagespool-sidecar/src/upstream/control.rs
@@ -0,0 +1,130 @@
+//! Calls about the upstream itself: health, load, cancelling, orders.
+
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use sagespool_types::{FenceNumber, ModelName, RequestId};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use smol::Timer;
+use trillium_client::KnownHeaderName;
+use trillium_http::Status;
+
+use super::UpstreamClient;
+
+/// For a call whose answer is at hand: an upstream on the same instance that
+/// takes longer isn't answering.
+const PROBE_LIMIT: Duration = Duration::from_millis(500);
+
+/// For an order: loading a model takes its time.
+const ORDER_LIMIT: Duration = Duration::from_secs(120);
+
+/// An upstream's report of its load.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct EngineLoad {
+    /// Counted by the upstream.
+    pub number: u64,
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// How many it runs at once.
+    pub capacity: u32,
+    /// Tokens a second over all requests; engines only.
+    #[serde(default)]
+    pub tokens_per_second: f64,
+    /// The models it has loaded; engines only.
+    #[serde(default)]
+    pub models: Vec<ModelName>,
+}
+
+/// How an engine answered an order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// Done.
+    Done,
+    /// It has seen a newer order.
+    Stale {
+        /// The newest fencing number that it has seen.
+        newest: FenceNumber,
+    },
+    /// It failed, or may have.
+    Failed(String),
+}
+
+impl UpstreamClient {
+    /// True if the upstream answers.
+    pub async fn is_healthy(&self) -> bool {
+        let status = within(PROBE_LIMIT, async {
+            let conn = self.control.get(self.control_url("/healthz")).await.ok()?;
+            conn.status()
+        });
+        status.await == Some(Status::Ok)
+    }
+
+    /// The upstream's load, as it reports it; none if it doesn't.
+    pub async fn load(&self) -> Option<EngineLoad> {
+        let body = within(PROBE_LIMIT, async {
+            let mut conn = self.control.get(self.control_url("/load")).await.ok()?;
+            let is_report = conn.status() == Some(Status::Ok);
+            let body = conn.response_body().read_bytes().await.ok()?;
+            is_report.then_some(body)
+        });
+        serde_json::from_slice(&body.await?).ok()
+    }
+
+    /// Tells an engine to give a request up. Dropping the stream alone would
+    /// leave the engine working until it next writes. True if it answered.
+    pub async fn cancel(&self, request: RequestId) -> bool {
+        let url = self.control_url(&format!("/v1/requests/{request}/cancel"));
+        let answer = within(PROBE_LIMIT, async { self.control.post(url).await.ok() });
+        answer.await.is_some()
+    }
+
+    /// Gives an engine an order, in the engine's own form.
+    pub async fn order(&self, fence: FenceNumber, order: &Value) -> OrderOutcome {
+        let body = json!({ "fence": fence, "order": order });
+        let answer = within(ORDER_LIMIT, async {
+            let mut conn = self
+                .control
+                .post(self.control_url("/orders"))
+                .with_request_header(KnownHeaderName::ContentType, "application/json")
+                .with_body(body.to_string())
+                .await
+                .ok()?;
+            let body = conn.response_body().read_bytes().await.ok()?;
+            Some((conn.status()?, body))
+        });
+        match answer.await {
+            Some((Status::Ok, _)) => OrderOutcome::Done,
+            Some((Status::Conflict, body)) => {
+                OrderOutcome::Stale { newest: newest_of(&body, fence) }
+            }
+            Some((status, _)) => {
+                OrderOutcome::Failed(format!("the engine answered the order with {status}"))
+            }
+            None => OrderOutcome::Failed("the engine did not answer the order".to_owned()),
+        }
+    }
+
+    fn control_url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.address)
+    }
+}
+
+fn newest_of(body: &[u8], fence: FenceNumber) -> FenceNumber {
+    #[derive(Deserialize)]
+    struct StaleBody {
+        newest: FenceNumber,
+    }
+    serde_json::from_slice::<StaleBody>(body).map_or(fence.next(), |body| body.newest)
+}
+
+/// The result, if it came within the limit.
+async fn within<T>(limit: Duration, work: impl Future<Output = Option<T>>) -> Option<T> {
+    let late = async {
+        Timer::after(limit).await;
+        None
+    };
+    work.or(late).await
+}
