--- a/crates/sagespool-membership/tests/fleet/mod.rs
+++ b/crates/sagespool-membership/tests/fleet/mod.rs
@@ -14,21 +14,23 @@
 /// A description of a process on instance `place`, in its run `run`.
 pub fn info(place: u16, run: u64, role: MemberRole) -> MemberInfo {
     let serves = (role == MemberRole::Sidecar).then(|| sagespool_messages::ServedUpstream {
-        upstream: format!("core-{place}").parse().unwrap(),
+        upstream: format!("core-{place}").parse().expect("a valid name"),
         kind: sagespool_messages::UpstreamKind::Engine,
-        service: "sage-core".parse().unwrap(),
-        models: vec!["sage-large".parse().unwrap()],
+        service: "sage-core".parse().expect("a valid name"),
+        models: vec!["sage-large".parse().expect("a valid name")],
         capacity: 32,
         healthy: true,
         load: Default::default(),
     });
     MemberInfo {
-        instance: format!("{role}-{place}").parse().unwrap(),
+        instance: format!("{role}-{place}").parse().expect("a valid name"),
         incarnation: IncarnationId(run * 1_000_000 + u64::from(place)),
         number: run * 1_000_000,
         role,
-        region: "muscat".parse().unwrap(),
-        centre: ["ghala", "rusayl", "seeb", "qurum"][usize::from(place) % 4].parse().unwrap(),
+        region: "muscat".parse().expect("a valid name"),
+        centre: ["ghala", "rusayl", "seeb", "qurum"][usize::from(place) % 4]
+            .parse()
+            .expect("a valid name"),
         address: address(place),
         leaving: false,
         config: ConfigVersion(1),
--- a/crates/sagespool-membership/tests/rendezvous_home.rs
+++ b/crates/sagespool-membership/tests/rendezvous_home.rs
@@ -10,12 +10,15 @@
 use sagespool_types::{BranchName, InstanceName};
 
 fn branches(count: u32) -> Vec<BranchName> {
-    (0..count).map(|number| format!("branch-{number}").parse().unwrap()).collect()
+    let name = |number| format!("branch-{number}").parse().expect("a valid name");
+    (0..count).map(name).collect()
 }
 
 fn homes(fleet: &Fleet, place: u16) -> BTreeMap<BranchName, InstanceName> {
     let table = fleet.at(place);
-    let home = |branch: &BranchName| table.home_of(branch, fleet.now).unwrap().instance;
+    let home = |branch: &BranchName| {
+        table.home_of(branch, fleet.now).expect("there are live entries").instance
+    };
     branches(400).into_iter().map(|branch| (branch.clone(), home(&branch))).collect()
 }
 
@@ -44,15 +47,14 @@
 /// moves takes new grants and has its old ones sealed.
 #[test]
 fn few_moves() {
-    let changes: [(&str, fn(&mut Fleet)); 2] = [
-        ("killed", |fleet| fleet.kill(2)),
-        ("leaving", |fleet| fleet.at(2).update_own(|own| own.leaving = true)),
-    ];
-    for (change, apply) in changes {
+    for change in ["killed", "leaving"] {
         let mut fleet = fleet();
         let before = homes(&fleet, 0);
         let moved = before.values().find(|home| home.as_str() == "entry-2").cloned().unwrap();
-        apply(&mut fleet);
+        match change {
+            "killed" => fleet.kill(2),
+            _ => fleet.at(2).update_own(|own| own.leaving = true),
+        }
         fleet.run(40);
         for (branch, home) in homes(&fleet, 0) {
             let expected = before[&branch] == home || before[&branch] == moved;
--- a/crates/sagespool-membership/tests/stale_incarnation.rs
+++ b/crates/sagespool-membership/tests/stale_incarnation.rs
@@ -55,7 +55,7 @@
             assert!(table.is_gone(old.incarnation, NOW), "{case}: the old run is gone");
             assert!(!table.is_gone(new.incarnation, NOW), "{case}: the new run is there");
             let sidecars = table.live(MemberRole::Sidecar, NOW);
-            assert_eq!(sidecars, [new.clone()], "{case}: one run of the instance");
+            assert_eq!(sidecars, std::slice::from_ref(&new), "{case}: one run of the instance");
         }
     }
 }
