Let the table keep only live sidecars and hear of a leaving one

The entry refreshes the table from its live members, and a sidecar may say that it leaves before the heartbeats do. An attempt's tokens come along, to measure an upstream's speed by them.

--- a/crates/sagespool-routing/src/service.rs
+++ b/crates/sagespool-routing/src/service.rs
@@ -78,6 +78,8 @@
         Failed,
         /// The upstream or its sidecar went down, or couldn't be reached.
         Unreachable,
+        /// The sidecar said that it is leaving: its incarnation gets nothing new.
+        Leaving,
     }
 }
 
@@ -93,6 +95,8 @@
         /// Time from the dispatch to the first token or byte, if one came and
         /// [`crate::UpstreamTable::first_token`] has not said so already.
         pub first_token: Option<Duration>,
+        /// Tokens of the answer that this attempt produced; zero if unknown or for a service.
+        pub tokens: TokenCount,
         /// How it ended.
         pub outcome: AttemptOutcome,
     }
@@ -467,6 +471,12 @@
                 upstream.ejection.failed(policy, self.random.f64(), now);
                 upstream.failures.add(1.0, policy.half_life, now);
             }
+            AttemptOutcome::Leaving => {
+                upstream.ejection.undecided();
+                upstream.has_left = true;
+                upstream.takes_work = false;
+                self.usable.clear();
+            }
             _ => upstream.ejection.undecided(),
         }
     }
@@ -492,20 +502,14 @@
         }
     }
 
-    pub(crate) fn room(
-        &self,
-        model: Option<&ModelName>,
-        entries: u32,
-        policy: &RoutingPolicy,
-        now: ClockTime,
-    ) -> ServiceRoom {
+    pub(crate) fn room(&self, entries: u32, policy: &RoutingPolicy, now: ClockTime) -> ServiceRoom {
         let mut capacity = 0.0;
         let mut spare = 0.0;
         let mut own = 0;
         for upstream in &self.upstreams {
             own += upstream.load.own();
             let is_open = upstream.ejection.state(now) == UseState::Open;
-            if !upstream.takes_work || !is_open || !upstream.serves(model) {
+            if !upstream.takes_work || !is_open {
                 continue;
             }
             let places = f64::from(upstream.capacity);
--- a/crates/sagespool-routing/src/table.rs
+++ b/crates/sagespool-routing/src/table.rs
@@ -1,12 +1,12 @@
 //! Every upstream that this entry knows, in shards by service.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
 use sagespool_messages::MemberInfo;
-use sagespool_types::{CentreName, ClockTime, IncarnationId, ModelName, ServiceName};
+use sagespool_types::{CentreName, ClockTime, IncarnationId, ServiceName};
 
 use crate::service::ServiceState;
 use crate::{AttemptResult, CacheEvent, RouteChoice, RouteWish, RoutingPolicy, ServiceRoom};
@@ -65,6 +65,16 @@
         }
     }
 
+    /// Removes every sidecar that is not among these.
+    pub fn keep_only(&self, members: &[MemberInfo]) {
+        let live: HashSet<IncarnationId> =
+            members.iter().map(|member| member.incarnation).collect();
+        let known: Vec<IncarnationId> = lock(&self.sidecars).keys().copied().collect();
+        for sidecar in known.into_iter().filter(|sidecar| !live.contains(sidecar)) {
+            self.remove(sidecar);
+        }
+    }
+
     /// Where a request goes, or nothing if no upstream may take it now.
     ///
     /// Follow it by [`Self::started`] at once, and by [`Self::ended`] in any case.
@@ -100,16 +110,11 @@
         lock(&shard).cache_event(sidecar, event, &self.policy, now);
     }
 
-    /// How many requests this entry may have running in a service, of one model or all.
-    /// Looks at every upstream of the service, so ask a few times a second, not per request.
-    pub fn room(
-        &self,
-        service: &ServiceName,
-        model: Option<&ModelName>,
-        now: ClockTime,
-    ) -> Option<ServiceRoom> {
+    /// How many requests this entry may have running in a service. Ask a few times a second,
+    /// and hand the limit to [`crate::AdmissionQueue::set_limit`].
+    pub fn room(&self, service: &ServiceName, now: ClockTime) -> Option<ServiceRoom> {
         let shard = self.shard(service)?;
-        Some(lock(&shard).room(model, self.entries(), &self.policy, now))
+        Some(lock(&shard).room(self.entries(), &self.policy, now))
     }
 
     fn entries(&self) -> u32 {
--- a/crates/sagespool-routing/src/upstream.rs
+++ b/crates/sagespool-routing/src/upstream.rs
@@ -23,6 +23,8 @@
     pub(crate) is_near: bool,
     /// Healthy and not leaving: may get new work.
     pub(crate) takes_work: bool,
+    /// Its sidecar said that it is leaving; an incarnation doesn't come back from that.
+    pub(crate) has_left: bool,
     pub(crate) load: LoadView,
     pub(crate) ejection: EjectionState,
     /// Seconds to the first token where nothing waited before.
@@ -47,6 +49,7 @@
             capacity: 1,
             is_near: false,
             takes_work: false,
+            has_left: false,
             load: LoadView::default(),
             ejection: EjectionState::default(),
             first_token: SmoothedValue::default(),
@@ -66,7 +69,7 @@
         policy: &RoutingPolicy,
         now: ClockTime,
     ) -> bool {
-        let takes_work = served.healthy && !member.leaving;
+        let takes_work = served.healthy && !member.leaving && !self.has_left;
         let is_near = member.centre == *own_centre;
         let is_same = takes_work == self.takes_work
             && is_near == self.is_near
