--- a/crates/sagespool-testkit/src/lib.rs
+++ b/crates/sagespool-testkit/src/lib.rs
@@ -28,4 +28,3 @@
 pub use stand_server::StandError;
 pub use weight_store::{WeightLoad, WeightOptions, WeightStand};
 pub use witness::{RunEnd, RunMarker, RunRecord, RunStart, RunTally, TokenUse, WitnessLog};
-pub use stand_server::StartError;
--- a/crates/sagespool-testkit/src/proxy/tcp.rs
+++ b/crates/sagespool-testkit/src/proxy/tcp.rs
@@ -15,7 +15,7 @@
 
 use super::table::{DirectedPair, FaultTable};
 use super::threads::TaskSpawner;
-use crate::stand_server::StartError;
+use crate::loopback_server::StartError;
 
 const CHUNK_BYTES: usize = 16 << 10;
 
--- a/crates/sagespool-testkit/src/proxy/threads.rs
+++ b/crates/sagespool-testkit/src/proxy/threads.rs
@@ -8,7 +8,7 @@
 use error_stack::{Report, ResultExt};
 use smol::Executor;
 
-use crate::stand_server::StartError;
+use crate::loopback_server::StartError;
 
 const THREAD_COUNT: usize = 2;
 
--- a/crates/sagespool-testkit/src/proxy/udp.rs
+++ b/crates/sagespool-testkit/src/proxy/udp.rs
@@ -15,7 +15,7 @@
 use super::fate::packet_fate;
 use super::table::{DirectedPair, FaultTable};
 use super::threads::TaskSpawner;
-use crate::stand_server::StartError;
+use crate::loopback_server::StartError;
 
 /// The largest payload of a UDP packet, in bytes.
 const LARGEST_PACKET: usize = 65_535;
