--- a/crates/sagespool-entry/src/caller/completion.rs
+++ b/crates/sagespool-entry/src/caller/completion.rs
@@ -78,7 +78,9 @@
         CallFault::new(trillium::Status::NotFound, "unknown-model", format!("no model is called `{name}`"), help)
     };
     let name: ModelName = name.parse().map_err(|_| fault())?;
-    config.service_of_model(&name).ok_or_else(fault)
+    let service = config.service_of_model(&name).ok_or_else(fault)?;
+    let model = config.model(&name).ok_or_else(fault)?;
+    Ok((&service.name, model))
 }
 
 fn check_max_tokens(given: Option<i64>, model: &ModelEntry) -> Result<u32, CallFault> {
--- a/crates/sagespool-entry/src/caller/server.rs
+++ b/crates/sagespool-entry/src/caller/server.rs
@@ -133,7 +133,7 @@
     let branch = read_identity(conn.request_headers(), &config)?;
     check_branch(conn.request_headers(), &branch)?;
     let headers = read_headers(conn.request_headers(), &config)?;
-    let body = read_body(conn, state.settings.body_limit.0 as usize).await?;
+    let body = read_body(conn, state.settings.limits.body.0 as usize).await?;
     Ok(AcceptedCall { request, arrived, branch, headers, body, config })
 }
 
--- a/crates/sagespool-entry/src/caller/service_call.rs
+++ b/crates/sagespool-entry/src/caller/service_call.rs
@@ -81,12 +81,14 @@
     config: &FleetConfiguration,
 ) -> Result<ServiceCall, CallFault> {
     let service = find_service(name, config)?;
+    // A price is at most what fits, by the configuration's check.
+    let price = service.price.map_or(0, |price| u32::try_from(price.0).unwrap_or(u32::MAX));
     let target = CallTarget::Service {
         method: method.to_owned(),
         path: path.to_owned(),
         headers: passed_on(headers),
-        price: service.price,
+        price,
     };
     let content = ContentDigest::of(&format!("{name} {method} {path}"), body);
-    Ok(ServiceCall { service: service.name.clone(), target, content, price: service.price })
+    Ok(ServiceCall { service: service.name.clone(), target, content, price })
 }
--- a/crates/sagespool-entry/src/configuration.rs
+++ b/crates/sagespool-entry/src/configuration.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use sagespool_log::log_event;
-use sagespool_membership::AppliedVersions;
+use sagespool_membership::{AppliedVersions, VersionOffer};
 use sagespool_settings::{
     BranchObject, CONFIGURATION_PREFIX, FLEET_OBJECT_KEY, FleetConfiguration, FleetObject,
     check_branches, check_fleet,
 };
-use sagespool_types::{ClockTime, ConfigVersion, StoreRevision};
+use sagespool_types::{ConfigVersion, StoreRevision};
 use serde_json::Value;
 
 use crate::state::EntryState;
@@ -31,7 +31,7 @@
     /// Applies one object, unless a newer version of it is applied already or it is not valid: an
     /// answer that was long on its way must not undo a later change.
     fn apply(&mut self, key: &str, version: StoreRevision, value: Option<Value>) -> bool {
-        if !self.versions.accept(key, version) {
+        if self.versions.offer(key, version) != VersionOffer::Apply {
             return false;
         }
         self.newest = self.newest.max(version);
@@ -80,7 +80,7 @@
     state.config.replace(config);
     state.members.update_own(|own| own.config = version);
     state.apply_configuration();
-    log_event!(info, "configuration-applied", version = version, at = ClockTime::now());
+    log_event!(info, "configuration-applied", version = version);
 }
 
 /// Follows the configuration for the process's whole life: a reading of all objects, then watches;
@@ -93,6 +93,12 @@
             continue;
         };
         let mut changed = false;
+        // An object deleted while nobody watched isn't in the list: it is gone as of the list's revision.
+        for key in applied.branches.keys().cloned().collect::<Vec<_>>() {
+            if !listing.items.iter().any(|(listed, _)| *listed == key) {
+                changed |= applied.apply(&key, listing.revision, None);
+            }
+        }
         for (key, stored) in listing.items {
             changed |= applied.apply(&key, stored.version, Some(stored.value));
         }
--- a/crates/sagespool-entry/src/heartbeats.rs
+++ b/crates/sagespool-entry/src/heartbeats.rs
@@ -1,12 +1,13 @@
 //! Heartbeats with other processes, and the instance list as their seed.
 
-use std::sync::Arc;
+use std::collections::HashSet;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 use sagespool_membership::ListedAddress;
 use sagespool_messages::{MemberRole, PeerReply, PeerRequest};
 use sagespool_platform::ListedState;
-use sagespool_types::ClockTime;
+use sagespool_types::{ClockTime, IncarnationId};
 
 use crate::state::EntryState;
 
@@ -45,7 +46,13 @@
     for member in &live {
         state.upstreams.observe(member, now);
     }
-    state.upstreams.keep_only(&live);
+    let mut known = state.known_sidecars.lock().unwrap_or_else(PoisonError::into_inner);
+    let present: HashSet<IncarnationId> = live.iter().map(|member| member.incarnation).collect();
+    for gone in known.difference(&present) {
+        state.upstreams.remove(*gone);
+    }
+    *known = present;
+    drop(known);
     let entries = state.members.live(MemberRole::Entry, now).len();
     state.upstreams.set_entries(entries as u32);
 }
@@ -69,6 +76,9 @@
                 leaving: item.state == ListedState::Leaving,
             })
             .collect();
-        state.members.listed(&listed, ClockTime::now());
+        // The platform may say that this instance leaves before anybody told the process.
+        if state.members.listed(&listed, ClockTime::now()) {
+            state.members.update_own(|own| own.leaving = true);
+        }
     }
 }
--- a/crates/sagespool-entry/src/home/books.rs
+++ b/crates/sagespool-entry/src/home/books.rs
@@ -64,7 +64,7 @@
             }
         };
         let mut record = stored.value.clone();
-        if !state.ledger.apply(book, &mut record, ClockTime::now()) {
+        if !state.ledger.apply(book, &mut record, stored.version, state.objects.seen_revision(), ClockTime::now()) {
             *cached = Some(stored);
             return Ok(());
         }
--- a/crates/sagespool-entry/src/home/finish.rs
+++ b/crates/sagespool-entry/src/home/finish.rs
@@ -35,6 +35,7 @@
         state.ledger.witness(record, now);
     }
     state.budget_changed.notify(usize::MAX);
-    let charges: Vec<_> = report.charges.iter().map(|record| record.charge).collect();
+    let charges: Vec<_> =
+        report.charges.iter().map(|record| (record.branch.clone(), record.charge)).collect();
     ChargesDurable { charges: state.ledger.durable(&charges) }
 }
--- a/crates/sagespool-entry/src/lib.rs
+++ b/crates/sagespool-entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod configuration;
 mod heartbeats;
 pub mod home;
+mod operator;
 mod peers;
 mod role;
 pub mod run;
--- a/crates/sagespool-entry/src/run/attempt.rs
+++ b/crates/sagespool-entry/src/run/attempt.rs
@@ -163,13 +163,14 @@
             CallTarget::Completion { model, .. } => Some(model.clone()),
             CallTarget::Service { .. } => None,
         };
-        RouteWish {
-            service: self.order.service.clone(),
-            model,
-            prefix: self.order.prefix,
-            exclude: self.tried.clone(),
-            tokens: self.order.amount,
-        }
+        RouteWish::builder()
+            .service(self.order.service.clone())
+            .maybe_model(model)
+            .maybe_prefix(self.order.prefix)
+            .exclude(self.tried.clone())
+            .tokens(self.order.amount)
+            .may_probe(!self.order.non_idempotent)
+            .build()
     }
 
     /// An upstream to try: one not tried yet, else any, after a short wait for one to come back.
@@ -244,7 +245,7 @@
 
     async fn dispatch(&mut self, choice: &RouteChoice) -> DispatchOutcome {
         let started = ClockTime::now();
-        self.state.upstreams.started(choice.sidecar, started);
+        self.state.upstreams.started(choice, started);
         let request = PeerRequest::Dispatch(self.request(choice));
         let opened = self.state.link().open(choice.address, &request, self.time_left()).await;
         let mut stream = match opened {
@@ -311,10 +312,7 @@
                         PieceTaken::CallerGone => false,
                     }
                 }
-                DispatchEvent::End(end) => {
-                    self.note_first(first_token, choice, now);
-                    return DispatchOutcome::Ended(end);
-                }
+                DispatchEvent::End(end) => return DispatchOutcome::Ended(end),
             };
             if !taken && self.order.key.is_none() {
                 return DispatchOutcome::CallerGone;
@@ -335,7 +333,7 @@
             *first_token = Some(waited);
             let whole_wait = now.since(self.order.arrived);
             self.state.metrics.observe_first_token(&self.order.class, &self.order.branch, whole_wait);
-            self.state.upstreams.first_token(choice.sidecar, waited, now);
+            self.state.upstreams.first_token(choice, waited, now);
         } else {
             let gap = now.since(*last_piece);
             self.state.metrics.observe_between_tokens(&self.order.class, &self.order.branch, gap);
@@ -343,11 +341,6 @@
         *last_piece = now;
     }
 
-    fn note_first(&self, first_token: Option<Duration>, choice: &RouteChoice, now: ClockTime) {
-        let result = AttemptResult { first_token, outcome: AttemptOutcome::Answered };
-        self.state.upstreams.ended(choice.sidecar, result, now);
-    }
-
     /// Returns false if the caller is gone.
     async fn take_head(&mut self, status: u16, headers: Vec<sagespool_messages::HeaderPair>) -> bool {
         if self.head_sent {
@@ -399,10 +392,12 @@
                 self.judge_loss(choice, surely_not_sent, detail).await
             }
             DispatchOutcome::CallerGone => {
+                self.note_end(choice, AttemptOutcome::Cancelled);
                 self.maybe_ran = true;
                 Judgement::Ended(self.give_up(RefusalReason::OutcomeUnknown, "the caller went away".into()))
             }
             DispatchOutcome::TimedOut => {
+                self.note_end(choice, AttemptOutcome::Failed);
                 self.maybe_ran = true;
                 let message = "the deadline passed while it ran".into();
                 Judgement::Ended(self.give_up(RefusalReason::DeadlineExceeded, message))
@@ -413,9 +408,11 @@
     async fn judge_end(&mut self, choice: &RouteChoice, end: DispatchEnd) -> Judgement {
         match end {
             DispatchEnd::Whole { charge, stop } => {
+                self.note_end(choice, AttemptOutcome::Whole);
                 Judgement::Ended(AttemptEnd::Whole { charge, stop })
             }
             DispatchEnd::GrantUnusable(detail) => {
+                self.note_end(choice, AttemptOutcome::Refused);
                 log_event!(info, "grant-unusable", request = self.order.request, charge = self.reserved.charge, detail = detail);
                 if self.ran.is_some() || self.maybe_ran {
                     // Something may have run under this charge, so it can't be given back.
@@ -429,6 +426,7 @@
                 self.judge_break(choice, ran, crashed, detail).await
             }
             DispatchEnd::Cancelled { ran } => {
+                self.note_end(choice, AttemptOutcome::Cancelled);
                 self.keep_ran(ran);
                 let message = "it was stopped at its deadline, or cancelled".into();
                 Judgement::Ended(self.give_up(RefusalReason::DeadlineExceeded, message))
@@ -445,8 +443,11 @@
                 | RefusalReason::NoUpstream
                 | RefusalReason::LimitReached
         );
+        if !elsewhere {
+            self.note_end(choice, AttemptOutcome::Refused);
+        }
         if elsewhere && notice.run_state == RunState::NotRun {
-            self.note_failure(choice, AttemptOutcome::Refused);
+            self.note_end(choice, AttemptOutcome::Refused);
             self.tried.push(choice.sidecar);
             return Judgement::TryElsewhere(notice.message);
         }
@@ -465,9 +466,10 @@
         }
     }
 
-    fn note_failure(&self, choice: &RouteChoice, outcome: AttemptOutcome) {
+    /// Tells the routing table how an attempt ended; its first token was told when it came.
+    fn note_end(&self, choice: &RouteChoice, outcome: AttemptOutcome) {
         let result = AttemptResult { first_token: None, outcome };
-        self.state.upstreams.ended(choice.sidecar, result, ClockTime::now());
+        self.state.upstreams.ended(choice, &result, ClockTime::now());
     }
 
     async fn judge_break(
@@ -477,7 +479,8 @@
         crashed: bool,
         detail: String,
     ) -> Judgement {
-        self.note_failure(choice, if crashed { AttemptOutcome::Crashed } else { AttemptOutcome::Failed });
+        let outcome = if crashed { AttemptOutcome::Unreachable } else { AttemptOutcome::Failed };
+        self.note_end(choice, outcome);
         let did_run = ran.is_some();
         self.keep_ran(ran);
         if crashed && did_run {
@@ -508,7 +511,7 @@
     /// The link to the sidecar broke. What isn't sure not to have arrived may be running; a request
     /// that may never run twice isn't tried elsewhere then.
     async fn judge_loss(&mut self, choice: &RouteChoice, surely_not_sent: bool, detail: String) -> Judgement {
-        self.note_failure(choice, AttemptOutcome::Failed);
+        self.note_end(choice, AttemptOutcome::Unreachable);
         self.tried.push(choice.sidecar);
         if surely_not_sent {
             return Judgement::TryElsewhere(detail);
--- a/crates/sagespool-entry/src/state.rs
+++ b/crates/sagespool-entry/src/state.rs
@@ -1,18 +1,23 @@
 //! What all tasks of an entry share.
 
+use std::collections::HashSet;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock};
+use std::time::Duration;
 
 use event_listener::Event;
 use sagespool_claims::{CrashBoard, KeyBoard};
-use sagespool_ledger::HomeLedger;
+use sagespool_ledger::{BudgetMode, HeldBack, HomeLedger, LedgerPolicy};
 use sagespool_link::LinkEndpoint;
-use sagespool_membership::MemberTable;
+use sagespool_membership::{MemberTable, MembershipPolicy, first_number};
+use sagespool_messages::{MemberInfo, MemberRole};
 use sagespool_metrics::FleetMetrics;
-use sagespool_platform::{InstanceClient, ObjectClient};
-use sagespool_routing::{RetryBudget, UpstreamTable};
-use sagespool_settings::{EntrySettings, FleetConfiguration, ProcessSettings};
-use sagespool_types::{ClockTime, IncarnationId, ServiceName};
+use sagespool_platform::{InstanceClient, ObjectClient, ObjectOptions};
+use sagespool_routing::{PolicyKind, RetryBudget, RetryPolicy, RoutingPolicy, UpstreamTable};
+use sagespool_settings::{
+    BudgetChoice, EntrySettings, FleetConfiguration, ProcessSettings, RoutingChoice,
+};
+use sagespool_types::{ClockTime, ConfigVersion, IncarnationId, ServiceName, WallTime};
 
 use crate::home::{BookWriter, ClaimWriter};
 
@@ -35,6 +40,48 @@
     }
 }
 
+/// Claims are remembered so long until a configuration says otherwise.
+const DEFAULT_KEY_RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
+
+fn own_description(process: &ProcessSettings, incarnation: IncarnationId) -> MemberInfo {
+    MemberInfo {
+        instance: process.instance.clone(),
+        incarnation,
+        number: first_number(WallTime::now()),
+        role: MemberRole::Entry,
+        region: process.region.clone(),
+        centre: process.centre.clone(),
+        address: process.link.advertise.unwrap_or(process.link.listen),
+        leaving: false,
+        config: ConfigVersion::ZERO,
+        started_at: None,
+        serves: None,
+    }
+}
+
+fn routing_policy(settings: &EntrySettings, incarnation: IncarnationId) -> RoutingPolicy {
+    let kind = match settings.policy.routing {
+        RoutingChoice::Sagespool => PolicyKind::Sagespool,
+        RoutingChoice::RoundRobin => PolicyKind::RoundRobin,
+        RoutingChoice::LeastReportedLoad => PolicyKind::LeastReportedLoad,
+        RoutingChoice::TwoChoices => PolicyKind::TwoChoices,
+    };
+    RoutingPolicy::builder().kind(kind).seed(incarnation.0).build()
+}
+
+fn ledger_policy(settings: &EntrySettings) -> LedgerPolicy {
+    let mode = match settings.policy.budget {
+        BudgetChoice::Escrow => BudgetMode::Escrow,
+        BudgetChoice::StoreEachRequest => BudgetMode::EachRequest,
+        BudgetChoice::StaticSplit { entries } => BudgetMode::StaticSplit { entries },
+    };
+    LedgerPolicy::builder()
+        .mode(mode)
+        .settle_interval(settings.ledger.settle_interval)
+        .grant_ahead(settings.ledger.grant_ahead)
+        .build()
+}
+
 /// What all tasks of an entry share. Each part has its own locks.
 pub struct EntryState {
     /// The process's settings.
@@ -69,13 +116,80 @@
     pub run_done: Event,
     pub(crate) books: BookWriter,
     pub(crate) claims: ClaimWriter,
-    pub(crate) retries: Mutex<RetryBudget>,
+    pub(crate) retries: RetryBudget,
+    /// Sidecars that the routing table knows.
+    pub(crate) known_sidecars: Mutex<HashSet<IncarnationId>>,
     pub(crate) link: OnceLock<LinkEndpoint>,
     pub(crate) in_flight: AtomicU32,
     pub(crate) leaving: AtomicBool,
 }
 
 impl EntryState {
+    /// The state of an entry that has just been started and knows nobody yet.
+    pub(crate) fn new(process: ProcessSettings, settings: EntrySettings) -> Self {
+        let incarnation = IncarnationId::random();
+        let platform = &process.platform;
+        let token = platform.token.as_ref().map(|token| token.reveal().to_owned());
+        let objects = ObjectClient::new(
+            ObjectOptions::builder().address(platform.object_api).maybe_token(token.clone()).build(),
+        );
+        let instances = InstanceClient::new(platform.instance_list, token);
+        let own = own_description(&process, incarnation);
+        let members = MemberTable::new(own, MembershipPolicy::default(), incarnation.0);
+        members.seeds(&process.peers, ClockTime::now());
+        Self {
+            upstreams: UpstreamTable::new(routing_policy(&settings, incarnation), process.centre.clone()),
+            ledger: HomeLedger::new(incarnation, ledger_policy(&settings)),
+            keys: KeyBoard::new(ClockTime::now()),
+            crashes: CrashBoard::new(),
+            metrics: FleetMetrics::new(),
+            budget_changed: Event::new(),
+            run_done: Event::new(),
+            books: BookWriter::default(),
+            claims: ClaimWriter::default(),
+            retries: RetryBudget::new(RetryPolicy::default()),
+            known_sidecars: Mutex::default(),
+            link: OnceLock::new(),
+            in_flight: AtomicU32::new(0),
+            leaving: AtomicBool::new(false),
+            config: ConfigHolder::default(),
+            started: ClockTime::now(),
+            incarnation,
+            objects,
+            instances,
+            members,
+            process,
+            settings,
+        }
+    }
+
+    /// Takes the link once it listens, and tells the members its address.
+    pub(crate) fn take_link(&self, link: LinkEndpoint) {
+        let address = self.process.link.advertise.unwrap_or(link.local_address());
+        self.members.update_own(|own| own.address = address);
+        let taken = self.link.set(link);
+        assert!(taken.is_ok(), "the link is started once");
+    }
+
+    /// Brings what the configuration says of budgets to the ledger.
+    pub(crate) fn apply_configuration(&self) {
+        let Some(config) = self.config.current() else {
+            return;
+        };
+        self.metrics.set_config_version(config.version());
+        self.keys.set_retention(Duration::from_millis(config.fleet().answer_retention_ms));
+        for (branch, entry) in config.branches() {
+            let held = entry.held_back.iter().map(|held| HeldBack { class: held.class.clone(), tokens: held.tokens });
+            self.ledger.hold_back(branch, held.collect());
+        }
+    }
+
+    /// How long a claim is remembered.
+    pub(crate) fn key_retention(&self) -> Duration {
+        let config = self.config.current();
+        config.map_or(DEFAULT_KEY_RETENTION, |config| Duration::from_millis(config.fleet().key_retention_ms))
+    }
+
     /// The link to other processes.
     pub fn link(&self) -> &LinkEndpoint {
         self.link.get().expect("the link is started before anything is served")
@@ -114,8 +228,7 @@
     /// Whether another attempt is within the retry budget, so that failing upstreams aren't met
     /// with a storm of repeated requests.
     pub(crate) fn may_retry(&self, service: &ServiceName) -> bool {
-        let mut budget = self.retries.lock().unwrap_or_else(PoisonError::into_inner);
-        budget.take(service, ClockTime::now())
+        self.retries.try_retry(service, ClockTime::now())
     }
 
     /// Brings gauges up to the present before they are read.
@@ -123,7 +236,9 @@
         self.metrics.set_in_flight(u64::from(self.in_flight()));
         self.metrics.set_members(self.members.members().len() as u64);
         let counters = self.link().counters();
-        self.metrics.set_link_bytes(counters.control_bytes(), counters.payload_bytes());
+        let control = counters.control_sent + counters.control_received;
+        let payload = counters.payload_sent + counters.payload_received;
+        self.metrics.set_link_bytes(control.0, payload.0);
         let calls = self.objects.counters();
         self.metrics.set_store_calls(calls.reads, calls.writes, calls.watches);
     }
--- /dev/null
+++ b/crates/sagespool-testkit/src/fleet.rs
@@ -0,0 +1,16 @@
+//! A whole fleet on loopback: the stand-ins, and real processes of the daemon.
+
+mod binaries;
+mod certificates;
+mod deployment;
+mod member;
+mod options;
+mod running;
+mod settings_file;
+
+pub use binaries::{FleetBinaries, find_binaries};
+pub use certificates::CertificateSet;
+pub use deployment::{CentrePlan, DeploymentPlan, DepositPlan, ServicePlan, read_deployment};
+pub use member::FleetMember;
+pub use options::{FleetFault, FleetOptions};
+pub use running::RunningFleet;
--- /dev/null
+++ b/crates/sagespool-testkit/src/fleet/binaries.rs
@@ -0,0 +1,59 @@
+//! Finding the two binaries, and building them where cargo runs this.
+
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+use error_stack::{Report, ResultExt};
+
+use super::FleetFault;
+
+/// The two binaries of the project.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FleetBinaries {
+    /// The daemon.
+    pub daemon: PathBuf,
+    /// The operators' command line.
+    pub command: PathBuf,
+}
+
+/// The directory of the profile that this program was built in: `target/release` for
+/// `target/release/examples/fleet`.
+fn profile_directory() -> Option<PathBuf> {
+    let program = std::env::current_exe().ok()?;
+    let directory = program.parent()?;
+    let inner = ["examples", "deps"].iter().any(|name| directory.ends_with(name));
+    Some(if inner { directory.parent()?.to_owned() } else { directory.to_owned() })
+}
+
+fn build(cargo: &str, directory: &Path) -> Result<(), Report<FleetFault>> {
+    let fault = || FleetFault::new("building sagespoold and sagespool");
+    let mut command = Command::new(cargo);
+    command.args(["build", "--locked", "--quiet", "-p", "sagespool-daemon", "-p", "sagespool-cli"]);
+    if directory.ends_with("release") {
+        command.arg("--release");
+    }
+    let status = command.status().change_context_lazy(fault)?;
+    if !status.success() {
+        return Err(Report::new(fault()));
+    }
+    Ok(())
+}
+
+/// The binaries beside this program. Where cargo runs it, they are built first, so that an example
+/// needs no other step and never runs yesterday's daemon.
+///
+/// # Errors
+/// If they can't be built, or aren't there.
+pub fn find_binaries() -> Result<FleetBinaries, Report<FleetFault>> {
+    let missing = || FleetFault::new("looking for sagespoold beside this program");
+    let directory = profile_directory().ok_or_else(|| Report::new(missing()))?;
+    if let Ok(cargo) = std::env::var("CARGO") {
+        build(&cargo, &directory)?;
+    }
+    let daemon = directory.join("sagespoold");
+    let command = directory.join("sagespool");
+    if !daemon.exists() || !command.exists() {
+        return Err(Report::new(missing()));
+    }
+    Ok(FleetBinaries { daemon, command })
+}
--- /dev/null
+++ b/crates/sagespool-testkit/src/fleet/options.rs
@@ -0,0 +1,71 @@
+//! What a fleet is started with.
+
+use std::fmt;
+use std::time::Duration;
+
+use bon::Builder;
+use sagespool_settings::{BranchObject, FleetObject};
+
+use super::{DeploymentPlan, FleetBinaries};
+
+/// A fleet that couldn't be started, or didn't do what it was told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FleetFault {
+    /// What was being done.
+    pub doing: String,
+}
+
+impl FleetFault {
+    /// A fault in doing something.
+    pub fn new(doing: impl Into<String>) -> Self {
+        Self { doing: doing.into() }
+    }
+}
+
+impl fmt::Display for FleetFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the fleet failed while {}", self.doing)
+    }
+}
+
+impl std::error::Error for FleetFault {}
+
+/// What a fleet is started with.
+#[derive(Debug, Clone, Builder)]
+pub struct FleetOptions {
+    /// The two binaries.
+    pub binaries: FleetBinaries,
+    /// What runs where.
+    pub deployment: DeploymentPlan,
+    /// The fleet's object of the configuration.
+    pub fleet: FleetObject,
+    /// The branches.
+    pub branches: BranchObject,
+    /// Whether every link passes through the fault proxy.
+    #[builder(default = false)]
+    pub proxied: bool,
+    /// How an entry chooses upstreams, as settings name it.
+    #[builder(into, default = "sagespool")]
+    pub routing: String,
+    /// How an entry pays, as settings name it; `static-split` is completed by the entries' number.
+    #[builder(into, default = "escrow")]
+    pub budget: String,
+    /// How long a graceful stop waits.
+    #[builder(default = Duration::from_secs(10))]
+    pub stop_limit: Duration,
+    /// How often a home settles in the store.
+    #[builder(default = Duration::from_secs(5))]
+    pub settle_interval: Duration,
+    /// How far ahead grants are taken.
+    #[builder(default = Duration::from_secs(20))]
+    pub grant_ahead: Duration,
+    /// The least important level of the processes' logs.
+    #[builder(into, default = "info")]
+    pub log_level: String,
+    /// How late the instance list is.
+    #[builder(default = Duration::from_millis(500))]
+    pub list_lag: Duration,
+    /// Seed of the stand-ins' random choices.
+    #[builder(default = 1)]
+    pub seed: u64,
+}
--- a/crates/sagespool-testkit/src/proxy.rs
+++ b/crates/sagespool-testkit/src/proxy.rs
@@ -28,7 +28,7 @@
 
 use error_stack::Report;
 
-use crate::stand_server::StartError;
+use crate::loopback_server::StartError;
 use delay_line::DelayLine;
 use table::FaultTable;
 use tcp::TcpLink;
