--- /dev/null
+++ b/crates/sagespool-claims/src/keys.rs
@@ -0,0 +1,304 @@
+//! A home's memory of keys.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bon::Builder;
+use sagespool_messages::KeyState;
+use sagespool_types::{ClockTime, ContentDigest, IncarnationId, KeyDigest, RequestId};
+
+const SHARD_COUNT: usize = 16;
+
+/// How long a home remembers keys.
+#[derive(Debug, Clone, PartialEq, Builder)]
+pub struct KeyPolicy {
+    /// How long the answer to a key is kept after its request ended.
+    #[builder(default = Duration::from_secs(900))]
+    pub answer_retention: Duration,
+    /// How long a request may hold a key before it runs anywhere. After that
+    /// another may take it over; [`KeyBoard::place`] tells the first.
+    #[builder(default = Duration::from_secs(60))]
+    pub pending_limit: Duration,
+    /// How long a request may run without its end being reported.
+    #[builder(default = Duration::from_secs(2 * 3600))]
+    pub running_limit: Duration,
+}
+
+impl Default for KeyPolicy {
+    fn default() -> Self {
+        Self::builder().build()
+    }
+}
+
+/// What a home says to a request with a key.
+#[derive(Debug, Clone, PartialEq)]
+pub enum KeyDecision {
+    /// It was not run under this key, as far as a home can know: it now holds the key.
+    New,
+    /// The key stands for something else, or for a request that runs or ran.
+    Attach(KeyState),
+    /// This home has not been home for long enough to know: ask the sidecars.
+    /// The request holds the key meanwhile.
+    Unsure,
+}
+
+/// How a request under a key ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KeyOutcome {
+    /// Its answer is whole, and kept where it ran.
+    Whole,
+    /// It surely never ran: the key is free again.
+    NotRun,
+    /// It ran or may have, and its answer can't be had.
+    Unknown,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum KeyPlace {
+    Pending,
+    Running(IncarnationId),
+    Kept(IncarnationId),
+    Lost,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct KeyRecord {
+    request: RequestId,
+    content: ContentDigest,
+    place: KeyPlace,
+    since: ClockTime,
+}
+
+impl KeyRecord {
+    fn pending(request: RequestId, content: ContentDigest, now: ClockTime) -> Self {
+        Self { request, content, place: KeyPlace::Pending, since: now }
+    }
+
+    fn state(&self) -> KeyState {
+        match self.place {
+            KeyPlace::Pending => KeyState::Pending,
+            KeyPlace::Running(sidecar) | KeyPlace::Kept(sidecar) => {
+                KeyState::At { sidecar, request: self.request, content: self.content }
+            }
+            KeyPlace::Lost => KeyState::Unknown { request: self.request },
+        }
+    }
+
+    fn has_lapsed(&self, policy: &KeyPolicy, now: ClockTime) -> bool {
+        let limit = match self.place {
+            KeyPlace::Pending => policy.pending_limit,
+            KeyPlace::Running(_) => policy.running_limit,
+            KeyPlace::Kept(_) | KeyPlace::Lost => policy.answer_retention,
+        };
+        now.since(self.since) >= limit
+    }
+}
+
+type KeyShard = HashMap<KeyDigest, KeyRecord>;
+
+/// A home's memory of the keys of its branches, in shards under their own locks.
+///
+/// It spares callers a second run and the sidecars most questions. At-most-once
+/// doesn't rest on it: two processes that both think they are home each have a
+/// board, and the store's claims decide between them.
+#[derive(Debug)]
+pub struct KeyBoard {
+    policy: KeyPolicy,
+    started: ClockTime,
+    shards: Vec<Mutex<KeyShard>>,
+}
+
+impl KeyBoard {
+    /// A board that knows nothing of what was before `started`.
+    pub fn new(policy: KeyPolicy, started: ClockTime) -> Self {
+        let shards = (0..SHARD_COUNT).map(|_| Mutex::default()).collect();
+        Self { policy, started, shards }
+    }
+
+    fn shard(&self, key: KeyDigest) -> MutexGuard<'_, KeyShard> {
+        let place = (key.0 >> 64) as usize % SHARD_COUNT;
+        self.shards[place].lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A request with a key arrives at a process that has been home of its
+    /// branch ever since it started.
+    pub fn begin(
+        &self,
+        key: KeyDigest,
+        request: RequestId,
+        content: ContentDigest,
+        now: ClockTime,
+    ) -> KeyDecision {
+        self.begin_since(key, (request, content), self.started, now)
+    }
+
+    /// A request with a key arrives at a process that has been home of its
+    /// branch since `home_since`. What the home before it knew is not known
+    /// here, so that until the answers of its time have lapsed the sidecars
+    /// must be asked: else a caller whose entry died would get a second run.
+    pub fn begin_since(
+        &self,
+        key: KeyDigest,
+        (request, content): (RequestId, ContentDigest),
+        home_since: ClockTime,
+        now: ClockTime,
+    ) -> KeyDecision {
+        let mut shard = self.shard(key);
+        if let Some(decision) = self.known(&shard, key, request, content, now) {
+            return decision;
+        }
+        shard.insert(key, KeyRecord::pending(request, content, now));
+        let since = home_since.max(self.started);
+        if now.since(since) < self.policy.answer_retention {
+            return KeyDecision::Unsure;
+        }
+        KeyDecision::New
+    }
+
+    /// The sidecars were asked, and none knows the key. False if another
+    /// request holds the key meanwhile.
+    pub fn asked(&self, key: KeyDigest, request: RequestId, now: ClockTime) -> bool {
+        let mut shard = self.shard(key);
+        match shard.get_mut(&key) {
+            Some(record) if record.request == request => {
+                record.since = now;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// The sidecars were asked, and one knows the key.
+    pub fn found(&self, key: KeyDigest, state: &KeyState, now: ClockTime) {
+        let mut shard = self.shard(key);
+        match *state {
+            KeyState::At { sidecar, request, content } => {
+                let place = KeyPlace::Kept(sidecar);
+                shard.insert(key, KeyRecord { request, content, place, since: now });
+            }
+            KeyState::Unknown { request } => {
+                let Some(record) = shard.get_mut(&key) else { return };
+                *record = KeyRecord { request, place: KeyPlace::Lost, since: now, ..*record };
+            }
+            KeyState::OtherContent | KeyState::Pending => {}
+        }
+    }
+
+    fn known(
+        &self,
+        shard: &KeyShard,
+        key: KeyDigest,
+        request: RequestId,
+        content: ContentDigest,
+        now: ClockTime,
+    ) -> Option<KeyDecision> {
+        let record = shard.get(&key)?;
+        if record.has_lapsed(&self.policy, now) {
+            return None;
+        }
+        if record.content != content {
+            return Some(KeyDecision::Attach(KeyState::OtherContent));
+        }
+        if record.request == request && record.place == KeyPlace::Pending {
+            // The same message again: the answer to the first was lost.
+            return None;
+        }
+        Some(KeyDecision::Attach(record.state()))
+    }
+
+    /// A request is about to run on a sidecar. False if another request holds
+    /// the key meanwhile: this one must not run.
+    pub fn place(
+        &self,
+        key: KeyDigest,
+        request: RequestId,
+        sidecar: IncarnationId,
+        now: ClockTime,
+    ) -> bool {
+        let mut shard = self.shard(key);
+        match shard.get_mut(&key) {
+            Some(record) if record.request == request => {
+                record.place = KeyPlace::Running(sidecar);
+                record.since = now;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// A request under a key ended.
+    pub fn finished(
+        &self,
+        key: KeyDigest,
+        request: RequestId,
+        outcome: KeyOutcome,
+        now: ClockTime,
+    ) {
+        let mut shard = self.shard(key);
+        let Some(record) = shard.get_mut(&key) else { return };
+        if record.request != request {
+            return;
+        }
+        match (outcome, record.place) {
+            (KeyOutcome::NotRun, _) => {
+                shard.remove(&key);
+                return;
+            }
+            (KeyOutcome::Whole, KeyPlace::Running(sidecar) | KeyPlace::Kept(sidecar)) => {
+                record.place = KeyPlace::Kept(sidecar);
+            }
+            (KeyOutcome::Whole | KeyOutcome::Unknown, _) => record.place = KeyPlace::Lost,
+        }
+        record.since = now;
+    }
+
+    /// A request gives its key back without having run.
+    pub fn forget(&self, key: KeyDigest, request: RequestId) {
+        let mut shard = self.shard(key);
+        if shard.get(&key).is_some_and(|record| record.request == request) {
+            shard.remove(&key);
+        }
+    }
+
+    /// A sidecar's process is gone, and the answers that it kept with it.
+    pub fn sidecar_gone(&self, sidecar: IncarnationId, now: ClockTime) {
+        for shard in &self.shards {
+            let mut shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
+            for record in shard.values_mut() {
+                let here = [KeyPlace::Running(sidecar), KeyPlace::Kept(sidecar)];
+                if here.contains(&record.place) {
+                    record.place = KeyPlace::Lost;
+                    record.since = now;
+                }
+            }
+        }
+    }
+
+    /// What is known of a key, without taking it.
+    pub fn find(&self, key: KeyDigest, now: ClockTime) -> Option<KeyState> {
+        let shard = self.shard(key);
+        let record = shard.get(&key)?;
+        (!record.has_lapsed(&self.policy, now)).then(|| record.state())
+    }
+
+    /// Forgets what has lapsed; to be called every few seconds.
+    pub fn expire(&self, now: ClockTime) {
+        for shard in &self.shards {
+            let mut shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
+            shard.retain(|_, record| !record.has_lapsed(&self.policy, now));
+        }
+    }
+
+    /// How many keys are known.
+    pub fn len(&self) -> usize {
+        let count =
+            |shard: &Mutex<KeyShard>| shard.lock().unwrap_or_else(PoisonError::into_inner).len();
+        self.shards.iter().map(count).sum()
+    }
+
+    /// True if no key is known.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
