--- /dev/null
+++ b/crates/sagespool-cli/src/check.rs
@@ -0,0 +1,131 @@
+//! `sagespool check`: the same check that a process makes at its start.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use error_stack::{Report, ResultExt};
+use gumdrop::Options;
+use sagespool_settings::{
+    BranchObject, FleetConfiguration, FleetObject, SettingsError, SettingsFault, SettingsFaults,
+    load_process, read_branches, read_fleet,
+};
+use sagespool_types::ConfigVersion;
+use serde::Serialize;
+
+use crate::error::CommandError;
+
+/// Options of `sagespool check`.
+#[derive(Debug, Options)]
+pub struct CheckOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, help = "settings files of processes")]
+    settings: Vec<PathBuf>,
+    #[options(no_short, meta = "FILE", help = "a file with the classes and services")]
+    fleet: Option<PathBuf>,
+    #[options(no_short, meta = "FILE", help = "a file with branches; with --fleet, both together")]
+    branches: Option<PathBuf>,
+    #[options(no_short, help = "print one JSON document for programs")]
+    json: bool,
+}
+
+/// What was found in one file.
+#[derive(Serialize)]
+struct FileReport {
+    file: String,
+    holds: String,
+    faults: Vec<SettingsFault>,
+}
+
+/// Checks the files; exit code 0 if all are good, else 1.
+pub fn run(options: &CheckOptions) -> Result<ExitCode, Report<CommandError>> {
+    if options.settings.is_empty() && options.fleet.is_none() && options.branches.is_none() {
+        return Err(Report::new(CommandError::Usage {
+            message: "there is nothing to check",
+            help: "sagespool check FILE, or sagespool check --fleet FILE --branches FILE",
+        }));
+    }
+    let mut reports = Vec::new();
+    for path in &options.settings {
+        reports.push(check_settings(path)?);
+    }
+    check_configuration(options, &mut reports)?;
+    show_reports(&reports, options.json);
+    let good = reports.iter().all(|report| report.faults.is_empty());
+    Ok(if good { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn check_settings(path: &Path) -> Result<FileReport, Report<CommandError>> {
+    let report = match load_process(path) {
+        Ok(settings) => {
+            let holds = format!("settings of {} `{}`", settings.role.kind(), settings.instance);
+            return Ok(new_report(path, holds, Vec::new()));
+        }
+        Err(report) => report,
+    };
+    match report.current_context() {
+        SettingsError::Faulty(_, faults) => {
+            Ok(new_report(path, "settings".to_owned(), faults.faults.clone()))
+        }
+        SettingsError::Unreadable(_) => {
+            Err(report.change_context(CommandError::Unreadable(path.into())))
+        }
+    }
+}
+
+/// The objects by themselves, then what one refers to in the other.
+fn check_configuration(
+    options: &CheckOptions,
+    reports: &mut Vec<FileReport>,
+) -> Result<(), Report<CommandError>> {
+    let fleet =
+        check_object(options.fleet.as_deref(), "classes and services", read_fleet, reports)?;
+    let branches = check_object(options.branches.as_deref(), "branches", read_branches, reports)?;
+    if let (Some(fleet), Some(branches)) = (fleet, branches) {
+        let report = reports.last_mut().expect("the report on the branches is there");
+        report.faults = check_together(fleet, &branches);
+    }
+    Ok(())
+}
+
+fn check_object<T>(
+    path: Option<&Path>,
+    holds: &str,
+    read: fn(&str) -> Result<T, SettingsFaults>,
+    reports: &mut Vec<FileReport>,
+) -> Result<Option<T>, Report<CommandError>> {
+    let Some(path) = path else { return Ok(None) };
+    let text =
+        fs::read_to_string(path).change_context_lazy(|| CommandError::Unreadable(path.into()))?;
+    let (object, faults) = match read(&text) {
+        Ok(object) => (Some(object), Vec::new()),
+        Err(faults) => (None, faults.faults),
+    };
+    reports.push(new_report(path, holds.to_owned(), faults));
+    Ok(object)
+}
+
+fn check_together(fleet: FleetObject, branches: &BranchObject) -> Vec<SettingsFault> {
+    FleetConfiguration::build(ConfigVersion(0), fleet, [branches]).faults()
+}
+
+fn new_report(path: &Path, holds: String, faults: Vec<SettingsFault>) -> FileReport {
+    FileReport { file: path.display().to_string(), holds, faults }
+}
+
+fn show_reports(reports: &[FileReport], as_json: bool) {
+    if as_json {
+        let text = serde_json::to_string_pretty(reports).expect("a report is plain data");
+        println!("{text}");
+        return;
+    }
+    for report in reports {
+        if report.faults.is_empty() {
+            println!("{}: good, {}", report.file, report.holds);
+            continue;
+        }
+        let faults = SettingsFaults { faults: report.faults.clone() };
+        println!("{}: {}, {faults}", report.file, report.holds);
+    }
+}
--- /dev/null
+++ b/crates/sagespool-cli/src/error.rs
@@ -0,0 +1,68 @@
+//! Why a command couldn't do its work.
+
+use std::error::Error;
+use std::fmt;
+use std::path::PathBuf;
+
+use sagespool_types::ParseFault;
+
+/// Why a command couldn't do its work.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CommandError {
+    /// The command's arguments don't go together.
+    Usage {
+        /// What is wrong with them.
+        message: &'static str,
+        /// What to give instead.
+        help: &'static str,
+    },
+    /// One of the arguments is not what it should be.
+    Argument(ParseFault),
+    /// A name was given twice.
+    RepeatedName(String),
+    /// A file or directory can't be read.
+    Unreadable(PathBuf),
+    /// A file or directory can't be written.
+    Unwritable(PathBuf),
+    /// A certificate can't be made from what is there.
+    Certificate(String),
+}
+
+impl CommandError {
+    /// What a person can do about it.
+    pub fn help(&self) -> &'static str {
+        match self {
+            Self::Usage { help, .. } => help,
+            Self::Argument(fault) => fault.help,
+            Self::RepeatedName(_) => "give each name once",
+            Self::Unreadable(_) | Self::Unwritable(_) => "check the path and its permissions",
+            Self::Certificate(_) => {
+                "use an empty directory, or one that holds `authority.pem` and `authority.key` of \
+                 an earlier run"
+            }
+        }
+    }
+
+    /// The exit code of the process.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Usage { .. } | Self::Argument(_) | Self::RepeatedName(_) => crate::USAGE_FAULT,
+            _ => 1,
+        }
+    }
+}
+
+impl fmt::Display for CommandError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Usage { message, .. } => f.write_str(message),
+            Self::Argument(fault) => write!(f, "`{}` is not {}", fault.found, fault.wanted),
+            Self::RepeatedName(name) => write!(f, "the name `{name}` was given twice"),
+            Self::Unreadable(path) => write!(f, "can't read `{}`", path.display()),
+            Self::Unwritable(path) => write!(f, "can't write `{}`", path.display()),
+            Self::Certificate(detail) => write!(f, "can't make a certificate: {detail}"),
+        }
+    }
+}
+
+impl Error for CommandError {}
--- a/crates/sagespool-settings/src/fault.rs
+++ b/crates/sagespool-settings/src/fault.rs
@@ -3,8 +3,10 @@
 use std::error::Error;
 use std::fmt;
 
+use serde::Serialize;
+
 /// One fault.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct SettingsFault {
     /// Where it is, as a JSON path: `$.link.listen`, `$.peers[1]`.
     pub path: String,
@@ -13,6 +15,7 @@
     /// What is allowed there.
     pub allowed: String,
     /// For an unknown field or word: the nearest one that is known.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub nearest: Option<String>,
 }
 
