--- a/crates/sagespool-entry/src/caller/answer.rs
+++ b/crates/sagespool-entry/src/caller/answer.rs
@@ -174,7 +174,13 @@
     }))
 }
 
-fn closing_lines(call: &CompletionCall, request: &str, tokens: u32, billed: TokenCount, stop: StopCause) -> Vec<u8> {
+fn closing_lines(
+    call: &CompletionCall,
+    request: &str,
+    tokens: u32,
+    billed: TokenCount,
+    stop: StopCause,
+) -> Vec<u8> {
     let mut lines = event_line(&json!({
         "id": request,
         "object": "chat.completion.chunk",
@@ -232,8 +238,12 @@
                 tokens += more;
                 (chunk_line(&call, &id, &String::from_utf8_lossy(&data)), false)
             }
-            AnswerEvent::Whole { billed, stop } => (closing_lines(&call, &id, tokens, billed, stop), true),
-            AnswerEvent::Refused { notice, billed } => (error_lines(&notice, request, billed), true),
+            AnswerEvent::Whole { billed, stop } => {
+                (closing_lines(&call, &id, tokens, billed, stop), true)
+            }
+            AnswerEvent::Refused { notice, billed } => {
+                (error_lines(&notice, request, billed), true)
+            }
         };
         // A caller that went away drops the body and with it the channel; returning drops the
         // answers, which the run notices.
@@ -252,7 +262,8 @@
 
 fn with_service_headers(mut conn: Conn, headers: Vec<HeaderPair>) -> Conn {
     for pair in headers {
-        let own = ["content-length", "transfer-encoding", "connection", "keep-alive", "date", "server"];
+        let own =
+            ["content-length", "transfer-encoding", "connection", "keep-alive", "date", "server"];
         if own.contains(&pair.name.as_str()) {
             continue;
         }
@@ -262,7 +273,11 @@
 }
 
 /// A plain service's answer, whole: a broken one must be told from a whole one by its status.
-pub(super) async fn respond_service(mut conn: Conn, request: RequestId, answers: AnswerReceiver) -> Conn {
+pub(super) async fn respond_service(
+    mut conn: Conn,
+    request: RequestId,
+    answers: AnswerReceiver,
+) -> Conn {
     let Some(answer) = conn.cancel_on_disconnect(collect(answers)).await else {
         return conn;
     };
--- a/crates/sagespool-entry/src/caller/completion.rs
+++ b/crates/sagespool-entry/src/caller/completion.rs
@@ -59,7 +59,11 @@
     for (place, message) in messages.iter().enumerate() {
         if !ROLES.contains(&message.role.as_str()) {
             let text = format!("messages[{place}].role is `{}`", message.role);
-            return Err(CallFault::bad("message-role", text, format!("one of: {}", ROLES.join(", "))));
+            return Err(CallFault::bad(
+                "message-role",
+                text,
+                format!("one of: {}", ROLES.join(", ")),
+            ));
         }
     }
     if messages.iter().all(|message| message.content.is_empty()) {
@@ -75,7 +79,12 @@
     let fault = || {
         let known: Vec<String> = config.models().map(|model| model.name.to_string()).collect();
         let help = format!("one of: {}", known.join(", "));
-        CallFault::new(trillium::Status::NotFound, "unknown-model", format!("no model is called `{name}`"), help)
+        CallFault::new(
+            trillium::Status::NotFound,
+            "unknown-model",
+            format!("no model is called `{name}`"),
+            help,
+        )
     };
     let name: ModelName = name.parse().map_err(|_| fault())?;
     let service = config.service_of_model(&name).ok_or_else(fault)?;
--- a/crates/sagespool-entry/src/caller/fault.rs
+++ b/crates/sagespool-entry/src/caller/fault.rs
@@ -81,7 +81,11 @@
 }
 
 /// A refusal as the JSON that callers read.
-pub(super) fn refusal_body(notice: &RefusalNotice, request: RequestId, billed: TokenCount) -> Value {
+pub(super) fn refusal_body(
+    notice: &RefusalNotice,
+    request: RequestId,
+    billed: TokenCount,
+) -> Value {
     json!({"error": {
         "type": "refusal",
         "reason": notice.reason.as_str(),
--- a/crates/sagespool-entry/src/caller/headers.rs
+++ b/crates/sagespool-entry/src/caller/headers.rs
@@ -44,7 +44,8 @@
     let Some(key) = text(headers, "idempotency-key")? else {
         return Ok(None);
     };
-    let fits = !key.is_empty() && key.len() <= LONGEST_KEY && key.chars().all(|c| c.is_ascii_graphic());
+    let fits =
+        !key.is_empty() && key.len() <= LONGEST_KEY && key.chars().all(|c| c.is_ascii_graphic());
     if !fits {
         let message = format!("the idempotency key has {} characters or odd ones", key.len());
         let help = format!("1 to {LONGEST_KEY} printable ASCII characters without spaces");
--- a/crates/sagespool-entry/src/caller/identity.rs
+++ b/crates/sagespool-entry/src/caller/identity.rs
@@ -17,9 +17,8 @@
     headers: &Headers,
     config: &FleetConfiguration,
 ) -> Result<BranchName, CallFault> {
-    let missing = || {
-        CallFault::new(Status::Unauthorized, "missing-key", "no bearer key is given", KEY_HELP)
-    };
+    let missing =
+        || CallFault::new(Status::Unauthorized, "missing-key", "no bearer key is given", KEY_HELP);
     let unknown = || {
         CallFault::new(Status::Unauthorized, "unknown-key", "the key is not a branch's", KEY_HELP)
     };
--- a/crates/sagespool-entry/src/caller/server.rs
+++ b/crates/sagespool-entry/src/caller/server.rs
@@ -32,11 +32,7 @@
         let state = Arc::clone(&state);
         async move { route(state, conn).await }
     };
-    trillium_smol::config()
-        .with_socketaddr(listen)
-        .with_nodelay()
-        .without_signals()
-        .spawn(handler)
+    trillium_smol::config().with_socketaddr(listen).with_nodelay().without_signals().spawn(handler)
 }
 
 async fn route(state: Arc<EntryState>, conn: Conn) -> Conn {
@@ -114,7 +110,13 @@
     }
     let mut body = Vec::new();
     let reader = conn.request_body();
-    let unread = |error| CallFault::bad("unreadable-body", format!("the body can't be read: {error}"), "a whole body");
+    let unread = |error| {
+        CallFault::bad(
+            "unreadable-body",
+            format!("the body can't be read: {error}"),
+            "a whole body",
+        )
+    };
     reader.take(most as u64 + 1).read_to_end(&mut body).await.map_err(unread)?;
     if body.len() > most {
         return Err(too_large());
@@ -133,7 +135,7 @@
     let branch = read_identity(conn.request_headers(), &config)?;
     check_branch(conn.request_headers(), &branch)?;
     let headers = read_headers(conn.request_headers(), &config)?;
-    let body = read_body(conn, state.settings.limits.body.0 as usize).await?;
+    let body = read_body(conn, state.settings.body_limit.0 as usize).await?;
     Ok(AcceptedCall { request, arrived, branch, headers, body, config })
 }
 
@@ -151,7 +153,11 @@
         return Ok(());
     }
     let message = "a request that may never run twice needs an idempotency key";
-    Err(CallFault::bad("key-needed", message, "send `Idempotency-Key: KEY`, the same when sending again"))
+    Err(CallFault::bad(
+        "key-needed",
+        message,
+        "send `Idempotency-Key: KEY`, the same when sending again",
+    ))
 }
 
 /// What a call asks for, apart from what all calls have.
@@ -200,7 +206,8 @@
         Err(fault) => return fault.respond(conn, request),
     };
     let parsed = read_completion(&call.body, &call.config).and_then(|parsed| {
-        let declared = call.config.is_non_idempotent(&call.branch, &parsed.service, "POST", COMPLETIONS_PATH);
+        let declared =
+            call.config.is_non_idempotent(&call.branch, &parsed.service, "POST", COMPLETIONS_PATH);
         let non_idempotent = declared || call.headers.non_idempotent;
         check_key(&call.headers, non_idempotent)?;
         Ok((parsed, non_idempotent))
@@ -247,7 +254,8 @@
     let query = conn.querystring();
     let inner = if query.is_empty() { format!("/{inner}") } else { format!("/{inner}?{query}") };
     let method = conn.method().as_str();
-    let parsed = read_service_call(name, method, &inner, conn.request_headers(), &call.body, &call.config);
+    let parsed =
+        read_service_call(name, method, &inner, conn.request_headers(), &call.body, &call.config);
     let parsed = parsed.and_then(|parsed| {
         let declared = call.config.is_non_idempotent(&call.branch, &parsed.service, method, &inner);
         let non_idempotent = declared || call.headers.non_idempotent;
--- a/crates/sagespool-entry/src/home/books.rs
+++ b/crates/sagespool-entry/src/home/books.rs
@@ -33,7 +33,10 @@
     }
 }
 
-async fn read_book(state: &EntryState, book: BookNumber) -> Result<StoredObject<BookRecord>, StoreError> {
+async fn read_book(
+    state: &EntryState,
+    book: BookNumber,
+) -> Result<StoredObject<BookRecord>, StoreError> {
     let stored = state.objects.get::<BookRecord>(&book_key(book)).await?;
     let empty = || StoredObject { version: StoreRevision::ZERO, value: BookRecord::default() };
     Ok(stored.unwrap_or_else(empty))
@@ -47,7 +50,11 @@
 ///
 /// # Errors
 /// What the store said, after bounded tries.
-pub(crate) async fn write_book(state: &EntryState, book: BookNumber, fresh: bool) -> Result<(), StoreError> {
+pub(crate) async fn write_book(
+    state: &EntryState,
+    book: BookNumber,
+    fresh: bool,
+) -> Result<(), StoreError> {
     let held = state.books.book(book);
     let mut cached = held.lock().await;
     if fresh {
@@ -64,7 +71,13 @@
             }
         };
         let mut record = stored.value.clone();
-        if !state.ledger.apply(book, &mut record, stored.version, state.objects.seen_revision(), ClockTime::now()) {
+        if !state.ledger.apply(
+            book,
+            &mut record,
+            stored.version,
+            state.objects.seen_revision(),
+            ClockTime::now(),
+        ) {
             *cached = Some(stored);
             return Ok(());
         }
--- a/crates/sagespool-entry/src/home/claims.rs
+++ b/crates/sagespool-entry/src/home/claims.rs
@@ -1,34 +1,56 @@
 //! Claims: group commits to the store before a non-idempotent request runs.
 
 use std::collections::HashMap;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use async_channel::Sender;
-use sagespool_claims::{ClaimOutcome, ClaimWish, ClaimsRecord, claim_key, claim_shard};
+use sagespool_claims::{
+    BatchPolicy, ClaimBatch, ClaimEntry, ClaimVerdict, ClaimWish, ClaimsRecord, FencedClaim,
+    claim_key, claim_shard, earlier_run, refuse_claim, state_of,
+};
 use sagespool_log::log_event;
-use sagespool_messages::{ClaimReply, ClaimRequest, KeyState, RefusalNotice};
+use sagespool_messages::{
+    ClaimReply, ClaimRequest, KeyRequest, KeyState, PeerReply, PeerRequest, RefusalNotice,
+};
 use sagespool_platform::{StoreError, StoredObject};
-use sagespool_types::{ClockTime, RefusalReason, RunState, StoreRevision, WallTime};
+use sagespool_types::{
+    ClockTime, KeyDigest, RefusalReason, RequestId, RunState, StoreRevision, WallTime,
+};
 
 use crate::state::EntryState;
 
 const CONFLICT_TRIES: u32 = 20;
-/// How long the first claim of a batch waits for others to share its write.
-const BATCH_DELAY: Duration = Duration::from_millis(2);
-
-/// A claim that waits for its batch.
-struct WaitingClaim {
-    wish: ClaimWish,
-    reply: Sender<Result<ClaimOutcome, StoreError>>,
-}
-
-#[derive(Default)]
+/// A claim found taken is overturned at most so often, each time by another sidecar's word.
+const OVERTURN_TRIES: u32 = 3;
+const FENCE_LIMIT: Duration = Duration::from_secs(1);
+const RETRY_AFTER: Duration = Duration::from_secs(5);
+/// How long the writer sleeps at most while wishes wait for a store that is away.
+const WRITER_STEP: Duration = Duration::from_millis(50);
+
+/// The wishes for one shard of claims, and who waits for each.
 struct ClaimShard {
-    waiting: Vec<WaitingClaim>,
+    batch: ClaimBatch,
+    askers: HashMap<RequestId, Sender<ClaimVerdict>>,
     writing: bool,
 }
 
+impl ClaimShard {
+    fn new(retention: Duration) -> Self {
+        let policy = BatchPolicy::builder().retention(retention).build();
+        Self { batch: ClaimBatch::new(policy), askers: HashMap::new(), writing: false }
+    }
+
+    fn answer(&mut self, answers: Vec<sagespool_claims::ClaimAnswer>) {
+        for answer in answers {
+            if let Some(asker) = self.askers.remove(&answer.wish.request) {
+                // An asker that has gone leaves its claim standing; a retry finds it.
+                let _ = asker.try_send(answer.verdict);
+            }
+        }
+    }
+}
+
 /// The claims that wait for a write, by shard of the store.
 #[derive(Default)]
 pub(crate) struct ClaimWriter {
@@ -36,153 +58,187 @@
 }
 
 impl ClaimWriter {
-    /// Adds a claim; true if the caller has to write the shard.
-    fn add(&self, shard: u64, claim: WaitingClaim) -> bool {
-        let mut shards = self.shards.lock().unwrap_or_else(PoisonError::into_inner);
-        let entry = shards.entry(shard).or_default();
-        entry.waiting.push(claim);
-        !std::mem::replace(&mut entry.writing, true)
-    }
-
-    /// Takes the batch to write next; none ends the writing of the shard.
-    fn take(&self, shard: u64) -> Vec<WaitingClaim> {
-        let mut shards = self.shards.lock().unwrap_or_else(PoisonError::into_inner);
-        let entry = shards.entry(shard).or_default();
-        let batch = std::mem::take(&mut entry.waiting);
-        entry.writing = !batch.is_empty();
-        batch
+    fn shards(&self) -> MutexGuard<'_, HashMap<u64, ClaimShard>> {
+        self.shards.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 /// Places a keyed request at its sidecar: in the home's memory, and first in the store if it may
 /// never run twice.
-pub async fn claim(state: &EntryState, request: &ClaimRequest) -> ClaimReply {
-    let now = ClockTime::now();
+pub async fn claim(state: &Arc<EntryState>, request: &ClaimRequest) -> ClaimReply {
     if request.durable {
         let reply = claim_durably(state, request).await;
         if reply != ClaimReply::Durable {
             return reply;
         }
     }
-    state.keys.place(request.key, request.request, request.sidecar, now);
-    ClaimReply::Durable
+    place(state, request)
 }
 
-async fn claim_durably(state: &EntryState, request: &ClaimRequest) -> ClaimReply {
-    let (reply, answer) = async_channel::bounded(1);
-    let shard = claim_shard(request.key);
-    let first = state.claims.add(shard, WaitingClaim { wish: wish_of(request), reply });
-    if first {
-        write_shard(state, shard).await;
+fn place(state: &EntryState, request: &ClaimRequest) -> ClaimReply {
+    let now = ClockTime::now();
+    if state.keys.place(request.key, request.request, request.sidecar, now) {
+        return ClaimReply::Durable;
     }
-    // The writer may be another request's task that was dropped with its caller: its batch is then
-    // gone and the channel closed, which is told apart from a store that is away only in words.
-    let limit = request.time_left;
-    let outcome = futures_lite::future::or(async { answer.recv().await.ok() }, async {
-        smol::Timer::after(limit).await;
-        None
-    })
-    .await;
-    match outcome {
-        Some(Ok(outcome)) => reply_of(request, outcome),
-        Some(Err(error)) => ClaimReply::Refused(unreachable_notice(&error.to_string())),
-        None => ClaimReply::Refused(unreachable_notice("the deadline passed before it was durable")),
+    if let Some(known) = state.keys.find(request.key, now) {
+        return ClaimReply::Known(known);
     }
+    // The home that reserved for the request can't be reached, and this one stands in for it.
+    state.keys.begin(request.key, request.request, request.content, now);
+    state.keys.place(request.key, request.request, request.sidecar, now);
+    ClaimReply::Durable
 }
 
-fn wish_of(request: &ClaimRequest) -> ClaimWish {
-    ClaimWish {
-        key: request.key,
-        request: request.request,
-        content: request.content,
-        sidecar: request.sidecar,
-        attempt: request.attempt,
+async fn claim_durably(state: &Arc<EntryState>, request: &ClaimRequest) -> ClaimReply {
+    let mut wish = ClaimWish::of(request, state.incarnation);
+    for _ in 0..OVERTURN_TRIES {
+        match wish_for(state, wish.clone()).await {
+            ClaimVerdict::Durable => return ClaimReply::Durable,
+            ClaimVerdict::Taken(entry) => match ask_claimant(state, request, &entry).await {
+                Claimant::NeverRan(fenced) => wish = wish.overturning(fenced),
+                Claimant::Says(known) => return ClaimReply::Known(known),
+            },
+            verdict => return ClaimReply::Refused(refusal(state, request.key, &verdict)),
+        }
     }
+    ClaimReply::Known(KeyState::Pending)
 }
 
-/// True as it stands: only a durable claim is followed by a dispatch, so a request refused here
-/// has not run and won't.
-fn unreachable_notice(detail: &str) -> RefusalNotice {
-    RefusalNotice {
+fn refusal(state: &EntryState, key: KeyDigest, verdict: &ClaimVerdict) -> RefusalNotice {
+    let shards = state.claims.shards();
+    let absent_at = shards.get(&claim_shard(key)).and_then(|shard| shard.batch.absent_at(key));
+    drop(shards);
+    let earlier = earlier_run(absent_at, state.sole_since());
+    let notice = refuse_claim(verdict, earlier, RETRY_AFTER);
+    notice.unwrap_or_else(|| RefusalNotice {
         reason: RefusalReason::ClaimUnreachable,
-        run_state: RunState::NotRun,
-        message: format!("the claim that keeps the request from running twice can't be stored: {detail}"),
-        retry_after: Some(Duration::from_secs(5)),
+        run_state: RunState::Unknown,
+        message: "the claim on the key couldn't be settled".into(),
+        retry_after: Some(RETRY_AFTER),
+    })
+}
+
+/// What the sidecar of a claim in the way says of it.
+enum Claimant {
+    NeverRan(FencedClaim),
+    Says(KeyState),
+}
+
+/// Asks the sidecar that a claim names. The same incarnation that never saw the key refuses the
+/// claim's request from now on, so that the claim may be replaced; without its word it may not.
+async fn ask_claimant(state: &EntryState, request: &ClaimRequest, entry: &ClaimEntry) -> Claimant {
+    let unknown = || Claimant::Says(state_of(entry, request.content, None));
+    let Some(member) = state.members.find(entry.sidecar) else {
+        return unknown();
+    };
+    let service = member.serves.as_ref().map(|serves| serves.service.clone());
+    let Some(service) = service else {
+        return unknown();
+    };
+    let question = KeyRequest { service, key: request.key, fence: Some(entry.request) };
+    let asked =
+        state.link().ask(member.address, &PeerRequest::FindKey(question), FENCE_LIMIT).await;
+    let Ok(PeerReply::Key(reply)) = asked else {
+        return unknown();
+    };
+    if reply.sidecar != entry.sidecar {
+        return unknown();
+    }
+    match reply.known {
+        None => Claimant::NeverRan(FencedClaim { request: entry.request, sidecar: entry.sidecar }),
+        known => Claimant::Says(state_of(entry, request.content, known)),
     }
 }
 
-fn reply_of(request: &ClaimRequest, outcome: ClaimOutcome) -> ClaimReply {
-    match outcome {
-        ClaimOutcome::Claimed | ClaimOutcome::AlreadyMine => ClaimReply::Durable,
-        ClaimOutcome::Taken(entry) if entry.content != request.content => {
-            ClaimReply::Known(KeyState::OtherContent)
-        }
-        ClaimOutcome::Taken(entry) => ClaimReply::Known(KeyState::At {
-            sidecar: entry.sidecar,
-            request: entry.request,
-            content: entry.content,
-        }),
-        ClaimOutcome::Full => ClaimReply::Refused(RefusalNotice {
-            reason: RefusalReason::Overloaded,
-            run_state: RunState::NotRun,
-            message: "the record of claims is full; it empties as claims expire".into(),
-            retry_after: Some(Duration::from_secs(60)),
-        }),
+/// Hands a wish to the shard's writer, and waits for its verdict.
+async fn wish_for(state: &Arc<EntryState>, wish: ClaimWish) -> ClaimVerdict {
+    let (asker, answer) = async_channel::bounded(1);
+    let shard = claim_shard(wish.key);
+    let start = {
+        let mut shards = state.claims.shards();
+        let entry = shards.entry(shard).or_insert_with(|| ClaimShard::new(state.key_retention()));
+        entry.askers.insert(wish.request, asker);
+        entry.batch.add(wish, ClockTime::now());
+        !std::mem::replace(&mut entry.writing, true)
+    };
+    if start {
+        smol::spawn(run_shard(Arc::clone(state), shard)).detach();
     }
+    answer.recv().await.unwrap_or(ClaimVerdict::Lapsed)
 }
 
-/// Writes batches of a shard until none waits.
-async fn write_shard(state: &EntryState, shard: u64) {
+/// Writes a shard's batches until no wish waits.
+async fn run_shard(state: Arc<EntryState>, shard: u64) {
     loop {
-        smol::Timer::after(BATCH_DELAY).await;
-        let batch = state.claims.take(shard);
-        if batch.is_empty() {
-            return;
-        }
-        let outcomes = write_batch(state, shard, &batch).await;
-        for (waiting, outcome) in batch.iter().zip(outcomes) {
-            // The asker may have gone; its claim stands, and a retry finds it.
-            let _ = waiting.reply.try_send(outcome);
+        let step = {
+            let mut shards = state.claims.shards();
+            let Some(entry) = shards.get_mut(&shard) else {
+                return;
+            };
+            let now = ClockTime::now();
+            let lapsed = entry.batch.lapse(now);
+            entry.answer(lapsed);
+            if entry.batch.is_empty() {
+                entry.writing = false;
+                return;
+            }
+            match entry.batch.due_at() {
+                Some(due) if due <= now => {
+                    entry.batch.begin();
+                    None
+                }
+                Some(due) => Some(due.since(now).min(WRITER_STEP)),
+                None => Some(WRITER_STEP),
+            }
+        };
+        match step {
+            Some(wait) => {
+                smol::Timer::after(wait).await;
+            }
+            None => write_batch(&state, shard).await,
         }
     }
 }
 
 /// One conditional update for a batch. After an answer that was lost the record is read again; a
 /// claim that took effect is found there by its request's id.
-async fn write_batch(
-    state: &EntryState,
-    shard: u64,
-    batch: &[WaitingClaim],
-) -> Vec<Result<ClaimOutcome, StoreError>> {
+async fn write_batch(state: &EntryState, shard: u64) {
+    let outcome = store_batch(state, shard).await;
+    let mut shards = state.claims.shards();
+    let Some(entry) = shards.get_mut(&shard) else {
+        return;
+    };
+    match outcome {
+        Ok(record) => {
+            let answers = entry.batch.observe(record, ClockTime::now());
+            entry.answer(answers);
+        }
+        Err(error) => {
+            log_event!(warn, "claims-unwritten", shard = shard, error = error);
+            entry.batch.failed(ClockTime::now());
+        }
+    }
+}
+
+async fn store_batch(state: &EntryState, shard: u64) -> Result<ClaimsRecord, StoreError> {
     let key = claim_key(shard);
-    let mut last = StoreError::Unavailable;
     for _ in 0..CONFLICT_TRIES {
-        let stored = match state.objects.get::<ClaimsRecord>(&key).await {
-            Ok(stored) => stored.unwrap_or(StoredObject { version: StoreRevision::ZERO, value: ClaimsRecord::default() }),
-            Err(error) => {
-                last = error;
-                break;
-            }
+        let stored = state.objects.get::<ClaimsRecord>(&key).await?;
+        let empty =
+            || StoredObject { version: StoreRevision::ZERO, value: ClaimsRecord::default() };
+        let StoredObject { version, value: mut record } = stored.unwrap_or_else(empty);
+        let changed = {
+            let shards = state.claims.shards();
+            shards.get(&shard).is_some_and(|entry| entry.batch.apply(&mut record, WallTime::now()))
         };
-        let mut record = stored.value;
-        let outcomes: Vec<ClaimOutcome> = batch
-            .iter()
-            .map(|waiting| record.claim(&waiting.wish, WallTime::now(), state.key_retention()))
-            .collect();
-        if !outcomes.iter().any(|outcome| matches!(outcome, ClaimOutcome::Claimed)) {
-            return outcomes.into_iter().map(Ok).collect();
+        if !changed {
+            return Ok(record);
         }
-        match state.objects.put(&key, stored.version, &record).await {
-            Ok(_) => return outcomes.into_iter().map(Ok).collect(),
-            Err(error) => {
-                log_event!(info, "claims-again", shard = shard, error = error);
-                let again = matches!(error, StoreError::Conflict { .. } | StoreError::Uncertain);
-                last = error;
-                if !again {
-                    break;
-                }
-            }
+        match state.objects.put(&key, version, &record).await {
+            Ok(_) => return Ok(record),
+            Err(StoreError::Conflict { .. } | StoreError::Uncertain) => {}
+            Err(error) => return Err(error),
         }
     }
-    batch.iter().map(|_| Err(last.clone())).collect()
+    Err(StoreError::Unavailable)
 }
--- a/crates/sagespool-entry/src/home/crashes.rs
+++ b/crates/sagespool-entry/src/home/crashes.rs
@@ -3,16 +3,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sagespool_claims::{CrashVerdict, QuarantineRecord, QUARANTINE_KEY};
+use sagespool_claims::{CrashVerdict, QUARANTINE_KEY, QuarantineRecord, StopOutcome};
 use sagespool_log::log_event;
 use sagespool_messages::{CrashReport, MemberRole, PeerRequest};
-use sagespool_platform::StoreError;
-use sagespool_types::{ClockTime, ContentDigest, StoreRevision, WallTime};
+use sagespool_platform::{UpdateChoice, update_object};
+use sagespool_types::{ClockTime, WallTime};
 
 use crate::state::EntryState;
 
 const TELL_LIMIT: Duration = Duration::from_secs(1);
 const STORE_TRIES: u32 = 8;
+const STORE_LIMIT: Duration = Duration::from_secs(5);
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 const WATCH_PAUSE: Duration = Duration::from_secs(1);
 
@@ -40,40 +41,44 @@
 pub(crate) fn record_crash(state: &Arc<EntryState>, report: &CrashReport) {
     let verdict = state.crashes.record(report, ClockTime::now());
     log_event!(
-        warn, "upstream-crash", content = report.content, upstream = report.upstream,
-        attempt = report.attempt, verdict = format!("{verdict:?}")
+        warn,
+        "upstream-crash",
+        content = report.content,
+        upstream = report.upstream,
+        attempt = report.attempt,
+        verdict = format!("{verdict:?}")
     );
     if verdict == CrashVerdict::Stopped {
-        smol::spawn(keep_verdict(Arc::clone(state), report.content)).detach();
+        smol::spawn(keep_verdicts(Arc::clone(state))).detach();
     }
 }
 
-/// Keeps a verdict in the store, so that it outlives every entry.
-async fn keep_verdict(state: Arc<EntryState>, content: ContentDigest) {
+/// Keeps verdicts in the store, so that they outlive every entry.
+async fn keep_verdicts(state: Arc<EntryState>) {
     for _ in 0..STORE_TRIES {
-        let stored = match state.objects.get::<QuarantineRecord>(QUARANTINE_KEY).await {
-            Ok(stored) => stored,
-            Err(_) => {
-                smol::Timer::after(WATCH_PAUSE).await;
-                continue;
-            }
-        };
-        let (version, mut record) = match stored {
-            Some(stored) => (stored.version, stored.value),
-            None => (StoreRevision::ZERO, QuarantineRecord::default()),
-        };
-        if !record.stop(content, WallTime::now()) {
-            return;
-        }
-        match state.objects.put(QUARANTINE_KEY, version, &record).await {
-            Ok(_) => return,
-            Err(StoreError::Conflict { .. } | StoreError::Uncertain) => {}
-            Err(_) => {
-                smol::Timer::after(WATCH_PAUSE).await;
+        let kept = update_object(
+            &state.objects,
+            QUARANTINE_KEY,
+            STORE_LIMIT,
+            |record: &mut QuarantineRecord| {
+                let mut changed = false;
+                for (content, crashes) in state.crashes.unsaved() {
+                    changed |=
+                        record.stop(content, &crashes, WallTime::now()) != StopOutcome::Lifted;
+                }
+                if changed { UpdateChoice::Write } else { UpdateChoice::Keep }
+            },
+        )
+        .await;
+        match kept {
+            Ok(updated) => {
+                state.crashes.observe(&updated.value, ClockTime::now());
+                return;
             }
+            Err(error) => log_event!(warn, "verdict-unkept", error = error),
         }
+        smol::Timer::after(WATCH_PAUSE).await;
     }
-    log_event!(warn, "verdict-unkept", content = content);
 }
 
 /// Follows the store's record of stopped requests: those that other entries or earlier runs
@@ -85,18 +90,19 @@
             continue;
         };
         for (_, stored) in &listing.items {
-            state.crashes.adopt(&stored.value, ClockTime::now());
+            state.crashes.observe(&stored.value, ClockTime::now());
         }
         let mut after = listing.revision;
         loop {
-            let changes = state.objects.watch::<QuarantineRecord>(QUARANTINE_KEY, after, WATCH_WAIT).await;
+            let changes =
+                state.objects.watch::<QuarantineRecord>(QUARANTINE_KEY, after, WATCH_WAIT).await;
             let Ok(changes) = changes else {
                 smol::Timer::after(WATCH_PAUSE).await;
                 break;
             };
             after = changes.revision;
             for record in changes.changes.iter().filter_map(|change| change.value.as_ref()) {
-                state.crashes.adopt(record, ClockTime::now());
+                state.crashes.observe(record, ClockTime::now());
             }
         }
     }
--- a/crates/sagespool-entry/src/home/finish.rs
+++ b/crates/sagespool-entry/src/home/finish.rs
@@ -16,14 +16,19 @@
     state.budget_changed.notify(usize::MAX);
 }
 
-fn finish_key(state: &EntryState, report: &FinishReport, key: sagespool_types::KeyDigest, now: ClockTime) {
+fn finish_key(
+    state: &EntryState,
+    report: &FinishReport,
+    key: sagespool_types::KeyDigest,
+    now: ClockTime,
+) {
     match &report.state {
         FinishState::Ran(record) if record.whole => {
-            state.keys.finished(key, report.request, sagespool_claims::KeyOutcome::Answered, now);
+            state.keys.finished(key, report.request, sagespool_claims::KeyOutcome::Whole, now);
         }
         FinishState::NotRun | FinishState::GrantUnusable => state.keys.forget(key, report.request),
         FinishState::Ran(_) | FinishState::Unknown => {
-            state.keys.finished(key, report.request, sagespool_claims::KeyOutcome::Broken, now);
+            state.keys.finished(key, report.request, sagespool_claims::KeyOutcome::Unknown, now);
         }
     }
 }
--- a/crates/sagespool-entry/src/home/keys.rs
+++ b/crates/sagespool-entry/src/home/keys.rs
@@ -1,13 +1,14 @@
 //! Keys of callers: new, running, kept or unsure.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use sagespool_claims::KeyDecision;
+use sagespool_claims::{InquiryVerdict, KeyDecision, KeyInquiry};
 use sagespool_messages::{
     KeyReply, KeyRequest, KeyState, MemberRole, PeerReply, PeerRequest, RefusalNotice,
     ReserveRequest,
 };
-use sagespool_types::{ClockTime, KeyDigest, RefusalReason, RunState};
+use sagespool_types::{ClockTime, IncarnationId, KeyDigest, RefusalReason, RequestId, RunState};
 
 use crate::state::EntryState;
 
@@ -25,126 +26,146 @@
 
 /// Looks a key up. A home younger than the retention of answers can't know what an earlier home
 /// dispatched, so it asks the sidecars, which do.
-pub(super) async fn begin_key(state: &EntryState, order: &ReserveRequest, key: KeyDigest) -> KeyStart {
+pub(super) async fn begin_key(
+    state: &EntryState,
+    order: &ReserveRequest,
+    key: KeyDigest,
+) -> KeyStart {
     match state.keys.begin(key, order.request, order.content, ClockTime::now()) {
         KeyDecision::New => KeyStart::New,
+        KeyDecision::Unsure => ask_sidecars(state, order, key).await,
+        KeyDecision::Attach(KeyState::Unknown { request }) => {
+            run_again(state, order, key, request).await
+        }
         KeyDecision::Attach(KeyState::At { sidecar, request, content }) => {
-            check_place(state, order, key, KeyState::At { sidecar, request, content }).await
+            check_place(state, order, key, (sidecar, request, content)).await
         }
         KeyDecision::Attach(known) => KeyStart::Known(known),
-        KeyDecision::Unsure => ask_sidecars(state, order, key).await,
     }
 }
 
-/// A key placed at a sidecar that knows nothing of it any more, or whose run broke with nobody left
-/// to try again, is free for a new run if it may run twice.
+/// A key placed at a sidecar may have lost its run since: the sidecar is gone, or the run broke and
+/// its entry with it. The sidecar's own word decides.
 async fn check_place(
     state: &EntryState,
     order: &ReserveRequest,
     key: KeyDigest,
-    known: KeyState,
+    place: (IncarnationId, RequestId, sagespool_types::ContentDigest),
 ) -> KeyStart {
-    let KeyState::At { sidecar, request, .. } = known else {
-        return KeyStart::Known(known);
-    };
+    let (sidecar, request, content) = place;
+    let known = KeyState::At { sidecar, request, content };
+    let gone = || state.members.is_gone(sidecar, ClockTime::now());
     let Some(member) = state.members.find(sidecar) else {
-        return lost_place(state, order, key, request);
+        return if gone() {
+            run_again(state, order, key, request).await
+        } else {
+            KeyStart::Known(known)
+        };
     };
     let question = KeyRequest { service: order.service.clone(), key, fence: None };
     match ask_sidecar(state, member.address, question).await {
-        Some(reply) if reply.sidecar == sidecar => match reply.known {
-            Some(KeyState::Unknown { request }) => lost_place(state, order, key, request),
-            Some(_) => KeyStart::Known(known),
-            None => KeyStart::Known(KeyState::Pending),
-        },
-        _ if state.members.is_gone(sidecar, ClockTime::now()) => lost_place(state, order, key, request),
-        _ => KeyStart::Known(KeyState::Pending),
+        Some(reply) if reply.sidecar != sidecar => run_again(state, order, key, request).await,
+        Some(KeyReply { known: Some(KeyState::Unknown { request }), .. }) => {
+            run_again(state, order, key, request).await
+        }
+        // Placed, and not dispatched yet or never: its entry is about to tell.
+        Some(KeyReply { known: None, .. }) => KeyStart::Known(KeyState::Pending),
+        Some(_) => KeyStart::Known(known),
+        None if gone() => run_again(state, order, key, request).await,
+        None => KeyStart::Known(KeyState::Pending),
     }
 }
 
-fn lost_place(
+/// A run whose answer can't be had any more: it is run again if it may run twice.
+async fn run_again(
     state: &EntryState,
     order: &ReserveRequest,
     key: KeyDigest,
-    request: sagespool_types::RequestId,
+    lost: RequestId,
 ) -> KeyStart {
     if order.non_idempotent {
-        return KeyStart::Known(KeyState::Unknown { request });
-    }
-    if !state.keys.run_ended(key) {
-        return KeyStart::Known(KeyState::Pending);
+        return KeyStart::Known(KeyState::Unknown { request: lost });
     }
-    state.keys.forget(key, request);
-    match state.keys.restart(key, order.request, order.content, ClockTime::now()) {
-        true => KeyStart::New,
-        false => KeyStart::Known(KeyState::Pending),
+    state.keys.forget(key, lost);
+    match state.keys.begin(key, order.request, order.content, ClockTime::now()) {
+        KeyDecision::New => KeyStart::New,
+        KeyDecision::Unsure => ask_sidecars(state, order, key).await,
+        KeyDecision::Attach(_) => KeyStart::Known(KeyState::Pending),
     }
 }
 
-async fn ask_sidecar(state: &EntryState, address: std::net::SocketAddr, question: KeyRequest) -> Option<KeyReply> {
+async fn ask_sidecar(
+    state: &EntryState,
+    address: SocketAddr,
+    question: KeyRequest,
+) -> Option<KeyReply> {
     match state.link().ask(address, &PeerRequest::FindKey(question), FIND_LIMIT).await {
         Ok(PeerReply::Key(reply)) => Some(reply),
         _ => None,
     }
 }
 
-/// Asks every sidecar of the service. One that can't be asked and isn't known to be gone may be
-/// running the request, so the honest answer is that the outcome isn't known.
+/// Asks every sidecar of the service.
 async fn ask_sidecars(state: &EntryState, order: &ReserveRequest, key: KeyDigest) -> KeyStart {
     let sidecars = state.members.live(MemberRole::Sidecar, ClockTime::now());
     let serving = sidecars.into_iter().filter(|member| {
         member.serves.as_ref().is_some_and(|serves| serves.service == order.service)
     });
+    let serving: Vec<_> = serving.collect();
+    let ids: Vec<IncarnationId> = serving.iter().map(|member| member.incarnation).collect();
+    let mut inquiry = KeyInquiry::new(ids, []);
     let mut asked = Vec::new();
     for member in serving {
         let question = KeyRequest { service: order.service.clone(), key, fence: None };
         let link = state.link().clone();
         let task = smol::spawn(async move {
             let request = PeerRequest::FindKey(question);
-            match link.ask(member.address, &request, FIND_LIMIT).await {
-                Ok(PeerReply::Key(reply)) => Ok(reply),
-                _ => Err(member.incarnation),
-            }
+            let reply = link.ask(member.address, &request, FIND_LIMIT).await;
+            (member.incarnation, reply)
         });
         asked.push(task);
     }
-    let mut found = None;
-    let mut silent = Vec::new();
     for task in asked {
         match task.await {
-            Ok(reply) => found = better_state(found, reply.known),
-            Err(incarnation) => silent.push(incarnation),
+            (incarnation, Ok(PeerReply::Key(reply))) => inquiry.replied(incarnation, &reply),
+            (incarnation, _) => inquiry.failed(incarnation),
         }
     }
+    judge_inquiry(state, order, key, inquiry.verdict())
+}
+
+/// One that can't be asked and isn't known to be gone may be running the request: for a request that
+/// may run twice the honest answer then is that the outcome isn't known, since a second run would be
+/// a second bill. For one that may not, the store's claim decides.
+fn judge_inquiry(
+    state: &EntryState,
+    order: &ReserveRequest,
+    key: KeyDigest,
+    verdict: InquiryVerdict,
+) -> KeyStart {
     let now = ClockTime::now();
-    if let Some(known) = found {
-        if let KeyState::At { sidecar, request, content } = &known {
-            state.keys.learn(key, *request, *content, *sidecar, now);
+    let silent = match verdict {
+        InquiryVerdict::Found(KeyState::Unknown { .. }) if !order.non_idempotent => Vec::new(),
+        InquiryVerdict::Found(known) => {
+            state.keys.found(key, &known, now);
             return KeyStart::Known(known);
         }
-        if order.non_idempotent || known == KeyState::OtherContent {
-            return KeyStart::Known(known);
-        }
-    }
-    if silent.iter().any(|incarnation| !state.members.is_gone(*incarnation, now)) {
+        InquiryVerdict::Nowhere | InquiryVerdict::Open => Vec::new(),
+        InquiryVerdict::Incomplete(silent) => silent,
+    };
+    let unsure = silent.iter().any(|incarnation| !state.members.is_gone(*incarnation, now));
+    if unsure && !order.non_idempotent {
         state.keys.forget(key, order.request);
         return KeyStart::Refused(RefusalNotice {
             reason: RefusalReason::OutcomeUnknown,
             run_state: RunState::Unknown,
-            message: "an upstream that may be running a request with this key can't be asked".into(),
+            message: "an upstream that may be running a request with this key can't be asked"
+                .into(),
             retry_after: Some(Duration::from_secs(2)),
         });
     }
-    match state.keys.restart(key, order.request, order.content, now) {
+    match state.keys.asked(key, order.request, now) {
         true => KeyStart::New,
         false => KeyStart::Known(KeyState::Pending),
     }
 }
-
-/// A place to attach to is worth more than a note that something ran.
-fn better_state(old: Option<KeyState>, new: Option<KeyState>) -> Option<KeyState> {
-    match (&old, &new) {
-        (Some(KeyState::At { .. }), _) | (_, None) => old,
-        _ => new,
-    }
-}
--- a/crates/sagespool-entry/src/home/mod.rs
+++ b/crates/sagespool-entry/src/home/mod.rs
@@ -16,5 +16,5 @@
 pub use finish::finish;
 pub(crate) use finish::take_report;
 pub(crate) use recall::give_back;
-pub(crate) use recovery::{resolve_orphans, run_recovery};
+pub(crate) use recovery::run_recovery;
 pub use reserve::reserve;
--- a/crates/sagespool-entry/src/home/recall.rs
+++ b/crates/sagespool-entry/src/home/recall.rs
@@ -42,7 +42,9 @@
             continue;
         };
         let (link, request) = (state.link().clone(), request.clone());
-        asked.push(smol::spawn(async move { ask_holder(&link, member.address, &request, limit).await }));
+        asked.push(smol::spawn(
+            async move { ask_holder(&link, member.address, &request, limit).await },
+        ));
     }
     let mut sum = RecallSum::default();
     for reply in asked {
--- a/crates/sagespool-entry/src/home/recovery.rs
+++ b/crates/sagespool-entry/src/home/recovery.rs
@@ -97,7 +97,10 @@
             Ok(Some(stored)) => {
                 let found = stored.value.outstanding_of(|holder| is_dead(state, holder));
                 let undoubted = found.into_iter().filter(|(branch, grant)| {
-                    stored.value.branches[branch].grants.get(grant).is_some_and(|grant| !grant.in_doubt)
+                    stored.value.branches[branch]
+                        .grants
+                        .get(grant)
+                        .is_some_and(|grant| !grant.in_doubt)
                 });
                 let undoubted: Vec<_> = undoubted.collect();
                 if !undoubted.is_empty() {
@@ -126,7 +129,11 @@
 }
 
 /// Seals the grants in the book, then at every sidecar, and settles what the sidecars list.
-async fn recover_book(state: &Arc<EntryState>, book: BookNumber, grants: Vec<(BranchName, GrantId)>) {
+async fn recover_book(
+    state: &Arc<EntryState>,
+    book: BookNumber,
+    grants: Vec<(BranchName, GrantId)>,
+) {
     let sealed = seal_in_book(state, book, &grants).await;
     let Ok(asked_at) = sealed else {
         return;
@@ -154,14 +161,15 @@
     grants: &[(BranchName, GrantId)],
 ) -> Result<Vec<(BranchName, GrantId, StoreRevision)>, StoreError> {
     let own = state.incarnation;
-    let updated = update_object(&state.objects, &book_key(book), UPDATE_LIMIT, |record: &mut BookRecord| {
-        let mut changed = false;
-        for (branch, grant) in grants {
-            changed |= record.seal(branch, grant, own);
-        }
-        if changed { UpdateChoice::Write } else { UpdateChoice::Keep }
-    })
-    .await?;
+    let updated =
+        update_object(&state.objects, &book_key(book), UPDATE_LIMIT, |record: &mut BookRecord| {
+            let mut changed = false;
+            for (branch, grant) in grants {
+                changed |= record.seal(branch, grant, own);
+            }
+            if changed { UpdateChoice::Write } else { UpdateChoice::Keep }
+        })
+        .await?;
     state.ledger.observe(book, &updated.value, updated.version, ClockTime::now());
     let mut outstanding = Vec::new();
     for (branch, grant) in grants {
@@ -174,7 +182,11 @@
 }
 
 async fn ask_sidecars(state: &Arc<EntryState>, case: &mut RecoveryCase, sidecars: &[MemberInfo]) {
-    let request = SealRequest { grant: case.grant, scope: SealScope::WholeGrant, reporter: state.incarnation };
+    let request = SealRequest {
+        grant: case.grant,
+        scope: SealScope::WholeGrant,
+        reporter: state.incarnation,
+    };
     let replies = ask_all(state, sidecars, request).await;
     for (sidecar, reply) in replies {
         match reply {
@@ -194,7 +206,8 @@
     for member in sidecars {
         let (state, request, member) = (Arc::clone(state), request.clone(), member.clone());
         let task = smol::spawn(async move {
-            let reply = state.link().ask(member.address, &PeerRequest::Seal(request), SEAL_LIMIT).await;
+            let reply =
+                state.link().ask(member.address, &PeerRequest::Seal(request), SEAL_LIMIT).await;
             match reply {
                 Ok(PeerReply::Seal(reply)) => (member.incarnation, Some(reply)),
                 _ => (member.incarnation, None),
@@ -212,14 +225,15 @@
 /// Settles what is accounted for, and closes or doubts what is complete.
 async fn settle_cases(state: &EntryState, case: &BookCase) {
     let book = case.book;
-    let updated = update_object(&state.objects, &book_key(book), UPDATE_LIMIT, |record: &mut BookRecord| {
-        let mut changed = false;
-        for case in &case.cases {
-            changed |= settle_case(record, case);
-        }
-        if changed { UpdateChoice::Write } else { UpdateChoice::Keep }
-    })
-    .await;
+    let updated =
+        update_object(&state.objects, &book_key(book), UPDATE_LIMIT, |record: &mut BookRecord| {
+            let mut changed = false;
+            for case in &case.cases {
+                changed |= settle_case(record, case);
+            }
+            if changed { UpdateChoice::Write } else { UpdateChoice::Keep }
+        })
+        .await;
     match updated {
         Ok(updated) => {
             state.ledger.observe(book, &updated.value, updated.version, ClockTime::now());
@@ -230,7 +244,13 @@
                     RecoveryVerdict::Wait(_) => "waiting",
                     RecoveryVerdict::Doubt(_) => "in-doubt",
                 };
-                log_event!(info, "grant-recovery", grant = case.grant, branch = case.branch, verdict = verdict);
+                log_event!(
+                    info,
+                    "grant-recovery",
+                    grant = case.grant,
+                    branch = case.branch,
+                    verdict = verdict
+                );
             }
         }
         Err(error) => log_event!(warn, "grant-recovery-failed", book = book, error = error),
@@ -239,8 +259,9 @@
 
 fn settle_case(record: &mut BookRecord, case: &RecoveryCase) -> bool {
     let verdict = case.verdict();
-    let (RecoveryVerdict::Close(charges) | RecoveryVerdict::Wait(charges) | RecoveryVerdict::Doubt(charges)) =
-        &verdict;
+    let (RecoveryVerdict::Close(charges)
+    | RecoveryVerdict::Wait(charges)
+    | RecoveryVerdict::Doubt(charges)) = &verdict;
     let mut changed = false;
     for (charge, used) in charges {
         changed |= record.settle(&case.branch, charge, *used);
@@ -254,7 +275,7 @@
 
 /// Ends reservations whose entry is gone: every sidecar says what it ran under them, and starts
 /// nothing more. One that can't be asked keeps them reserved until it answers.
-pub(crate) async fn resolve_orphans(state: &Arc<EntryState>, orphans: Vec<OrphanCharge>) {
+async fn resolve_orphans(state: &Arc<EntryState>, orphans: Vec<OrphanCharge>) {
     let mut by_grant: HashMap<GrantId, Vec<OrphanCharge>> = HashMap::new();
     for orphan in orphans {
         by_grant.entry(orphan.charge.grant).or_default().push(orphan);
@@ -266,8 +287,11 @@
         let request = SealRequest { grant, scope, reporter: state.incarnation };
         let replies = ask_all(state, &sidecars, request).await;
         let whole = replies.iter().all(|(_, reply)| reply.is_some());
-        let records: Vec<ChargeRecord> =
-            replies.into_iter().filter_map(|(_, reply)| reply).flat_map(|reply| reply.charges).collect();
+        let records: Vec<ChargeRecord> = replies
+            .into_iter()
+            .filter_map(|(_, reply)| reply)
+            .flat_map(|reply| reply.charges)
+            .collect();
         for orphan in orphans {
             resolve_orphan(state, &orphan, &records, whole);
         }
@@ -275,7 +299,12 @@
     state.budget_changed.notify(usize::MAX);
 }
 
-fn resolve_orphan(state: &EntryState, orphan: &OrphanCharge, records: &[ChargeRecord], whole: bool) {
+fn resolve_orphan(
+    state: &EntryState,
+    orphan: &OrphanCharge,
+    records: &[ChargeRecord],
+    whole: bool,
+) {
     let own = records.iter().filter(|record| record.charge == orphan.charge);
     let newest = own.max_by_key(|record| (record.attempt, record.used));
     match newest {
--- a/crates/sagespool-entry/src/home/reserve.rs
+++ b/crates/sagespool-entry/src/home/reserve.rs
@@ -1,5 +1,6 @@
 //! Reserving a request's cost, and the honest refusal where the fleet can't pay.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use sagespool_ledger::{ReserveDecision, ShortNotice, book_of};
@@ -19,7 +20,7 @@
 
 /// Reserves a request's greatest possible cost for an entry, or says what is known of its key, or
 /// refuses.
-pub async fn reserve(state: &EntryState, order: &ReserveRequest) -> ReserveReply {
+pub async fn reserve(state: &Arc<EntryState>, order: &ReserveRequest) -> ReserveReply {
     if state.is_leaving() && order.entry != state.incarnation {
         return ReserveReply::NotHome;
     }
@@ -78,7 +79,8 @@
         }
         if !tries.recalled && !short.others.is_empty() {
             tries.recalled = true;
-            let recalled = recall_others(state, &order.branch, short.missing, &short.others, deadline).await;
+            let recalled =
+                recall_others(state, &order.branch, short.missing, &short.others, deadline).await;
             tries.others_running = recalled.running;
             tries.book_read = false;
             continue;
@@ -105,7 +107,12 @@
 }
 
 /// Asks the store for more, on the book as it is now: a top-up may just have come.
-async fn ask_book(state: &EntryState, order: &ReserveRequest, tries: &mut ShortTries, deadline: ClockTime) {
+async fn ask_book(
+    state: &EntryState,
+    order: &ReserveRequest,
+    tries: &mut ShortTries,
+    deadline: ClockTime,
+) {
     tries.book_read = true;
     state.ledger.urgent(&order.branch, order.amount, ClockTime::now());
     let left = deadline.since(ClockTime::now());
--- a/crates/sagespool-entry/src/operator.rs
+++ b/crates/sagespool-entry/src/operator.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use trillium::{Conn, Status};
 use sagespool_types::RequestId;
+use trillium::{Conn, Status};
 
 use crate::caller::CallFault;
 use crate::state::EntryState;
--- a/crates/sagespool-entry/src/role.rs
+++ b/crates/sagespool-entry/src/role.rs
@@ -51,7 +51,10 @@
     ///
     /// # Errors
     /// If the certificates can't be read or an address can't be taken.
-    pub fn start(process: ProcessSettings, settings: EntrySettings) -> Result<Self, Report<RoleFault>> {
+    pub fn start(
+        process: ProcessSettings,
+        settings: EntrySettings,
+    ) -> Result<Self, Report<RoleFault>> {
         let fault = |doing| RoleFault { doing };
         let files = &process.link;
         let identity = LinkIdentity::from_files(&files.certificate, &files.key, &files.authority)
@@ -64,8 +67,11 @@
         start_tasks(&state);
         let server = caller::serve(Arc::clone(&state), state.process.http.listen);
         log_event!(
-            info, "entry-started", instance = state.process.instance,
-            incarnation = state.incarnation, centre = state.process.centre
+            info,
+            "entry-started",
+            instance = state.process.instance,
+            incarnation = state.incarnation,
+            centre = state.process.centre
         );
         Ok(Self { state, server })
     }
--- a/crates/sagespool-entry/src/run/attach.rs
+++ b/crates/sagespool-entry/src/run/attach.rs
@@ -110,7 +110,11 @@
             DispatchEvent::End(end) => return end_of(end, passed),
         };
         if !sent {
-            return refused(RefusalReason::OutcomeUnknown, RunState::Unknown, "the caller went away");
+            return refused(
+                RefusalReason::OutcomeUnknown,
+                RunState::Unknown,
+                "the caller went away",
+            );
         }
     }
 }
@@ -127,7 +131,9 @@
             notice: RefusalNotice { run_state: RunState::Unknown, ..notice },
             billed: TokenCount::ZERO,
         }),
-        DispatchEnd::Broken { .. } | DispatchEnd::GrantUnusable(_) if !passed => AttachEnd::AskAgain,
+        DispatchEnd::Broken { .. } | DispatchEnd::GrantUnusable(_) if !passed => {
+            AttachEnd::AskAgain
+        }
         _ => refused(
             RefusalReason::OutcomeUnknown,
             RunState::Unknown,
--- a/crates/sagespool-entry/src/run/attempt.rs
+++ b/crates/sagespool-entry/src/run/attempt.rs
@@ -59,7 +59,10 @@
 enum DispatchOutcome {
     Ended(DispatchEnd),
     /// The link broke; the flag says that the request surely never reached the sidecar.
-    LinkLost { surely_not_sent: bool, detail: String },
+    LinkLost {
+        surely_not_sent: bool,
+        detail: String,
+    },
     /// The caller went away and the request has no key.
     CallerGone,
     /// The deadline passed while it ran.
@@ -179,7 +182,9 @@
         loop {
             let now = ClockTime::now();
             if self.order.time_left(now).is_zero() {
-                return Err(self.give_up(RefusalReason::DeadlineExceeded, "the deadline passed".into()));
+                return Err(
+                    self.give_up(RefusalReason::DeadlineExceeded, "the deadline passed".into())
+                );
             }
             if let Some(choice) = self.state.upstreams.choose(&self.wish(), now) {
                 return Ok(choice);
@@ -272,7 +277,12 @@
     }
 
     /// Passes a sidecar's events on until its end.
-    async fn pass_on(&mut self, stream: &mut EventStream, choice: &RouteChoice, started: ClockTime) -> DispatchOutcome {
+    async fn pass_on(
+        &mut self,
+        stream: &mut EventStream,
+        choice: &RouteChoice,
+        started: ClockTime,
+    ) -> DispatchOutcome {
         let mut first_token = None;
         let mut last_piece = started;
         loop {
@@ -290,10 +300,16 @@
             let event = match next {
                 Some(Ok(event)) => event,
                 Some(Err(error)) => {
-                    return DispatchOutcome::LinkLost { surely_not_sent: false, detail: error.to_string() };
+                    return DispatchOutcome::LinkLost {
+                        surely_not_sent: false,
+                        detail: error.to_string(),
+                    };
                 }
                 None => {
-                    return DispatchOutcome::LinkLost { surely_not_sent: false, detail: "the stream ended early".into() };
+                    return DispatchOutcome::LinkLost {
+                        surely_not_sent: false,
+                        detail: "the stream ended early".into(),
+                    };
                 }
             };
             let now = ClockTime::now();
@@ -307,7 +323,10 @@
                     match self.take_piece(at, tokens, data).await {
                         PieceTaken::Passed => true,
                         PieceTaken::Gap => {
-                            return DispatchOutcome::LinkLost { surely_not_sent: false, detail: "a piece is missing".into() };
+                            return DispatchOutcome::LinkLost {
+                                surely_not_sent: false,
+                                detail: "a piece is missing".into(),
+                            };
                         }
                         PieceTaken::CallerGone => false,
                     }
@@ -332,7 +351,11 @@
             let waited = now.since(started);
             *first_token = Some(waited);
             let whole_wait = now.since(self.order.arrived);
-            self.state.metrics.observe_first_token(&self.order.class, &self.order.branch, whole_wait);
+            self.state.metrics.observe_first_token(
+                &self.order.class,
+                &self.order.branch,
+                whole_wait,
+            );
             self.state.upstreams.first_token(choice, waited, now);
         } else {
             let gap = now.since(*last_piece);
@@ -342,7 +365,11 @@
     }
 
     /// Returns false if the caller is gone.
-    async fn take_head(&mut self, status: u16, headers: Vec<sagespool_messages::HeaderPair>) -> bool {
+    async fn take_head(
+        &mut self,
+        status: u16,
+        headers: Vec<sagespool_messages::HeaderPair>,
+    ) -> bool {
         if self.head_sent {
             return true;
         }
@@ -394,7 +421,9 @@
             DispatchOutcome::CallerGone => {
                 self.note_end(choice, AttemptOutcome::Cancelled);
                 self.maybe_ran = true;
-                Judgement::Ended(self.give_up(RefusalReason::OutcomeUnknown, "the caller went away".into()))
+                Judgement::Ended(
+                    self.give_up(RefusalReason::OutcomeUnknown, "the caller went away".into()),
+                )
             }
             DispatchOutcome::TimedOut => {
                 self.note_end(choice, AttemptOutcome::Failed);
@@ -413,7 +442,13 @@
             }
             DispatchEnd::GrantUnusable(detail) => {
                 self.note_end(choice, AttemptOutcome::Refused);
-                log_event!(info, "grant-unusable", request = self.order.request, charge = self.reserved.charge, detail = detail);
+                log_event!(
+                    info,
+                    "grant-unusable",
+                    request = self.order.request,
+                    charge = self.reserved.charge,
+                    detail = detail
+                );
                 if self.ran.is_some() || self.maybe_ran {
                     // Something may have run under this charge, so it can't be given back.
                     self.tried.push(choice.sidecar);
@@ -468,7 +503,8 @@
 
     /// Tells the routing table how an attempt ended; its first token was told when it came.
     fn note_end(&self, choice: &RouteChoice, outcome: AttemptOutcome) {
-        let result = AttemptResult { first_token: None, outcome };
+        let tokens = TokenCount(u64::from(self.delivered_tokens));
+        let result = AttemptResult { first_token: None, tokens, outcome };
         self.state.upstreams.ended(choice, &result, ClockTime::now());
     }
 
@@ -510,7 +546,12 @@
 
     /// The link to the sidecar broke. What isn't sure not to have arrived may be running; a request
     /// that may never run twice isn't tried elsewhere then.
-    async fn judge_loss(&mut self, choice: &RouteChoice, surely_not_sent: bool, detail: String) -> Judgement {
+    async fn judge_loss(
+        &mut self,
+        choice: &RouteChoice,
+        surely_not_sent: bool,
+        detail: String,
+    ) -> Judgement {
         self.note_end(choice, AttemptOutcome::Unreachable);
         self.tried.push(choice.sidecar);
         if surely_not_sent {
--- a/crates/sagespool-entry/src/run/drive.rs
+++ b/crates/sagespool-entry/src/run/drive.rs
@@ -45,7 +45,11 @@
 
 impl RunEnd {
     /// A refusal of a request that used nothing.
-    pub(super) fn refused(reason: RefusalReason, run_state: RunState, message: impl Into<String>) -> Self {
+    pub(super) fn refused(
+        reason: RefusalReason,
+        run_state: RunState,
+        message: impl Into<String>,
+    ) -> Self {
         let retry_after = retry_hint(reason);
         let notice = RefusalNotice { reason, run_state, message: message.into(), retry_after };
         Self::Refused { notice, billed: TokenCount::ZERO }
@@ -56,7 +60,9 @@
     match reason {
         RefusalReason::NoUpstream | RefusalReason::UpstreamFailed => Some(Duration::from_secs(1)),
         RefusalReason::Overloaded | RefusalReason::LimitReached => Some(Duration::from_secs(1)),
-        RefusalReason::ClaimUnreachable | RefusalReason::BudgetUnreachable => Some(Duration::from_secs(5)),
+        RefusalReason::ClaimUnreachable | RefusalReason::BudgetUnreachable => {
+            Some(Duration::from_secs(5))
+        }
         RefusalReason::Leaving | RefusalReason::NotReady => Some(Duration::from_millis(200)),
         _ => None,
     }
@@ -90,33 +96,55 @@
         RunEnd::Whole { billed, .. } => {
             state.metrics.observe_whole(&order.class, &order.branch, took);
             state.metrics.billed(&order.branch, *billed);
-            log_event!(debug, "request-answered", request = order.request, branch = order.branch, billed = billed, millis = millis);
+            log_event!(
+                debug,
+                "request-answered",
+                request = order.request,
+                branch = order.branch,
+                billed = billed,
+                millis = millis
+            );
         }
         RunEnd::Refused { notice, billed } => {
             state.metrics.refused(notice.reason, &order.branch);
             state.metrics.billed(&order.branch, *billed);
             log_event!(
-                info, "request-refused", request = order.request, branch = order.branch,
-                reason = notice.reason, run_state = notice.run_state, billed = billed,
-                millis = millis, detail = notice.message
+                info,
+                "request-refused",
+                request = order.request,
+                branch = order.branch,
+                reason = notice.reason,
+                run_state = notice.run_state,
+                billed = billed,
+                millis = millis,
+                detail = notice.message
             );
         }
     }
 }
 
-async fn drive(state: &Arc<EntryState>, order: &RequestOrder, answers: &Sender<AnswerEvent>) -> RunEnd {
+async fn drive(
+    state: &Arc<EntryState>,
+    order: &RequestOrder,
+    answers: &Sender<AnswerEvent>,
+) -> RunEnd {
     let mut reservations = 0;
     while reservations < MOST_RESERVATIONS {
         let now = ClockTime::now();
         if order.time_left(now).is_zero() {
-            return RunEnd::refused(RefusalReason::DeadlineExceeded, RunState::NotRun, "the deadline passed before it could run");
+            return RunEnd::refused(
+                RefusalReason::DeadlineExceeded,
+                RunState::NotRun,
+                "the deadline passed before it could run",
+            );
         }
         let question = order.reserve_request(state.incarnation, now);
         let (reply, reserved_at) = homes::reserve(state, &question).await;
         match reply {
             ReserveReply::Reserved(reserved) => {
                 reservations += 1;
-                if let Some(end) = run_reserved(state, order, answers, reserved, reserved_at).await {
+                if let Some(end) = run_reserved(state, order, answers, reserved, reserved_at).await
+                {
                     return end;
                 }
             }
@@ -137,7 +165,11 @@
             }
         }
     }
-    RunEnd::refused(RefusalReason::BudgetUnreachable, RunState::NotRun, "no grant of the branch was usable at any upstream")
+    RunEnd::refused(
+        RefusalReason::BudgetUnreachable,
+        RunState::NotRun,
+        "no grant of the branch was usable at any upstream",
+    )
 }
 
 /// Runs a paid request; nothing if it has to be reserved again.
--- a/crates/sagespool-entry/src/run/homes.rs
+++ b/crates/sagespool-entry/src/run/homes.rs
@@ -1,6 +1,7 @@
 //! Asking a branch's home, which may be this entry or another.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use sagespool_log::log_event;
@@ -25,7 +26,10 @@
 
 /// Asks the branch's home to reserve. A home that can't be reached is replaced by this entry: two
 /// homes for a branch cost a second grant, never correctness, since each spends its own grants.
-pub(super) async fn reserve(state: &EntryState, order: &ReserveRequest) -> (ReserveReply, Option<SocketAddr>) {
+pub(super) async fn reserve(
+    state: &Arc<EntryState>,
+    order: &ReserveRequest,
+) -> (ReserveReply, Option<SocketAddr>) {
     let Some(other) = other_home(state, &order.branch) else {
         return (home::reserve(state, order).await, None);
     };
@@ -35,7 +39,13 @@
         Ok(PeerReply::Reserve(reply)) => (reply, Some(other.address)),
         Ok(_) => (home::reserve(state, order).await, None),
         Err(error) => {
-            log_event!(warn, "home-unreachable", home = other.instance, branch = order.branch, error = error);
+            log_event!(
+                warn,
+                "home-unreachable",
+                home = other.instance,
+                branch = order.branch,
+                error = error
+            );
             let time_left = order.time_left;
             let order = ReserveRequest { time_left, ..order.clone() };
             (home::reserve(state, &order).await, None)
@@ -45,7 +55,7 @@
 
 /// Asks whoever reserved for the request to place the claim.
 pub(super) async fn claim(
-    state: &EntryState,
+    state: &Arc<EntryState>,
     reserved_at: Option<SocketAddr>,
     claim: &ClaimRequest,
 ) -> ClaimReply {
@@ -60,7 +70,11 @@
 }
 
 /// Tells whoever reserved how the request ended.
-pub(super) async fn finish(state: &EntryState, reserved_at: Option<SocketAddr>, report: &FinishReport) {
+pub(super) async fn finish(
+    state: &EntryState,
+    reserved_at: Option<SocketAddr>,
+    report: &FinishReport,
+) {
     let Some(address) = reserved_at else {
         home::finish(state, report);
         return;
--- a/crates/sagespool-entry/src/state.rs
+++ b/crates/sagespool-entry/src/state.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use event_listener::Event;
-use sagespool_claims::{CrashBoard, KeyBoard};
+use sagespool_claims::{CrashBoard, CrashPolicy, KeyBoard, KeyPolicy};
 use sagespool_ledger::{BudgetMode, HeldBack, HomeLedger, LedgerPolicy};
 use sagespool_link::LinkEndpoint;
 use sagespool_membership::{MemberTable, MembershipPolicy, first_number};
@@ -131,17 +131,23 @@
         let platform = &process.platform;
         let token = platform.token.as_ref().map(|token| token.reveal().to_owned());
         let objects = ObjectClient::new(
-            ObjectOptions::builder().address(platform.object_api).maybe_token(token.clone()).build(),
+            ObjectOptions::builder()
+                .address(platform.object_api)
+                .maybe_token(token.clone())
+                .build(),
         );
         let instances = InstanceClient::new(platform.instance_list, token);
         let own = own_description(&process, incarnation);
         let members = MemberTable::new(own, MembershipPolicy::default(), incarnation.0);
         members.seeds(&process.peers, ClockTime::now());
         Self {
-            upstreams: UpstreamTable::new(routing_policy(&settings, incarnation), process.centre.clone()),
+            upstreams: UpstreamTable::new(
+                routing_policy(&settings, incarnation),
+                process.centre.clone(),
+            ),
             ledger: HomeLedger::new(incarnation, ledger_policy(&settings)),
-            keys: KeyBoard::new(ClockTime::now()),
-            crashes: CrashBoard::new(),
+            keys: KeyBoard::new(KeyPolicy::default(), ClockTime::now()),
+            crashes: CrashBoard::new(CrashPolicy::default()),
             metrics: FleetMetrics::new(),
             budget_changed: Event::new(),
             run_done: Event::new(),
@@ -177,17 +183,27 @@
             return;
         };
         self.metrics.set_config_version(config.version());
-        self.keys.set_retention(Duration::from_millis(config.fleet().answer_retention_ms));
         for (branch, entry) in config.branches() {
-            let held = entry.held_back.iter().map(|held| HeldBack { class: held.class.clone(), tokens: held.tokens });
+            let held = entry
+                .held_back
+                .iter()
+                .map(|held| HeldBack { class: held.class.clone(), tokens: held.tokens });
             self.ledger.hold_back(branch, held.collect());
         }
     }
 
+    /// Since when no other process can have taken this home's requests, as far as is known: never,
+    /// since another region's or a cut-off entry might.
+    pub(crate) fn sole_since(&self) -> Option<ClockTime> {
+        None
+    }
+
     /// How long a claim is remembered.
     pub(crate) fn key_retention(&self) -> Duration {
         let config = self.config.current();
-        config.map_or(DEFAULT_KEY_RETENTION, |config| Duration::from_millis(config.fleet().key_retention_ms))
+        config.map_or(DEFAULT_KEY_RETENTION, |config| {
+            Duration::from_millis(config.fleet().key_retention_ms)
+        })
     }
 
     /// The link to other processes.
