--- /dev/null
+++ b/crates/sagespool-testkit/src/fleet/running.rs
@@ -0,0 +1,370 @@
+//! A running fleet: started whole, changed by tests, stopped whole.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use error_stack::{Report, ResultExt};
+use sagespool_ledger::{BookRecord, TopUpOutcome, book_key, book_of};
+use sagespool_messages::MemberRole;
+use sagespool_platform::{ObjectClient, ObjectOptions, UpdateChoice, update_object};
+use sagespool_settings::{FLEET_OBJECT_KEY, branch_object_key, split_branches};
+use sagespool_types::{
+    BranchName, CentreName, CommandId, InstanceName, ServiceName, StoreRevision, TokenCount,
+    TokenRate, UpstreamName,
+};
+use tempfile::TempDir;
+use trillium_client::Client;
+
+use super::certificates::CertificateSet;
+use super::member::{FleetMember, free_addresses};
+use super::settings_file::{PlatformAddresses, entry_settings, sidecar_settings};
+use super::{FleetFault, FleetOptions, ServicePlan};
+use crate::processes::ChildProcess;
+use crate::{
+    EngineOptions, EngineStand, FaultProxy, InstanceEntry, InstanceOptions, InstanceStand,
+    InstanceState, ObjectStand, ObjectStandOptions, ServiceOptions, ServiceStand, WitnessLog,
+};
+
+const READY_LIMIT: Duration = Duration::from_secs(20);
+const READY_STEP: Duration = Duration::from_millis(20);
+const STORE_LIMIT: Duration = Duration::from_secs(5);
+/// The names that the fault proxy knows the platform by.
+const STORE_NAME: &str = "store";
+const LIST_NAME: &str = "list";
+
+/// A whole fleet on loopback.
+pub struct RunningFleet {
+    /// What it was started with.
+    pub options: FleetOptions,
+    /// The store.
+    pub store: ObjectStand,
+    /// The instance list.
+    pub list: InstanceStand,
+    /// The engines by name.
+    pub engines: BTreeMap<UpstreamName, EngineStand>,
+    /// The plain services' processes by name.
+    pub services: BTreeMap<UpstreamName, ServiceStand>,
+    /// What ran, as the upstreams saw it.
+    pub witness: WitnessLog,
+    /// The fault proxy, if every link passes through it.
+    pub proxy: Option<FaultProxy>,
+    /// The processes, entries first.
+    pub members: Vec<FleetMember>,
+    /// A client of the store that no fault touches.
+    pub objects: ObjectClient,
+    certificates: CertificateSet,
+    directory: TempDir,
+}
+
+impl RunningFleet {
+    /// Starts the stand-ins and every process, and waits until callers can be served.
+    ///
+    /// # Errors
+    /// If anything can't be started, or an entry isn't ready within 20 s.
+    pub async fn start(options: FleetOptions) -> Result<Self, Report<FleetFault>> {
+        let fault = |doing: &str| FleetFault::new(doing);
+        let directory = TempDir::new().change_context_lazy(|| fault("making a directory"))?;
+        let certificates = CertificateSet::create(directory.path())?;
+        let store = ObjectStand::start(ObjectStandOptions::builder().build())
+            .change_context_lazy(|| fault("starting the store"))?;
+        let list = InstanceStand::start(InstanceOptions::builder().lag(options.list_lag).build())
+            .change_context_lazy(|| fault("starting the instance list"))?;
+        let proxy = match options.proxied {
+            true => Some(FaultProxy::start().change_context_lazy(|| fault("starting the proxy"))?),
+            false => None,
+        };
+        let objects = ObjectClient::new(ObjectOptions::builder().address(store.address()).build());
+        let mut fleet = Self {
+            options,
+            store,
+            list,
+            engines: BTreeMap::new(),
+            services: BTreeMap::new(),
+            witness: WitnessLog::new(),
+            proxy,
+            members: Vec::new(),
+            objects,
+            certificates,
+            directory,
+        };
+        fleet.put_configuration().await?;
+        fleet.deposit_all().await?;
+        fleet.start_upstreams()?;
+        fleet.lay_out_members()?;
+        for place in 0..fleet.members.len() {
+            fleet.start_member(place)?;
+        }
+        fleet.wait_ready().await?;
+        Ok(fleet)
+    }
+
+    async fn put_configuration(&self) -> Result<(), Report<FleetFault>> {
+        let fault = || FleetFault::new("putting the configuration into the store");
+        let none = StoreRevision::ZERO;
+        let put = self.objects.put(FLEET_OBJECT_KEY, none, &self.options.fleet).await;
+        put.change_context_lazy(fault)?;
+        for (shard, object) in split_branches(self.options.branches.clone()) {
+            let put = self.objects.put(&branch_object_key(shard), none, &object).await;
+            put.change_context_lazy(fault)?;
+        }
+        Ok(())
+    }
+
+    async fn deposit_all(&self) -> Result<(), Report<FleetFault>> {
+        for (branch, deposit) in &self.options.deployment.branches {
+            self.top_up(branch, deposit.prepaid, CommandId::random()).await?;
+        }
+        Ok(())
+    }
+
+    /// Adds prepaid tokens, straight in the store.
+    ///
+    /// # Errors
+    /// If the store can't be reached.
+    pub async fn top_up(
+        &self,
+        branch: &BranchName,
+        amount: TokenCount,
+        command: CommandId,
+    ) -> Result<TopUpOutcome, Report<FleetFault>> {
+        let mut outcome = TopUpOutcome::AlreadyApplied;
+        let key = book_key(book_of(branch));
+        let apply = |record: &mut BookRecord| {
+            outcome = record.top_up(command, branch, amount);
+            UpdateChoice::Write
+        };
+        let updated = update_object(&self.objects, &key, STORE_LIMIT, apply).await;
+        updated.change_context_lazy(|| FleetFault::new("topping up"))?;
+        Ok(outcome)
+    }
+
+    fn start_upstreams(&mut self) -> Result<(), Report<FleetFault>> {
+        let deployment = self.options.deployment.clone();
+        let mut counts: BTreeMap<ServiceName, u32> = BTreeMap::new();
+        for centre in &deployment.centres {
+            for (service, number) in &centre.upstreams {
+                let plan = deployment.services.get(service).ok_or_else(|| {
+                    Report::new(FleetFault::new(format!("looking for the plan of service {service}")))
+                })?;
+                for _ in 0..*number {
+                    let count = counts.entry(service.clone()).or_default();
+                    *count += 1;
+                    let name = format!("{service}-{count}");
+                    self.start_upstream(&name, service, &centre.name, plan)?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn start_upstream(
+        &mut self,
+        name: &str,
+        service: &ServiceName,
+        centre: &CentreName,
+        plan: &ServicePlan,
+    ) -> Result<(), Report<FleetFault>> {
+        let fault = || FleetFault::new(format!("starting upstream {name}"));
+        let upstream: UpstreamName = name.parse().change_context_lazy(fault)?;
+        if let Some(rate) = plan.tokens_per_second {
+            let options = EngineOptions::builder()
+                .name(upstream.clone())
+                .models(plan.models.clone())
+                .capacity(plan.capacity as usize)
+                .token_rate(TokenRate(rate))
+                .honours_fences(plan.honours_fence)
+                .witness(self.witness.clone())
+                .seed(self.options.seed)
+                .build();
+            let engine = EngineStand::start(options).change_context_lazy(fault)?;
+            self.engines.insert(upstream.clone(), engine);
+        } else {
+            let options = ServiceOptions::builder()
+                .name(upstream.clone())
+                .capacity(plan.capacity as usize)
+                .latency(Duration::from_millis(plan.answer_ms.unwrap_or(0)))
+                .witness(self.witness.clone())
+                .build();
+            let service = ServiceStand::start(options).change_context_lazy(fault)?;
+            self.services.insert(upstream.clone(), service);
+        }
+        let instance = format!("{name}-sidecar");
+        self.add_member(&instance, centre, Some((upstream, service.clone())))
+    }
+
+    fn lay_out_members(&mut self) -> Result<(), Report<FleetFault>> {
+        let centres = self.options.deployment.centres.clone();
+        for centre in &centres {
+            for number in 1..=centre.entries {
+                let instance = format!("{}-entry-{number}", centre.name);
+                self.add_member(&instance, &centre.name, None)?;
+            }
+        }
+        // Entries first, so that the first member is one that callers can use.
+        self.members.sort_by_key(|member| !member.is_entry());
+        for member in &self.members {
+            self.list.set(listed(member, &self.options));
+        }
+        Ok(())
+    }
+
+    fn add_member(
+        &mut self,
+        instance: &str,
+        centre: &CentreName,
+        upstream: Option<(UpstreamName, ServiceName)>,
+    ) -> Result<(), Report<FleetFault>> {
+        let fault = || FleetFault::new(format!("laying out {instance}"));
+        let name: InstanceName = instance.parse().change_context_lazy(fault)?;
+        let (http, link) = free_addresses()?;
+        let advertised = match &self.proxy {
+            Some(proxy) => {
+                proxy.register_sender(instance, link);
+                proxy.udp_link(instance, link).change_context_lazy(fault)?
+            }
+            None => link,
+        };
+        self.members.push(FleetMember {
+            instance: name,
+            centre: centre.clone(),
+            http,
+            link,
+            advertised,
+            upstream,
+            settings: self.directory.path().join(format!("{instance}.json")),
+            log: self.directory.path().join(format!("{instance}.log")),
+            process: None,
+        });
+        Ok(())
+    }
+
+    fn through_proxy(
+        &self,
+        from: &InstanceName,
+        to: &str,
+        target: SocketAddr,
+    ) -> Result<SocketAddr, Report<FleetFault>> {
+        let fault = || FleetFault::new(format!("opening the link from {from} to {to}"));
+        match &self.proxy {
+            Some(proxy) => proxy.tcp_link(from.as_str(), to, target).change_context_lazy(fault),
+            None => Ok(target),
+        }
+    }
+
+    fn write_settings(&self, member: &FleetMember) -> Result<(), Report<FleetFault>> {
+        let fault = || FleetFault::new(format!("writing the settings of {}", member.instance));
+        let platform = PlatformAddresses {
+            objects: self.through_proxy(&member.instance, STORE_NAME, self.store.address())?,
+            instances: self.through_proxy(&member.instance, LIST_NAME, self.list.address())?,
+        };
+        let files = self.certificates.issue(member.instance.as_str())?;
+        let settings = match &member.upstream {
+            None => entry_settings(member, platform, &files, &self.options),
+            Some((upstream, service)) => {
+                let address = self.upstream_address(upstream);
+                let address = self.through_proxy(&member.instance, upstream.as_str(), address)?;
+                let plan = &self.options.deployment.services[service];
+                sidecar_settings(member, address, plan, platform, &files, &self.options)
+            }
+        };
+        std::fs::write(&member.settings, settings.to_string()).change_context_lazy(fault)
+    }
+
+    fn upstream_address(&self, upstream: &UpstreamName) -> SocketAddr {
+        match self.engines.get(upstream) {
+            Some(engine) => engine.address(),
+            None => self.services[upstream].address(),
+        }
+    }
+
+    /// Starts a member's process, which must not be running.
+    ///
+    /// # Errors
+    /// If its settings can't be written or it can't be started.
+    pub fn start_member(&mut self, place: usize) -> Result<(), Report<FleetFault>> {
+        if !self.members[place].settings.exists() {
+            self.write_settings(&self.members[place])?;
+        }
+        let daemon = self.options.binaries.daemon.clone();
+        let member = &mut self.members[place];
+        let fault = || FleetFault::new(format!("starting {}", member.instance));
+        let argument = member.settings.display().to_string();
+        let process = ChildProcess::start(&daemon, &[argument.as_str()], &member.log);
+        member.process = Some(process.change_context_lazy(fault)?);
+        Ok(())
+    }
+
+    /// The place of a member.
+    pub fn place_of(&self, instance: &str) -> Option<usize> {
+        self.members.iter().position(|member| member.instance.as_str() == instance)
+    }
+
+    /// Where entries serve callers.
+    pub fn entry_addresses(&self) -> Vec<SocketAddr> {
+        let entries = self.members.iter().filter(|member| member.is_entry());
+        entries.map(|member| member.http).collect()
+    }
+
+    /// The directory of settings and logs.
+    pub fn directory(&self) -> &Path {
+        self.directory.path()
+    }
+
+    /// Waits until every entry that runs can serve callers.
+    ///
+    /// # Errors
+    /// If one isn't ready within 20 s.
+    pub async fn wait_ready(&self) -> Result<(), Report<FleetFault>> {
+        let client = Client::new(trillium_smol::ClientConfig::default());
+        let started = Instant::now();
+        for member in self.members.iter().filter(|member| member.process.is_some()) {
+            let url = format!("http://{}/readyz", member.http);
+            loop {
+                let answer = client.get(url.as_str()).await;
+                let ready = answer.is_ok_and(|conn| conn.status().is_some_and(|status| status.is_success()));
+                if ready {
+                    break;
+                }
+                if started.elapsed() > READY_LIMIT {
+                    let doing = format!("waiting for {} to be ready", member.instance);
+                    return Err(Report::new(FleetFault::new(doing)));
+                }
+                smol::Timer::after(READY_STEP).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Stops every process gracefully, at the same time; returns those that didn't end well.
+    pub fn stop(&mut self) -> Vec<InstanceName> {
+        for member in &self.members {
+            if let Some(process) = &member.process {
+                let _ = process.terminate();
+            }
+        }
+        let limit = self.options.stop_limit + Duration::from_secs(10);
+        let mut unclean = Vec::new();
+        for member in &mut self.members {
+            if let Some(mut process) = member.process.take() {
+                let status = process.wait(limit);
+                if !status.is_ok_and(|status| status.success()) {
+                    unclean.push(member.instance.clone());
+                }
+            }
+        }
+        unclean
+    }
+}
+
+fn listed(member: &FleetMember, options: &FleetOptions) -> InstanceEntry {
+    InstanceEntry {
+        instance: member.instance.clone(),
+        role: if member.is_entry() { MemberRole::Entry } else { MemberRole::Sidecar },
+        region: options.deployment.region.clone(),
+        centre: member.centre.clone(),
+        address: member.advertised,
+        state: InstanceState::Live,
+    }
+}
--- a/crates/sagespool-testkit/src/lib.rs
+++ b/crates/sagespool-testkit/src/lib.rs
@@ -3,6 +3,7 @@
 mod call_query;
 mod engine;
 mod fault_gate;
+pub mod fleet;
 mod http_answer;
 mod http_reply;
 pub mod instance_list;
@@ -10,6 +11,7 @@
 mod loopback_server;
 pub mod object_api;
 mod plain_service;
+pub mod processes;
 pub mod proxy;
 mod stand_server;
 mod weight_store;
