--- a/crates/sagespool-settings/src/configuration/branches.rs
+++ b/crates/sagespool-settings/src/configuration/branches.rs
@@ -5,9 +5,9 @@
 use sagespool_types::{BranchName, ClassName, SecretHash, ServiceName, TokenCount, derives};
 use serde_json::Value;
 
+use crate::check::{CheckNode, FaultLog, ObjectNode};
 use crate::configuration::route::{read_limits, read_rule};
 use crate::document::read_document;
-use crate::node::{CheckNode, FaultLog, ObjectNode};
 use crate::{LimitEntry, RouteRule, SettingsFaults};
 
 derives! { record;
--- a/crates/sagespool-settings/src/configuration/fleet.rs
+++ b/crates/sagespool-settings/src/configuration/fleet.rs
@@ -6,9 +6,9 @@
 use sagespool_types::{ClassName, ModelName, ServiceName, TokenCount, derives};
 use serde_json::Value;
 
+use crate::check::{CheckNode, FaultLog, ObjectNode};
 use crate::configuration::route::{read_limits, read_rule};
 use crate::document::read_document;
-use crate::node::{CheckNode, FaultLog, ObjectNode};
 use crate::{LimitEntry, RouteRule, SettingsFaults};
 
 derives! { record;
--- a/crates/sagespool-settings/src/configuration/index.rs
+++ b/crates/sagespool-settings/src/configuration/index.rs
@@ -7,10 +7,9 @@
 use sagespool_types::{BranchName, ClassName, ConfigVersion, ModelName, SecretHash, ServiceName};
 
 use crate::configuration::token::TokenIndex;
-use crate::node::{field_path, nearest_of};
 use crate::{
     BRANCH_SHARDS, BranchEntry, BranchObject, ClassEntry, FleetObject, ModelEntry, ServiceEntry,
-    SettingsFault, SettingsFaults, branch_object_key, branch_shard, split_branches,
+    branch_shard, split_branches,
 };
 
 /// One state of the configuration, with the lookups of a request's way.
@@ -23,8 +22,8 @@
 pub struct FleetConfiguration {
     version: ConfigVersion,
     fleet: Arc<FleetIndex>,
-    shards: Vec<Arc<BranchObject>>,
-    tokens: TokenIndex,
+    pub(super) shards: Vec<Arc<BranchObject>>,
+    pub(super) tokens: TokenIndex,
 }
 
 struct FleetIndex {
@@ -169,88 +168,6 @@
         rules.any(|rule| rule.route.matches(method, path))
     }
 
-    /// Checks a change, before it is accepted, for what one object alone doesn't show: classes
-    /// and services that branches refer to, keys that two branches share.
-    ///
-    /// # Errors
-    ///
-    /// Every fault of `changed` that isn't in force already: an old one must not stop the
-    /// change that mends another.
-    pub fn check_change(&self, changed: &Self) -> Result<(), SettingsFaults> {
-        let present = self.faults();
-        let mut faults = changed.faults();
-        faults.retain(|fault| !present.contains(fault));
-        if faults.is_empty() {
-            return Ok(());
-        }
-        Err(SettingsFaults { faults })
-    }
-
-    /// Every reference that leads nowhere, every key that two branches share, every branch in
-    /// another shard than its own.
-    pub fn faults(&self) -> Vec<SettingsFault> {
-        let mut faults = Vec::new();
-        for (shard, object) in (0..).zip(&self.shards) {
-            let parent = format!("{}:$.branches", branch_object_key(shard));
-            for (name, entry) in &object.branches {
-                let path = field_path(&parent, name.as_str());
-                self.note_misplaced(shard, name, &path, &mut faults);
-                self.note_shared_keys(name, entry, &path, &mut faults);
-                self.note_references(entry, &path, &mut faults);
-            }
-        }
-        faults
-    }
-
-    fn note_misplaced(
-        &self,
-        shard: u64,
-        name: &BranchName,
-        path: &str,
-        faults: &mut Vec<SettingsFault>,
-    ) {
-        let own = branch_shard(name);
-        if own == shard {
-            return;
-        }
-        let allowed = format!("this branch only in {}", branch_object_key(own));
-        faults.push(new_fault(path.to_owned(), "a branch of another shard".to_owned(), allowed));
-    }
-
-    fn note_shared_keys(
-        &self,
-        name: &BranchName,
-        entry: &BranchEntry,
-        path: &str,
-        faults: &mut Vec<SettingsFault>,
-    ) {
-        for (index, hash) in entry.key_hashes.iter().enumerate() {
-            if let Some(other) = self.tokens.other_owner(hash, name) {
-                let path = format!("{path}.key_hashes[{index}]");
-                let found = format!("a key that branch `{other}` has too");
-                faults.push(new_fault(path, found, "a key of its own for each branch".to_owned()));
-            }
-        }
-    }
-
-    fn note_references(&self, entry: &BranchEntry, path: &str, faults: &mut Vec<SettingsFault>) {
-        let fleet = &self.fleet.object;
-        for (index, held) in entry.held_back.iter().enumerate() {
-            if !self.fleet.classes.contains_key(&held.class) {
-                let path = format!("{path}.held_back[{index}].class");
-                let words = fleet.classes.iter().map(|class| class.name.as_str()).collect();
-                faults.push(unknown_word(path, held.class.as_str(), words));
-            }
-        }
-        for (index, rule) in entry.non_idempotent.iter().enumerate() {
-            if !self.fleet.services.contains_key(&rule.service) {
-                let path = format!("{path}.non_idempotent[{index}].service");
-                let words = fleet.services.iter().map(|service| service.name.as_str()).collect();
-                faults.push(unknown_word(path, rule.service.as_str(), words));
-            }
-        }
-    }
-
     /// Keys of branches in a shard that isn't theirs are left out: the branch itself isn't found.
     fn replace_shard(&mut self, shard: u64, object: BranchObject) {
         let Some(place) = usize::try_from(shard).ok().filter(|at| *at < self.shards.len()) else {
@@ -306,13 +223,3 @@
         missing.map(move |hash| (name, hash))
     })
 }
-
-fn new_fault(path: String, found: String, allowed: String) -> SettingsFault {
-    SettingsFault { path, found, allowed, nearest: None }
-}
-
-fn unknown_word(path: String, found: &str, words: Vec<&str>) -> SettingsFault {
-    let nearest = nearest_of(found, &words);
-    let allowed = format!("one of `{}`", words.join("`, `"));
-    SettingsFault { path, found: format!("{found:?}"), allowed, nearest }
-}
--- a/crates/sagespool-settings/src/configuration/mod.rs
+++ b/crates/sagespool-settings/src/configuration/mod.rs
@@ -1,6 +1,7 @@
 //! The fleet's configuration: objects of the store, their check, and what is in force.
 
 mod branches;
+mod cross_check;
 mod fleet;
 mod index;
 mod route;
--- a/crates/sagespool-settings/src/configuration/route.rs
+++ b/crates/sagespool-settings/src/configuration/route.rs
@@ -2,7 +2,7 @@
 
 use sagespool_types::derives;
 
-use crate::node::{CheckNode, ObjectNode};
+use crate::check::{CheckNode, ObjectNode};
 
 derives! { record;
     /// Calls with a method (or any) whose path is a prefix or lies below it.
--- a/crates/sagespool-settings/src/document.rs
+++ b/crates/sagespool-settings/src/document.rs
@@ -5,7 +5,7 @@
 use serde::de::{DeserializeSeed, Deserializer, Error, MapAccess, SeqAccess, Visitor};
 use serde_json::{Map, Number, Value};
 
-use crate::node::{FaultLog, field_path};
+use crate::check::{FaultLog, field_path};
 use crate::{SettingsFault, SettingsFaults};
 
 /// Reads a text as one JSON document.
--- a/crates/sagespool-settings/src/lib.rs
+++ b/crates/sagespool-settings/src/lib.rs
@@ -12,10 +12,10 @@
 //! assert!(faults.to_string().contains("did you mean `stop_limit_ms`?"));
 //! ```
 
+mod check;
 mod configuration;
 mod document;
 mod fault;
-mod node;
 mod process;
 mod secret;
 
--- a/crates/sagespool-settings/src/process/common.rs
+++ b/crates/sagespool-settings/src/process/common.rs
@@ -8,8 +8,8 @@
 use sagespool_messages::MemberRole;
 use sagespool_types::{CentreName, InstanceName, RegionName};
 
+use crate::check::{CheckNode, FaultLog, ObjectNode};
 use crate::document::read_document;
-use crate::node::{CheckNode, FaultLog, ObjectNode};
 use crate::process::entry::{ENTRY_FIELDS, read_entry};
 use crate::process::sidecar::{SIDECAR_FIELDS, read_sidecar};
 use crate::{EntrySettings, SecretText, SettingsFaults, SidecarSettings};
--- a/crates/sagespool-settings/src/process/entry.rs
+++ b/crates/sagespool-settings/src/process/entry.rs
@@ -4,7 +4,7 @@
 
 use sagespool_types::ByteCount;
 
-use crate::node::{CheckNode, ObjectNode};
+use crate::check::{CheckNode, ObjectNode};
 
 /// The settings of an entry.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/sagespool-settings/src/process/sidecar.rs
+++ b/crates/sagespool-settings/src/process/sidecar.rs
@@ -5,7 +5,7 @@
 use sagespool_messages::UpstreamKind;
 use sagespool_types::{ByteCount, ModelName, ServiceName, UpstreamName};
 
-use crate::node::{CheckNode, ObjectNode};
+use crate::check::{CheckNode, ObjectNode};
 
 /// The settings of a sidecar.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/sagespool-settings/tests/token_lookup.rs
+++ b/crates/sagespool-settings/tests/token_lookup.rs
@@ -58,6 +58,18 @@
     }
 }
 
+#[test]
+fn near_hash() {
+    // The index looks at the first bytes of a hash only. A hash that shares them must not open the
+    // branch of the other: a caller may try tokens until the first bytes fit.
+    let hash = SecretHash::of("k1").to_string();
+    let near: SecretHash = format!("{}{}", &hash[..48], "0".repeat(16)).parse().unwrap();
+    let entry = BranchEntry::builder().key_hashes(vec![near]).build();
+    let object = BranchObject { branches: [(branch("ruwi-bids"), entry)].into() };
+    let configuration = FleetConfiguration::build(ConfigVersion(1), fleet(), [&object]);
+    assert_eq!(owner(&configuration, "k1"), None);
+}
+
 #[test]
 fn replaced_key() {
     // A branch's key leaks; the operator adds a new one, then revokes the old. If the old one's
