--- a/crates/sagespool-claims/src/crash.rs
+++ b/crates/sagespool-claims/src/crash.rs
@@ -97,15 +97,20 @@
 /// away; the store's [`QuarantineRecord`] tells the others and those to come.
 ///
 /// Crashes are rare, so one lock is enough.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct CrashBoard {
     policy: CrashPolicy,
     state: Mutex<CrashState>,
 }
 
 impl CrashBoard {
+    /// An empty board of the default policy.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
     /// An empty board.
-    pub fn new(policy: CrashPolicy) -> Self {
+    pub fn with_policy(policy: CrashPolicy) -> Self {
         Self { policy, state: Mutex::default() }
     }
 
@@ -186,7 +191,7 @@
     /// The store's record, as read or watched. Returns the contents that it
     /// stops although they came through here between the crashes: they are to
     /// be [lifted](QuarantineRecord::lift) in the store.
-    pub fn observe(&self, record: &QuarantineRecord, now: ClockTime) -> Vec<ContentDigest> {
+    pub fn adopt(&self, record: &QuarantineRecord, now: ClockTime) -> Vec<ContentDigest> {
         let mut state = self.state();
         let mut disputed = Vec::new();
         for (content, entry) in &record.contents {
--- a/crates/sagespool-claims/src/keys.rs
+++ b/crates/sagespool-claims/src/keys.rs
@@ -47,11 +47,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum KeyOutcome {
     /// Its answer is whole, and kept where it ran.
-    Whole,
+    Answered,
     /// It surely never ran: the key is free again.
     NotRun,
     /// It ran or may have, and its answer can't be had.
-    Unknown,
+    Broken,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -110,8 +110,13 @@
 }
 
 impl KeyBoard {
+    /// A board of the default policy.
+    pub fn new(started: ClockTime) -> Self {
+        Self::with_policy(KeyPolicy::default(), started)
+    }
+
     /// A board that knows nothing of what was before `started`.
-    pub fn new(policy: KeyPolicy, started: ClockTime) -> Self {
+    pub fn with_policy(policy: KeyPolicy, started: ClockTime) -> Self {
         let shards = (0..SHARD_COUNT).map(|_| Mutex::default()).collect();
         Self { policy, started, shards }
     }
@@ -130,7 +135,7 @@
         content: ContentDigest,
         now: ClockTime,
     ) -> KeyDecision {
-        self.begin_since(key, (request, content), self.started, now)
+        self.begin_since(key, request, content, self.started, now)
     }
 
     /// A request with a key arrives at a process that has been home of its
@@ -140,7 +145,8 @@
     pub fn begin_since(
         &self,
         key: KeyDigest,
-        (request, content): (RequestId, ContentDigest),
+        request: RequestId,
+        content: ContentDigest,
         home_since: ClockTime,
         now: ClockTime,
     ) -> KeyDecision {
@@ -156,33 +162,44 @@
         KeyDecision::New
     }
 
-    /// The sidecars were asked, and none knows the key. False if another
-    /// request holds the key meanwhile.
-    pub fn asked(&self, key: KeyDigest, request: RequestId, now: ClockTime) -> bool {
+    /// A request takes a key: the sidecars were asked, and none knows it, or
+    /// what ran under it is lost and may run again. False if another request
+    /// holds the key meanwhile.
+    pub fn restart(
+        &self,
+        key: KeyDigest,
+        request: RequestId,
+        content: ContentDigest,
+        now: ClockTime,
+    ) -> bool {
         let mut shard = self.shard(key);
-        match shard.get_mut(&key) {
-            Some(record) if record.request == request => {
-                record.since = now;
-                true
-            }
-            _ => false,
+        let is_free = shard
+            .get(&key)
+            .is_none_or(|record| record.request == request || record.has_lapsed(&self.policy, now));
+        if is_free {
+            shard.insert(key, KeyRecord::pending(request, content, now));
         }
+        is_free
     }
 
-    /// The sidecars were asked, and one knows the key.
-    pub fn found(&self, key: KeyDigest, state: &KeyState, now: ClockTime) {
-        let mut shard = self.shard(key);
-        match *state {
-            KeyState::At { sidecar, request, content } => {
-                let place = KeyPlace::Kept(sidecar);
-                shard.insert(key, KeyRecord { request, content, place, since: now });
-            }
-            KeyState::Unknown { request } => {
-                let Some(record) = shard.get_mut(&key) else { return };
-                *record = KeyRecord { request, place: KeyPlace::Lost, since: now, ..*record };
-            }
-            KeyState::OtherContent | KeyState::Pending => {}
-        }
+    /// The sidecars were asked, and one runs the key or has its answer.
+    pub fn learn(
+        &self,
+        key: KeyDigest,
+        request: RequestId,
+        content: ContentDigest,
+        sidecar: IncarnationId,
+        now: ClockTime,
+    ) {
+        let place = KeyPlace::Kept(sidecar);
+        self.shard(key).insert(key, KeyRecord { request, content, place, since: now });
+    }
+
+    /// False while a request is known to hold the key, or to run under it.
+    pub fn run_ended(&self, key: KeyDigest) -> bool {
+        let shard = self.shard(key);
+        let ended = |record: &KeyRecord| matches!(record.place, KeyPlace::Kept(_) | KeyPlace::Lost);
+        shard.get(&key).is_none_or(ended)
     }
 
     fn known(
@@ -245,10 +262,10 @@
                 shard.remove(&key);
                 return;
             }
-            (KeyOutcome::Whole, KeyPlace::Running(sidecar) | KeyPlace::Kept(sidecar)) => {
+            (KeyOutcome::Answered, KeyPlace::Running(sidecar) | KeyPlace::Kept(sidecar)) => {
                 record.place = KeyPlace::Kept(sidecar);
             }
-            (KeyOutcome::Whole | KeyOutcome::Unknown, _) => record.place = KeyPlace::Lost,
+            (KeyOutcome::Answered | KeyOutcome::Broken, _) => record.place = KeyPlace::Lost,
         }
         record.since = now;
     }
--- /dev/null
+++ b/crates/sagespool-claims/tests/claim_record.rs
@@ -0,0 +1,175 @@
+//! The store's record of claims.
+
+use std::time::Duration;
+
+use sagespool_claims::{
+    CLAIM_SHARDS, ClaimOutcome, ClaimWish, ClaimsRecord, DETAILS_KEPT, FencedClaim,
+    MOST_RECORD_BYTES, claim_key, claim_shard,
+};
+use sagespool_types::{
+    AttemptNumber, ContentDigest, IncarnationId, KeyDigest, RequestId, WallTime,
+};
+
+const DAY: Duration = Duration::from_secs(24 * 3600);
+const HOUR: u64 = 3_600_000;
+const START: WallTime = WallTime(1_700_000_000_000);
+
+/// A digest that differs in both halves, as real ones do.
+fn key(number: u128) -> KeyDigest {
+    KeyDigest(number << 64 | number)
+}
+
+fn wish(number: u128, request: u128, sidecar: u64, attempt: u32) -> ClaimWish {
+    ClaimWish {
+        key: key(number),
+        request: RequestId(request),
+        content: ContentDigest(5),
+        sidecar: IncarnationId(sidecar),
+        attempt: AttemptNumber(attempt),
+        home: IncarnationId(1),
+        overturns: None,
+        time_left: Duration::from_secs(5),
+    }
+}
+
+fn overturning(wish: ClaimWish, request: u128, sidecar: u64) -> ClaimWish {
+    let fenced = FencedClaim { request: RequestId(request), sidecar: IncarnationId(sidecar) };
+    wish.overturning(fenced)
+}
+
+fn later(start: WallTime, millis: u64) -> WallTime {
+    WallTime(start.0 + millis)
+}
+
+/// A letter is claimed and dispatched, then its entry dies. The caller comes
+/// back, and so may the claim's own home whose answer was lost. Whatever they
+/// ask for, the letter must not be dispatched for a second request, nor for the
+/// same one to a second sidecar while the first may run it.
+#[test]
+fn claim_outcomes() {
+    let cases = [
+        ("the same again after a lost answer", wish(1, 10, 100, 1), "mine"),
+        ("another request", wish(1, 11, 100, 1), "taken"),
+        ("the same request, another sidecar", wish(1, 10, 101, 1), "taken"),
+        ("a later attempt of it", wish(1, 10, 101, 2), "claimed"),
+        ("fenced where it was claimed", overturning(wish(1, 11, 101, 1), 10, 100), "claimed"),
+        ("fenced on another sidecar", overturning(wish(1, 11, 101, 1), 10, 101), "taken"),
+        ("another request was fenced", overturning(wish(1, 11, 101, 1), 12, 100), "taken"),
+        ("another key", wish(2, 11, 100, 1), "claimed"),
+    ];
+    for (case, wish, expected) in cases {
+        let mut record = ClaimsRecord::default();
+        let first = record.claim(&self::wish(1, 10, 100, 1), START, DAY);
+        assert_eq!(first, ClaimOutcome::Claimed);
+        let found = match record.claim(&wish, START, DAY) {
+            ClaimOutcome::Claimed => "claimed",
+            ClaimOutcome::AlreadyMine => "mine",
+            ClaimOutcome::Taken(entry) => {
+                assert_eq!(entry.request, RequestId(10), "{case}");
+                "taken"
+            }
+            ClaimOutcome::Aged | ClaimOutcome::Full => "other",
+        };
+        assert_eq!(found, expected, "{case}");
+    }
+}
+
+/// A second attempt was claimed; then the first attempt's claim, delayed on its
+/// way, arrives. It must not put the claim back to the first sidecar.
+#[test]
+fn late_attempt() {
+    let mut record = ClaimsRecord::default();
+    record.claim(&wish(1, 10, 100, 1), START, DAY);
+    record.claim(&wish(1, 10, 101, 2), START, DAY);
+    let late = record.claim(&wish(1, 10, 100, 1), START, DAY);
+    assert!(matches!(late, ClaimOutcome::Taken(entry) if entry.sidecar == IncarnationId(101)));
+}
+
+/// A caller comes back hours later with the key of a letter that was sent. The
+/// details are gone, but the key must still be known, until the retention and
+/// an hour's margin are over.
+#[test]
+fn aged_claims() {
+    let mut record = ClaimsRecord::default();
+    record.claim(&wish(1, 10, 100, 1), START, DAY);
+    let details = DETAILS_KEPT.as_millis() as u64;
+    let cases = [
+        (details - 1, false),
+        (details + 1, true),
+        (10 * HOUR, true),
+        (24 * HOUR, true),
+        (25 * HOUR, true),
+    ];
+    for (after, aged) in cases {
+        let outcome = record.claim(&wish(1, 11, 100, 1), later(START, after), DAY);
+        assert_eq!(outcome == ClaimOutcome::Aged, aged, "after {after} ms");
+        assert!(record.is_claimed(key(1)));
+    }
+    let over = later(START, 28 * HOUR);
+    record.claim(&wish(2, 12, 100, 1), over, DAY);
+    record.claim(&wish(3, 13, 100, 1), later(over, HOUR + 1), DAY);
+    assert!(!record.is_claimed(key(1)), "an hour after the first home found it past");
+}
+
+/// One home's clock jumps a week ahead. By its word every claim of the shard is
+/// past its retention; if that were enough, every caller who comes back would
+/// have the letter sent again. Another home's clock must agree.
+#[test]
+fn wrong_clock() {
+    let mut record = ClaimsRecord::default();
+    record.claim(&wish(1, 10, 100, 1), START, DAY);
+    let ahead = later(START, 7 * 24 * HOUR);
+    record.claim(&wish(2, 11, 100, 1), ahead, DAY);
+    record.claim(&wish(3, 12, 100, 1), later(ahead, 1000), DAY);
+    let other = ClaimWish { home: IncarnationId(2), ..wish(4, 13, 100, 1) };
+    record.claim(&other, later(START, HOUR), DAY);
+    record.claim(&wish(5, 14, 100, 1), later(ahead, 2 * HOUR), DAY);
+    assert!(record.is_claimed(key(1)));
+    // A clock far behind must not stamp a claim so that it is forgotten early.
+    let behind = WallTime(START.0 - 48 * HOUR);
+    record.claim(&wish(6, 15, 100, 1), behind, DAY);
+    let found = record.find(key(6)).expect("just claimed");
+    assert!(found.at >= START);
+}
+
+#[test]
+fn bounded_size() {
+    let mut record = ClaimsRecord::default();
+    let mut claimed = 0;
+    while record.claim(&wide_wish(claimed), START, DAY) == ClaimOutcome::Claimed {
+        claimed += 1;
+    }
+    let outcome = record.claim(&wide_wish(claimed), START, DAY);
+    assert_eq!(outcome, ClaimOutcome::Full);
+    assert!(claimed > 5000, "{claimed} claims with details");
+    check_size(&record);
+    let aged = later(START, 2 * HOUR);
+    assert_eq!(record.claim(&wide_wish(claimed), aged, DAY), ClaimOutcome::Claimed);
+    check_size(&record);
+    assert!(record.estimated_bytes() < MOST_RECORD_BYTES / 10, "details take most of the room");
+    assert!((0..=claimed).all(|number| record.is_claimed(wide_wish(number).key)));
+}
+
+/// A wish whose parts are as long as they get.
+fn wide_wish(number: u128) -> ClaimWish {
+    let mut wish = wish(u128::from(u64::MAX) - number, u128::MAX - number, u64::MAX, 1_000_000);
+    wish.content = ContentDigest(u128::MAX);
+    wish
+}
+
+fn check_size(record: &ClaimsRecord) {
+    let text = serde_json::to_string(record).expect("a record is plain data");
+    assert!(text.len() <= record.estimated_bytes(), "{} bytes", text.len());
+    assert!(record.estimated_bytes() <= MOST_RECORD_BYTES);
+    let read: ClaimsRecord = serde_json::from_str(&text).expect("what was written can be read");
+    assert_eq!(read, *record);
+}
+
+#[test]
+fn shard_names() {
+    for number in 0..100 {
+        let shard = claim_shard(key(number));
+        assert!(shard < CLAIM_SHARDS);
+        assert_eq!(claim_key(shard), format!("claims/{shard}"));
+    }
+}
