Build the link between processes over QUIC

Cause: entries, homes and sidecars need one exchange whose failures say strictly whether a request may have run.

Change: one UDP socket a process, mutual TLS against the fleet's authority, one shared connection a peer, a stream for each request, frames of at most 8 MB. A request counts as not sent only until QUIC takes its first byte, or if the peer says that its handler never saw it. New connections answer a probe before they are used, since a client of TLS 1.3 is done before the server has looked at its certificate.

Instead of QUIC's keep-alive a connection is watched only while exchanges are in flight on it; an idle one is probed before it is used again. Stateless reset tokens come from the private key, so that a process started again at its address ends its predecessor's connections within a round trip.

--- a/crates/sagespool-link/src/endpoint.rs
+++ b/crates/sagespool-link/src/endpoint.rs
@@ -1,29 +1,62 @@
 //! The link of one process: one UDP socket, its connections and its server.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
 
-use error_stack::Report;
-use sagespool_messages::{DispatchEvent, PeerReply, PeerRequest};
+use error_stack::{Report, ResultExt};
+use quinn::{Endpoint, SmolRuntime};
+use sagespool_messages::{PeerReply, PeerRequest};
+use smol::Timer;
 
-use crate::{LinkCounters, LinkError, LinkIdentity, PeerHandler};
+use crate::connection::CODE_STOPPING;
+use crate::counters::TrafficMeter;
+use crate::exchange::{SentExchange, send_request};
+use crate::frame::{FrameKind, encode_frame, request_class};
+use crate::server::accept_connections;
+use crate::shared::LinkShared;
+use crate::socket::CountedSocket;
+use crate::{EventStream, LinkCounters, LinkError, LinkIdentity, PeerHandler};
+
+/// The longest that closing waits for calls in progress, and for their answers
+/// to arrive. A graceful stop ends its requests before it closes the link.
+const CLOSE_LIMIT: Duration = Duration::from_secs(2);
+const CLOSE_POLL: Duration = Duration::from_millis(10);
 
 /// One process's link to its peers. Clones share it.
+///
+/// It runs on smol's global executor until it is closed; dropping it doesn't
+/// end it.
 #[derive(Clone)]
 pub struct LinkEndpoint {
+    shared: Arc<LinkShared>,
     address: SocketAddr,
-    _handler: PeerHandler,
 }
 
 impl LinkEndpoint {
     /// Starts to listen and to serve; `handler` is called for each request.
+    ///
+    /// Fails with [`LinkError::NotListening`] if the address can't be had.
     pub fn start(
         listen: SocketAddr,
         identity: LinkIdentity,
         handler: PeerHandler,
     ) -> Result<Self, Report<LinkError>> {
-        let _ = identity;
-        Ok(Self { address: listen, _handler: handler })
+        let fault = || LinkError::NotListening { address: listen };
+        let meter = Arc::new(TrafficMeter::default());
+        let socket = CountedSocket::bind(listen, meter.clone()).change_context_lazy(fault)?;
+        let endpoint = Endpoint::new_with_abstract_socket(
+            identity.reset_key.endpoint_config(),
+            Some(identity.server_config()),
+            socket,
+            Arc::new(SmolRuntime),
+        )
+        .change_context_lazy(fault)?;
+        let address = endpoint.local_addr().change_context_lazy(fault)?;
+        let shared = Arc::new(LinkShared::new(endpoint, &identity, handler, meter));
+        smol::spawn(accept_connections(shared.clone())).detach();
+        Ok(Self { shared, address })
     }
 
     /// The address it listens at.
@@ -31,49 +64,65 @@
         self.address
     }
 
-    /// Sends a request and waits for its one reply.
+    /// Sends a request and waits for its one reply, at most `time_left`.
+    ///
+    /// After [`LinkError::Unreachable`] and [`LinkError::TooLarge`] the request
+    /// surely didn't reach the peer's handler; after any other error it may have.
     pub async fn ask(
         &self,
         to: SocketAddr,
         request: &PeerRequest,
         time_left: Duration,
     ) -> Result<PeerReply, LinkError> {
-        let _ = (request, time_left);
-        Err(LinkError::Unreachable { peer: to, detail: "the link is not built yet".to_owned() })
+        let sent = self.send(to, request, time_left).await?;
+        sent.reply().await
     }
 
-    /// Sends a request that is answered by a stream of events.
+    /// Sends a request that is answered by a stream of events, and returns once
+    /// it is sent, at most after `time_left`. The stream itself isn't bounded.
+    ///
+    /// Errors are as those of [`LinkEndpoint::ask`]. The stream's first error
+    /// may also be one after which the request surely didn't reach the handler.
     pub async fn open(
         &self,
         to: SocketAddr,
         request: &PeerRequest,
         time_left: Duration,
     ) -> Result<EventStream, LinkError> {
-        let _ = (request, time_left);
-        Err(LinkError::Unreachable { peer: to, detail: "the link is not built yet".to_owned() })
+        let sent = self.send(to, request, time_left).await?;
+        Ok(EventStream::new(sent))
+    }
+
+    async fn send(
+        &self,
+        to: SocketAddr,
+        request: &PeerRequest,
+        time_left: Duration,
+    ) -> Result<SentExchange, LinkError> {
+        let frame = encode_frame(FrameKind::Request, request)?;
+        let class = request_class(request);
+        send_request(&self.shared, to, frame, class, Instant::now(), time_left).await
     }
 
-    /// Uses another identity for new connections.
+    /// Uses another identity for all connections made from now on.
     pub fn renew(&self, identity: LinkIdentity) {
-        let _ = identity;
+        self.shared.renew(&identity);
     }
 
     /// What went over the link so far.
     pub fn counters(&self) -> LinkCounters {
-        LinkCounters::default()
+        self.shared.meter.counters()
     }
 
-    /// Ends all connections.
-    pub async fn close(&self) {}
-}
-
-/// The events that answer a request.
-#[derive(Debug)]
-pub struct EventStream {}
-
-impl EventStream {
-    /// The next event, or nothing after the end.
-    pub async fn next(&mut self) -> Option<Result<DispatchEvent, LinkError>> {
-        None
+    /// Turns new requests away, waits at most two seconds until those in
+    /// progress are answered, and ends all connections.
+    pub async fn close(&self) {
+        self.shared.begin_closing();
+        let started = Instant::now();
+        while self.shared.calls.load(Ordering::SeqCst) > 0 && started.elapsed() < CLOSE_LIMIT {
+            Timer::after(CLOSE_POLL).await;
+        }
+        self.shared.endpoint.close(CODE_STOPPING, b"the process stops");
+        crate::time::within(CLOSE_LIMIT, self.shared.endpoint.wait_idle()).await;
     }
 }
--- a/crates/sagespool-link/src/error.rs
+++ b/crates/sagespool-link/src/error.rs
@@ -53,8 +53,6 @@
     NotListening {
         /// The address that was asked for.
         address: SocketAddr,
-        /// What happened, in words.
-        detail: String,
     },
 }
 
@@ -101,9 +99,7 @@
             Self::TooLarge { size, limit } => {
                 write!(f, "a message of {size} bytes is over the limit of {limit} bytes")
             }
-            Self::NotListening { address, detail } => {
-                write!(f, "can't listen at {address}: {detail}")
-            }
+            Self::NotListening { address } => write!(f, "can't listen at {address}"),
         }
     }
 }
--- /dev/null
+++ b/crates/sagespool-link/tests/peer_loss.rs
@@ -0,0 +1,170 @@
+//! Peers that die, are cut off, or come back as another process.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use async_channel::bounded;
+use sagespool_link::{LinkEndpoint, LinkError};
+use sagespool_messages::{PeerReply, PeerRequest};
+use support::{
+    PATIENCE, TestAuthority, UdpRelay, attach, deaf, endpoint, handler, question, soon, until,
+};
+
+/// Longer than a connection counts as heard lately.
+const STALE_WHILE: Duration = Duration::from_millis(1100);
+
+/// A server behind a relay. It answers questions, counts them, and keeps
+/// whatever else it is sent without an answer.
+struct LossFixture {
+    authority: TestAuthority,
+    relay: UdpRelay,
+    client: LinkEndpoint,
+    handled: Arc<AtomicUsize>,
+}
+
+impl LossFixture {
+    fn start() -> Self {
+        let authority = TestAuthority::new();
+        let handled = Arc::new(AtomicUsize::new(0));
+        let count = handled.clone();
+        let server = endpoint(
+            authority.identity(),
+            handler(move |call| {
+                count.fetch_add(1, Ordering::SeqCst);
+                async move {
+                    if let PeerRequest::Attach(_) = call.request {
+                        return std::future::pending().await;
+                    }
+                    call.responder.reply(PeerReply::Done).await;
+                }
+            }),
+        );
+        let relay = UdpRelay::start(server.local_address());
+        let client = endpoint(authority.identity(), deaf());
+        Self { authority, relay, client, handled }
+    }
+
+    async fn ask(&self) -> Result<PeerReply, LinkError> {
+        self.client.ask(self.relay.address(), &question(), PATIENCE * 2).await
+    }
+
+    fn handled(&self) -> usize {
+        self.handled.load(Ordering::SeqCst)
+    }
+}
+
+#[test]
+fn peer_cut() {
+    // The network to a sidecar breaks while it runs a request; nothing says so.
+    // The entry must not wait for the deadline, nor take the request for not run.
+    // When the network is back, the next request gets a connection of its own.
+    smol::block_on(async {
+        let fixture = LossFixture::start();
+        let request = attach();
+        let asked = fixture.client.ask(fixture.relay.address(), &request, PATIENCE * 2);
+        let cut = async {
+            until(|| fixture.handled() == 1).await;
+            fixture.relay.cut(true);
+            std::future::pending().await
+        };
+        let error = soon(futures_lite::future::or(asked, cut)).await.unwrap_err();
+        assert!(matches!(error, LinkError::Interrupted { .. }), "{error}");
+        assert!(!error.surely_not_sent());
+
+        fixture.relay.cut(false);
+        assert_eq!(fixture.ask().await, Ok(PeerReply::Done));
+        assert_eq!(fixture.client.counters().connections_opened, 2);
+    });
+}
+
+#[test]
+fn asker_cut() {
+    // An entry is killed with a stream open; nothing says so, and the engine is
+    // silent, so nothing is sent either. The sidecar must learn that nobody waits.
+    smol::block_on(async {
+        let authority = TestAuthority::new();
+        let (hand_out, senders) = bounded(1);
+        let handing = handler(move |call| {
+            let hand_out = hand_out.clone();
+            async move {
+                let _ = hand_out.send(call.responder.events()).await;
+            }
+        });
+        let server = endpoint(authority.identity(), handing);
+        let relay = UdpRelay::start(server.local_address());
+        let client = endpoint(authority.identity(), deaf());
+        let _stream = client.open(relay.address(), &attach(), PATIENCE).await.unwrap();
+        let sender = soon(senders.recv()).await.unwrap();
+        relay.cut(true);
+        soon(sender.asker_gone()).await;
+    });
+}
+
+#[test]
+fn silent_engine() {
+    // A request waits for its turn in the engine for longer than a lost peer is
+    // waited for, and not a byte is due. Both sides are there: the stream must
+    // stay open.
+    smol::block_on(async {
+        let fixture = LossFixture::start();
+        let to = fixture.relay.address();
+        let mut stream = fixture.client.open(to, &attach(), PATIENCE).await.unwrap();
+        let ended = async {
+            stream.next().await;
+            true
+        };
+        let passed = async {
+            smol::Timer::after(Duration::from_secs(5)).await;
+            false
+        };
+        assert!(!futures_lite::future::or(ended, passed).await);
+    });
+}
+
+#[test]
+fn lost_while_idle() {
+    // A sidecar dies while nothing is in flight, so its connection looks well. A
+    // request written to it would be in doubt, and a non-idempotent one lost,
+    // though it never left this process's buffers.
+    smol::block_on(async {
+        let fixture = LossFixture::start();
+        assert_eq!(fixture.ask().await, Ok(PeerReply::Done));
+        fixture.relay.cut(true);
+        smol::Timer::after(STALE_WHILE).await;
+        let error = soon(fixture.ask()).await.unwrap_err();
+        assert!(matches!(error, LinkError::Unreachable { .. }), "{error}");
+        assert!(error.surely_not_sent());
+        fixture.relay.cut(false);
+        assert_eq!(fixture.ask().await, Ok(PeerReply::Done));
+        assert_eq!(fixture.handled(), 2);
+    });
+}
+
+#[test]
+fn peer_replaced() {
+    // A sidecar is killed and started again at its address. Its successor knows
+    // no connection of its predecessor; without a word from it, requests would
+    // go on into the dead connection until it has been silent for too long.
+    smol::block_on(async {
+        let fixture = LossFixture::start();
+        let certificate = fixture.authority.issue();
+        let identity = || certificate.trusting(&fixture.authority.certificate);
+        let first = endpoint(identity(), handler(async |_| std::future::pending().await));
+        let done = handler(async |call| call.responder.reply(PeerReply::Done).await);
+        let second = endpoint(identity(), done);
+        fixture.relay.lead_to(first.local_address());
+
+        let to = fixture.relay.address();
+        let mut stream = fixture.client.open(to, &attach(), PATIENCE).await.unwrap();
+        fixture.relay.lead_to(second.local_address());
+        let error = soon(stream.next()).await.unwrap().unwrap_err();
+        assert!(error.to_string().contains("reset by peer"), "{error}");
+        assert!(!error.surely_not_sent());
+        assert_eq!(fixture.ask().await, Ok(PeerReply::Done));
+    });
+}
