Choose by learned report lag, a prefix ring and relative speed

Cause: the first choice took a fixed lag, and each entry had its own idea of where a prefix is cached. Change: the lag is learned by matching reports with own requests; old reports fade towards the mean; a consistent-hash ring makes all entries agree on a prefix's upstream; one slowness factor an upstream, from first tokens and the pace of tokens. The example policy_compare measures it. Tried without gain and left out: the other entries' share learned from the dispatched counter, outstanding tokens of own requests.

--- /dev/null
+++ b/crates/sagespool-routing/examples/policy_compare.rs
@@ -0,0 +1,610 @@
+//! Compares the routing policies on a small model of engines.
+//!
+//! A plain loop over timed events: entries that choose with the real decisions
+//! of this package, engines that batch up to their capacity at one token rate
+//! and cache some prefixes, and load reports that arrive late or not at all.
+//! It evaluates decisions; it knows no network, processes or faults of the fleet.
+//!
+//! ```text
+//! cargo run --release --example policy_compare
+//! cargo run --release --example policy_compare -- slow-upstream entries=10 seeds=5
+//! ```
+
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::time::Duration;
+
+use fastrand::Rng;
+use sagespool_messages::{LoadReport, MemberInfo, MemberRole, ServedUpstream, UpstreamKind};
+use sagespool_routing::{
+    AdmissionQueue, AttemptOutcome, AttemptResult, OfferOutcome, PolicyKind, QueuePolicy,
+    QueueTicket, RouteChoice, RouteWish, RoutingPolicy, UpstreamTable,
+};
+use sagespool_types::{ClockTime, ConfigVersion, IncarnationId, RequestId, TokenCount};
+
+/// How often an entry asks the table for room and releases from its queue.
+const TICK: Duration = Duration::from_millis(100);
+/// What happens before this time is not counted.
+const WARM_UP: Duration = Duration::from_secs(10);
+/// How long requests arrive.
+const RUN: Duration = Duration::from_secs(70);
+/// From dispatch to the engine and back to the entry, each way.
+const LINK: Duration = Duration::from_micros(500);
+/// What a link to another data centre adds, each way.
+const FAR: Duration = Duration::from_micros(500);
+/// Time for one token.
+const TOKEN: Duration = Duration::from_millis(10);
+/// Time to the first token of a prompt whose prefix isn't cached, and of one whose prefix is.
+const PREFILL: Duration = Duration::from_millis(120);
+const PREFILL_CACHED: Duration = Duration::from_millis(30);
+/// Attempts at one request.
+const MOST_ATTEMPTS: usize = 3;
+const CENTRES: usize = 4;
+
+/// One scenario's figures.
+#[derive(Debug, Clone)]
+struct Scenario {
+    name: &'static str,
+    entries: usize,
+    engines: usize,
+    capacity: u32,
+    /// Requests as a share of what the engines can do.
+    load: f64,
+    /// From 20 s to 40 s the load is so many times as high.
+    surge: f64,
+    report_every: Duration,
+    report_lag: Duration,
+    /// Share of reports that never arrive.
+    report_loss: f64,
+    /// The first engine is so many times as slow, from 20 s to 50 s.
+    slow: f64,
+    /// The first engine fails this share of its requests at once, from 20 s to 50 s.
+    failing: f64,
+    prefixes: usize,
+    /// Prefixes that an engine caches.
+    cache: usize,
+    mean_tokens: f64,
+    /// This share of the requests has ten times the tokens of the others.
+    long: f64,
+    /// The first entry gets so many times the requests of each other one.
+    uneven: f64,
+    deadline: Duration,
+    queue: bool,
+    seeds: u64,
+}
+
+impl Scenario {
+    fn plain(name: &'static str) -> Self {
+        Self {
+            name,
+            entries: 3,
+            engines: 9,
+            capacity: 8,
+            load: 0.7,
+            surge: 1.0,
+            report_every: Duration::from_millis(500),
+            report_lag: Duration::from_millis(300),
+            report_loss: 0.0,
+            slow: 1.0,
+            failing: 0.0,
+            prefixes: 400,
+            cache: 48,
+            mean_tokens: 40.0,
+            long: 0.0,
+            uneven: 1.0,
+            deadline: Duration::from_secs(20),
+            queue: true,
+            seeds: 3,
+        }
+    }
+
+    fn all() -> Vec<Self> {
+        let lagging = Self {
+            report_every: Duration::from_secs(1),
+            report_lag: Duration::from_secs(2),
+            report_loss: 0.2,
+            load: 0.8,
+            ..Self::plain("lagging-load")
+        };
+        let slow = Self { slow: 6.0, ..Self::plain("slow-upstream") };
+        let surge = Self { surge: 5.0, load: 0.4, ..Self::plain("surge") };
+        let mild = Self { surge: 5.0, load: 0.22, ..Self::plain("mild-surge") };
+        let failing = Self { failing: 0.6, ..Self::plain("failing-upstream") };
+        let prefix = Self { load: 0.5, ..Self::plain("prefix-reuse") };
+        let uneven = Self { uneven: 6.0, ..Self::plain("uneven-entries") };
+        let mixed = Self { long: 0.1, ..Self::plain("mixed-sizes") };
+        vec![Self::plain("normal"), lagging, slow, surge, mild, failing, prefix, uneven, mixed]
+    }
+
+    fn set(&mut self, key: &str, value: &str) {
+        let number: f64 = value.parse().expect("a number after `=`");
+        let millis = Duration::from_secs_f64(number / 1000.0);
+        match key {
+            "entries" => self.entries = number as usize,
+            "engines" => self.engines = number as usize,
+            "capacity" => self.capacity = number as u32,
+            "load" => self.load = number,
+            "surge" => self.surge = number,
+            "every" => self.report_every = millis,
+            "lag" => self.report_lag = millis,
+            "loss" => self.report_loss = number,
+            "slow" => self.slow = number,
+            "failing" => self.failing = number,
+            "prefixes" => self.prefixes = number as usize,
+            "cache" => self.cache = number as usize,
+            "tokens" => self.mean_tokens = number,
+            "long" => self.long = number,
+            "uneven" => self.uneven = number,
+            "deadline" => self.deadline = millis,
+            "queue" => self.queue = number > 0.0,
+            "seeds" => self.seeds = number as u64,
+            _ => panic!("unknown setting `{key}`"),
+        }
+    }
+
+    /// Requests a second of all entries together, before a surge.
+    fn rate(&self) -> f64 {
+        let mean_tokens = self.mean_tokens * (1.0 + 9.0 * self.long);
+        let run = PREFILL.as_secs_f64() + mean_tokens * TOKEN.as_secs_f64();
+        self.load * self.engines as f64 * f64::from(self.capacity) / run
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive(usize),
+    /// A job reaches its engine.
+    Reach(usize),
+    FirstToken(usize),
+    Done(usize),
+    Failed(usize),
+    Report(usize),
+    /// A report, by its place in `reports`, reaches an entry.
+    Deliver(usize, usize),
+    Tick(usize),
+}
+
+#[derive(Debug, Clone)]
+struct Job {
+    entry: usize,
+    engine: usize,
+    arrived: ClockTime,
+    sent: ClockTime,
+    tokens: f64,
+    prefix: u128,
+    choice: Option<RouteChoice>,
+    tried: Vec<IncarnationId>,
+    first_token: Option<Duration>,
+    is_hit: bool,
+}
+
+#[derive(Debug, Default)]
+struct Engine {
+    running: u32,
+    waiting: VecDeque<usize>,
+    /// Cached prefixes, the least recently used first.
+    cached: VecDeque<u128>,
+    dispatched: u64,
+    reports: u64,
+}
+
+struct Entry {
+    table: UpstreamTable,
+    queue: AdmissionQueue,
+}
+
+/// What one run showed.
+#[derive(Debug, Default)]
+struct Figures {
+    first_tokens: Vec<Duration>,
+    arrived: u64,
+    refused: u64,
+    failed: u64,
+    runs: u64,
+    hits: u64,
+    /// Runs while the first engine is disturbed, and those on it.
+    disturbed: u64,
+    slow_runs: u64,
+}
+
+impl Figures {
+    fn percentile(&mut self, share: f64) -> f64 {
+        self.first_tokens.sort_unstable();
+        let last = self.first_tokens.len().saturating_sub(1);
+        let place = (last as f64 * share).round() as usize;
+        self.first_tokens.get(place).map_or(f64::NAN, |time| time.as_secs_f64() * 1000.0)
+    }
+}
+
+struct Model<'a> {
+    scenario: &'a Scenario,
+    events: BinaryHeap<std::cmp::Reverse<(ClockTime, u64, Event)>>,
+    order: u64,
+    entries: Vec<Entry>,
+    engines: Vec<Engine>,
+    jobs: Vec<Job>,
+    by_request: HashMap<RequestId, usize>,
+    reports: Vec<MemberInfo>,
+    random: Rng,
+    figures: Figures,
+}
+
+impl<'a> Model<'a> {
+    fn new(scenario: &'a Scenario, kind: PolicyKind, seed: u64) -> Self {
+        let entry = |place: usize| {
+            let policy = RoutingPolicy::builder().kind(kind).seed(seed * 1000 + place as u64);
+            let table = UpstreamTable::new(policy.build(), centre(place));
+            table.set_entries(scenario.entries as u32);
+            Entry { table, queue: AdmissionQueue::new(QueuePolicy::default()) }
+        };
+        Self {
+            scenario,
+            events: BinaryHeap::new(),
+            order: 0,
+            entries: (0..scenario.entries).map(entry).collect(),
+            engines: (0..scenario.engines).map(|_| Engine::default()).collect(),
+            jobs: Vec::new(),
+            by_request: HashMap::new(),
+            reports: Vec::new(),
+            random: Rng::with_seed(seed),
+            figures: Figures::default(),
+        }
+    }
+
+    fn run(mut self) -> Figures {
+        let start = ClockTime::default();
+        for engine in 0..self.engines.len() {
+            let report = self.describe(engine);
+            self.entries.iter().for_each(|entry| entry.table.observe(&report, start));
+            let offset = self.scenario.report_every.mul_f64(self.random.f64());
+            self.push(start.after(offset), Event::Report(engine));
+        }
+        for entry in 0..self.entries.len() {
+            self.push(start, Event::Tick(entry));
+            self.push(start, Event::Arrive(entry));
+        }
+        while let Some(std::cmp::Reverse((now, _, event))) = self.events.pop() {
+            if now > start.after(RUN + Duration::from_secs(60)) {
+                break;
+            }
+            self.step(event, now);
+        }
+        self.figures
+    }
+
+    fn step(&mut self, event: Event, now: ClockTime) {
+        match event {
+            Event::Arrive(entry) => self.arrive(entry, now),
+            Event::Reach(job) => self.reach(job, now),
+            Event::FirstToken(job) => self.first_token(job, now),
+            Event::Done(job) => self.done(job, now),
+            Event::Failed(job) => self.failed(job, now),
+            Event::Report(engine) => self.report(engine, now),
+            Event::Deliver(entry, report) => {
+                self.entries[entry].table.observe(&self.reports[report], now);
+            }
+            Event::Tick(entry) => {
+                self.tick(entry, now);
+                self.push(now.after(TICK), Event::Tick(entry));
+            }
+        }
+    }
+
+    fn push(&mut self, at: ClockTime, event: Event) {
+        self.order += 1;
+        self.events.push(std::cmp::Reverse((at, self.order, event)));
+    }
+
+    fn arrive(&mut self, entry: usize, now: ClockTime) {
+        let second = now.0 as f64 / 1e6;
+        let factor = if (20.0..40.0).contains(&second) { self.scenario.surge } else { 1.0 };
+        let weight = if entry == 0 { self.scenario.uneven } else { 1.0 };
+        let weights = self.entries.len() as f64 - 1.0 + self.scenario.uneven;
+        let rate = self.scenario.rate() * factor * weight / weights;
+        let gap = -(1.0 - self.random.f64()).ln() / rate;
+        if now.after(Duration::from_secs_f64(gap)) < ClockTime::default().after(RUN) {
+            self.push(now.after(Duration::from_secs_f64(gap)), Event::Arrive(entry));
+        }
+        let is_long = self.random.f64() < self.scenario.long;
+        let mean_tokens = self.scenario.mean_tokens * if is_long { 10.0 } else { 1.0 };
+        let job = Job {
+            entry,
+            engine: 0,
+            arrived: now,
+            sent: now,
+            tokens: -(1.0 - self.random.f64()).ln() * mean_tokens,
+            prefix: self.draw_prefix(),
+            choice: None,
+            tried: Vec::new(),
+            first_token: None,
+            is_hit: false,
+        };
+        let place = self.jobs.len();
+        let request = RequestId(place as u128);
+        self.jobs.push(job);
+        self.by_request.insert(request, place);
+        if counts(now) {
+            self.figures.arrived += 1;
+        }
+        if !self.scenario.queue {
+            return self.dispatch(place, now);
+        }
+        let ticket = QueueTicket::builder()
+            .request(request)
+            .service(name("sage-core"))
+            .branch(name("ruwi-bids"))
+            .deadline(now.after(self.scenario.deadline))
+            .build();
+        match self.entries[entry].queue.offer(ticket, now) {
+            OfferOutcome::Admitted => self.dispatch(place, now),
+            OfferOutcome::Queued { .. } => {}
+            OfferOutcome::Refused { .. } => self.refuse(place),
+        }
+    }
+
+    /// Some prefixes come far more often than others.
+    fn draw_prefix(&mut self) -> u128 {
+        let draw = self.random.f64();
+        let place = (draw * draw * self.scenario.prefixes as f64) as u64;
+        u128::from(place.wrapping_mul(0x9e37_79b9_7f4a_7c15)) << 32 | u128::from(place)
+    }
+
+    fn dispatch(&mut self, place: usize, now: ClockTime) {
+        let job = &mut self.jobs[place];
+        let wish = RouteWish::builder()
+            .service(name("sage-core"))
+            .prefix(job.prefix)
+            .exclude(job.tried.clone())
+            .build();
+        let table = &self.entries[job.entry].table;
+        let Some(choice) = table.choose(&wish, now) else {
+            self.free(place, now);
+            return self.refuse(place);
+        };
+        table.started(&choice, now);
+        job.engine = choice.sidecar.0 as usize;
+        job.sent = now;
+        job.choice = Some(choice);
+        let way = LINK + self.distance(place);
+        self.push(now.after(way), Event::Reach(place));
+    }
+
+    fn distance(&self, place: usize) -> Duration {
+        let job = &self.jobs[place];
+        let is_near = job.entry % CENTRES == job.engine % CENTRES;
+        if is_near { Duration::ZERO } else { FAR }
+    }
+
+    fn refuse(&mut self, place: usize) {
+        if counts(self.jobs[place].arrived) {
+            self.figures.refused += 1;
+        }
+    }
+
+    fn reach(&mut self, place: usize, now: ClockTime) {
+        let number = self.jobs[place].engine;
+        self.engines[number].dispatched += 1;
+        if counts(self.jobs[place].arrived) {
+            self.figures.runs += 1;
+            self.figures.disturbed += u64::from(is_disturbed(now));
+            self.figures.slow_runs += u64::from(number == 0 && is_disturbed(now));
+        }
+        if number == 0 && is_disturbed(now) && self.random.f64() < self.scenario.failing {
+            return self.push(now.after(LINK), Event::Failed(place));
+        }
+        if self.engines[number].running < self.scenario.capacity {
+            return self.begin(place, now);
+        }
+        self.engines[number].waiting.push_back(place);
+    }
+
+    fn begin(&mut self, place: usize, now: ClockTime) {
+        let job = &mut self.jobs[place];
+        let engine = &mut self.engines[job.engine];
+        engine.running += 1;
+        let found = engine.cached.iter().position(|prefix| *prefix == job.prefix);
+        job.is_hit = found.is_some();
+        if let Some(found) = found {
+            engine.cached.remove(found);
+        } else if engine.cached.len() >= self.scenario.cache {
+            engine.cached.pop_front();
+        }
+        engine.cached.push_back(job.prefix);
+        let is_slow = job.engine == 0 && is_disturbed(now);
+        let slow = if is_slow { self.scenario.slow } else { 1.0 };
+        let prefill = if job.is_hit { PREFILL_CACHED } else { PREFILL }.mul_f64(slow);
+        let tokens = TOKEN.mul_f64(job.tokens * slow);
+        self.push(now.after(prefill), Event::FirstToken(place));
+        self.push(now.after(prefill + tokens), Event::Done(place));
+    }
+
+    fn first_token(&mut self, place: usize, now: ClockTime) {
+        let at = now.after(LINK + self.distance(place));
+        let job = &mut self.jobs[place];
+        let latency = at.since(job.sent);
+        job.first_token = Some(latency);
+        if let Some(choice) = &job.choice {
+            self.entries[job.entry].table.first_token(choice, latency, at);
+        }
+        if counts(job.arrived) {
+            self.figures.hits += u64::from(job.is_hit);
+            self.figures.first_tokens.push(at.since(job.arrived));
+        }
+    }
+
+    fn done(&mut self, place: usize, now: ClockTime) {
+        let number = self.jobs[place].engine;
+        self.engines[number].running -= 1;
+        self.settle(place, AttemptOutcome::Whole, now);
+        self.free(place, now);
+        if let Some(next) = self.engines[number].waiting.pop_front() {
+            self.begin(next, now);
+        }
+    }
+
+    fn failed(&mut self, place: usize, now: ClockTime) {
+        self.settle(place, AttemptOutcome::Failed, now);
+        let job = &mut self.jobs[place];
+        let sidecar = IncarnationId(job.engine as u64);
+        job.tried.push(sidecar);
+        if job.tried.len() < MOST_ATTEMPTS {
+            return self.dispatch(place, now);
+        }
+        if counts(job.arrived) {
+            self.figures.failed += 1;
+        }
+        self.free(place, now);
+    }
+
+    fn settle(&mut self, place: usize, outcome: AttemptOutcome, now: ClockTime) {
+        let job = &mut self.jobs[place];
+        let Some(choice) = job.choice.take() else { return };
+        let tokens = TokenCount(job.tokens as u64);
+        let result = AttemptResult { first_token: None, tokens, outcome };
+        self.entries[job.entry].table.ended(&choice, &result, now);
+    }
+
+    fn free(&mut self, place: usize, now: ClockTime) {
+        let entry = self.jobs[place].entry;
+        let request = RequestId(place as u128);
+        self.entries[entry].queue.ended(&name("sage-core"), request, now);
+        self.release(entry, now);
+    }
+
+    fn tick(&mut self, entry: usize, now: ClockTime) {
+        let Entry { table, queue } = &self.entries[entry];
+        let service = name("sage-core");
+        if let Some(room) = table.room(&service, now) {
+            queue.set_limit(&service, room.limit);
+        }
+        self.release(entry, now);
+    }
+
+    fn release(&mut self, entry: usize, now: ClockTime) {
+        if !self.scenario.queue {
+            return;
+        }
+        let release = self.entries[entry].queue.release(&name("sage-core"), now);
+        for request in release.expired {
+            self.refuse(self.by_request[&request]);
+        }
+        for request in release.admitted {
+            self.dispatch(self.by_request[&request], now);
+        }
+    }
+
+    fn report(&mut self, engine: usize, now: ClockTime) {
+        self.engines[engine].reports += 1;
+        let report = self.describe(engine);
+        let place = self.reports.len();
+        self.reports.push(report);
+        for entry in 0..self.entries.len() {
+            if self.random.f64() >= self.scenario.report_loss {
+                self.push(now.after(self.scenario.report_lag), Event::Deliver(entry, place));
+            }
+        }
+        self.push(now.after(self.scenario.report_every), Event::Report(engine));
+    }
+
+    fn describe(&self, number: usize) -> MemberInfo {
+        let engine = &self.engines[number];
+        let load = LoadReport {
+            number: engine.reports,
+            running: engine.running,
+            waiting: engine.waiting.len() as u32,
+            tokens_per_second: engine.running * 100,
+            dispatched: engine.dispatched,
+        };
+        let served = ServedUpstream {
+            upstream: name(&format!("worker-{number}")),
+            kind: UpstreamKind::Engine,
+            service: name("sage-core"),
+            models: Vec::new(),
+            capacity: self.scenario.capacity,
+            healthy: true,
+            load,
+        };
+        MemberInfo {
+            instance: name(&format!("instance-{number}")),
+            incarnation: IncarnationId(number as u64),
+            number: engine.reports,
+            role: MemberRole::Sidecar,
+            region: name("muscat"),
+            centre: centre(number),
+            address: ([127, 0, 0, 1], 9000).into(),
+            leaving: false,
+            config: ConfigVersion(1),
+            started_at: None,
+            serves: Some(served),
+        }
+    }
+}
+
+/// A name that is known to be one.
+fn name<T: std::str::FromStr<Err = sagespool_types::ParseFault>>(text: &str) -> T {
+    text.parse().expect("a valid name")
+}
+
+fn centre(place: usize) -> sagespool_types::CentreName {
+    name(&format!("hall-{}", place % CENTRES))
+}
+
+fn counts(arrived: ClockTime) -> bool {
+    arrived >= ClockTime::default().after(WARM_UP)
+}
+
+fn is_disturbed(now: ClockTime) -> bool {
+    (20.0..50.0).contains(&(now.0 as f64 / 1e6))
+}
+
+fn compare(scenario: &Scenario) {
+    println!(
+        "\n{} (load {}, {} entries, {} engines of {}, reports every {:?} + {:?}, {} seeds)",
+        scenario.name,
+        scenario.load,
+        scenario.entries,
+        scenario.engines,
+        scenario.capacity,
+        scenario.report_every,
+        scenario.report_lag,
+        scenario.seeds
+    );
+    println!(
+        "| policy | p50 ms | p99 ms, each seed | hits % | first engine % | runs a request | refused % | failed % |"
+    );
+    println!("|---|---:|---:|---:|---:|---:|---:|---:|");
+    for kind in PolicyKind::ALL {
+        let runs = (1..=scenario.seeds).map(|seed| Model::new(scenario, kind, seed).run());
+        let mut runs: Vec<Figures> = runs.collect();
+        let middle: f64 = runs.iter_mut().map(|run| run.percentile(0.5)).sum();
+        let tails: Vec<String> =
+            runs.iter_mut().map(|run| format!("{:.0}", run.percentile(0.99))).collect();
+        let sum = |part: fn(&Figures) -> u64| runs.iter().map(part).sum::<u64>() as f64;
+        let all = sum(|run| run.runs);
+        let arrived = sum(|run| run.arrived);
+        println!(
+            "| {kind} | {:.0} | {} | {:.1} | {:.1} | {:.3} | {:.2} | {:.2} |",
+            middle / runs.len() as f64,
+            tails.join(", "),
+            100.0 * sum(|run| run.hits) / all,
+            100.0 * sum(|run| run.slow_runs) / sum(|run| run.disturbed),
+            all / (arrived - sum(|run| run.refused)),
+            100.0 * sum(|run| run.refused) / arrived,
+            100.0 * sum(|run| run.failed) / arrived,
+        );
+    }
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let (settings, names): (Vec<_>, Vec<_>) =
+        arguments.iter().partition(|argument| argument.contains('='));
+    for mut scenario in Scenario::all() {
+        if !names.is_empty() && !names.iter().any(|name| *name == scenario.name) {
+            continue;
+        }
+        for (key, value) in settings.iter().filter_map(|setting| setting.split_once('=')) {
+            scenario.set(key, value);
+        }
+        compare(&scenario);
+    }
+}
--- a/crates/sagespool-routing/src/affinity.rs
+++ b/crates/sagespool-routing/src/affinity.rs
@@ -1,15 +1,18 @@
 //! Where a prompt's prefix is likely cached.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use sagespool_types::{ClockTime, IncarnationId, UpstreamName, derives};
 use twox_hash::XxHash3_64;
 
-/// Places on the ring for each upstream; more even out the arcs.
+/// Places on the ring for each upstream; more of them even out the arcs.
 const RING_POINTS: u64 = 16;
 /// The most upstreams remembered for one prefix.
 const MOST_HOLDERS: usize = 4;
+/// An eviction is believed only of a prefix that was not sent there for so long: events are
+/// late, and the send may have stored it again since.
+const EVENT_DELAY: Duration = Duration::from_secs(2);
 
 derives! { value;
     /// What happened to a prefix in an engine's cache.
@@ -35,17 +38,15 @@
 }
 
 /// The place of every upstream on a ring, so that all entries agree without a
-/// message on where an unknown prefix goes first.
+/// message on where a prefix goes first.
 #[derive(Debug, Default)]
 pub(crate) struct PrefixRing {
-    points: BTreeMap<(u64, IncarnationId), ()>,
+    points: BTreeSet<(u64, IncarnationId)>,
 }
 
 impl PrefixRing {
     pub(crate) fn insert(&mut self, upstream: &UpstreamName, id: IncarnationId) {
-        for point in ring_points(upstream) {
-            self.points.insert((point, id), ());
-        }
+        self.points.extend(ring_points(upstream).map(|point| (point, id)));
     }
 
     pub(crate) fn remove(&mut self, upstream: &UpstreamName, id: IncarnationId) {
@@ -56,9 +57,9 @@
 
     /// The upstreams from the prefix's place on, in ring order; may repeat.
     pub(crate) fn from(&self, prefix: u128) -> impl Iterator<Item = IncarnationId> {
-        let place = (prefix ^ (prefix >> 64)) as u64;
+        let place = XxHash3_64::oneshot(&prefix.to_le_bytes());
         let first = (place, IncarnationId(0));
-        self.points.range(first..).chain(self.points.range(..first)).map(|((_, id), ())| *id)
+        self.points.range(first..).chain(self.points.range(..first)).map(|(_, id)| *id)
     }
 }
 
@@ -67,9 +68,19 @@
     (0..RING_POINTS).map(move |point| XxHash3_64::oneshot_with_seed(point, name.as_bytes()))
 }
 
+/// Why an upstream is believed to hold a prefix.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PrefixBelief {
+    /// This entry sent it there lately.
+    Sent,
+    /// Its engine said that it is stored.
+    Stored,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct PrefixHolder {
     id: IncarnationId,
+    belief: PrefixBelief,
     seen: ClockTime,
 }
 
@@ -77,24 +88,26 @@
 #[derive(Debug, Default)]
 pub(crate) struct PrefixMemory {
     holders: HashMap<u128, Vec<PrefixHolder>>,
+    most: usize,
 }
 
 impl PrefixMemory {
-    pub(crate) fn note(&mut self, prefix: u128, id: IncarnationId, most: usize, now: ClockTime) {
-        if self.holders.len() >= most && !self.holders.contains_key(&prefix) {
-            self.shrink();
-        }
-        let holders = self.holders.entry(prefix).or_default();
-        holders.retain(|holder| holder.id != id);
-        holders.push(PrefixHolder { id, seen: now });
-        if holders.len() > MOST_HOLDERS {
-            holders.remove(0);
-        }
+    pub(crate) fn new(most: usize) -> Self {
+        Self { holders: HashMap::new(), most: most.max(2) }
+    }
+
+    pub(crate) fn sent(&mut self, prefix: u128, id: IncarnationId, now: ClockTime) {
+        self.note(prefix, id, PrefixBelief::Sent, now);
     }
 
-    pub(crate) fn forget(&mut self, prefix: u128, id: IncarnationId) {
+    pub(crate) fn stored(&mut self, prefix: u128, id: IncarnationId, now: ClockTime) {
+        self.note(prefix, id, PrefixBelief::Stored, now);
+    }
+
+    pub(crate) fn evicted(&mut self, prefix: u128, id: IncarnationId, now: ClockTime) {
         let Some(holders) = self.holders.get_mut(&prefix) else { return };
-        holders.retain(|holder| holder.id != id);
+        let is_newer = |holder: &PrefixHolder| now.since(holder.seen) < EVENT_DELAY;
+        holders.retain(|holder| holder.id != id || is_newer(holder));
         if holders.is_empty() {
             self.holders.remove(&prefix);
         }
@@ -106,14 +119,28 @@
         prefix: u128,
         expiry: Duration,
         now: ClockTime,
-    ) -> impl Iterator<Item = IncarnationId> {
+    ) -> impl Iterator<Item = (IncarnationId, PrefixBelief)> {
         let holders = self.holders.get(&prefix).map_or(&[][..], Vec::as_slice);
         let live = holders.iter().rev().filter(move |holder| now.since(holder.seen) < expiry);
-        live.map(|holder| holder.id)
+        live.map(|holder| (holder.id, holder.belief))
+    }
+
+    fn note(&mut self, prefix: u128, id: IncarnationId, belief: PrefixBelief, now: ClockTime) {
+        if self.holders.len() >= self.most && !self.holders.contains_key(&prefix) {
+            self.drop_older_half();
+        }
+        let holders = self.holders.entry(prefix).or_default();
+        let known = holders.iter().find(|holder| holder.id == id).map(|holder| holder.belief);
+        let belief =
+            if known == Some(PrefixBelief::Stored) { PrefixBelief::Stored } else { belief };
+        holders.retain(|holder| holder.id != id);
+        holders.push(PrefixHolder { id, belief, seen: now });
+        if holders.len() > MOST_HOLDERS {
+            holders.remove(0);
+        }
     }
 
-    /// Drops the older half.
-    fn shrink(&mut self) {
+    fn drop_older_half(&mut self) {
         let newest = |holders: &Vec<PrefixHolder>| holders.last().map(|holder| holder.seen);
         let mut times: Vec<_> = self.holders.values().map(newest).collect();
         let middle = times.len() / 2;
--- a/crates/sagespool-routing/src/lib.rs
+++ b/crates/sagespool-routing/src/lib.rs
@@ -13,7 +13,11 @@
 
 mod affinity;
 mod baseline;
+mod choice;
+mod choose;
 mod ejection;
+mod history;
+mod lag;
 mod limits;
 mod load;
 mod policy;
@@ -21,13 +25,16 @@
 mod retry;
 mod service;
 mod smooth;
+mod speed;
 mod table;
+mod totals;
 mod upstream;
 
 pub use affinity::{CacheEvent, CacheEventKind};
+pub use choice::{AttemptOutcome, AttemptResult, RouteChoice, RouteWish, ServiceRoom};
 pub use limits::{BranchLimits, LimitRefusal, LimitRule, LimitScope};
 pub use policy::{PolicyKind, RoutingPolicy};
 pub use queue::{AdmissionQueue, OfferOutcome, QueuePolicy, QueueRelease, QueueTicket};
 pub use retry::{RetryBudget, RetryPolicy};
-pub use service::{AttemptOutcome, AttemptResult, RouteChoice, RouteWish, ServiceRoom};
+
 pub use table::UpstreamTable;
--- a/crates/sagespool-routing/src/load.rs
+++ b/crates/sagespool-routing/src/load.rs
@@ -1,25 +1,36 @@
 //! How busy an upstream is now, from an old report and own sends.
 
-use std::collections::VecDeque;
+use std::time::Duration;
 
 use sagespool_messages::LoadReport;
 use sagespool_types::ClockTime;
 
-use crate::RoutingPolicy;
+use crate::history::OwnHistory;
+use crate::lag::{LagEstimate, LagRests};
 
-/// Own changes remembered for comparison with a report.
-const MOST_CHANGES: usize = 256;
+/// What a service's reports show together, which one upstream's estimate leans on.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LoadOutlook {
+    /// How old a report is when it arrives.
+    pub(crate) lag: Duration,
+    /// Requests that other entries send for each own one.
+    pub(crate) others: f64,
+    /// Requests of other entries for each place of an upstream, on average.
+    pub(crate) others_mean: f64,
+    /// How long a report's surplus over the average lasts.
+    pub(crate) fading: Duration,
+    /// How far others are taken to follow the same old reports, from 0 to 1.
+    pub(crate) herding: f64,
+}
 
 /// One upstream's load: the newest report and what this entry did since.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct LoadView {
     report: LoadReport,
-    /// When the report was made, as far as this entry can tell; none before the first.
-    made_at: Option<ClockTime>,
-    own: u32,
-    /// Own requests running there after each change, oldest first.
-    changes: VecDeque<(ClockTime, u32)>,
-    own_at_report: u32,
+    /// When the report came; none before the first.
+    received: Option<ClockTime>,
+    rests: Option<Box<LagRests>>,
+    history: OwnHistory,
 }
 
 impl LoadView {
@@ -29,59 +40,62 @@
 
     /// Own requests there now.
     pub(crate) fn own(&self) -> u32 {
-        self.own
+        self.history.now()
     }
 
     /// Takes a report in, unless it is no newer than the one known.
-    pub(crate) fn observe(&mut self, report: &LoadReport, policy: &RoutingPolicy, now: ClockTime) {
-        if self.made_at.is_some() && report.number <= self.report.number {
+    pub(crate) fn observe(&mut self, report: &LoadReport, lag: &mut LagEstimate, now: ClockTime) {
+        if self.received.is_some() && report.number <= self.report.number {
             return;
         }
-        let made_at = ClockTime(now.0.saturating_sub(policy.report_lag.as_micros() as u64));
         self.report = *report;
-        self.made_at = Some(made_at);
-        self.own_at_report = self.own_at(made_at);
-        while self.changes.len() > 1 && self.changes[1].0 <= made_at {
-            self.changes.pop_front();
-        }
+        self.received = Some(now);
+        let rests = lag.compare(total(report), &self.history, self.rests.as_deref(), now);
+        self.rests = Some(Box::new(rests));
     }
 
     pub(crate) fn started(&mut self, now: ClockTime) {
-        self.change(self.own + 1, now);
+        self.history.set(self.own() + 1, now);
     }
 
     pub(crate) fn ended(&mut self, now: ClockTime) {
-        self.change(self.own.saturating_sub(1), now);
+        self.history.set(self.own().saturating_sub(1), now);
+    }
+
+    /// Requests of other entries there when the report was made.
+    pub(crate) fn others_then(&self, lag: Duration) -> f64 {
+        let Some(made_at) = self.made_at(lag) else { return 0.0 };
+        let own_then = f64::from(self.history.at(made_at));
+        (f64::from(total(&self.report)) - own_then).max(0.0)
     }
 
     /// Requests running or waiting there now, all entries together.
     ///
     /// Guards against entries that herd: each sees the same idle upstream in the same old
-    /// report and sends until the next one. What this entry has sent since the report counts
-    /// at once, and the other entries, which see the same report, are taken to have done alike.
-    pub(crate) fn estimate(&self, entries: u32, policy: &RoutingPolicy, now: ClockTime) -> f64 {
-        let own = f64::from(self.own);
-        let Some(made_at) = self.made_at else { return own * f64::from(entries) };
-        if now.since(made_at) > policy.report_expiry {
-            return own * f64::from(entries);
-        }
-        let total = self.report.running + self.report.waiting;
-        let others = f64::from(total.saturating_sub(self.own_at_report));
-        let growth = own - f64::from(self.own_at_report);
-        let others_now = others + growth * f64::from(entries.saturating_sub(1));
-        own + others_now.max(0.0)
+    /// report and sends until the next one, so the upstream's queue grows by the number of
+    /// entries. Own sends count at once, and the others, which see the same report, are taken
+    /// to have done alike. What an old report says beyond the average fades as the requests
+    /// that it counted end.
+    pub(crate) fn estimate(&self, outlook: &LoadOutlook, capacity: f64, now: ClockTime) -> f64 {
+        let own = f64::from(self.own());
+        let others_mean = outlook.others_mean * capacity;
+        let followed = outlook.others * outlook.herding;
+        let Some(made_at) = self.made_at(outlook.lag) else {
+            return own * (1.0 + followed) + others_mean;
+        };
+        let own_then = f64::from(self.history.at(made_at));
+        let age = now.since(made_at).as_secs_f64();
+        let kept = (-age / outlook.fading.as_secs_f64().max(1e-3)).exp();
+        let surplus = (self.others_then(outlook.lag) - others_mean) * kept;
+        let others = others_mean + surplus + (own - own_then) * followed;
+        own + others.max(0.0)
     }
 
-    fn change(&mut self, own: u32, now: ClockTime) {
-        self.own = own;
-        self.changes.push_back((now, own));
-        if self.changes.len() > MOST_CHANGES {
-            self.changes.pop_front();
-        }
+    fn made_at(&self, lag: Duration) -> Option<ClockTime> {
+        self.received.map(|received| ClockTime(received.0.saturating_sub(lag.as_micros() as u64)))
     }
+}
 
-    fn own_at(&self, time: ClockTime) -> u32 {
-        let before = self.changes.iter().rev().find(|(at, _)| *at <= time);
-        before.map_or(0, |(_, own)| *own)
-    }
+fn total(report: &LoadReport) -> u32 {
+    report.running.saturating_add(report.waiting)
 }
--- a/crates/sagespool-routing/src/policy.rs
+++ b/crates/sagespool-routing/src/policy.rs
@@ -66,12 +66,9 @@
     /// Seed of the random choices.
     #[builder(default)]
     pub seed: u64,
-    /// How old a load report is when it arrives: the engine's lag plus the way here.
+    /// How old a load report is when it arrives, until that has been learned.
     #[builder(default = Duration::from_millis(500))]
     pub report_lag: Duration,
-    /// A report older than this says nothing any more.
-    #[builder(default = Duration::from_secs(10))]
-    pub report_expiry: Duration,
     /// Up to so many upstreams are all looked at; beyond that, a random sample.
     #[builder(default = 32)]
     pub full_scan: usize,
--- a/crates/sagespool-routing/src/queue.rs
+++ b/crates/sagespool-routing/src/queue.rs
@@ -132,7 +132,7 @@
             running: HashMap::new(),
             waiting: 0,
             virtual_now: 0,
-            run_time: SmoothedValue::default(),
+            run_time: SmoothedValue::new(64.0),
         }
     }
 
--- a/crates/sagespool-routing/src/smooth.rs
+++ b/crates/sagespool-routing/src/smooth.rs
@@ -4,8 +4,6 @@
 
 use sagespool_types::ClockTime;
 
-/// The most that old samples may weigh: about so many count.
-const MOST_WEIGHT: f64 = 8.0;
 /// What the prior weighs, in samples.
 const PRIOR_WEIGHT: f64 = 1.0;
 
@@ -13,16 +11,22 @@
 ///
 /// Without fresh samples the value goes back to the prior, so an upstream that
 /// was slow once is tried again without a separate rule.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub(crate) struct SmoothedValue {
+    /// About so many samples count.
+    memory: f64,
     mean: f64,
     weight: f64,
     at: ClockTime,
 }
 
 impl SmoothedValue {
+    pub(crate) const fn new(memory: f64) -> Self {
+        Self { memory, mean: 0.0, weight: 0.0, at: ClockTime(0) }
+    }
+
     pub(crate) fn add(&mut self, sample: f64, half_life: Duration, now: ClockTime) {
-        let weight = self.weight_at(half_life, now).min(MOST_WEIGHT);
+        let weight = self.weight_at(half_life, now).min(self.memory - 1.0);
         self.mean = (self.mean * weight + sample) / (weight + 1.0);
         self.weight = weight + 1.0;
         self.at = now;
--- /dev/null
+++ b/crates/sagespool-routing/src/speed.rs
@@ -0,0 +1,134 @@
+//! How fast a service's upstreams are, and one of them against its peers.
+
+use std::time::Duration;
+
+use sagespool_types::ClockTime;
+
+use crate::RoutingPolicy;
+use crate::smooth::SmoothedValue;
+
+/// Samples that count for a whole service, and for one upstream.
+const SERVICE_MEMORY: f64 = 64.0;
+const UPSTREAM_MEMORY: f64 = 8.0;
+/// A single sample says at most that an upstream is so many times as slow, or as fast.
+const MOST_RATIO: f64 = 20.0;
+/// From so many tokens on, their pace is a measurement.
+const ENOUGH_TOKENS: u64 = 8;
+
+/// How an attempt that ran to its end went.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct WholeAnswer {
+    pub(crate) took: Duration,
+    pub(crate) first_token: Option<Duration>,
+    pub(crate) tokens: u64,
+}
+
+/// Times measured over all upstreams of a service, in seconds, as on an upstream of ordinary speed.
+#[derive(Debug, Clone)]
+pub(crate) struct ServiceSpeed {
+    /// To the first token, where the prefix wasn't believed to be cached.
+    uncached: SmoothedValue,
+    /// To the first token, where it was.
+    cached: SmoothedValue,
+    /// For one token more.
+    token: SmoothedValue,
+    /// For which a request holds its place.
+    run: SmoothedValue,
+}
+
+impl Default for ServiceSpeed {
+    fn default() -> Self {
+        let empty = SmoothedValue::new(SERVICE_MEMORY);
+        Self { uncached: empty, cached: empty, token: empty, run: empty }
+    }
+}
+
+impl ServiceSpeed {
+    /// Seconds to the first token where nothing waits and nothing is cached.
+    pub(crate) fn first_token(&self, policy: &RoutingPolicy, now: ClockTime) -> f64 {
+        self.uncached.value(policy.first_token.as_secs_f64(), policy.half_life, now)
+    }
+
+    /// Seconds that a cached prefix saves.
+    pub(crate) fn prefix_gain(&self, policy: &RoutingPolicy, now: ClockTime) -> f64 {
+        let uncached = self.first_token(policy, now);
+        let guess = (uncached - policy.prefix_gain.as_secs_f64()).max(0.0);
+        let cached = self.cached.value(guess, policy.half_life, now);
+        (uncached - cached).max(0.0)
+    }
+
+    /// Seconds that a request holds its place.
+    pub(crate) fn run_time(&self, policy: &RoutingPolicy, now: ClockTime) -> f64 {
+        self.run.value(policy.run_time.as_secs_f64(), policy.half_life, now)
+    }
+}
+
+/// How many times as long as its peers one upstream takes; 1 is ordinary.
+#[derive(Debug, Clone)]
+pub(crate) struct UpstreamSpeed {
+    slowness: SmoothedValue,
+}
+
+impl Default for UpstreamSpeed {
+    fn default() -> Self {
+        Self { slowness: SmoothedValue::new(UPSTREAM_MEMORY) }
+    }
+}
+
+impl UpstreamSpeed {
+    /// Without fresh samples it goes back to 1, so a slow upstream is tried again in time.
+    pub(crate) fn slowness(&self, policy: &RoutingPolicy, now: ClockTime) -> f64 {
+        self.slowness.value(1.0, policy.half_life, now)
+    }
+
+    /// Takes in the time to a first token that nothing waited before.
+    pub(crate) fn first_token(
+        &mut self,
+        service: &mut ServiceSpeed,
+        latency: Duration,
+        is_cached: bool,
+        policy: &RoutingPolicy,
+        now: ClockTime,
+    ) {
+        let seconds = latency.as_secs_f64();
+        let expected = service.first_token(policy, now);
+        let ordinary = seconds / self.slowness(policy, now);
+        let ratio = seconds / expected.max(1e-6);
+        if is_cached {
+            service.cached.add(ordinary, policy.half_life, now);
+            // Quick because it was cached says nothing about the upstream's speed.
+            self.add(ratio.max(1.0), policy, now);
+        } else {
+            service.uncached.add(ordinary, policy.half_life, now);
+            self.add(ratio, policy, now);
+        }
+    }
+
+    /// Takes in a whole answer.
+    pub(crate) fn whole(
+        &mut self,
+        service: &mut ServiceSpeed,
+        answer: &WholeAnswer,
+        policy: &RoutingPolicy,
+        now: ClockTime,
+    ) {
+        let slowness = self.slowness(policy, now);
+        let to_first = answer.first_token.unwrap_or(answer.took).as_secs_f64();
+        let after = (answer.took.as_secs_f64() - to_first).max(0.0);
+        // Waiting in the upstream's queue holds no place in it.
+        let held = to_first.min(service.first_token(policy, now) * slowness) + after;
+        service.run.add(held / slowness, policy.half_life, now);
+        if answer.tokens < ENOUGH_TOKENS {
+            return;
+        }
+        let token = after / answer.tokens as f64;
+        let expected = service.token.value(token, policy.half_life, now);
+        service.token.add(token / slowness, policy.half_life, now);
+        self.add(token / expected.max(1e-9), policy, now);
+    }
+
+    fn add(&mut self, ratio: f64, policy: &RoutingPolicy, now: ClockTime) {
+        let ratio = ratio.clamp(1.0 / MOST_RATIO, MOST_RATIO);
+        self.slowness.add(ratio, policy.half_life, now);
+    }
+}
--- a/crates/sagespool-routing/src/table.rs
+++ b/crates/sagespool-routing/src/table.rs
@@ -19,7 +19,7 @@
 /// only locked to find a shard.
 #[derive(Debug)]
 pub struct UpstreamTable {
-    policy: RoutingPolicy,
+    policy: Arc<RoutingPolicy>,
     own_centre: CentreName,
     entries: AtomicU32,
     services: RwLock<HashMap<ServiceName, ServiceShard>>,
@@ -31,7 +31,7 @@
     /// An empty table of an entry in a data centre.
     pub fn new(policy: RoutingPolicy, own_centre: CentreName) -> Self {
         Self {
-            policy,
+            policy: Arc::new(policy),
             own_centre,
             entries: AtomicU32::new(1),
             services: RwLock::default(),
@@ -54,7 +54,7 @@
             self.remove_from(&previous, member.incarnation);
         }
         let shard = self.shard_or_new(&served.service);
-        lock(&shard).observe(member, served, &self.own_centre, &self.policy, now);
+        lock(&shard).observe(member, served, &self.own_centre, now);
     }
 
     /// A sidecar is gone: its upstream gets nothing new.
@@ -80,26 +80,26 @@
     /// Follow it by [`Self::started`] at once, and by [`Self::ended`] in any case.
     pub fn choose(&self, wish: &RouteWish, now: ClockTime) -> Option<RouteChoice> {
         let shard = self.shard(&wish.service)?;
-        lock(&shard).choose(wish, self.entries(), &self.policy, now)
+        lock(&shard).choose(wish, self.entries(), now)
     }
 
     /// The request was sent where the choice says.
     pub fn started(&self, choice: &RouteChoice, now: ClockTime) {
         let Some(shard) = self.shard(&choice.service) else { return };
-        lock(&shard).started(choice, self.entries(), &self.policy, now);
+        lock(&shard).started(choice, self.entries(), now);
     }
 
     /// The first token or byte came, so long after the dispatch. Optional, but
     /// a long answer's end comes too late to notice a slow upstream by.
     pub fn first_token(&self, choice: &RouteChoice, latency: Duration, now: ClockTime) {
         let Some(shard) = self.shard(&choice.service) else { return };
-        lock(&shard).first_token(choice, latency, &self.policy, now);
+        lock(&shard).first_token(choice, latency, now);
     }
 
     /// The attempt ended, however that was.
     pub fn ended(&self, choice: &RouteChoice, result: &AttemptResult, now: ClockTime) {
         let Some(shard) = self.shard(&choice.service) else { return };
-        lock(&shard).ended(choice, result, &self.policy, now);
+        lock(&shard).ended(choice, result, now);
     }
 
     /// Takes in a cache event of the upstream beside a sidecar; late, doubled and missing ones
@@ -107,14 +107,14 @@
     pub fn cache_event(&self, sidecar: IncarnationId, event: &CacheEvent, now: ClockTime) {
         let service = lock(&self.sidecars).get(&sidecar).cloned();
         let Some(shard) = service.and_then(|service| self.shard(&service)) else { return };
-        lock(&shard).cache_event(sidecar, event, &self.policy, now);
+        lock(&shard).cache_event(sidecar, event, now);
     }
 
     /// How many requests this entry may have running in a service. Ask a few times a second,
     /// and hand the limit to [`crate::AdmissionQueue::set_limit`].
     pub fn room(&self, service: &ServiceName, now: ClockTime) -> Option<ServiceRoom> {
         let shard = self.shard(service)?;
-        Some(lock(&shard).room(self.entries(), &self.policy, now))
+        Some(lock(&shard).room(self.entries(), now))
     }
 
     fn entries(&self) -> u32 {
@@ -132,7 +132,7 @@
         }
         let mut services = self.services.write().unwrap_or_else(PoisonError::into_inner);
         let seed = self.policy.seed.wrapping_add(services.len() as u64);
-        let new = || Arc::new(Mutex::new(ServiceState::new(seed)));
+        let new = || Arc::new(Mutex::new(ServiceState::new(Arc::clone(&self.policy), seed)));
         services.entry(service.clone()).or_insert_with(new).clone()
     }
 
--- a/crates/sagespool-routing/src/upstream.rs
+++ b/crates/sagespool-routing/src/upstream.rs
@@ -7,10 +7,14 @@
 use sagespool_messages::{MemberInfo, ServedUpstream};
 use sagespool_types::{CentreName, ClockTime, IncarnationId, ModelName, UpstreamName};
 
-use crate::RoutingPolicy;
 use crate::ejection::EjectionState;
+use crate::lag::LagEstimate;
 use crate::load::LoadView;
 use crate::smooth::SmoothedValue;
+use crate::speed::UpstreamSpeed;
+
+/// Attempts that count for the share of failures.
+const FAILURE_MEMORY: f64 = 8.0;
 
 /// One upstream, through its sidecar.
 #[derive(Debug)]
@@ -26,15 +30,12 @@
     /// Its sidecar said that it is leaving; an incarnation doesn't come back from that.
     pub(crate) has_left: bool,
     pub(crate) load: LoadView,
+    pub(crate) speed: UpstreamSpeed,
     pub(crate) ejection: EjectionState,
-    /// Seconds to the first token where nothing waited before.
-    pub(crate) first_token: SmoothedValue,
-    /// Seconds that a request holds its place.
-    pub(crate) run_time: SmoothedValue,
     /// Share of attempts that failed.
     pub(crate) failures: SmoothedValue,
     /// Own attempts without a first token yet, oldest first.
-    pub(crate) pending: VecDeque<(u64, ClockTime)>,
+    pending: VecDeque<(u64, ClockTime)>,
     /// The highest cache event number seen.
     pub(crate) cache_number: u64,
 }
@@ -51,10 +52,9 @@
             takes_work: false,
             has_left: false,
             load: LoadView::default(),
+            speed: UpstreamSpeed::default(),
             ejection: EjectionState::default(),
-            first_token: SmoothedValue::default(),
-            run_time: SmoothedValue::default(),
-            failures: SmoothedValue::default(),
+            failures: SmoothedValue::new(FAILURE_MEMORY),
             pending: VecDeque::new(),
             cache_number: 0,
         }
@@ -66,8 +66,6 @@
         member: &MemberInfo,
         served: &ServedUpstream,
         own_centre: &CentreName,
-        policy: &RoutingPolicy,
-        now: ClockTime,
     ) -> bool {
         let takes_work = served.healthy && !member.leaving && !self.has_left;
         let is_near = member.centre == *own_centre;
@@ -81,20 +79,33 @@
         if !is_same {
             self.models = served.models.clone();
         }
-        self.load.observe(&served.load, policy, now);
         !is_same
     }
 
+    pub(crate) fn observe_load(
+        &mut self,
+        served: &ServedUpstream,
+        lag: &mut LagEstimate,
+        now: ClockTime,
+    ) {
+        self.load.observe(&served.load, lag, now);
+    }
+
     pub(crate) fn serves(&self, model: Option<&ModelName>) -> bool {
         model.is_none_or(|model| self.models.contains(model))
     }
 
+    pub(crate) fn started(&mut self, attempt: u64, now: ClockTime) {
+        self.load.started(now);
+        self.pending.push_back((attempt, now));
+    }
+
     /// How long the oldest own attempt has been without a first token.
     pub(crate) fn oldest_pending(&self, now: ClockTime) -> Duration {
         self.pending.front().map_or(Duration::ZERO, |(_, since)| now.since(*since))
     }
 
-    /// Drops an attempt from those without a first token.
+    /// Drops an attempt from those without a first token; true if it was among them.
     pub(crate) fn settle_pending(&mut self, attempt: u64) -> bool {
         let place = self.pending.iter().position(|(pending, _)| *pending == attempt);
         place.is_some_and(|place| self.pending.remove(place).is_some())
