--- a/crates/sagespool-entry/src/home/crashes.rs
+++ b/crates/sagespool-entry/src/home/crashes.rs
@@ -72,7 +72,7 @@
         .await;
         match kept {
             Ok(updated) => {
-                state.crashes.observe(&updated.value, ClockTime::now());
+                state.crashes.adopt(&updated.value, ClockTime::now());
                 return;
             }
             Err(error) => log_event!(warn, "verdict-unkept", error = error),
@@ -90,7 +90,7 @@
             continue;
         };
         for (_, stored) in &listing.items {
-            state.crashes.observe(&stored.value, ClockTime::now());
+            state.crashes.adopt(&stored.value, ClockTime::now());
         }
         let mut after = listing.revision;
         loop {
@@ -102,7 +102,7 @@
             };
             after = changes.revision;
             for record in changes.changes.iter().filter_map(|change| change.value.as_ref()) {
-                state.crashes.observe(record, ClockTime::now());
+                state.crashes.adopt(record, ClockTime::now());
             }
         }
     }
--- a/crates/sagespool-entry/src/home/keys.rs
+++ b/crates/sagespool-entry/src/home/keys.rs
@@ -147,7 +147,9 @@
     let silent = match verdict {
         InquiryVerdict::Found(KeyState::Unknown { .. }) if !order.non_idempotent => Vec::new(),
         InquiryVerdict::Found(known) => {
-            state.keys.found(key, &known, now);
+            if let KeyState::At { sidecar, request, content } = known {
+                state.keys.learn(key, request, content, sidecar, now);
+            }
             return KeyStart::Known(known);
         }
         InquiryVerdict::Nowhere | InquiryVerdict::Open => Vec::new(),
@@ -164,7 +166,7 @@
             retry_after: Some(Duration::from_secs(2)),
         });
     }
-    match state.keys.asked(key, order.request, now) {
+    match state.keys.restart(key, order.request, order.content, now) {
         true => KeyStart::New,
         false => KeyStart::Known(KeyState::Pending),
     }
--- a/crates/sagespool-entry/src/run/attempt.rs
+++ b/crates/sagespool-entry/src/run/attempt.rs
@@ -171,7 +171,6 @@
             .maybe_model(model)
             .maybe_prefix(self.order.prefix)
             .exclude(self.tried.clone())
-            .tokens(self.order.amount)
             .may_probe(!self.order.non_idempotent)
             .build()
     }
--- a/crates/sagespool-entry/src/state.rs
+++ b/crates/sagespool-entry/src/state.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use event_listener::Event;
-use sagespool_claims::{CrashBoard, CrashPolicy, KeyBoard, KeyPolicy};
+use sagespool_claims::{CrashBoard, KeyBoard};
 use sagespool_ledger::{BudgetMode, HeldBack, HomeLedger, LedgerPolicy};
 use sagespool_link::LinkEndpoint;
 use sagespool_membership::{MemberTable, MembershipPolicy, first_number};
@@ -146,8 +146,8 @@
                 process.centre.clone(),
             ),
             ledger: HomeLedger::new(incarnation, ledger_policy(&settings)),
-            keys: KeyBoard::new(KeyPolicy::default(), ClockTime::now()),
-            crashes: CrashBoard::new(CrashPolicy::default()),
+            keys: KeyBoard::new(ClockTime::now()),
+            crashes: CrashBoard::new(),
             metrics: FleetMetrics::new(),
             budget_changed: Event::new(),
             run_done: Event::new(),
--- a/crates/sagespool-testkit/src/fleet/running.rs
+++ b/crates/sagespool-testkit/src/fleet/running.rs
@@ -146,7 +146,9 @@
         for centre in &deployment.centres {
             for (service, number) in &centre.upstreams {
                 let plan = deployment.services.get(service).ok_or_else(|| {
-                    Report::new(FleetFault::new(format!("looking for the plan of service {service}")))
+                    Report::new(FleetFault::new(format!(
+                        "looking for the plan of service {service}"
+                    )))
                 })?;
                 for _ in 0..*number {
                     let count = counts.entry(service.clone()).or_default();
@@ -323,7 +325,8 @@
             let url = format!("http://{}/readyz", member.http);
             loop {
                 let answer = client.get(url.as_str()).await;
-                let ready = answer.is_ok_and(|conn| conn.status().is_some_and(|status| status.is_success()));
+                let ready = answer
+                    .is_ok_and(|conn| conn.status().is_some_and(|status| status.is_success()));
                 if ready {
                     break;
                 }
--- a/crates/sagespool-testkit/src/lib.rs
+++ b/crates/sagespool-testkit/src/lib.rs
@@ -8,6 +8,7 @@
 mod http_reply;
 pub mod instance_list;
 mod lagged;
+pub mod load;
 mod loopback_server;
 pub mod object_api;
 mod plain_service;
--- a/crates/sagespool-testkit/src/load/caller.rs
+++ b/crates/sagespool-testkit/src/load/caller.rs
@@ -94,7 +94,12 @@
         }
     }
 
-    async fn exchange(&self, call: &PlannedCall, address: SocketAddr, sent: ClockTime) -> ReadAnswer {
+    async fn exchange(
+        &self,
+        call: &PlannedCall,
+        address: SocketAddr,
+        sent: ClockTime,
+    ) -> ReadAnswer {
         let broken = |detail: String| ReadAnswer {
             request: None,
             first_token: None,
@@ -130,7 +135,9 @@
 /// The text that the call's answer must have.
 fn own_text(call: &PlannedCall) -> String {
     match &call.kind {
-        CallKind::Completion { model, prompt, length, .. } => answer_text(model.as_str(), prompt, *length),
+        CallKind::Completion { model, prompt, length, .. } => {
+            answer_text(model.as_str(), prompt, *length)
+        }
         CallKind::Service { path, method, .. } => {
             let body = if *method == "POST" { service_body(call) } else { String::new() };
             service_answer(path, body.as_bytes())
--- /dev/null
+++ b/crates/sagespool-testkit/src/load/oracle.rs
@@ -0,0 +1,343 @@
+//! The judgement: which promises held, worked out from the upstreams' log, the load tool's own
+//! deposits and what callers saw; never from the routers' counters.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use sagespool_ledger::{BookRecord, book_key, book_of};
+use sagespool_types::{BranchName, ClockTime, TokenCount};
+
+use super::{CallKind, CallOutcome, CallRecord, DepositLog, SendRecord};
+use crate::{RunMarker, RunRecord, WitnessLog};
+
+/// A budget that covers a refused request for less than this was on its way to another request
+/// that waited too; only longer counts as a false refusal.
+const SUSTAINED: Duration = Duration::from_millis(250);
+
+/// What the judgement is made from.
+pub struct OracleInput<'a> {
+    /// The calls and what came of them.
+    pub records: &'a [CallRecord],
+    /// What the upstreams saw.
+    pub witness: &'a WitnessLog,
+    /// What was prepaid when.
+    pub deposits: &'a DepositLog,
+    /// The books after the fleet has stopped and settled; nothing if they aren't to be judged.
+    pub books: Option<&'a dyn Fn(&str) -> Option<BookRecord>>,
+}
+
+/// Which promises held.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct OracleVerdict {
+    /// Billed beyond what was prepaid, or used by one attempt beyond its reservation.
+    pub overspend_tokens: u64,
+    /// Refusals for budget that the fleet could have paid.
+    pub false_refusals: u64,
+    /// Requests that may never run twice and did.
+    pub double_runs: u64,
+    /// Branches whose settled spend is more than their requests' bills.
+    pub double_bills: u64,
+    /// Branches whose settled spend is less than their requests' bills.
+    pub under_bills: u64,
+    /// Callers that kept asking and got neither a whole answer nor a refusal.
+    pub lost: u64,
+    /// Answers that were another call's, or not whole.
+    pub mixed_answers: u64,
+    /// Callers told `not-run` whose request ran.
+    pub false_not_run: u64,
+    /// Tokens outstanding or in doubt in the books at the end.
+    pub stranded_tokens: u64,
+    /// What was found, in words, for the first few faults of each kind.
+    pub findings: Vec<String>,
+}
+
+impl OracleVerdict {
+    /// True if no promise was broken.
+    pub fn is_clean(&self) -> bool {
+        let broken = self.overspend_tokens
+            + self.double_runs
+            + self.double_bills
+            + self.lost
+            + self.mixed_answers
+            + self.false_not_run;
+        broken == 0
+    }
+
+    fn note(&mut self, finding: String) {
+        if self.findings.len() < MOST_FINDINGS {
+            self.findings.push(finding);
+        }
+    }
+}
+
+const MOST_FINDINGS: usize = 40;
+
+/// Judges a run.
+pub fn judge(input: &OracleInput) -> OracleVerdict {
+    let mut verdict = OracleVerdict::default();
+    let mut runs: BTreeMap<RunMarker, Vec<RunRecord>> = BTreeMap::new();
+    for run in input.witness.runs() {
+        if let Some(marker) = run.start.marker.clone() {
+            runs.entry(marker).or_default().push(run);
+        }
+    }
+    let none = Vec::new();
+    for record in input.records {
+        let own = runs.get(&record.call.marker).unwrap_or(&none);
+        judge_call(record, own, &mut verdict);
+    }
+    let branches: BTreeSet<&BranchName> =
+        input.records.iter().map(|record| record.call.branch()).collect();
+    for branch in branches {
+        let calls: Vec<&CallRecord> =
+            input.records.iter().filter(|record| record.call.branch() == branch).collect();
+        judge_branch(input, branch, &calls, &runs, &mut verdict);
+    }
+    verdict
+}
+
+fn judge_call(record: &CallRecord, runs: &[RunRecord], verdict: &mut OracleVerdict) {
+    let call = &record.call;
+    if call.non_idempotent && runs.len() > 1 {
+        verdict.double_runs += 1;
+        verdict.note(format!("double run: {} ran {} times", call.marker, runs.len()));
+    }
+    if let CallKind::Completion { .. } = call.kind {
+        let reserved = call.greatest_cost();
+        for run in runs {
+            let used = run.start.prompt_tokens + run.start.resumed_from + run.produced;
+            let excess = used.less(reserved).0;
+            if excess > 0 {
+                verdict.overspend_tokens += excess;
+                verdict.note(format!(
+                    "overspend: an attempt at {} used {used} of {reserved}",
+                    call.marker
+                ));
+            }
+        }
+    }
+    for send in &record.sends {
+        judge_send(record, send, runs, verdict);
+    }
+    if is_lost(record) {
+        verdict.lost += 1;
+        let last = record.last().map(|send| format!("{:?}", send.outcome));
+        verdict.note(format!("lost: {} after {} sends: {last:?}", call.marker, record.sends.len()));
+    }
+}
+
+fn judge_send(
+    record: &CallRecord,
+    send: &SendRecord,
+    runs: &[RunRecord],
+    verdict: &mut OracleVerdict,
+) {
+    match &send.outcome {
+        CallOutcome::Whole { is_own: false, .. } => {
+            verdict.mixed_answers += 1;
+            verdict
+                .note(format!("mixed answer: {} through entry {}", record.call.marker, send.entry));
+        }
+        CallOutcome::Refused { run_state, reason, .. } if run_state == "not-run" => {
+            let ran =
+                runs.iter().any(|run| run.started_at <= send.ended || record.sends.len() == 1);
+            if ran {
+                verdict.false_not_run += 1;
+                verdict.note(format!("false not-run: {} was told {reason}", record.call.marker));
+            }
+        }
+        _ => {}
+    }
+}
+
+/// A caller without a key whose connection broke can't come back; one with a key did, until its
+/// deadline, and must have got an answer or a refusal.
+fn is_lost(record: &CallRecord) -> bool {
+    let Some(last) = record.last() else {
+        return true;
+    };
+    let broke_only = matches!(last.outcome, CallOutcome::Broken(_)) && !record.is_answered();
+    let no_answer_in_time =
+        matches!(&last.outcome, CallOutcome::Broken(detail) if detail == "no answer in time");
+    broke_only && (record.call.key.is_some() || no_answer_in_time)
+}
+
+/// Tokens that a call's caller knows it pays, and when it knew.
+fn known_bill(record: &CallRecord) -> Option<(ClockTime, TokenCount)> {
+    let billed = record.billed();
+    let ended = record.sends.iter().find(|send| match &send.outcome {
+        CallOutcome::Whole { .. } => true,
+        CallOutcome::Refused { .. } => billed > TokenCount::ZERO,
+        _ => false,
+    })?;
+    Some((ended.ended, billed))
+}
+
+fn judge_branch(
+    input: &OracleInput,
+    branch: &BranchName,
+    calls: &[&CallRecord],
+    runs: &BTreeMap<RunMarker, Vec<RunRecord>>,
+    verdict: &mut OracleVerdict,
+) {
+    let mut bills: Vec<(ClockTime, TokenCount)> =
+        calls.iter().filter_map(|record| known_bill(record)).collect();
+    bills.sort();
+    let mut spent = TokenCount::ZERO;
+    let mut worst = TokenCount::ZERO;
+    for (at, billed) in &bills {
+        spent += *billed;
+        worst = worst.max(spent.less(input.deposits.prepaid_at(branch, *at)));
+    }
+    if worst > TokenCount::ZERO {
+        verdict.overspend_tokens += worst.0;
+        verdict.note(format!("overspend: {branch} by {worst}"));
+    }
+    judge_book(input, branch, calls, runs, verdict);
+    judge_refusals(input, branch, calls, runs, verdict);
+}
+
+/// The book after all is settled: what callers were billed, plus what those that lost the word of
+/// their bill may have been.
+fn judge_book(
+    input: &OracleInput,
+    branch: &BranchName,
+    calls: &[&CallRecord],
+    runs: &BTreeMap<RunMarker, Vec<RunRecord>>,
+    verdict: &mut OracleVerdict,
+) {
+    let Some(books) = input.books else {
+        return;
+    };
+    let Some(book) = books(&book_key(book_of(branch))) else {
+        return;
+    };
+    let Some(bounds) = book.spend(branch) else {
+        return;
+    };
+    let outstanding = bounds.granted + bounds.in_doubt;
+    verdict.stranded_tokens += outstanding.0;
+    let sure: TokenCount = calls.iter().map(|record| record.billed()).sum();
+    let unsure = calls.iter().filter(|record| record.is_bill_unknown());
+    let unsure: TokenCount = unsure
+        .filter(|record| runs.contains_key(&record.call.marker))
+        .map(|record| record.call.greatest_cost().less(record.billed()))
+        .sum();
+    let prepaid = input.deposits.prepaid_at(branch, ClockTime(u64::MAX));
+    if bounds.settled > prepaid {
+        verdict.overspend_tokens += bounds.settled.less(prepaid).0;
+        verdict.note(format!("overspend: {branch} has settled {} of {prepaid}", bounds.settled));
+    }
+    if bounds.settled > sure + unsure {
+        verdict.double_bills += 1;
+        verdict.note(format!(
+            "double bill: {branch} settled {}, bills {sure} + at most {unsure}",
+            bounds.settled
+        ));
+    }
+    if bounds.settled + outstanding < sure {
+        verdict.under_bills += 1;
+        verdict.note(format!("under bill: {branch} settled {}, bills {sure}", bounds.settled));
+    }
+}
+
+/// A step in what a branch has left: tokens that come, or go, at a moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct BalanceStep {
+    at: ClockTime,
+    change: i64,
+}
+
+/// What the fleet could have granted at any moment: prepaid, less what is billed, less what a
+/// running request has reserved from when an upstream took it until its end was known.
+fn balance_steps(
+    input: &OracleInput,
+    branch: &BranchName,
+    calls: &[&CallRecord],
+    runs: &BTreeMap<RunMarker, Vec<RunRecord>>,
+) -> Vec<BalanceStep> {
+    let mut steps = Vec::new();
+    let mut before = TokenCount::ZERO;
+    for at in input.deposits.moments(branch) {
+        let prepaid = input.deposits.prepaid_at(branch, at);
+        steps.push(BalanceStep { at, change: prepaid.less(before).0 as i64 });
+        before = prepaid;
+    }
+    for record in calls {
+        let own = runs.get(&record.call.marker);
+        let Some(started) = own.and_then(|runs| runs.iter().map(|run| run.started_at).min()) else {
+            continue;
+        };
+        let reserved = record.call.greatest_cost().0 as i64;
+        steps.push(BalanceStep { at: started, change: -reserved });
+        if let Some((ended, billed)) = known_bill(record) {
+            let at = ended.max(started);
+            steps.push(BalanceStep { at, change: reserved - billed.0 as i64 });
+        }
+    }
+    steps.sort();
+    steps
+}
+
+/// True if the balance covers an amount for long enough within a span of time.
+fn covers(steps: &[BalanceStep], amount: i64, from: ClockTime, to: ClockTime) -> bool {
+    let mut balance = 0;
+    let mut since: Option<ClockTime> = None;
+    for step in steps {
+        if let Some(start) = since {
+            let start = start.max(from);
+            let end = step.at.min(to);
+            if end > start && end.since(start) >= SUSTAINED {
+                return true;
+            }
+        }
+        balance += step.change;
+        since = match (balance >= amount, since) {
+            (true, Some(start)) => Some(start),
+            (true, None) => Some(step.at),
+            (false, _) => None,
+        };
+        if step.at > to {
+            return false;
+        }
+    }
+    since.is_some_and(|start| to > start.max(from) && to.since(start.max(from)) >= SUSTAINED)
+}
+
+fn judge_refusals(
+    input: &OracleInput,
+    branch: &BranchName,
+    calls: &[&CallRecord],
+    runs: &BTreeMap<RunMarker, Vec<RunRecord>>,
+    verdict: &mut OracleVerdict,
+) {
+    let refused: Vec<(&CallRecord, &SendRecord)> = calls
+        .iter()
+        .flat_map(|record| record.sends.iter().map(move |send| (*record, send)))
+        .filter(|(_, send)| is_budget_refusal(&send.outcome))
+        .collect();
+    if refused.is_empty() {
+        return;
+    }
+    let steps = balance_steps(input, branch, calls, runs);
+    for (record, send) in refused {
+        let amount = record.call.greatest_cost();
+        let deadline = send.sent.after(record.call.deadline);
+        if covers(&steps, amount.0 as i64, send.sent, deadline) {
+            verdict.false_refusals += 1;
+            verdict.note(format!(
+                "false refusal: {} of {amount} tokens, refused after {:?}: {:?}",
+                record.call.marker,
+                send.ended.since(send.sent),
+                send.outcome
+            ));
+        }
+    }
+}
+
+fn is_budget_refusal(outcome: &CallOutcome) -> bool {
+    matches!(
+        outcome,
+        CallOutcome::Refused { reason, .. } if reason == "budget-exhausted" || reason == "budget-unreachable"
+    )
+}
--- a/crates/sagespool-testkit/src/load/plan.rs
+++ b/crates/sagespool-testkit/src/load/plan.rs
@@ -222,7 +222,13 @@
             prompt.push_str("More of the file. ");
         }
         let max_tokens = length.max(mix.longest_answer);
-        CallKind::Completion { model, prompt, max_tokens, length, stream: self.chance(mix.stream_share) }
+        CallKind::Completion {
+            model,
+            prompt,
+            max_tokens,
+            length,
+            stream: self.chance(mix.stream_share),
+        }
     }
 
     /// The time to the next arrival at a rate, as arrivals that know nothing of each other have it.
--- /dev/null
+++ b/crates/sagespool-testkit/src/load/report.rs
@@ -0,0 +1,157 @@
+//! The report of a run: one JSON object.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use super::{CallOutcome, CallRecord, OracleVerdict};
+
+/// Percentiles of a latency, in milliseconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub struct LatencyFigures {
+    /// How many were measured.
+    pub count: u64,
+    /// The median.
+    pub p50: f64,
+    /// 95 in 100 are at most this.
+    pub p95: f64,
+    /// 99 in 100 are at most this.
+    pub p99: f64,
+}
+
+const LOWEST_MICROS: u64 = 1;
+const HIGHEST_MICROS: u64 = 600_000_000;
+const SIGNIFICANT_DIGITS: u8 = 3;
+
+impl LatencyFigures {
+    /// The percentiles of measured times.
+    pub fn of(times: impl IntoIterator<Item = Duration>) -> Self {
+        let histogram =
+            Histogram::<u64>::new_with_bounds(LOWEST_MICROS, HIGHEST_MICROS, SIGNIFICANT_DIGITS);
+        let mut histogram = histogram.expect("the bounds are valid");
+        for time in times {
+            histogram.saturating_record(time.as_micros() as u64);
+        }
+        let millis = |quantile: f64| histogram.value_at_quantile(quantile) as f64 / 1000.0;
+        Self { count: histogram.len(), p50: millis(0.5), p95: millis(0.95), p99: millis(0.99) }
+    }
+}
+
+/// A latency through the fleet, and straight at a stand-in in the same run.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub struct LatencyPair {
+    /// Through the fleet.
+    pub routed: LatencyFigures,
+    /// Straight at the stand-ins.
+    pub direct: LatencyFigures,
+}
+
+/// The report of a run.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct LoadReport {
+    /// The scenario.
+    pub scenario: String,
+    /// Its seed.
+    pub seed: u64,
+    /// The faults brought about.
+    pub faults: Vec<String>,
+    /// How entries route and pay.
+    pub policy: String,
+    /// Calls sent.
+    pub requests: u64,
+    /// Calls that got a whole answer.
+    pub answered: u64,
+    /// Calls refused, by the last reason.
+    pub refused: BTreeMap<String, u64>,
+    /// Calls found invalid.
+    pub invalid: u64,
+    /// Calls without a key whose connection broke.
+    pub broken: u64,
+    /// Billed beyond what was prepaid, or used beyond a reservation.
+    pub overspend_tokens: u64,
+    /// Refusals for budget that the fleet could have paid.
+    pub false_refusals: u64,
+    /// Requests that may never run twice and did.
+    pub double_runs: u64,
+    /// Branches billed more than once for something.
+    pub double_bills: u64,
+    /// Branches billed less than their callers were told.
+    pub under_bills: u64,
+    /// Callers without an answer or a refusal.
+    pub lost: u64,
+    /// Answers of another call.
+    pub mixed_answers: u64,
+    /// Callers told `not-run` whose request ran.
+    pub false_not_run: u64,
+    /// Tokens outstanding or in doubt at the end.
+    pub stranded_tokens: u64,
+    /// Runs at upstreams for each call that ran.
+    pub runs_per_request: f64,
+    /// Time to the first token of streamed answers.
+    pub first_token_ms: LatencyPair,
+    /// Time to the whole answer.
+    pub whole_ms: LatencyPair,
+    /// Writes that reached the store, for each call.
+    pub store_writes_per_request: f64,
+    /// Reads that reached the store, for each call, watches not counted.
+    pub store_reads_per_request: f64,
+    /// Control traffic of a process, the mean over all.
+    pub control_bytes_per_second_per_node: f64,
+    /// Processor time of each process, in seconds.
+    pub cpu_seconds: BTreeMap<String, f64>,
+    /// Peak memory of each process.
+    pub peak_rss_mb: BTreeMap<String, f64>,
+    /// What was found, in words.
+    pub findings: Vec<String>,
+}
+
+impl LoadReport {
+    /// Takes in what callers saw.
+    pub fn count(&mut self, records: &[CallRecord]) {
+        self.requests += records.len() as u64;
+        for record in records {
+            if record.is_answered() {
+                self.answered += 1;
+                continue;
+            }
+            match record.last().map(|send| &send.outcome) {
+                Some(CallOutcome::Refused { reason, .. }) => {
+                    *self.refused.entry(reason.clone()).or_default() += 1;
+                }
+                Some(CallOutcome::Invalid { .. }) => self.invalid += 1,
+                _ => self.broken += 1,
+            }
+        }
+    }
+
+    /// Takes in the judgement.
+    pub fn take_verdict(&mut self, verdict: &OracleVerdict) {
+        self.overspend_tokens = verdict.overspend_tokens;
+        self.false_refusals = verdict.false_refusals;
+        self.double_runs = verdict.double_runs;
+        self.double_bills = verdict.double_bills;
+        self.under_bills = verdict.under_bills;
+        self.lost = verdict.lost;
+        self.mixed_answers = verdict.mixed_answers;
+        self.false_not_run = verdict.false_not_run;
+        self.stranded_tokens = verdict.stranded_tokens;
+        self.findings.clone_from(&verdict.findings);
+    }
+
+    /// The one line that a fleet's `--once` prints.
+    pub fn closing_line(&self) -> String {
+        let refused: u64 = self.refused.values().sum();
+        format!(
+            "sent={} answered={} refused={} overspend={} double_runs={} lost={} mixed_answers={}",
+            self.requests,
+            self.answered,
+            refused,
+            self.overspend_tokens,
+            self.double_runs,
+            self.lost,
+            self.mixed_answers
+        )
+    }
+}
