--- a/crates/sagespool-entry/src/caller/server.rs
+++ b/crates/sagespool-entry/src/caller/server.rs
@@ -38,7 +38,7 @@
 async fn route(state: Arc<EntryState>, conn: Conn) -> Conn {
     let path = conn.path().to_owned();
     match path.as_str() {
-        "/healthz" => conn.ok("ok\n").halt(),
+        "/healthz" => conn.ok(format!("ok incarnation={}\n", state.incarnation)).halt(),
         "/readyz" => respond_ready(&state, conn),
         "/metrics" => respond_metrics(&state, conn),
         COMPLETIONS_PATH => completion(state, conn).await,
--- a/crates/sagespool-testkit/src/fleet.rs
+++ b/crates/sagespool-testkit/src/fleet.rs
@@ -13,4 +13,4 @@
 pub use deployment::{CentrePlan, DeploymentPlan, DepositPlan, ServicePlan, read_deployment};
 pub use member::FleetMember;
 pub use options::{FleetFault, FleetOptions};
-pub use running::RunningFleet;
+pub use running::{RunningFleet, top_up};
--- a/crates/sagespool-testkit/src/fleet/running.rs
+++ b/crates/sagespool-testkit/src/fleet/running.rs
@@ -114,32 +114,11 @@
 
     async fn deposit_all(&self) -> Result<(), Report<FleetFault>> {
         for (branch, deposit) in &self.options.deployment.branches {
-            self.top_up(branch, deposit.prepaid, CommandId::random()).await?;
+            top_up(&self.objects, branch, deposit.prepaid, CommandId::random()).await?;
         }
         Ok(())
     }
 
-    /// Adds prepaid tokens, straight in the store.
-    ///
-    /// # Errors
-    /// If the store can't be reached.
-    pub async fn top_up(
-        &self,
-        branch: &BranchName,
-        amount: TokenCount,
-        command: CommandId,
-    ) -> Result<TopUpOutcome, Report<FleetFault>> {
-        let mut outcome = TopUpOutcome::AlreadyApplied;
-        let key = book_key(book_of(branch));
-        let apply = |record: &mut BookRecord| {
-            outcome = record.top_up(command, branch, amount);
-            UpdateChoice::Write
-        };
-        let updated = update_object(&self.objects, &key, STORE_LIMIT, apply).await;
-        updated.change_context_lazy(|| FleetFault::new("topping up"))?;
-        Ok(outcome)
-    }
-
     fn start_upstreams(&mut self) -> Result<(), Report<FleetFault>> {
         let deployment = self.options.deployment.clone();
         let mut counts: BTreeMap<ServiceName, u32> = BTreeMap::new();
@@ -361,6 +340,27 @@
     }
 }
 
+/// Adds prepaid tokens, straight in the store.
+///
+/// # Errors
+/// If the store can't be reached.
+pub async fn top_up(
+    objects: &ObjectClient,
+    branch: &BranchName,
+    amount: TokenCount,
+    command: CommandId,
+) -> Result<TopUpOutcome, Report<FleetFault>> {
+    let mut outcome = TopUpOutcome::AlreadyApplied;
+    let key = book_key(book_of(branch));
+    let apply = |record: &mut BookRecord| {
+        outcome = record.top_up(command, branch, amount);
+        UpdateChoice::Write
+    };
+    let updated = update_object(objects, &key, STORE_LIMIT, apply).await;
+    updated.change_context_lazy(|| FleetFault::new("topping up"))?;
+    Ok(outcome)
+}
+
 fn listed(member: &FleetMember, options: &FleetOptions) -> InstanceEntry {
     InstanceEntry {
         instance: member.instance.clone(),
--- a/crates/sagespool-testkit/src/load.rs
+++ b/crates/sagespool-testkit/src/load.rs
@@ -2,16 +2,24 @@
 
 mod book;
 mod caller;
+mod direct;
+mod faults;
 mod oracle;
 mod outcome;
 mod plan;
 mod report;
 mod run;
+mod scenario;
+mod scrape;
+mod session;
 
 pub use book::DepositLog;
 pub use caller::LoadCaller;
+pub use faults::FAULT_NAMES;
 pub use oracle::{OracleInput, OracleVerdict, judge};
 pub use outcome::{CallOutcome, CallRecord, SendRecord};
 pub use plan::{BranchTraffic, CallKind, PlanBuilder, PlannedCall, TrafficMix, plan_calls};
 pub use report::{LatencyFigures, LoadReport};
 pub use run::run_calls;
+pub use scenario::{SCENARIO_NAMES, ScenarioOptions, check_names, run_scenario};
+pub use session::{StoreTraffic, conclude, first_deposits, note_usage, traffic_of};
--- /dev/null
+++ b/crates/sagespool-testkit/src/load/faults/stage.rs
@@ -0,0 +1,65 @@
+//! What fault scripts share: the fleet, the time they have, and the deposits they make.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_lock::{Mutex, MutexGuard};
+use fastrand::Rng;
+use sagespool_types::{BranchName, ClockTime, CommandId, TokenCount};
+
+use crate::fleet::{RunningFleet, top_up};
+use crate::load::DepositLog;
+
+/// What the scripts of one run share. Each holds the fleet only for a step at a time.
+#[derive(Clone)]
+pub struct FaultStage {
+    fleet: Arc<Mutex<RunningFleet>>,
+    deposits: Arc<Mutex<DepositLog>>,
+    /// When the traffic started.
+    pub start: ClockTime,
+    /// How long the traffic lasts.
+    pub lasting: Duration,
+    /// Seed of the script's own choices.
+    pub seed: u64,
+}
+
+impl FaultStage {
+    /// A stage on which scripts act on a fleet.
+    pub fn new(
+        fleet: Arc<Mutex<RunningFleet>>,
+        deposits: Arc<Mutex<DepositLog>>,
+        lasting: Duration,
+        seed: u64,
+    ) -> Self {
+        Self { fleet, deposits, start: ClockTime::now(), lasting, seed }
+    }
+
+    /// The fleet, for one step.
+    pub async fn fleet(&self) -> MutexGuard<'_, RunningFleet> {
+        self.fleet.lock().await
+    }
+
+    /// Waits until a share of the traffic's time has passed.
+    pub async fn until(&self, share: f64) {
+        let due = self.start.after(self.lasting.mul_f64(share));
+        let now = ClockTime::now();
+        if due > now {
+            smol::Timer::after(due.since(now)).await;
+        }
+    }
+
+    /// Choices of one script, the same for the same seed whatever other scripts do.
+    pub fn rng(&self, script: &str) -> Rng {
+        let salt: u64 = script.bytes().map(u64::from).sum();
+        Rng::with_seed(self.seed.wrapping_mul(31).wrapping_add(salt))
+    }
+
+    /// Tops a branch up, noting when the tokens could be spent first.
+    pub async fn top_up(&self, branch: &BranchName, amount: TokenCount) {
+        let objects = self.fleet.lock().await.objects.clone();
+        let topped = top_up(&objects, branch, amount, CommandId::random()).await;
+        if topped.is_ok() {
+            self.deposits.lock().await.note(branch, amount, ClockTime::now());
+        }
+    }
+}
--- a/crates/sagespool-testkit/src/load/oracle.rs
+++ b/crates/sagespool-testkit/src/load/oracle.rs
@@ -52,17 +52,6 @@
 }
 
 impl OracleVerdict {
-    /// True if no promise was broken.
-    pub fn is_clean(&self) -> bool {
-        let broken = self.overspend_tokens
-            + self.double_runs
-            + self.double_bills
-            + self.lost
-            + self.mixed_answers
-            + self.false_not_run;
-        broken == 0
-    }
-
     fn note(&mut self, finding: String) {
         if self.findings.len() < MOST_FINDINGS {
             self.findings.push(finding);
--- a/crates/sagespool-testkit/src/load/report.rs
+++ b/crates/sagespool-testkit/src/load/report.rs
@@ -140,6 +140,18 @@
         self.findings.clone_from(&verdict.findings);
     }
 
+    /// True if no promise was broken.
+    pub fn is_clean(&self) -> bool {
+        let broken = self.overspend_tokens
+            + self.double_runs
+            + self.double_bills
+            + self.under_bills
+            + self.lost
+            + self.mixed_answers
+            + self.false_not_run;
+        broken == 0
+    }
+
     /// The one line that a fleet's `--once` prints.
     pub fn closing_line(&self) -> String {
         let refused: u64 = self.refused.values().sum();
--- /dev/null
+++ b/crates/sagespool-testkit/src/load/session.rs
@@ -0,0 +1,103 @@
+//! A load session against a running fleet: traffic from its deployment, and the final judgement.
+
+use std::collections::BTreeMap;
+
+use sagespool_ledger::BookRecord;
+use sagespool_messages::UpstreamKind;
+use sagespool_types::{ClockTime, TokenCount};
+
+use super::plan::BranchTraffic;
+use super::{CallRecord, DepositLog, LoadReport, OracleInput, TrafficMix, judge};
+use crate::fleet::{FleetOptions, RunningFleet};
+
+/// Traffic of all branches, models and the first plain service of a deployment.
+pub fn traffic_of(options: &FleetOptions) -> TrafficMix {
+    let branches = options.deployment.branches.iter().map(|(branch, deposit)| BranchTraffic {
+        branch: branch.clone(),
+        token: deposit.token.clone(),
+        weight: 1,
+    });
+    let services = &options.fleet.services;
+    let models = services.iter().flat_map(|service| &service.models);
+    let plain = services.iter().find(|service| service.kind == UpstreamKind::Service);
+    let service = plain.map(|plain| {
+        let rule = plain.non_idempotent.first();
+        let path = rule.map_or("/letters", |rule| rule.path_prefix.as_str());
+        (plain.name.clone(), plain.price.unwrap_or(TokenCount(1)), path.to_owned())
+    });
+    TrafficMix::builder()
+        .branches(branches.collect())
+        .models(models.map(|model| model.name.clone()).collect())
+        .maybe_service(service)
+        .entries(options.deployment.entry_count() as usize)
+        .build()
+}
+
+/// The deposits that a fleet was started with, all spendable from the start.
+pub fn first_deposits(options: &FleetOptions) -> DepositLog {
+    let mut deposits = DepositLog::default();
+    for (branch, deposit) in &options.deployment.branches {
+        deposits.note(branch, deposit.prepaid, ClockTime::default());
+    }
+    deposits
+}
+
+/// What the store had been asked by a moment.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StoreTraffic {
+    /// Writes and deletions.
+    pub writes: u64,
+    /// Reads and listings.
+    pub reads: u64,
+}
+
+impl StoreTraffic {
+    /// What the store of a fleet has been asked by now.
+    pub fn of(fleet: &RunningFleet) -> Self {
+        let counts = fleet.store.counts();
+        Self { writes: counts.puts + counts.deletes, reads: counts.gets + counts.lists }
+    }
+}
+
+/// Adds processor time and memory of every process that runs.
+pub fn note_usage(report: &mut LoadReport, fleet: &RunningFleet) {
+    for member in &fleet.members {
+        let Some(process) = &member.process else {
+            continue;
+        };
+        let usage = process.usage();
+        let name = member.instance.to_string();
+        *report.cpu_seconds.entry(name.clone()).or_default() += usage.cpu.as_secs_f64();
+        let peak = usage.peak_bytes as f64 / (1024.0 * 1024.0);
+        let known = report.peak_rss_mb.entry(name).or_default();
+        *known = known.max(peak);
+    }
+}
+
+/// Stops the fleet gracefully and judges what its callers and upstreams saw.
+pub fn conclude(
+    report: &mut LoadReport,
+    fleet: &mut RunningFleet,
+    records: &[CallRecord],
+    deposits: &DepositLog,
+) {
+    report.count(records);
+    note_usage(report, fleet);
+    let unclean = fleet.stop();
+    let books = |key: &str| -> Option<BookRecord> { fleet.store.object(key)?.parse().ok() };
+    let input = OracleInput { records, witness: &fleet.witness, deposits, books: Some(&books) };
+    let verdict = judge(&input);
+    report.take_verdict(&verdict);
+    for instance in unclean {
+        report.findings.push(format!("unclean stop: {instance}"));
+    }
+    report.runs_per_request = runs_per_request(fleet);
+}
+
+fn runs_per_request(fleet: &RunningFleet) -> f64 {
+    let runs: BTreeMap<_, usize> = fleet.witness.runs_by_marker();
+    if runs.is_empty() {
+        return 0.0;
+    }
+    runs.values().sum::<usize>() as f64 / runs.len() as f64
+}
