--- a/crates/sagespool-daemon/src/process.rs
+++ b/crates/sagespool-daemon/src/process.rs
@@ -82,7 +82,7 @@
         }
         RunningRole::Sidecar(sidecar) => {
             let report = sidecar.stop(limit).await;
-            report.cut == 0 && report.unreported == 0
+            report.cut == 0 && report.unsettled == 0
         }
     }
 }
--- a/crates/sagespool-entry/src/heartbeats.rs
+++ b/crates/sagespool-entry/src/heartbeats.rs
@@ -9,6 +9,7 @@
 use sagespool_platform::ListedState;
 use sagespool_types::{ClockTime, IncarnationId};
 
+use crate::run::refresh_limits;
 use crate::state::EntryState;
 
 const ROUND: Duration = Duration::from_millis(100);
@@ -35,6 +36,7 @@
             .detach();
         }
         refresh_upstreams(&state);
+        refresh_limits(&state);
         smol::Timer::after(ROUND).await;
     }
 }
@@ -55,6 +57,7 @@
     drop(known);
     let entries = state.members.live(MemberRole::Entry, now).len();
     state.upstreams.set_entries(entries as u32);
+    state.limits.set_entries(entries as u32);
 }
 
 /// Follows the platform's instance list.
--- a/crates/sagespool-entry/src/home/books.rs
+++ b/crates/sagespool-entry/src/home/books.rs
@@ -17,17 +17,20 @@
 /// After a failed write the store is left alone for so long, unless a request waits.
 const FAILURE_PAUSE: Duration = Duration::from_millis(500);
 
+/// A book as last seen in the store, locked while it is written.
+type HeldBook = Arc<async_lock::Mutex<Option<StoredObject<BookRecord>>>>;
+
 /// The books as last seen in the store, each under its own lock so that one process never races
 /// itself over a book.
 #[derive(Default)]
 pub(crate) struct BookWriter {
-    books: Mutex<HashMap<BookNumber, Arc<async_lock::Mutex<Option<StoredObject<BookRecord>>>>>>,
+    books: Mutex<HashMap<BookNumber, HeldBook>>,
     /// Told when a book is due before its turn.
     pub(crate) due: Event,
 }
 
 impl BookWriter {
-    fn book(&self, book: BookNumber) -> Arc<async_lock::Mutex<Option<StoredObject<BookRecord>>>> {
+    fn book(&self, book: BookNumber) -> HeldBook {
         let mut books = self.books.lock().unwrap_or_else(PoisonError::into_inner);
         Arc::clone(books.entry(book).or_default())
     }
--- a/crates/sagespool-entry/src/run/drive.rs
+++ b/crates/sagespool-entry/src/run/drive.rs
@@ -12,6 +12,7 @@
 };
 use sagespool_types::{ClockTime, RefusalReason, RunState, TokenCount};
 
+use super::admission::admit;
 use super::attach::{AttachEnd, attach};
 use super::attempt::{AttemptEnd, AttemptRun};
 use super::events::{AnswerEvent, AnswerReceiver};
@@ -128,6 +129,10 @@
     order: &RequestOrder,
     answers: &Sender<AnswerEvent>,
 ) -> RunEnd {
+    let _slot = match admit(state, order).await {
+        Ok(slot) => slot,
+        Err(notice) => return RunEnd::Refused { notice, billed: TokenCount::ZERO },
+    };
     let mut reservations = 0;
     while reservations < MOST_RESERVATIONS {
         let now = ClockTime::now();
--- a/crates/sagespool-entry/src/run/mod.rs
+++ b/crates/sagespool-entry/src/run/mod.rs
@@ -1,5 +1,6 @@
 //! One request's run: paid by the branch's home, tried at upstreams, its answer passed on.
 
+mod admission;
 mod attach;
 mod attempt;
 mod drive;
@@ -7,6 +8,7 @@
 mod homes;
 mod order;
 
+pub(crate) use admission::{QueueWord, refresh_limits};
 pub use drive::start_run;
 pub use events::{AnswerEvent, AnswerReceiver};
 pub use order::RequestOrder;
--- a/crates/sagespool-entry/src/state.rs
+++ b/crates/sagespool-entry/src/state.rs
@@ -1,10 +1,11 @@
 //! What all tasks of an entry share.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::Duration;
 
+use async_channel::Sender;
 use event_listener::Event;
 use sagespool_claims::{CrashBoard, KeyBoard};
 use sagespool_ledger::{BudgetMode, HeldBack, HomeLedger, LedgerPolicy};
@@ -13,13 +14,17 @@
 use sagespool_messages::{MemberInfo, MemberRole};
 use sagespool_metrics::FleetMetrics;
 use sagespool_platform::{InstanceClient, ObjectClient, ObjectOptions};
-use sagespool_routing::{PolicyKind, RetryBudget, RetryPolicy, RoutingPolicy, UpstreamTable};
+use sagespool_routing::{
+    AdmissionQueue, BranchLimits, PolicyKind, QueuePolicy, RetryBudget, RetryPolicy, RoutingPolicy,
+    UpstreamTable,
+};
 use sagespool_settings::{
     BudgetChoice, EntrySettings, FleetConfiguration, ProcessSettings, RoutingChoice,
 };
-use sagespool_types::{ClockTime, ConfigVersion, IncarnationId, ServiceName, WallTime};
+use sagespool_types::{ClockTime, ConfigVersion, IncarnationId, RequestId, ServiceName, WallTime};
 
 use crate::home::{BookWriter, ClaimWriter};
+use crate::run::QueueWord;
 
 /// The configuration in force; none until the first has come.
 #[derive(Default)]
@@ -69,6 +74,10 @@
     RoutingPolicy::builder().kind(kind).seed(incarnation.0).build()
 }
 
+fn queue_policy(settings: &EntrySettings) -> QueuePolicy {
+    QueuePolicy::builder().most_waiting(settings.queue.most_waiting as usize).build()
+}
+
 fn ledger_policy(settings: &EntrySettings) -> LedgerPolicy {
     let mode = match settings.policy.budget {
         BudgetChoice::Escrow => BudgetMode::Escrow,
@@ -117,6 +126,9 @@
     pub(crate) books: BookWriter,
     pub(crate) claims: ClaimWriter,
     pub(crate) retries: RetryBudget,
+    pub(crate) limits: BranchLimits,
+    pub(crate) queue: AdmissionQueue,
+    waiters: Mutex<HashMap<RequestId, Sender<QueueWord>>>,
     /// Sidecars that the routing table knows.
     pub(crate) known_sidecars: Mutex<HashSet<IncarnationId>>,
     pub(crate) link: OnceLock<LinkEndpoint>,
@@ -154,6 +166,9 @@
             books: BookWriter::default(),
             claims: ClaimWriter::default(),
             retries: RetryBudget::new(RetryPolicy::default()),
+            limits: BranchLimits::new(),
+            queue: AdmissionQueue::new(queue_policy(&settings)),
+            waiters: Mutex::default(),
             known_sidecars: Mutex::default(),
             link: OnceLock::new(),
             in_flight: AtomicU32::new(0),
@@ -211,6 +226,11 @@
         self.link.get().expect("the link is started before anything is served")
     }
 
+    /// The requests that wait in a queue, and how they are told.
+    pub(crate) fn waiters(&self) -> MutexGuard<'_, HashMap<RequestId, Sender<QueueWord>>> {
+        self.waiters.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// True from the moment it was told to stop.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
