--- a/crates/sagespool-sidecar/src/admission.rs
+++ b/crates/sagespool-sidecar/src/admission.rs
@@ -2,7 +2,6 @@
 
 use std::fmt;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures_lite::FutureExt;
@@ -114,7 +113,7 @@
         if dispatch.sidecar != self.sidecar {
             return Err(PlaceRefusal::OtherIncarnation);
         }
-        if self.leaving.load(Ordering::SeqCst) {
+        if self.is_closed() {
             return Err(PlaceRefusal::Leaving);
         }
         if dispatch.time_left.is_zero() {
@@ -138,7 +137,9 @@
         if is_covered { Ok(()) } else { Err(PlaceRefusal::NotCovered) }
     }
 
-    /// Takes a request's key, or finds the answer that the key stands for.
+    /// Takes a request's key, or finds the answer that an earlier attempt at
+    /// the same request makes or has made. Another request's answer belongs to
+    /// another charge, so its asker has to attach to it.
     async fn take_key(
         &self,
         wish: &KeyWish,
@@ -146,11 +147,13 @@
         log: &Arc<AnswerLog>,
     ) -> Result<(), AdmissionEnd> {
         let mut admission = self.keys.begin(wish, log);
-        if let KeyAdmission::Known { log: known, request } = &admission {
+        if let KeyAdmission::Known { log: known, request } = &admission
+            && *request == wish.request
+        {
             if let Some(reader) = known_reader(known, dispatch) {
                 return Err(AdmissionEnd::Known(reader));
             }
-            if *request == wish.request && !wish.non_idempotent {
+            if !wish.non_idempotent {
                 self.supersede(dispatch).await;
                 admission = self.keys.begin(wish, log);
             }
@@ -158,7 +161,7 @@
         match admission {
             KeyAdmission::Run => Ok(()),
             KeyAdmission::Known { request, .. } => {
-                Err(AdmissionEnd::Key(KeyRefusal::AnswerLost { request }))
+                Err(AdmissionEnd::Key(KeyRefusal::OfOther { request }))
             }
             KeyAdmission::Refused(refusal) => Err(AdmissionEnd::Key(refusal)),
         }
@@ -250,20 +253,26 @@
 }
 
 /// A charge that ran here before is no matter of the grant: another one would
-/// run the request twice.
+/// run the request twice. Nor is a sidecar that has yet to start: the home
+/// would drop a grant that is good elsewhere.
 fn charge_refused(refusal: ChargeRefusal) -> DispatchEnd {
     let message = refusal.to_string();
-    if refusal.is_of_grant() {
-        return DispatchEnd::GrantUnusable(message);
+    match refusal {
+        ChargeRefusal::NotStarted => refused(RefusalReason::NotReady, RunState::NotRun, message),
+        ChargeRefusal::GrantTooOld { .. }
+        | ChargeRefusal::GrantSealed
+        | ChargeRefusal::ChargeSealed => DispatchEnd::GrantUnusable(message),
+        ChargeRefusal::RunBefore { .. } => {
+            refused(RefusalReason::OutcomeUnknown, RunState::Unknown, message)
+        }
     }
-    refused(RefusalReason::OutcomeUnknown, RunState::Unknown, message)
 }
 
 fn key_refused(refusal: KeyRefusal) -> DispatchEnd {
     let (reason, run_state) = match refusal {
         KeyRefusal::Fenced => (RefusalReason::NoUpstream, RunState::NotRun),
         KeyRefusal::OtherContent => (RefusalReason::KeyReused, RunState::NotRun),
-        KeyRefusal::AnswerLost { .. } | KeyRefusal::NeverSeen => {
+        KeyRefusal::AnswerLost { .. } | KeyRefusal::OfOther { .. } | KeyRefusal::NeverSeen => {
             (RefusalReason::OutcomeUnknown, RunState::Unknown)
         }
     };
--- a/crates/sagespool-sidecar/src/attempt.rs
+++ b/crates/sagespool-sidecar/src/attempt.rs
@@ -125,6 +125,13 @@
         }
     }
 
+    pub(crate) fn detail(&self) -> &str {
+        match self {
+            Self::Broken { detail, .. } => detail,
+            Self::Whole(_) | Self::Stopped { .. } => "",
+        }
+    }
+
     /// The end as the asker is told. Where the sidecar stops, the request may
     /// go on elsewhere, as after any other failure.
     pub(crate) fn tell(self, charge: Option<ChargeRecord>) -> DispatchEnd {
--- a/crates/sagespool-sidecar/src/charge_book.rs
+++ b/crates/sagespool-sidecar/src/charge_book.rs
@@ -65,13 +65,6 @@
     },
 }
 
-impl ChargeRefusal {
-    /// True if another grant would help: nothing ran under this charge here.
-    pub fn is_of_grant(&self) -> bool {
-        !matches!(self, Self::RunBefore { .. })
-    }
-}
-
 impl fmt::Display for ChargeRefusal {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -98,6 +91,15 @@
     shards: StateShards<GrantShard>,
 }
 
+/// Which ended charges are to be reported.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReportScope {
+    /// Those whose time has come.
+    Due,
+    /// All.
+    All,
+}
+
 /// A part of the grants.
 #[derive(Debug, Default)]
 struct GrantShard {
@@ -186,9 +188,18 @@
     /// The reports that are due, with whom each goes to. What is named here is
     /// due again later, ever more seldom, until it is durable.
     pub fn due(&self, now: ClockTime) -> Vec<(IncarnationId, ChargeReport)> {
+        self.collect(now, ReportScope::Due)
+    }
+
+    /// Reports of every ended charge, due or not: the sidecar is about to end.
+    pub fn flush(&self, now: ClockTime) -> Vec<(IncarnationId, ChargeReport)> {
+        self.collect(now, ReportScope::All)
+    }
+
+    fn collect(&self, now: ClockTime, scope: ReportScope) -> Vec<(IncarnationId, ChargeReport)> {
         let mut records: BTreeMap<IncarnationId, Vec<ChargeRecord>> = BTreeMap::new();
         for mut shard in self.shards.each() {
-            shard.collect_due(&self.policy, now, &mut records);
+            shard.collect(&self.policy, now, scope, &mut records);
         }
         let sidecar = self.sidecar;
         let reports = records.into_iter().filter(|(_, charges)| !charges.is_empty());
@@ -234,16 +245,17 @@
 }
 
 impl GrantShard {
-    fn collect_due(
+    fn collect(
         &mut self,
         policy: &ReportPolicy,
         now: ClockTime,
+        scope: ReportScope,
         records: &mut BTreeMap<IncarnationId, Vec<ChargeRecord>>,
     ) {
         for id in &self.unsettled {
             let grant = self.grants.get_mut(id).expect("a grant with open charges is never idle");
             let batch = records.entry(grant.reporter().unwrap_or(id.holder)).or_default();
-            grant.collect_due(policy, now, batch);
+            grant.collect(policy, now, scope, batch);
         }
     }
 
--- a/crates/sagespool-sidecar/src/charge_book/grant.rs
+++ b/crates/sagespool-sidecar/src/charge_book/grant.rs
@@ -6,7 +6,7 @@
 use sagespool_messages::{ChargeRecord, SealRequest, SealScope};
 use sagespool_types::{AttemptNumber, ClockTime, IncarnationId, SequenceNumber, TokenCount};
 
-use super::{ChargeRefusal, ChargeWish, ReportPolicy};
+use super::{ChargeRefusal, ChargeWish, ReportPolicy, ReportScope};
 
 /// One grant's charges and seals.
 #[derive(Debug, Default)]
@@ -130,14 +130,16 @@
         }
     }
 
-    pub(super) fn collect_due(
+    pub(super) fn collect(
         &mut self,
         policy: &ReportPolicy,
         now: ClockTime,
+        scope: ReportScope,
         batch: &mut Vec<ChargeRecord>,
     ) {
         let ended = self.charges.values_mut().flatten().filter(|state| state.record.ended);
-        for state in ended.filter(|state| state.due <= now) {
+        let is_wanted = |state: &&mut AttemptState| scope == ReportScope::All || state.due <= now;
+        for state in ended.filter(is_wanted) {
             if batch.len() >= policy.batch {
                 return;
             }
--- a/crates/sagespool-sidecar/src/dispatcher.rs
+++ b/crates/sagespool-sidecar/src/dispatcher.rs
@@ -1,6 +1,5 @@
 //! The last gate before a request runs, and what follows from letting it in.
 
-use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -8,9 +7,11 @@
 use bon::Builder;
 use sagespool_log::log_event;
 use sagespool_messages::{
-    AttachRequest, CancelRequest, DispatchEvent, DispatchRequest, UpstreamKind,
+    AttachRequest, CancelRequest, ChargeRecord, DispatchEvent, DispatchRequest, RunningRequest,
+    StatusQuery, UpstreamKind,
 };
-use sagespool_types::{ByteCount, ClockTime, IncarnationId, ServiceName, TokenCount, UpstreamName};
+use sagespool_settings::UpstreamSettings;
+use sagespool_types::{ByteCount, ClockTime, IncarnationId, ServiceName, TokenCount};
 
 use crate::admission::attach_refused;
 use crate::attempt::{AdmittedAttempt, AttemptEnd};
@@ -18,26 +19,20 @@
 use crate::run_service::ServiceTarget;
 use crate::running::{RunningTable, StopReason};
 use crate::{
-    AnswerReader, ChargeBook, KeyMemory, KeyRefusal, KeyRetention, LoadWatch, ReportPolicy,
-    UpstreamClient,
+    AnswerReader, ChargeBook, KeyMemory, KeyRefusal, KeyRetention, LoadWatch, OrderDesk,
+    ReportPolicy, UpstreamClient,
 };
 
 /// The memory for answers of keyed requests, if nothing else is said.
 const KEPT_ANSWERS: ByteCount = ByteCount(64 << 20);
 
-/// What a dispatcher is to know of its place.
+/// What a dispatcher is told of its place.
 #[derive(Debug, Clone, Builder)]
 pub struct DispatchOptions {
     /// The sidecar's incarnation.
     pub sidecar: IncarnationId,
-    /// The upstream's name.
-    pub upstream: UpstreamName,
-    /// Its service.
-    pub service: ServiceName,
-    /// What it is.
-    pub kind: UpstreamKind,
-    /// Where it is reached.
-    pub address: SocketAddr,
+    /// The upstream.
+    pub upstream: UpstreamSettings,
     /// The most memory for kept answers.
     #[builder(default = KEPT_ANSWERS)]
     pub kept_answers: ByteCount,
@@ -55,27 +50,29 @@
     pub(crate) sidecar: IncarnationId,
     pub(crate) kind: UpstreamKind,
     service: ServiceName,
-    pub(crate) leaving: AtomicBool,
+    leaving: AtomicBool,
     pub(crate) upstream: UpstreamClient,
     pub(crate) charges: ChargeBook,
     pub(crate) keys: KeyMemory,
     pub(crate) load: LoadWatch,
+    pub(crate) orders: OrderDesk,
     pub(crate) running: Arc<RunningTable>,
 }
 
 impl Dispatcher {
     /// A dispatcher that runs nothing until [`ChargeBook::started`] was called.
     pub fn new(options: DispatchOptions) -> Arc<Self> {
-        let DispatchOptions { sidecar, kept_answers, retention, .. } = options;
+        let DispatchOptions { sidecar, upstream, kept_answers, retention, reports } = options;
         Arc::new(Self {
             sidecar,
-            kind: options.kind,
-            service: options.service.clone(),
+            kind: upstream.kind,
+            service: upstream.service.clone(),
             leaving: AtomicBool::new(false),
-            upstream: UpstreamClient::new(options.address),
-            charges: ChargeBook::new(sidecar, options.reports),
+            upstream: UpstreamClient::new(upstream.address),
+            charges: ChargeBook::new(sidecar, reports),
             keys: KeyMemory::new(sidecar, kept_answers, retention),
-            load: LoadWatch::new(options.upstream, options.service, options.kind),
+            load: LoadWatch::new(&upstream),
+            orders: OrderDesk::new(),
             running: Arc::default(),
         })
     }
@@ -110,9 +107,19 @@
         self.running.count()
     }
 
-    /// From now on takes nothing new, or takes it again.
-    pub fn set_leaving(&self, is_leaving: bool) {
-        self.leaving.store(is_leaving, Ordering::SeqCst);
+    /// From now on takes nothing new.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether it takes nothing new, since it leaves or an operator drains it.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst) || self.load.is_drained()
+    }
+
+    /// At most so many of the attempts that run, and whether that is all.
+    pub fn list_running(&self, query: &StatusQuery, now: ClockTime) -> (Vec<RunningRequest>, bool) {
+        self.running.list(query.branch.as_ref(), query.running as usize, now)
     }
 
     /// Resolves when no attempt runs.
@@ -197,16 +204,37 @@
         if let Some(wish) = &attempt.key {
             self.keys.end(wish, end.key_ending(), now);
         }
-        log_event!(
+        log_end(attempt, &end, charge.as_ref());
+        attempt.log.push(DispatchEvent::End(end.tell(charge)));
+    }
+}
+
+/// Whole answers are the rule, and logged for who looks closely.
+fn log_end(attempt: &AdmittedAttempt, end: &AttemptEnd, charge: Option<&ChargeRecord>) {
+    let used = charge.map_or(TokenCount::ZERO, |charge| charge.used);
+    let (request, number, outcome) = (attempt.request, attempt.attempt, end.as_str());
+    let (branch, charge) = (&attempt.branch, attempt.charge);
+    match end {
+        AttemptEnd::Whole(_) => log_event!(
+            debug,
+            "attempt-ended",
+            request = request,
+            attempt = number,
+            branch = branch,
+            charge = charge,
+            outcome = outcome,
+            used = used
+        ),
+        _ => log_event!(
             info,
             "attempt-ended",
-            request = attempt.request,
-            attempt = attempt.attempt,
-            branch = attempt.branch,
-            charge = attempt.charge,
-            outcome = end.as_str(),
-            used = charge.as_ref().map_or(TokenCount::ZERO, |charge| charge.used)
-        );
-        attempt.log.push(DispatchEvent::End(end.tell(charge)));
+            request = request,
+            attempt = number,
+            branch = branch,
+            charge = charge,
+            outcome = outcome,
+            used = used,
+            detail = end.detail()
+        ),
     }
 }
--- a/crates/sagespool-sidecar/src/engine_events.rs
+++ b/crates/sagespool-sidecar/src/engine_events.rs
@@ -26,6 +26,8 @@
         /// How many tokens the engine says it made, if it does.
         completion_tokens: Option<u32>,
     },
+    /// The engine gave the request up, for the reason it says.
+    Aborted(String),
     /// Nothing follows.
     Done,
     /// An event without a token, which counts for nothing.
@@ -89,12 +91,21 @@
             return Ok(Self::Empty);
         };
         if let Some(reason) = choice.finish_reason {
-            let stop = if reason == "length" { StopCause::Length } else { StopCause::Stop };
-            return Ok(Self::Finished { stop, completion_tokens });
+            return Ok(Self::finish(reason, completion_tokens));
         }
         match choice.delta.and_then(|delta| delta.content) {
             Some(text) => Ok(Self::Token { index: event.index, text }),
             None => Ok(Self::Empty),
         }
     }
+
+    /// Only two reasons stand for a whole answer. An engine that was told to
+    /// cancel closes its stream in good order too, with another one.
+    fn finish(reason: String, completion_tokens: Option<u32>) -> Self {
+        match reason.as_str() {
+            "stop" => Self::Finished { stop: StopCause::Stop, completion_tokens },
+            "length" => Self::Finished { stop: StopCause::Length, completion_tokens },
+            _ => Self::Aborted(reason),
+        }
+    }
 }
--- a/crates/sagespool-sidecar/src/key_memory.rs
+++ b/crates/sagespool-sidecar/src/key_memory.rs
@@ -91,6 +91,11 @@
         /// The request that ran.
         request: RequestId,
     },
+    /// Another request runs or ran under the key, and can be attached to.
+    OfOther {
+        /// That request.
+        request: RequestId,
+    },
     /// Nothing is known of the key.
     NeverSeen,
 }
@@ -103,6 +108,9 @@
             Self::AnswerLost { request } => {
                 write!(f, "request {request} ran under this key and its answer is not kept")
             }
+            Self::OfOther { request } => {
+                write!(f, "request {request} has this key: attach to it")
+            }
             Self::NeverSeen => f.write_str("the key is not known here"),
         }
     }
--- a/crates/sagespool-sidecar/src/lib.rs
+++ b/crates/sagespool-sidecar/src/lib.rs
@@ -9,10 +9,12 @@
 mod engine_events;
 mod key_memory;
 mod load_watch;
+mod orders;
 mod run_completion;
 mod run_service;
 mod running;
 mod shards;
+mod tally;
 mod token_meter;
 mod upstream;
 
@@ -23,6 +25,7 @@
 pub use engine_events::{EngineEvent, EventFault};
 pub use key_memory::{KeyAdmission, KeyEnding, KeyMemory, KeyRefusal, KeyRetention, KeyWish};
 pub use load_watch::{LoadWatch, UpstreamSample};
+pub use orders::OrderDesk;
 pub use token_meter::{MeterStep, TokenMeter};
 pub use upstream::{
     CallFault, CompletionStream, EngineLoad, OrderOutcome, RunCall, ServiceAnswer, ServiceCall,
--- a/crates/sagespool-sidecar/src/load_watch.rs
+++ b/crates/sagespool-sidecar/src/load_watch.rs
@@ -3,7 +3,8 @@
 use std::sync::Mutex;
 
 use sagespool_messages::{LoadReport, ServedUpstream, UpstreamKind};
-use sagespool_types::{ServiceName, UpstreamName};
+use sagespool_settings::UpstreamSettings;
+use sagespool_types::{ModelName, ServiceName, UpstreamName};
 
 use crate::shards::lock;
 use crate::upstream::EngineLoad;
@@ -18,6 +19,8 @@
     upstream: UpstreamName,
     service: ServiceName,
     kind: UpstreamKind,
+    capacity: u32,
+    models: Vec<ModelName>,
     state: Mutex<WatchState>,
 }
 
@@ -28,6 +31,7 @@
     healthy: bool,
     newest: Option<EngineLoad>,
     dispatched: u64,
+    drained: bool,
     told: Option<ServedUpstream>,
 }
 
@@ -42,8 +46,15 @@
 
 impl LoadWatch {
     /// A watch that has not seen its upstream yet: not healthy until it answers.
-    pub fn new(upstream: UpstreamName, service: ServiceName, kind: UpstreamKind) -> Self {
-        Self { upstream, service, kind, state: Mutex::default() }
+    pub fn new(settings: &UpstreamSettings) -> Self {
+        Self {
+            upstream: settings.name.clone(),
+            service: settings.service.clone(),
+            kind: settings.kind,
+            capacity: settings.capacity,
+            models: settings.models.clone(),
+            state: Mutex::default(),
+        }
     }
 
     /// Counts a dispatch that was let in, so that an entry which reads the
@@ -52,6 +63,18 @@
         lock(&self.state).dispatched += 1;
     }
 
+    /// Shows the upstream as taking nothing, or as it is again. A process
+    /// can't take back that it leaves, but an operator can end a drain, so a
+    /// drained upstream counts as not healthy.
+    pub fn set_drained(&self, is_drained: bool) {
+        lock(&self.state).drained = is_drained;
+    }
+
+    /// Whether an operator has drained the upstream.
+    pub fn is_drained(&self) -> bool {
+        lock(&self.state).drained
+    }
+
     /// Notes that the upstream was found down while a request ran.
     pub fn upstream_down(&self) {
         let mut state = lock(&self.state);
@@ -59,6 +82,11 @@
         state.misses = MISSES_ALLOWED + 1;
     }
 
+    /// True if a load is of a later start of the upstream than the newest known.
+    pub fn is_restarted(&self, load: &EngineLoad) -> bool {
+        lock(&self.state).newest.as_ref().is_some_and(|newest| load.number < newest.number)
+    }
+
     /// Whether the upstream answered when last looked at.
     pub fn is_healthy(&self) -> bool {
         lock(&self.state).healthy
@@ -99,9 +127,9 @@
             upstream: self.upstream.clone(),
             kind: self.kind,
             service: self.service.clone(),
-            models: load.map(|load| load.models.clone()).unwrap_or_default(),
-            capacity: load.map_or(1, |load| load.capacity),
-            healthy: state.healthy,
+            models: load.map_or(&self.models, |load| &load.models).clone(),
+            capacity: load.map_or(self.capacity, |load| load.capacity),
+            healthy: state.healthy && !state.drained,
             load: LoadReport {
                 number: 0,
                 running: load.map_or(0, |load| load.running),
--- a/crates/sagespool-sidecar/src/run_completion.rs
+++ b/crates/sagespool-sidecar/src/run_completion.rs
@@ -150,14 +150,12 @@
         }
     }
 
-    /// How an attempt ends whose call failed. A broken call doesn't say
-    /// whether the engine went down or only this request failed, so the engine
-    /// is asked.
+    /// How an attempt ends whose call failed.
     pub(crate) async fn end_of_fault(&self, fault: &CallFault) -> AttemptEnd {
         let crashed = match fault {
             CallFault::NotSent { refused, .. } => *refused,
             CallFault::Declined { .. } => false,
-            CallFault::Lost { .. } => !self.upstream.is_healthy().await,
+            CallFault::Lost { .. } => self.went_down().await,
         };
         if crashed {
             self.load.upstream_down();
@@ -165,6 +163,17 @@
         AttemptEnd::of_fault(fault, crashed)
     }
 
+    /// Whether the upstream went down under a call that broke.
+    ///
+    /// The call itself doesn't say, so the upstream is asked. One that was
+    /// started again at once answers, but counts its load from the beginning.
+    async fn went_down(&self) -> bool {
+        match self.upstream.load().await {
+            Some(load) => self.load.is_restarted(&load),
+            None => !self.upstream.is_healthy().await,
+        }
+    }
+
     /// Makes sure that the engine is free of an attempt that has ended.
     pub(crate) async fn free_engine(&self, attempt: &AdmittedAttempt, rest: EngineRest) {
         let must_cancel = match rest {
@@ -173,7 +182,7 @@
             EngineRest::Close(stream) => !closes(*stream).await,
         };
         if must_cancel {
-            self.upstream.cancel(attempt.request).await;
+            self.upstream.cancel(attempt.request, attempt.attempt).await;
         }
     }
 }
@@ -183,7 +192,9 @@
     let closing = async {
         loop {
             match stream.next().await {
-                Ok(EngineEvent::Finished { .. } | EngineEvent::Done) => return true,
+                Ok(EngineEvent::Finished { .. } | EngineEvent::Aborted(_) | EngineEvent::Done) => {
+                    return true;
+                }
                 Ok(EngineEvent::Empty) => {}
                 Ok(EngineEvent::Token { .. }) | Err(_) => return false,
             }
--- a/crates/sagespool-sidecar/src/running.rs
+++ b/crates/sagespool-sidecar/src/running.rs
@@ -1,7 +1,7 @@
 //! The attempts that run here now.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 
 use event_listener::Event;
@@ -9,6 +9,7 @@
 use sagespool_types::{AttemptNumber, BranchName, ClassName, ClockTime, RequestId, TokenCount};
 
 use crate::shards::StateShards;
+use crate::tally::{TallyMark, WorkTally};
 
 /// Why an attempt is stopped before its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -114,8 +115,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct RunningTable {
     attempts: StateShards<HashMap<RequestId, Vec<Arc<RunningAttempt>>>>,
-    count: AtomicUsize,
-    changed: Event,
+    tally: WorkTally,
 }
 
 impl RunningTable {
@@ -128,8 +128,8 @@
         let attempt = Arc::new(RunningAttempt::new(dispatch, now));
         let mut shard = self.attempts.of(&dispatch.request);
         shard.entry(dispatch.request).or_default().push(Arc::clone(&attempt));
-        self.count.fetch_add(1, Ordering::SeqCst);
-        RunningPlace { table: Arc::clone(self), attempt }
+        let mark = self.tally.enter();
+        RunningPlace { table: Arc::clone(self), attempt, _mark: mark }
     }
 
     /// The attempts at a request that are lower than one.
@@ -166,18 +166,12 @@
 
     /// How many run.
     pub(crate) fn count(&self) -> usize {
-        self.count.load(Ordering::SeqCst)
+        self.tally.count()
     }
 
     /// Resolves when none runs.
     pub(crate) async fn empty(&self) {
-        loop {
-            let changed = self.changed.listen();
-            if self.count() == 0 {
-                return;
-            }
-            changed.await;
-        }
+        self.tally.empty().await;
     }
 
     /// At most so many of those that run, and whether that is all.
@@ -208,6 +202,7 @@
 pub(crate) struct RunningPlace {
     table: Arc<RunningTable>,
     pub(crate) attempt: Arc<RunningAttempt>,
+    _mark: TallyMark,
 }
 
 impl Drop for RunningPlace {
@@ -223,7 +218,5 @@
         drop(shard);
         self.attempt.ended.store(true, Ordering::SeqCst);
         self.attempt.changed.notify(usize::MAX);
-        self.table.count.fetch_sub(1, Ordering::SeqCst);
-        self.table.changed.notify(usize::MAX);
     }
 }
--- a/crates/sagespool-sidecar/src/token_meter.rs
+++ b/crates/sagespool-sidecar/src/token_meter.rs
@@ -74,6 +74,9 @@
             EngineEvent::Finished { stop, completion_tokens } => {
                 self.take_finish(stop, completion_tokens)
             }
+            EngineEvent::Aborted(reason) => {
+                MeterStep::Broken(format!("the engine gave the request up: {reason}"))
+            }
             EngineEvent::Done => MeterStep::Broken("the stream closed unfinished".to_owned()),
             EngineEvent::Empty => MeterStep::Nothing,
         }
--- a/crates/sagespool-sidecar/src/upstream/control.rs
+++ b/crates/sagespool-sidecar/src/upstream/control.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
-use sagespool_types::{FenceNumber, ModelName, RequestId};
+use sagespool_types::{AttemptNumber, FenceNumber, ModelName, RequestId};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use smol::Timer;
@@ -16,8 +16,9 @@
 /// takes longer isn't answering.
 const PROBE_LIMIT: Duration = Duration::from_millis(500);
 
-/// For an order: loading a model takes its time.
-const ORDER_LIMIT: Duration = Duration::from_secs(120);
+/// For an order. Newer ones wait meanwhile, so a hanging engine must not hold
+/// them up for long.
+const ORDER_LIMIT: Duration = Duration::from_secs(30);
 
 /// An upstream's report of its load.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -75,9 +76,10 @@
 
     /// Tells an engine to give a request up. Dropping the stream alone would
     /// leave the engine working until it next writes. True if it answered.
-    pub async fn cancel(&self, request: RequestId) -> bool {
+    pub async fn cancel(&self, request: RequestId, attempt: AttemptNumber) -> bool {
         let url = self.control_url(&format!("/v1/requests/{request}/cancel"));
-        let answer = within(PROBE_LIMIT, async { self.control.post(url).await.ok() });
+        let conn = self.control.post(url).with_request_header("x-attempt", attempt.to_string());
+        let answer = within(PROBE_LIMIT, async { conn.await.ok() });
         answer.await.is_some()
     }
 
@@ -103,7 +105,10 @@
             Some((status, _)) => {
                 OrderOutcome::Failed(format!("the engine answered the order with {status}"))
             }
-            None => OrderOutcome::Failed("the engine did not answer the order".to_owned()),
+            None => {
+                let detail = "the engine did not answer the order and may have carried it out";
+                OrderOutcome::Failed(detail.to_owned())
+            }
         }
     }
 
--- a/crates/sagespool-sidecar/tests/charge_book.rs
+++ b/crates/sagespool-sidecar/tests/charge_book.rs
@@ -1,5 +1,7 @@
 //! The witness's book: what may start, what is listed, what is reported.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::Duration;
 
 use quickcheck::quickcheck;
--- a/crates/sagespool-sidecar/tests/key_memory.rs
+++ b/crates/sagespool-sidecar/tests/key_memory.rs
@@ -1,5 +1,7 @@
 //! What is known of callers' keys.
 
+#![allow(clippy::unwrap_used)]
+
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/sagespool-sidecar/tests/sse_parsing.rs
+++ b/crates/sagespool-sidecar/tests/sse_parsing.rs
@@ -1,5 +1,7 @@
 //! An engine's stream: read across chunk borders, counted, cut and checked.
 
+#![allow(clippy::unwrap_used)]
+
 use std::net::SocketAddr;
 
 use sagespool_messages::{DispatchEvent, StopCause};
