Add the sidecar role: link, heartbeats, charge reports and graceful stop

The role answers seals and questions about keys from its start and runs nothing until the store's revision is known; a stop lets what runs end, then reports charges until they are durable.

--- a/crates/sagespool-sidecar/src/admission.rs
+++ b/crates/sagespool-sidecar/src/admission.rs
@@ -105,7 +105,7 @@
             return Err(AdmissionEnd::Charge(refusal));
         }
         let reader = begin_log(&log, &dispatch);
-        Ok((AdmittedAttempt::new(dispatch, log, place, now), reader))
+        Ok((AdmittedAttempt::new(dispatch, log, place, &self.metrics, now), reader))
     }
 
     /// The checks that need no state but the sidecar's own.
--- a/crates/sagespool-sidecar/src/attempt.rs
+++ b/crates/sagespool-sidecar/src/attempt.rs
@@ -5,6 +5,7 @@
 
 use futures_lite::{FutureExt, future};
 use sagespool_messages::{CallTarget, ChargeRecord, DispatchEnd, DispatchRequest, StopCause};
+use sagespool_metrics::{FleetMetrics, RequestTimings};
 use sagespool_types::{AttemptNumber, BranchName, ChargeId, ClockTime, RequestId, TokenCount};
 use smol::Timer;
 
@@ -13,7 +14,6 @@
 use crate::{AnswerLog, CallFault};
 
 /// An admitted attempt.
-#[derive(Debug)]
 pub(crate) struct AdmittedAttempt {
     pub(crate) request: RequestId,
     pub(crate) attempt: AttemptNumber,
@@ -26,6 +26,8 @@
     pub(crate) key: Option<KeyWish>,
     pub(crate) log: Arc<AnswerLog>,
     pub(crate) place: RunningPlace,
+    pub(crate) arrived: ClockTime,
+    pub(crate) timings: RequestTimings,
     deadline: ClockTime,
 }
 
@@ -34,9 +36,12 @@
         dispatch: DispatchRequest,
         log: Arc<AnswerLog>,
         place: RunningPlace,
+        metrics: &FleetMetrics,
         now: ClockTime,
     ) -> Self {
         Self {
+            arrived: now,
+            timings: metrics.timings(&dispatch.class, &dispatch.branch),
             key: KeyWish::of(&dispatch),
             request: dispatch.request,
             attempt: dispatch.attempt,
--- a/crates/sagespool-sidecar/src/dispatcher.rs
+++ b/crates/sagespool-sidecar/src/dispatcher.rs
@@ -7,9 +7,10 @@
 use bon::Builder;
 use sagespool_log::log_event;
 use sagespool_messages::{
-    AttachRequest, CancelRequest, ChargeRecord, DispatchEvent, DispatchRequest, RunningRequest,
-    StatusQuery, UpstreamKind,
+    AttachRequest, CancelRequest, ChargeRecord, DispatchEvent, DispatchRequest, KeyReply,
+    KeyRequest, RunningRequest, StatusQuery, UpstreamKind,
 };
+use sagespool_metrics::FleetMetrics;
 use sagespool_settings::UpstreamSettings;
 use sagespool_types::{ByteCount, ClockTime, IncarnationId, ServiceName, TokenCount};
 
@@ -42,6 +43,9 @@
     /// How charges are reported.
     #[builder(default)]
     pub reports: ReportPolicy,
+    /// Where it notes what its upstream takes for each class and branch.
+    #[builder(default = FleetMetrics::new())]
+    pub metrics: FleetMetrics,
 }
 
 /// Checks, runs and witnesses every request for one upstream.
@@ -57,12 +61,14 @@
     pub(crate) load: LoadWatch,
     pub(crate) orders: OrderDesk,
     pub(crate) running: Arc<RunningTable>,
+    pub(crate) metrics: FleetMetrics,
 }
 
 impl Dispatcher {
     /// A dispatcher that runs nothing until [`ChargeBook::started`] was called.
     pub fn new(options: DispatchOptions) -> Arc<Self> {
-        let DispatchOptions { sidecar, upstream, kept_answers, retention, reports } = options;
+        let DispatchOptions { sidecar, upstream, kept_answers, retention, reports, metrics } =
+            options;
         Arc::new(Self {
             sidecar,
             kind: upstream.kind,
@@ -74,6 +80,7 @@
             load: LoadWatch::new(&upstream),
             orders: OrderDesk::new(),
             running: Arc::default(),
+            metrics,
         })
     }
 
@@ -97,11 +104,6 @@
         &self.upstream
     }
 
-    /// The service that the upstream belongs to.
-    pub fn service(&self) -> &ServiceName {
-        &self.service
-    }
-
     /// How many attempts run.
     pub fn running_count(&self) -> usize {
         self.running.count()
@@ -157,6 +159,14 @@
         reader.unwrap_or_else(attach_refused)
     }
 
+    /// What is known of a key; nothing if another service would run it.
+    pub fn find_key(&self, request: &KeyRequest, now: ClockTime) -> KeyReply {
+        if request.service != self.service {
+            return KeyReply { sidecar: self.sidecar, known: None };
+        }
+        self.keys.find(request, now)
+    }
+
     /// Stops an attempt that its entry has given up.
     pub fn cancel(&self, request: &CancelRequest) {
         self.running.stop(request.request, request.attempt, StopReason::Cancelled);
@@ -201,6 +211,9 @@
             self.charges.withdraw(attempt.charge, attempt.attempt, now);
             None
         };
+        if is_whole {
+            attempt.timings.whole(now.since(attempt.arrived));
+        }
         if let Some(wish) = &attempt.key {
             self.keys.end(wish, end.key_ending(), now);
         }
--- a/crates/sagespool-sidecar/src/lib.rs
+++ b/crates/sagespool-sidecar/src/lib.rs
@@ -10,6 +10,7 @@
 mod key_memory;
 mod load_watch;
 mod orders;
+mod role;
 mod run_completion;
 mod run_service;
 mod running;
@@ -26,6 +27,7 @@
 pub use key_memory::{KeyAdmission, KeyEnding, KeyMemory, KeyRefusal, KeyRetention, KeyWish};
 pub use load_watch::{LoadWatch, UpstreamSample};
 pub use orders::OrderDesk;
+pub use role::{RoleFault, SidecarRole, StopReport};
 pub use token_meter::{MeterStep, TokenMeter};
 pub use upstream::{
     CallFault, CompletionStream, EngineLoad, OrderOutcome, RunCall, ServiceAnswer, ServiceCall,
--- /dev/null
+++ b/crates/sagespool-sidecar/src/role/peers.rs
@@ -0,0 +1,88 @@
+//! Answering what other processes ask of a sidecar.
+
+use std::pin::pin;
+use std::sync::Arc;
+
+use futures_lite::FutureExt;
+use sagespool_link::{EventSender, PeerCall, PeerHandler, PeerResponder};
+use sagespool_messages::{MemberStatus, PeerReply, PeerRequest, StatusQuery, StatusReply};
+use sagespool_types::{ClockTime, WallTime};
+
+use super::state::SidecarState;
+use crate::AnswerReader;
+
+/// The handler that the link calls for every request of a peer.
+pub(super) fn peer_handler(state: Arc<SidecarState>) -> PeerHandler {
+    Arc::new(move |call: PeerCall| {
+        let state = Arc::clone(&state);
+        Box::pin(async move { answer(&state, call.request, call.responder).await })
+    })
+}
+
+async fn answer(state: &SidecarState, request: PeerRequest, responder: PeerResponder) {
+    let now = ClockTime::now();
+    let dispatcher = &state.dispatcher;
+    let reply = match request {
+        PeerRequest::Dispatch(dispatch) => {
+            let _forward = state.forwards.enter();
+            let reader = dispatcher.dispatch(dispatch, now).await;
+            return pass_on(reader, responder.events()).await;
+        }
+        PeerRequest::Attach(request) => {
+            let _forward = state.forwards.enter();
+            return pass_on(dispatcher.attach(&request), responder.events()).await;
+        }
+        PeerRequest::Cancel(request) => {
+            dispatcher.cancel(&request);
+            PeerReply::Done
+        }
+        PeerRequest::Seal(request) => PeerReply::Seal(dispatcher.charges().seal(&request, now)),
+        PeerRequest::FindKey(request) => PeerReply::Key(dispatcher.find_key(&request, now)),
+        PeerRequest::Order(request) => PeerReply::Order(dispatcher.carry_out(&request).await),
+        PeerRequest::Status(query) => PeerReply::Status(status(state, &query, now)),
+        PeerRequest::Heartbeat(beat) => PeerReply::Heartbeat(state.members.received(&beat, now)),
+        PeerRequest::Reserve(_)
+        | PeerRequest::Claim(_)
+        | PeerRequest::Finish(_)
+        | PeerRequest::ReportCharges(_)
+        | PeerRequest::Recall(_)
+        | PeerRequest::ReportCrash(_) => {
+            PeerReply::Unsupported("this process is a sidecar".to_owned())
+        }
+    };
+    responder.reply(reply).await;
+}
+
+/// Sends an answer's events as they come. When the asker is gone the reader is
+/// dropped, which tells the attempt.
+async fn pass_on(mut reader: AnswerReader, mut sender: EventSender) {
+    let mut gone = pin!(sender.asker_gone());
+    loop {
+        let asker_gone = async {
+            gone.as_mut().await;
+            None
+        };
+        let Some(event) = asker_gone.or(reader.next()).await else { return };
+        if sender.send(&event).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn status(state: &SidecarState, query: &StatusQuery, now: ClockTime) -> StatusReply {
+    let (running, is_all) = state.dispatcher.list_running(query, now);
+    StatusReply {
+        at: WallTime::now(),
+        from: state.incarnation,
+        revision: state.objects.seen_revision(),
+        member: MemberStatus {
+            info: state.members.own(),
+            up_for: now.since(state.started),
+            in_flight: state.dispatcher.running_count() as u32,
+        },
+        spend: Vec::new(),
+        running,
+        running_cut: !is_all,
+        members: state.members.members(),
+    }
+}
--- /dev/null
+++ b/crates/sagespool-sidecar/src/role/upstream_tasks.rs
@@ -0,0 +1,68 @@
+//! What a sidecar does at intervals for its upstream and its memory.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sagespool_log::log_event;
+use sagespool_types::ClockTime;
+use serde::de::IgnoredAny;
+use smol::Timer;
+
+use super::state::SidecarState;
+use crate::UpstreamSample;
+
+/// How often the upstream is looked at.
+const LOAD_PERIOD: Duration = Duration::from_millis(200);
+
+/// How often memories are cleared of what is past its time.
+const EXPIRY_PERIOD: Duration = Duration::from_secs(1);
+
+/// Between two tries to reach the store; doubled up to the longest.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+/// A prefix under which the store has no object: its revision is all that is asked.
+const EMPTY_PREFIX: &str = "sidecar-start/";
+
+/// Reads the store's revision after this incarnation's start, however long the
+/// store can't be reached. Until then no grant is known to be newer.
+pub(super) async fn find_start(state: Arc<SidecarState>) {
+    let mut pause = FIRST_PAUSE;
+    loop {
+        match state.objects.list::<IgnoredAny>(EMPTY_PREFIX).await {
+            Ok(listing) => {
+                state.dispatcher.charges().started(listing.revision);
+                state.members.update_own(|own| own.started_at = Some(listing.revision));
+                log_event!(info, "sidecar-ready", started_at = listing.revision);
+                return;
+            }
+            Err(error) => log_event!(warn, "store-unreached", cause = error),
+        }
+        Timer::after(pause.mul_f64(0.5 + fastrand::f64())).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
+    }
+}
+
+/// Looks at the upstream and tells the members when it changed.
+pub(super) async fn watch_load(state: Arc<SidecarState>) {
+    let dispatcher = &state.dispatcher;
+    loop {
+        let load = dispatcher.upstream().load().await;
+        let healthy = load.is_some() || dispatcher.upstream().is_healthy().await;
+        dispatcher.load().observe(UpstreamSample { healthy, load });
+        if let Some(served) = dispatcher.load().news() {
+            state.members.update_own(|own| own.serves = Some(served));
+        }
+        Timer::after(LOAD_PERIOD).await;
+    }
+}
+
+/// Clears the memories of what is past its time.
+pub(super) async fn expire(state: Arc<SidecarState>) {
+    loop {
+        Timer::after(EXPIRY_PERIOD).await;
+        let now = ClockTime::now();
+        state.dispatcher.keys().expire(now);
+        state.dispatcher.charges().forget_idle(now);
+    }
+}
--- a/crates/sagespool-sidecar/src/run_completion.rs
+++ b/crates/sagespool-sidecar/src/run_completion.rs
@@ -5,7 +5,8 @@
 
 use futures_lite::FutureExt;
 use sagespool_messages::{CallTarget, ResumePoint, StopCause};
-use sagespool_types::{ModelName, TokenCount};
+use sagespool_metrics::RequestTimings;
+use sagespool_types::{ClockTime, ModelName, TokenCount};
 use smol::Timer;
 
 use crate::attempt::{AdmittedAttempt, AttemptEnd, unless_stopped};
@@ -46,6 +47,29 @@
     }
 }
 
+/// Times an attempt's tokens.
+#[derive(Debug)]
+struct TokenClock {
+    last: ClockTime,
+    has_first: bool,
+}
+
+impl TokenClock {
+    fn new(arrived: ClockTime) -> Self {
+        Self { last: arrived, has_first: false }
+    }
+
+    fn note_token(&mut self, timings: &RequestTimings, now: ClockTime) {
+        let took = now.since(self.last);
+        match self.has_first {
+            true => timings.between_tokens(took),
+            false => timings.first_token(took),
+        }
+        self.has_first = true;
+        self.last = now;
+    }
+}
+
 /// What the engine has still to be told.
 #[derive(Debug)]
 pub(crate) enum EngineRest {
@@ -123,6 +147,7 @@
         meter: &mut TokenMeter,
         mut stopped: Pin<&mut impl Future<Output = StopReason>>,
     ) -> AttemptEnd {
+        let mut clock = TokenClock::new(attempt.arrived);
         loop {
             let next = async {
                 attempt.log.room().await;
@@ -135,6 +160,9 @@
             };
             let step = meter.take(event);
             self.note_used(attempt, meter.used());
+            if matches!(step, MeterStep::Piece(_) | MeterStep::LastPiece(_)) {
+                clock.note_token(&attempt.timings, ClockTime::now());
+            }
             match step {
                 MeterStep::Piece(piece) => attempt.log.push(piece),
                 MeterStep::LastPiece(piece) => {
