--- /dev/null
+++ b/crates/sagespool-platform/src/caller.rs
@@ -0,0 +1,230 @@
+//! One call of the platform: a request, and strictly what is known of its effect.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use futures_lite::future::or;
+use sagespool_types::StoreRevision;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use smol::Timer;
+use trillium_client::{Client, Conn, KnownHeaderName, Method, Version};
+
+use crate::StoreError;
+use crate::connector::{MarkedConnector, is_connect_failure};
+use crate::counters::{CallKind, CallMeter, StoreCounters};
+
+/// Of a call's limit, connecting may take this share: the rest is for the call.
+const CONNECT_SHARE: u32 = 2;
+/// The longest answer that is read: a listing of all books with room to spare.
+const ANSWER_LIMIT: u64 = 256 << 20;
+/// The library asks leave before it sends a longer body, which costs a round
+/// trip, and a second with a server that doesn't know the question. Objects are
+/// at most 1 MB, so none is asked for.
+const BODY_SENT_AT_ONCE: usize = 4 << 20;
+/// How long to stay away if the platform says "over the rate" but not how long.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(200);
+const REVISION_HEADER: &str = "x-store-revision";
+const RETRY_HEADER: &str = "retry-after-ms";
+const SHOWN_BYTES: usize = 200;
+
+/// Makes calls to one address. Clones share connections and counters.
+#[derive(Debug, Clone)]
+pub(crate) struct PlatformCaller {
+    shared: Arc<CallerShared>,
+    limit: Duration,
+}
+
+#[derive(Debug)]
+struct CallerShared {
+    client: Client,
+    address: SocketAddr,
+    token: Option<String>,
+    seen_revision: AtomicU64,
+    meter: CallMeter,
+}
+
+/// What to ask.
+#[derive(Debug)]
+pub(crate) struct PlatformCall {
+    pub(crate) kind: CallKind,
+    pub(crate) method: Method,
+    /// Path and query.
+    pub(crate) path: String,
+    pub(crate) body: Option<Vec<u8>>,
+    /// How long the platform itself may wait.
+    pub(crate) wait: Duration,
+}
+
+impl PlatformCall {
+    /// A call without a body.
+    pub(crate) fn new(kind: CallKind, method: Method, path: String) -> Self {
+        Self { kind, method, path, body: None, wait: Duration::ZERO }
+    }
+}
+
+/// An answer. Its head came whole; its body may have broken off.
+struct PlatformAnswer {
+    status: u16,
+    retry_after: Option<Duration>,
+    body: Option<Vec<u8>>,
+}
+
+/// Why there is no answer.
+enum CallFailure {
+    NotSent,
+    Lost,
+}
+
+#[derive(Deserialize)]
+struct ConflictBody {
+    version: StoreRevision,
+}
+
+impl PlatformCaller {
+    pub(crate) fn new(address: SocketAddr, token: Option<String>, limit: Duration) -> Self {
+        let client = Client::new(MarkedConnector::new(limit / CONNECT_SHARE))
+            .with_max_buffered_request_body(BODY_SENT_AT_ONCE);
+        let seen_revision = AtomicU64::new(0);
+        let meter = CallMeter::default();
+        let shared = CallerShared { client, address, token, seen_revision, meter };
+        Self { shared: Arc::new(shared), limit }
+    }
+
+    /// The same caller, with a limit that is at most this long.
+    pub(crate) fn bounded(&self, limit: Duration) -> Self {
+        Self { shared: self.shared.clone(), limit: limit.min(self.limit) }
+    }
+
+    pub(crate) fn seen_revision(&self) -> StoreRevision {
+        StoreRevision(self.shared.seen_revision.load(Ordering::Relaxed))
+    }
+
+    pub(crate) fn counters(&self) -> StoreCounters {
+        self.shared.meter.counters()
+    }
+
+    /// Makes a call and reads its answer, nothing if there is no such object.
+    pub(crate) async fn call<T: DeserializeOwned>(
+        &self,
+        call: PlatformCall,
+    ) -> Result<Option<T>, StoreError> {
+        let kind = call.kind;
+        self.shared.meter.call(kind);
+        let result = match self.send(call).await {
+            Ok(answer) => judge_answer(kind, answer),
+            Err(CallFailure::NotSent) => Err(StoreError::Unavailable),
+            Err(CallFailure::Lost) => Err(lost(kind)),
+        };
+        if let Err(error) = &result {
+            self.shared.meter.error(error);
+        }
+        result
+    }
+
+    async fn send(&self, call: PlatformCall) -> Result<PlatformAnswer, CallFailure> {
+        let limit = self.limit.saturating_add(call.wait);
+        let exchange = self.exchange(call);
+        let timer = async {
+            Timer::after(limit).await;
+            Err(CallFailure::Lost)
+        };
+        or(exchange, timer).await
+    }
+
+    async fn exchange(&self, call: PlatformCall) -> Result<PlatformAnswer, CallFailure> {
+        let url = format!("http://{}{}", self.shared.address, call.path);
+        let mut conn = self.shared.client.build_conn(call.method, url);
+        // Pinned, or concurrent calls would wait for each other's connecting.
+        conn.set_http_version(Version::Http1_1);
+        if let Some(token) = &self.shared.token {
+            let headers = conn.request_headers_mut();
+            headers.insert(KnownHeaderName::Authorization, format!("Bearer {token}"));
+        }
+        if let Some(body) = call.body {
+            conn.request_headers_mut().insert(KnownHeaderName::ContentType, "application/json");
+            conn.set_request_body(body);
+        }
+        (&mut conn).await.map_err(|error| match is_connect_failure(&error) {
+            true => CallFailure::NotSent,
+            false => CallFailure::Lost,
+        })?;
+        self.note_revision(&conn);
+        read_answer(conn).await
+    }
+
+    /// Takes note of the store's revision. Answers overtake each other, so the
+    /// highest counts.
+    fn note_revision(&self, conn: &Conn) {
+        if let Some(revision) = header_number(conn, REVISION_HEADER) {
+            self.shared.seen_revision.fetch_max(revision, Ordering::Relaxed);
+        }
+    }
+}
+
+fn header_number(conn: &Conn, name: &'static str) -> Option<u64> {
+    conn.response_headers().get_str(name)?.parse().ok()
+}
+
+async fn read_answer(mut conn: Conn) -> Result<PlatformAnswer, CallFailure> {
+    let status = conn.status().ok_or(CallFailure::Lost)? as u16;
+    let retry_after = header_number(&conn, RETRY_HEADER).map(Duration::from_millis);
+    let body = conn.response_body().with_max_len(ANSWER_LIMIT).read_bytes().await.ok();
+    Ok(PlatformAnswer { status, retry_after, body })
+}
+
+/// The error of a call whose answer didn't come. A read has no effect.
+fn lost(kind: CallKind) -> StoreError {
+    match kind {
+        CallKind::Write => StoreError::Uncertain,
+        CallKind::Read | CallKind::Watch => StoreError::Unavailable,
+    }
+}
+
+fn judge_answer<T: DeserializeOwned>(
+    kind: CallKind,
+    answer: PlatformAnswer,
+) -> Result<Option<T>, StoreError> {
+    match answer.status {
+        200 => read_body(kind, answer.body).map(Some),
+        404 => Ok(None),
+        409 => Err(conflict(answer.body)),
+        410 => Err(StoreError::HistoryGone),
+        413 => Err(StoreError::TooLarge),
+        429 => {
+            let retry_after = answer.retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
+            Err(StoreError::RateLimited { retry_after })
+        }
+        503 => Err(StoreError::Unavailable),
+        400..500 => Err(StoreError::Malformed(turned_away(answer))),
+        // Something between here and the store failed, or worked otherwise than
+        // the contract says: nothing tells whether a write took effect.
+        _ => Err(lost(kind)),
+    }
+}
+
+/// Reads a body of an answer that says "done". A write whose answer can't be
+/// read took effect, but its caller doesn't know as which version.
+fn read_body<T: DeserializeOwned>(kind: CallKind, body: Option<Vec<u8>>) -> Result<T, StoreError> {
+    let body = body.ok_or_else(|| lost(kind))?;
+    serde_json::from_slice(&body).map_err(|error| match kind {
+        CallKind::Write => StoreError::Uncertain,
+        CallKind::Read | CallKind::Watch => StoreError::Malformed(error.to_string()),
+    })
+}
+
+fn conflict(body: Option<Vec<u8>>) -> StoreError {
+    let body = body.unwrap_or_default();
+    match serde_json::from_slice::<ConflictBody>(&body) {
+        Ok(body) => StoreError::Conflict { present: body.version },
+        Err(error) => StoreError::Malformed(format!("a conflict without a version: {error}")),
+    }
+}
+
+fn turned_away(answer: PlatformAnswer) -> String {
+    let body = answer.body.unwrap_or_default();
+    let shown = String::from_utf8_lossy(&body[..body.len().min(SHOWN_BYTES)]);
+    format!("status {}: {shown}", answer.status)
+}
--- a/crates/sagespool-platform/src/instances.rs
+++ b/crates/sagespool-platform/src/instances.rs
@@ -6,8 +6,15 @@
 use sagespool_messages::MemberRole;
 use sagespool_types::{CentreName, InstanceName, RegionName, StoreRevision, derives};
 
+use trillium_client::Method;
+
+use crate::caller::{PlatformCall, PlatformCaller};
+use crate::counters::CallKind;
 use crate::{StoreCounters, StoreError};
 
+/// The longest that a call may take, besides its own waiting time.
+const CALL_LIMIT: Duration = Duration::from_secs(1);
+
 derives! { value;
     /// Whether the platform is about to take an instance away.
     #[serde(rename_all = "kebab-case")]
@@ -49,28 +56,37 @@
 
 /// Client of the instance list. Clones share connections and counters.
 #[derive(Debug, Clone)]
-pub struct InstanceClient {}
+pub struct InstanceClient {
+    caller: PlatformCaller,
+}
 
 impl InstanceClient {
     /// A client; connects when it is first used.
     pub fn new(address: SocketAddr, token: Option<String>) -> Self {
-        let _ = (address, token);
-        Self {}
+        Self { caller: PlatformCaller::new(address, token, CALL_LIMIT) }
     }
 
-    /// Reads the list: at once, or as soon as it changes after a revision, at
-    /// the latest after `wait`.
+    /// Reads the list: at once without `after`, else as soon as it changes after
+    /// that revision, at the latest after `wait`.
+    ///
+    /// Every error means that the list isn't known.
     pub async fn list(
         &self,
         after: Option<StoreRevision>,
         wait: Duration,
     ) -> Result<InstanceListing, StoreError> {
-        let _ = (after, wait);
-        Err(StoreError::Unavailable)
+        let mut call = PlatformCall::new(CallKind::Read, Method::Get, "/instances".to_owned());
+        if let Some(after) = after {
+            call.kind = CallKind::Watch;
+            call.path = format!("/instances?after={after}&wait_ms={}", wait.as_millis());
+            call.wait = wait;
+        }
+        let listing: Option<InstanceListing> = self.caller.call(call).await?;
+        listing.ok_or_else(|| StoreError::Malformed("there is no instance list".to_owned()))
     }
 
     /// Calls so far.
     pub fn counters(&self) -> StoreCounters {
-        StoreCounters::default()
+        self.caller.counters()
     }
 }
--- a/crates/sagespool-platform/src/lib.rs
+++ b/crates/sagespool-platform/src/lib.rs
@@ -4,6 +4,8 @@
 //! whether a failed call may have taken effect: a write whose answer was lost
 //! is [`StoreError::Uncertain`], never a failure that looks like "not done".
 
+mod caller;
+mod connector;
 mod counters;
 mod error;
 mod instances;
