--- /dev/null
+++ b/crates/sagespool-link/tests/strange_frames.rs
@@ -0,0 +1,92 @@
+//! Peers that send what is no request.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use quinn::crypto::rustls::QuicClientConfig;
+use quinn::{ClientConfig, Connection, Endpoint, ReadToEndError};
+use rustls_pki_types::pem::PemObject;
+use rustls_pki_types::{CertificateDer, PrivateKeyDer};
+use sagespool_messages::PeerReply;
+use support::{PATIENCE, TestAuthority, deaf, endpoint, handler, loopback, question, soon};
+
+const KIND_REQUEST: u8 = 1;
+
+/// A connection of a member of the fleet that speaks plain bytes.
+async fn connect(authority: &TestAuthority, to: SocketAddr) -> (Endpoint, Connection) {
+    let issued = authority.issue();
+    let certificate = |text: &str| CertificateDer::from_pem_slice(text.as_bytes()).unwrap();
+    let key = PrivateKeyDer::from_pem_slice(issued.key.as_bytes()).unwrap();
+    let mut roots = rustls::RootCertStore::empty();
+    roots.add(certificate(&authority.certificate)).unwrap();
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut config = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .unwrap()
+        .with_root_certificates(roots)
+        .with_client_auth_cert(vec![certificate(&issued.certificate)], key)
+        .unwrap();
+    config.alpn_protocols = vec![b"sagespool/1".to_vec()];
+    let config = ClientConfig::new(Arc::new(QuicClientConfig::try_from(config).unwrap()));
+    let endpoint = Endpoint::client(loopback()).unwrap();
+    let connection = endpoint.connect_with(config, to, "node.test").unwrap().await.unwrap();
+    (endpoint, connection)
+}
+
+fn frame(kind: u8, message: &[u8]) -> Vec<u8> {
+    let length = (1 + message.len()) as u32;
+    [&length.to_le_bytes()[..], &[kind], message].concat()
+}
+
+#[test]
+fn garbage_turned_away() {
+    // A peer of another version, or one that has gone mad, sends what this one
+    // can't read. It must be told that nothing ran, no handler may see it, no
+    // memory may be set aside for a length that it names, and others are served.
+    smol::block_on(async {
+        let authority = TestAuthority::new();
+        let handled = Arc::new(AtomicUsize::new(0));
+        let count = handled.clone();
+        let counting = handler(move |call| {
+            count.fetch_add(1, Ordering::SeqCst);
+            call.responder.reply(PeerReply::Done)
+        });
+        let server = endpoint(authority.identity(), counting);
+        let to = server.local_address();
+        let (_endpoint, connection) = connect(&authority, to).await;
+
+        let status = postcard::to_stdvec(&question()).unwrap();
+        let longer = [&status[..], &[0]].concat();
+        let cases = [
+            vec![0, 0, 0, 0],
+            vec![0xff, 0xff, 0xff, 0xff],
+            frame(9, &status),
+            frame(KIND_REQUEST, &[0xff; 20]),
+            frame(KIND_REQUEST, &longer),
+        ];
+        for bytes in cases {
+            let (mut send, mut recv) = connection.open_bi().await.unwrap();
+            send.write_all(&bytes).await.unwrap();
+            let ended = soon(recv.read_to_end(100)).await;
+            let turned_away = matches!(
+                ended,
+                Err(ReadToEndError::Read(quinn::ReadError::Reset(code))) if code == 2u32.into()
+            );
+            assert!(turned_away, "{bytes:?}: {ended:?}");
+        }
+
+        let (mut send, mut recv) = connection.open_bi().await.unwrap();
+        send.write_all(&frame(KIND_REQUEST, &status)[..5]).await.unwrap();
+        send.finish().unwrap();
+        assert_eq!(soon(recv.read_to_end(100)).await, Ok(Vec::new()));
+
+        assert_eq!(handled.load(Ordering::SeqCst), 0);
+        let client = endpoint(authority.identity(), deaf());
+        assert_eq!(client.ask(to, &question(), PATIENCE).await, Ok(PeerReply::Done));
+    });
+}
