--- a/crates/sagespool-daemon/src/main.rs
+++ b/crates/sagespool-daemon/src/main.rs
@@ -18,7 +18,9 @@
         return ExitCode::SUCCESS;
     }
     let Some(path) = options.settings else {
-        eprintln!("sagespoold needs a settings file\nhelp: sagespoold FILE, for example examples/entry.json");
+        eprintln!(
+            "sagespoold needs a settings file\nhelp: sagespoold FILE, for example examples/entry.json"
+        );
         return ExitCode::from(USAGE_FAULT);
     };
     process::run(&path)
--- a/crates/sagespool-ledger/src/purse.rs
+++ b/crates/sagespool-ledger/src/purse.rs
@@ -63,7 +63,6 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct BookView {
     pub(crate) free: TokenCount,
-    pub(crate) prepaid: TokenCount,
     pub(crate) others: Vec<(GrantId, IncarnationId, TokenCount)>,
     pub(crate) seen: bool,
 }
@@ -337,7 +336,6 @@
         let others = account.grants.iter().filter(|(id, _)| id.holder != own);
         self.view = BookView {
             free: account.free(),
-            prepaid: account.prepaid,
             others: others.map(|(id, record)| (*id, id.holder, record.rest())).collect(),
             seen: true,
         };
--- a/crates/sagespool-testkit/src/load/oracle.rs
+++ b/crates/sagespool-testkit/src/load/oracle.rs
@@ -14,6 +14,9 @@
 /// that waited too; only longer counts as a false refusal.
 const SUSTAINED: Duration = Duration::from_millis(250);
 
+/// Reads a book by its key.
+pub type BookReader<'a> = &'a dyn Fn(&str) -> Option<BookRecord>;
+
 /// What the judgement is made from.
 pub struct OracleInput<'a> {
     /// The calls and what came of them.
@@ -23,7 +26,7 @@
     /// What was prepaid when.
     pub deposits: &'a DepositLog,
     /// The books after the fleet has stopped and settled; nothing if they aren't to be judged.
-    pub books: Option<&'a dyn Fn(&str) -> Option<BookRecord>>,
+    pub books: Option<BookReader<'a>>,
 }
 
 /// Which promises held.
