--- a/crates/sagespool-testkit/tests/engine.rs
+++ b/crates/sagespool-testkit/tests/engine.rs
@@ -400,7 +400,7 @@
 async fn cache_events(engine: &EngineStand, query: &str) -> Vec<CacheEvent> {
     let path = format!("/cache-events?{query}");
     let answer = get(engine.address(), &path).await.expect("the engine answers").json();
-    serde_json::from_value(answer["events"].clone()).unwrap()
+    serde_json::from_value(answer["events"].clone()).expect("the events are valid")
 }
 
 #[test]
