--- a/crates/sagespool-testkit/tests/object_api.rs
+++ b/crates/sagespool-testkit/tests/object_api.rs
@@ -327,8 +327,14 @@
 
 #[test]
 fn graceful_stop() {
+    // A test replaces the store while clients hold idle connections and a
+    // watch waits: the stop must wait for neither.
     let store = start();
     let address = store.address();
+    let _unused = TcpStream::connect(address).expect("it accepts");
+    let mut idle = TcpStream::connect(address).expect("it accepts");
+    idle.write_all(b"GET /objects/a HTTP/1.1\r\nhost: store\r\n\r\n").expect("it is sent");
+    idle.read_exact(&mut [0; 12]).expect("it is answered");
     block_on(async {
         let watch = smol::spawn(call(address, Get, "/watch?prefix=a&after=0&wait_ms=60000", ""));
         until("the watch waits", || store.counts().waiting_watches == 1).await;
