--- a/crates/sagespool-testkit/tests/processes.rs
+++ b/crates/sagespool-testkit/tests/processes.rs
@@ -100,7 +100,10 @@
     let (busy, _directory) = start("while :; do :; done");
     let used = || busy.usage().expect("it runs");
     until("it has used the processor", || used().processor >= Duration::from_millis(50));
-    assert!(used().processor < BOUND);
+    let (idle, _directory) = start(IDLE);
+    until("it sleeps", || printed(&idle, "ready") && state(idle.id()) == Some('S'));
+    let idle_time = idle.usage().expect("it runs").processor;
+    assert!(idle_time < Duration::from_millis(500), "{idle_time:?} for doing nothing");
     let memory = used().peak_memory;
     assert!((ByteCount(100 << 10)..ByteCount(100 << 20)).contains(&memory), "{memory}");
 }
