--- a/crates/sagespool-testkit/src/fleet/running.rs
+++ b/crates/sagespool-testkit/src/fleet/running.rs
@@ -329,7 +329,7 @@
         let limit = self.options.stop_limit + Duration::from_secs(10);
         let mut unclean = Vec::new();
         for member in &mut self.members {
-            if let Some(mut process) = member.process.take() {
+            if let Some(process) = member.process.take() {
                 let status = process.wait(limit);
                 if !status.is_ok_and(|status| status.success()) {
                     unclean.push(member.instance.clone());
--- a/crates/sagespool-testkit/src/processes.rs
+++ b/crates/sagespool-testkit/src/processes.rs
@@ -1,147 +1,182 @@
-//! Real processes under test: started, signalled and measured by id.
-
-use std::fs::{self, File};
+//! Real processes under test: started, signalled, measured, and never left behind.
+//!
+//! Only test scaffolding starts processes; no process of the fleet does.
+//!
+//! ```no_run
+//! use std::path::Path;
+//! use std::time::Duration;
+//! use sagespool_testkit::ChildProcess;
+//!
+//! let log = Path::new("entry-1.log");
+//! let entry = ChildProcess::start(Path::new("sagespoold"), &["entry-1.json"], log)?;
+//! entry.terminate()?;
+//! let ended = entry.wait(Duration::from_secs(10))?;
+//! assert!(ended.success());
+//! # Ok::<(), error_stack::Report<sagespool_testkit::ProcessError>>(())
+//! ```
+
+mod ports;
+mod usage;
+
+use std::error::Error;
+use std::ffi::OsStr;
+use std::fmt;
+use std::fs::File;
 use std::io;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Mutex, MutexGuard};
+use std::thread;
 use std::time::{Duration, Instant};
 
+use error_stack::{Report, ResultExt};
 use rustix::process::{Pid, Signal, kill_process};
 
-const WAIT_STEP: Duration = Duration::from_millis(10);
-
-/// What a process has used so far.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct ProcessUsage {
-    /// Processor time, user and system.
-    pub cpu: Duration,
-    /// The most memory it had resident, in bytes.
-    pub peak_bytes: u64,
-    /// The memory it has resident now, in bytes.
-    pub resident_bytes: u64,
+pub use ports::{free_tcp_port, free_udp_port};
+pub use usage::ProcessUsage;
+
+/// How often `wait` looks.
+const LOOK_PAUSE: Duration = Duration::from_millis(2);
+
+/// What could not be done with a process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ProcessError {
+    /// The program can't be started, or its log file can't be written.
+    NotStarted(PathBuf),
+    /// It has ended already.
+    Ended(ExitStatus),
+    /// It goes on running after the time to wait.
+    StillRunning(Duration),
+    /// The system refused.
+    Refused(&'static str),
+}
+
+impl fmt::Display for ProcessError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotStarted(program) => {
+                write!(f, "{} does not start: is it built?", program.display())
+            }
+            Self::Ended(status) => write!(f, "the process has ended already: {status}"),
+            Self::StillRunning(limit) => write!(f, "the process still runs after {limit:?}"),
+            Self::Refused(wish) => write!(f, "the system does not {wish} the process"),
+        }
+    }
 }
 
-/// A child process. Dropping it kills it, so that no test leaves one behind.
+impl Error for ProcessError {}
+
+/// A process that is killed when this is dropped.
 #[derive(Debug)]
 pub struct ChildProcess {
-    child: Child,
-    last_usage: ProcessUsage,
+    id: Pid,
+    log: PathBuf,
+    child: Mutex<Child>,
 }
 
 impl ChildProcess {
-    /// Starts a program whose output goes to the end of a log file.
-    ///
-    /// # Errors
-    /// If the log can't be opened or the program can't be started.
-    pub fn start(program: &Path, arguments: &[&str], log: &Path) -> io::Result<Self> {
-        let log = File::options().create(true).append(true).open(log)?;
+    /// Starts a program. What it prints goes to the log file, which is appended to.
+    pub fn start<Argument: AsRef<OsStr>>(
+        program: &Path,
+        arguments: &[Argument],
+        log: &Path,
+    ) -> Result<Self, Report<ProcessError>> {
+        let failed = || ProcessError::NotStarted(program.to_owned());
+        let output = File::options().create(true).append(true).open(log);
+        let output = output.change_context_lazy(failed)?;
+        let errors = output.try_clone().change_context_lazy(failed)?;
         let child = Command::new(program)
             .args(arguments)
             .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
-        Ok(Self { child, last_usage: ProcessUsage::default() })
+            .stdout(output)
+            .stderr(errors)
+            .spawn()
+            .change_context_lazy(failed)?;
+        Ok(Self { id: Pid::from_child(&child), log: log.to_owned(), child: Mutex::new(child) })
     }
 
     /// Its process id.
     pub fn id(&self) -> u32 {
-        self.child.id()
+        self.id.as_raw_nonzero().get().unsigned_abs()
     }
 
-    fn signal(&self, signal: Signal) -> io::Result<()> {
-        let pid = Pid::from_raw(self.child.id() as i32).ok_or(io::ErrorKind::NotFound)?;
-        Ok(kill_process(pid, signal)?)
+    /// What it has printed so far, with what was in the log file before.
+    pub fn log_text(&self) -> io::Result<String> {
+        std::fs::read(&self.log).map(|text| String::from_utf8_lossy(&text).into_owned())
     }
 
-    /// Ends it at once, as `kill -9` does.
-    ///
-    /// # Errors
-    /// If it has ended already.
-    pub fn kill(&mut self) -> io::Result<()> {
-        self.last_usage = self.usage();
-        self.child.kill()?;
-        self.child.wait().map(|_| ())
+    /// Kills it at once (SIGKILL) and returns when it is gone.
+    pub fn kill(&self) -> Result<ExitStatus, Report<ProcessError>> {
+        let mut child = self.child();
+        let refused = || ProcessError::Refused("kill");
+        child.kill().change_context_lazy(refused)?;
+        child.wait().change_context_lazy(refused)
     }
 
-    /// Stops it in its tracks, unaware; see [`Self::resume`].
-    ///
-    /// # Errors
-    /// If it has ended already.
-    pub fn pause(&self) -> io::Result<()> {
-        self.signal(Signal::STOP)
+    /// Asks it to stop (SIGTERM).
+    pub fn terminate(&self) -> Result<(), Report<ProcessError>> {
+        self.signal(Signal::TERM, "terminate")
     }
 
-    /// Lets it go on.
-    ///
-    /// # Errors
-    /// If it has ended already.
-    pub fn resume(&self) -> io::Result<()> {
-        self.signal(Signal::CONT)
+    /// Pauses it (SIGSTOP): its connections stay open, and it doesn't notice the time.
+    pub fn pause(&self) -> Result<(), Report<ProcessError>> {
+        self.signal(Signal::STOP, "pause")
     }
 
-    /// Asks it to stop gracefully.
-    ///
-    /// # Errors
-    /// If it has ended already.
-    pub fn terminate(&self) -> io::Result<()> {
-        self.signal(Signal::TERM)
+    /// Lets it go on (SIGCONT).
+    pub fn resume(&self) -> Result<(), Report<ProcessError>> {
+        self.signal(Signal::CONT, "resume")
     }
 
-    /// True while it runs.
-    pub fn is_running(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
+    /// Whether it has ended, and how.
+    pub fn ended(&self) -> Result<Option<ExitStatus>, Report<ProcessError>> {
+        let ended = self.child().try_wait();
+        ended.change_context(ProcessError::Refused("report on"))
     }
 
-    /// Waits for its end, at most so long; then it is killed.
-    ///
-    /// # Errors
-    /// If it had to be killed.
-    pub fn wait(&mut self, limit: Duration) -> io::Result<ExitStatus> {
+    /// Blocks until it has ended, at most for this time.
+    pub fn wait(&self, limit: Duration) -> Result<ExitStatus, Report<ProcessError>> {
         let started = Instant::now();
         loop {
-            self.last_usage = self.usage();
-            if let Some(status) = self.child.try_wait()? {
+            if let Some(status) = self.ended()? {
                 return Ok(status);
             }
             if started.elapsed() >= limit {
-                self.child.kill()?;
-                self.child.wait()?;
-                return Err(io::ErrorKind::TimedOut.into());
+                return Err(Report::new(ProcessError::StillRunning(limit)));
             }
-            std::thread::sleep(WAIT_STEP);
+            thread::sleep(LOOK_PAUSE);
         }
     }
 
-    /// What it has used so far; once it has ended, what was last seen.
-    pub fn usage(&self) -> ProcessUsage {
-        read_usage(self.child.id()).unwrap_or(self.last_usage)
+    /// The processor time and memory that it has used so far, while it runs.
+    pub fn usage(&self) -> Result<ProcessUsage, Report<ProcessError>> {
+        // The lock keeps its id from going to another process meanwhile.
+        let mut child = self.child();
+        check_running(&mut child)?;
+        ProcessUsage::read(self.id()).change_context(ProcessError::Refused("measure"))
     }
-}
 
-impl Drop for ChildProcess {
-    fn drop(&mut self) {
-        // Ended processes refuse, which is as good.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+    fn signal(&self, signal: Signal, wish: &'static str) -> Result<(), Report<ProcessError>> {
+        // A process that has ended is still a child until it is waited for,
+        // under this lock: no other process can have its id by now.
+        let mut child = self.child();
+        check_running(&mut child)?;
+        kill_process(self.id, signal).change_context(ProcessError::Refused(wish))
+    }
+
+    fn child(&self) -> MutexGuard<'_, Child> {
+        self.child.lock().expect("no holder of the child's lock panics")
     }
 }
 
-fn read_usage(pid: u32) -> Option<ProcessUsage> {
-    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
-    // The name in brackets may hold spaces; fields count from behind it.
-    let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
-    let user: u64 = fields.get(11)?.parse().ok()?;
-    let system: u64 = fields.get(12)?.parse().ok()?;
-    let ticks = rustix::param::clock_ticks_per_second().max(1);
-    let cpu = Duration::from_secs_f64((user + system) as f64 / ticks as f64);
-    let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-    let peak_bytes = kilobytes(&status, "VmHWM:")? * 1024;
-    let resident_bytes = kilobytes(&status, "VmRSS:")? * 1024;
-    Some(ProcessUsage { cpu, peak_bytes, resident_bytes })
+fn check_running(child: &mut Child) -> Result<(), Report<ProcessError>> {
+    let ended = child.try_wait().change_context(ProcessError::Refused("report on"))?;
+    ended.map_or(Ok(()), |status| Err(Report::new(ProcessError::Ended(status))))
 }
 
-fn kilobytes(status: &str, name: &str) -> Option<u64> {
-    let line = status.lines().find(|line| line.starts_with(name))?;
-    line.split_whitespace().nth(1)?.parse().ok()
+impl Drop for ChildProcess {
+    fn drop(&mut self) {
+        // One that has ended already needs no killing.
+        let _ = self.kill();
+    }
 }
