--- /dev/null
+++ b/crates/sagespool-entry/src/state.rs
@@ -0,0 +1,281 @@
+//! What all tasks of an entry share.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
+use std::time::Duration;
+
+use async_channel::Sender;
+use event_listener::Event;
+use sagespool_claims::{CrashBoard, KeyBoard};
+use sagespool_ledger::{BudgetMode, HeldBack, HomeLedger, LedgerPolicy};
+use sagespool_link::LinkEndpoint;
+use sagespool_membership::{MemberTable, MembershipPolicy, first_number};
+use sagespool_messages::{MemberInfo, MemberRole};
+use sagespool_metrics::FleetMetrics;
+use sagespool_platform::{InstanceClient, ObjectClient, ObjectOptions};
+use sagespool_routing::{
+    AdmissionQueue, BranchLimits, PolicyKind, QueuePolicy, RetryBudget, RetryPolicy, RoutingPolicy,
+    UpstreamTable,
+};
+use sagespool_settings::{
+    BudgetChoice, EntrySettings, FleetConfiguration, ProcessSettings, RoutingChoice,
+};
+use sagespool_types::{ClockTime, ConfigVersion, IncarnationId, RequestId, ServiceName, WallTime};
+
+use crate::home::{BookWriter, ClaimWriter};
+use crate::run::QueueWord;
+
+/// The configuration in force; none until the first has come.
+#[derive(Default)]
+pub struct ConfigHolder {
+    current: RwLock<Option<Arc<FleetConfiguration>>>,
+}
+
+impl ConfigHolder {
+    /// The configuration in force.
+    pub fn current(&self) -> Option<Arc<FleetConfiguration>> {
+        self.current.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Puts a configuration in force.
+    pub fn replace(&self, config: FleetConfiguration) {
+        let mut current = self.current.write().unwrap_or_else(PoisonError::into_inner);
+        *current = Some(Arc::new(config));
+    }
+}
+
+/// Claims are remembered so long until a configuration says otherwise.
+const DEFAULT_KEY_RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
+
+fn own_description(process: &ProcessSettings, incarnation: IncarnationId) -> MemberInfo {
+    MemberInfo {
+        instance: process.instance.clone(),
+        incarnation,
+        number: first_number(WallTime::now()),
+        role: MemberRole::Entry,
+        region: process.region.clone(),
+        centre: process.centre.clone(),
+        address: process.link.advertise.unwrap_or(process.link.listen),
+        leaving: false,
+        config: ConfigVersion::ZERO,
+        started_at: None,
+        serves: None,
+    }
+}
+
+fn routing_policy(settings: &EntrySettings, incarnation: IncarnationId) -> RoutingPolicy {
+    let kind = match settings.policy.routing {
+        RoutingChoice::Sagespool => PolicyKind::Sagespool,
+        RoutingChoice::RoundRobin => PolicyKind::RoundRobin,
+        RoutingChoice::LeastReportedLoad => PolicyKind::LeastReportedLoad,
+        RoutingChoice::TwoChoices => PolicyKind::TwoChoices,
+    };
+    RoutingPolicy::builder().kind(kind).seed(incarnation.0).build()
+}
+
+fn queue_policy(settings: &EntrySettings) -> QueuePolicy {
+    QueuePolicy::builder().most_waiting(settings.queue.most_waiting as usize).build()
+}
+
+fn ledger_policy(settings: &EntrySettings) -> LedgerPolicy {
+    let mode = match settings.policy.budget {
+        BudgetChoice::Escrow => BudgetMode::Escrow,
+        BudgetChoice::StoreEachRequest => BudgetMode::EachRequest,
+        BudgetChoice::StaticSplit { entries } => BudgetMode::StaticSplit { entries },
+    };
+    LedgerPolicy::builder()
+        .mode(mode)
+        .settle_interval(settings.ledger.settle_interval)
+        .grant_ahead(settings.ledger.grant_ahead)
+        .build()
+}
+
+/// What all tasks of an entry share. Each part has its own locks.
+pub struct EntryState {
+    /// The process's settings.
+    pub process: ProcessSettings,
+    /// The entry's own settings.
+    pub settings: EntrySettings,
+    /// This run of the process.
+    pub incarnation: IncarnationId,
+    /// When this run started.
+    pub started: ClockTime,
+    /// The store's client.
+    pub objects: ObjectClient,
+    /// The instance list's client.
+    pub instances: InstanceClient,
+    /// The configuration in force.
+    pub config: ConfigHolder,
+    /// Who is in the fleet.
+    pub members: MemberTable,
+    /// The upstreams, as this entry sees them.
+    pub upstreams: UpstreamTable,
+    /// The budgets that this entry is home of.
+    pub ledger: HomeLedger,
+    /// The keys that this entry is home of.
+    pub keys: KeyBoard,
+    /// Requests that took upstreams down.
+    pub crashes: CrashBoard,
+    /// Metrics.
+    pub metrics: FleetMetrics,
+    /// Told whenever something may let a waiting reservation go on.
+    pub budget_changed: Event,
+    /// Told whenever a run ends.
+    pub run_done: Event,
+    pub(crate) books: BookWriter,
+    pub(crate) claims: ClaimWriter,
+    pub(crate) retries: RetryBudget,
+    pub(crate) limits: BranchLimits,
+    pub(crate) queue: AdmissionQueue,
+    waiters: Mutex<HashMap<RequestId, Sender<QueueWord>>>,
+    /// Sidecars that the routing table knows.
+    pub(crate) known_sidecars: Mutex<HashSet<IncarnationId>>,
+    pub(crate) link: OnceLock<LinkEndpoint>,
+    pub(crate) in_flight: AtomicU32,
+    pub(crate) leaving: AtomicBool,
+}
+
+impl EntryState {
+    /// The state of an entry that has just been started and knows nobody yet.
+    pub(crate) fn new(process: ProcessSettings, settings: EntrySettings) -> Self {
+        let incarnation = IncarnationId::random();
+        let platform = &process.platform;
+        let token = platform.token.as_ref().map(|token| token.reveal().to_owned());
+        let objects = ObjectClient::new(
+            ObjectOptions::builder()
+                .address(platform.object_api)
+                .maybe_token(token.clone())
+                .build(),
+        );
+        let instances = InstanceClient::new(platform.instance_list, token);
+        let own = own_description(&process, incarnation);
+        let members = MemberTable::new(own, MembershipPolicy::default(), incarnation.0);
+        members.seeds(&process.peers, ClockTime::now());
+        Self {
+            upstreams: UpstreamTable::new(
+                routing_policy(&settings, incarnation),
+                process.centre.clone(),
+            ),
+            ledger: HomeLedger::new(incarnation, ledger_policy(&settings)),
+            keys: KeyBoard::new(ClockTime::now()),
+            crashes: CrashBoard::new(),
+            metrics: FleetMetrics::new(),
+            budget_changed: Event::new(),
+            run_done: Event::new(),
+            books: BookWriter::default(),
+            claims: ClaimWriter::default(),
+            retries: RetryBudget::new(RetryPolicy::default()),
+            limits: BranchLimits::new(),
+            queue: AdmissionQueue::new(queue_policy(&settings)),
+            waiters: Mutex::default(),
+            known_sidecars: Mutex::default(),
+            link: OnceLock::new(),
+            in_flight: AtomicU32::new(0),
+            leaving: AtomicBool::new(false),
+            config: ConfigHolder::default(),
+            started: ClockTime::now(),
+            incarnation,
+            objects,
+            instances,
+            members,
+            process,
+            settings,
+        }
+    }
+
+    /// Takes the link once it listens, and tells the members its address.
+    pub(crate) fn take_link(&self, link: LinkEndpoint) {
+        let address = self.process.link.advertise.unwrap_or(link.local_address());
+        self.members.update_own(|own| own.address = address);
+        let taken = self.link.set(link);
+        assert!(taken.is_ok(), "the link is started once");
+    }
+
+    /// Brings what the configuration says of budgets to the ledger.
+    pub(crate) fn apply_configuration(&self) {
+        let Some(config) = self.config.current() else {
+            return;
+        };
+        self.metrics.set_config_version(config.version());
+        for (branch, entry) in config.branches() {
+            let held = entry
+                .held_back
+                .iter()
+                .map(|held| HeldBack { class: held.class.clone(), tokens: held.tokens });
+            self.ledger.hold_back(branch, held.collect());
+        }
+    }
+
+    /// Since when no other process can have taken this home's requests, as far as is known: never,
+    /// since another region's or a cut-off entry might.
+    pub(crate) fn sole_since(&self) -> Option<ClockTime> {
+        None
+    }
+
+    /// How long a claim is remembered.
+    pub(crate) fn key_retention(&self) -> Duration {
+        let config = self.config.current();
+        config.map_or(DEFAULT_KEY_RETENTION, |config| {
+            Duration::from_millis(config.fleet().key_retention_ms)
+        })
+    }
+
+    /// The link to other processes.
+    pub fn link(&self) -> &LinkEndpoint {
+        self.link.get().expect("the link is started before anything is served")
+    }
+
+    /// The requests that wait in a queue, and how they are told.
+    pub(crate) fn waiters(&self) -> MutexGuard<'_, HashMap<RequestId, Sender<QueueWord>>> {
+        self.waiters.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// True from the moment it was told to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Requests in flight.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn run_started(&self) {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn run_ended(&self) {
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.run_done.notify(usize::MAX);
+    }
+
+    /// Why callers can't be served now, or nothing.
+    pub(crate) fn not_ready_because(&self) -> Option<&'static str> {
+        if self.is_leaving() {
+            return Some("leaving");
+        }
+        if self.config.current().is_none() {
+            return Some("no configuration yet");
+        }
+        None
+    }
+
+    /// Whether another attempt is within the retry budget, so that failing upstreams aren't met
+    /// with a storm of repeated requests.
+    pub(crate) fn may_retry(&self, service: &ServiceName) -> bool {
+        self.retries.try_retry(service, ClockTime::now())
+    }
+
+    /// Brings gauges up to the present before they are read.
+    pub(crate) fn refresh_gauges(&self) {
+        self.metrics.set_in_flight(u64::from(self.in_flight()));
+        self.metrics.set_members(self.members.members().len() as u64);
+        let counters = self.link().counters();
+        let control = counters.control_sent + counters.control_received;
+        let payload = counters.payload_sent + counters.payload_received;
+        self.metrics.set_link_bytes(control.0, payload.0);
+        let calls = self.objects.counters();
+        self.metrics.set_store_calls(calls.reads, calls.writes, calls.watches);
+    }
+}
--- /dev/null
+++ b/crates/sagespool-routing/src/service.rs
@@ -0,0 +1,253 @@
+//! The upstreams of one service: what is known of them and learned from attempts.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fastrand::Rng;
+use sagespool_messages::{MemberInfo, ServedUpstream};
+use sagespool_types::{CentreName, ClockTime, IncarnationId, ModelName};
+
+use crate::affinity::{CacheEvent, CacheEventKind, PrefixMemory, PrefixRing};
+use crate::lag::LagEstimate;
+use crate::load::LoadOutlook;
+use crate::speed::{ServiceSpeed, WholeAnswer};
+use crate::totals::ServiceTotals;
+use crate::upstream::UpstreamState;
+use crate::{AttemptOutcome, AttemptResult, RouteChoice, RoutingPolicy, ServiceRoom};
+
+/// A report's surplus over the average fades over so many run times.
+const FADING_RUNS: f64 = 2.0;
+/// How far other entries are taken to follow the same old reports.
+const HERDING: f64 = 0.5;
+/// Entries may have so many times the upstreams' capacity running: a choice that was a
+/// little wrong then costs no idle place.
+const OVERCOMMIT: f64 = 1.1;
+
+#[derive(Debug, Clone, Copy)]
+struct RunningAttempt {
+    sidecar: IncarnationId,
+    started: ClockTime,
+    /// Nothing waited before it, so its first token measures the upstream alone.
+    is_unqueued: bool,
+    is_cached: bool,
+    first_token: Option<Duration>,
+}
+
+/// The upstreams of one service.
+#[derive(Debug)]
+pub(crate) struct ServiceState {
+    pub(crate) policy: Arc<RoutingPolicy>,
+    pub(crate) upstreams: Vec<UpstreamState>,
+    pub(crate) places: HashMap<IncarnationId, usize>,
+    pub(crate) ring: PrefixRing,
+    pub(crate) prefixes: PrefixMemory,
+    pub(crate) speed: ServiceSpeed,
+    /// Places of the upstreams that take new work, by model; computed when asked for.
+    pub(crate) usable: HashMap<Option<ModelName>, Arc<Vec<usize>>>,
+    /// Ejected upstreams, looked at in turn for one that is due to be probed.
+    pub(crate) ejected: Vec<IncarnationId>,
+    pub(crate) turn: usize,
+    pub(crate) random: Rng,
+    pub(crate) next_attempt: u64,
+    running: HashMap<u64, RunningAttempt>,
+    lag: LagEstimate,
+    totals: ServiceTotals,
+}
+
+impl ServiceState {
+    pub(crate) fn new(policy: Arc<RoutingPolicy>, seed: u64) -> Self {
+        Self {
+            upstreams: Vec::new(),
+            places: HashMap::new(),
+            ring: PrefixRing::default(),
+            prefixes: PrefixMemory::new(policy.prefixes),
+            speed: ServiceSpeed::default(),
+            usable: HashMap::new(),
+            ejected: Vec::new(),
+            turn: 0,
+            random: Rng::with_seed(seed),
+            next_attempt: 0,
+            running: HashMap::new(),
+            lag: LagEstimate::default(),
+            totals: ServiceTotals::default(),
+            policy,
+        }
+    }
+
+    pub(crate) fn observe(
+        &mut self,
+        member: &MemberInfo,
+        served: &ServedUpstream,
+        own_centre: &CentreName,
+        now: ClockTime,
+    ) {
+        let place = match self.places.get(&member.incarnation) {
+            Some(place) => *place,
+            None => self.insert(member, served),
+        };
+        let upstream = &mut self.upstreams[place];
+        if upstream.observe(member, served, own_centre) {
+            self.usable.clear();
+        }
+        upstream.observe_load(served, &mut self.lag, now);
+    }
+
+    fn insert(&mut self, member: &MemberInfo, served: &ServedUpstream) -> usize {
+        let place = self.upstreams.len();
+        self.places.insert(member.incarnation, place);
+        self.ring.insert(&served.upstream, member.incarnation);
+        self.upstreams.push(UpstreamState::new(member, served));
+        self.usable.clear();
+        place
+    }
+
+    pub(crate) fn remove(&mut self, id: IncarnationId) {
+        let Some(place) = self.places.remove(&id) else { return };
+        let gone = self.upstreams.swap_remove(place);
+        self.ring.remove(&gone.name, id);
+        self.ejected.retain(|ejected| *ejected != id);
+        if let Some(moved) = self.upstreams.get(place) {
+            self.places.insert(moved.id, place);
+        }
+        self.usable.clear();
+    }
+
+    pub(crate) fn started(&mut self, choice: &RouteChoice, entries: u32, now: ClockTime) {
+        let Some(place) = self.places.get(&choice.sidecar).copied() else { return };
+        let outlook = self.outlook(entries, now);
+        let upstream = &mut self.upstreams[place];
+        let capacity = f64::from(upstream.capacity);
+        let attempt = RunningAttempt {
+            sidecar: choice.sidecar,
+            started: now,
+            is_unqueued: upstream.load.estimate(&outlook, capacity, now) < capacity,
+            is_cached: choice.is_cached,
+            first_token: None,
+        };
+        upstream.started(choice.attempt, now);
+        self.running.insert(choice.attempt, attempt);
+    }
+
+    pub(crate) fn first_token(&mut self, choice: &RouteChoice, latency: Duration, now: ClockTime) {
+        let Some(attempt) = self.running.get_mut(&choice.attempt) else { return };
+        let Some(place) = self.places.get(&attempt.sidecar) else { return };
+        let upstream = &mut self.upstreams[*place];
+        if !upstream.settle_pending(choice.attempt) {
+            return;
+        }
+        attempt.first_token = Some(latency);
+        if attempt.is_unqueued {
+            let is_cached = attempt.is_cached;
+            upstream.speed.first_token(&mut self.speed, latency, is_cached, &self.policy, now);
+        }
+    }
+
+    pub(crate) fn ended(&mut self, choice: &RouteChoice, result: &AttemptResult, now: ClockTime) {
+        if let Some(latency) = result.first_token {
+            self.first_token(choice, latency, now);
+        }
+        let Some(attempt) = self.running.remove(&choice.attempt) else { return };
+        let Some(place) = self.places.get(&attempt.sidecar).copied() else { return };
+        let upstream = &mut self.upstreams[place];
+        upstream.load.ended(now);
+        upstream.settle_pending(choice.attempt);
+        match result.outcome {
+            AttemptOutcome::Whole => self.succeeded(place, &attempt, result, now),
+            AttemptOutcome::Failed | AttemptOutcome::Unreachable => self.failed(place, now),
+            AttemptOutcome::Cancelled | AttemptOutcome::Refused => upstream.ejection.undecided(),
+            AttemptOutcome::Leaving => {
+                upstream.ejection.undecided();
+                upstream.has_left = true;
+                upstream.takes_work = false;
+                self.usable.clear();
+            }
+        }
+    }
+
+    fn succeeded(
+        &mut self,
+        place: usize,
+        attempt: &RunningAttempt,
+        result: &AttemptResult,
+        now: ClockTime,
+    ) {
+        let upstream = &mut self.upstreams[place];
+        if upstream.ejection.is_ejected() {
+            let id = upstream.id;
+            self.ejected.retain(|ejected| *ejected != id);
+        }
+        upstream.ejection.succeeded();
+        upstream.failures.add(0.0, self.policy.half_life, now);
+        let took = now.since(attempt.started);
+        let first_token = attempt.first_token;
+        let answer = WholeAnswer { took, first_token, tokens: result.tokens.0 };
+        upstream.speed.whole(&mut self.speed, &answer, &self.policy, now);
+    }
+
+    fn failed(&mut self, place: usize, now: ClockTime) {
+        let upstream = &mut self.upstreams[place];
+        let was_ejected = upstream.ejection.is_ejected();
+        upstream.ejection.failed(&self.policy, self.random.f64(), now);
+        upstream.failures.add(1.0, self.policy.half_life, now);
+        if upstream.ejection.is_ejected() && !was_ejected {
+            self.ejected.push(upstream.id);
+        }
+    }
+
+    pub(crate) fn cache_event(
+        &mut self,
+        sidecar: IncarnationId,
+        event: &CacheEvent,
+        now: ClockTime,
+    ) {
+        let Some(place) = self.places.get(&sidecar) else { return };
+        let upstream = &mut self.upstreams[*place];
+        if event.number <= upstream.cache_number {
+            return;
+        }
+        upstream.cache_number = event.number;
+        match event.kind {
+            CacheEventKind::Stored => self.prefixes.stored(event.prefix, sidecar, now),
+            CacheEventKind::Evicted => self.prefixes.evicted(event.prefix, sidecar, now),
+        }
+    }
+
+    /// The entry's own share of the capacity, or what it has plus its share of what is free,
+    /// whichever is more: an entry that gets more callers than the others may use what they
+    /// leave, and goes back to its share as they need theirs.
+    pub(crate) fn room(&mut self, entries: u32, now: ClockTime) -> ServiceRoom {
+        self.renew_totals(now);
+        let own = self.running.len() as f64;
+        let capacity = self.totals.capacity * OVERCOMMIT;
+        let free = capacity - self.totals.others - own;
+        let entries = f64::from(entries.max(1));
+        let limit = (capacity / entries).max(own + free / entries).ceil();
+        let run_time = Duration::from_secs_f64(self.speed.run_time(&self.policy, now));
+        ServiceRoom { limit: limit.max(1.0) as u32, run_time }
+    }
+
+    /// Requests that run, as a share of what the upstreams run at once.
+    pub(crate) fn use_share(&self) -> f64 {
+        (self.totals.others + self.running.len() as f64) / self.totals.capacity.max(1.0)
+    }
+
+    pub(crate) fn outlook(&mut self, entries: u32, now: ClockTime) -> LoadOutlook {
+        self.renew_totals(now);
+        let run_time = self.speed.run_time(&self.policy, now);
+        LoadOutlook {
+            lag: self.lag.lag(self.policy.report_lag),
+            others: f64::from(entries.max(1) - 1),
+            others_mean: self.totals.others / self.totals.capacity.max(1.0),
+            fading: Duration::from_secs_f64(run_time * FADING_RUNS),
+            herding: HERDING,
+        }
+    }
+
+    fn renew_totals(&mut self, now: ClockTime) {
+        if self.totals.is_old(self.upstreams.len(), now) {
+            let lag = self.lag.lag(self.policy.report_lag);
+            self.totals = ServiceTotals::of(&self.upstreams, lag, now);
+        }
+    }
+}
