--- /dev/null
+++ b/crates/sagespool-daemon/tests/common/calls.rs
@@ -0,0 +1,112 @@
+//! Calls as callers make them, each with its marker for the upstreams' log.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use sagespool_testkit::load::{
+    CallKind, CallOutcome, CallRecord, DepositLog, LoadCaller, OracleInput, OracleVerdict,
+    PlannedCall, SendRecord, first_deposits, judge,
+};
+use sagespool_testkit::{RunMarker, RunRecord};
+use sagespool_types::TokenCount;
+
+use super::{LETTER_PRICE, LETTERS, MODEL, TestFleet, branch, token_of};
+
+static NEXT_NUMBER: AtomicU64 = AtomicU64::new(1);
+
+fn call(name: &str, kind: impl FnOnce(&RunMarker) -> CallKind) -> PlannedCall {
+    let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
+    let marker = RunMarker { branch: branch(name), number };
+    PlannedCall::builder()
+        .at(Duration::ZERO)
+        .token(token_of(name))
+        .kind(kind(&marker))
+        .marker(marker)
+        .entry(0)
+        .build()
+}
+
+/// A completion whose answer has so many tokens, as events.
+pub fn completion(name: &str, length: u32) -> PlannedCall {
+    call(name, |marker| CallKind::Completion {
+        model: MODEL.parse().expect("the name is valid"),
+        prompt: format!("Compare {marker} with the file. len:{length} "),
+        max_tokens: length,
+        length,
+        stream: true,
+    })
+}
+
+/// A letter, which may never be sent twice.
+pub fn letter(name: &str, key: &str) -> PlannedCall {
+    let mut planned = call(name, |marker| CallKind::Service {
+        service: LETTERS.parse().expect("the name is valid"),
+        method: "POST",
+        path: format!("/letters/{marker}"),
+        price: TokenCount(LETTER_PRICE),
+    });
+    planned.key = Some(key.to_owned());
+    planned.non_idempotent = true;
+    planned
+}
+
+/// The same call with an idempotency key.
+pub fn keyed(call: PlannedCall, key: &str) -> PlannedCall {
+    PlannedCall { key: Some(key.to_owned()), ..call }
+}
+
+/// Sends a call through an entry, by its place, and waits for its end.
+pub async fn send(fleet: &TestFleet, call: &PlannedCall, entry: usize) -> SendRecord {
+    LoadCaller::new().send(call, entry, fleet.members[entry].http).await
+}
+
+/// Sends a call in the background, so that something can be done to the fleet meanwhile.
+pub fn start_send(fleet: &TestFleet, call: &PlannedCall, entry: usize) -> smol::Task<SendRecord> {
+    let (call, address) = (call.clone(), fleet.members[entry].http);
+    smol::spawn(async move { LoadCaller::new().send(&call, entry, address).await })
+}
+
+/// The runs of a call, as the upstreams saw them.
+pub fn runs_of(fleet: &TestFleet, call: &PlannedCall) -> Vec<RunRecord> {
+    fleet.witness.runs_of(&call.marker)
+}
+
+/// True if a send brought the call's own answer, whole.
+pub fn is_own_whole(send: &SendRecord) -> bool {
+    matches!(send.outcome, CallOutcome::Whole { is_own: true, .. })
+}
+
+/// The reason and the run state of a refusal.
+pub fn refusal(send: &SendRecord) -> Option<(&str, &str)> {
+    match &send.outcome {
+        CallOutcome::Refused { reason, run_state, .. } => Some((reason, run_state)),
+        _ => None,
+    }
+}
+
+/// A call with everything that came of it.
+pub fn record(call: &PlannedCall, sends: impl IntoIterator<Item = SendRecord>) -> CallRecord {
+    CallRecord { call: call.clone(), sends: sends.into_iter().collect() }
+}
+
+/// The judgement over calls, from the upstreams' log, the deposits and the books as they are now.
+pub fn verdict(fleet: &TestFleet, records: &[CallRecord], deposits: &DepositLog) -> OracleVerdict {
+    let books = |key: &str| fleet.store.object(key)?.parse().ok();
+    judge(&OracleInput { records, witness: &fleet.witness, deposits, books: Some(&books) })
+}
+
+/// Asserts that no promise was broken, with the deposits that the fleet was started with.
+pub fn assert_promises(fleet: &TestFleet, records: &[CallRecord]) {
+    assert_promises_after(fleet, records, &first_deposits(&fleet.options));
+}
+
+/// Asserts that no promise was broken.
+pub fn assert_promises_after(fleet: &TestFleet, records: &[CallRecord], deposits: &DepositLog) {
+    let found = verdict(fleet, records, deposits);
+    let kept = OracleVerdict {
+        stranded_tokens: found.stranded_tokens,
+        findings: found.findings.clone(),
+        ..OracleVerdict::default()
+    };
+    assert_eq!(found, kept, "a promise was broken");
+}
--- /dev/null
+++ b/crates/sagespool-daemon/tests/common/mod.rs
@@ -0,0 +1,255 @@
+//! A small fleet of real processes, and what the tests ask of it.
+
+// Each test file uses its own part of this.
+#![allow(dead_code)]
+
+mod books;
+mod calls;
+mod raw;
+
+use std::future::Future;
+use std::ops::{Deref, DerefMut};
+use std::time::Duration;
+
+use futures_lite::future;
+use sagespool_settings::{read_branches, read_fleet};
+use sagespool_testkit::fleet::{FleetBinaries, FleetOptions, RunningFleet};
+use sagespool_types::{BranchName, SecretHash};
+use serde_json::{Value, json};
+use smol::Timer;
+
+pub use books::*;
+pub use calls::*;
+pub use raw::*;
+
+/// The branch that most tests spend from.
+pub const BRANCH: &str = "ruwi";
+/// A second branch.
+pub const OTHER_BRANCH: &str = "sohar";
+/// The engines' service.
+pub const ENGINES: &str = "engines";
+/// The model that they serve.
+pub const MODEL: &str = "small-model";
+/// The most tokens of an answer of the model.
+pub const MOST_TOKENS: u32 = 1024;
+/// The plain service.
+pub const LETTERS: &str = "letters";
+/// The price of each of its calls.
+pub const LETTER_PRICE: u64 = 3;
+
+/// Nothing that a test waits for takes so long, unless it never comes.
+const WAIT_LIMIT: Duration = Duration::from_secs(25);
+const LOOK_AGAIN: Duration = Duration::from_millis(10);
+/// The end of a process's log that a failed test shows.
+const SHOWN_LINES: usize = 60;
+
+/// What a small fleet is made of: in each of two data centres an entry and an engine, and one
+/// plain service in the first.
+#[derive(Debug, Clone)]
+pub struct SmallFleet {
+    /// Whether every link passes through the fault proxy.
+    pub proxied: bool,
+    /// What each of the two branches has prepaid.
+    pub prepaid: u64,
+    /// Tokens a second of each request at an engine.
+    pub tokens_per_second: u64,
+    /// How long a call of the plain service takes.
+    pub answer_ms: u64,
+    /// Engines in each data centre.
+    pub engines: u32,
+    /// The least important level of the processes' logs.
+    pub log_level: &'static str,
+}
+
+impl Default for SmallFleet {
+    fn default() -> Self {
+        Self {
+            proxied: false,
+            prepaid: 100_000,
+            tokens_per_second: 200,
+            answer_ms: 5,
+            engines: 1,
+            log_level: "info",
+        }
+    }
+}
+
+impl SmallFleet {
+    /// Starts it, and waits until its callers can be served.
+    pub async fn start(self) -> TestFleet {
+        let fleet = RunningFleet::start(self.options()).await;
+        TestFleet { fleet: fleet.expect("the fleet starts") }
+    }
+
+    fn options(&self) -> FleetOptions {
+        let daemon = env!("CARGO_BIN_EXE_sagespoold");
+        FleetOptions::builder()
+            .binaries(FleetBinaries { daemon: daemon.into(), command: daemon.into() })
+            .deployment(serde_json::from_value(self.deployment()).expect("the plan is valid"))
+            .fleet(read_fleet(&fleet_object().to_string()).expect("the fleet's object is valid"))
+            .branches(read_branches(&branch_object().to_string()).expect("the branches are valid"))
+            .proxied(self.proxied)
+            .settle_interval(Duration::from_millis(500))
+            .log_level(self.log_level)
+            .build()
+    }
+
+    fn deployment(&self) -> Value {
+        let deposit = |branch: &str| json!({"token": token_of(branch), "prepaid": self.prepaid});
+        json!({
+            "region": "coast",
+            "centres": [
+                {"name": "north", "entries": 1, "upstreams": {ENGINES: self.engines, LETTERS: 1}},
+                {"name": "south", "entries": 1, "upstreams": {ENGINES: self.engines}},
+            ],
+            "services": {
+                ENGINES: {
+                    "capacity": 16,
+                    "tokens_per_second": self.tokens_per_second,
+                    "models": [MODEL],
+                },
+                LETTERS: {"capacity": 16, "answer_ms": self.answer_ms},
+            },
+            "branches": {BRANCH: deposit(BRANCH), OTHER_BRANCH: deposit(OTHER_BRANCH)},
+        })
+    }
+}
+
+fn fleet_object() -> Value {
+    json!({
+        "classes": [
+            {"name": "normal", "priority": 1, "deadline_ms": 20_000, "longest_deadline_ms": 60_000},
+        ],
+        "default_class": "normal",
+        "services": [
+            {
+                "name": ENGINES,
+                "kind": "engine",
+                "models": [{"name": MODEL, "bytes_per_token": 4, "most_tokens": MOST_TOKENS}],
+            },
+            {
+                "name": LETTERS,
+                "kind": "service",
+                "price": LETTER_PRICE,
+                "non_idempotent": [{"method": "POST", "path_prefix": "/letters"}],
+            },
+        ],
+        "key_retention_ms": 3_600_000,
+        "answer_retention_ms": 600_000,
+    })
+}
+
+fn branch_object() -> Value {
+    let entry = |branch: &str| json!({"key_hashes": [SecretHash::of(&token_of(branch))]});
+    json!({"branches": {BRANCH: entry(BRANCH), OTHER_BRANCH: entry(OTHER_BRANCH)}})
+}
+
+/// The key of a branch.
+pub fn token_of(branch: &str) -> String {
+    format!("{branch}-key-for-tests")
+}
+
+/// A branch by its name.
+pub fn branch(name: &str) -> BranchName {
+    name.parse().expect("the name is valid")
+}
+
+/// A fleet that shows its processes' logs if the test fails.
+pub struct TestFleet {
+    fleet: RunningFleet,
+}
+
+impl TestFleet {
+    /// The places of the entries, and of the sidecars of a service.
+    pub fn entries(&self) -> Vec<usize> {
+        self.places(|fleet, place| fleet.members[place].is_entry())
+    }
+
+    /// The places of the sidecars of a service.
+    pub fn sidecars(&self, service: &str) -> Vec<usize> {
+        self.places(|fleet, place| {
+            let upstream = fleet.members[place].upstream.as_ref();
+            upstream.is_some_and(|(_, own)| own.as_str() == service)
+        })
+    }
+
+    fn places(&self, fits: impl Fn(&RunningFleet, usize) -> bool) -> Vec<usize> {
+        (0..self.fleet.members.len()).filter(|place| fits(&self.fleet, *place)).collect()
+    }
+
+    /// Ends a member's process at once.
+    pub fn kill(&mut self, place: usize) {
+        let process = self.fleet.members[place].process.take().expect("the process runs");
+        process.kill().expect("a process of ours can be killed");
+    }
+
+    /// Pauses a member's process, or lets it go on.
+    pub fn pause(&self, place: usize, paused: bool) {
+        let process = self.fleet.members[place].process.as_ref().expect("the process runs");
+        let signalled = if paused { process.pause() } else { process.resume() };
+        signalled.expect("the process runs");
+    }
+
+    /// True if every process that was started still runs.
+    pub fn all_run(&self) -> bool {
+        let processes = self.fleet.members.iter().filter_map(|member| member.process.as_ref());
+        processes.into_iter().all(|process| process.ended().is_ok_and(|ended| ended.is_none()))
+    }
+
+    /// What a member has logged, over all of its runs.
+    pub fn log_of(&self, place: usize) -> String {
+        std::fs::read_to_string(&self.fleet.members[place].log).unwrap_or_default()
+    }
+}
+
+impl Deref for TestFleet {
+    type Target = RunningFleet;
+
+    fn deref(&self) -> &RunningFleet {
+        &self.fleet
+    }
+}
+
+impl DerefMut for TestFleet {
+    fn deref_mut(&mut self) -> &mut RunningFleet {
+        &mut self.fleet
+    }
+}
+
+impl Drop for TestFleet {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        for (place, member) in self.fleet.members.iter().enumerate() {
+            let log = self.log_of(place);
+            let lines: Vec<&str> = log.lines().collect();
+            let shown = &lines[lines.len().saturating_sub(SHOWN_LINES)..];
+            eprintln!("--- {} ---\n{}", member.instance, shown.join("\n"));
+        }
+    }
+}
+
+/// Runs a test on the current thread.
+pub fn run<T>(test: impl Future<Output = T>) -> T {
+    smol::block_on(test)
+}
+
+/// Waits until a condition holds; fails the test if it never does.
+pub async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let waited = async {
+        while !holds() {
+            Timer::after(LOOK_AGAIN).await;
+        }
+    };
+    within(what, waited).await;
+}
+
+/// Waits for a future; fails the test if it never ends.
+pub async fn within<T>(what: &str, future: impl Future<Output = T>) -> T {
+    let limit = async {
+        Timer::after(WAIT_LIMIT).await;
+        panic!("{what} did not happen within {WAIT_LIMIT:?}");
+    };
+    future::or(future, limit).await
+}
--- a/crates/sagespool-entry/src/caller/fault.rs
+++ b/crates/sagespool-entry/src/caller/fault.rs
@@ -48,6 +48,12 @@
             "request_id": request.to_string(),
         }});
         let conn = with_request_headers(conn, request, TokenCount::ZERO);
+        let conn = match self.status {
+            Status::Unauthorized => {
+                conn.with_response_header(KnownHeaderName::WwwAuthenticate, "Bearer")
+            }
+            _ => conn,
+        };
         conn.with_response_header("sagespool-run-state", RunState::NotRun.to_string())
             .with_response_header(KnownHeaderName::ContentType, "application/json")
             .with_status(self.status)
--- a/crates/sagespool-entry/src/caller/headers.rs
+++ b/crates/sagespool-entry/src/caller/headers.rs
@@ -25,7 +25,12 @@
     pub non_idempotent: bool,
 }
 
-fn text<'a>(headers: &'a Headers, name: &'static str) -> Result<Option<&'a str>, CallFault> {
+/// A header's value, if it is given. Given twice, it would be read one way here and another way by
+/// whatever stands in front or behind, so that is a fault.
+pub(super) fn text<'a>(
+    headers: &'a Headers,
+    name: &'static str,
+) -> Result<Option<&'a str>, CallFault> {
     let Some(values) = headers.get_values(name) else {
         return Ok(None);
     };
--- a/crates/sagespool-entry/src/caller/identity.rs
+++ b/crates/sagespool-entry/src/caller/identity.rs
@@ -2,9 +2,10 @@
 
 use sagespool_settings::FleetConfiguration;
 use sagespool_types::BranchName;
-use trillium::{Headers, KnownHeaderName, Status};
+use trillium::{Headers, Status};
 
 use super::CallFault;
+use super::headers::text;
 
 const KEY_HELP: &str = "send `Authorization: Bearer KEY` with the branch's key";
 
@@ -12,7 +13,7 @@
 ///
 /// # Errors
 /// 401 without a key, or with one that no branch has: the two are told apart only by whether a
-/// key was sent, so that nobody learns which keys exist.
+/// key was sent, so that nobody learns which keys exist. 400 with two.
 pub fn read_identity(
     headers: &Headers,
     config: &FleetConfiguration,
@@ -22,7 +23,7 @@
     let unknown = || {
         CallFault::new(Status::Unauthorized, "unknown-key", "the key is not a branch's", KEY_HELP)
     };
-    let header = headers.get_str(KnownHeaderName::Authorization).ok_or_else(missing)?;
+    let header = text(headers, "authorization")?.ok_or_else(missing)?;
     let (scheme, token) = header.split_once(' ').ok_or_else(missing)?;
     if !scheme.eq_ignore_ascii_case("bearer") || token.trim().is_empty() {
         return Err(missing());
@@ -33,15 +34,15 @@
 /// Checks that a caller who names a branch names its own.
 ///
 /// # Errors
-/// 403 if the key is another branch's.
+/// 403 if the key is another branch's, 400 if two are named.
 pub fn check_branch(headers: &Headers, branch: &BranchName) -> Result<(), CallFault> {
-    let Some(named) = headers.get_str("sagespool-branch") else {
+    let Some(named) = text(headers, "sagespool-branch")? else {
         return Ok(());
     };
-    if named.trim() == branch.as_str() {
+    if named == branch.as_str() {
         return Ok(());
     }
-    let message = format!("the key is not a key of branch `{}`", named.trim());
+    let message = format!("the key is not a key of branch `{named}`");
     let help = "leave `sagespool-branch` out, or use that branch's key";
     Err(CallFault::new(Status::Forbidden, "other-branch", message, help))
 }
--- a/crates/sagespool-entry/src/caller/mod.rs
+++ b/crates/sagespool-entry/src/caller/mod.rs
@@ -12,3 +12,4 @@
 pub use fault::{CallFault, refusal_status};
 pub use headers::{CallHeaders, read_headers};
 pub use server::serve;
+pub use service_call::{ServiceCall, read_service_call};
--- a/crates/sagespool-entry/src/caller/server.rs
+++ b/crates/sagespool-entry/src/caller/server.rs
@@ -12,6 +12,7 @@
     ServiceName, TokenCount,
 };
 use trillium::{Conn, KnownHeaderName, Status};
+use trillium_http::HttpConfig;
 use trillium_server_common::ServerHandle;
 
 use super::answer::{respond_events, respond_service, respond_whole};
@@ -25,17 +26,29 @@
 
 const COMPLETIONS_PATH: &str = "/v1/chat/completions";
 const SERVICES_PREFIX: &str = "/services/";
+/// A head so much over the limit is still read, to be answered; a longer one ends its connection.
+const HEAD_ROOM: usize = 64 * 1024;
 
 /// Starts serving callers on the address, and returns the handle that stops it.
 pub fn serve(state: Arc<EntryState>, listen: SocketAddr) -> ServerHandle {
+    let head_limit = state.settings.header_limit.0 as usize;
+    let http_config = HttpConfig::default().with_head_max_len(head_limit + HEAD_ROOM);
     let handler = move |conn: Conn| {
         let state = Arc::clone(&state);
         async move { route(state, conn).await }
     };
-    trillium_smol::config().with_socketaddr(listen).with_nodelay().without_signals().spawn(handler)
+    trillium_smol::config()
+        .with_socketaddr(listen)
+        .with_nodelay()
+        .without_signals()
+        .with_http_config(http_config)
+        .spawn(handler)
 }
 
 async fn route(state: Arc<EntryState>, conn: Conn) -> Conn {
+    if let Err(fault) = check_head(&conn, state.settings.header_limit.0 as usize) {
+        return fault.respond(conn, RequestId::random());
+    }
     let path = conn.path().to_owned();
     match path.as_str() {
         "/healthz" => conn.ok(format!("ok incarnation={}\n", state.incarnation)).halt(),
@@ -53,6 +66,24 @@
     }
 }
 
+/// Bytes that a head takes on the connection, but for the request line's and each header's few.
+fn head_length(conn: &Conn) -> usize {
+    let headers = conn.request_headers().iter().flat_map(|(name, values)| {
+        let name = name.as_ref().len();
+        values.iter().map(move |value| name + AsRef::<[u8]>::as_ref(value).len())
+    });
+    conn.path().len() + conn.querystring().len() + headers.sum::<usize>()
+}
+
+fn check_head(conn: &Conn, most: usize) -> Result<(), CallFault> {
+    if head_length(conn) <= most {
+        return Ok(());
+    }
+    let message = format!("the request line and headers are over {most} bytes");
+    let help = format!("at most {most} bytes; long texts belong in the body");
+    Err(CallFault::new(Status::RequestHeaderFieldsTooLarge, "head-too-large", message, help))
+}
+
 fn respond_ready(state: &EntryState, conn: Conn) -> Conn {
     match state.not_ready_because() {
         None => conn.ok("ready\n").halt(),
@@ -193,7 +224,7 @@
 async fn completion(state: Arc<EntryState>, mut conn: Conn) -> Conn {
     let request = RequestId::random();
     if let Err(fault) = check_method(&conn) {
-        return fault.respond(conn, request);
+        return fault.respond(conn, request).with_response_header(KnownHeaderName::Allow, "POST");
     }
     if let Some(notice) = not_accepting(&state) {
         return respond_refusal(conn, &notice, request, TokenCount::ZERO);
--- a/crates/sagespool-entry/src/caller/service_call.rs
+++ b/crates/sagespool-entry/src/caller/service_call.rs
@@ -8,7 +8,10 @@
 use super::CallFault;
 
 /// Headers that concern one connection, or the fleet, and are not passed on.
-const KEPT_HEADERS: [&str; 14] = [
+///
+/// Nor are those that override the method: a service that honours one would run a call of another
+/// method than the one that was checked, so that a letter sent as `GET` could be sent twice.
+const KEPT_HEADERS: [&str; 17] = [
     "authorization",
     "connection",
     "content-length",
@@ -23,6 +26,9 @@
     "transfer-encoding",
     "upgrade",
     "accept-encoding",
+    "x-http-method",
+    "x-http-method-override",
+    "x-method-override",
 ];
 
 /// A checked call of a plain service.
--- /dev/null
+++ b/crates/sagespool-entry/tests/passed_headers.rs
@@ -0,0 +1,69 @@
+//! What of a caller's headers reaches a plain service.
+
+#![allow(clippy::unwrap_used)]
+
+use sagespool_entry::caller::read_service_call;
+use sagespool_messages::CallTarget;
+use sagespool_settings::{BranchObject, FleetConfiguration, check_fleet};
+use sagespool_types::ConfigVersion;
+use serde_json::json;
+use trillium_http::Headers;
+
+fn configuration() -> FleetConfiguration {
+    let fleet = json!({
+        "classes": [
+            {"name": "only", "priority": 0, "deadline_ms": 1000, "longest_deadline_ms": 1000},
+        ],
+        "default_class": "only",
+        "services": [{"name": "letters", "kind": "service", "price": 3}],
+        "key_retention_ms": 1000,
+        "answer_retention_ms": 1000,
+    });
+    let fleet = check_fleet(&fleet).unwrap();
+    FleetConfiguration::build(ConfigVersion(1), fleet, [&BranchObject::default()])
+}
+
+fn passed_on(headers: &[(&'static str, &'static str)]) -> Vec<(String, String)> {
+    let mut given = Headers::new();
+    for (name, value) in headers {
+        given.append(*name, *value);
+    }
+    let call =
+        read_service_call("letters", "GET", "/letters", &given, b"", &configuration()).unwrap();
+    let CallTarget::Service { headers, .. } = call.target else { panic!("a service's call") };
+    headers.into_iter().map(|pair| (pair.name, pair.value)).collect()
+}
+
+#[test]
+fn own_headers() {
+    let passed = passed_on(&[("accept", "text/html"), ("X-Case", "1"), ("x-case", "2")]);
+    let wanted = [("accept", "text/html"), ("x-case", "1"), ("x-case", "2")];
+    let mut passed: Vec<_> = passed.iter().map(|(name, value)| (&**name, &**value)).collect();
+    passed.sort_unstable();
+    assert_eq!(passed, wanted);
+}
+
+#[test]
+fn kept_headers() {
+    let kept = [
+        ("authorization", "Bearer secret"),
+        ("connection", "close"),
+        ("idempotency-key", "bid-7"),
+        ("sagespool-class", "only"),
+        ("transfer-encoding", "chunked"),
+    ];
+    assert_eq!(passed_on(&kept), []);
+}
+
+#[test]
+fn method_overrides() {
+    // A caller sends a letter as `GET` with a header that makes the service take it for a `POST`.
+    // The entry sees a call that may run twice, and after a broken connection tries it at another
+    // upstream: the letter goes out twice. The header must not reach the service.
+    let overrides = [
+        ("x-http-method-override", "POST"),
+        ("X-HTTP-Method", "POST"),
+        ("x-method-override", "POST"),
+    ];
+    assert_eq!(passed_on(&overrides), []);
+}
