End a process whose HTTP address is taken, and give test fleets addresses of their own

Two fleets started at once by tests failed now and then: between asking for a free port and the process's bind another fleet, or any outgoing connection, got the port. The entry's server task then panicked on its own, while the process went on gossiping as an entry that no caller reaches.

- A test fleet's processes each get a random loopback address besides a port of the system's choice.
- A fleet that doesn't become ready shows the end of the log of the process that is late.

--- /dev/null
+++ b/crates/sagespool-daemon/tests/common/members.rs
@@ -0,0 +1,77 @@
+//! What the processes say of themselves and of each other.
+
+use std::net::SocketAddr;
+
+use sagespool_testkit::fleet::RunningFleet;
+use sagespool_testkit::load::CallRecord;
+use sagespool_types::IncarnationId;
+
+use super::{
+    RawAnswer, TestFleet, account, completion, exchange, is_own_whole, record, send, until,
+    until_async,
+};
+
+async fn read(address: SocketAddr, path: &'static str) -> RawAnswer {
+    let request = format!("GET {path} HTTP/1.1\r\nhost: process\r\nconnection: close\r\n\r\n");
+    smol::unblock(move || exchange(address, request.as_bytes())).await
+}
+
+/// A process's metric, by its whole name with labels.
+pub async fn metric(fleet: &RunningFleet, place: usize, name: &str) -> f64 {
+    let answer = read(fleet.members[place].http, "/metrics").await;
+    let line = answer.body.lines().find(|line| line.split(' ').next() == Some(name));
+    let value = line.and_then(|line| line.split(' ').nth(1)?.parse().ok());
+    value.unwrap_or_else(|| panic!("no metric {name} in {}", answer.body))
+}
+
+/// Waits until every process that runs believes so many to be alive.
+pub async fn until_joined(fleet: &RunningFleet, members: usize) {
+    for (place, member) in fleet.members.iter().enumerate() {
+        if member.process.is_none() {
+            continue;
+        }
+        let what = format!("{} knows {members} members", member.instance);
+        until_async(&what, async || {
+            metric(fleet, place, "sagespool_members").await == members as f64
+        })
+        .await;
+    }
+}
+
+/// An entry's present incarnation.
+pub async fn incarnation_of(fleet: &RunningFleet, entry: usize) -> IncarnationId {
+    let answer = read(fleet.members[entry].http, "/healthz").await;
+    let word = answer.body.split_whitespace().find_map(|word| word.strip_prefix("incarnation="));
+    word.and_then(|word| word.parse().ok()).expect("an entry names its incarnation")
+}
+
+/// The entries as they stand to a branch.
+pub struct BranchHome {
+    /// The home.
+    pub home: usize,
+    /// The home's incarnation.
+    pub holder: IncarnationId,
+    /// The other entry.
+    pub other: usize,
+    /// The call that showed it, for the judgement at the end.
+    pub first: CallRecord,
+}
+
+/// The home of a branch. A call is paid for, and whoever then holds the branch's grant is the home.
+pub async fn home_of(fleet: &TestFleet, name: &str) -> BranchHome {
+    let entries = fleet.entries();
+    let call = completion(name, 1);
+    let sent = send(fleet, &call, entries[0]).await;
+    assert!(is_own_whole(&sent), "{sent:?}");
+    until("a home holds a grant", || !account(fleet, name).grants.is_empty()).await;
+    let holder = account(fleet, name).grants.keys().map(|grant| grant.holder).next();
+    let holder = holder.expect("there is a grant");
+    let home = usize::from(incarnation_of(fleet, entries[0]).await != holder);
+    let (home, other) = (entries[home], entries[1 - home]);
+    BranchHome { home, holder, other, first: record(&call, [sent]) }
+}
+
+/// True if the grants of a branch in its book all belong to other incarnations.
+pub fn holds_nothing(fleet: &RunningFleet, name: &str, holder: IncarnationId) -> bool {
+    account(fleet, name).grants.keys().all(|grant| grant.holder != holder)
+}
--- a/crates/sagespool-daemon/tests/common/mod.rs
+++ b/crates/sagespool-daemon/tests/common/mod.rs
@@ -5,6 +5,7 @@
 
 mod books;
 mod calls;
+mod members;
 mod raw;
 
 use std::future::Future;
@@ -20,6 +21,7 @@
 
 pub use books::*;
 pub use calls::*;
+pub use members::*;
 pub use raw::*;
 
 /// The branch that most tests spend from.
@@ -40,8 +42,6 @@
 /// Nothing that a test waits for takes so long, unless it never comes.
 const WAIT_LIMIT: Duration = Duration::from_secs(25);
 const LOOK_AGAIN: Duration = Duration::from_millis(10);
-/// The end of a process's log that a failed test shows.
-const SHOWN_LINES: usize = 60;
 
 /// What a small fleet is made of: in each of two data centres an entry and an engine, and one
 /// plain service in the first.
@@ -75,10 +75,12 @@
 }
 
 impl SmallFleet {
-    /// Starts it, and waits until its callers can be served.
+    /// Starts it, and waits until its callers can be served and everyone knows everyone.
     pub async fn start(self) -> TestFleet {
         let fleet = RunningFleet::start(self.options()).await;
-        TestFleet { fleet: fleet.expect("the fleet starts") }
+        let fleet = TestFleet { fleet: fleet.expect("the fleet starts") };
+        until_joined(&fleet, fleet.members.len()).await;
+        fleet
     }
 
     fn options(&self) -> FleetOptions {
@@ -195,11 +197,6 @@
         let processes = self.fleet.members.iter().filter_map(|member| member.process.as_ref());
         processes.into_iter().all(|process| process.ended().is_ok_and(|ended| ended.is_none()))
     }
-
-    /// What a member has logged, over all of its runs.
-    pub fn log_of(&self, place: usize) -> String {
-        std::fs::read_to_string(&self.fleet.members[place].log).unwrap_or_default()
-    }
 }
 
 impl Deref for TestFleet {
@@ -221,11 +218,8 @@
         if !std::thread::panicking() {
             return;
         }
-        for (place, member) in self.fleet.members.iter().enumerate() {
-            let log = self.log_of(place);
-            let lines: Vec<&str> = log.lines().collect();
-            let shown = &lines[lines.len().saturating_sub(SHOWN_LINES)..];
-            eprintln!("--- {} ---\n{}", member.instance, shown.join("\n"));
+        for member in &self.fleet.members {
+            eprintln!("{}", member.log_end());
         }
     }
 }
@@ -245,6 +239,16 @@
     within(what, waited).await;
 }
 
+/// Waits until a condition holds that has to be asked for; fails the test if it never does.
+pub async fn until_async(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let waited = async {
+        while !holds().await {
+            Timer::after(LOOK_AGAIN).await;
+        }
+    };
+    within(what, waited).await;
+}
+
 /// Waits for a future; fails the test if it never ends.
 pub async fn within<T>(what: &str, future: impl Future<Output = T>) -> T {
     let limit = async {
--- /dev/null
+++ b/crates/sagespool-daemon/tests/taken_address.rs
@@ -0,0 +1,52 @@
+//! A process whose address is taken.
+
+mod common;
+
+use std::time::Duration;
+
+use common::*;
+use sagespool_testkit::ChildProcess;
+use serde_json::{Value, json};
+
+const END_LIMIT: Duration = Duration::from_secs(20);
+/// The exit code of a process that couldn't start.
+const START_FAULT: i32 = 1;
+
+/// Starts a second process on the settings of a member, changed; returns how it ended.
+fn start_second(fleet: &TestFleet, place: usize, change: impl Fn(&mut Value)) -> (i32, String) {
+    let member = &fleet.members[place];
+    let text = std::fs::read_to_string(&member.settings).unwrap();
+    let mut settings: Value = serde_json::from_str(&text).unwrap();
+    change(&mut settings);
+    let path = fleet.directory().join("second.json");
+    std::fs::write(&path, settings.to_string()).unwrap();
+    let log = fleet.directory().join("second.log");
+    let daemon = &fleet.options.binaries.daemon;
+    let process = ChildProcess::start(daemon, &[path.as_os_str()], &log).unwrap();
+    let status = process.wait(END_LIMIT).unwrap();
+    (status.code().unwrap_or_default(), process.log_text().unwrap())
+}
+
+#[test]
+fn taken_address() {
+    // An instance is replaced while its predecessor still holds the port. If the new process went
+    // on without it, it would hold leases and gossip as an entry that no caller can reach, and
+    // nobody would start it again. It ends at once instead, and its log says why.
+    run(async {
+        let fleet = SmallFleet::default().start().await;
+        for place in [fleet.entries()[0], fleet.sidecars(ENGINES)[0]] {
+            let free_link = |settings: &mut Value| {
+                settings["link"]["listen"] = json!("127.0.0.1:0");
+            };
+            let (code, log) = start_second(&fleet, place, free_link);
+            assert_eq!(code, START_FAULT, "{log}");
+            assert!(log.contains("start-failed"), "{log}");
+            let free_http = |settings: &mut Value| {
+                settings["http"]["listen"] = json!("127.0.0.1:0");
+            };
+            let (code, log) = start_second(&fleet, place, free_http);
+            assert_eq!(code, START_FAULT, "{log}");
+        }
+        assert!(fleet.all_run(), "a process has ended");
+    });
+}
--- a/crates/sagespool-entry/src/caller/server.rs
+++ b/crates/sagespool-entry/src/caller/server.rs
@@ -1,6 +1,7 @@
 //! The entry's HTTP server.
 
-use std::net::SocketAddr;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,19 +31,25 @@
 const HEAD_ROOM: usize = 64 * 1024;
 
 /// Starts serving callers on the address, and returns the handle that stops it.
-pub fn serve(state: Arc<EntryState>, listen: SocketAddr) -> ServerHandle {
+///
+/// # Errors
+/// If the address can't be taken. Left to the server's own task, that would end only the task, and
+/// the process would go on as an entry that no caller reaches.
+pub fn serve(state: Arc<EntryState>, listen: SocketAddr) -> io::Result<ServerHandle> {
+    let listener = smol::net::TcpListener::try_from(TcpListener::bind(listen)?)?;
     let head_limit = state.settings.header_limit.0 as usize;
     let http_config = HttpConfig::default().with_head_max_len(head_limit + HEAD_ROOM);
     let handler = move |conn: Conn| {
         let state = Arc::clone(&state);
         async move { route(state, conn).await }
     };
-    trillium_smol::config()
-        .with_socketaddr(listen)
+    let server = trillium_smol::config()
+        .with_prebound_server(listener)
         .with_nodelay()
         .without_signals()
         .with_http_config(http_config)
-        .spawn(handler)
+        .spawn(handler);
+    Ok(server)
 }
 
 async fn route(state: Arc<EntryState>, conn: Conn) -> Conn {
--- a/crates/sagespool-entry/src/role.rs
+++ b/crates/sagespool-entry/src/role.rs
@@ -64,8 +64,9 @@
         let link = LinkEndpoint::start(state.process.link.listen, identity, handler)
             .change_context(fault("opening the link's address"))?;
         state.take_link(link);
+        let server = caller::serve(Arc::clone(&state), state.process.http.listen)
+            .change_context(fault("opening the callers' address"))?;
         start_tasks(&state);
-        let server = caller::serve(Arc::clone(&state), state.process.http.listen);
         log_event!(
             info,
             "entry-started",
--- a/crates/sagespool-testkit/src/fleet/member.rs
+++ b/crates/sagespool-testkit/src/fleet/member.rs
@@ -9,6 +9,9 @@
 use super::FleetFault;
 use crate::processes::ChildProcess;
 
+/// The end of a log that is shown.
+const SHOWN_LINES: usize = 60;
+
 /// One process of a fleet, running or not.
 #[derive(Debug)]
 pub struct FleetMember {
@@ -37,13 +40,25 @@
     pub fn is_entry(&self) -> bool {
         self.upstream.is_none()
     }
+
+    /// The last lines of its log, for whoever looks into a failure.
+    pub fn log_end(&self) -> String {
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let lines: Vec<&str> = log.lines().collect();
+        let shown = &lines[lines.len().saturating_sub(SHOWN_LINES)..];
+        format!("--- {} ---\n{}", self.instance, shown.join("\n"))
+    }
 }
 
 /// Two addresses of the system's choice, one for HTTP (TCP) and one for the link (UDP).
+///
+/// They are free for as long as it takes a process to start, or to start again, and by then another
+/// fleet on the machine, or any outgoing connection, may have been given the port. So each pair is
+/// on a loopback address of its own, taken at random, where nobody else asks for ports.
 pub(super) fn free_addresses() -> Result<(SocketAddr, SocketAddr), Report<FleetFault>> {
     let fault = || FleetFault::new("asking for free ports");
-    let any = (Ipv4Addr::LOCALHOST, 0);
-    let tcp = TcpListener::bind(any).and_then(|listener| listener.local_addr());
-    let udp = UdpSocket::bind(any).and_then(|socket| socket.local_addr());
+    let own = Ipv4Addr::new(127, fastrand::u8(1..=254), fastrand::u8(..), fastrand::u8(1..=254));
+    let tcp = TcpListener::bind((own, 0)).and_then(|listener| listener.local_addr());
+    let udp = UdpSocket::bind((own, 0)).and_then(|socket| socket.local_addr());
     Ok((tcp.change_context_lazy(fault)?, udp.change_context_lazy(fault)?))
 }
--- a/crates/sagespool-testkit/src/fleet/running.rs
+++ b/crates/sagespool-testkit/src/fleet/running.rs
@@ -311,7 +311,7 @@
                 }
                 if started.elapsed() > READY_LIMIT {
                     let doing = format!("waiting for {} to be ready", member.instance);
-                    return Err(Report::new(FleetFault::new(doing)));
+                    return Err(Report::new(FleetFault::new(doing)).attach(member.log_end()));
                 }
                 smol::Timer::after(READY_STEP).await;
             }
