--- a/crates/sagespool-daemon/tests/taken_address.rs
+++ b/crates/sagespool-daemon/tests/taken_address.rs
@@ -15,16 +15,16 @@
 /// Starts a second process on the settings of a member, changed; returns how it ended.
 fn start_second(fleet: &TestFleet, place: usize, change: impl Fn(&mut Value)) -> (i32, String) {
     let member = &fleet.members[place];
-    let text = std::fs::read_to_string(&member.settings).unwrap();
-    let mut settings: Value = serde_json::from_str(&text).unwrap();
+    let text = std::fs::read_to_string(&member.settings).expect("the fleet wrote it");
+    let mut settings: Value = serde_json::from_str(&text).expect("the fleet writes JSON");
     change(&mut settings);
     let path = fleet.directory().join("second.json");
-    std::fs::write(&path, settings.to_string()).unwrap();
+    std::fs::write(&path, settings.to_string()).expect("the directory is the test's own");
     let log = fleet.directory().join("second.log");
     let daemon = &fleet.options.binaries.daemon;
-    let process = ChildProcess::start(daemon, &[path.as_os_str()], &log).unwrap();
-    let status = process.wait(END_LIMIT).unwrap();
-    (status.code().unwrap_or_default(), process.log_text().unwrap())
+    let process = ChildProcess::start(daemon, &[path.as_os_str()], &log).expect("it starts");
+    let status = process.wait(END_LIMIT).expect("it ends by itself");
+    (status.code().unwrap_or_default(), process.log_text().expect("it has a log"))
 }
 
 #[test]
