--- a/crates/sagespool-daemon/tests/common/calls.rs
+++ b/crates/sagespool-daemon/tests/common/calls.rs
@@ -7,10 +7,10 @@
     CallKind, CallOutcome, CallRecord, DepositLog, LoadCaller, OracleInput, OracleVerdict,
     PlannedCall, SendRecord, first_deposits, judge,
 };
-use sagespool_testkit::{RunMarker, RunRecord};
+use sagespool_testkit::{RunMarker, RunRecord, prompt_tokens};
 use sagespool_types::TokenCount;
 
-use super::{LETTER_PRICE, LETTERS, MODEL, TestFleet, branch, token_of};
+use super::{LETTER_PRICE, LETTERS, MODEL, TestFleet, branch, token_of, until};
 
 static NEXT_NUMBER: AtomicU64 = AtomicU64::new(1);
 
@@ -37,6 +37,22 @@
     })
 }
 
+/// A completion that costs exactly so much if its answer comes whole.
+pub fn costing(name: &str, tokens: u64) -> PlannedCall {
+    // The length is part of the prompt; a fixed width keeps the prompt's cost the same.
+    let mut planned = completion(name, 0);
+    let CallKind::Completion { prompt, max_tokens, length, .. } = &mut planned.kind else {
+        unreachable!("a completion")
+    };
+    *prompt = prompt.replace("len:0 ", "len:0000 ");
+    let answer = tokens - prompt_tokens(prompt);
+    *prompt = prompt.replace("len:0000 ", &format!("len:{answer:04} "));
+    *length = u32::try_from(answer).expect("a budget of a test is small");
+    *max_tokens = *length;
+    assert_eq!(planned.greatest_cost(), TokenCount(tokens));
+    planned
+}
+
 /// A letter, which may never be sent twice.
 pub fn letter(name: &str, key: &str) -> PlannedCall {
     let mut planned = call(name, |marker| CallKind::Service {
@@ -71,6 +87,12 @@
     fleet.witness.runs_of(&call.marker)
 }
 
+/// Waits until an engine makes tokens for a call.
+pub async fn until_running(fleet: &TestFleet, call: &PlannedCall) {
+    let runs = || runs_of(fleet, call);
+    until("the call runs", || runs().iter().any(|run| run.first_at.is_some())).await;
+}
+
 /// True if a send brought the call's own answer, whole.
 pub fn is_own_whole(send: &SendRecord) -> bool {
     matches!(send.outcome, CallOutcome::Whole { is_own: true, .. })
--- a/crates/sagespool-daemon/tests/common/members.rs
+++ b/crates/sagespool-daemon/tests/common/members.rs
@@ -1,5 +1,6 @@
 //! What the processes say of themselves and of each other.
 
+use std::io;
 use std::net::SocketAddr;
 
 use sagespool_testkit::fleet::RunningFleet;
@@ -7,40 +8,43 @@
 use sagespool_types::IncarnationId;
 
 use super::{
-    RawAnswer, TestFleet, account, completion, exchange, is_own_whole, record, send, until,
+    RawAnswer, TestFleet, account, completion, is_own_whole, record, send, try_exchange, until,
     until_async,
 };
 
-async fn read(address: SocketAddr, path: &'static str) -> RawAnswer {
+async fn read(address: SocketAddr, path: &'static str) -> io::Result<RawAnswer> {
     let request = format!("GET {path} HTTP/1.1\r\nhost: process\r\nconnection: close\r\n\r\n");
-    smol::unblock(move || exchange(address, request.as_bytes())).await
+    smol::unblock(move || try_exchange(address, request.as_bytes())).await
 }
 
-/// A process's metric, by its whole name with labels.
-pub async fn metric(fleet: &RunningFleet, place: usize, name: &str) -> f64 {
-    let answer = read(fleet.members[place].http, "/metrics").await;
-    let line = answer.body.lines().find(|line| line.split(' ').next() == Some(name));
-    let value = line.and_then(|line| line.split(' ').nth(1)?.parse().ok());
-    value.unwrap_or_else(|| panic!("no metric {name} in {}", answer.body))
+/// A process's metric, by its whole name with labels; nothing while it doesn't serve.
+pub async fn metric(fleet: &RunningFleet, place: usize, name: &str) -> Option<f64> {
+    let answer = read(fleet.members[place].http, "/metrics").await.ok()?;
+    let line = answer.body.lines().find(|line| line.split(' ').next() == Some(name))?;
+    line.split(' ').nth(1)?.parse().ok()
 }
 
 /// Waits until every process that runs believes so many to be alive.
 pub async fn until_joined(fleet: &RunningFleet, members: usize) {
-    for (place, member) in fleet.members.iter().enumerate() {
-        if member.process.is_none() {
-            continue;
+    for place in 0..fleet.members.len() {
+        if fleet.members[place].process.is_some() {
+            until_knows(fleet, place, members).await;
         }
-        let what = format!("{} knows {members} members", member.instance);
-        until_async(&what, async || {
-            metric(fleet, place, "sagespool_members").await == members as f64
-        })
-        .await;
     }
 }
 
+/// Waits until a process believes so many to be alive.
+pub async fn until_knows(fleet: &RunningFleet, place: usize, members: usize) {
+    let what = format!("{} knows {members} members", fleet.members[place].instance);
+    until_async(&what, async || {
+        metric(fleet, place, "sagespool_members").await == Some(members as f64)
+    })
+    .await;
+}
+
 /// An entry's present incarnation.
 pub async fn incarnation_of(fleet: &RunningFleet, entry: usize) -> IncarnationId {
-    let answer = read(fleet.members[entry].http, "/healthz").await;
+    let answer = read(fleet.members[entry].http, "/healthz").await.expect("the entry answers");
     let word = answer.body.split_whitespace().find_map(|word| word.strip_prefix("incarnation="));
     word.and_then(|word| word.parse().ok()).expect("an entry names its incarnation")
 }
--- a/crates/sagespool-daemon/tests/common/raw.rs
+++ b/crates/sagespool-daemon/tests/common/raw.rs
@@ -1,10 +1,11 @@
 //! HTTP as bytes: what no client library would send.
 
-use std::io::{Read, Write};
+use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
 
-use serde_json::Value;
+use sagespool_testkit::load::{CallKind, PlannedCall};
+use serde_json::{Value, json};
 
 /// An answer that takes longer never comes.
 const READ_LIMIT: Duration = Duration::from_secs(20);
@@ -34,14 +35,39 @@
 
 /// Sends a whole request, then nothing more, and reads until the entry closes.
 pub fn exchange(entry: SocketAddr, request: &[u8]) -> RawAnswer {
-    let mut stream = TcpStream::connect(entry).expect("the entry takes connections");
-    stream.set_read_timeout(Some(READ_LIMIT)).expect("the limit isn't zero");
-    // An entry that has refused before the end may have closed already: its answer counts.
+    try_exchange(entry, request).expect("the entry answers")
+}
+
+/// As [`exchange`], from a process that may not serve yet.
+pub fn try_exchange(process: SocketAddr, request: &[u8]) -> io::Result<RawAnswer> {
+    let stream = connect(process, request)?;
+    stream.shutdown(Shutdown::Write)?;
+    read_to_close(stream)
+}
+
+/// Sends a request; it is on its way when this returns, whatever the entry does.
+pub fn send_raw(entry: SocketAddr, request: &[u8]) -> TcpStream {
+    connect(entry, request).expect("the entry takes connections")
+}
+
+/// Reads until the entry closes.
+pub fn read_raw(stream: TcpStream) -> RawAnswer {
+    read_to_close(stream).expect("the entry answers")
+}
+
+fn connect(process: SocketAddr, request: &[u8]) -> io::Result<TcpStream> {
+    let mut stream = TcpStream::connect(process)?;
+    stream.set_read_timeout(Some(READ_LIMIT))?;
+    // A process that has refused before the end may have closed already: its answer counts.
     let _ = stream.write_all(request);
-    let _ = stream.shutdown(Shutdown::Write);
+    Ok(stream)
+}
+
+fn read_to_close(mut stream: TcpStream) -> io::Result<RawAnswer> {
     let mut answer = Vec::new();
     let read = stream.read_to_end(&mut answer);
-    read_answer(&answer).unwrap_or_else(|| panic!("no answer, but {read:?} and {answer:?}"))
+    let broken = || read.err().unwrap_or_else(|| io::ErrorKind::UnexpectedEof.into());
+    read_answer(&answer).ok_or_else(broken)
 }
 
 fn read_answer(answer: &[u8]) -> Option<RawAnswer> {
@@ -50,3 +76,26 @@
     let status = head.split(' ').nth(1)?.parse().ok()?;
     Some(RawAnswer { status, head: head.to_owned(), body: body.to_owned() })
 }
+
+/// A call as bytes, for one whole answer on one connection.
+pub fn raw_request(call: &PlannedCall) -> Vec<u8> {
+    let (path, body) = match &call.kind {
+        CallKind::Completion { model, prompt, max_tokens, .. } => {
+            let messages = json!([{"role": "user", "content": prompt}]);
+            let body = json!({"model": model, "messages": messages, "max_tokens": max_tokens});
+            ("/v1/chat/completions".to_owned(), body.to_string())
+        }
+        CallKind::Service { service, path, .. } => {
+            (format!("/services/{service}{path}"), format!("letter {}", call.marker))
+        }
+    };
+    let key = call.key.as_ref().map(|key| format!("idempotency-key: {key}\r\n"));
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nhost: entry\r\nconnection: close\r\n\
+         authorization: Bearer {}\r\n{}content-length: {}\r\n\r\n",
+        call.token,
+        key.unwrap_or_default(),
+        body.len()
+    );
+    format!("{head}{body}").into_bytes()
+}
--- a/crates/sagespool-daemon/tests/entry_kill.rs
+++ b/crates/sagespool-daemon/tests/entry_kill.rs
@@ -19,11 +19,6 @@
     }
 }
 
-async fn until_running(fleet: &TestFleet, call: &PlannedCall) {
-    let runs = || runs_of(fleet, call);
-    until("the call runs", || runs().iter().any(|run| run.first_at.is_some())).await;
-}
-
 #[test]
 fn home_killed() {
     // An entry, home of the branch, is killed with three requests in flight: a stream with a key
@@ -102,8 +97,7 @@
         let settled = spend(&fleet, BRANCH).settled.0;
         let used = settled - first_cost;
         assert!(used <= prompt + runs[0].produced.0, "{used} of {:?}", runs[0]);
-        let last = completion(BRANCH, u32::try_from(prepaid - settled - prompt).unwrap());
-        assert_eq!(last.greatest_cost().0, prepaid - settled);
+        let last = costing(BRANCH, prepaid - settled);
         let last_send = send(&fleet, &last, home).await;
         assert!(is_own_whole(&last_send), "{last_send:?}");
         until_settled(&fleet, BRANCH, prepaid).await;
