--- a/crates/sagespool-daemon/src/process.rs
+++ b/crates/sagespool-daemon/src/process.rs
@@ -55,8 +55,18 @@
             return ExitCode::from(START_FAULT);
         }
     };
-    signals.next().await;
-    log_event!(info, "stop-asked", limit_ms = stop_limit.as_millis());
+    let reason = futures_lite::future::or(
+        async {
+            signals.next().await;
+            "signal"
+        },
+        async {
+            told_to_leave(&role).await;
+            "instance-list"
+        },
+    )
+    .await;
+    log_event!(info, "stop-asked", by = reason, limit_ms = stop_limit.as_millis());
     let clean = stop_role(role, stop_limit).await;
     if clean { ExitCode::SUCCESS } else { ExitCode::from(UNCLEAN_STOP) }
 }
@@ -74,6 +84,14 @@
     }
 }
 
+/// Resolves when the platform takes the instance away.
+async fn told_to_leave(role: &RunningRole) {
+    match role {
+        RunningRole::Entry(entry) => entry.told_to_leave().await,
+        RunningRole::Sidecar(sidecar) => sidecar.told_to_leave().await,
+    }
+}
+
 async fn stop_role(role: RunningRole, limit: Duration) -> bool {
     match role {
         RunningRole::Entry(entry) => {
--- a/crates/sagespool-entry/src/configuration.rs
+++ b/crates/sagespool-entry/src/configuration.rs
@@ -77,6 +77,9 @@
     let version = ConfigVersion(applied.newest.0);
     let branches = applied.branches.values();
     let config = FleetConfiguration::build(version, fleet.clone(), branches);
+    for fault in config.faults() {
+        log_event!(warn, "configuration-fault", detail = fault);
+    }
     state.config.replace(config);
     state.members.update_own(|own| own.config = version);
     state.apply_configuration();
--- a/crates/sagespool-entry/src/heartbeats.rs
+++ b/crates/sagespool-entry/src/heartbeats.rs
@@ -81,7 +81,7 @@
             .collect();
         // The platform may say that this instance leaves before anybody told the process.
         if state.members.listed(&listed, ClockTime::now()) {
-            state.members.update_own(|own| own.leaving = true);
+            state.leave();
         }
     }
 }
--- a/crates/sagespool-entry/src/home/crashes.rs
+++ b/crates/sagespool-entry/src/home/crashes.rs
@@ -7,7 +7,7 @@
 use sagespool_log::log_event;
 use sagespool_messages::{CrashReport, MemberRole, PeerRequest};
 use sagespool_platform::{UpdateChoice, update_object};
-use sagespool_types::{ClockTime, WallTime};
+use sagespool_types::{ClockTime, ContentDigest, WallTime};
 
 use crate::state::EntryState;
 
@@ -53,6 +53,28 @@
     }
 }
 
+/// Clears a content whose run came through whole: it was in flight when its upstream went down, and
+/// isn't what took it down.
+pub(crate) fn clear_suspect(state: &Arc<EntryState>, content: ContentDigest) {
+    if !state.crashes.is_suspect(content) {
+        return;
+    }
+    log_event!(info, "suspect-cleared", content = content);
+    if state.crashes.completed(content) {
+        smol::spawn(lift_verdict(Arc::clone(state), content)).detach();
+    }
+}
+
+async fn lift_verdict(state: Arc<EntryState>, content: ContentDigest) {
+    let lift = |record: &mut QuarantineRecord| match record.lift(content, WallTime::now()) {
+        true => UpdateChoice::Write,
+        false => UpdateChoice::Keep,
+    };
+    if let Err(error) = update_object(&state.objects, QUARANTINE_KEY, STORE_LIMIT, lift).await {
+        log_event!(warn, "verdict-unlifted", content = content, error = error);
+    }
+}
+
 /// Keeps verdicts in the store, so that they outlive every entry.
 async fn keep_verdicts(state: Arc<EntryState>) {
     for _ in 0..STORE_TRIES {
--- a/crates/sagespool-entry/src/home/mod.rs
+++ b/crates/sagespool-entry/src/home/mod.rs
@@ -13,7 +13,7 @@
 pub(crate) use books::{BookWriter, run_book_writer, write_book};
 pub(crate) use claims::ClaimWriter;
 pub use claims::claim;
-pub(crate) use crashes::{record_crash, run_crash_watch, spread_crash};
+pub(crate) use crashes::{clear_suspect, record_crash, run_crash_watch, spread_crash};
 pub use finish::finish;
 pub(crate) use finish::take_report;
 pub(crate) use recall::give_back;
--- a/crates/sagespool-entry/src/home/recovery.rs
+++ b/crates/sagespool-entry/src/home/recovery.rs
@@ -52,6 +52,9 @@
         for (incarnation, role) in gone {
             known.remove(&incarnation);
             log_event!(info, "member-gone", incarnation = incarnation, role = role);
+            if role == MemberRole::Sidecar {
+                state.keys.sidecar_gone(incarnation, now);
+            }
             if role == MemberRole::Entry {
                 pending.push(incarnation);
                 let orphans = state.ledger.entry_gone(incarnation, now);
--- a/crates/sagespool-entry/src/lib.rs
+++ b/crates/sagespool-entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod role;
 pub mod run;
 mod state;
+mod upkeep;
 
 pub use role::{EntryRole, RoleFault, StopReport};
 pub use state::EntryState;
--- a/crates/sagespool-entry/src/role.rs
+++ b/crates/sagespool-entry/src/role.rs
@@ -2,7 +2,6 @@
 
 use std::fmt;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
@@ -14,7 +13,7 @@
 use trillium_server_common::ServerHandle;
 
 use crate::state::EntryState;
-use crate::{caller, configuration, heartbeats, home, peers};
+use crate::{caller, configuration, heartbeats, home, peers, upkeep};
 
 /// An entry that couldn't be started.
 #[derive(Debug)]
@@ -81,12 +80,23 @@
         &self.state
     }
 
+    /// Resolves when the instance list shows this instance as leaving. From then on it takes nothing
+    /// new; the process is to stop.
+    pub async fn told_to_leave(&self) {
+        loop {
+            let told = self.state.leave_told.listen();
+            if self.state.is_leaving() {
+                return;
+            }
+            told.await;
+        }
+    }
+
     /// Stops gracefully: nothing new, what runs may end, grants go back to their books. What still
     /// runs at the time limit is counted and logged, never cut in silence.
     pub async fn stop(self, limit: Duration) -> StopReport {
         let state = &self.state;
-        state.leaving.store(true, Ordering::Relaxed);
-        state.members.update_own(|own| own.leaving = true);
+        state.leave();
         let deadline = ClockTime::now().after(limit);
         wait_for_runs(state, deadline).await;
         let cut = state.in_flight();
@@ -105,6 +115,7 @@
     smol::spawn(home::run_book_writer(Arc::clone(state))).detach();
     smol::spawn(home::run_recovery(Arc::clone(state))).detach();
     smol::spawn(home::run_crash_watch(Arc::clone(state))).detach();
+    smol::spawn(upkeep::run_upkeep(Arc::clone(state))).detach();
 }
 
 async fn wait_for_runs(state: &EntryState, deadline: ClockTime) {
--- a/crates/sagespool-entry/src/run/attempt.rs
+++ b/crates/sagespool-entry/src/run/attempt.rs
@@ -437,6 +437,7 @@
         match end {
             DispatchEnd::Whole { charge, stop } => {
                 self.note_end(choice, AttemptOutcome::Whole);
+                crate::home::clear_suspect(self.state, self.order.content);
                 Judgement::Ended(AttemptEnd::Whole { charge, stop })
             }
             DispatchEnd::GrantUnusable(detail) => {
--- a/crates/sagespool-entry/src/state.rs
+++ b/crates/sagespool-entry/src/state.rs
@@ -137,6 +137,7 @@
     pub(crate) link: OnceLock<LinkEndpoint>,
     pub(crate) in_flight: AtomicU32,
     pub(crate) leaving: AtomicBool,
+    pub(crate) leave_told: Event,
 }
 
 impl EntryState {
@@ -178,6 +179,7 @@
             link: OnceLock::new(),
             in_flight: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
+            leave_told: Event::new(),
             config: ConfigHolder::default(),
             started: ClockTime::now(),
             incarnation,
@@ -248,6 +250,13 @@
         away.map_or(Duration::ZERO, |since| now.since(since).max(Duration::from_millis(1)))
     }
 
+    /// Takes nothing new from now on, and tells everybody.
+    pub(crate) fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+        self.members.update_own(|own| own.leaving = true);
+        self.leave_told.notify(usize::MAX);
+    }
+
     /// True from the moment it was told to stop.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
--- /dev/null
+++ b/crates/sagespool-entry/src/upkeep.rs
@@ -0,0 +1,20 @@
+//! Forgetting what has lapsed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sagespool_types::ClockTime;
+
+use crate::state::EntryState;
+
+const PERIOD: Duration = Duration::from_secs(5);
+
+/// Drops lapsed keys and unused limits, for the process's whole life.
+pub(crate) async fn run_upkeep(state: Arc<EntryState>) {
+    loop {
+        smol::Timer::after(PERIOD).await;
+        let now = ClockTime::now();
+        state.keys.expire(now);
+        state.limits.expire(now);
+    }
+}
