--- a/crates/sagespool-entry/src/state.rs
+++ b/crates/sagespool-entry/src/state.rs
@@ -8,7 +8,7 @@
 use async_channel::Sender;
 use event_listener::Event;
 use sagespool_claims::{CrashBoard, KeyBoard};
-use sagespool_ledger::{BudgetMode, HeldBack, HomeLedger, LedgerPolicy};
+use sagespool_ledger::{BudgetMode, HomeLedger, LedgerPolicy};
 use sagespool_link::LinkEndpoint;
 use sagespool_membership::{MemberTable, MembershipPolicy, first_number};
 use sagespool_messages::{MemberInfo, MemberRole};
@@ -199,21 +199,6 @@
         assert!(taken.is_ok(), "the link is started once");
     }
 
-    /// Brings what the configuration says of budgets to the ledger.
-    pub(crate) fn apply_configuration(&self) {
-        let Some(config) = self.config.current() else {
-            return;
-        };
-        self.metrics.set_config_version(config.version());
-        for (branch, entry) in config.branches() {
-            let held = entry
-                .held_back
-                .iter()
-                .map(|held| HeldBack { class: held.class.clone(), tokens: held.tokens });
-            self.ledger.hold_back(branch, held.collect());
-        }
-    }
-
     /// Since when no other process can have taken this home's requests, as far as is known: never,
     /// since another region's or a cut-off entry might.
     pub(crate) fn sole_since(&self) -> Option<ClockTime> {
