--- a/crates/sagespool-sidecar/src/role.rs
+++ b/crates/sagespool-sidecar/src/role.rs
@@ -137,7 +137,8 @@
         let cut = finish_attempts(state, limit).await;
         let unsettled = settle_charges(state).await;
         log_event!(info, "sidecar-stopped", cut = cut, unsettled = unsettled);
-        within(PROBE_LIMIT, async { self.server.shut_down().await }).await;
+        let probes_ended = self.server.shut_down();
+        within(PROBE_LIMIT, probes_ended).await;
         for task in self.tasks {
             task.cancel().await;
         }
--- /dev/null
+++ b/crates/sagespool-sidecar/tests/bench/fleet.rs
@@ -0,0 +1,227 @@
+//! A whole sidecar role between a holder of grants, a platform and an engine.
+
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+use sagespool_link::{EventStream, LinkEndpoint, LinkIdentity, PeerCall};
+use sagespool_log::LogLevel;
+use sagespool_messages::{
+    ChargeRecord, ChargesDurable, DispatchEnd, DispatchEvent, DispatchRequest, Heartbeat,
+    MemberInfo, MemberRole, PeerReply, PeerRequest, UpstreamKind,
+};
+use sagespool_settings::{
+    AnswerSettings, HttpSettings, LinkSettings, LogSettings, PlatformSettings, ProcessSettings,
+    RoleSettings, SidecarSettings,
+};
+use sagespool_sidecar::SidecarRole;
+use sagespool_testkit::EngineStand;
+use sagespool_types::{ByteCount, ConfigVersion};
+use serde_json::json;
+use tempfile::TempDir;
+use trillium::{Conn, Status};
+
+use super::{GRANT, upstream_at};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The platform, as far as a sidecar asks it: a store without objects at
+/// revision 100, and an instance list with the sidecar in it.
+#[derive(Default)]
+pub struct PlatformFake {
+    pub down: AtomicBool,
+    pub leaving: AtomicBool,
+}
+
+impl PlatformFake {
+    fn answer(&self, conn: Conn) -> Conn {
+        if self.down.load(Ordering::SeqCst) {
+            return conn.with_status(Status::ServiceUnavailable).halt();
+        }
+        let state = if self.leaving.load(Ordering::SeqCst) { "leaving" } else { "live" };
+        let instance = json!({
+            "instance": "side-1", "role": "sidecar", "region": "muscat", "centre": "ghala",
+            "address": "127.0.0.1:1", "state": state,
+        });
+        let body = match conn.path() {
+            "/objects" => json!({ "revision": 100, "items": [] }),
+            "/watch" => return conn.with_status(Status::ServiceUnavailable).halt(),
+            _ => json!({ "revision": 1, "instances": [instance] }),
+        };
+        conn.with_response_header("x-store-revision", "100").ok(body.to_string()).halt()
+    }
+}
+
+/// A grant's holder: hears of charges, and says that they are durable from
+/// when it is told to.
+pub struct GrantHolder {
+    pub link: LinkEndpoint,
+    pub heard: Arc<Mutex<Vec<ChargeRecord>>>,
+    pub reports: Arc<AtomicUsize>,
+    pub settles: Arc<AtomicBool>,
+}
+
+impl GrantHolder {
+    fn start(identity: LinkIdentity) -> Self {
+        let heard = Arc::new(Mutex::new(Vec::new()));
+        let reports = Arc::new(AtomicUsize::new(0));
+        let settles = Arc::new(AtomicBool::new(true));
+        let (notes, count, settle) =
+            (Arc::clone(&heard), Arc::clone(&reports), Arc::clone(&settles));
+        let handler = move |call: PeerCall| {
+            let reply = match call.request {
+                PeerRequest::ReportCharges(report) => {
+                    count.fetch_add(1, Ordering::SeqCst);
+                    let charges = report.charges.iter().map(|record| record.charge).collect();
+                    notes.lock().unwrap().extend(report.charges);
+                    let settled = settle.load(Ordering::SeqCst);
+                    let charges = if settled { charges } else { vec![] };
+                    PeerReply::ChargesDurable(ChargesDurable { charges })
+                }
+                _ => PeerReply::Unsupported("a holder in a test".to_owned()),
+            };
+            Box::pin(call.responder.reply(reply))
+                as std::pin::Pin<Box<dyn Future<Output = ()> + Send>>
+        };
+        let listen = "127.0.0.1:0".parse().unwrap();
+        let link = LinkEndpoint::start(listen, identity, Arc::new(handler)).unwrap();
+        Self { link, heard, reports, settles }
+    }
+}
+
+/// A sidecar with all that is around it.
+pub struct TestFleet {
+    pub role: SidecarRole,
+    pub holder: GrantHolder,
+    pub platform: Arc<PlatformFake>,
+    _files: TempDir,
+}
+
+impl TestFleet {
+    /// Starts a sidecar beside an engine; the holder is a member that it knows.
+    pub async fn start(engine: &EngineStand, platform: PlatformFake) -> Self {
+        let platform = Arc::new(platform);
+        let fake = Arc::clone(&platform);
+        let server =
+            trillium_smol::config().with_host("127.0.0.1").with_port(0).without_signals().spawn(
+                move |conn: Conn| {
+                    let fake = Arc::clone(&fake);
+                    async move { fake.answer(conn) }
+                },
+            );
+        let store = *server.info().await.tcp_socket_addr().unwrap();
+        let files = TempDir::new().unwrap();
+        let [sidecar_link, holder_link] = write_identities(files.path());
+        let settings = SidecarSettings {
+            upstream: upstream_at(engine.address(), UpstreamKind::Engine),
+            answers: AnswerSettings { most_bytes: ByteCount(1 << 20) },
+        };
+        let process = ProcessSettings {
+            instance: "side-1".parse().unwrap(),
+            region: "muscat".parse().unwrap(),
+            centre: "ghala".parse().unwrap(),
+            link: sidecar_link,
+            http: HttpSettings { listen: "127.0.0.1:0".parse().unwrap() },
+            platform: PlatformSettings { object_api: store, instance_list: store, token: None },
+            peers: vec![],
+            stop_limit: Duration::from_secs(1),
+            log: LogSettings { level: LogLevel::Info },
+            role: RoleSettings::Sidecar(settings.clone()),
+        };
+        let role = SidecarRole::start(process, settings).unwrap();
+        let identity = LinkIdentity::from_files(
+            &holder_link.certificate,
+            &holder_link.key,
+            &holder_link.authority,
+        );
+        let holder = GrantHolder::start(identity.unwrap());
+        let fleet = Self { role, holder, platform, _files: files };
+        fleet.introduce_holder().await;
+        fleet
+    }
+
+    async fn introduce_holder(&self) {
+        let from = MemberInfo {
+            instance: "entry-1".parse().unwrap(),
+            incarnation: GRANT.holder,
+            number: 1,
+            role: MemberRole::Entry,
+            region: "muscat".parse().unwrap(),
+            centre: "ghala".parse().unwrap(),
+            address: self.holder.link.local_address(),
+            leaving: false,
+            config: ConfigVersion::ZERO,
+            started_at: None,
+            serves: None,
+        };
+        let (others, suspects, slices) = (vec![], vec![], vec![]);
+        let beat = Heartbeat { from, others, view_digest: 0, suspects, slices };
+        let reply = self.ask(PeerRequest::Heartbeat(beat)).await;
+        assert!(matches!(reply, PeerReply::Heartbeat(_)), "{reply:?}");
+    }
+
+    /// Asks the sidecar over the link.
+    pub async fn ask(&self, request: PeerRequest) -> PeerReply {
+        self.holder.link.ask(self.role.address(), &request, PATIENCE).await.unwrap()
+    }
+
+    /// Dispatches over the link, to the incarnation that runs.
+    pub async fn dispatch(&self, mut request: DispatchRequest) -> EventStream {
+        request.sidecar = self.role.incarnation();
+        let request = PeerRequest::Dispatch(request);
+        self.holder.link.open(self.role.address(), &request, PATIENCE).await.unwrap()
+    }
+
+    /// Waits until the sidecar has reached the store.
+    pub async fn ready(&self) {
+        let charges = self.role.dispatcher().charges();
+        super::eventually(|| charges.started_at().is_some()).await;
+    }
+}
+
+/// Reads up to the first piece.
+pub async fn first_piece_of(stream: &mut EventStream) {
+    loop {
+        match stream.next().await.unwrap().unwrap() {
+            DispatchEvent::Piece { .. } => return,
+            DispatchEvent::End(end) => panic!("{end:?}"),
+            _ => {}
+        }
+    }
+}
+
+/// Reads to the end.
+pub async fn end_of(stream: &mut EventStream) -> DispatchEnd {
+    loop {
+        if let DispatchEvent::End(end) = stream.next().await.unwrap().unwrap() {
+            return end;
+        }
+    }
+}
+
+/// Two certificates of one authority, as files.
+fn write_identities(directory: &Path) -> [LinkSettings; 2] {
+    let key = KeyPair::generate().unwrap();
+    let mut params = CertificateParams::new(Vec::new()).unwrap();
+    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    let authority = directory.join("authority.pem");
+    std::fs::write(&authority, params.self_signed(&key).unwrap().pem()).unwrap();
+    let issuer = Issuer::new(params, key);
+    ["sidecar", "holder"].map(|name| {
+        let key = KeyPair::generate().unwrap();
+        let params = CertificateParams::new(vec!["node.test".to_owned()]).unwrap();
+        let certificate = params.signed_by(&key, &issuer).unwrap().pem();
+        let file = |kind: &str| directory.join(format!("{name}-{kind}.pem"));
+        std::fs::write(file("certificate"), certificate).unwrap();
+        std::fs::write(file("key"), key.serialize_pem()).unwrap();
+        LinkSettings {
+            listen: "127.0.0.1:0".parse().unwrap(),
+            advertise: None,
+            certificate: file("certificate"),
+            key: file("key"),
+            authority: authority.clone(),
+        }
+    })
+}
--- a/crates/sagespool-sidecar/tests/bench/mod.rs
+++ b/crates/sagespool-sidecar/tests/bench/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod fleet;
+
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
@@ -52,9 +54,8 @@
     dispatcher
 }
 
-/// A dispatcher that hasn't reached the store.
-pub fn unstarted(address: SocketAddr, kind: UpstreamKind) -> Arc<Dispatcher> {
-    let upstream = UpstreamSettings {
+pub fn upstream_at(address: SocketAddr, kind: UpstreamKind) -> UpstreamSettings {
+    UpstreamSettings {
         name: "engine-1".parse().unwrap(),
         kind,
         service: "sage-core".parse().unwrap(),
@@ -62,7 +63,12 @@
         honours_fence: true,
         capacity: 8,
         models: vec![],
-    };
+    }
+}
+
+/// A dispatcher that hasn't reached the store.
+pub fn unstarted(address: SocketAddr, kind: UpstreamKind) -> Arc<Dispatcher> {
+    let upstream = upstream_at(address, kind);
     let options = DispatchOptions::builder().sidecar(SIDECAR).upstream(upstream).build();
     Dispatcher::new(options)
 }
