Run the role's tests against the platform's stand-ins

The retention of answers follows the fleet's configuration, which is tested with it. A path without its slash is refused, since it would hide that a call was sent.

--- a/crates/sagespool-sidecar/src/upstream/run.rs
+++ b/crates/sagespool-sidecar/src/upstream/run.rs
@@ -96,10 +96,15 @@
         call: &RunCall,
         wanted: ServiceCall<'_>,
     ) -> Result<ServiceAnswer, CallFault> {
+        let not_sent = |detail| Err(CallFault::NotSent { detail, refused: false });
         let Ok(method) = wanted.method.parse::<Method>() else {
-            let detail = format!("`{}` is not an HTTP method", wanted.method);
-            return Err(CallFault::NotSent { detail, refused: false });
+            return not_sent(format!("`{}` is not an HTTP method", wanted.method));
         };
+        // Without the slash, the path would go into the URL's host, by which
+        // the connector knows the call: it would seem never to have been sent.
+        if !wanted.path.starts_with('/') {
+            return not_sent(format!("`{}` is not a path", wanted.path));
+        }
         let mut conn = self.run_conn(call, method, wanted.path);
         for pair in wanted.headers {
             let name = HeaderName::from(pair.name.clone());
--- a/crates/sagespool-sidecar/tests/bench/fleet.rs
+++ b/crates/sagespool-sidecar/tests/bench/fleet.rs
@@ -17,40 +17,45 @@
     RoleSettings, SidecarSettings,
 };
 use sagespool_sidecar::SidecarRole;
-use sagespool_testkit::EngineStand;
+use sagespool_testkit::{
+    EngineStand, InstanceEntry, InstanceOptions, InstanceStand, InstanceState, ObjectStand,
+    ObjectStandOptions, StoreFaults,
+};
 use sagespool_types::{ByteCount, ConfigVersion};
-use serde_json::json;
 use tempfile::TempDir;
-use trillium::{Conn, Status};
 
 use super::{GRANT, upstream_at};
 
+/// The sidecar's instance.
+pub const INSTANCE: &str = "side-1";
+
 const PATIENCE: Duration = Duration::from_secs(20);
 
-/// The platform, as far as a sidecar asks it: a store without objects at
-/// revision 100, and an instance list with the sidecar in it.
-#[derive(Default)]
-pub struct PlatformFake {
-    pub down: AtomicBool,
-    pub leaving: AtomicBool,
+/// The platform's store and instance list.
+pub struct PlatformStands {
+    pub store: ObjectStand,
+    pub list: InstanceStand,
 }
 
-impl PlatformFake {
-    fn answer(&self, conn: Conn) -> Conn {
-        if self.down.load(Ordering::SeqCst) {
-            return conn.with_status(Status::ServiceUnavailable).halt();
-        }
-        let state = if self.leaving.load(Ordering::SeqCst) { "leaving" } else { "live" };
-        let instance = json!({
-            "instance": "side-1", "role": "sidecar", "region": "muscat", "centre": "ghala",
-            "address": "127.0.0.1:1", "state": state,
+impl PlatformStands {
+    /// An empty store, and a list with the sidecar in it.
+    pub fn start() -> Self {
+        let store = ObjectStand::start(ObjectStandOptions::builder().build()).unwrap();
+        let list = InstanceStand::start(InstanceOptions::builder().build()).unwrap();
+        list.set(InstanceEntry {
+            instance: INSTANCE.parse().unwrap(),
+            role: MemberRole::Sidecar,
+            region: "muscat".parse().unwrap(),
+            centre: "ghala".parse().unwrap(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            state: InstanceState::Live,
         });
-        let body = match conn.path() {
-            "/objects" => json!({ "revision": 100, "items": [] }),
-            "/watch" => return conn.with_status(Status::ServiceUnavailable).halt(),
-            _ => json!({ "revision": 1, "instances": [instance] }),
-        };
-        conn.with_response_header("x-store-revision", "100").ok(body.to_string()).halt()
+        Self { store, list }
+    }
+
+    /// Begins or ends an outage of the store.
+    pub fn set_outage(&self, outage: bool) {
+        self.store.set_faults(StoreFaults { outage, ..self.store.faults() });
     }
 }
 
@@ -95,23 +100,13 @@
 pub struct TestFleet {
     pub role: SidecarRole,
     pub holder: GrantHolder,
-    pub platform: Arc<PlatformFake>,
+    pub platform: PlatformStands,
     _files: TempDir,
 }
 
 impl TestFleet {
     /// Starts a sidecar beside an engine; the holder is a member that it knows.
-    pub async fn start(engine: &EngineStand, platform: PlatformFake) -> Self {
-        let platform = Arc::new(platform);
-        let fake = Arc::clone(&platform);
-        let server =
-            trillium_smol::config().with_host("127.0.0.1").with_port(0).without_signals().spawn(
-                move |conn: Conn| {
-                    let fake = Arc::clone(&fake);
-                    async move { fake.answer(conn) }
-                },
-            );
-        let store = *server.info().await.tcp_socket_addr().unwrap();
+    pub async fn start(engine: &EngineStand, platform: PlatformStands) -> Self {
         let files = TempDir::new().unwrap();
         let [sidecar_link, holder_link] = write_identities(files.path());
         let settings = SidecarSettings {
@@ -119,12 +114,16 @@
             answers: AnswerSettings { most_bytes: ByteCount(1 << 20) },
         };
         let process = ProcessSettings {
-            instance: "side-1".parse().unwrap(),
+            instance: INSTANCE.parse().unwrap(),
             region: "muscat".parse().unwrap(),
             centre: "ghala".parse().unwrap(),
             link: sidecar_link,
             http: HttpSettings { listen: "127.0.0.1:0".parse().unwrap() },
-            platform: PlatformSettings { object_api: store, instance_list: store, token: None },
+            platform: PlatformSettings {
+                object_api: platform.store.address(),
+                instance_list: platform.list.address(),
+                token: None,
+            },
             peers: vec![],
             stop_limit: Duration::from_secs(1),
             log: LogSettings { level: LogLevel::Info },
--- a/crates/sagespool-sidecar/tests/bench/mod.rs
+++ b/crates/sagespool-sidecar/tests/bench/mod.rs
@@ -193,8 +193,13 @@
 
 /// Waits until something holds, which must be within seconds.
 pub async fn eventually(holds: impl Fn() -> bool) {
+    comes_true(async || holds()).await;
+}
+
+/// The same for what has to be asked.
+pub async fn comes_true(holds: impl AsyncFn() -> bool) {
     for _ in 0..1000 {
-        if holds() {
+        if holds().await {
             return;
         }
         smol::Timer::after(Duration::from_millis(10)).await;
--- a/crates/sagespool-sidecar/tests/sidecar_role.rs
+++ b/crates/sagespool-sidecar/tests/sidecar_role.rs
@@ -8,15 +8,19 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bench::fleet::{GrantHolder, PlatformFake, TestFleet, end_of, first_piece_of};
+use bench::fleet::{GrantHolder, INSTANCE, PlatformStands, TestFleet, end_of, first_piece_of};
 use bench::*;
 use sagespool_messages::{
     ChargeReport, DispatchEnd, EngineOrder, KeyRequest, OrderReply, OrderRequest, PeerReply,
     PeerRequest, RefusalNotice, SealRequest, SealScope, StatusQuery,
 };
+use sagespool_platform::{ObjectClient, ObjectOptions};
+use sagespool_settings::FLEET_OBJECT_KEY;
 use sagespool_types::{
-    CommandId, FenceNumber, IncarnationId, KeyDigest, RefusalReason, TokenCount, TokenRate,
+    CommandId, FenceNumber, IncarnationId, KeyDigest, RefusalReason, StoreRevision, TokenCount,
+    TokenRate,
 };
+use serde_json::json;
 use smol::block_on;
 
 /// Longer than any machine takes; a stop ends as soon as there is nothing left.
@@ -44,7 +48,7 @@
 fn charge_reported() {
     block_on(async {
         let engine = engine(|_| {});
-        let fleet = TestFleet::start(&engine, PlatformFake::default()).await;
+        let fleet = TestFleet::start(&engine, PlatformStands::start()).await;
         fleet.ready().await;
         fleet.holder.settles.store(false, Ordering::SeqCst);
         let end = end_of(&mut fleet.dispatch(completion(1)).await).await;
@@ -66,7 +70,7 @@
 fn asker_leaves() {
     block_on(async {
         let engine = slow_engine();
-        let fleet = TestFleet::start(&engine, PlatformFake::default()).await;
+        let fleet = TestFleet::start(&engine, PlatformStands::start()).await;
         fleet.ready().await;
         let mut stream = fleet.dispatch(completion(1)).await;
         first_piece_of(&mut stream).await;
@@ -89,8 +93,8 @@
 fn store_away() {
     block_on(async {
         let engine = engine(|_| {});
-        let platform = PlatformFake::default();
-        platform.down.store(true, Ordering::SeqCst);
+        let platform = PlatformStands::start();
+        platform.set_outage(true);
         let fleet = TestFleet::start(&engine, platform).await;
         let reply = fleet.ask(seal()).await;
         let PeerReply::Seal(sealed) = reply else { panic!("{reply:?}") };
@@ -103,7 +107,7 @@
             matches!(end, DispatchEnd::Refused(RefusalNotice { reason: r, .. }) if r == reason)
         );
 
-        fleet.platform.down.store(false, Ordering::SeqCst);
+        fleet.platform.set_outage(false);
         fleet.ready().await;
         let end = end_of(&mut fleet.dispatch(completion(1)).await).await;
         assert!(matches!(end, DispatchEnd::GrantUnusable(_)), "the seal holds: {end:?}");
@@ -121,7 +125,7 @@
 fn graceful_stop() {
     block_on(async {
         let engine = engine(|options| options.token_rate = TokenRate(100));
-        let fleet = TestFleet::start(&engine, PlatformFake::default()).await;
+        let fleet = TestFleet::start(&engine, PlatformStands::start()).await;
         fleet.ready().await;
         fleet.holder.settles.store(false, Ordering::SeqCst);
         let mut running = fleet.dispatch(completion(1)).await;
@@ -132,7 +136,7 @@
         let TestFleet { role, holder, .. } = fleet;
         let (address, incarnation) = (role.address(), role.incarnation());
         let stop = smol::spawn(role.stop(LONG));
-        while !is_leaving(&holder, address).await {}
+        comes_true(async || is_leaving(&holder, address).await).await;
         let mut refused = completion(3);
         refused.sidecar = incarnation;
         let refused = PeerRequest::Dispatch(refused);
@@ -161,7 +165,7 @@
 fn stop_limit() {
     block_on(async {
         let engine = slow_engine();
-        let fleet = TestFleet::start(&engine, PlatformFake::default()).await;
+        let fleet = TestFleet::start(&engine, PlatformStands::start()).await;
         fleet.ready().await;
         let mut stream = fleet.dispatch(completion(1)).await;
         first_piece_of(&mut stream).await;
@@ -180,8 +184,8 @@
 fn listed_leaving() {
     block_on(async {
         let engine = engine(|_| {});
-        let platform = PlatformFake::default();
-        platform.leaving.store(true, Ordering::SeqCst);
+        let platform = PlatformStands::start();
+        platform.list.mark_leaving(&INSTANCE.parse().unwrap());
         let fleet = TestFleet::start(&engine, platform).await;
         fleet.role.told_to_leave().await;
         assert!(fleet.role.members().own().leaving);
@@ -193,12 +197,42 @@
     });
 }
 
+// The fleet is told to keep answers for a shorter time. A sidecar that went on
+// with the old one would hand out what was to be gone.
+#[test]
+fn retention_followed() {
+    block_on(async {
+        let engine = engine(|_| {});
+        let fleet = TestFleet::start(&engine, PlatformStands::start()).await;
+        fleet.ready().await;
+        end_of(&mut fleet.dispatch(keyed(1, 5)).await).await;
+        let is_known = async || {
+            let reply = fleet.ask(find_key()).await;
+            matches!(reply, PeerReply::Key(key) if key.known.is_some())
+        };
+        assert!(is_known().await);
+
+        let configuration = json!({
+            "classes": [{
+                "name": "lookup", "priority": 0, "deadline_ms": 2000, "longest_deadline_ms": 10000,
+            }],
+            "default_class": "lookup", "services": [],
+            "key_retention_ms": 2, "answer_retention_ms": 1,
+        });
+        let address = fleet.platform.store.address();
+        let client = ObjectClient::new(ObjectOptions::builder().address(address).build());
+        let version = client.put(FLEET_OBJECT_KEY, StoreRevision(0), &configuration).await.unwrap();
+        eventually(|| fleet.role.members().own().config.0 == version.0).await;
+        comes_true(async || !is_known().await).await;
+    });
+}
+
 // An operator drains an upstream: every member has to see that it takes nothing.
 #[test]
 fn drain_seen() {
     block_on(async {
         let engine = engine(|_| {});
-        let fleet = TestFleet::start(&engine, PlatformFake::default()).await;
+        let fleet = TestFleet::start(&engine, PlatformStands::start()).await;
         let is_healthy = || fleet.role.members().own().serves.is_some_and(|served| served.healthy);
         eventually(is_healthy).await;
         let order = |fence, is_on| {
