Note a crash in the log before its connections break

A caller that saw its connection break could send its request again before the log said that the first run had ended, so the log showed two runs at a time where there was one.

--- a/crates/sagespool-testkit/src/engine/batch.rs
+++ b/crates/sagespool-testkit/src/engine/batch.rs
@@ -198,13 +198,19 @@
         self.note_load(pace, now);
     }
 
-    /// Ends everything as a crash does. What wasn't made by the last tick is never made.
-    pub(crate) fn crash(&mut self, now: ClockTime) {
+    /// Notes that a crash ended the runs. What wasn't made by the last tick is never made.
+    pub(crate) fn note_crash(&self, now: ClockTime) {
+        for run in self.running.values() {
+            run.tally.end(RunEnd::Crashed, now);
+        }
+    }
+
+    /// Ends every stream in its middle.
+    pub(crate) fn break_streams(&mut self) {
         for run in std::mem::take(&mut self.waiting).into_values() {
             run.stream.end(StreamEnd::Broken);
         }
         for run in std::mem::take(&mut self.running).into_values() {
-            run.tally.end(RunEnd::Crashed, now);
             run.stream.end(StreamEnd::Broken);
         }
     }
--- a/crates/sagespool-testkit/src/engine/mod.rs
+++ b/crates/sagespool-testkit/src/engine/mod.rs
@@ -113,6 +113,8 @@
 
     /// Whether it runs, rather than lies crashed.
     pub fn is_serving(&self) -> bool {
+        // Under the lock: a start begins before its port is listened on.
+        let _state = lock(&self.shared().state);
         self.shared().gate.start().is_some()
     }
 
@@ -217,8 +219,11 @@
         if self.gate.end().is_none() {
             return;
         }
+        // First the log, as a caller that sees its connection break may send its request
+        // again at once: the log must not show two runs at a time where there was one.
+        state.batch.note_crash(ClockTime::now());
         self.server.stop();
-        state.batch.crash(ClockTime::now());
+        state.batch.break_streams();
     }
 
     fn restart(self: &Arc<Self>) -> Result<(), Report<StandError>> {
--- a/crates/sagespool-testkit/src/plain_service/mod.rs
+++ b/crates/sagespool-testkit/src/plain_service/mod.rs
@@ -151,6 +151,8 @@
 
     /// Whether it runs, rather than lies crashed.
     pub fn is_serving(&self) -> bool {
+        // Under the lock: a start begins before its port is listened on.
+        let _state = lock(&self.shared().state);
         self.shared().gate.start().is_some()
     }
 
@@ -228,11 +230,13 @@
         if self.gate.end().is_none() {
             return;
         }
-        self.server.stop();
+        // First the log, as a caller that sees its connection break may send its call again
+        // at once: the log must not show two runs at a time where there was one.
         let now = ClockTime::now();
         for tally in std::mem::take(&mut state.running).into_values() {
             tally.end(RunEnd::Crashed, now);
         }
+        self.server.stop();
     }
 
     /// Starts again some time after a poisonous call, unless somebody did so before.
--- a/crates/sagespool-testkit/tests/calls/mod.rs
+++ b/crates/sagespool-testkit/tests/calls/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code)]
 
-use std::future::{Future, IntoFuture};
+use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -76,23 +76,15 @@
     }
 }
 
-async fn plain_answer(sent: Conn) -> Result<PlainAnswer, String> {
-    let mut conn = sent.await.map_err(|error| error.to_string())?;
-    let status = conn.status().map_or(0, |status| status as u16);
-    let body = conn.response_body().read_string().await.map_err(|error| error.to_string())?;
-    Ok(PlainAnswer { status, body })
-}
-
 pub async fn get(address: SocketAddr, path: &str) -> Result<PlainAnswer, String> {
-    within(path, plain_answer(client().get(url(address, path)))).await
+    send("GET", address, path, &[], "").await
 }
 
 pub async fn post(address: SocketAddr, path: &str, body: &Value) -> Result<PlainAnswer, String> {
-    let conn = client().post(url(address, path)).with_body(body.to_string());
-    within(path, plain_answer(conn)).await
+    send("POST", address, path, &[], &body.to_string()).await
 }
 
-/// A call with headers.
+/// A call with headers; the error is that of a connection that broke or was refused.
 pub async fn send(
     method: &str,
     address: SocketAddr,
@@ -100,12 +92,25 @@
     headers: &[(&'static str, &str)],
     body: &str,
 ) -> Result<PlainAnswer, String> {
+    let mut conn = within(path, call(method, address, path, headers, body)).await?;
+    let status = conn.status().map_or(0, |status| status as u16);
+    let body = within(path, conn.response_body().read_string()).await;
+    Ok(PlainAnswer { status, body: body.map_err(|error| error.to_string())? })
+}
+
+async fn call(
+    method: &str,
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&'static str, &str)],
+    body: &str,
+) -> Result<Conn, String> {
     let method: trillium::Method = method.parse().expect("the method is known");
     let mut conn = client().build_conn(method, url(address, path)).with_body(body.to_owned());
     for (name, value) in headers {
         conn = conn.with_request_header(*name, value.to_string());
     }
-    within(path, plain_answer(conn)).await
+    conn.await.map_err(|error| error.to_string())
 }
 
 /// The body of a completion call.
@@ -197,12 +202,9 @@
     headers: &[(&'static str, &str)],
     body: &Value,
 ) -> Result<TokenStream, PlainAnswer> {
-    let mut conn = client().post(url(address, "/v1/chat/completions")).with_body(body.to_string());
-    for (name, value) in headers {
-        conn = conn.with_request_header(*name, value.to_string());
-    }
-    let mut conn =
-        within("the answer's head", conn.into_future()).await.expect("the engine answers");
+    let body = body.to_string();
+    let called = call("POST", address, "/v1/chat/completions", headers, &body);
+    let mut conn = within("the answer's head", called).await.expect("the engine answers");
     let status = conn.status().map_or(0, |status| status as u16);
     if status != 200 {
         let body = conn.response_body().read_string().await.expect("a refusal has a body");
--- a/crates/sagespool-testkit/tests/engine.rs
+++ b/crates/sagespool-testkit/tests/engine.rs
@@ -35,7 +35,7 @@
 }
 
 fn ends_of(engine: &EngineStand, marker: &str) -> Vec<RunEnd> {
-    let marker: RunMarker = marker.parse().unwrap();
+    let marker: RunMarker = marker.parse().expect("a marker");
     let runs = engine.witness().runs_of(&marker);
     runs.iter().filter_map(|run| run.ended).map(|(end, _)| end).collect()
 }
@@ -399,8 +399,8 @@
 
 async fn cache_events(engine: &EngineStand, query: &str) -> Vec<CacheEvent> {
     let path = format!("/cache-events?{query}");
-    let answer = get(engine.address(), &path).await.unwrap().json();
-    serde_json::from_value(answer["events"].clone()).unwrap()
+    let answer = get(engine.address(), &path).await.expect("an answer").json();
+    serde_json::from_value(answer["events"].clone()).expect("events")
 }
 
 #[test]
--- a/crates/sagespool-testkit/tests/plain_service.rs
+++ b/crates/sagespool-testkit/tests/plain_service.rs
@@ -23,7 +23,7 @@
 }
 
 fn marker(text: &str) -> RunMarker {
-    text.parse().unwrap()
+    text.parse().expect("a marker")
 }
 
 fn ends_of(service: &ServiceStand, text: &str) -> Vec<Option<RunEnd>> {
--- a/crates/sagespool-testkit/tests/weight_store.rs
+++ b/crates/sagespool-testkit/tests/weight_store.rs
@@ -16,7 +16,7 @@
         .burst(burst)
         .interval(interval)
         .build();
-    WeightStand::start(options).unwrap()
+    WeightStand::start(options).expect("a port is free")
 }
 
 #[test]
--- a/crates/sagespool-testkit/tests/witness_log.rs
+++ b/crates/sagespool-testkit/tests/witness_log.rs
@@ -5,12 +5,12 @@
 use sagespool_types::{BranchName, ClockTime, TokenCount};
 
 fn branch(name: &str) -> BranchName {
-    name.parse().unwrap()
+    name.parse().expect("a branch name")
 }
 
 fn start(marker: &str, prompt_tokens: u64) -> RunStart {
     RunStart {
-        upstream: "engine-1".parse().unwrap(),
+        upstream: "engine-1".parse().expect("an upstream name"),
         kind: UpstreamKind::Engine,
         request: None,
         attempt: None,
