Say more of the upstreams' contracts, and number their starts

The number of a load report or cache event is counted anew when an upstream starts again, so whoever asks for events after an old number would wait for ever. Answers now carry the start.

--- a/crates/sagespool-testkit/src/engine/http.rs
+++ b/crates/sagespool-testkit/src/engine/http.rs
@@ -146,6 +146,7 @@
     };
     let mut report = serde_json::to_value(load).expect("a load serializes to JSON");
     report["number"] = number.into();
+    report["start"] = json!(call.start);
     answer_json(conn, Status::Ok, &report)
 }
 
@@ -159,14 +160,18 @@
             call.engine.with_batch(call.start, |batch, _, now| batch.feed.after(after, now));
         let seen_at = match answer {
             Ok(FeedAnswer::Events(events)) => {
-                return answer_json(conn, Status::Ok, &json!({ "events": events }));
+                return answer_json(
+                    conn,
+                    Status::Ok,
+                    &json!({ "start": call.start, "events": events }),
+                );
             }
             Ok(FeedAnswer::NothingUntil(seen_at)) => seen_at,
             Err(gone) => return answer_gone(conn, gone),
         };
         let now = ClockTime::now();
         if now >= deadline {
-            return answer_json(conn, Status::Ok, &json!({ "events": [] }));
+            return answer_json(conn, Status::Ok, &json!({ "start": call.start, "events": [] }));
         }
         let look_at = seen_at.map_or(deadline, |seen_at| seen_at.min(deadline));
         let waited = future::or(grown, async {
--- a/crates/sagespool-testkit/src/fault_gate.rs
+++ b/crates/sagespool-testkit/src/fault_gate.rs
@@ -5,12 +5,13 @@
 
 use event_listener::Event;
 use futures_lite::future;
+use serde::Serialize;
 use smol::Timer;
 
 use crate::stand_server::lock;
 
 /// One start of a stand. Requests of an earlier start must not go on after a restart.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub(crate) struct StartNumber(u64);
 
 /// The stand crashed under a request.
--- a/crates/sagespool-testkit/src/plain_service/http.rs
+++ b/crates/sagespool-testkit/src/plain_service/http.rs
@@ -57,7 +57,8 @@
     let (number, load) = call.service.load_seen();
     let ServiceLoad { running, waiting, capacity } = load;
     let report = json!({
-        "number": number, "running": running, "waiting": waiting, "capacity": capacity,
+        "start": call.start, "number": number,
+        "running": running, "waiting": waiting, "capacity": capacity,
     });
     answer_json(conn, Status::Ok, &report)
 }
