--- a/crates/sagespool-entry/src/run/attempt.rs
+++ b/crates/sagespool-entry/src/run/attempt.rs
@@ -489,6 +489,10 @@
         if self.ran.is_some() || self.maybe_ran {
             return Judgement::Ended(self.give_up(notice.reason, notice.message));
         }
+        if notice.run_state == RunState::Unknown {
+            // The sidecar knows of a run under this charge or key: nothing may be given back for it.
+            return Judgement::Ended(AttemptEnd::Unsure { notice });
+        }
         Judgement::Ended(AttemptEnd::Refused { notice, ran: None })
     }
 
--- a/crates/sagespool-entry/src/state.rs
+++ b/crates/sagespool-entry/src/state.rs
@@ -136,6 +136,7 @@
     pub(crate) known_sidecars: Mutex<HashSet<IncarnationId>>,
     pub(crate) link: OnceLock<LinkEndpoint>,
     pub(crate) in_flight: AtomicU32,
+    abandoned: Mutex<HashMap<RequestId, ClockTime>>,
     pub(crate) leaving: AtomicBool,
     pub(crate) leave_told: Event,
 }
@@ -178,6 +179,7 @@
             known_sidecars: Mutex::default(),
             link: OnceLock::new(),
             in_flight: AtomicU32::new(0),
+            abandoned: Mutex::default(),
             leaving: AtomicBool::new(false),
             leave_told: Event::new(),
             config: ConfigHolder::default(),
@@ -223,6 +225,11 @@
         self.waiters.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Requests whose entries went to another home, and when they said so.
+    pub(crate) fn abandoned(&self) -> MutexGuard<'_, HashMap<RequestId, ClockTime>> {
+        self.abandoned.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Notes whether the store answered.
     pub(crate) fn note_store(&self, reached: bool, now: ClockTime) {
         let mut away = self.store_away.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/sagespool-entry/src/upkeep.rs
+++ b/crates/sagespool-entry/src/upkeep.rs
@@ -7,6 +7,8 @@
 
 use crate::state::EntryState;
 
+/// Longer than any request takes to be answered by a home that was paused when it came.
+const ABANDONED_KEPT: Duration = Duration::from_secs(600);
 const PERIOD: Duration = Duration::from_secs(5);
 
 /// Drops lapsed keys and unused limits, for the process's whole life.
@@ -16,5 +18,6 @@
         let now = ClockTime::now();
         state.keys.expire(now);
         state.limits.expire(now);
+        state.abandoned().retain(|_, at| now.since(*at) < ABANDONED_KEPT);
     }
 }
--- a/crates/sagespool-ledger/src/home.rs
+++ b/crates/sagespool-ledger/src/home.rs
@@ -9,7 +9,8 @@
     ChargeRecord, FinishReport, FinishState, ReserveRequest, ReservedCharge, SpendStatus,
 };
 use sagespool_types::{
-    BookNumber, BranchName, ChargeId, ClockTime, GrantId, IncarnationId, StoreRevision, TokenCount,
+    BookNumber, BranchName, ChargeId, ClockTime, GrantId, IncarnationId, RequestId, StoreRevision,
+    TokenCount,
 };
 
 use crate::grant::OpenCharge;
@@ -181,6 +182,24 @@
         }
     }
 
+    /// Gives back what is held for a request whose entry never got the answer and so dispatched
+    /// nothing; false if nothing is held for it.
+    pub fn abandon(&self, branch: &BranchName, request: RequestId) -> bool {
+        let mut shard = self.shard_of(branch);
+        let Some(purse) = shard.purses.get_mut(branch) else {
+            return false;
+        };
+        let mut held = false;
+        for grant in &mut purse.grants {
+            let open = grant.open.iter().filter(|(_, open)| open.request == request);
+            let sequences: Vec<_> = open.map(|(sequence, _)| *sequence).collect();
+            for sequence in sequences {
+                held |= grant.settle(sequence, TokenCount::ZERO);
+            }
+        }
+        held
+    }
+
     /// Notes that an entry is gone; returns its charges that no sidecar's word has settled yet.
     pub fn entry_gone(&self, entry: IncarnationId, now: ClockTime) -> Vec<OrphanCharge> {
         self.orphans(now, |open| open.entry == entry)
--- a/crates/sagespool-messages/src/reserve.rs
+++ b/crates/sagespool-messages/src/reserve.rs
@@ -108,6 +108,19 @@
     }
 }
 
+derives! { record;
+    /// An entry gives a reservation up whose answer it never got: it went to another home, and
+    /// nothing was dispatched under it.
+    pub struct AbandonNotice {
+        /// The request.
+        pub request: RequestId,
+        /// The branch.
+        pub branch: BranchName,
+        /// The caller's key, if it gave one.
+        pub key: Option<KeyDigest>,
+    }
+}
+
 derives! { record;
     /// A home asks another holder for unspent grants of a branch.
     pub struct RecallRequest {
--- a/crates/sagespool-sidecar/src/role/peers.rs
+++ b/crates/sagespool-sidecar/src/role/peers.rs
@@ -46,9 +46,8 @@
         | PeerRequest::Finish(_)
         | PeerRequest::ReportCharges(_)
         | PeerRequest::Recall(_)
-        | PeerRequest::ReportCrash(_) => {
-            PeerReply::Unsupported("this process is a sidecar".to_owned())
-        }
+        | PeerRequest::ReportCrash(_)
+        | PeerRequest::Abandon(_) => PeerReply::Unsupported("this process is a sidecar".to_owned()),
     };
     responder.reply(reply).await;
 }
