--- a/crates/sagespool-testkit/src/engine/http.rs
+++ b/crates/sagespool-testkit/src/engine/http.rs
@@ -8,17 +8,17 @@
 use sagespool_types::ClockTime;
 use serde_json::json;
 use smol::Timer;
-use trillium::{Conn, Handler, KnownHeaderName, Status};
+use trillium::{Body, Conn, Handler, KnownHeaderName, Status};
 use trillium_client::Client;
 use trillium_router::{Router, RouterConnExt};
 use trillium_smol::{ClientConfig, SmolRuntime};
 
 use super::EngineShared;
-use super::batch::{ArrivedRequest, SubmitRefusal};
+use super::batch::{ArrivedRequest, EngineBatch, RunNumber, SubmitRefusal};
 use super::cache::FeedAnswer;
 use super::orders::{EngineOrder, FencedOrder};
 use super::request::CompletionOrder;
-use super::stream::{AnswerBody, StreamPlan};
+use super::stream::{AnswerBody, RunStream, StreamPlan};
 use crate::fault_gate::{StandGone, StartNumber};
 use crate::http_answer::{answer_error, answer_json, attempt_of, header_text, query_number};
 use crate::stand_server::{connection_of, lock, peer_gone};
@@ -95,18 +95,26 @@
         key: header_text(&conn, "idempotency-key"),
         at: ClockTime::now(),
     };
-    let EngineCall { engine, start } = call;
-    let submitted = engine.with_batch(start, |batch, pace, now| batch.submit(arrived, pace, now));
-    let (number, stream) = match submitted {
-        Ok(Ok(submitted)) => submitted,
+    let submit = |batch: &mut EngineBatch, pace, now| batch.submit(arrived, pace, now);
+    match call.engine.with_batch(call.start, submit) {
+        Ok(Ok((number, stream))) => answer_stream(call, conn, number, stream, plan),
         Ok(Err(SubmitRefusal::UnknownModel)) => {
-            return answer_error(conn, Status::NotFound, "this engine doesn't serve the model");
+            answer_error(conn, Status::NotFound, "this engine doesn't serve the model")
         }
         Ok(Err(SubmitRefusal::QueueFull)) => {
-            return answer_error(conn, Status::TooManyRequests, "the queue is full");
+            answer_error(conn, Status::TooManyRequests, "the queue is full")
         }
-        Err(gone) => return answer_gone(conn, gone),
-    };
+        Err(gone) => answer_gone(conn, gone),
+    }
+}
+
+fn answer_stream(
+    call: EngineCall,
+    conn: Conn,
+    number: RunNumber,
+    stream: Arc<RunStream>,
+    plan: StreamPlan,
+) -> Conn {
     let connection = connection_of(&conn);
     let caller_gone = async move {
         match connection {
@@ -115,12 +123,15 @@
         }
     };
     let give_up = move || {
-        let _ = engine.with_batch(start, |batch, pace, now| batch.give_up(number, pace, now));
+        // A start that has ended has no run to give up.
+        let _ = call.engine.with_batch(call.start, |batch, pace, now| {
+            batch.give_up(number, pace, now);
+        });
     };
     let body = AnswerBody::new(stream, plan, caller_gone, give_up);
     conn.with_status(Status::Ok)
         .with_response_header(KnownHeaderName::ContentType, "text/event-stream")
-        .with_body(trillium::Body::new_streaming(body, None))
+        .with_body(Body::new_streaming(body, None))
         .halt()
 }
 
