Run suspects of a crash apart

Cause: in the poison scenario an innocent request was quarantined too (4 refusals for 3 poisonous requests): in flight on a crashed upstream, it was tried again beside the poisonous one, which took that upstream down as well. Suspects now run each on an upstream of its own, by their rank among all suspects.

--- a/crates/sagespool-entry/src/run/attempt.rs
+++ b/crates/sagespool-entry/src/run/attempt.rs
@@ -9,8 +9,8 @@
 use sagespool_log::log_event;
 use sagespool_messages::{
     CallTarget, CancelRequest, ChargeRecord, ClaimReply, ClaimRequest, CrashReport, DispatchEnd,
-    DispatchEvent, DispatchRequest, KeyState, PeerRequest, RefusalNotice, ReservedCharge,
-    ResumePoint, StopCause,
+    DispatchEvent, DispatchRequest, KeyState, MemberRole, PeerRequest, RefusalNotice,
+    ReservedCharge, ResumePoint, StopCause,
 };
 use sagespool_routing::{AttemptOutcome, AttemptResult, RouteChoice, RouteWish};
 use sagespool_types::{
@@ -175,6 +175,25 @@
             .build()
     }
 
+    /// Where a request goes that was in flight when an upstream went down. Suspects run apart, each
+    /// on an upstream of its own, so that the one that takes upstreams down does so alone, and the
+    /// others come through and are cleared. Nothing for any other request.
+    fn choose_apart(&self, now: ClockTime) -> Option<RouteChoice> {
+        let rank = self.state.crashes.rerun_rank(self.order.content)?;
+        let mut sidecars = self.state.members.live(MemberRole::Sidecar, now);
+        sidecars.retain(|member| {
+            let serves = member.serves.as_ref();
+            serves.is_some_and(|serves| serves.service == self.order.service && serves.healthy)
+                && !self.tried.contains(&member.incarnation)
+        });
+        sidecars.sort_by(|one, other| one.instance.cmp(&other.instance));
+        let chosen = sidecars.get(rank % sidecars.len().max(1))?.incarnation;
+        let mut wish = self.wish();
+        let others = sidecars.iter().map(|member| member.incarnation);
+        wish.exclude.extend(others.filter(|incarnation| *incarnation != chosen));
+        self.state.upstreams.choose(&wish, now)
+    }
+
     /// An upstream to try: one not tried yet, else any, after a short wait for one to come back.
     async fn choose(&mut self) -> Result<RouteChoice, AttemptEnd> {
         let started = ClockTime::now();
@@ -185,6 +204,9 @@
                     self.give_up(RefusalReason::DeadlineExceeded, "the deadline passed".into())
                 );
             }
+            if let Some(choice) = self.choose_apart(now) {
+                return Ok(choice);
+            }
             if let Some(choice) = self.state.upstreams.choose(&self.wish(), now) {
                 return Ok(choice);
             }
