Drive the ledger through interleaved faults and mend what they show

A model with three homes, one book, up to four sidecars and two entries takes random steps: lost answers, writes that land late, outages, paused homes that write old wishes, seals by several homes, restarts, late and repeated reports, top-ups, recalls, releases, leaving. After each step settled plus granted stays within prepaid, what ran under a grant stays within its amount, and what is settled is what ran, each charge once. Once all is quiet nothing is outstanding but what a lost witness alone could account for.

Found by the model, or while writing it, each with a named test now: - A write still on its way could make a grant after its home had left (or while it was idle, with nobody looking): the home now moves the version on first. `stuck_ask`, `stuck_ask_idle` - A sidecar's word settled a charge although its entry could still start a later attempt; the difference was freed and spent twice. A charge of a lost entry is settled only once all sidecars have sealed it. `whole_not_final`, `unknown_end` - A recovery settled what the first sidecars listed before it heard the others, and kept an earlier attempt's use for good. `unheard_sidecar` - The first of two sealers called charges durable that weren't settled. `sealed_twice` - A sidecar that died after listing a running request kept its recovery waiting for ever. `running_witness_dies` - Settling under doubt by number kept a holder that woke up from correcting it. What is known under doubt is now kept apart (`GrantRecord::known`) and billed by the release. `holder_wakes_up`, `release_bills_known` - A second recovery that didn't know of the lost witness could free what is in doubt. `doubt_stays` - A home with a charge whose witness is lost could never leave; the book now says that the rest is in doubt. `lost_witness`, `late_word` - A charge settled by another home's recovery was waited for. `settled_elsewhere`

New beside what there was: `HomeLedger::resolve_case`, `BookRecord::{recover, to_seal, sealed_by}`, `RecoveryCase::records`, `OrphanCharge::since`, `GrantRecord::{known, known_use, is_unaccounted}`.

--- a/crates/sagespool-ledger/src/account.rs
+++ b/crates/sagespool-ledger/src/account.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use sagespool_types::{CommandId, GrantId, IncarnationId, StoreRevision, TokenCount, derives};
+use sagespool_types::{
+    CommandId, GrantId, IncarnationId, SequenceNumber, StoreRevision, TokenCount, derives,
+};
 
 use crate::SequenceSet;
 
@@ -23,9 +25,13 @@
         /// Who sealed it, if its holder is believed dead.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         pub sealed_by: Option<IncarnationId>,
-        /// True if the sealer couldn't account for all of it: what isn't settled is in doubt.
+        /// True if not all of it can be accounted for: what isn't settled is in doubt.
         #[serde(default, skip_serializing_if = "std::ops::Not::not")]
         pub in_doubt: bool,
+        /// Under a grant in doubt: charges of which some use is known, but whose last attempt's
+        /// witness may be lost. They aren't settled; whoever releases the grant settles them so.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub known: Vec<(SequenceNumber, TokenCount)>,
     }
 }
 
@@ -34,6 +40,36 @@
     pub fn rest(&self) -> TokenCount {
         self.amount.less(self.settled)
     }
+
+    /// Settles a charge; false if it is settled already. What is settled never passes the amount.
+    pub(crate) fn settle(&mut self, sequence: SequenceNumber, used: TokenCount) -> bool {
+        if !self.charges.insert(sequence) {
+            return false;
+        }
+        self.settled = (self.settled + used).min(self.amount);
+        true
+    }
+
+    /// What is known to be used of what isn't settled.
+    pub fn known_use(&self) -> TokenCount {
+        let open = self.known.iter().filter(|(sequence, _)| !self.charges.contains(*sequence));
+        open.map(|(_, used)| *used).sum::<TokenCount>().min(self.rest())
+    }
+
+    /// Marks what isn't settled as in doubt, with what is known of it; false if that is known.
+    pub(crate) fn doubt(&mut self, known: Vec<(SequenceNumber, TokenCount)>) -> bool {
+        if self.in_doubt && self.known == known {
+            return false;
+        }
+        self.in_doubt = true;
+        self.known = known;
+        true
+    }
+
+    /// True if its holder doesn't account for it any more, as far as its book knows.
+    pub fn is_unaccounted(&self) -> bool {
+        self.in_doubt || self.sealed_by.is_some()
+    }
 }
 
 derives! { record;
--- a/crates/sagespool-ledger/src/book.rs
+++ b/crates/sagespool-ledger/src/book.rs
@@ -8,7 +8,7 @@
 use twox_hash::XxHash3_64;
 
 use crate::account::AppliedTopUp;
-use crate::{BranchAccount, GrantRecord};
+use crate::{BranchAccount, GrantRecord, RecoveryVerdict};
 
 /// The number of books; fixed, since changing it would move branches between objects.
 pub const BOOK_COUNT: u64 = 64;
@@ -57,7 +57,7 @@
     Released(TokenCount),
     /// There is no such grant; it was released, or settled, before.
     NoSuchGrant,
-    /// The grant isn't in doubt: its holder, or its recovery, still accounts for it.
+    /// The grant isn't in doubt: its holder accounts for it.
     NotInDoubt,
 }
 
@@ -70,7 +70,8 @@
     pub settled: TokenCount,
     /// Outstanding under grants of holders that account for it: the spend is at most this more.
     pub granted: TokenCount,
-    /// Outstanding under grants nobody can account for.
+    /// Outstanding under grants that nobody accounts for: sealed and being recovered, or with a
+    /// witness lost.
     pub in_doubt: TokenCount,
     /// Free to be granted.
     pub free: TokenCount,
@@ -115,8 +116,9 @@
             ..SpendBounds::default()
         };
         for grant in account.grants.values() {
-            if grant.in_doubt {
-                bounds.in_doubt += grant.rest();
+            if grant.is_unaccounted() {
+                bounds.settled += grant.known_use();
+                bounds.in_doubt += grant.rest().less(grant.known_use());
             } else {
                 bounds.granted += grant.rest();
             }
@@ -132,11 +134,32 @@
     pub fn outstanding_of(
         &self,
         dead: impl Fn(IncarnationId) -> bool,
+    ) -> Vec<(BranchName, GrantId)> {
+        self.grants_where(|grant, _| dead(grant.holder))
+    }
+
+    /// The grants that a process has to seal: their holder is dead, and nobody who lives recovers
+    /// them yet. Those in doubt wait for an operator.
+    pub fn to_seal(&self, dead: impl Fn(IncarnationId) -> bool) -> Vec<(BranchName, GrantId)> {
+        self.grants_where(|grant, record| {
+            let recovered = record.sealed_by.is_some_and(|sealer| !dead(sealer));
+            dead(grant.holder) && !recovered && !record.in_doubt
+        })
+    }
+
+    /// The grants that a process has sealed and has to account for.
+    pub fn sealed_by(&self, own: IncarnationId) -> Vec<(BranchName, GrantId)> {
+        self.grants_where(|_, record| record.sealed_by == Some(own) && !record.in_doubt)
+    }
+
+    fn grants_where(
+        &self,
+        fits: impl Fn(&GrantId, &GrantRecord) -> bool,
     ) -> Vec<(BranchName, GrantId)> {
         let mut found = Vec::new();
         for (branch, account) in &self.branches {
-            let grants = account.grants.keys().filter(|grant| dead(grant.holder));
-            found.extend(grants.map(|grant| (branch.clone(), *grant)));
+            let grants = account.grants.iter().filter(|(grant, record)| fits(grant, record));
+            found.extend(grants.map(|(grant, _)| (branch.clone(), *grant)));
         }
         found
     }
@@ -160,45 +183,70 @@
     /// Settles a charge of an outstanding grant; false if it is settled already or its grant is
     /// closed. What is settled never passes the grant's amount.
     pub fn settle(&mut self, branch: &BranchName, charge: &ChargeId, used: TokenCount) -> bool {
-        let Some(record) = self.grant_mut(branch, &charge.grant) else {
-            return false;
-        };
-        if !record.charges.insert(charge.sequence) {
-            return false;
-        }
-        record.settled = (record.settled + used).min(record.amount);
-        true
+        let record = self.grant_mut(branch, &charge.grant);
+        record.is_some_and(|record| record.settle(charge.sequence, used))
     }
 
-    /// Closes a grant whose every charge is settled; false if it is closed already.
+    /// Closes a sealed grant whose every charge is settled; false if it is closed already, or in
+    /// doubt: what a lost witness ran doesn't become known by asking the others again.
     pub fn close(&mut self, branch: &BranchName, grant: &GrantId) -> bool {
         let Some(account) = self.branches.get_mut(branch) else {
             return false;
         };
-        let found = account.grants.contains_key(grant);
-        account.close(grant);
-        found
+        let closable = account.grants.get(grant).is_some_and(|record| !record.in_doubt);
+        if closable {
+            account.close(grant);
+        }
+        closable
     }
 
     /// Marks what is left of a sealed grant as in doubt; false if it is marked already.
     pub fn doubt(&mut self, branch: &BranchName, grant: &GrantId) -> bool {
+        let record = self.grant_mut(branch, grant);
+        record.is_some_and(|record| record.doubt(record.known.clone()))
+    }
+
+    /// Does what the recovery of a sealed grant came to; false if that changes nothing.
+    pub fn recover(
+        &mut self,
+        branch: &BranchName,
+        grant: &GrantId,
+        verdict: &RecoveryVerdict,
+    ) -> bool {
         let Some(record) = self.grant_mut(branch, grant) else {
             return false;
         };
-        !std::mem::replace(&mut record.in_doubt, true)
+        let changed = match verdict {
+            RecoveryVerdict::Close(settled) | RecoveryVerdict::Wait(settled) => {
+                let new =
+                    settled.iter().filter(|(charge, used)| record.settle(charge.sequence, *used));
+                new.count() > 0
+            }
+            RecoveryVerdict::Doubt(known) => {
+                let known = known.iter().map(|(charge, used)| (charge.sequence, *used));
+                record.doubt(known.collect())
+            }
+        };
+        let closed = matches!(verdict, RecoveryVerdict::Close(_)) && self.close(branch, grant);
+        changed || closed
     }
 
-    /// Releases what is in doubt under a grant, by an operator's explicit order: the operator vouches
-    /// that nothing unaccounted ran under it.
+    /// Releases what nobody accounts for under a grant, by an operator's explicit order: the operator
+    /// vouches that nothing else than what is known ran, or will run, under it.
     pub fn release(&mut self, branch: &BranchName, grant: &GrantId) -> ReleaseOutcome {
-        let Some(record) = self.grant_mut(branch, grant) else {
+        let Some(account) = self.branches.get_mut(branch) else {
             return ReleaseOutcome::NoSuchGrant;
         };
-        if !record.in_doubt {
+        let Some(record) = account.grants.get(grant) else {
+            return ReleaseOutcome::NoSuchGrant;
+        };
+        if !record.is_unaccounted() {
             return ReleaseOutcome::NotInDoubt;
         }
-        let rest = record.rest();
-        self.close(branch, grant);
+        let known = record.known_use();
+        let rest = record.rest().less(known);
+        account.settled += known;
+        account.close(grant);
         ReleaseOutcome::Released(rest)
     }
 }
--- a/crates/sagespool-ledger/src/grant.rs
+++ b/crates/sagespool-ledger/src/grant.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::GrantRecord;
+use crate::recovery::rank;
 
 /// A reservation that isn't settled yet.
 #[derive(Debug, Clone)]
@@ -22,8 +23,12 @@
     pub(crate) deadline: ClockTime,
     /// What sidecars witnessed: the highest attempt.
     pub(crate) evidence: Option<ChargeRecord>,
-    /// True once the entry can't tell any more: the sidecars' word counts.
+    /// The revision of its grant that it was handed out with.
+    pub(crate) revision: StoreRevision,
+    /// True once the entry can't tell any more: the sidecars have to be asked.
     pub(crate) entry_gone: bool,
+    /// True once a sidecar that may have run it is gone for good: what it used can't be known.
+    pub(crate) lost: bool,
     /// When it was last handed out to be looked into.
     pub(crate) asked: Option<ClockTime>,
 }
@@ -31,24 +36,15 @@
 impl OpenCharge {
     /// Takes in what a sidecar witnessed; an older attempt, or an older word on the same, is nothing.
     pub(crate) fn witness(&mut self, record: &ChargeRecord) {
-        let newer = match &self.evidence {
-            None => true,
-            Some(known) => {
-                (record.attempt, record.ended, record.used)
-                    > (known.attempt, known.ended, known.used)
-            }
-        };
-        if newer {
+        if self.evidence.as_ref().is_none_or(|known| rank(record) > rank(known)) {
             self.evidence = Some(record.clone());
         }
     }
 
-    /// What the sidecars' word alone settles, if it does: an answer that came whole has no later
-    /// attempt; any other end counts only once no entry is left to try again.
-    pub(crate) fn settled_by_evidence(&self) -> Option<TokenCount> {
-        let record = self.evidence.as_ref()?;
-        let final_word = record.ended && (record.whole || self.entry_gone);
-        final_word.then_some(record.used)
+    /// What is known to be used at the least.
+    fn known_use(&self) -> TokenCount {
+        let known = self.evidence.as_ref().map_or(TokenCount::ZERO, |record| record.used);
+        known.min(self.reserved)
     }
 }
 
@@ -56,7 +52,7 @@
 #[derive(Debug)]
 pub(crate) struct HeldGrant {
     pub(crate) id: GrantId,
-    /// The store's revision at which it was first seen in its book, unsealed.
+    /// A version of its book at which it was there, unsealed.
     pub(crate) revision: StoreRevision,
     /// What may be spent in all; lowered at once when some is to be given back.
     pub(crate) amount: TokenCount,
@@ -72,6 +68,8 @@
     pub(crate) unsettled: BTreeMap<SequenceNumber, TokenCount>,
     /// Nothing new is reserved from it, and it is closed once nothing is open.
     pub(crate) closing: bool,
+    /// True if its book says that some of it is in doubt.
+    pub(crate) in_doubt: bool,
     pub(crate) last_used: ClockTime,
 }
 
@@ -93,6 +91,7 @@
             open: HashMap::new(),
             unsettled: BTreeMap::new(),
             closing: false,
+            in_doubt: record.in_doubt,
             last_used: now,
         }
     }
@@ -137,11 +136,79 @@
         true
     }
 
-    /// Gives the unspent part back. Nothing is reserved from it from now on, so the book's amount may
-    /// be lowered at any later time, also by a write whose answer is lost.
+    /// True if nothing under it will change by itself any more.
+    pub(crate) fn is_done(&self) -> bool {
+        self.closing && self.open.values().all(|open| open.lost)
+    }
+
+    /// True if only an operator's release is awaited.
+    pub(crate) fn is_left_in_doubt(&self) -> bool {
+        self.is_done() && self.in_doubt && !self.open.is_empty()
+    }
+
+    /// Gives up on a charge whose witness is gone for good. Its whole reservation stays held.
+    pub(crate) fn lose(&mut self, sequence: SequenceNumber) {
+        if let Some(open) = self.open.get_mut(&sequence) {
+            open.lost = true;
+            self.closing = true;
+            self.shrink();
+        }
+    }
+
+    /// Puts what ended into the grant's record; true if that changed it. Each charge is found by its
+    /// number, so that one put in before counts once.
+    pub(crate) fn settle_into(&self, record: &mut GrantRecord) -> bool {
+        let mut changed = false;
+        for (sequence, used) in &self.unsettled {
+            changed |= record.settle(*sequence, *used);
+        }
+        // Only ever lowered: `amount` was lowered here before anything of this is written, so what
+        // is returned isn't reserved from, however late the write takes effect.
+        if self.amount < record.amount {
+            record.amount = self.amount.max(record.settled);
+            changed = true;
+        }
+        changed
+    }
+
+    /// What is known of the charges whose witness is lost.
+    pub(crate) fn known_uses(&self) -> Vec<(SequenceNumber, TokenCount)> {
+        let mut known: Vec<_> =
+            self.open.iter().map(|(sequence, open)| (*sequence, open.known_use())).collect();
+        known.sort_unstable();
+        known
+    }
+
+    /// Takes in its record as it is in the store.
+    pub(crate) fn observe(&mut self, record: &GrantRecord) {
+        self.unsettled.retain(|sequence, _| !record.charges.contains(*sequence));
+        self.stored_amount = record.amount;
+        self.in_doubt = record.in_doubt;
+        // Sealed while this process was paused or cut off: sidecars start nothing more under it, and
+        // a recovery may have settled charges that are open here.
+        self.closing |= record.sealed_by.is_some();
+        let elsewhere: Vec<_> = self
+            .open
+            .keys()
+            .copied()
+            .filter(|sequence| record.charges.contains(*sequence))
+            .collect();
+        for sequence in elsewhere {
+            self.settle(sequence, TokenCount(u64::MAX));
+            self.unsettled.remove(&sequence);
+        }
+    }
+
+    /// Gives up to `most` of the unspent part back. Nothing is reserved from that from now on, so the
+    /// book's amount may be lowered at any later time, also by a write whose answer is lost.
+    pub(crate) fn give_back(&mut self, most: TokenCount) -> TokenCount {
+        let given = self.unspent().min(most);
+        self.amount = self.amount.less(given);
+        given
+    }
+
+    /// Gives all of the unspent part back.
     pub(crate) fn shrink(&mut self) -> TokenCount {
-        let unspent = self.unspent();
-        self.amount = self.amount.less(unspent);
-        unspent
+        self.give_back(TokenCount(u64::MAX))
     }
 }
--- a/crates/sagespool-ledger/src/home.rs
+++ b/crates/sagespool-ledger/src/home.rs
@@ -15,7 +15,8 @@
 use crate::grant::OpenCharge;
 use crate::purse::{AskMoment, BranchPurse};
 use crate::{
-    BOOK_COUNT, BookRecord, BudgetMode, HeldBack, LedgerPolicy, OrphanCharge, SequenceSet, book_of,
+    BOOK_COUNT, BookRecord, BudgetMode, HeldBack, LedgerPolicy, OrphanCharge, RecoveryCase,
+    RecoveryVerdict, SequenceSet, book_of,
 };
 
 /// Why a reservation isn't possible from what the home holds.
@@ -103,7 +104,9 @@
             entry: order.entry,
             deadline: now.after(order.time_left),
             evidence: None,
+            revision: StoreRevision::ZERO,
             entry_gone: false,
+            lost: false,
             asked: None,
         };
         if let Some((charge, grant_revision)) = purse.reserve(&order.class, open, &self.policy, now)
@@ -148,42 +151,39 @@
             FinishState::Unknown => {
                 if let Some(open) = grant.open.get_mut(&sequence) {
                     open.entry_gone = true;
-                    if let Some(used) = open.settled_by_evidence() {
-                        grant.settle(sequence, used);
-                    }
                 }
             }
         }
     }
 
-    /// Takes in what a sidecar witnessed.
+    /// Takes in what a sidecar witnessed: the least that a charge used, should its witness be lost.
     pub fn witness(&self, record: &ChargeRecord, _now: ClockTime) {
         let mut shard = self.shard_of(&record.branch);
         let purse = shard.purses.get_mut(&record.branch);
         let Some(grant) = purse.and_then(|purse| purse.grant_mut(&record.charge.grant)) else {
             return;
         };
-        let sequence = record.charge.sequence;
-        let Some(open) = grant.open.get_mut(&sequence) else {
-            return;
-        };
-        open.witness(record);
-        if let Some(used) = open.settled_by_evidence() {
-            grant.settle(sequence, used);
+        if let Some(open) = grant.open.get_mut(&record.charge.sequence) {
+            open.witness(record);
         }
     }
 
-    /// Notes that an entry is gone; returns its charges that no sidecar's word has settled yet.
+    /// Notes that an entry is gone; returns its charges, to be sealed at the sidecars.
+    ///
+    /// What sidecars reported so far settles none of them. An entry that was only cut off, or whose
+    /// dispatch is still on its way, may start another attempt, even after one whose whole answer it
+    /// didn't get; until every sidecar refuses the charge, its reservation is held.
     pub fn entry_gone(&self, entry: IncarnationId, now: ClockTime) -> Vec<OrphanCharge> {
         self.orphans(now, |open| open.entry == entry)
     }
 
-    /// Charges that should have ended long ago by their deadline: their entry lost the word, or never
-    /// had the reservation's answer.
+    /// Charges to ask the sidecars about: their entry said that it can't tell, or they should have
+    /// ended long ago by their deadline, since their entry lost the word or never had the
+    /// reservation's answer. Each comes up again until it is resolved.
     pub fn overdue(&self, now: ClockTime) -> Vec<OrphanCharge> {
         let grace = self.policy.overdue_after;
         self.orphans(now, |open| {
-            let late = now.since(open.deadline) >= grace;
+            let late = open.entry_gone || now.since(open.deadline) >= grace;
             late && open.asked.is_none_or(|asked| now.since(asked) >= grace)
         })
     }
@@ -194,27 +194,20 @@
             let mut shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
             for (branch, purse) in &mut shard.purses {
                 for grant in &mut purse.grants {
-                    let mut settled = Vec::new();
                     for (sequence, open) in &mut grant.open {
-                        if !concerns(open) {
+                        if open.lost || !concerns(open) {
                             continue;
                         }
                         open.entry_gone = true;
                         open.asked = Some(now);
-                        if let Some(used) = open.settled_by_evidence() {
-                            settled.push((*sequence, used));
-                            continue;
-                        }
                         let charge = ChargeId { grant: grant.id, sequence: *sequence };
                         orphans.push(OrphanCharge {
                             branch: branch.clone(),
                             charge,
                             request: open.request,
+                            since: open.revision.less(StoreRevision(1)),
                         });
                     }
-                    for (sequence, used) in settled {
-                        grant.settle(sequence, used);
-                    }
                 }
             }
         }
@@ -229,6 +222,39 @@
         grant.is_some_and(|grant| grant.settle(charge.sequence, used))
     }
 
+    /// Ends orphaned charges of one grant, as far as the sidecars that have sealed them account for
+    /// them; false if some have to be asked again. Where a witness is lost, the charges' reservations
+    /// stay held, and the book will say that they are in doubt.
+    pub fn resolve_case(&self, case: &RecoveryCase, charges: &[ChargeId]) -> bool {
+        let mut shard = self.shard_of(&case.branch);
+        let purse = shard.purses.get_mut(&case.branch);
+        let Some(grant) = purse.and_then(|purse| purse.grant_mut(&case.grant)) else {
+            return true;
+        };
+        for record in case.records() {
+            if let Some(open) = grant.open.get_mut(&record.charge.sequence) {
+                open.witness(record);
+            }
+        }
+        let own = charges.iter().filter(|charge| charge.grant == case.grant);
+        let (settled, whole) = match case.verdict() {
+            RecoveryVerdict::Close(settled) => (settled, true),
+            RecoveryVerdict::Wait(settled) => (settled, false),
+            RecoveryVerdict::Doubt(_) => {
+                own.for_each(|charge| grant.lose(charge.sequence));
+                return true;
+            }
+        };
+        let settled: BTreeMap<_, _> = settled.into_iter().collect();
+        for charge in own {
+            match settled.get(charge) {
+                Some(used) => grant.settle(charge.sequence, *used),
+                None => whole && grant.settle(charge.sequence, TokenCount::ZERO),
+            };
+        }
+        whole
+    }
+
     /// Books whose turn has come to be written.
     pub fn books_due(&self, now: ClockTime) -> Vec<BookNumber> {
         let mut due = Vec::new();
@@ -275,7 +301,8 @@
         let holder = self.incarnation;
         let mut new_id =
             || GrantId { holder, number: self.next_grant.fetch_add(1, Ordering::Relaxed) };
-        let asking = AskMoment { base, seen: seen.max(base), now };
+        let leaving = self.leaving.load(Ordering::Relaxed);
+        let asking = AskMoment { base, seen: seen.max(base), now, leaving };
         let mut changed = false;
         for (branch, purse) in &mut shard.purses {
             let Some(account) = record.branches.get_mut(branch) else {
@@ -315,6 +342,10 @@
             for (id, grant) in &account.grants {
                 if grant.sealed_by == Some(own) {
                     shard.sealed.insert(*id);
+                }
+                // Another may have sealed it again meanwhile: as long as it is outstanding, what
+                // isn't settled is needed by whoever recovers it.
+                if shard.sealed.contains(id) {
                     shard.outstanding.insert(*id, grant.charges.clone());
                 }
             }
--- a/crates/sagespool-ledger/src/purse.rs
+++ b/crates/sagespool-ledger/src/purse.rs
@@ -30,6 +30,8 @@
     pub charge: ChargeId,
     /// The request.
     pub request: RequestId,
+    /// A revision of the store before anything could run under the charge.
+    pub since: StoreRevision,
 }
 
 /// A grant that a write asked for whose outcome may not be known.
@@ -49,6 +51,8 @@
     /// The newest revision of the whole store seen.
     pub(crate) seen: StoreRevision,
     pub(crate) now: ClockTime,
+    /// True if nothing new is wanted any more.
+    pub(crate) leaving: bool,
 }
 
 /// What requests wait for.
@@ -63,7 +67,6 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct BookView {
     pub(crate) free: TokenCount,
-    pub(crate) prepaid: TokenCount,
     pub(crate) others: Vec<(GrantId, IncarnationId, TokenCount)>,
     pub(crate) seen: bool,
 }
@@ -126,13 +129,15 @@
         now: ClockTime,
     ) -> Option<(ChargeId, StoreRevision)> {
         let amount = open.reserved;
+        let mut open = open;
         if self.missing(class, amount) > TokenCount::ZERO {
             return None;
         }
         let grant =
             self.grants.iter_mut().find(|grant| grant.available() >= amount && !grant.closing)?;
-        let charge = grant.reserve(open, now);
         let revision = grant.revision;
+        open.revision = revision;
+        let charge = grant.reserve(open, now);
         if policy.mode == BudgetMode::EachRequest {
             grant.closing = true;
         }
@@ -178,9 +183,10 @@
     /// True if a write would bring something, apart from waiting requests, who ask by themselves.
     pub(crate) fn wants_write(&self, policy: &LedgerPolicy, now: ClockTime) -> bool {
         let to_settle = self.grants.iter().any(|grant| !grant.unsettled.is_empty());
-        let to_close = self.grants.iter().any(|grant| grant.closing && grant.open.is_empty());
+        let to_close = self.grants.iter().any(|grant| grant.is_done() && !grant.is_left_in_doubt());
         let to_return = self.grants.iter().any(|grant| grant.amount < grant.stored_amount);
-        to_settle || to_close || to_return || self.runs_low(policy, now)
+        let to_find = !self.asked.is_empty();
+        to_settle || to_close || to_return || to_find || self.runs_low(policy, now)
     }
 
     /// True if the grants last for less than half the time they should, and the book has more.
@@ -212,8 +218,12 @@
         policy: &LedgerPolicy,
         new_id: &mut dyn FnMut() -> GrantId,
     ) -> bool {
-        let AskMoment { base, seen, now } = asking;
+        let AskMoment { base, seen, now, leaving } = asking;
         let mut changed = self.apply_held(account);
+        changed |= self.awaits_write(base);
+        if leaving {
+            return changed;
+        }
         let Some((least, aim)) = self.wish(account, policy, now) else {
             return changed;
         };
@@ -237,31 +247,35 @@
             asked_at: seen,
             sealed_by: None,
             in_doubt: false,
+            known: Vec::new(),
         };
         account.grants.insert(id, record);
         true
     }
 
+    /// True if a write of this home that was based on the book's present version may still be on its
+    /// way. Its grant would take effect with nobody left who knows of it, and its amount would be
+    /// neither spent nor returned. A write that changes nothing but the version makes it fail.
+    fn awaits_write(&self, base: StoreRevision) -> bool {
+        self.asked.iter().any(|asked| asked.base == base)
+    }
+
     fn apply_held(&self, account: &mut BranchAccount) -> bool {
         let mut changed = false;
         for grant in &self.grants {
             let Some(record) = account.grants.get_mut(&grant.id) else {
                 continue;
             };
-            for (sequence, used) in &grant.unsettled {
-                if record.charges.insert(*sequence) {
-                    record.settled = (record.settled + *used).min(record.amount);
-                    changed = true;
-                }
-            }
-            if grant.amount < record.amount {
-                record.amount = grant.amount.max(record.settled);
-                changed = true;
+            changed |= grant.settle_into(record);
+            if !grant.is_done() {
+                continue;
             }
-            if grant.closing && grant.open.is_empty() {
-                account.close(&grant.id);
-                changed = true;
+            if !grant.open.is_empty() {
+                changed |= record.doubt(grant.known_uses());
+                continue;
             }
+            account.close(&grant.id);
+            changed = true;
         }
         changed
     }
@@ -314,7 +328,7 @@
             if given >= wanted {
                 break;
             }
-            given += grant.shrink();
+            given += grant.give_back(wanted.less(given));
         }
         given
     }
@@ -337,10 +351,11 @@
         let others = account.grants.iter().filter(|(id, _)| id.holder != own);
         self.view = BookView {
             free: account.free(),
-            prepaid: account.prepaid,
             others: others.map(|(id, record)| (*id, id.holder, record.rest())).collect(),
             seen: true,
         };
+        // In this order: a grant that was sealed before this home heard of it is taken in, found
+        // sealed, and handed back without anything having been reserved from it.
         self.observe_asked(account, version, now);
         self.observe_held(account);
     }
@@ -348,9 +363,6 @@
     fn observe_asked(&mut self, account: &BranchAccount, version: StoreRevision, now: ClockTime) {
         for asked in std::mem::take(&mut self.asked) {
             match account.grants.get(&asked.id) {
-                // Sealed before this home knew of it: it was believed dead. The sealer accounts for
-                // the grant; nothing ran under it.
-                Some(record) if record.sealed_by.is_some() => {}
                 Some(record) => self.adopt(HeldGrant::new(asked.id, record, version, now)),
                 None if version > asked.base => {}
                 None => self.asked.push(asked),
@@ -378,10 +390,7 @@
                 *spent_closed += grant.used;
                 return false;
             };
-            grant.unsettled.retain(|sequence, _| !record.charges.contains(*sequence));
-            grant.stored_amount = record.amount;
-            // Sealed while this process was paused or cut off: sidecars start nothing more under it.
-            grant.closing |= record.sealed_by.is_some();
+            grant.observe(record);
             true
         });
     }
@@ -392,7 +401,7 @@
     }
 
     pub(crate) fn is_empty(&self) -> bool {
-        self.grants.is_empty() && self.asked.is_empty()
+        self.grants.iter().all(HeldGrant::is_left_in_doubt) && self.asked.is_empty()
     }
 
     pub(crate) fn status(&self, branch: &BranchName) -> SpendStatus {
--- a/crates/sagespool-ledger/src/recovery.rs
+++ b/crates/sagespool-ledger/src/recovery.rs
@@ -1,4 +1,4 @@
-//! Accounting for the grant of a dead holder, from what sidecars list.
+//! Accounting for what ran, from what sidecars list once they have sealed it.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -7,18 +7,27 @@
     BranchName, ChargeId, GrantId, IncarnationId, SequenceNumber, StoreRevision, TokenCount,
 };
 
-/// What is to be done with a sealed grant now.
+/// What is to be done with a sealed grant now: [`crate::BookRecord::recover`] does it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RecoveryVerdict {
     /// Everything is accounted for: settle these and close the grant.
     Close(Vec<(ChargeId, TokenCount)>),
-    /// Settle these; some still run, or a sidecar hasn't answered yet. Ask again.
+    /// Settle these, which are final; some still run, or a sidecar hasn't answered yet. Ask again.
     Wait(Vec<(ChargeId, TokenCount)>),
-    /// Settle these; what a lost witness may have run can't be known, so the rest is in doubt.
+    /// What a lost witness may have run can't be known, so what isn't settled is in doubt. These are
+    /// known; they aren't final, since the lost one may have run later attempts, and are settled by
+    /// an operator's release.
     Doubt(Vec<(ChargeId, TokenCount)>),
 }
 
-/// The recovery of one sealed grant.
+/// A charge as the sidecar of its last known attempt listed it.
+#[derive(Debug, Clone)]
+struct ListedCharge {
+    sidecar: IncarnationId,
+    record: ChargeRecord,
+}
+
+/// The recovery of one sealed grant, or of sealed charges of one grant.
 #[derive(Debug, Clone)]
 pub struct RecoveryCase {
     /// The branch.
@@ -28,22 +37,33 @@
     asked_at: StoreRevision,
     /// Sidecars that could have run something under it and haven't answered.
     missing: BTreeSet<IncarnationId>,
-    /// True if one that answered, or is gone, can't speak for the grant's whole life.
+    /// Sidecars that are gone for good.
+    gone: BTreeSet<IncarnationId>,
+    /// True if one that answered, or is gone, can't speak for the whole time.
     lost_witness: bool,
-    charges: BTreeMap<SequenceNumber, ChargeRecord>,
+    charges: BTreeMap<SequenceNumber, ListedCharge>,
 }
 
 impl RecoveryCase {
-    /// A case that has heard nobody yet. `asked_at` is the book's version that the grant was asked
-    /// on; `sidecars` are all that could have run something under it.
+    /// A case that has heard nobody yet. Nothing can have run before the store's revision `asked_at`:
+    /// [`crate::GrantRecord::asked_at`] for a whole grant, [`crate::OrphanCharge::since`] for charges.
+    /// `sidecars` are all that could have run something: every one that was there at that revision
+    /// or later, gone or not. A list that misses one frees what that one ran.
     pub fn new(
         branch: BranchName,
         grant: GrantId,
         asked_at: StoreRevision,
         sidecars: impl IntoIterator<Item = IncarnationId>,
     ) -> Self {
-        let missing = sidecars.into_iter().collect();
-        Self { branch, grant, asked_at, missing, lost_witness: false, charges: BTreeMap::new() }
+        Self {
+            branch,
+            grant,
+            asked_at,
+            missing: sidecars.into_iter().collect(),
+            gone: BTreeSet::new(),
+            lost_witness: false,
+            charges: BTreeMap::new(),
+        }
     }
 
     /// Adds sidecars heard of meanwhile.
@@ -56,6 +76,11 @@
         self.missing.iter().copied()
     }
 
+    /// What sidecars listed: of each charge the last attempt known.
+    pub fn records(&self) -> impl Iterator<Item = &ChargeRecord> {
+        self.charges.values().map(|listed| &listed.record)
+    }
+
     /// Takes in a sidecar's list. One that started after the grant was asked for can't say what its
     /// predecessor beside the same upstream ran under it.
     pub fn take_reply(&mut self, reply: &SealReply) {
@@ -63,36 +88,61 @@
         let saw_all = reply.started_at.is_some_and(|started| started <= self.asked_at);
         self.lost_witness |= !saw_all;
         for record in &reply.charges {
-            self.take_charge(record);
+            self.take_charge(reply.sidecar, record);
         }
     }
 
-    fn take_charge(&mut self, record: &ChargeRecord) {
-        let known = self.charges.get(&record.charge.sequence);
-        let rank = |record: &ChargeRecord| (record.attempt, record.ended, record.used);
-        if known.is_none_or(|known| rank(record) > rank(known)) {
-            self.charges.insert(record.charge.sequence, record.clone());
+    fn take_charge(&mut self, sidecar: IncarnationId, record: &ChargeRecord) {
+        if record.charge.grant != self.grant {
+            return;
+        }
+        let sequence = record.charge.sequence;
+        let known = self.charges.get(&sequence);
+        if known.is_none_or(|known| rank(record) > rank(&known.record)) {
+            self.charges.insert(sequence, ListedCharge { sidecar, record: record.clone() });
         }
     }
 
-    /// Notes that a sidecar is gone for good: what it ran and didn't report can't be known.
+    /// Notes that a sidecar is gone for good: what it ran and didn't list can't be known, nor how an
+    /// attempt ended that it listed as running.
     pub fn give_up(&mut self, sidecar: IncarnationId) {
-        if self.missing.remove(&sidecar) {
-            self.lost_witness = true;
-        }
+        self.gone.insert(sidecar);
+        let unheard = self.missing.remove(&sidecar);
+        let runs = |listed: &ListedCharge| listed.sidecar == sidecar && !listed.record.ended;
+        self.lost_witness |= unheard || self.charges.values().any(runs);
+    }
+
+    /// True if an attempt may still run at a sidecar that will tell how it ends.
+    fn still_runs(&self) -> bool {
+        let runs =
+            |listed: &ListedCharge| !listed.record.ended && !self.gone.contains(&listed.sidecar);
+        self.charges.values().any(runs)
     }
 
     /// What is to be done now.
+    ///
+    /// Nothing is settled before every sidecar was heard. One that wasn't may have run a later
+    /// attempt under a charge that another lists as ended; settled by number, the charge would keep
+    /// the earlier attempt's use, and closing the grant would free what the later one spent.
     pub fn verdict(&self) -> RecoveryVerdict {
-        let ended = self.charges.values().filter(|record| record.ended);
-        let settled = ended.map(|record| (record.charge, record.used)).collect();
-        let running = self.charges.values().any(|record| !record.ended);
-        if running || !self.missing.is_empty() {
-            return RecoveryVerdict::Wait(settled);
+        if !self.missing.is_empty() {
+            return RecoveryVerdict::Wait(Vec::new());
         }
-        if self.lost_witness {
-            return RecoveryVerdict::Doubt(settled);
+        match (self.lost_witness, self.still_runs()) {
+            (true, true) => RecoveryVerdict::Wait(Vec::new()),
+            (true, false) => RecoveryVerdict::Doubt(self.uses(|_| true)),
+            (false, true) => RecoveryVerdict::Wait(self.uses(|record| record.ended)),
+            (false, false) => RecoveryVerdict::Close(self.uses(|record| record.ended)),
         }
-        RecoveryVerdict::Close(settled)
     }
+
+    fn uses(&self, fits: impl Fn(&ChargeRecord) -> bool) -> Vec<(ChargeId, TokenCount)> {
+        let records = self.records().filter(|record| fits(record));
+        records.map(|record| (record.charge, record.used)).collect()
+    }
+}
+
+/// Of two records of a charge, the higher is the later word.
+pub(crate) fn rank(record: &ChargeRecord) -> impl Ord + use<> {
+    (record.attempt, record.ended, record.used)
 }
--- /dev/null
+++ b/crates/sagespool-ledger/tests/model/checks.rs
@@ -0,0 +1,189 @@
+//! What must hold after every step, and once all is quiet.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use sagespool_ledger::{BranchAccount, GrantRecord};
+use sagespool_types::{BranchName, GrantId, IncarnationId};
+
+use super::store::WriteFate;
+use super::world::{ProcessState, World};
+
+/// Writes that a home needs at most to hand everything back.
+const MOST_WRITES: usize = 6;
+/// Longer than a grant stays unused.
+const IDLE_TIME: Duration = Duration::from_secs(100);
+
+/// Checks what must hold at every moment.
+pub fn check_now(world: &World) {
+    for (branch, account) in &world.store.record.branches {
+        check_account(branch, account);
+        for (grant, record) in &account.grants {
+            check_grant(world, grant, record);
+        }
+        check_closed(world, branch, account);
+    }
+}
+
+fn check_account(branch: &BranchName, account: &BranchAccount) {
+    let outstanding: u64 = account.grants.values().map(|grant| grant.amount.0).sum();
+    let claimed = account.settled.0 + outstanding;
+    assert!(claimed <= account.prepaid.0, "{branch}: {claimed} of {}", account.prepaid);
+    let commands: BTreeSet<_> = account.commands.iter().map(|applied| applied.command).collect();
+    assert_eq!(commands.len(), account.commands.len(), "{branch}: a command counted twice");
+    let prepaid: u64 = account.commands.iter().map(|applied| applied.amount.0).sum();
+    assert_eq!(prepaid, account.prepaid.0, "{branch}: prepaid isn't what was commanded");
+}
+
+fn check_grant(world: &World, grant: &GrantId, record: &GrantRecord) {
+    let used = world.used_under(*grant);
+    assert!(used <= record.amount.0, "{grant}: {used} ran of {}", record.amount);
+    let charges = world.truth.keys().filter(|charge| charge.grant == *grant);
+    let settled = charges.filter(|charge| record.charges.contains(charge.sequence));
+    let billed: u64 = settled.map(|charge| world.billed(charge)).sum();
+    assert_eq!(record.settled.0, billed, "{grant}: settled isn't what ran");
+}
+
+/// What closed grants have settled is what ran under them.
+fn check_closed(world: &World, branch: &BranchName, account: &BranchAccount) {
+    let mut closed = BTreeSet::new();
+    for request in world.requests.iter().filter(|request| request.branch == *branch) {
+        let grant = request.reserved.charge.grant;
+        if !account.grants.contains_key(&grant) {
+            closed.insert(grant);
+        }
+    }
+    let billed: u64 = closed.into_iter().map(|grant| world.used_under(grant)).sum();
+    assert_eq!(account.settled.0, billed, "{branch}: settled isn't what ran under closed grants");
+}
+
+/// Lets everybody answer and every home hand back or be recovered, then checks that nothing is
+/// stranded but what no living witness accounts for.
+pub fn check_quiet(world: &mut World) {
+    world.store.outage = false;
+    for home in &mut world.homes {
+        if home.state == ProcessState::Paused {
+            home.state = ProcessState::Running;
+        }
+    }
+    world.end_all();
+    check_now(world);
+    let left: Vec<_> =
+        (0..world.home_slots.len()).filter_map(|slot| hand_back(world, slot)).collect();
+    land_late_writes(world, &left);
+    recover_all(world);
+    check_settled(world);
+}
+
+/// A home leaves; its incarnation, if nothing held it up.
+fn hand_back(world: &mut World, slot: usize) -> Option<IncarnationId> {
+    let home = world.home_slots[slot];
+    resolve_charges(world, home);
+    // The first home isn't told to leave: what nobody uses goes back after a while as well.
+    if slot > 0 {
+        world.homes[home].ledger.return_all(world.now);
+    }
+    for _ in 0..MOST_WRITES {
+        world.now = world.now.after(IDLE_TIME);
+        if !world.homes[home].ledger.books_due(world.now).contains(&world.book) {
+            break;
+        }
+        world.read_book(home);
+        world.write_draft(home, WriteFate::Acknowledged);
+        check_now(world);
+    }
+    let book = world.book;
+    if world.homes[home].ledger.holds(book) {
+        let blocked = has_open_charge(world, home);
+        assert!(blocked, "a home can't leave though all its charges ended");
+        world.crash_home(slot);
+        return None;
+    }
+    let own = world.homes[home].incarnation;
+    check_left(world, &[own]);
+    Some(own)
+}
+
+/// Homes that handed everything back have no grants left but doubtful ones.
+fn check_left(world: &World, left: &[IncarnationId]) {
+    let grants = world.store.record.outstanding_of(|holder| left.contains(&holder));
+    let grants: Vec<_> = grants.iter().filter(|(_, grant)| !is_doubtful(world, grant)).collect();
+    assert!(grants.is_empty(), "a home that handed all back left {grants:?}");
+}
+
+/// Asks the sidecars for every charge whose entry is gone.
+fn resolve_charges(world: &mut World, home: usize) {
+    let entries: Vec<_> = world.entries.iter().map(|entry| entry.incarnation).collect();
+    for entry in entries {
+        let orphans = world.homes[home].ledger.entry_gone(entry, world.now);
+        world.open_charge_cases(home, orphans);
+    }
+    for place in 0..world.homes[home].charge_cases.len() {
+        for sidecar in 0..world.sidecar_slots.len() {
+            world.ask_seal_charge(home, place, sidecar, false);
+        }
+        world.resolve_case(home, place);
+    }
+}
+
+/// True if a charge of the home is open because its witness is lost.
+fn has_open_charge(world: &World, home: usize) -> bool {
+    let ledger = &world.homes[home].ledger;
+    ledger.spend(None).iter().any(|status| status.reserved.0 > 0)
+}
+
+fn is_doubtful(world: &World, grant: &GrantId) -> bool {
+    let mut accounts = world.store.record.branches.values();
+    accounts.any(|account| account.grants.get(grant).is_some_and(|record| record.in_doubt))
+}
+
+/// Writes that were still on their way arrive after their senders left.
+fn land_late_writes(world: &mut World, left: &[IncarnationId]) {
+    while !world.store.delayed.is_empty() {
+        world.store.land_delayed(0);
+        check_now(world);
+        check_left(world, left);
+    }
+}
+
+fn recover_all(world: &mut World) {
+    let home = world.start_home();
+    world.mark_grants(home, &|_| true, WriteFate::Acknowledged);
+    world.read_book(home);
+    for place in 0..world.homes[home].cases.len() {
+        for sidecar in 0..world.sidecar_slots.len() {
+            world.ask_seal(home, place, sidecar, false);
+        }
+        world.settle_case(home, place, WriteFate::Acknowledged);
+        check_now(world);
+    }
+}
+
+fn check_settled(world: &World) {
+    for (branch, account) in &world.store.record.branches {
+        for (grant, record) in &account.grants {
+            assert!(record.in_doubt, "{branch}: {grant} is stranded");
+            let lost = world
+                .sidecars
+                .iter()
+                .any(|sidecar| sidecar.replaced_at.is_some_and(|end| end >= record.asked_at));
+            assert!(lost, "{branch}: {grant} is in doubt and every witness lives");
+            check_known(world, grant, record);
+        }
+        if account.grants.is_empty() {
+            let billed = world.billed_to(branch);
+            assert_eq!(account.settled.0, billed, "{branch}: settled isn't what was billed");
+        }
+    }
+}
+
+/// Of a grant in doubt, all that living sidecars list is settled or known.
+fn check_known(world: &World, grant: &GrantId, record: &GrantRecord) {
+    let living = world.sidecars.iter().filter(|sidecar| sidecar.is_alive());
+    for listed in living.flat_map(|sidecar| sidecar.ended()) {
+        let sequence = listed.charge.sequence;
+        let known = record.known.iter().any(|(known, _)| *known == sequence);
+        let counted = known || record.charges.contains(sequence);
+        assert!(listed.charge.grant != *grant || counted, "{} isn't counted", listed.charge);
+    }
+}
--- /dev/null
+++ b/crates/sagespool-ledger/tests/model/recovery.rs
@@ -0,0 +1,248 @@
+//! Sealing and recovery: of dead homes' grants, and of charges whose entry is gone.
+
+use sagespool_ledger::{BookRecord, OrphanCharge, RecoveryCase};
+use sagespool_types::{ChargeId, IncarnationId, StoreRevision};
+
+use super::sidecar::ModelSidecar;
+use super::store::WriteFate;
+use super::world::{ChargeCase, World};
+use crate::pick;
+
+impl World {
+    /// A home that finds its own seal in the book starts to ask sidecars.
+    pub(super) fn open_cases(&mut self, home: usize, record: &BookRecord) {
+        let own = self.homes[home].incarnation;
+        for (branch, grant) in record.sealed_by(own) {
+            if self.homes[home].cases.iter().any(|case| case.grant == grant) {
+                continue;
+            }
+            let asked_at = record.branches[&branch].grants[&grant].asked_at;
+            // Whoever doesn't know of sidecars that are gone is told by their successors that they
+            // can't speak for them.
+            let mut witnesses = self.witnesses_since(asked_at);
+            if grant.number % 2 == 1 {
+                witnesses.retain(|known| self.lives(*known));
+            }
+            let case = RecoveryCase::new(branch, grant, asked_at, witnesses);
+            self.homes[home].cases.push(case);
+        }
+    }
+
+    /// Sidecars that ran at that revision of the store or later.
+    pub(super) fn witnesses_since(&self, revision: StoreRevision) -> Vec<IncarnationId> {
+        let ran = |sidecar: &&ModelSidecar| sidecar.replaced_at.is_none_or(|end| end > revision);
+        self.sidecars.iter().filter(ran).map(|sidecar| sidecar.incarnation).collect()
+    }
+
+    pub(super) fn lives(&self, sidecar: IncarnationId) -> bool {
+        self.sidecars.iter().any(|known| known.incarnation == sidecar && known.is_alive())
+    }
+
+    /// A sidecar forgets what a home says is durable.
+    pub(super) fn forget(&mut self, sidecar: usize, home: usize) {
+        let Some(home) = self.running_home(home) else {
+            return;
+        };
+        let sidecar = &mut self.sidecars[self.sidecar_slots[sidecar % self.sidecar_slots.len()]];
+        let known = sidecar.ended();
+        let asked: Vec<_> =
+            known.iter().map(|record| (record.branch.clone(), record.charge)).collect();
+        for charge in self.homes[home].ledger.durable(&asked) {
+            let settled = is_settled(&self.store.record, charge);
+            assert!(settled, "charge {charge} was called durable and isn't settled");
+            sidecar.forget(charge);
+        }
+    }
+
+    pub(super) fn mark_sealed(&mut self, slot: usize, target: usize, fate: WriteFate) {
+        let Some(home) = self.running_home(slot) else {
+            return;
+        };
+        let target = target % self.homes.len();
+        if target != home {
+            let dead = self.homes[target].incarnation;
+            self.mark_grants(home, &|holder| holder == dead, fate);
+        }
+    }
+
+    /// A home marks the grants of holders that it believes dead.
+    pub fn mark_grants(
+        &mut self,
+        home: usize,
+        dead: &dyn Fn(IncarnationId) -> bool,
+        fate: WriteFate,
+    ) {
+        let Some(mut draft) = self.store.read() else {
+            return;
+        };
+        let own = self.homes[home].incarnation;
+        let mut changed = false;
+        for (branch, grant) in draft.record.outstanding_of(dead) {
+            changed |= draft.record.seal(&branch, &grant, own);
+        }
+        if changed {
+            self.store.write(&draft, fate);
+        }
+    }
+
+    pub(super) fn seal_grant(&mut self, slot: usize, choice: usize, sidecar: usize, lost: bool) {
+        let Some(home) = self.running_home(slot) else {
+            return;
+        };
+        let places: Vec<usize> = (0..self.homes[home].cases.len()).collect();
+        if let Some(place) = pick(&places, choice) {
+            self.ask_seal(home, place, sidecar % self.sidecar_slots.len(), lost);
+        }
+    }
+
+    pub fn ask_seal(&mut self, home: usize, place: usize, sidecar: usize, lost: bool) {
+        let case = &mut self.homes[home].cases[place];
+        let reply = self.sidecars[self.sidecar_slots[sidecar]].seal_grant(case.grant);
+        if !lost {
+            case.take_reply(&reply);
+        }
+    }
+
+    pub(super) fn settle(&mut self, slot: usize, choice: usize, fate: WriteFate) {
+        let Some(home) = self.running_home(slot) else {
+            return;
+        };
+        let places: Vec<usize> = (0..self.homes[home].cases.len()).collect();
+        if let Some(place) = pick(&places, choice) {
+            self.settle_case(home, place, fate);
+        }
+    }
+
+    pub fn settle_case(&mut self, home: usize, place: usize, fate: WriteFate) {
+        let Some(mut draft) = self.store.read() else {
+            return;
+        };
+        let case = &mut self.homes[home].cases[place];
+        for sidecar in self.sidecars.iter().filter(|sidecar| !sidecar.is_alive()) {
+            case.give_up(sidecar.incarnation);
+        }
+        let (branch, grant) = (case.branch.clone(), case.grant);
+        if draft.record.recover(&branch, &grant, &case.verdict()) {
+            self.store.write(&draft, fate);
+        }
+    }
+
+    pub(super) fn recover(&mut self, slot: usize, target: usize, heard: usize) {
+        let Some(home) = self.running_home(slot) else {
+            return;
+        };
+        self.mark_sealed(slot, target, WriteFate::Acknowledged);
+        self.read_book(home);
+        for place in 0..self.homes[home].cases.len() {
+            for sidecar in 0..self.sidecar_slots.len() {
+                self.ask_seal(home, place, sidecar, heard >> sidecar & 1 == 0);
+            }
+            self.settle_case(home, place, WriteFate::Acknowledged);
+        }
+    }
+
+    pub(super) fn ask_charges(&mut self, slot: usize, heard: usize) {
+        let Some(home) = self.running_home(slot) else {
+            return;
+        };
+        self.overdue(slot);
+        for place in 0..self.homes[home].charge_cases.len() {
+            for sidecar in 0..self.sidecar_slots.len() {
+                self.ask_seal_charge(home, place, sidecar, heard >> sidecar & 1 == 0);
+            }
+            self.resolve_case(home, place);
+        }
+    }
+
+    pub(super) fn entry_gone(&mut self, slot: usize, entry: usize) {
+        let Some(home) = self.running_home(slot) else {
+            return;
+        };
+        let entry = self.entries[entry % self.entries.len()].incarnation;
+        let orphans = self.homes[home].ledger.entry_gone(entry, self.now);
+        self.open_charge_cases(home, orphans);
+    }
+
+    pub(super) fn overdue(&mut self, slot: usize) {
+        if let Some(home) = self.running_home(slot) {
+            let orphans = self.homes[home].ledger.overdue(self.now);
+            self.open_charge_cases(home, orphans);
+        }
+    }
+
+    pub fn open_charge_cases(&mut self, home: usize, orphans: Vec<OrphanCharge>) {
+        for orphan in orphans {
+            let cases = &self.homes[home].charge_cases;
+            if cases.iter().any(|known| known.orphan.charge == orphan.charge) {
+                continue;
+            }
+            let witnesses = self.witnesses_since(orphan.since);
+            let (branch, grant) = (orphan.branch.clone(), orphan.charge.grant);
+            let case = RecoveryCase::new(branch, grant, orphan.since, witnesses);
+            self.homes[home].charge_cases.push(ChargeCase { orphan, case });
+        }
+    }
+
+    pub(super) fn seal_charge(&mut self, slot: usize, choice: usize, sidecar: usize, lost: bool) {
+        let Some(home) = self.running_home(slot) else {
+            return;
+        };
+        let places: Vec<usize> = (0..self.homes[home].charge_cases.len()).collect();
+        if let Some(place) = pick(&places, choice) {
+            self.ask_seal_charge(home, place, sidecar % self.sidecar_slots.len(), lost);
+        }
+    }
+
+    pub fn ask_seal_charge(&mut self, home: usize, place: usize, sidecar: usize, lost: bool) {
+        let open = &mut self.homes[home].charge_cases[place];
+        let sidecar = &mut self.sidecars[self.sidecar_slots[sidecar]];
+        let reply = sidecar.seal_charge(open.orphan.charge);
+        if !lost {
+            open.case.take_reply(&reply);
+        }
+    }
+
+    pub(super) fn resolve(&mut self, slot: usize, choice: usize) {
+        let Some(home) = self.running_home(slot) else {
+            return;
+        };
+        let places: Vec<usize> = (0..self.homes[home].charge_cases.len()).collect();
+        if let Some(place) = pick(&places, choice) {
+            self.resolve_case(home, place);
+        }
+    }
+
+    pub fn resolve_case(&mut self, home: usize, place: usize) {
+        let home = &mut self.homes[home];
+        let open = &mut home.charge_cases[place];
+        for sidecar in self.sidecars.iter().filter(|sidecar| !sidecar.is_alive()) {
+            open.case.give_up(sidecar.incarnation);
+        }
+        home.ledger.resolve_case(&open.case, &[open.orphan.charge]);
+    }
+
+    /// An operator releases a doubtful grant that everything is known of by other ways.
+    pub(super) fn release(&mut self, choice: usize, fate: WriteFate) {
+        let Some(mut draft) = self.store.read() else {
+            return;
+        };
+        let mut doubtful = Vec::new();
+        for (branch, account) in &draft.record.branches {
+            let vouched = account.grants.iter().filter(|(grant, record)| {
+                let known = record.settled + record.known_use();
+                record.in_doubt && self.used_under(**grant) == known.0
+            });
+            doubtful.extend(vouched.map(|(grant, _)| (branch.clone(), *grant)));
+        }
+        if let Some((branch, grant)) = pick(&doubtful, choice) {
+            draft.record.release(&branch, &grant);
+            self.store.write(&draft, fate);
+        }
+    }
+}
+
+/// True if a charge is settled in a book, or its grant is closed there.
+pub fn is_settled(record: &BookRecord, charge: ChargeId) -> bool {
+    let grants = record.branches.values().filter_map(|account| account.grants.get(&charge.grant));
+    grants.into_iter().all(|grant| grant.charges.contains(charge.sequence))
+}
