--- a/crates/sagespool-entry/src/home/mod.rs
+++ b/crates/sagespool-entry/src/home/mod.rs
@@ -9,6 +9,7 @@
 mod recovery;
 mod reserve;
 mod rounds;
+mod witnesses;
 
 pub(crate) use books::{BookWriter, run_book_writer, write_book};
 pub(crate) use claims::ClaimWriter;
@@ -20,3 +21,4 @@
 pub(crate) use recovery::run_recovery;
 pub use reserve::reserve;
 pub(crate) use rounds::BudgetRounds;
+pub(crate) use witnesses::WitnessBoard;
--- a/crates/sagespool-entry/src/role.rs
+++ b/crates/sagespool-entry/src/role.rs
@@ -9,7 +9,7 @@
 use sagespool_link::{LinkEndpoint, LinkIdentity};
 use sagespool_log::log_event;
 use sagespool_settings::{EntrySettings, ProcessSettings};
-use sagespool_types::{BookNumber, ClockTime};
+use sagespool_types::{BookNumber, ClockTime, TokenCount};
 use trillium_server_common::ServerHandle;
 
 use crate::state::EntryState;
@@ -99,6 +99,7 @@
         state.leave();
         let deadline = ClockTime::now().after(limit);
         wait_for_runs(state, deadline).await;
+        wait_for_others(state, deadline).await;
         let cut = state.in_flight();
         let unwritten_books = hand_back(state).await;
         log_event!(info, "entry-stopped", cut = cut, unwritten_books = unwritten_books);
@@ -133,6 +134,24 @@
     }
 }
 
+/// Waits for the requests of other entries that this home has reserved for.
+async fn wait_for_others(state: &EntryState, deadline: ClockTime) {
+    loop {
+        let changed = state.budget_changed.listen();
+        let reserved: TokenCount =
+            state.ledger.spend(None).iter().map(|spend| spend.reserved).sum();
+        let now = ClockTime::now();
+        if reserved == TokenCount::ZERO || now >= deadline {
+            return;
+        }
+        let left = deadline.since(now);
+        futures_lite::future::or(changed, async {
+            smol::Timer::after(left).await;
+        })
+        .await;
+    }
+}
+
 /// Returns every unspent grant, and says how many books the store didn't take.
 async fn hand_back(state: &Arc<EntryState>) -> u32 {
     state.ledger.return_all(ClockTime::now());
--- a/crates/sagespool-entry/src/state.rs
+++ b/crates/sagespool-entry/src/state.rs
@@ -23,7 +23,7 @@
 };
 use sagespool_types::{ClockTime, ConfigVersion, IncarnationId, RequestId, ServiceName, WallTime};
 
-use crate::home::{BookWriter, BudgetRounds, ClaimWriter};
+use crate::home::{BookWriter, BudgetRounds, ClaimWriter, WitnessBoard};
 use crate::run::QueueWord;
 
 /// The configuration in force; none until the first has come.
@@ -126,6 +126,7 @@
     pub(crate) books: BookWriter,
     pub(crate) claims: ClaimWriter,
     pub(crate) rounds: BudgetRounds,
+    pub(crate) witnesses: WitnessBoard,
     /// Since when the store doesn't answer, if it doesn't.
     store_away: Mutex<Option<ClockTime>>,
     pub(crate) retries: RetryBudget,
@@ -171,6 +172,7 @@
             books: BookWriter::default(),
             claims: ClaimWriter::default(),
             rounds: BudgetRounds::default(),
+            witnesses: WitnessBoard::default(),
             store_away: Mutex::default(),
             retries: RetryBudget::new(RetryPolicy::default()),
             limits: BranchLimits::new(),
