Test that closing waits for a reply on its way, and bound deadlines

Of the guards, two were not shown by a test: a reply that is written but not yet acknowledged when the link closes, and a send after a cut one, which hung the test in place of failing it.

--- a/crates/sagespool-link/src/exchange.rs
+++ b/crates/sagespool-link/src/exchange.rs
@@ -21,6 +21,9 @@
 /// is for a connection that was lost just before the first byte.
 const SEND_ATTEMPTS: usize = 2;
 
+/// No request waits for longer, so that a deadline never overflows.
+const LONGEST_WAIT: Duration = Duration::from_secs(24 * 3600);
+
 /// A request that was sent whole.
 pub(crate) struct SentExchange {
     reader: FrameReader,
@@ -42,6 +45,7 @@
     now: Instant,
     allowed: Duration,
 ) -> Result<SentExchange, LinkError> {
+    let allowed = allowed.min(LONGEST_WAIT);
     let deadline = now + allowed;
     let size = frame.len();
     let started = within(allowed, start_request(shared, peer, frame)).await;
--- a/crates/sagespool-link/tests/ask_reply.rs
+++ b/crates/sagespool-link/tests/ask_reply.rs
@@ -2,15 +2,17 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use async_channel::bounded;
-use sagespool_link::LinkError;
+use sagespool_link::{LinkEndpoint, LinkError};
 use sagespool_messages::{PeerReply, PeerRequest};
 use support::{
-    PATIENCE, TestAuthority, deaf, dispatch, endpoint, handler, loopback, question, soon, until,
+    PATIENCE, TestAuthority, UdpRelay, deaf, dispatch, endpoint, handler, loopback, question, soon,
+    until,
 };
 
 /// Enough for a handshake, and short where a test waits for it to pass.
@@ -56,7 +58,7 @@
         let client = endpoint(authority.identity(), done());
         let to = server.local_address();
 
-        let ask = |client: sagespool_link::LinkEndpoint| {
+        let ask = |client: LinkEndpoint| {
             smol::spawn(async move { client.ask(to, &question(), PATIENCE).await })
         };
         let asked: Vec<_> = (0..200).map(|_| ask(client.clone())).collect();
@@ -93,7 +95,7 @@
         let server = endpoint(authority.identity(), held);
         let client = endpoint(authority.identity(), deaf());
         let to = server.local_address();
-        let ask = |client: sagespool_link::LinkEndpoint| {
+        let ask = |client: LinkEndpoint| {
             smol::spawn(async move { client.ask(to, &question(), PATIENCE * 2).await })
         };
         let asked: Vec<_> = (0..COUNT).map(|_| ask(client.clone())).collect();
@@ -114,7 +116,7 @@
         let silent = std::net::UdpSocket::bind(loopback()).unwrap();
         let to = silent.local_addr().unwrap();
         let client = endpoint(TestAuthority::new().identity(), deaf());
-        let ask = |client: sagespool_link::LinkEndpoint| {
+        let ask = |client: LinkEndpoint| {
             smol::spawn(async move { client.ask(to, &question(), PATIENCE * 2).await })
         };
         let asked: Vec<_> = (0..500).map(|_| ask(client.clone())).collect();
@@ -190,6 +192,20 @@
     });
 }
 
+/// Asks until a closing peer turns a request away.
+async fn refused(client: &LinkEndpoint, to: SocketAddr) {
+    let refusal = async {
+        loop {
+            match client.ask(to, &question(), SHORT_WHILE).await {
+                Err(error) if error.surely_not_sent() => return,
+                // Came before the close began.
+                _ => continue,
+            }
+        }
+    };
+    soon(refusal).await;
+}
+
 #[test]
 fn graceful_close() {
     // A process stops while it answers one request, and another request comes.
@@ -220,16 +236,7 @@
             let server = server.clone();
             async move { server.close().await }
         });
-        let refusal = async {
-            loop {
-                match client.ask(to, &question(), SHORT_WHILE).await {
-                    Err(error) if error.surely_not_sent() => return error,
-                    // Came before the close began.
-                    _ => continue,
-                }
-            }
-        };
-        soon(refusal).await;
+        refused(&client, to).await;
         let handled = arrivals.len();
         drop(gate);
         assert_eq!(first.await, Ok(PeerReply::Done));
@@ -239,3 +246,43 @@
         assert!(error.surely_not_sent(), "{error}");
     });
 }
+
+#[test]
+fn reply_on_its_way() {
+    // A process has answered its last request and closes. The network loses the
+    // answer's datagrams just then: it must be sent again, not forgotten.
+    smol::block_on(async {
+        let authority = TestAuthority::new();
+        let (arrived, arrivals) = bounded(1);
+        let (gate, opened) = bounded::<()>(1);
+        let (note, replied) = bounded(1);
+        let held = handler(move |call| {
+            let (arrived, opened, note) = (arrived.clone(), opened.clone(), note.clone());
+            async move {
+                let _ = arrived.try_send(());
+                let _ = opened.recv().await;
+                call.responder.reply(PeerReply::Done).await;
+                let _ = note.try_send(());
+            }
+        });
+        let server = endpoint(authority.identity(), held);
+        let relay = UdpRelay::start(server.local_address());
+        let client = endpoint(authority.identity(), deaf());
+        let to = relay.address();
+        let asked = smol::spawn(async move { client.ask(to, &question(), PATIENCE).await });
+        soon(arrivals.recv()).await.unwrap();
+        relay.cut(true);
+        drop(gate);
+        soon(replied.recv()).await.unwrap();
+
+        let closing = smol::spawn({
+            let server = server.clone();
+            async move { server.close().await }
+        });
+        let late = endpoint(authority.identity(), deaf());
+        refused(&late, server.local_address()).await;
+        relay.cut(false);
+        assert_eq!(asked.await, Ok(PeerReply::Done));
+        soon(closing).await;
+    });
+}
--- a/crates/sagespool-link/tests/event_stream.rs
+++ b/crates/sagespool-link/tests/event_stream.rs
@@ -102,7 +102,7 @@
         let (mut stream, mut sender) = fixture.open().await;
         let large = DispatchEvent::Piece { at: 0, tokens: 0, data: vec![7; 4 << 20] };
         assert!(futures_lite::future::poll_once(sender.send(&large)).await.is_none());
-        let error = sender.send(&piece(1)).await.unwrap_err();
+        let error = soon(sender.send(&piece(1))).await.unwrap_err();
         assert!(matches!(error, LinkError::Interrupted { .. }), "{error}");
         drop(sender);
         let error = soon(stream.next()).await.unwrap().unwrap_err();
--- a/crates/sagespool-platform/src/update.rs
+++ b/crates/sagespool-platform/src/update.rs
@@ -11,6 +11,8 @@
 
 /// How often an update is tried at most, its limit in time aside.
 const TRY_LIMIT: u32 = 12;
+/// No update goes on for longer, so that a deadline never overflows.
+const LONGEST_LIMIT: Duration = Duration::from_secs(3600);
 /// The pause after the first try, at most; it doubles with each.
 const FIRST_PAUSE: Duration = Duration::from_millis(4);
 const LONGEST_PAUSE: Duration = Duration::from_millis(250);
@@ -52,7 +54,7 @@
     limit: Duration,
     mut apply: impl FnMut(&mut T) -> UpdateChoice,
 ) -> Result<UpdatedObject<T>, StoreError> {
-    let deadline = Instant::now() + limit;
+    let deadline = Instant::now() + limit.min(LONGEST_LIMIT);
     let mut doubt = WriteDoubt::default();
     let mut tries = 0;
     loop {
@@ -66,7 +68,8 @@
         let Some(pause) = pause_after(&error, tries) else {
             return Err(doubt.over(error));
         };
-        if tries == TRY_LIMIT || Instant::now() + pause >= deadline {
+        let time_left = deadline.saturating_duration_since(Instant::now());
+        if tries == TRY_LIMIT || pause >= time_left {
             return Err(doubt.over(error));
         }
         Timer::after(pause).await;
