Split the membership view by job and tell since when a process is home

Cause: one file held the view, merging and suspicion; and a home can't say whether it knows a key unless it knows since when it is home. Change: merge, suspicion, exchange and tenure are modules of their own; home_since and sole_since.

--- a/crates/sagespool-membership/src/home.rs
+++ b/crates/sagespool-membership/src/home.rs
@@ -33,8 +33,18 @@
     weighed.into_iter().map(|(_, incarnation)| incarnation).take(most).collect()
 }
 
+/// True if the instance hashed `left` comes before `right` in a branch's order.
+pub(crate) fn comes_before(left: u64, right: u64, branch: &BranchName) -> bool {
+    let branch_hash = XxHash3_64::oneshot(branch.as_str().as_bytes());
+    weight(left, branch_hash) > weight(right, branch_hash)
+}
+
 fn weigh(home: &HomeCandidate, branch_hash: u64) -> (u64, IncarnationId) {
-    (mix(home.name_hash ^ branch_hash.rotate_left(32)), home.incarnation)
+    (weight(home.name_hash, branch_hash), home.incarnation)
+}
+
+fn weight(name_hash: u64, branch_hash: u64) -> u64 {
+    mix(name_hash ^ branch_hash.rotate_left(32))
 }
 
 /// The finisher of SplitMix64: every bit of the input moves every bit of the weight.
--- a/crates/sagespool-membership/src/lib.rs
+++ b/crates/sagespool-membership/src/lib.rs
@@ -8,7 +8,9 @@
 //! while the store's conditional updates and the sidecars decide what may run.
 
 mod description;
+mod exchange;
 mod home;
+mod merge;
 mod news;
 mod policy;
 mod record;
@@ -16,7 +18,9 @@
 mod seeds;
 mod seniority;
 mod sizing;
+mod suspicion;
 mod table;
+mod tenure;
 mod versions;
 mod view;
 
--- a/crates/sagespool-membership/src/record.rs
+++ b/crates/sagespool-membership/src/record.rs
@@ -45,6 +45,8 @@
     pub(crate) called: Option<ClockTime>,
     /// Calls to it in a row that were not answered.
     pub(crate) missed: u32,
+    /// When it last was, or became, unfit to be given work.
+    pub(crate) unfit: Option<ClockTime>,
     /// When it last refuted a suspicion.
     pub(crate) refuted: Option<ClockTime>,
     /// Its place in the log of changes.
@@ -60,6 +62,7 @@
             direct: None,
             called: None,
             missed: 0,
+            unfit: None,
             refuted: None,
             changed: 0,
         }
--- a/crates/sagespool-membership/src/table.rs
+++ b/crates/sagespool-membership/src/table.rs
@@ -92,7 +92,7 @@
         let mut view = self.view();
         let own_leaving = leaving.contains(&view.own.instance);
         view.seeds.listed(&addresses, now);
-        view.list_leaving(leaving);
+        view.list_leaving(leaving, now);
         own_leaving
     }
 
@@ -177,6 +177,26 @@
         order.into_iter().filter_map(info_of).cloned().collect()
     }
 
+    /// Since when this process has been home of a branch, as far as it can know:
+    /// no entry before it in the branch's order was fit since, and nobody
+    /// doubted this process. Nothing if it isn't home now. What an earlier home
+    /// was told of the branch's keys isn't known here.
+    pub fn home_since(&self, branch: &BranchName, now: ClockTime) -> Option<ClockTime> {
+        let mut view = self.view();
+        view.advance(now);
+        view.home_since(branch, now)
+    }
+
+    /// Since when no other process can have taken a branch's requests in this
+    /// one's place without its knowledge: no entry was lost, suspected, leaving
+    /// or out of reach since. Nothing while there are entries of other regions,
+    /// which have homes of their own.
+    pub fn sole_since(&self, now: ClockTime) -> Option<ClockTime> {
+        let mut view = self.view();
+        view.advance(now);
+        view.sole_since(now)
+    }
+
     /// What changed after `number`, 0 for everything.
     pub fn changes_since(&self, number: u64) -> MemberChanges {
         let view = self.view();
--- a/crates/sagespool-membership/tests/rendezvous_home.rs
+++ b/crates/sagespool-membership/tests/rendezvous_home.rs
@@ -6,8 +6,8 @@
 
 use fleet::{Fleet, address, info};
 use sagespool_membership::MembershipPolicy;
-use sagespool_messages::MemberRole;
-use sagespool_types::{BranchName, InstanceName};
+use sagespool_messages::{MemberInfo, MemberRole};
+use sagespool_types::{BranchName, ClockTime, InstanceName};
 
 fn branches(count: u32) -> Vec<BranchName> {
     let name = |number| format!("branch-{number}").parse().expect("a valid name");
@@ -94,3 +94,42 @@
     assert!(fleet.at(9).find(order[0].incarnation).is_some());
     assert_ne!(order[0].address, address(9));
 }
+
+/// A home dies and the next in order serves its branches. It must know that it
+/// knows nothing of their keys from before: a caller whose answer was cut off
+/// would get a second run. The same holds for a home that the others believed
+/// dead for a while, and that serves on as if nothing had been.
+#[test]
+fn home_tenure() {
+    let mut fleet = fleet();
+    let started = ClockTime::from_millis(1200);
+    let branch = &branches(1)[0];
+    let order: Vec<u16> = fleet.at(0).homes_of(branch, 5, fleet.now).iter().map(place).collect();
+    let since = |fleet: &Fleet, place| fleet.at(place).home_since(branch, fleet.now);
+    assert!(since(&fleet, order[0]).is_some_and(|since| since < started));
+    assert_eq!(since(&fleet, order[1]), None, "not home");
+    fleet.paused.insert(address(order[0]));
+    let paused_at = fleet.now;
+    fleet.run(60);
+    assert!(since(&fleet, order[1]).is_some_and(|since| since > paused_at));
+    assert!(fleet.at(order[2]).sole_since(fleet.now).is_some_and(|since| since > paused_at));
+    let resumed_at = fleet.now;
+    fleet.paused.clear();
+    fleet.run(60);
+    assert!(since(&fleet, order[0]).is_some_and(|since| since >= resumed_at));
+    // An entry later in the order was never home of this branch.
+    fleet.kill(order[4]);
+    let before = since(&fleet, order[0]);
+    fleet.run(60);
+    assert_eq!(since(&fleet, order[0]), before);
+    assert!(fleet.at(order[0]).sole_since(fleet.now) > before, "but it may have been");
+    let mut other = info(30, 1, MemberRole::Entry);
+    other.region = "bc-coast".parse().expect("a valid name");
+    fleet.join(other);
+    fleet.run(60);
+    assert_eq!(fleet.at(order[0]).sole_since(fleet.now), None, "another region has its own homes");
+}
+
+fn place(info: &MemberInfo) -> u16 {
+    (info.incarnation.0 % 1_000_000) as u16
+}
