--- /dev/null
+++ b/crates/sagespool-claims/examples/claim_bench.rs
@@ -0,0 +1,121 @@
+//! What claims cost: bytes and time by the size of a record, and store writes
+//! a claim by the rate of claims.
+//!
+//! `cargo run --release -p sagespool-claims --example claim_bench`
+
+use std::time::{Duration, Instant};
+
+use sagespool_claims::{
+    BatchPolicy, CLAIM_SHARDS, ClaimBatch, ClaimWish, ClaimsRecord, DETAILS_KEPT, claim_shard,
+};
+use sagespool_types::{
+    AttemptNumber, ClockTime, ContentDigest, IncarnationId, KeyDigest, RequestId, WallTime,
+};
+
+const DAY: Duration = Duration::from_secs(24 * 3600);
+const START: WallTime = WallTime(1_700_000_000_000);
+/// How long the store takes for a read and a write together.
+const STORE_TIME: Duration = Duration::from_millis(10);
+const RUN_SECONDS: u64 = 20;
+
+fn main() {
+    for (fresh, aged) in [(0, 0), (100, 0), (1000, 0), (5000, 0), (100, 10_000), (100, 60_000)] {
+        show_record(fresh, aged);
+    }
+    for homes in [1, 10] {
+        for rate in [5, 20, 100, 500, 2000] {
+            show_writes(rate, homes);
+        }
+    }
+}
+
+fn wish() -> ClaimWish {
+    ClaimWish {
+        key: KeyDigest(fastrand::u128(..)),
+        request: RequestId::random(),
+        content: ContentDigest(fastrand::u128(..)),
+        sidecar: IncarnationId::random(),
+        attempt: AttemptNumber(1),
+        home: IncarnationId(1),
+        overturns: None,
+        time_left: Duration::from_secs(10),
+    }
+}
+
+fn fill(record: &mut ClaimsRecord, count: usize, at: WallTime) {
+    for _ in 0..count {
+        let wish = wish();
+        let entry = sagespool_claims::ClaimEntry {
+            request: wish.request,
+            content: wish.content,
+            sidecar: wish.sidecar,
+            attempt: wish.attempt,
+            at,
+        };
+        record.claims.insert(wish.key, entry);
+    }
+}
+
+fn show_record(fresh: usize, aged: usize) {
+    let mut record = ClaimsRecord::default();
+    fill(&mut record, aged, START);
+    let now = WallTime(START.0 + 2 * DETAILS_KEPT.as_millis() as u64);
+    record.claim(&wish(), now, DAY);
+    fill(&mut record, fresh, now);
+    let timer = Instant::now();
+    let bytes = serde_json::to_vec(&record).map_or(0, |bytes| bytes.len());
+    let write = timer.elapsed().as_micros();
+    let estimate = record.estimated_bytes();
+    let tries = 200;
+    let timer = Instant::now();
+    for _ in 0..tries {
+        record.claim(&wish(), now, DAY);
+    }
+    let claim = timer.elapsed().as_micros() as f64 / f64::from(tries);
+    println!(
+        "record fresh={fresh} aged={aged} bytes={bytes} estimate={estimate} \
+         claim_us={claim:.1} encode_us={write}",
+    );
+}
+
+/// Claims arrive evenly, at homes and shards in turn by chance; each home has a
+/// batch for each shard, and the store takes its time for each write.
+fn show_writes(rate: u64, homes: usize) {
+    let policy = BatchPolicy::default();
+    let shards = CLAIM_SHARDS as usize;
+    let mut batches: Vec<_> =
+        (0..homes * shards).map(|_| (ClaimBatch::new(policy.clone()), None)).collect();
+    let mut writes = 0_u64;
+    let mut waited = Vec::new();
+    let mut arrived: Vec<Vec<ClockTime>> = vec![Vec::new(); homes * shards];
+    for millis in 0..RUN_SECONDS * 1000 {
+        let now = ClockTime::from_millis(millis);
+        let before = millis * rate / 1000;
+        for _ in before..(millis + 1) * rate / 1000 {
+            let wish = wish();
+            let place = fastrand::usize(..homes) * shards + claim_shard(wish.key) as usize;
+            batches[place].0.add(wish, now);
+            arrived[place].push(now);
+        }
+        for (place, (batch, ends)) in batches.iter_mut().enumerate() {
+            if ends.is_some_and(|ends| ends <= now) {
+                *ends = None;
+                let answered = batch.observe(ClaimsRecord::default(), now).len();
+                waited.extend(arrived[place].drain(..answered).map(|at| now.since(at)));
+            }
+            if batch.due_at().is_some_and(|due| due <= now) && batch.begin(now) {
+                writes += 1;
+                *ends = Some(now.after(STORE_TIME));
+            }
+        }
+    }
+    waited.sort();
+    let claims = waited.len().max(1);
+    let median = waited.get(claims / 2).copied().unwrap_or_default();
+    println!(
+        "writes claims_s={rate} homes={homes} writes_s={:.1} writes_claim={:.2} wait_ms={}",
+        writes as f64 / RUN_SECONDS as f64,
+        writes as f64 / claims as f64,
+        median.as_millis(),
+    );
+}
--- a/crates/sagespool-claims/src/batch.rs
+++ b/crates/sagespool-claims/src/batch.rs
@@ -15,9 +15,13 @@
     /// Longest time that a claim waits for others to share its write.
     #[builder(default = Duration::from_millis(20))]
     pub most_delay: Duration,
-    /// So many claims are written without waiting.
+    /// So many claims are written without waiting for more.
     #[builder(default = 64)]
     pub most_claims: usize,
+    /// Time between the beginnings of two writes. It costs a claim nothing
+    /// while they are rare, and bounds the writes however many there are.
+    #[builder(default = Duration::from_millis(150))]
+    pub least_gap: Duration,
     /// Time until the next try after the store failed; doubled by each further failure.
     #[builder(default = Duration::from_millis(100))]
     pub first_retry: Duration,
@@ -122,10 +126,11 @@
 
     /// Begins a write of all wishes that wait. False if there are none, or a
     /// write is on its way.
-    pub fn begin(&mut self) -> bool {
+    pub fn begin(&mut self, now: ClockTime) -> bool {
         if self.is_writing || self.waiting.is_empty() {
             return false;
         }
+        self.not_before = now.after(self.policy.least_gap);
         self.writing = self.waiting.drain(..).collect();
         self.is_writing = true;
         true
@@ -148,7 +153,6 @@
     pub fn observe(&mut self, record: ClaimsRecord, now: ClockTime) -> Vec<ClaimAnswer> {
         self.is_writing = false;
         self.failures = 0;
-        self.not_before = ClockTime::default();
         let answer = |waiting: WaitingWish| {
             let verdict = match record.outcome_of(&waiting.wish) {
                 ClaimOutcome::Claimed | ClaimOutcome::AlreadyMine => ClaimVerdict::Durable,
@@ -181,7 +185,7 @@
         self.is_writing = false;
         let wait = self.policy.first_retry * 2_u32.saturating_pow(self.failures.min(16));
         self.failures += 1;
-        self.not_before = now.after(wait.min(self.policy.longest_retry));
+        self.not_before = self.not_before.max(now.after(wait.min(self.policy.longest_retry)));
         for waiting in self.writing.drain(..).rev() {
             self.waiting.push_front(waiting);
         }
--- a/crates/sagespool-claims/src/record.rs
+++ b/crates/sagespool-claims/src/record.rs
@@ -34,7 +34,8 @@
 
 derives! { record;
     /// The claims of one shard. A key that is in here has been claimed, and
-    /// must never be dispatched for another request.
+    /// must not be dispatched for another request, unless the claim's sidecar
+    /// fenced it.
     #[derive(Default)]
     #[serde(default)]
     pub struct ClaimsRecord {
--- a/crates/sagespool-membership/src/merge.rs
+++ b/crates/sagespool-membership/src/merge.rs
@@ -155,7 +155,9 @@
         if !is_described_alike(before, info) {
             self.digest.remove(before);
             self.digest.insert(info);
-            self.by_address.remove(&before.address);
+            if self.by_address.get(&before.address) == Some(&info.incarnation) {
+                self.by_address.remove(&before.address);
+            }
             self.by_address.insert(info.address, info.incarnation);
             self.spread(info.incarnation);
             self.rounds.urgent |= info.leaving && !before.leaving;
--- a/crates/sagespool-membership/src/versions.rs
+++ b/crates/sagespool-membership/src/versions.rs
@@ -32,6 +32,18 @@
 /// process that starts has forgotten what its predecessor had in force; it asks
 /// its neighbours, calls [`Self::heard`] with what each has, and then takes
 /// nothing lower for an object that it hasn't applied yet.
+///
+/// ```
+/// use sagespool_membership::{AppliedVersions, VersionOffer};
+/// use sagespool_types::StoreRevision;
+///
+/// let versions = AppliedVersions::new();
+/// versions.heard("configuration/fleet", StoreRevision(9));
+/// let wanted = StoreRevision(9);
+/// let older = versions.offer("configuration/fleet", StoreRevision(7));
+/// assert_eq!(older, VersionOffer::Older { wanted });
+/// assert_eq!(versions.offer("configuration/fleet", wanted), VersionOffer::Apply);
+/// ```
 #[derive(Debug, Default)]
 pub struct AppliedVersions {
     objects: Mutex<BTreeMap<String, VersionRecord>>,
--- a/crates/sagespool-membership/tests/heartbeat_rounds.rs
+++ b/crates/sagespool-membership/tests/heartbeat_rounds.rs
@@ -113,6 +113,30 @@
     }
 }
 
+/// An entry of a large fleet wants the load of two sidecars that it routes to.
+/// No rumour carries loads: it has to ask, a little more than it would anyway.
+#[test]
+fn watched_loads() {
+    let mut fleet = complete_fleet(GOSSIP);
+    let watched: Vec<_> = [40, 50].map(|place| fleet.at(place).own().incarnation).to_vec();
+    fleet.at(0).watch(watched.clone());
+    for running in [3, 5] {
+        for place in [40, 50] {
+            fleet.at(place).update_own(|own| {
+                let served = own.serves.as_mut().expect("a sidecar");
+                served.load.running = running;
+            });
+        }
+        let known = fleet.run_until(80, |fleet| {
+            watched.iter().all(|member| {
+                let info = fleet.at(0).find(*member).and_then(|info| info.serves);
+                info.is_some_and(|served| served.load.running == running)
+            })
+        });
+        assert!(known.is_some(), "two rounds are enough");
+    }
+}
+
 /// A process that has just started knows nobody. A grant's holder that it never
 /// heard of isn't dead for that, or it would seal the grants of every live home.
 #[test]
