Share an entry's places by use over time, and upstreams by own part

Cause: the first queue judged a branch by its running requests of the moment, so ordinary bursts of the quiet branches counted as excess, and a noisy branch moved the others' p99 from 122 to 477 ms. Change: what a branch used is held against what was due to it over time; requests beyond the share come after all others, leave places free for them, and the queue says so, for the engine's priority. An upstream's load is half estimated from own requests and the entry's learned part of the traffic, so entries keep to their part of it.

--- a/crates/sagespool-routing/src/choice.rs
+++ b/crates/sagespool-routing/src/choice.rs
@@ -17,6 +17,10 @@
     /// Sidecars that were tried already.
     #[builder(default)]
     pub exclude: Vec<IncarnationId>,
+    /// True if it waited in the queue: then others wait as well, and a place is worth more to
+    /// them than a moment to this request.
+    #[builder(default)]
+    pub has_waited: bool,
     /// Whether it may be the single request that probes an upstream that failed before.
     /// Say no for a request that can't be run again.
     #[builder(default = true)]
--- a/crates/sagespool-routing/src/choose.rs
+++ b/crates/sagespool-routing/src/choose.rs
@@ -112,7 +112,7 @@
         if open.is_empty() {
             return self.choose_last(usable, wish, now);
         }
-        let scale = self.scale(entries, now);
+        let scale = self.scale(entries, wish.has_waited, now);
         let costs = open.iter().map(|place| self.cost(*place, &cached, &scale, now));
         let costs: Vec<f64> = costs.collect();
         let least = costs.iter().copied().fold(f64::INFINITY, f64::min);
@@ -201,9 +201,10 @@
         }
     }
 
-    fn scale(&mut self, entries: u32, now: ClockTime) -> ChoiceScale {
+    fn scale(&mut self, entries: u32, has_waited: bool, now: ClockTime) -> ChoiceScale {
         let outlook = self.outlook(entries, now);
         let busy = ((self.use_share() - BUSY) / (1.0 - BUSY)).clamp(0.0, 1.0);
+        let busy = if has_waited { busy } else { 0.0 };
         let prefix_gain = self.speed.prefix_gain(&self.policy, now) * (1.0 + BUSY_GAIN * busy);
         ChoiceScale {
             outlook,
--- /dev/null
+++ b/crates/sagespool-routing/src/lane.rs
@@ -0,0 +1,378 @@
+//! The queue of one service.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::time::Duration;
+
+use sagespool_types::{BranchName, ClockTime, RefusalReason, RequestId};
+
+use crate::order::{BranchState, ClassQueue, DueShare, ShareRate};
+use crate::smooth::SmoothedValue;
+use crate::tier::{QueueTier, TierTable};
+use crate::{OfferOutcome, QueueAdmission, QueueDepth, QueuePolicy, QueueRelease, QueueTicket};
+
+/// Ended requests that count for the run time.
+const RUN_MEMORY: f64 = 64.0;
+
+#[derive(Debug, Clone)]
+struct WaitingPlace {
+    branch: BranchName,
+    priority: u8,
+    number: u64,
+    latest_start: ClockTime,
+}
+
+#[derive(Debug, Clone)]
+struct RunningPlace {
+    branch: BranchName,
+    priority: u8,
+    tier: QueueTier,
+    since: ClockTime,
+    /// The use charged ahead.
+    charged: Duration,
+}
+
+/// One service's queue: branches in fair order within each class, classes by priority.
+#[derive(Debug)]
+pub(crate) struct ServiceLane {
+    policy: QueuePolicy,
+    limit: u32,
+    branches: HashMap<BranchName, BranchState>,
+    /// Sum of the weights of the branches that wait, run, or lately did.
+    counted_weight: u64,
+    /// Branches by the time at which they became idle.
+    idle: VecDeque<(ClockTime, BranchName)>,
+    classes: BTreeMap<u8, ClassQueue>,
+    waiting: HashMap<RequestId, WaitingPlace>,
+    /// Waiting requests by the time at which they can't make it any more.
+    latest_starts: BTreeSet<(ClockTime, RequestId)>,
+    running: HashMap<RequestId, RunningPlace>,
+    tiers: TierTable,
+    due: DueShare,
+    next_number: u64,
+    starts: u64,
+    run_time: SmoothedValue,
+}
+
+impl ServiceLane {
+    pub(crate) fn new(policy: QueuePolicy) -> Self {
+        Self {
+            limit: policy.first_limit.max(1),
+            policy,
+            branches: HashMap::new(),
+            counted_weight: 0,
+            idle: VecDeque::new(),
+            classes: BTreeMap::new(),
+            waiting: HashMap::new(),
+            latest_starts: BTreeSet::new(),
+            running: HashMap::new(),
+            tiers: TierTable::default(),
+            due: DueShare::default(),
+            next_number: 0,
+            starts: 0,
+            run_time: SmoothedValue::new(RUN_MEMORY),
+        }
+    }
+
+    pub(crate) fn set_limit(&mut self, limit: u32) {
+        self.limit = limit.max(1);
+    }
+
+    pub(crate) fn depth(&self) -> QueueDepth {
+        let (waiting, running) = (self.waiting.len(), self.running.len());
+        QueueDepth { waiting, running, limit: self.limit }
+    }
+
+    pub(crate) fn offer(&mut self, ticket: QueueTicket, now: ClockTime) -> OfferOutcome {
+        if ticket.latest_start() <= now {
+            return refuse(RefusalReason::DeadlineExceeded, None);
+        }
+        self.advance(now);
+        self.note_branch(&ticket, now);
+        let outcome = self.place(ticket.clone(), now);
+        if matches!(outcome, OfferOutcome::Refused { .. }) {
+            self.forget_if_spent(&ticket.branch);
+        }
+        outcome
+    }
+
+    fn place(&mut self, ticket: QueueTicket, now: ClockTime) -> OfferOutcome {
+        if self.may_start_at_once(&ticket, now) {
+            let is_excess = self.start(&ticket, now);
+            return OfferOutcome::Admitted { is_excess };
+        }
+        let expected_wait = self.expected_wait(&ticket, now);
+        let late = now.after(expected_wait).since(ticket.latest_start());
+        if !late.is_zero() {
+            return refuse(RefusalReason::DeadlineExceeded, Some(late));
+        }
+        if self.is_full_for(&ticket.branch) {
+            return refuse(RefusalReason::Overloaded, Some(expected_wait));
+        }
+        self.push(ticket, now);
+        OfferOutcome::Queued { expected_wait }
+    }
+
+    /// Nobody who waits would go before it, and there is a place.
+    fn may_start_at_once(&self, ticket: &QueueTicket, now: ClockTime) -> bool {
+        let tier = self.tier(&ticket.branch, ticket.priority);
+        if !self.has_place(tier, &ticket.branch, now) {
+            return false;
+        }
+        let next = self.next_head(now);
+        next.is_none_or(|(waiting, _)| tier < waiting)
+    }
+
+    /// Bounded, and so that one branch can't take the whole queue: each may have as many
+    /// waiting as are still free.
+    fn is_full_for(&self, name: &BranchName) -> bool {
+        let free = (self.policy.most_waiting as usize).saturating_sub(self.waiting.len());
+        let own = self.branches.get(name).map_or(0, |branch| branch.waiting as usize);
+        own >= free
+    }
+
+    pub(crate) fn release(&mut self, now: ClockTime) -> QueueRelease {
+        self.advance(now);
+        let expired = self.expire(now);
+        let mut admitted = Vec::new();
+        while let Some(ticket) = self.pop(now) {
+            let is_excess = self.start(&ticket, now);
+            admitted.push(QueueAdmission { request: ticket.request, is_excess });
+        }
+        QueueRelease { admitted, expired }
+    }
+
+    pub(crate) fn ended(&mut self, request: RequestId, now: ClockTime) {
+        let Some(place) = self.running.remove(&request) else { return };
+        let took = now.since(place.since).as_secs_f64();
+        self.run_time.add(took, self.policy.half_life, now);
+        self.tiers.ended(place.tier, self.policy.half_life, now);
+        self.advance(now);
+        let (due, held) = (self.due, now.since(place.since));
+        self.change(&place.branch, now, |branch| {
+            branch.running = branch.running.saturating_sub(1);
+            branch.refund(place.priority, place.charged.saturating_sub(held));
+            branch.charge(place.priority, held.saturating_sub(place.charged), &due);
+        });
+        self.forget_if_spent(&place.branch);
+    }
+
+    pub(crate) fn withdraw(&mut self, request: RequestId, now: ClockTime) -> bool {
+        let Some(place) = self.waiting.get(&request).cloned() else { return false };
+        self.take_out(request, &place, now);
+        self.forget_if_spent(&place.branch);
+        true
+    }
+
+    fn expire(&mut self, now: ClockTime) -> Vec<RequestId> {
+        let mut expired = Vec::new();
+        while let Some((latest_start, request)) = self.latest_starts.first().copied() {
+            if latest_start > now {
+                break;
+            }
+            if !self.withdraw(request, now) {
+                self.latest_starts.pop_first();
+            }
+            expired.push(request);
+        }
+        expired
+    }
+
+    fn push(&mut self, ticket: QueueTicket, now: ClockTime) {
+        self.next_number += 1;
+        let place = WaitingPlace {
+            branch: ticket.branch.clone(),
+            priority: ticket.priority,
+            number: self.next_number,
+            latest_start: ticket.latest_start(),
+        };
+        self.change(&ticket.branch, now, |branch| branch.waiting += 1);
+        self.latest_starts.insert((place.latest_start, ticket.request));
+        self.waiting.insert(ticket.request, place);
+        if let Some(branch) = self.branches.get(&ticket.branch) {
+            let class = self.classes.entry(ticket.priority).or_default();
+            class.push(self.next_number, ticket, branch, &self.due);
+        }
+    }
+
+    fn take_out(&mut self, request: RequestId, place: &WaitingPlace, now: ClockTime) {
+        self.waiting.remove(&request);
+        self.latest_starts.remove(&(place.latest_start, request));
+        if let Some(class) = self.classes.get_mut(&place.priority) {
+            class.remove(&place.branch, place.number);
+        }
+        self.change(&place.branch, now, |branch| branch.waiting = branch.waiting.saturating_sub(1));
+    }
+
+    /// Takes out the ticket that goes next, if it has a place.
+    fn pop(&mut self, now: ClockTime) -> Option<QueueTicket> {
+        let (tier, name) = self.next_head(now)?;
+        let name = name.clone();
+        let ticket = self.classes.get_mut(&tier.priority)?.pop(&name)?;
+        self.waiting.remove(&ticket.request);
+        self.latest_starts.remove(&(ticket.latest_start(), ticket.request));
+        self.change(&name, now, |branch| branch.waiting = branch.waiting.saturating_sub(1));
+        self.count_passes(tier.priority);
+        Some(ticket)
+    }
+
+    /// The first branch of the class whose turn it is, of those for which there is a place.
+    fn next_head(&self, now: ClockTime) -> Option<(QueueTier, &BranchName)> {
+        let heads = self.classes.iter().filter_map(|(priority, class)| {
+            let name = class.first()?;
+            let tier = self.tier(name, *priority);
+            let is_due = class.passed_by >= self.policy.passes;
+            self.has_place(tier, name, now).then_some((!is_due, tier, name))
+        });
+        heads.min().map(|(_, tier, name)| (tier, name))
+    }
+
+    /// Guards against a lower class that never goes while higher ones keep coming.
+    fn count_passes(&mut self, gone: u8) {
+        for (priority, class) in &mut self.classes {
+            if *priority == gone {
+                class.passed_by = 0;
+            } else if *priority > gone && class.waiting > 0 {
+                class.passed_by += 1;
+            }
+        }
+    }
+
+    fn tier(&self, name: &BranchName, priority: u8) -> QueueTier {
+        let used = self.branches.get(name).map(|branch| branch.used(priority, &self.due));
+        QueueTier { is_excess: used.is_some_and(|used| used > self.due.due()), priority }
+    }
+
+    /// Places that a branch may count on; at least one.
+    fn share(&self, branch: &BranchState) -> u32 {
+        let uncounted = if branch.is_counted { 0 } else { u64::from(branch.weight) };
+        let all = (self.counted_weight + uncounted).max(1);
+        let share = u64::from(self.limit) * u64::from(branch.weight) / all;
+        share.max(1) as u32
+    }
+
+    /// Whether one more of the tier may run: a branch beyond its share leaves the more places
+    /// free the further it is beyond, and all leave what those before them lately needed.
+    fn has_place(&self, tier: QueueTier, name: &BranchName, now: ClockTime) -> bool {
+        let limit = f64::from(self.limit);
+        let used = self.branches.get(name).map(|branch| branch.used(tier.priority, &self.due));
+        let ahead = used.map_or(0.0, |used| self.due.ahead(used));
+        let held_back = limit * (1.0 - percent(self.policy.excess_percent)) * ahead;
+        let needed = self.tiers.headroom(tier, self.policy.half_life, now);
+        let headroom = needed.min(limit * percent(self.policy.headroom_percent));
+        let taken = self.running.len() as f64;
+        taken + 1.0 <= (limit - held_back - headroom).ceil()
+    }
+
+    fn start(&mut self, ticket: &QueueTicket, now: ClockTime) -> bool {
+        let tier = self.tier(&ticket.branch, ticket.priority);
+        self.tiers.started(tier, self.policy.half_life, now);
+        self.starts += 1;
+        let (due, start, charged) = (self.due, self.starts, self.run_time(now));
+        self.change(&ticket.branch, now, |branch| {
+            branch.charge(ticket.priority, charged, &due);
+            branch.started(start);
+        });
+        let place = RunningPlace {
+            branch: ticket.branch.clone(),
+            priority: ticket.priority,
+            tier,
+            since: now,
+            charged,
+        };
+        self.running.insert(ticket.request, place);
+        tier.is_excess
+    }
+
+    fn note_branch(&mut self, ticket: &QueueTicket, now: ClockTime) {
+        self.branches.entry(ticket.branch.clone()).or_insert_with(BranchState::new);
+        self.change(&ticket.branch, now, |branch| branch.weight = ticket.weight.max(1));
+    }
+
+    /// Changes a branch, keeping the sums and its place in every class true.
+    fn change(&mut self, name: &BranchName, now: ClockTime, apply: impl FnOnce(&mut BranchState)) {
+        let Some(branch) = self.branches.get_mut(name) else { return };
+        if branch.is_counted {
+            self.counted_weight -= u64::from(branch.weight);
+        }
+        apply(branch);
+        let is_active = branch.is_active();
+        if is_active {
+            branch.is_counted = true;
+            branch.idle_since = None;
+        } else if branch.is_counted && branch.idle_since.is_none() {
+            branch.idle_since = Some(now);
+            self.idle.push_back((now, name.clone()));
+        }
+        if branch.is_counted {
+            self.counted_weight += u64::from(branch.weight);
+        }
+        for (priority, class) in &mut self.classes {
+            class.reorder(name, *priority, branch, &self.due);
+        }
+    }
+
+    /// A branch counts for some time after its last request.
+    ///
+    /// Guards against shares that jump: of ten branches with a request now and then, only one
+    /// or two are active at a moment, and the one that always is would take nearly every
+    /// place as its share.
+    fn forget_idle(&mut self, now: ClockTime) {
+        while let Some((since, name)) = self.idle.front() {
+            if now.since(*since) < self.policy.half_life {
+                break;
+            }
+            let (since, name) = (*since, name.clone());
+            self.idle.pop_front();
+            let Some(branch) = self.branches.get_mut(&name) else { continue };
+            if branch.idle_since != Some(since) {
+                continue;
+            }
+            branch.is_counted = false;
+            branch.idle_since = None;
+            self.counted_weight -= u64::from(branch.weight);
+            self.forget_if_spent(&name);
+        }
+    }
+
+    fn forget_if_spent(&mut self, name: &BranchName) {
+        let is_spent = |branch: &BranchState| !branch.is_counted && !branch.is_active();
+        if self.branches.get(name).is_some_and(is_spent) {
+            self.branches.remove(name);
+        }
+    }
+
+    /// Brings the shares up to the present.
+    fn advance(&mut self, now: ClockTime) {
+        let rate = ShareRate { places: self.limit, weight: self.counted_weight };
+        let burst = self.run_time(now).saturating_mul(self.policy.burst);
+        self.due.advance(rate, self.policy.share_span, burst, now);
+        self.forget_idle(now);
+    }
+
+    fn run_time(&self, now: ClockTime) -> Duration {
+        let guess = self.policy.run_time.as_secs_f64();
+        let run_time = self.run_time.value(guess, self.policy.half_life, now);
+        Duration::from_secs_f64(run_time)
+    }
+
+    /// The lower of two bounds, so that a request isn't refused on a guess: the time until all
+    /// before it have places, and the time until its branch's share has served its own.
+    fn expected_wait(&self, ticket: &QueueTicket, now: ClockTime) -> Duration {
+        let run_time = self.run_time(now).as_secs_f64();
+        let before = || self.classes.range(..=ticket.priority).map(|(_, class)| class);
+        let all: u32 = before().map(|class| class.waiting).sum();
+        let own: u32 = before().map(|class| class.waiting_of(&ticket.branch)).sum();
+        let share = self.branches.get(&ticket.branch).map_or(1, |branch| self.share(branch));
+        let for_all = f64::from(all + 1) / f64::from(self.limit);
+        let for_own = f64::from(own + 1) / f64::from(share);
+        Duration::from_secs_f64(for_all.min(for_own) * run_time)
+    }
+}
+
+fn refuse(reason: RefusalReason, retry_after: Option<Duration>) -> OfferOutcome {
+    OfferOutcome::Refused { reason, retry_after }
+}
+
+fn percent(hundredths: u32) -> f64 {
+    f64::from(hundredths) / 100.0
+}
--- a/crates/sagespool-routing/src/lib.rs
+++ b/crates/sagespool-routing/src/lib.rs
@@ -18,15 +18,19 @@
 mod ejection;
 mod history;
 mod lag;
+mod lane;
 mod limits;
 mod load;
+mod order;
 mod policy;
 mod queue;
 mod retry;
 mod service;
+mod share;
 mod smooth;
 mod speed;
 mod table;
+mod tier;
 mod totals;
 mod upstream;
 
@@ -34,7 +38,10 @@
 pub use choice::{AttemptOutcome, AttemptResult, RouteChoice, RouteWish, ServiceRoom};
 pub use limits::{BranchLimits, LimitRefusal, LimitRule, LimitScope};
 pub use policy::{PolicyKind, RoutingPolicy};
-pub use queue::{AdmissionQueue, OfferOutcome, QueuePolicy, QueueRelease, QueueTicket};
+pub use queue::{
+    AdmissionQueue, OfferOutcome, QueueAdmission, QueueDepth, QueuePolicy, QueueRelease,
+    QueueTicket,
+};
 pub use retry::{RetryBudget, RetryPolicy};
 
 pub use table::UpstreamTable;
--- a/crates/sagespool-routing/src/load.rs
+++ b/crates/sagespool-routing/src/load.rs
@@ -7,6 +7,7 @@
 
 use crate::history::OwnHistory;
 use crate::lag::{LagEstimate, LagRests};
+use crate::share::EntryShare;
 
 /// What a service's reports show together, which one upstream's estimate leans on.
 #[derive(Debug, Clone, Copy)]
@@ -21,6 +22,8 @@
     pub(crate) fading: Duration,
     /// How far others are taken to follow the same old reports, from 0 to 1.
     pub(crate) herding: f64,
+    /// How far own requests alone are taken to tell the load, from 0 to 1.
+    pub(crate) own_weight: f64,
 }
 
 /// One upstream's load: the newest report and what this entry did since.
@@ -31,6 +34,9 @@
     received: Option<ClockTime>,
     rests: Option<Box<LagRests>>,
     history: OwnHistory,
+    /// Own dispatches ever, and at the newest report.
+    sent: u64,
+    sent_at_report: u64,
 }
 
 impl LoadView {
@@ -44,10 +50,21 @@
     }
 
     /// Takes a report in, unless it is no newer than the one known.
-    pub(crate) fn observe(&mut self, report: &LoadReport, lag: &mut LagEstimate, now: ClockTime) {
+    pub(crate) fn observe(
+        &mut self,
+        report: &LoadReport,
+        lag: &mut LagEstimate,
+        share: &mut EntryShare,
+        now: ClockTime,
+    ) {
         if self.received.is_some() && report.number <= self.report.number {
             return;
         }
+        if self.received.is_some() {
+            let dispatched = report.dispatched.saturating_sub(self.report.dispatched);
+            share.add(self.sent - self.sent_at_report, dispatched);
+        }
+        self.sent_at_report = self.sent;
         self.report = *report;
         self.received = Some(now);
         let rests = lag.compare(total(report), &self.history, self.rests.as_deref(), now);
@@ -55,6 +72,7 @@
     }
 
     pub(crate) fn started(&mut self, now: ClockTime) {
+        self.sent += 1;
         self.history.set(self.own() + 1, now);
     }
 
@@ -76,6 +94,10 @@
     /// entries. Own sends count at once, and the others, which see the same report, are taken
     /// to have done alike. What an old report says beyond the average fades as the requests
     /// that it counted end.
+    ///
+    /// Half of the estimate is what the load would be if the others had there in proportion what
+    /// this entry has. It is never late, and entries that all weigh it keep to their part of
+    /// each upstream without a message.
     pub(crate) fn estimate(&self, outlook: &LoadOutlook, capacity: f64, now: ClockTime) -> f64 {
         let own = f64::from(self.own());
         let others_mean = outlook.others_mean * capacity;
@@ -88,7 +110,9 @@
         let kept = (-age / outlook.fading.as_secs_f64().max(1e-3)).exp();
         let surplus = (self.others_then(outlook.lag) - others_mean) * kept;
         let others = others_mean + surplus + (own - own_then) * followed;
-        own + others.max(0.0)
+        let by_report = own + others.max(0.0);
+        let by_own = own * (1.0 + outlook.others);
+        by_report + (by_own - by_report) * outlook.own_weight
     }
 
     fn made_at(&self, lag: Duration) -> Option<ClockTime> {
--- a/crates/sagespool-routing/src/service.rs
+++ b/crates/sagespool-routing/src/service.rs
@@ -11,6 +11,7 @@
 use crate::affinity::{CacheEvent, CacheEventKind, PrefixMemory, PrefixRing};
 use crate::lag::LagEstimate;
 use crate::load::LoadOutlook;
+use crate::share::EntryShare;
 use crate::speed::{ServiceSpeed, WholeAnswer};
 use crate::totals::ServiceTotals;
 use crate::upstream::UpstreamState;
@@ -20,6 +21,8 @@
 const FADING_RUNS: f64 = 2.0;
 /// How far other entries are taken to follow the same old reports.
 const HERDING: f64 = 0.5;
+/// How far own requests alone are taken to tell an upstream's load.
+const OWN_WEIGHT: f64 = 0.5;
 /// Entries may have so many times the upstreams' capacity running: a choice that was a
 /// little wrong then costs no idle place.
 const OVERCOMMIT: f64 = 1.1;
@@ -52,6 +55,7 @@
     pub(crate) next_attempt: u64,
     running: HashMap<u64, RunningAttempt>,
     lag: LagEstimate,
+    share: EntryShare,
     totals: ServiceTotals,
 }
 
@@ -70,6 +74,7 @@
             next_attempt: 0,
             running: HashMap::new(),
             lag: LagEstimate::default(),
+            share: EntryShare::default(),
             totals: ServiceTotals::default(),
             policy,
         }
@@ -90,7 +95,7 @@
         if upstream.observe(member, served, own_centre) {
             self.usable.clear();
         }
-        upstream.observe_load(served, &mut self.lag, now);
+        upstream.observe_load(served, &mut self.lag, &mut self.share, now);
     }
 
     fn insert(&mut self, member: &MemberInfo, served: &ServedUpstream) -> usize {
@@ -213,7 +218,7 @@
         }
     }
 
-    /// The entry's own share of the capacity, or what it has plus its share of what is free,
+    /// An equal share of the capacity, or what this entry has plus its part of what is free,
     /// whichever is more: an entry that gets more callers than the others may use what they
     /// leave, and goes back to its share as they need theirs.
     pub(crate) fn room(&mut self, entries: u32, now: ClockTime) -> ServiceRoom {
@@ -221,8 +226,9 @@
         let own = self.running.len() as f64;
         let capacity = self.totals.capacity * OVERCOMMIT;
         let free = capacity - self.totals.others - own;
-        let entries = f64::from(entries.max(1));
-        let limit = (capacity / entries).max(own + free / entries).ceil();
+        let share = capacity / f64::from(entries.max(1));
+        let part = self.share.own_part(entries);
+        let limit = share.max(own + free * part).ceil();
         let run_time = Duration::from_secs_f64(self.speed.run_time(&self.policy, now));
         ServiceRoom { limit: limit.max(1.0) as u32, run_time }
     }
@@ -237,10 +243,11 @@
         let run_time = self.speed.run_time(&self.policy, now);
         LoadOutlook {
             lag: self.lag.lag(self.policy.report_lag),
-            others: f64::from(entries.max(1) - 1),
+            others: 1.0 / self.share.own_part(entries) - 1.0,
             others_mean: self.totals.others / self.totals.capacity.max(1.0),
             fading: Duration::from_secs_f64(run_time * FADING_RUNS),
             herding: HERDING,
+            own_weight: if entries > 1 { OWN_WEIGHT } else { 0.0 },
         }
     }
 
--- a/crates/sagespool-routing/src/upstream.rs
+++ b/crates/sagespool-routing/src/upstream.rs
@@ -10,6 +10,7 @@
 use crate::ejection::EjectionState;
 use crate::lag::LagEstimate;
 use crate::load::LoadView;
+use crate::share::EntryShare;
 use crate::smooth::SmoothedValue;
 use crate::speed::UpstreamSpeed;
 
@@ -86,9 +87,10 @@
         &mut self,
         served: &ServedUpstream,
         lag: &mut LagEstimate,
+        share: &mut EntryShare,
         now: ClockTime,
     ) {
-        self.load.observe(&served.load, lag, now);
+        self.load.observe(&served.load, lag, share, now);
     }
 
     pub(crate) fn serves(&self, model: Option<&ModelName>) -> bool {
