Hold running requests against a branch by what they used so far

Charging a request's whole run time when it starts made even the only branch of a service look beyond its share once all its places were taken, and left places idle.

--- a/crates/sagespool-routing/examples/policy_compare.rs
+++ b/crates/sagespool-routing/examples/policy_compare.rs
@@ -72,8 +72,6 @@
     noise: f64,
     deadline: Duration,
     queue: bool,
-    /// Requests beyond their branch's share have a lower priority in the engines.
-    priorities: bool,
     seeds: u64,
 }
 
@@ -100,7 +98,6 @@
             noise: 1.0,
             deadline: Duration::from_secs(20),
             queue: true,
-            priorities: true,
             seeds: 3,
         }
     }
@@ -157,7 +154,6 @@
             "noise" => self.noise = number,
             "deadline" => self.deadline = millis,
             "queue" => self.queue = number > 0.0,
-            "priorities" => self.priorities = number > 0.0,
             "seeds" => self.seeds = number as u64,
             _ => panic!("unknown setting `{key}`"),
         }
@@ -197,7 +193,6 @@
     choice: Option<RouteChoice>,
     tried: Vec<IncarnationId>,
     first_token: Option<Duration>,
-    is_excess: bool,
     has_waited: bool,
     is_hit: bool,
 }
@@ -348,7 +343,6 @@
             choice: None,
             tried: Vec::new(),
             first_token: None,
-            is_excess: false,
             has_waited: false,
             is_hit: false,
         };
@@ -369,10 +363,7 @@
             .deadline(now.after(self.scenario.deadline))
             .build();
         match self.entries[entry].queue.offer(ticket, now) {
-            OfferOutcome::Admitted { is_excess } => {
-                self.jobs[place].is_excess = is_excess;
-                self.dispatch(place, now);
-            }
+            OfferOutcome::Admitted => self.dispatch(place, now),
             OfferOutcome::Queued { .. } => {}
             OfferOutcome::Refused { .. } => self.refuse(place),
         }
@@ -432,13 +423,7 @@
         if self.engines[number].running < self.scenario.capacity {
             return self.begin(place, now);
         }
-        let is_excess = |job: &usize| self.jobs[*job].is_excess;
-        let engine = &mut self.engines[number];
-        let before = match self.scenario.priorities && !is_excess(&place) {
-            true => engine.waiting.iter().position(is_excess),
-            false => None,
-        };
-        engine.waiting.insert(before.unwrap_or(engine.waiting.len()), place);
+        self.engines[number].waiting.push_back(place);
     }
 
     fn begin(&mut self, place: usize, now: ClockTime) {
@@ -534,9 +519,8 @@
         for request in release.expired {
             self.refuse(self.by_request[&request]);
         }
-        for admission in release.admitted {
-            let place = self.by_request[&admission.request];
-            self.jobs[place].is_excess = admission.is_excess;
+        for request in release.admitted {
+            let place = self.by_request[&request];
             self.jobs[place].has_waited = true;
             self.dispatch(place, now);
         }
--- a/crates/sagespool-routing/src/lane.rs
+++ b/crates/sagespool-routing/src/lane.rs
@@ -8,7 +8,7 @@
 use crate::order::{BranchState, ClassQueue, DueShare, ShareRate};
 use crate::smooth::SmoothedValue;
 use crate::tier::{QueueTier, TierTable};
-use crate::{OfferOutcome, QueueAdmission, QueueDepth, QueuePolicy, QueueRelease, QueueTicket};
+use crate::{OfferOutcome, QueueDepth, QueuePolicy, QueueRelease, QueueTicket};
 
 /// Ended requests that count for the run time.
 const RUN_MEMORY: f64 = 64.0;
@@ -27,8 +27,6 @@
     priority: u8,
     tier: QueueTier,
     since: ClockTime,
-    /// The use charged ahead.
-    charged: Duration,
 }
 
 /// One service's queue: branches in fair order within each class, classes by priority.
@@ -97,8 +95,8 @@
 
     fn place(&mut self, ticket: QueueTicket, now: ClockTime) -> OfferOutcome {
         if self.may_start_at_once(&ticket, now) {
-            let is_excess = self.start(&ticket, now);
-            return OfferOutcome::Admitted { is_excess };
+            self.start(&ticket, now);
+            return OfferOutcome::Admitted;
         }
         let expected_wait = self.expected_wait(&ticket, now);
         let late = now.after(expected_wait).since(ticket.latest_start());
@@ -114,7 +112,7 @@
 
     /// Nobody who waits would go before it, and there is a place.
     fn may_start_at_once(&self, ticket: &QueueTicket, now: ClockTime) -> bool {
-        let tier = self.tier(&ticket.branch, ticket.priority);
+        let tier = self.tier(&ticket.branch, ticket.priority, now);
         if !self.has_place(tier, &ticket.branch, now) {
             return false;
         }
@@ -135,8 +133,8 @@
         let expired = self.expire(now);
         let mut admitted = Vec::new();
         while let Some(ticket) = self.pop(now) {
-            let is_excess = self.start(&ticket, now);
-            admitted.push(QueueAdmission { request: ticket.request, is_excess });
+            self.start(&ticket, now);
+            admitted.push(ticket.request);
         }
         QueueRelease { admitted, expired }
     }
@@ -147,11 +145,9 @@
         self.run_time.add(took, self.policy.half_life, now);
         self.tiers.ended(place.tier, self.policy.half_life, now);
         self.advance(now);
-        let (due, held) = (self.due, now.since(place.since));
+        let due = self.due;
         self.change(&place.branch, now, |branch| {
-            branch.running = branch.running.saturating_sub(1);
-            branch.refund(place.priority, place.charged.saturating_sub(held));
-            branch.charge(place.priority, held.saturating_sub(place.charged), &due);
+            branch.request_ended(place.priority, place.since, &due, now);
         });
         self.forget_if_spent(&place.branch);
     }
@@ -219,7 +215,7 @@
     fn next_head(&self, now: ClockTime) -> Option<(QueueTier, &BranchName)> {
         let heads = self.classes.iter().filter_map(|(priority, class)| {
             let name = class.first()?;
-            let tier = self.tier(name, *priority);
+            let tier = self.tier(name, *priority, now);
             let is_due = class.passed_by >= self.policy.passes;
             self.has_place(tier, name, now).then_some((!is_due, tier, name))
         });
@@ -237,9 +233,9 @@
         }
     }
 
-    fn tier(&self, name: &BranchName, priority: u8) -> QueueTier {
-        let used = self.branches.get(name).map(|branch| branch.used(priority, &self.due));
-        QueueTier { is_excess: used.is_some_and(|used| used > self.due.due()), priority }
+    fn tier(&self, name: &BranchName, priority: u8, now: ClockTime) -> QueueTier {
+        let used = self.branches.get(name).map(|branch| branch.used(priority, &self.due, now));
+        QueueTier { is_excess: used.is_some_and(|used| self.due.is_beyond(used)), priority }
     }
 
     /// Places that a branch may count on; at least one.
@@ -254,7 +250,7 @@
     /// free the further it is beyond, and all leave what those before them lately needed.
     fn has_place(&self, tier: QueueTier, name: &BranchName, now: ClockTime) -> bool {
         let limit = f64::from(self.limit);
-        let used = self.branches.get(name).map(|branch| branch.used(tier.priority, &self.due));
+        let used = self.branches.get(name).map(|branch| branch.used(tier.priority, &self.due, now));
         let ahead = used.map_or(0.0, |used| self.due.ahead(used));
         let held_back = limit * (1.0 - percent(self.policy.excess_percent)) * ahead;
         let needed = self.tiers.headroom(tier, self.policy.half_life, now);
@@ -263,24 +259,21 @@
         taken + 1.0 <= (limit - held_back - headroom).ceil()
     }
 
-    fn start(&mut self, ticket: &QueueTicket, now: ClockTime) -> bool {
-        let tier = self.tier(&ticket.branch, ticket.priority);
+    fn start(&mut self, ticket: &QueueTicket, now: ClockTime) {
+        let tier = self.tier(&ticket.branch, ticket.priority, now);
         self.tiers.started(tier, self.policy.half_life, now);
         self.starts += 1;
-        let (due, start, charged) = (self.due, self.starts, self.run_time(now));
+        let (due, start) = (self.due, self.starts);
         self.change(&ticket.branch, now, |branch| {
-            branch.charge(ticket.priority, charged, &due);
-            branch.started(start);
+            branch.started(ticket.priority, start, &due, now);
         });
         let place = RunningPlace {
             branch: ticket.branch.clone(),
             priority: ticket.priority,
             tier,
             since: now,
-            charged,
         };
         self.running.insert(ticket.request, place);
-        tier.is_excess
     }
 
     fn note_branch(&mut self, ticket: &QueueTicket, now: ClockTime) {
@@ -343,9 +336,14 @@
 
     /// Brings the shares up to the present.
     fn advance(&mut self, now: ClockTime) {
-        let rate = ShareRate { places: self.limit, weight: self.counted_weight };
-        let burst = self.run_time(now).saturating_mul(self.policy.burst);
-        self.due.advance(rate, self.policy.share_span, burst, now);
+        let rate = ShareRate {
+            places: self.limit,
+            weight: self.counted_weight,
+            run_time: self.run_time(now),
+            span: self.policy.share_span,
+            burst: self.policy.burst,
+        };
+        self.due.advance(&rate, now);
         self.forget_idle(now);
     }
 
--- a/crates/sagespool-routing/src/lib.rs
+++ b/crates/sagespool-routing/src/lib.rs
@@ -38,10 +38,6 @@
 pub use choice::{AttemptOutcome, AttemptResult, RouteChoice, RouteWish, ServiceRoom};
 pub use limits::{BranchLimits, LimitRefusal, LimitRule, LimitScope};
 pub use policy::{PolicyKind, RoutingPolicy};
-pub use queue::{
-    AdmissionQueue, OfferOutcome, QueueAdmission, QueueDepth, QueuePolicy, QueueRelease,
-    QueueTicket,
-};
+pub use queue::{AdmissionQueue, OfferOutcome, QueueDepth, QueuePolicy, QueueRelease, QueueTicket};
 pub use retry::{RetryBudget, RetryPolicy};
-
 pub use table::UpstreamTable;
--- a/crates/sagespool-routing/src/order.rs
+++ b/crates/sagespool-routing/src/order.rs
@@ -7,22 +7,34 @@
 
 use crate::QueueTicket;
 
+/// A branch that uses its share exactly is not beyond it, part of the span.
+const TOLERANCE: f64 = 0.1;
+
 /// The branch that used the least for its weight first; among equals the one that started
 /// something the longest ago.
-type OrderKey = (u64, u64, BranchName);
+type OrderKey = (ShareTime, u64, BranchName);
 
 /// The time that a place was used or due, in microseconds, for one unit of weight.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct ShareTime(pub(crate) u64);
 
+/// What a branch used in one class and all higher ones.
+#[derive(Debug, Clone, Copy, Default)]
+struct ClassUse {
+    /// By requests that ended, kept within a span around what was due: unused due isn't saved
+    /// up for long, nor is what was used while nobody else wanted it held against it for long.
+    ended: ShareTime,
+    /// Requests of this class alone that run, and the sum of the times at which they started.
+    running: u32,
+    started_sum: u64,
+}
+
 /// One branch, over all classes of a service.
 #[derive(Debug, Clone)]
 pub(crate) struct BranchState {
     pub(crate) weight: u32,
     pub(crate) waiting: u32,
-    pub(crate) running: u32,
-    /// What it used, by class, on the scale of its due: see [`BranchState::used`].
-    used: BTreeMap<u8, ShareTime>,
+    uses: BTreeMap<u8, ClassUse>,
     /// Counts the starts of the whole service, up to its own last one.
     last_start: u64,
     /// True while its weight counts against the others'.
@@ -36,8 +48,7 @@
         Self {
             weight: 1,
             waiting: 0,
-            running: 0,
-            used: BTreeMap::new(),
+            uses: BTreeMap::new(),
             last_start: 0,
             is_counted: false,
             idle_since: None,
@@ -45,45 +56,58 @@
     }
 
     pub(crate) fn is_active(&self) -> bool {
-        self.waiting > 0 || self.running > 0
+        self.waiting > 0 || self.uses.values().any(|used| used.running > 0)
     }
 
-    /// What the branch used in this class and higher ones, for one unit of its weight, kept
-    /// within a span around what was due: unused due isn't saved up for long, nor is what it
-    /// used while nobody else wanted it held against it for long.
-    ///
-    /// What it uses in a lower class doesn't hold up its own urgent requests.
-    pub(crate) fn used(&self, priority: u8, due: &DueShare) -> ShareTime {
-        let before = self.used.range(..=priority).map(|(_, used)| *used);
-        before.max().unwrap_or_default().max(due.least())
+    /// What the branch used up to now in this class and higher ones. What it uses in a lower
+    /// class doesn't hold up its own urgent requests, and a request that runs for very long
+    /// counts in full only once it has ended.
+    pub(crate) fn used(&self, priority: u8, due: &DueShare, now: ClockTime) -> ShareTime {
+        let running = self.uses.range(..=priority).map(|(_, used)| {
+            let running = u64::from(used.running);
+            let since_started = (running * now.0).saturating_sub(used.started_sum);
+            since_started.min(running * due.run_time)
+        });
+        let running = running.sum::<u64>() / u64::from(self.weight.max(1));
+        ShareTime(self.ended(priority, due).0 + running)
     }
 
-    /// Charges the use of a place, ahead of time, in its class and all lower ones that it uses.
-    pub(crate) fn charge(&mut self, priority: u8, time: Duration, due: &DueShare) {
-        let step = time.as_micros() as u64 / u64::from(self.weight.max(1));
-        let start = self.used(priority, due);
-        self.used.entry(priority).or_insert(start);
-        for used in self.used.range_mut(priority..).map(|(_, used)| used) {
-            let from = (*used).max(due.least());
-            *used = ShareTime(from.0 + step).min(due.most());
-        }
+    pub(crate) fn started(&mut self, priority: u8, start: u64, due: &DueShare, now: ClockTime) {
+        self.last_start = start;
+        let ended = self.ended(priority, due);
+        let used = self.uses.entry(priority).or_insert(ClassUse { ended, ..ClassUse::default() });
+        used.running += 1;
+        used.started_sum += now.0;
     }
 
-    /// Takes back what was charged too much.
-    pub(crate) fn refund(&mut self, priority: u8, time: Duration) {
-        let step = time.as_micros() as u64 / u64::from(self.weight.max(1));
-        for used in self.used.range_mut(priority..).map(|(_, used)| used) {
-            *used = ShareTime(used.0.saturating_sub(step));
+    pub(crate) fn request_ended(
+        &mut self,
+        priority: u8,
+        since: ClockTime,
+        due: &DueShare,
+        now: ClockTime,
+    ) {
+        let step = now.since(since).as_micros() as u64 / u64::from(self.weight.max(1));
+        if let Some(used) = self.uses.get_mut(&priority) {
+            used.running = used.running.saturating_sub(1);
+            used.started_sum = used.started_sum.saturating_sub(since.0);
+        }
+        for used in self.uses.range_mut(priority..).map(|(_, used)| used) {
+            let from = used.ended.max(due.least());
+            used.ended = ShareTime(from.0 + step).min(due.most());
         }
     }
 
-    pub(crate) fn started(&mut self, start: u64) {
-        self.running += 1;
-        self.last_start = start;
+    fn ended(&self, priority: u8, due: &DueShare) -> ShareTime {
+        let before = self.uses.range(..=priority).map(|(_, used)| used.ended);
+        before.max().unwrap_or_default().max(due.least())
     }
 
+    /// What runs counts as if it were over, so that branches take turns within one moment.
     fn key(&self, name: &BranchName, priority: u8, due: &DueShare) -> OrderKey {
-        (self.used(priority, due).0, self.last_start, name.clone())
+        let running: u32 = self.uses.range(..=priority).map(|(_, used)| used.running).sum();
+        let ahead = due.run_time * u64::from(running) / u64::from(self.weight.max(1));
+        (ShareTime(self.ended(priority, due).0 + ahead), self.last_start, name.clone())
     }
 }
 
@@ -94,30 +118,28 @@
     due: f64,
     /// How far a branch's use may lag behind it or run ahead of it, in microseconds.
     span: f64,
+    /// How long a request runs, in microseconds.
+    run_time: u64,
     at: ClockTime,
 }
 
 impl DueShare {
-    pub(crate) fn due(&self) -> ShareTime {
-        ShareTime(self.due as u64)
-    }
-
-    /// Time passed in which so many places were shared by so much weight. A branch may save
-    /// up, or be behind, what `span` brings it, and never less than `burst` of one place.
-    pub(crate) fn advance(
-        &mut self,
-        rate: ShareRate,
-        span: Duration,
-        burst: Duration,
-        now: ClockTime,
-    ) {
-        let rate = f64::from(rate.places) / rate.weight.max(1) as f64;
+    /// Time passed in which places were shared by weight.
+    pub(crate) fn advance(&mut self, rate: &ShareRate, now: ClockTime) {
+        let each = f64::from(rate.places) / rate.weight.max(1) as f64;
         let passed = now.since(self.at).as_micros() as f64;
-        self.due += passed * rate;
-        self.span = (span.as_micros() as f64 * rate).max(burst.as_micros() as f64);
+        let burst = rate.run_time.saturating_mul(rate.burst);
+        self.due += passed * each;
+        self.span = (rate.span.as_micros() as f64 * each).max(burst.as_micros() as f64);
+        self.run_time = rate.run_time.as_micros() as u64;
         self.at = self.at.max(now);
     }
 
+    /// True for a branch that used more than its share, beyond what rounding makes of it.
+    pub(crate) fn is_beyond(&self, used: ShareTime) -> bool {
+        used.0 as f64 > self.due + self.span * TOLERANCE
+    }
+
     /// How far a branch is beyond its share, from 0 to 1 for the most that is held against it.
     pub(crate) fn ahead(&self, used: ShareTime) -> f64 {
         ((used.0 as f64 - self.due) / self.span.max(1.0)).clamp(0.0, 1.0)
@@ -132,11 +154,16 @@
     }
 }
 
-/// Places and the weight that shares them.
+/// Places, the weight that shares them, and how strictly.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ShareRate {
     pub(crate) places: u32,
     pub(crate) weight: u64,
+    pub(crate) run_time: Duration,
+    /// A branch may save up, or be behind, what this time brings it.
+    pub(crate) span: Duration,
+    /// And never less than so many requests.
+    pub(crate) burst: u32,
 }
 
 #[derive(Debug)]
--- a/crates/sagespool-routing/src/queue.rs
+++ b/crates/sagespool-routing/src/queue.rs
@@ -86,10 +86,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OfferOutcome {
     /// It runs now; say [`AdmissionQueue::ended`] when it ends.
-    Admitted {
-        /// True if its branch uses more than its share.
-        is_excess: bool,
-    },
+    Admitted,
     /// It waits, about so long; [`AdmissionQueue::release`] will name it.
     Queued {
         /// The predicted wait.
@@ -104,20 +101,11 @@
     },
 }
 
-/// A request that waited and runs now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct QueueAdmission {
-    /// The request.
-    pub request: RequestId,
-    /// True if its branch uses more than its share.
-    pub is_excess: bool,
-}
-
 /// Requests that left the queue.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct QueueRelease {
     /// These run now.
-    pub admitted: Vec<QueueAdmission>,
+    pub admitted: Vec<RequestId>,
     /// These can't make their deadline any more; they did not run.
     pub expired: Vec<RequestId>,
 }
