--- a/crates/sagespool-entry/src/run/admission.rs
+++ b/crates/sagespool-entry/src/run/admission.rs
@@ -122,7 +122,7 @@
     if word == Some(QueueWord::Admitted) {
         return Ok(());
     }
-    if !state.queue.withdraw(&order.service, order.request) && word.is_none() {
+    if !state.queue.withdraw(&order.service, order.request, ClockTime::now()) && word.is_none() {
         // Admitted in the same moment: the place goes to the next.
         state.queue.ended(&order.service, order.request, ClockTime::now());
     }
--- a/crates/sagespool-entry/src/state.rs
+++ b/crates/sagespool-entry/src/state.rs
@@ -75,7 +75,7 @@
 }
 
 fn queue_policy(settings: &EntrySettings) -> QueuePolicy {
-    QueuePolicy::builder().most_waiting(settings.queue.most_waiting as usize).build()
+    QueuePolicy::builder().most_waiting(settings.queue.most_waiting).build()
 }
 
 fn ledger_policy(settings: &EntrySettings) -> LedgerPolicy {
