--- a/crates/sagespool-entry/src/home/recovery.rs
+++ b/crates/sagespool-entry/src/home/recovery.rs
@@ -1,6 +1,6 @@
 //! Recovering the grants of holders that are dead, and charges whose entry is.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,26 +8,32 @@
     BOOK_COUNT, BookRecord, OrphanCharge, RecoveryCase, RecoveryVerdict, book_key,
 };
 use sagespool_log::log_event;
-use sagespool_messages::{
-    ChargeRecord, MemberInfo, MemberRole, PeerReply, PeerRequest, SealReply, SealRequest, SealScope,
-};
+use sagespool_messages::{MemberRole, SealRequest, SealScope};
 use sagespool_platform::{StoreError, UpdateChoice, update_object};
 use sagespool_types::{
-    BookNumber, BranchName, ChargeId, ClockTime, GrantId, IncarnationId, StoreRevision, TokenCount,
+    BookNumber, BranchName, ChargeId, ClockTime, GrantId, IncarnationId, StoreRevision,
 };
 
+use super::witnesses::ask_witnesses;
 use crate::state::EntryState;
 
 const TICK: Duration = Duration::from_millis(500);
+/// Cases that wait for a sidecar are asked about again this often.
+const RETRY: Duration = Duration::from_secs(2);
 /// Every book is looked through this often for grants whose holder nobody knows.
 const SWEEP: Duration = Duration::from_secs(15);
-const SEAL_LIMIT: Duration = Duration::from_secs(2);
 const UPDATE_LIMIT: Duration = Duration::from_secs(5);
 
-/// The grants of one dead holder in one book.
-struct BookCase {
-    book: BookNumber,
-    cases: Vec<RecoveryCase>,
+/// What the recovery's task remembers from one pass to the next.
+#[derive(Default)]
+struct RecoveryDesk {
+    known: HashMap<IncarnationId, MemberRole>,
+    /// Books with grants that this process has sealed and not closed.
+    open_books: BTreeSet<BookNumber>,
+    last_pass: ClockTime,
+    last_sweep: ClockTime,
+    /// True after an entry's death, until a look through all books has succeeded.
+    sweep_wanted: bool,
 }
 
 /// Recovers for the process's whole life.
@@ -35,37 +41,44 @@
 /// Who recovers is only a matter of who tries: any number may do so at once, since seals, settled
 /// charges and closing are found by id in the book, by conditional updates.
 pub(crate) async fn run_recovery(state: Arc<EntryState>) {
-    let mut known: HashMap<IncarnationId, MemberRole> = HashMap::new();
-    let mut last_sweep = ClockTime::now();
-    let mut pending: Vec<IncarnationId> = Vec::new();
+    let mut desk = RecoveryDesk { last_sweep: ClockTime::now(), ..RecoveryDesk::default() };
     loop {
         smol::Timer::after(TICK).await;
+        note_gone(&state, &mut desk).await;
+        let overdue = state.ledger.overdue(ClockTime::now());
+        resolve_orphans(&state, overdue).await;
         let now = ClockTime::now();
-        for member in state.members.members() {
-            known.insert(member.incarnation, member.role);
+        if desk.sweep_wanted || now.since(desk.last_sweep) >= SWEEP {
+            desk.last_sweep = now;
+            desk.sweep_wanted = !sweep(&state, &mut desk).await;
         }
-        let gone: Vec<(IncarnationId, MemberRole)> = known
-            .iter()
-            .filter(|(incarnation, _)| state.members.is_gone(**incarnation, now))
-            .map(|(incarnation, role)| (*incarnation, *role))
-            .collect();
-        for (incarnation, role) in gone {
-            known.remove(&incarnation);
-            log_event!(info, "member-gone", incarnation = incarnation, role = role);
-            if role == MemberRole::Entry {
-                pending.push(incarnation);
-                let orphans = state.ledger.entry_gone(incarnation, now);
-                resolve_orphans(&state, orphans).await;
+        if !desk.open_books.is_empty() && now.since(desk.last_pass) >= RETRY {
+            desk.last_pass = now;
+            for book in desk.open_books.clone() {
+                pass_book(&state, &mut desk, book).await;
             }
         }
-        let overdue = state.ledger.overdue(now);
-        resolve_orphans(&state, overdue).await;
-        if !pending.is_empty() && recover(&state).await {
-            pending.clear();
-        }
-        if now.since(last_sweep) >= SWEEP {
-            last_sweep = now;
-            recover(&state).await;
+    }
+}
+
+async fn note_gone(state: &Arc<EntryState>, desk: &mut RecoveryDesk) {
+    let now = ClockTime::now();
+    for member in state.members.members() {
+        desk.known.insert(member.incarnation, member.role);
+    }
+    let is_gone = |incarnation: &IncarnationId| state.members.is_gone(*incarnation, now);
+    let gone: Vec<_> = desk.known.iter().filter(|(incarnation, _)| is_gone(incarnation)).collect();
+    let gone: Vec<_> = gone.into_iter().map(|(incarnation, role)| (*incarnation, *role)).collect();
+    for (incarnation, role) in gone {
+        desk.known.remove(&incarnation);
+        log_event!(info, "member-gone", incarnation = incarnation, role = role);
+        match role {
+            MemberRole::Sidecar => state.keys.sidecar_gone(incarnation, now),
+            MemberRole::Entry => {
+                desk.sweep_wanted = true;
+                let orphans = state.ledger.entry_gone(incarnation, now);
+                resolve_orphans(state, orphans).await;
+            }
         }
     }
 }
@@ -87,28 +100,11 @@
 }
 
 /// Looks through the books that this entry is first in line for; false if the store didn't answer.
-async fn recover(state: &Arc<EntryState>) -> bool {
+async fn sweep(state: &Arc<EntryState>, desk: &mut RecoveryDesk) -> bool {
     let mut whole = true;
     for book in (0..BOOK_COUNT).map(BookNumber) {
-        if !is_first_in_line(state, book) {
-            continue;
-        }
-        match state.objects.get::<BookRecord>(&book_key(book)).await {
-            Ok(Some(stored)) => {
-                let found = stored.value.outstanding_of(|holder| is_dead(state, holder));
-                let undoubted = found.into_iter().filter(|(branch, grant)| {
-                    stored.value.branches[branch]
-                        .grants
-                        .get(grant)
-                        .is_some_and(|grant| !grant.in_doubt)
-                });
-                let undoubted: Vec<_> = undoubted.collect();
-                if !undoubted.is_empty() {
-                    recover_book(state, book, undoubted).await;
-                }
-            }
-            Ok(None) => {}
-            Err(_) => whole = false,
+        if is_first_in_line(state, book) {
+            whole &= pass_book(state, desk, book).await;
         }
     }
     whole
@@ -116,210 +112,130 @@
 
 /// Books are spread over the live entries by their number.
 fn is_first_in_line(state: &EntryState, book: BookNumber) -> bool {
-    let mut entries: Vec<IncarnationId> = state
-        .members
-        .live(MemberRole::Entry, ClockTime::now())
-        .into_iter()
-        .map(|member| member.incarnation)
-        .collect();
-    entries.push(state.incarnation);
-    entries.sort_unstable();
-    entries.dedup();
-    entries[book.0 as usize % entries.len()] == state.incarnation
+    let live = state.members.live(MemberRole::Entry, ClockTime::now());
+    let mut entries: BTreeSet<IncarnationId> =
+        live.into_iter().map(|member| member.incarnation).collect();
+    entries.insert(state.incarnation);
+    entries.iter().nth(book.0 as usize % entries.len()) == Some(&state.incarnation)
 }
 
-/// Seals the grants in the book, then at every sidecar, and settles what the sidecars list.
-async fn recover_book(
-    state: &Arc<EntryState>,
-    book: BookNumber,
-    grants: Vec<(BranchName, GrantId)>,
-) {
-    let sealed = seal_in_book(state, book, &grants).await;
-    let Ok(asked_at) = sealed else {
-        return;
+/// Seals what is to be sealed in a book, and accounts for what this process has sealed; false if
+/// the store didn't answer.
+async fn pass_book(state: &Arc<EntryState>, desk: &mut RecoveryDesk, book: BookNumber) -> bool {
+    let stored = match state.objects.get::<BookRecord>(&book_key(book)).await {
+        Ok(Some(stored)) => stored,
+        Ok(None) => return true,
+        Err(_) => return false,
     };
-    let sidecars = sidecars(state);
-    let cases = asked_at.into_iter().map(|(branch, grant, asked_at)| {
-        RecoveryCase::new(branch, grant, asked_at, sidecars.iter().map(|member| member.incarnation))
-    });
-    let mut case = BookCase { book, cases: cases.collect() };
-    for case in &mut case.cases {
-        ask_sidecars(state, case, &sidecars).await;
+    let to_seal = stored.value.to_seal(|holder| is_dead(state, holder));
+    let mine = stored.value.sealed_by(state.incarnation);
+    if to_seal.is_empty() && mine.is_empty() {
+        desk.open_books.remove(&book);
+        return true;
     }
-    settle_cases(state, &case).await;
-}
-
-fn sidecars(state: &EntryState) -> Vec<MemberInfo> {
-    let members = state.members.members().into_iter();
-    members.filter(|member| member.role == MemberRole::Sidecar).collect()
+    let Ok(cases) = seal_in_book(state, book, &to_seal).await else {
+        return false;
+    };
+    desk.open_books.insert(book);
+    let mut heard = Vec::new();
+    for mut case in cases {
+        let (grant, scope) = (case.grant, SealScope::WholeGrant);
+        let request = SealRequest { grant, scope, reporter: state.incarnation };
+        ask_witnesses(state, &mut case, &request).await;
+        heard.push(case);
+    }
+    settle_cases(state, book, &heard).await
 }
 
-/// Marks the grants as sealed, durably; returns those that are still outstanding.
+/// Marks grants as sealed, durably; returns a case for each that this process has sealed.
 async fn seal_in_book(
     state: &EntryState,
     book: BookNumber,
     grants: &[(BranchName, GrantId)],
-) -> Result<Vec<(BranchName, GrantId, StoreRevision)>, StoreError> {
+) -> Result<Vec<RecoveryCase>, StoreError> {
     let own = state.incarnation;
-    let updated =
-        update_object(&state.objects, &book_key(book), UPDATE_LIMIT, |record: &mut BookRecord| {
-            let mut changed = false;
-            for (branch, grant) in grants {
-                changed |= record.seal(branch, grant, own);
-            }
-            if changed { UpdateChoice::Write } else { UpdateChoice::Keep }
-        })
-        .await?;
-    state.ledger.observe(book, &updated.value, updated.version, ClockTime::now());
-    let mut outstanding = Vec::new();
-    for (branch, grant) in grants {
-        let account = updated.value.branches.get(branch);
-        if let Some(record) = account.and_then(|account| account.grants.get(grant)) {
-            outstanding.push((branch.clone(), *grant, record.asked_at));
+    let seal = |record: &mut BookRecord| {
+        let mut changed = false;
+        for (branch, grant) in grants {
+            changed |= record.seal(branch, grant, own);
         }
-    }
-    Ok(outstanding)
-}
-
-async fn ask_sidecars(state: &Arc<EntryState>, case: &mut RecoveryCase, sidecars: &[MemberInfo]) {
-    let request = SealRequest {
-        grant: case.grant,
-        scope: SealScope::WholeGrant,
-        reporter: state.incarnation,
+        if changed { UpdateChoice::Write } else { UpdateChoice::Keep }
     };
-    let replies = ask_all(state, sidecars, request).await;
-    for (sidecar, reply) in replies {
-        match reply {
-            Some(reply) => case.take_reply(&reply),
-            None if state.members.is_gone(sidecar, ClockTime::now()) => case.give_up(sidecar),
-            None => {}
-        }
-    }
-}
-
-async fn ask_all(
-    state: &Arc<EntryState>,
-    sidecars: &[MemberInfo],
-    request: SealRequest,
-) -> Vec<(IncarnationId, Option<SealReply>)> {
-    let mut asked = Vec::new();
-    for member in sidecars {
-        let (state, request, member) = (Arc::clone(state), request.clone(), member.clone());
-        let task = smol::spawn(async move {
-            let reply =
-                state.link().ask(member.address, &PeerRequest::Seal(request), SEAL_LIMIT).await;
-            match reply {
-                Ok(PeerReply::Seal(reply)) => (member.incarnation, Some(reply)),
-                _ => (member.incarnation, None),
-            }
-        });
-        asked.push(task);
-    }
-    let mut replies = Vec::new();
-    for task in asked {
-        replies.push(task.await);
-    }
-    replies
+    let updated = update_object(&state.objects, &book_key(book), UPDATE_LIMIT, seal).await?;
+    state.ledger.observe(book, &updated.value, updated.version, ClockTime::now());
+    let cases = updated.value.sealed_by(own).into_iter().map(|(branch, grant)| {
+        let account = updated.value.branches.get(&branch);
+        let record = account.and_then(|account| account.grants.get(&grant));
+        let asked_at = record.map_or(StoreRevision::ZERO, |record| record.asked_at);
+        RecoveryCase::new(branch, grant, asked_at, state.witnesses.ids())
+    });
+    Ok(cases.collect())
 }
 
-/// Settles what is accounted for, and closes or doubts what is complete.
-async fn settle_cases(state: &EntryState, case: &BookCase) {
-    let book = case.book;
-    let updated =
-        update_object(&state.objects, &book_key(book), UPDATE_LIMIT, |record: &mut BookRecord| {
-            let mut changed = false;
-            for case in &case.cases {
-                changed |= settle_case(record, case);
-            }
-            if changed { UpdateChoice::Write } else { UpdateChoice::Keep }
-        })
-        .await;
-    match updated {
-        Ok(updated) => {
-            state.ledger.observe(book, &updated.value, updated.version, ClockTime::now());
-            state.budget_changed.notify(usize::MAX);
-            for case in &case.cases {
-                let verdict = match case.verdict() {
-                    RecoveryVerdict::Close(_) => "closed",
-                    RecoveryVerdict::Wait(_) => "waiting",
-                    RecoveryVerdict::Doubt(_) => "in-doubt",
-                };
-                log_event!(
-                    info,
-                    "grant-recovery",
-                    grant = case.grant,
-                    branch = case.branch,
-                    verdict = verdict
-                );
-            }
+/// Settles what is accounted for, and closes or doubts what is complete; false if the store didn't
+/// answer.
+async fn settle_cases(state: &EntryState, book: BookNumber, cases: &[RecoveryCase]) -> bool {
+    let settle = |record: &mut BookRecord| {
+        let mut changed = false;
+        for case in cases {
+            changed |= record.recover(&case.branch, &case.grant, &case.verdict());
         }
-        Err(error) => log_event!(warn, "grant-recovery-failed", book = book, error = error),
-    }
-}
-
-fn settle_case(record: &mut BookRecord, case: &RecoveryCase) -> bool {
-    let verdict = case.verdict();
-    let (RecoveryVerdict::Close(charges)
-    | RecoveryVerdict::Wait(charges)
-    | RecoveryVerdict::Doubt(charges)) = &verdict;
-    let mut changed = false;
-    for (charge, used) in charges {
-        changed |= record.settle(&case.branch, charge, *used);
-    }
-    match verdict {
-        RecoveryVerdict::Close(_) => changed | record.close(&case.branch, &case.grant),
-        RecoveryVerdict::Doubt(_) => changed | record.doubt(&case.branch, &case.grant),
-        RecoveryVerdict::Wait(_) => changed,
+        if changed { UpdateChoice::Write } else { UpdateChoice::Keep }
+    };
+    let updated = update_object(&state.objects, &book_key(book), UPDATE_LIMIT, settle).await;
+    let updated = match updated {
+        Ok(updated) => updated,
+        Err(error) => {
+            log_event!(warn, "grant-recovery-failed", book = book, error = error);
+            return false;
+        }
+    };
+    state.ledger.observe(book, &updated.value, updated.version, ClockTime::now());
+    state.budget_changed.notify(usize::MAX);
+    for case in cases {
+        let verdict = match case.verdict() {
+            RecoveryVerdict::Close(_) => "closed",
+            RecoveryVerdict::Wait(_) => "waiting",
+            RecoveryVerdict::Doubt(_) => "in-doubt",
+        };
+        let missing = case.missing().count();
+        log_event!(
+            info,
+            "grant-recovery",
+            grant = case.grant,
+            branch = case.branch,
+            verdict = verdict,
+            missing = missing
+        );
     }
+    true
 }
 
-/// Ends reservations whose entry is gone: every sidecar says what it ran under them, and starts
-/// nothing more. One that can't be asked keeps them reserved until it answers.
+/// Ends reservations whose entry is gone or can't tell: every sidecar says what it ran under them,
+/// and starts nothing more. One that can't be asked keeps them reserved until it answers.
 async fn resolve_orphans(state: &Arc<EntryState>, orphans: Vec<OrphanCharge>) {
-    let mut by_grant: HashMap<GrantId, Vec<OrphanCharge>> = HashMap::new();
+    let mut by_grant: BTreeMap<(BranchName, GrantId), Vec<OrphanCharge>> = BTreeMap::new();
     for orphan in orphans {
-        by_grant.entry(orphan.charge.grant).or_default().push(orphan);
+        let place = (orphan.branch.clone(), orphan.charge.grant);
+        by_grant.entry(place).or_default().push(orphan);
     }
-    let sidecars = sidecars(state);
-    for (grant, orphans) in by_grant {
-        let sequences = orphans.iter().map(|orphan| orphan.charge.sequence).collect();
+    for ((branch, grant), orphans) in by_grant {
+        let since = orphans.iter().map(|orphan| orphan.since).min().unwrap_or_default();
+        let charges: Vec<ChargeId> = orphans.iter().map(|orphan| orphan.charge).collect();
+        let sequences = charges.iter().map(|charge| charge.sequence).collect();
         let scope = SealScope::Charges(sequences);
         let request = SealRequest { grant, scope, reporter: state.incarnation };
-        let replies = ask_all(state, &sidecars, request).await;
-        let whole = replies.iter().all(|(_, reply)| reply.is_some());
-        let records: Vec<ChargeRecord> = replies
-            .into_iter()
-            .filter_map(|(_, reply)| reply)
-            .flat_map(|reply| reply.charges)
-            .collect();
-        for orphan in orphans {
-            resolve_orphan(state, &orphan, &records, whole);
-        }
+        let mut case = RecoveryCase::new(branch, grant, since, state.witnesses.ids());
+        ask_witnesses(state, &mut case, &request).await;
+        let resolved = state.ledger.resolve_case(&case, &charges);
+        log_event!(
+            info,
+            "orphans-asked",
+            grant = grant,
+            count = charges.len(),
+            resolved = resolved,
+            missing = case.missing().count()
+        );
     }
     state.budget_changed.notify(usize::MAX);
 }
-
-fn resolve_orphan(
-    state: &EntryState,
-    orphan: &OrphanCharge,
-    records: &[ChargeRecord],
-    whole: bool,
-) {
-    let own = records.iter().filter(|record| record.charge == orphan.charge);
-    let newest = own.max_by_key(|record| (record.attempt, record.used));
-    match newest {
-        // A running attempt ends by itself and is reported then.
-        Some(record) => state.ledger.witness(record, ClockTime::now()),
-        None if whole => {
-            state.ledger.resolve(&orphan.branch, &orphan.charge, TokenCount::ZERO);
-            log_event!(info, "charge-never-ran", charge = orphan.charge, request = orphan.request);
-        }
-        None => {
-            log_unresolved(&orphan.charge);
-        }
-    }
-}
-
-fn log_unresolved(charge: &ChargeId) {
-    log_event!(warn, "charge-in-doubt", charge = charge);
-}
--- a/crates/sagespool-entry/src/role.rs
+++ b/crates/sagespool-entry/src/role.rs
@@ -2,7 +2,6 @@
 
 use std::fmt;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
@@ -10,11 +9,11 @@
 use sagespool_link::{LinkEndpoint, LinkIdentity};
 use sagespool_log::log_event;
 use sagespool_settings::{EntrySettings, ProcessSettings};
-use sagespool_types::{BookNumber, ClockTime};
+use sagespool_types::{BookNumber, ClockTime, TokenCount};
 use trillium_server_common::ServerHandle;
 
 use crate::state::EntryState;
-use crate::{caller, configuration, heartbeats, home, peers};
+use crate::{caller, configuration, heartbeats, home, peers, upkeep};
 
 /// An entry that couldn't be started.
 #[derive(Debug)]
@@ -82,14 +81,26 @@
         &self.state
     }
 
+    /// Resolves when the instance list shows this instance as leaving. From then on it takes nothing
+    /// new; the process is to stop.
+    pub async fn told_to_leave(&self) {
+        loop {
+            let told = self.state.leave_told.listen();
+            if self.state.is_leaving() {
+                return;
+            }
+            told.await;
+        }
+    }
+
     /// Stops gracefully: nothing new, what runs may end, grants go back to their books. What still
     /// runs at the time limit is counted and logged, never cut in silence.
     pub async fn stop(self, limit: Duration) -> StopReport {
         let state = &self.state;
-        state.leaving.store(true, Ordering::Relaxed);
-        state.members.update_own(|own| own.leaving = true);
+        state.leave();
         let deadline = ClockTime::now().after(limit);
         wait_for_runs(state, deadline).await;
+        wait_for_others(state, deadline).await;
         let cut = state.in_flight();
         let unwritten_books = hand_back(state).await;
         log_event!(info, "entry-stopped", cut = cut, unwritten_books = unwritten_books);
@@ -106,6 +117,7 @@
     smol::spawn(home::run_book_writer(Arc::clone(state))).detach();
     smol::spawn(home::run_recovery(Arc::clone(state))).detach();
     smol::spawn(home::run_crash_watch(Arc::clone(state))).detach();
+    smol::spawn(upkeep::run_upkeep(Arc::clone(state))).detach();
 }
 
 async fn wait_for_runs(state: &EntryState, deadline: ClockTime) {
@@ -123,6 +135,24 @@
     }
 }
 
+/// Waits for the requests of other entries that this home has reserved for.
+async fn wait_for_others(state: &EntryState, deadline: ClockTime) {
+    loop {
+        let changed = state.budget_changed.listen();
+        let reserved: TokenCount =
+            state.ledger.spend(None).iter().map(|spend| spend.reserved).sum();
+        let now = ClockTime::now();
+        if reserved == TokenCount::ZERO || now >= deadline {
+            return;
+        }
+        let left = deadline.since(now);
+        futures_lite::future::or(changed, async {
+            smol::Timer::after(left).await;
+        })
+        .await;
+    }
+}
+
 /// Returns every unspent grant, and says how many books the store didn't take.
 async fn hand_back(state: &Arc<EntryState>) -> u32 {
     state.ledger.return_all(ClockTime::now());
--- a/crates/sagespool-testkit/tests/witness_log.rs
+++ b/crates/sagespool-testkit/tests/witness_log.rs
@@ -5,12 +5,12 @@
 use sagespool_types::{BranchName, ClockTime, TokenCount};
 
 fn branch(name: &str) -> BranchName {
-    name.parse().expect("the name is valid")
+    name.parse().expect("a branch name")
 }
 
 fn start(marker: &str, prompt_tokens: u64) -> RunStart {
     RunStart {
-        upstream: "engine-1".parse().expect("the name is valid"),
+        upstream: "engine-1".parse().expect("an upstream name"),
         kind: UpstreamKind::Engine,
         request: None,
         attempt: None,
