Prove a paused home, and say not-run only of keys that surely did not run

Two causes, both mended: - The woken home found another entry's question about the same key in its socket, from before that entry went elsewhere. It held the key for a run that never started. A key whose asker wasn't reached by the reply is now free again (the reservation stays until its outcome is known). - A keyed request that was refused was told `not-run` whatever was known of its key. Now it is told `unknown` where an earlier one with its key may have run: before anybody has been asked (a full queue, a limit, a leaving entry), once the key has turned out to be another request's, where an answer is lost and the run was to be repeated, and for a letter that the store has a claim of or whose claim can't be read.

Left: a keyed request whose earlier answer is lost and that finds no upstream for its second run is told `not-run`; the home's reply has no room to say that it ran before.

--- a/crates/sagespool-claims/src/keys.rs
+++ b/crates/sagespool-claims/src/keys.rs
@@ -278,6 +278,17 @@
         }
     }
 
+    /// A request whose entry may never have heard that it may run gives its key
+    /// back, unless it has been placed since.
+    pub fn release(&self, key: KeyDigest, request: RequestId) {
+        let mut shard = self.shard(key);
+        let waits =
+            |record: &KeyRecord| record.request == request && record.place == KeyPlace::Pending;
+        if shard.get(&key).is_some_and(waits) {
+            shard.remove(&key);
+        }
+    }
+
     /// A sidecar's process is gone, and the answers that it kept with it.
     pub fn sidecar_gone(&self, sidecar: IncarnationId, now: ClockTime) {
         for shard in &self.shards {
--- a/crates/sagespool-entry/src/caller/server.rs
+++ b/crates/sagespool-entry/src/caller/server.rs
@@ -119,7 +119,9 @@
     config: Arc<FleetConfiguration>,
 }
 
-fn not_accepting(state: &EntryState) -> Option<sagespool_messages::RefusalNotice> {
+/// The refusal of everything, if this entry serves nobody now. What an earlier send with the same
+/// key came to isn't known here, so a keyed request isn't told that it did not run.
+fn not_accepting(state: &EntryState, conn: &Conn) -> Option<sagespool_messages::RefusalNotice> {
     let (reason, message) = if state.is_leaving() {
         (RefusalReason::Leaving, "this entry is leaving; another takes the request")
     } else if state.config.current().is_none() {
@@ -127,9 +129,10 @@
     } else {
         return None;
     };
+    let keyed = conn.request_headers().has_header("idempotency-key");
     Some(sagespool_messages::RefusalNotice {
         reason,
-        run_state: RunState::NotRun,
+        run_state: if keyed { RunState::Unknown } else { RunState::NotRun },
         message: message.into(),
         retry_after: Some(Duration::from_millis(200)),
     })
@@ -233,7 +236,7 @@
     if let Err(fault) = check_method(&conn) {
         return fault.respond(conn, request).with_response_header(KnownHeaderName::Allow, "POST");
     }
-    if let Some(notice) = not_accepting(&state) {
+    if let Some(notice) = not_accepting(&state, &conn) {
         return respond_refusal(conn, &notice, request, TokenCount::ZERO);
     }
     let Some(config) = state.config.current() else {
@@ -277,7 +280,7 @@
 
 async fn service(state: Arc<EntryState>, mut conn: Conn, path: &str) -> Conn {
     let request = RequestId::random();
-    if let Some(notice) = not_accepting(&state) {
+    if let Some(notice) = not_accepting(&state, &conn) {
         return respond_refusal(conn, &notice, request, TokenCount::ZERO);
     }
     let Some(config) = state.config.current() else {
--- a/crates/sagespool-entry/src/home/claims.rs
+++ b/crates/sagespool-entry/src/home/claims.rs
@@ -150,6 +150,17 @@
     }
 }
 
+/// Whether a letter may have gone out under a key before, as the store knows. Every sidecar that ran
+/// it may have been replaced since, so that nobody else remembers; a refusal of the letter that said
+/// `not-run` all the same would have its caller send it under another key.
+pub(super) async fn may_be_claimed(state: &EntryState, key: KeyDigest) -> bool {
+    match state.objects.get::<ClaimsRecord>(&claim_key(claim_shard(key))).await {
+        Ok(Some(stored)) => stored.value.is_claimed(key),
+        Ok(None) => false,
+        Err(_) => true,
+    }
+}
+
 /// Hands a wish to the shard's writer, and waits for its verdict.
 async fn wish_for(state: &Arc<EntryState>, wish: ClaimWish) -> ClaimVerdict {
     let (asker, answer) = async_channel::bounded(1);
--- a/crates/sagespool-entry/src/home/keys.rs
+++ b/crates/sagespool-entry/src/home/keys.rs
@@ -18,6 +18,8 @@
 pub(super) enum KeyStart {
     /// Run it.
     New,
+    /// Run it again: it ran before, or may have, and that answer can't be had.
+    Again,
     /// Attach, or tell the caller what became of it.
     Known(KeyState),
     /// Refuse.
@@ -87,10 +89,14 @@
         return KeyStart::Known(KeyState::Unknown { request: lost });
     }
     state.keys.forget(key, lost);
-    match state.keys.begin(key, order.request, order.content, ClockTime::now()) {
+    let start = match state.keys.begin(key, order.request, order.content, ClockTime::now()) {
         KeyDecision::New => KeyStart::New,
         KeyDecision::Unsure => ask_sidecars(state, order, key).await,
         KeyDecision::Attach(_) => KeyStart::Known(KeyState::Pending),
+    };
+    match start {
+        KeyStart::New => KeyStart::Again,
+        start => start,
     }
 }
 
@@ -144,8 +150,12 @@
     verdict: InquiryVerdict,
 ) -> KeyStart {
     let now = ClockTime::now();
+    let mut start = KeyStart::New;
     let silent = match verdict {
-        InquiryVerdict::Found(KeyState::Unknown { .. }) if !order.non_idempotent => Vec::new(),
+        InquiryVerdict::Found(KeyState::Unknown { .. }) if !order.non_idempotent => {
+            start = KeyStart::Again;
+            Vec::new()
+        }
         InquiryVerdict::Found(known) => {
             if let KeyState::At { sidecar, request, content } = known {
                 state.keys.learn(key, request, content, sidecar, now);
@@ -167,7 +177,7 @@
         });
     }
     match state.keys.restart(key, order.request, order.content, now) {
-        true => KeyStart::New,
+        true => start,
         false => KeyStart::Known(KeyState::Pending),
     }
 }
--- a/crates/sagespool-entry/src/home/reserve.rs
+++ b/crates/sagespool-entry/src/home/reserve.rs
@@ -7,6 +7,7 @@
 use sagespool_messages::{RefusalNotice, ReserveReply, ReserveRequest};
 use sagespool_types::{ClockTime, RefusalReason, RunState, TokenCount};
 
+use super::claims::may_be_claimed;
 use super::keys::{KeyStart, begin_key};
 use super::rounds::{RoundResult, round_since};
 use crate::state::EntryState;
@@ -29,20 +30,25 @@
     if state.crashes.stopped(order.content) {
         return ReserveReply::Refused(quarantined());
     }
+    let mut ran_before = false;
     if let Some(key) = order.key {
         match begin_key(state, order, key).await {
             KeyStart::New => {}
+            KeyStart::Again => ran_before = true,
             KeyStart::Known(known) => return ReserveReply::Known(known),
             KeyStart::Refused(notice) => return ReserveReply::Refused(notice),
         }
     }
-    let reply = wait_for_budget(state, order).await;
+    let mut reply = wait_for_budget(state, order).await;
     if state.abandoned().contains_key(&order.request) {
         state.ledger.abandon(&order.branch, order.request);
         return ReserveReply::NotHome;
     }
-    if let (ReserveReply::Refused(_), Some(key)) = (&reply, order.key) {
+    if let (ReserveReply::Refused(notice), Some(key)) = (&mut reply, order.key) {
         state.keys.forget(key, order.request);
+        if ran_before || (order.non_idempotent && may_be_claimed(state, key).await) {
+            notice.run_state = RunState::Unknown;
+        }
     }
     reply
 }
--- a/crates/sagespool-entry/src/peers.rs
+++ b/crates/sagespool-entry/src/peers.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use sagespool_link::{PeerCall, PeerHandler};
+use sagespool_link::{PeerCall, PeerHandler, PeerResponder};
 use sagespool_messages::{
-    MemberRole, MemberStatus, PeerReply, PeerRequest, StatusQuery, StatusReply,
+    MemberRole, MemberStatus, PeerReply, PeerRequest, ReserveRequest, StatusQuery, StatusReply,
 };
 use sagespool_types::{ClockTime, WallTime};
 
@@ -16,12 +16,30 @@
     Arc::new(move |call: PeerCall| {
         let state = Arc::clone(&state);
         Box::pin(async move {
+            if let PeerRequest::Reserve(order) = call.request {
+                reserve(&state, &order, call.responder).await;
+                return;
+            }
             let reply = answer(&state, call.request).await;
             call.responder.reply(reply).await;
         })
     })
 }
 
+/// Reserves for an entry's request.
+///
+/// A home that was paused finds questions in its socket whose entries have long gone elsewhere. Such
+/// a question would hold its key for as long as a request may wait, and a caller that comes back
+/// with the key would be kept waiting for a run that never starts. So a key whose entry wasn't
+/// reached is free again; the reservation itself stays until its outcome is known.
+async fn reserve(state: &Arc<EntryState>, order: &ReserveRequest, responder: PeerResponder) {
+    let reply = home::reserve(state, order).await;
+    let heard = responder.reply_heard(PeerReply::Reserve(reply)).await;
+    if let (false, Some(key)) = (heard, order.key) {
+        state.keys.release(key, order.request);
+    }
+}
+
 async fn answer(state: &Arc<EntryState>, request: PeerRequest) -> PeerReply {
     match request {
         PeerRequest::Heartbeat(beat) => {
--- a/crates/sagespool-entry/src/run/drive.rs
+++ b/crates/sagespool-entry/src/run/drive.rs
@@ -7,8 +7,7 @@
 use async_channel::Sender;
 use sagespool_log::log_event;
 use sagespool_messages::{
-    ChargeRecord, FinishReport, FinishState, KeyState, RefusalNotice, ReserveReply, ReservedCharge,
-    StopCause,
+    ChargeRecord, FinishReport, FinishState, RefusalNotice, ReserveReply, ReservedCharge, StopCause,
 };
 use sagespool_types::{ClockTime, RefusalReason, RunState, TokenCount};
 
@@ -55,6 +54,18 @@
         let notice = RefusalNotice { reason, run_state, message: message.into(), retry_after };
         Self::Refused { notice, billed: TokenCount::ZERO }
     }
+
+    /// The same end, where an earlier request with the same key may have run or run still. A caller
+    /// that is told `not-run` would send its letter under a new key, and it would go out twice. One
+    /// that used a key for something else before is told that this didn't run.
+    fn unsure(mut self) -> Self {
+        if let Self::Refused { notice, .. } = &mut self
+            && notice.reason != RefusalReason::KeyReused
+        {
+            notice.run_state = RunState::Unknown;
+        }
+        self
+    }
 }
 
 fn retry_hint(reason: RefusalReason) -> Option<Duration> {
@@ -131,8 +142,24 @@
 ) -> RunEnd {
     let _slot = match admit(state, order).await {
         Ok(slot) => slot,
-        Err(notice) => return RunEnd::Refused { notice, billed: TokenCount::ZERO },
+        Err(notice) => {
+            let end = RunEnd::Refused { notice, billed: TokenCount::ZERO };
+            return if order.key.is_some() { end.unsure() } else { end };
+        }
     };
+    let mut key_taken = false;
+    let end = run_admitted(state, order, answers, &mut key_taken).await;
+    if key_taken { end.unsure() } else { end }
+}
+
+/// Reserves and runs until the caller has an end. `key_taken` is set once the key turns out to be
+/// another request's, however it goes on from there.
+async fn run_admitted(
+    state: &Arc<EntryState>,
+    order: &RequestOrder,
+    answers: &Sender<AnswerEvent>,
+    key_taken: &mut bool,
+) -> RunEnd {
     let mut reservations = 0;
     while reservations < MOST_RESERVATIONS {
         let now = ClockTime::now();
@@ -148,20 +175,21 @@
         match reply {
             ReserveReply::Reserved(reserved) => {
                 reservations += 1;
-                if let Some(end) = run_reserved(state, order, answers, reserved, reserved_at).await
-                {
-                    return end;
+                match run_reserved(state, order, answers, reserved, reserved_at).await {
+                    ReservedEnd::Ended(end) => return end,
+                    ReservedEnd::Again => {}
+                    ReservedEnd::KeyTaken => *key_taken = true,
                 }
             }
-            ReserveReply::Known(KeyState::Pending) => {
-                smol::Timer::after(PENDING_PAUSE).await;
-            }
-            ReserveReply::Known(known) => match attach(state, order, answers, known).await {
-                AttachEnd::Ended(end) => return end,
-                AttachEnd::AskAgain => {
-                    smol::Timer::after(PENDING_PAUSE).await;
+            ReserveReply::Known(known) => {
+                *key_taken = true;
+                match attach(state, order, answers, known).await {
+                    AttachEnd::Ended(end) => return end,
+                    AttachEnd::AskAgain => {
+                        smol::Timer::after(PENDING_PAUSE).await;
+                    }
                 }
-            },
+            }
             ReserveReply::Refused(notice) => {
                 return RunEnd::Refused { notice, billed: TokenCount::ZERO };
             }
@@ -177,14 +205,24 @@
     )
 }
 
-/// Runs a paid request; nothing if it has to be reserved again.
+/// How a paid request's run ended.
+enum ReservedEnd {
+    /// The caller has its end.
+    Ended(RunEnd),
+    /// It has to be reserved again.
+    Again,
+    /// As well, and its key is another request's.
+    KeyTaken,
+}
+
+/// Runs a paid request.
 async fn run_reserved(
     state: &Arc<EntryState>,
     order: &RequestOrder,
     answers: &Sender<AnswerEvent>,
     reserved: ReservedCharge,
     reserved_at: Option<SocketAddr>,
-) -> Option<RunEnd> {
+) -> ReservedEnd {
     let charge = reserved.charge;
     let mut run = AttemptRun::new(state, order, answers, reserved, reserved_at);
     let end = run.drive().await;
@@ -200,23 +238,23 @@
     let (report, end) = match end {
         AttemptEnd::Whole { charge, stop } => {
             let billed = charge.used;
-            (finish(FinishState::Ran(charge)), Some(RunEnd::Whole { billed, stop }))
+            (finish(FinishState::Ran(charge)), ReservedEnd::Ended(RunEnd::Whole { billed, stop }))
         }
         AttemptEnd::Refused { notice, ran } => {
             let billed = ran.as_ref().map_or(TokenCount::ZERO, |record: &ChargeRecord| record.used);
             let state = ran.map_or(FinishState::NotRun, FinishState::Ran);
-            (finish(state), Some(RunEnd::Refused { notice, billed }))
+            (finish(state), ReservedEnd::Ended(RunEnd::Refused { notice, billed }))
         }
         AttemptEnd::Unsure { notice } => {
             let end = RunEnd::Refused { notice, billed: TokenCount::ZERO };
-            (finish(FinishState::Unknown), Some(end))
+            (finish(FinishState::Unknown), ReservedEnd::Ended(end))
         }
-        AttemptEnd::GrantUnusable => (finish(FinishState::GrantUnusable), None),
+        AttemptEnd::GrantUnusable => (finish(FinishState::GrantUnusable), ReservedEnd::Again),
         AttemptEnd::Known(known) => {
             homes::finish(state, reserved_at, &finish(FinishState::NotRun)).await;
             return match attach(state, order, answers, known).await {
-                AttachEnd::Ended(end) => Some(end),
-                AttachEnd::AskAgain => None,
+                AttachEnd::Ended(end) => ReservedEnd::Ended(end),
+                AttachEnd::AskAgain => ReservedEnd::KeyTaken,
             };
         }
     };
--- a/crates/sagespool-link/src/server.rs
+++ b/crates/sagespool-link/src/server.rs
@@ -172,6 +172,18 @@
     /// Answers with one reply. Nobody hears of it if the asker is gone. In place
     /// of a reply that no frame holds the asker gets [`PeerReply::Unsupported`].
     pub async fn reply(mut self, reply: PeerReply) {
+        self.write(reply).await;
+    }
+
+    /// As [`Self::reply`], and waits until the asker has the reply or gave its
+    /// request up. False if the connection is lost before: it may have it or not.
+    pub async fn reply_heard(mut self, reply: PeerReply) -> bool {
+        let settled = self.send.stopped();
+        self.write(reply).await;
+        settled.await.is_ok()
+    }
+
+    async fn write(&mut self, reply: PeerReply) {
         let encoded = encode_frame(FrameKind::Reply, &reply).or_else(|error| {
             encode_frame(FrameKind::Reply, &PeerReply::Unsupported(error.to_string()))
         });
