--- a/crates/sagespool-entry/src/caller/server.rs
+++ b/crates/sagespool-entry/src/caller/server.rs
@@ -1,5 +1,6 @@
 //! The entry's HTTP server.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,12 +28,18 @@
 const SERVICES_PREFIX: &str = "/services/";
 
 /// Starts serving callers on the address, and returns the handle that stops it.
-pub fn serve(state: Arc<EntryState>, listen: SocketAddr) -> ServerHandle {
+///
+/// # Errors
+/// If the address can't be taken. It is bound here, since the server would only panic on a thread
+/// of its own, and the process would go on without its callers.
+pub fn serve(state: Arc<EntryState>, listen: SocketAddr) -> io::Result<ServerHandle> {
+    let listener = smol::net::TcpListener::try_from(std::net::TcpListener::bind(listen)?)?;
     let handler = move |conn: Conn| {
         let state = Arc::clone(&state);
         async move { route(state, conn).await }
     };
-    trillium_smol::config().with_socketaddr(listen).with_nodelay().without_signals().spawn(handler)
+    let server = trillium_smol::config().with_prebound_server(listener);
+    Ok(server.with_nodelay().without_signals().spawn(handler))
 }
 
 async fn route(state: Arc<EntryState>, conn: Conn) -> Conn {
--- a/crates/sagespool-entry/src/role.rs
+++ b/crates/sagespool-entry/src/role.rs
@@ -64,7 +64,8 @@
             .change_context(fault("opening the link's address"))?;
         state.take_link(link);
         start_tasks(&state);
-        let server = caller::serve(Arc::clone(&state), state.process.http.listen);
+        let server = caller::serve(Arc::clone(&state), state.process.http.listen)
+            .change_context(fault("opening the callers' address"))?;
         log_event!(
             info,
             "entry-started",
--- a/crates/sagespool-entry/src/run/attempt.rs
+++ b/crates/sagespool-entry/src/run/attempt.rs
@@ -25,6 +25,9 @@
 const CANCEL_LIMIT: Duration = Duration::from_secs(2);
 /// How long a request waits, at a time, for an upstream to come back.
 const UPSTREAM_PAUSE: Duration = Duration::from_millis(50);
+/// Every request in flight at a crash is reported within this time. Only then are the suspects'
+/// ranks the same everywhere, so that none runs again beside the one that took the upstream down.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(150);
 /// A request waits so long at most for any upstream at all.
 const UPSTREAM_PATIENCE: Duration = Duration::from_secs(3);
 
@@ -547,6 +550,7 @@
         self.keep_ran(ran);
         if crashed && did_run {
             self.report_crash(choice).await;
+            smol::Timer::after(SUSPECT_PAUSE).await;
         }
         if self.state.crashes.stopped(self.order.content) {
             let message = "the request took its upstream down more than once and is stopped";
--- a/crates/sagespool-sidecar/src/role.rs
+++ b/crates/sagespool-sidecar/src/role.rs
@@ -90,7 +90,8 @@
         let link = LinkEndpoint::start(state.process.link.listen, identity, handler)
             .change_context(fault("opening the link's address"))?;
         state.take_link(link);
-        let server = probes::serve(Arc::clone(&state));
+        let server = probes::serve(Arc::clone(&state))
+            .change_context(fault("opening the probes' address"))?;
         let tasks = start_tasks(&state);
         log_event!(
             info,
--- a/crates/sagespool-sidecar/src/role/probes.rs
+++ b/crates/sagespool-sidecar/src/role/probes.rs
@@ -1,5 +1,6 @@
 //! The sidecar's own HTTP: health and metrics.
 
+use std::io;
 use std::sync::Arc;
 
 use trillium::{Conn, KnownHeaderName, Status};
@@ -8,13 +9,18 @@
 use super::state::SidecarState;
 
 /// Starts serving probes, and returns the handle that stops it.
-pub(super) fn serve(state: Arc<SidecarState>) -> ServerHandle {
-    let listen = state.process.http.listen;
+///
+/// # Errors
+/// If the address can't be taken. It is bound here, since the server would only panic on a thread
+/// of its own, and the process would go on without its probes.
+pub(super) fn serve(state: Arc<SidecarState>) -> io::Result<ServerHandle> {
+    let listener = std::net::TcpListener::bind(state.process.http.listen)?;
+    let listener = smol::net::TcpListener::try_from(listener)?;
     let handler = move |conn: Conn| {
         let state = Arc::clone(&state);
         async move { route(&state, conn) }
     };
-    trillium_smol::config().with_socketaddr(listen).without_signals().spawn(handler)
+    Ok(trillium_smol::config().with_prebound_server(listener).without_signals().spawn(handler))
 }
 
 fn route(state: &SidecarState, conn: Conn) -> Conn {
--- a/crates/sagespool-sidecar/src/role/reports.rs
+++ b/crates/sagespool-sidecar/src/role/reports.rs
@@ -26,7 +26,7 @@
         Timer::after(REPORT_PERIOD).await;
         for (to, report) in state.dispatcher.charges().due(ClockTime::now()) {
             let state = Arc::clone(&state);
-            smol::spawn(async move { send(&state, to, report).await }).detach();
+            smol::spawn(async move { send(&state, to, report, Holder::MayAnswer).await }).detach();
         }
     }
 }
@@ -37,7 +37,7 @@
         let reports = state.dispatcher.charges().flush(ClockTime::now());
         let sends = reports.into_iter().map(|(to, report)| {
             let state = Arc::clone(state);
-            smol::spawn(async move { send(&state, to, report).await })
+            smol::spawn(async move { send(&state, to, report, Holder::LastChance).await })
         });
         for send in sends.collect::<Vec<_>>() {
             send.await;
@@ -48,20 +48,31 @@
     }
 }
 
+/// Whether a holder that doesn't answer is asked again later.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Holder {
+    /// It is.
+    MayAnswer,
+    /// This process stops, so the books have to say it now.
+    LastChance,
+}
+
 /// One report. Whatever goes wrong, its charges fall due again.
-async fn send(state: &SidecarState, to: IncarnationId, report: ChargeReport) {
-    let holder = state.members.find(to).filter(|_| !state.members.is_gone(to, ClockTime::now()));
-    let Some(holder) = holder else {
-        look_up(state, &report).await;
-        return;
+async fn send(state: &SidecarState, to: IncarnationId, report: ChargeReport, holder: Holder) {
+    let gone = state.members.is_gone(to, ClockTime::now());
+    let answer = match state.members.find(to) {
+        Some(member) => {
+            let request = PeerRequest::ReportCharges(report.clone());
+            state.link().ask(member.address, &request, REPORT_LIMIT).await.ok()
+        }
+        None => None,
     };
-    let request = PeerRequest::ReportCharges(report.clone());
-    let answer = state.link().ask(holder.address, &request, REPORT_LIMIT).await;
     match answer {
-        Ok(PeerReply::ChargesDurable(durable)) => {
+        Some(PeerReply::ChargesDurable(durable)) => {
             state.dispatcher.charges().durable(&durable, ClockTime::now());
         }
-        _ => look_up(state, &report).await,
+        _ if gone || holder == Holder::LastChance => look_up(state, &report).await,
+        _ => {}
     }
 }
 
