--- a/crates/sagespool-testkit/src/fleet/running.rs
+++ b/crates/sagespool-testkit/src/fleet/running.rs
@@ -319,10 +319,8 @@
                     break;
                 }
                 if started.elapsed() > READY_LIMIT {
-                    let log = std::fs::read_to_string(&member.log).unwrap_or_default();
-                    let tail: Vec<&str> = log.lines().rev().take(5).collect();
-                    let doing = format!("waiting for {} to be ready: {tail:?}", member.instance);
-                    return Err(Report::new(FleetFault::new(doing)));
+                    let doing = format!("waiting for {} to be ready", member.instance);
+                    return Err(Report::new(FleetFault::new(doing)).attach(member.log_end()));
                 }
                 smol::Timer::after(READY_STEP).await;
             }
