Read the answer of an entry that closes before the whole request is out

The bad input test failed once in four runs: shutting down the writing side of a connection that the entry had answered and closed already is an error of its own. The answer is there to be read.

--- a/crates/sagespool-daemon/tests/common/raw.rs
+++ b/crates/sagespool-daemon/tests/common/raw.rs
@@ -41,7 +41,11 @@
 /// As [`exchange`], from a process that may not serve yet.
 pub fn try_exchange(process: SocketAddr, request: &[u8]) -> io::Result<RawAnswer> {
     let stream = connect(process, request)?;
-    stream.shutdown(Shutdown::Write)?;
+    match stream.shutdown(Shutdown::Write) {
+        // The entry has answered and closed before it had read the whole request.
+        Err(error) if error.kind() == io::ErrorKind::NotConnected => {}
+        other => other?,
+    }
     read_to_close(stream)
 }
 
