--- /dev/null
+++ b/crates/sagespool-entry/src/home/crashes.rs
@@ -0,0 +1,109 @@
+//! Requests that take upstreams down: told to every entry, kept in the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sagespool_claims::{CrashVerdict, QUARANTINE_KEY, QuarantineRecord, StopOutcome};
+use sagespool_log::log_event;
+use sagespool_messages::{CrashReport, MemberRole, PeerRequest};
+use sagespool_platform::{UpdateChoice, update_object};
+use sagespool_types::{ClockTime, WallTime};
+
+use crate::state::EntryState;
+
+const TELL_LIMIT: Duration = Duration::from_secs(1);
+const STORE_TRIES: u32 = 8;
+const STORE_LIMIT: Duration = Duration::from_secs(5);
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+const WATCH_PAUSE: Duration = Duration::from_secs(1);
+
+/// Counts a crash here and tells every other entry, before the request may be tried again: else a
+/// caller that sends it through another entry could take down one more upstream than it must.
+pub(crate) async fn spread_crash(state: &Arc<EntryState>, report: &CrashReport) {
+    record_crash(state, report);
+    let others = state.members.live(MemberRole::Entry, ClockTime::now());
+    let mut told = Vec::new();
+    for member in others {
+        if member.incarnation == state.incarnation {
+            continue;
+        }
+        let (link, request) = (state.link().clone(), PeerRequest::ReportCrash(report.clone()));
+        told.push(smol::spawn(async move { link.ask(member.address, &request, TELL_LIMIT).await }));
+    }
+    for answer in told {
+        if let Err(error) = answer.await {
+            log_event!(warn, "crash-untold", content = report.content, error = error);
+        }
+    }
+}
+
+/// Counts a crash that this entry saw or was told of.
+pub(crate) fn record_crash(state: &Arc<EntryState>, report: &CrashReport) {
+    let verdict = state.crashes.record(report, ClockTime::now());
+    log_event!(
+        warn,
+        "upstream-crash",
+        content = report.content,
+        upstream = report.upstream,
+        attempt = report.attempt,
+        verdict = format!("{verdict:?}")
+    );
+    if verdict == CrashVerdict::Stopped {
+        smol::spawn(keep_verdicts(Arc::clone(state))).detach();
+    }
+}
+
+/// Keeps verdicts in the store, so that they outlive every entry.
+async fn keep_verdicts(state: Arc<EntryState>) {
+    for _ in 0..STORE_TRIES {
+        let kept = update_object(
+            &state.objects,
+            QUARANTINE_KEY,
+            STORE_LIMIT,
+            |record: &mut QuarantineRecord| {
+                let mut changed = false;
+                for (content, crashes) in state.crashes.unsaved() {
+                    changed |=
+                        record.stop(content, &crashes, WallTime::now()) != StopOutcome::Lifted;
+                }
+                if changed { UpdateChoice::Write } else { UpdateChoice::Keep }
+            },
+        )
+        .await;
+        match kept {
+            Ok(updated) => {
+                state.crashes.adopt(&updated.value, ClockTime::now());
+                return;
+            }
+            Err(error) => log_event!(warn, "verdict-unkept", error = error),
+        }
+        smol::Timer::after(WATCH_PAUSE).await;
+    }
+}
+
+/// Follows the store's record of stopped requests: those that other entries or earlier runs
+/// stopped, and those that an operator let go again.
+pub(crate) async fn run_crash_watch(state: Arc<EntryState>) {
+    loop {
+        let Ok(listing) = state.objects.list::<QuarantineRecord>(QUARANTINE_KEY).await else {
+            smol::Timer::after(WATCH_PAUSE).await;
+            continue;
+        };
+        for (_, stored) in &listing.items {
+            state.crashes.adopt(&stored.value, ClockTime::now());
+        }
+        let mut after = listing.revision;
+        loop {
+            let changes =
+                state.objects.watch::<QuarantineRecord>(QUARANTINE_KEY, after, WATCH_WAIT).await;
+            let Ok(changes) = changes else {
+                smol::Timer::after(WATCH_PAUSE).await;
+                break;
+            };
+            after = changes.revision;
+            for record in changes.changes.iter().filter_map(|change| change.value.as_ref()) {
+                state.crashes.adopt(record, ClockTime::now());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sagespool-entry/src/home/reserve.rs
@@ -0,0 +1,136 @@
+//! Reserving a request's cost, and the honest refusal where the fleet can't pay.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sagespool_ledger::{ReserveDecision, ShortNotice};
+use sagespool_messages::{RefusalNotice, ReserveReply, ReserveRequest};
+use sagespool_types::{ClockTime, RefusalReason, RunState, TokenCount};
+
+use super::keys::{KeyStart, begin_key};
+use super::rounds::{RoundResult, round_since};
+use crate::state::EntryState;
+
+/// Kept back from a request's time, so that a refusal reaches the caller before its deadline.
+const ANSWER_MARGIN: Duration = Duration::from_millis(50);
+/// How often a waiting request looks again at what others may have given back.
+const WAIT_STEP: Duration = Duration::from_millis(150);
+/// A store that has been away for longer isn't expected back within a request's deadline.
+const STORE_PATIENCE: Duration = Duration::from_secs(10);
+/// When to come back after a refusal because the store is away.
+const STORE_RETRY: Duration = Duration::from_secs(5);
+
+/// Reserves a request's greatest possible cost for an entry, or says what is known of its key, or
+/// refuses.
+pub async fn reserve(state: &Arc<EntryState>, order: &ReserveRequest) -> ReserveReply {
+    if state.is_leaving() && order.entry != state.incarnation {
+        return ReserveReply::NotHome;
+    }
+    if state.crashes.stopped(order.content) {
+        return ReserveReply::Refused(quarantined());
+    }
+    if let Some(key) = order.key {
+        match begin_key(state, order, key).await {
+            KeyStart::New => {}
+            KeyStart::Known(known) => return ReserveReply::Known(known),
+            KeyStart::Refused(notice) => return ReserveReply::Refused(notice),
+        }
+    }
+    let reply = wait_for_budget(state, order).await;
+    if let (ReserveReply::Refused(_), Some(key)) = (&reply, order.key) {
+        state.keys.forget(key, order.request);
+    }
+    reply
+}
+
+fn quarantined() -> RefusalNotice {
+    RefusalNotice {
+        reason: RefusalReason::Quarantined,
+        run_state: RunState::NotRun,
+        message: "this request took its upstream down more than once and is stopped".into(),
+        retry_after: None,
+    }
+}
+
+async fn wait_for_budget(state: &EntryState, order: &ReserveRequest) -> ReserveReply {
+    let arrived = ClockTime::now();
+    let deadline = arrived.after(order.time_left.saturating_sub(ANSWER_MARGIN));
+    let mut since = arrived;
+    if let ReserveDecision::Reserved(reserved) = state.ledger.reserve(order, arrived) {
+        return ReserveReply::Reserved(reserved);
+    }
+    loop {
+        let changed = state.budget_changed.listen();
+        let round = round_since(state, order, since, deadline).await;
+        let now = ClockTime::now();
+        let short = match state.ledger.reserve(order, now) {
+            ReserveDecision::Reserved(reserved) => return ReserveReply::Reserved(reserved),
+            ReserveDecision::Short(short) => short,
+        };
+        let Some(round) = round else {
+            return ReserveReply::Refused(refusal(state, order, &short, now));
+        };
+        if now >= deadline || is_hopeless(state, &short, &round, now) {
+            return ReserveReply::Refused(refusal(state, order, &short, now));
+        }
+        wait_step(changed, deadline).await;
+        let own_only = round.others_running + round.unanswered == TokenCount::ZERO;
+        let needs_store = short.missing == TokenCount::ZERO || round.store_away || !own_only;
+        if needs_store {
+            since = ClockTime::now();
+        }
+    }
+}
+
+/// True if waiting would only delay the answer: nothing that still runs could give back enough, and
+/// no holder is left unasked. A store that has just gone away may be back within the deadline; one
+/// that stays away isn't waited for.
+fn is_hopeless(
+    state: &EntryState,
+    short: &ShortNotice,
+    round: &RoundResult,
+    now: ClockTime,
+) -> bool {
+    let may_come = short.may_return + round.others_running + round.unanswered;
+    if round.store_away {
+        return short.may_return < short.missing && state.store_away_for(now) >= STORE_PATIENCE;
+    }
+    short.missing > may_come
+}
+
+async fn wait_step(changed: event_listener::EventListener, deadline: ClockTime) {
+    let left = deadline.since(ClockTime::now()).min(WAIT_STEP);
+    futures_lite::future::or(changed, async {
+        smol::Timer::after(left).await;
+    })
+    .await;
+}
+
+/// The refusal that is true: a store out of reach is named instead of an empty budget.
+fn refusal(
+    state: &EntryState,
+    order: &ReserveRequest,
+    short: &ShortNotice,
+    now: ClockTime,
+) -> RefusalNotice {
+    if state.store_away_for(now) > Duration::ZERO {
+        return RefusalNotice {
+            reason: RefusalReason::BudgetUnreachable,
+            run_state: RunState::NotRun,
+            message: format!(
+                "this side of the fleet holds too little of branch {}'s budget and can't reach the platform's store",
+                order.branch
+            ),
+            retry_after: Some(STORE_RETRY),
+        };
+    }
+    RefusalNotice {
+        reason: RefusalReason::BudgetExhausted,
+        run_state: RunState::NotRun,
+        message: format!(
+            "the request may cost {} tokens, {} more than branch {} has left",
+            order.amount, short.missing, order.branch
+        ),
+        retry_after: None,
+    }
+}
--- /dev/null
+++ b/crates/sagespool-entry/src/run/mod.rs
@@ -0,0 +1,14 @@
+//! One request's run: paid by the branch's home, tried at upstreams, its answer passed on.
+
+mod admission;
+mod attach;
+mod attempt;
+mod drive;
+mod events;
+mod homes;
+mod order;
+
+pub(crate) use admission::{QueueWord, refresh_limits};
+pub use drive::start_run;
+pub use events::{AnswerEvent, AnswerReceiver};
+pub use order::RequestOrder;
--- a/crates/sagespool-testkit/src/lib.rs
+++ b/crates/sagespool-testkit/src/lib.rs
@@ -1,1 +1,34 @@
 //! Stand-ins of the platform, fault proxy, example fleet and load tool.
+
+mod call_query;
+mod engine;
+mod fault_gate;
+pub mod fleet;
+mod http_answer;
+mod http_reply;
+pub mod instance_list;
+mod lagged;
+pub mod load;
+mod loopback_server;
+pub mod object_api;
+mod plain_service;
+pub mod processes;
+pub mod proxy;
+mod stand_server;
+mod weight_store;
+mod witness;
+
+pub use engine::{
+    AdapterName, CacheChange, CacheEvent, EngineLoad, EngineOptions, EngineOrder, EngineStand,
+    FencedOrder, OrderRecord, answer_text, answer_token, natural_length, prefix_digest,
+    prompt_tokens,
+};
+pub use instance_list::{InstanceEntry, InstanceOptions, InstanceStand, InstanceState};
+pub use loopback_server::StartError;
+pub use object_api::{AppliedWrite, ObjectStand, ObjectStandOptions, StoreCounts, StoreFaults};
+pub use plain_service::{FailureShares, ServiceLoad, ServiceOptions, ServiceStand, service_answer};
+pub use processes::{ChildProcess, ProcessError, ProcessUsage, free_tcp_port, free_udp_port};
+pub use proxy::{FaultProxy, PairBytes};
+pub use stand_server::StandError;
+pub use weight_store::{WeightLoad, WeightOptions, WeightStand};
+pub use witness::{RunEnd, RunMarker, RunRecord, RunStart, RunTally, TokenUse, WitnessLog};
