--- a/crates/sagespool-entry/src/home/claims.rs
+++ b/crates/sagespool-entry/src/home/claims.rs
@@ -184,7 +184,7 @@
             }
             match entry.batch.due_at() {
                 Some(due) if due <= now => {
-                    entry.batch.begin(now);
+                    entry.batch.begin();
                     None
                 }
                 Some(due) => Some(due.since(now).min(WRITER_STEP)),
