Split the attempt by its jobs; wait for a silent sidecar instead of refusing new keys

The home now asks again within the request's deadline. The attempt's module is three: attempts, what the caller has, and what follows a dispatch; behaviour is the same.

--- a/crates/sagespool-entry/src/home/keys.rs
+++ b/crates/sagespool-entry/src/home/keys.rs
@@ -13,6 +13,9 @@
 use crate::state::EntryState;
 
 const FIND_LIMIT: Duration = Duration::from_secs(1);
+const ASK_AGAIN: Duration = Duration::from_millis(250);
+/// Kept back from a request's time, so that a refusal reaches the caller before its deadline.
+const ANSWER_MARGIN: Duration = Duration::from_millis(50);
 
 /// What is to be done with a keyed request.
 pub(super) enum KeyStart {
@@ -105,8 +108,26 @@
     }
 }
 
-/// Asks every sidecar of the service.
+/// Asks the sidecars of the service, and again those that can't be asked until they answer or are
+/// believed gone: at a sidecar's death that is a few seconds, against refusing every new key until
+/// then.
 async fn ask_sidecars(state: &EntryState, order: &ReserveRequest, key: KeyDigest) -> KeyStart {
+    let deadline = ClockTime::now().after(order.time_left.saturating_sub(ANSWER_MARGIN));
+    loop {
+        let verdict = inquire(state, order, key).await;
+        if let Some(start) = judge_inquiry(state, order, key, verdict) {
+            return start;
+        }
+        if ClockTime::now() >= deadline {
+            state.keys.forget(key, order.request);
+            return KeyStart::Refused(unasked_notice());
+        }
+        smol::Timer::after(ASK_AGAIN).await;
+    }
+}
+
+/// Asks every sidecar of the service at the same time.
+async fn inquire(state: &EntryState, order: &ReserveRequest, key: KeyDigest) -> InquiryVerdict {
     let sidecars = state.members.live(MemberRole::Sidecar, ClockTime::now());
     let serving = sidecars.into_iter().filter(|member| {
         member.serves.as_ref().is_some_and(|serves| serves.service == order.service)
@@ -131,18 +152,29 @@
             (incarnation, _) => inquiry.failed(incarnation),
         }
     }
-    judge_inquiry(state, order, key, inquiry.verdict())
+    inquiry.verdict()
 }
 
-/// One that can't be asked and isn't known to be gone may be running the request: for a request that
-/// may run twice the honest answer then is that the outcome isn't known, since a second run would be
-/// a second bill. For one that may not, the store's claim decides.
+fn unasked_notice() -> RefusalNotice {
+    RefusalNotice {
+        reason: RefusalReason::OutcomeUnknown,
+        run_state: RunState::Unknown,
+        message: "an upstream that may be running a request with this key can't be asked".into(),
+        retry_after: Some(Duration::from_secs(2)),
+    }
+}
+
+/// What the sidecars' answers mean; nothing if some have to be asked again.
+///
+/// One that can't be asked and isn't known to be gone may be running the request. For a request that
+/// may run twice a second run would be a second bill; for one that may not, the store's claim
+/// decides.
 fn judge_inquiry(
     state: &EntryState,
     order: &ReserveRequest,
     key: KeyDigest,
     verdict: InquiryVerdict,
-) -> KeyStart {
+) -> Option<KeyStart> {
     let now = ClockTime::now();
     let silent = match verdict {
         InquiryVerdict::Found(KeyState::Unknown { .. }) if !order.non_idempotent => Vec::new(),
@@ -150,24 +182,17 @@
             if let KeyState::At { sidecar, request, content } = known {
                 state.keys.learn(key, request, content, sidecar, now);
             }
-            return KeyStart::Known(known);
+            return Some(KeyStart::Known(known));
         }
         InquiryVerdict::Nowhere | InquiryVerdict::Open => Vec::new(),
         InquiryVerdict::Incomplete(silent) => silent,
     };
     let unsure = silent.iter().any(|incarnation| !state.members.is_gone(*incarnation, now));
     if unsure && !order.non_idempotent {
-        state.keys.forget(key, order.request);
-        return KeyStart::Refused(RefusalNotice {
-            reason: RefusalReason::OutcomeUnknown,
-            run_state: RunState::Unknown,
-            message: "an upstream that may be running a request with this key can't be asked"
-                .into(),
-            retry_after: Some(Duration::from_secs(2)),
-        });
+        return None;
     }
     match state.keys.restart(key, order.request, order.content, now) {
-        true => KeyStart::New,
-        false => KeyStart::Known(KeyState::Pending),
+        true => Some(KeyStart::New),
+        false => Some(KeyStart::Known(KeyState::Pending)),
     }
 }
--- a/crates/sagespool-entry/src/run/attempt.rs
+++ b/crates/sagespool-entry/src/run/attempt.rs
@@ -8,15 +8,14 @@
 use sagespool_link::EventStream;
 use sagespool_log::log_event;
 use sagespool_messages::{
-    CallTarget, CancelRequest, ChargeRecord, ClaimReply, ClaimRequest, CrashReport, DispatchEnd,
-    DispatchEvent, DispatchRequest, KeyState, MemberRole, PeerRequest, RefusalNotice,
-    ReservedCharge, ResumePoint, StopCause,
-};
-use sagespool_routing::{AttemptOutcome, AttemptResult, RouteChoice, RouteWish};
-use sagespool_types::{
-    AttemptNumber, ClockTime, IncarnationId, RefusalReason, RequestId, RunState, TokenCount,
+    CallTarget, CancelRequest, ChargeRecord, ClaimReply, ClaimRequest, DispatchEnd, DispatchEvent,
+    DispatchRequest, KeyState, MemberRole, PeerRequest, RefusalNotice, ReservedCharge, StopCause,
 };
+use sagespool_routing::{RouteChoice, RouteWish};
+use sagespool_types::{AttemptNumber, ClockTime, IncarnationId, RefusalReason, TokenCount};
 
+use super::judge::Judgement;
+use super::passage::{AnswerPassage, PieceTaken};
 use super::{AnswerEvent, RequestOrder, homes};
 use crate::state::EntryState;
 
@@ -25,9 +24,6 @@
 const CANCEL_LIMIT: Duration = Duration::from_secs(2);
 /// How long a request waits, at a time, for an upstream to come back.
 const UPSTREAM_PAUSE: Duration = Duration::from_millis(50);
-/// Every request in flight at a crash is reported within this time. Only then are the suspects'
-/// ranks the same everywhere, so that none runs again beside the one that took the upstream down.
-const SUSPECT_PAUSE: Duration = Duration::from_millis(150);
 /// A request waits so long at most for any upstream at all.
 const UPSTREAM_PATIENCE: Duration = Duration::from_secs(3);
 
@@ -59,7 +55,7 @@
 }
 
 /// What one dispatch came to, before it is decided what follows.
-enum DispatchOutcome {
+pub(super) enum DispatchOutcome {
     Ended(DispatchEnd),
     /// The link broke; the flag says that the request surely never reached the sidecar.
     LinkLost {
@@ -74,23 +70,17 @@
 
 /// The attempts at one reserved request.
 pub(super) struct AttemptRun<'a> {
-    state: &'a Arc<EntryState>,
-    order: &'a RequestOrder,
-    answers: &'a Sender<AnswerEvent>,
-    reserved: ReservedCharge,
+    pub(super) state: &'a Arc<EntryState>,
+    pub(super) order: &'a RequestOrder,
+    pub(super) reserved: ReservedCharge,
     reserved_at: Option<SocketAddr>,
-    attempt: AttemptNumber,
-    tried: Vec<IncarnationId>,
-    /// Tokens that the caller has, and their text, for a stream that breaks.
-    delivered_tokens: u32,
-    delivered_text: Vec<u8>,
-    /// Bytes of a service's answer that the caller has.
-    delivered_bytes: u32,
-    head_sent: bool,
+    pub(super) attempt: AttemptNumber,
+    pub(super) tried: Vec<IncarnationId>,
+    pub(super) passage: AnswerPassage<'a>,
     /// The newest thing known to have run.
-    ran: Option<ChargeRecord>,
+    pub(super) ran: Option<ChargeRecord>,
     /// True once an attempt may have run without anybody having told how far.
-    maybe_ran: bool,
+    pub(super) maybe_ran: bool,
     /// What attempts used whose work was lost.
     pub(super) rerun_tokens: TokenCount,
 }
@@ -106,15 +96,11 @@
         Self {
             state,
             order,
-            answers,
             reserved,
             reserved_at,
             attempt: AttemptNumber(0),
             tried: Vec::new(),
-            delivered_tokens: 0,
-            delivered_text: Vec::new(),
-            delivered_bytes: 0,
-            head_sent: false,
+            passage: AnswerPassage::new(answers),
             ran: None,
             maybe_ran: false,
             rerun_tokens: TokenCount::ZERO,
@@ -150,20 +136,6 @@
         self.order.time_left(ClockTime::now())
     }
 
-    /// The refusal that is true of what this run knows.
-    fn give_up(&mut self, reason: RefusalReason, message: String) -> AttemptEnd {
-        let run_state = match (&self.ran, self.maybe_ran) {
-            (None, false) => RunState::NotRun,
-            _ => RunState::Unknown,
-        };
-        let retry_after = Some(Duration::from_secs(1));
-        let notice = RefusalNotice { reason, run_state, message, retry_after };
-        if self.maybe_ran && self.ran.is_none() {
-            return AttemptEnd::Unsure { notice };
-        }
-        AttemptEnd::Refused { notice, ran: self.ran.take() }
-    }
-
     fn wish(&self) -> RouteWish {
         let model = match &self.order.target {
             CallTarget::Completion { model, .. } => Some(model.clone()),
@@ -250,10 +222,7 @@
     fn request(&self, choice: &RouteChoice) -> DispatchRequest {
         let mut target = self.order.target.clone();
         if let CallTarget::Completion { resume, .. } = &mut target {
-            *resume = (self.delivered_tokens > 0).then(|| ResumePoint {
-                tokens: self.delivered_tokens,
-                text: String::from_utf8_lossy(&self.delivered_text).into_owned(),
-            });
+            *resume = self.passage.resume_point();
         }
         DispatchRequest {
             request: self.order.request,
@@ -339,12 +308,14 @@
             let now = ClockTime::now();
             let taken = match event {
                 DispatchEvent::Started => true,
-                DispatchEvent::Head { status, headers } => self.take_head(status, headers).await,
+                DispatchEvent::Head { status, headers } => {
+                    self.passage.take_head(status, headers).await
+                }
                 DispatchEvent::Piece { at, tokens, data } => {
                     if tokens > 0 {
                         self.observe_piece(&mut first_token, &mut last_piece, choice, started, now);
                     }
-                    match self.take_piece(at, tokens, data).await {
+                    match self.passage.take_piece(at, tokens, data).await {
                         PieceTaken::Passed => true,
                         PieceTaken::Gap => {
                             return DispatchOutcome::LinkLost {
@@ -387,224 +358,4 @@
         }
         *last_piece = now;
     }
-
-    /// Returns false if the caller is gone.
-    async fn take_head(
-        &mut self,
-        status: u16,
-        headers: Vec<sagespool_messages::HeaderPair>,
-    ) -> bool {
-        if self.head_sent {
-            return true;
-        }
-        self.head_sent = true;
-        self.answers.send(AnswerEvent::Head { status, headers }).await.is_ok()
-    }
-
-    /// Passes on what the caller doesn't have yet. A resumed or repeated attempt may start at or
-    /// before the point reached; a piece beyond it would leave a hole in the answer.
-    async fn take_piece(&mut self, at: u32, tokens: u32, data: Vec<u8>) -> PieceTaken {
-        let is_text = tokens > 0;
-        let reached = if is_text { self.delivered_tokens } else { self.delivered_bytes };
-        if at > reached {
-            return PieceTaken::Gap;
-        }
-        let length = if is_text { tokens } else { data.len() as u32 };
-        let end = at.saturating_add(length);
-        if end <= reached {
-            return PieceTaken::Passed;
-        }
-        let data = if is_text {
-            // A piece of several tokens can't be cut inside; sidecars send one token a piece.
-            if at < reached {
-                return PieceTaken::Gap;
-            }
-            data
-        } else {
-            data[(reached - at) as usize..].to_vec()
-        };
-        if is_text {
-            self.delivered_tokens = end;
-            self.delivered_text.extend_from_slice(&data);
-        } else {
-            self.delivered_bytes = end;
-        }
-        match self.answers.send(AnswerEvent::Piece { tokens, data }).await {
-            Ok(()) => PieceTaken::Passed,
-            Err(_) => PieceTaken::CallerGone,
-        }
-    }
-
-    /// Decides what follows a dispatch's outcome.
-    async fn judge(&mut self, choice: &RouteChoice, outcome: DispatchOutcome) -> Judgement {
-        match outcome {
-            DispatchOutcome::Ended(end) => self.judge_end(choice, end).await,
-            DispatchOutcome::LinkLost { surely_not_sent, detail } => {
-                self.judge_loss(choice, surely_not_sent, detail).await
-            }
-            DispatchOutcome::CallerGone => {
-                self.note_end(choice, AttemptOutcome::Cancelled);
-                self.maybe_ran = true;
-                Judgement::Ended(
-                    self.give_up(RefusalReason::OutcomeUnknown, "the caller went away".into()),
-                )
-            }
-            DispatchOutcome::TimedOut => {
-                self.note_end(choice, AttemptOutcome::Failed);
-                self.maybe_ran = true;
-                let message = "the deadline passed while it ran".into();
-                Judgement::Ended(self.give_up(RefusalReason::DeadlineExceeded, message))
-            }
-        }
-    }
-
-    async fn judge_end(&mut self, choice: &RouteChoice, end: DispatchEnd) -> Judgement {
-        match end {
-            DispatchEnd::Whole { charge, stop } => {
-                self.note_end(choice, AttemptOutcome::Whole);
-                crate::home::clear_suspect(self.state, self.order.content);
-                Judgement::Ended(AttemptEnd::Whole { charge, stop })
-            }
-            DispatchEnd::GrantUnusable(detail) => {
-                self.note_end(choice, AttemptOutcome::Refused);
-                log_event!(
-                    info,
-                    "grant-unusable",
-                    request = self.order.request,
-                    charge = self.reserved.charge,
-                    detail = detail
-                );
-                if self.ran.is_some() || self.maybe_ran {
-                    // Something may have run under this charge, so it can't be given back.
-                    self.tried.push(choice.sidecar);
-                    return Judgement::TryElsewhere(detail);
-                }
-                Judgement::Ended(AttemptEnd::GrantUnusable)
-            }
-            DispatchEnd::Refused(notice) => self.judge_refusal(choice, notice),
-            DispatchEnd::Broken { ran, crashed, detail } => {
-                self.judge_break(choice, ran, crashed, detail).await
-            }
-            DispatchEnd::Cancelled { ran } => {
-                self.note_end(choice, AttemptOutcome::Cancelled);
-                self.keep_ran(ran);
-                let message = "it was stopped at its deadline, or cancelled".into();
-                Judgement::Ended(self.give_up(RefusalReason::DeadlineExceeded, message))
-            }
-        }
-    }
-
-    fn judge_refusal(&mut self, choice: &RouteChoice, notice: RefusalNotice) -> Judgement {
-        let elsewhere = matches!(
-            notice.reason,
-            RefusalReason::Leaving
-                | RefusalReason::Overloaded
-                | RefusalReason::NotReady
-                | RefusalReason::NoUpstream
-                | RefusalReason::LimitReached
-        );
-        if !elsewhere {
-            self.note_end(choice, AttemptOutcome::Refused);
-        }
-        if elsewhere && notice.run_state == RunState::NotRun {
-            self.note_end(choice, AttemptOutcome::Refused);
-            self.tried.push(choice.sidecar);
-            return Judgement::TryElsewhere(notice.message);
-        }
-        if self.ran.is_some() || self.maybe_ran {
-            return Judgement::Ended(self.give_up(notice.reason, notice.message));
-        }
-        if notice.run_state == RunState::Unknown {
-            // The sidecar knows of a run under this charge or key: nothing may be given back for it.
-            return Judgement::Ended(AttemptEnd::Unsure { notice });
-        }
-        Judgement::Ended(AttemptEnd::Refused { notice, ran: None })
-    }
-
-    fn keep_ran(&mut self, ran: Option<ChargeRecord>) {
-        let Some(record) = ran else {
-            return;
-        };
-        if let Some(older) = self.ran.replace(record) {
-            self.rerun_tokens += older.used;
-        }
-    }
-
-    /// Tells the routing table how an attempt ended; its first token was told when it came.
-    fn note_end(&self, choice: &RouteChoice, outcome: AttemptOutcome) {
-        let tokens = TokenCount(u64::from(self.delivered_tokens));
-        let result = AttemptResult { first_token: None, tokens, outcome };
-        self.state.upstreams.ended(choice, &result, ClockTime::now());
-    }
-
-    async fn judge_break(
-        &mut self,
-        choice: &RouteChoice,
-        ran: Option<ChargeRecord>,
-        crashed: bool,
-        detail: String,
-    ) -> Judgement {
-        let outcome = if crashed { AttemptOutcome::Unreachable } else { AttemptOutcome::Failed };
-        self.note_end(choice, outcome);
-        let did_run = ran.is_some();
-        self.keep_ran(ran);
-        if crashed && did_run {
-            self.report_crash(choice).await;
-            smol::Timer::after(SUSPECT_PAUSE).await;
-        }
-        if self.state.crashes.stopped(self.order.content) {
-            let message = "the request took its upstream down more than once and is stopped";
-            return Judgement::Ended(self.give_up(RefusalReason::Quarantined, message.into()));
-        }
-        if did_run && self.order.non_idempotent {
-            let message = format!("the upstream failed after it may have run: {detail}");
-            return Judgement::Ended(self.give_up(RefusalReason::OutcomeUnknown, message));
-        }
-        self.tried.push(choice.sidecar);
-        Judgement::TryElsewhere(detail)
-    }
-
-    async fn report_crash(&self, choice: &RouteChoice) {
-        let report = CrashReport {
-            content: self.order.content,
-            crash: RequestId(self.order.request.0 ^ u128::from(self.attempt.0)),
-            upstream: choice.upstream.clone(),
-            attempt: self.attempt,
-        };
-        crate::home::spread_crash(self.state, &report).await;
-    }
-
-    /// The link to the sidecar broke. What isn't sure not to have arrived may be running; a request
-    /// that may never run twice isn't tried elsewhere then.
-    async fn judge_loss(
-        &mut self,
-        choice: &RouteChoice,
-        surely_not_sent: bool,
-        detail: String,
-    ) -> Judgement {
-        self.note_end(choice, AttemptOutcome::Unreachable);
-        self.tried.push(choice.sidecar);
-        if surely_not_sent {
-            return Judgement::TryElsewhere(detail);
-        }
-        self.maybe_ran = true;
-        if self.order.non_idempotent {
-            let message = format!("the way to the upstream broke after it may have run: {detail}");
-            return Judgement::Ended(self.give_up(RefusalReason::OutcomeUnknown, message));
-        }
-        Judgement::TryElsewhere(detail)
-    }
-}
-
-/// What follows a dispatch.
-enum Judgement {
-    Ended(AttemptEnd),
-    TryElsewhere(String),
-}
-
-/// What became of a piece.
-enum PieceTaken {
-    Passed,
-    Gap,
-    CallerGone,
 }
--- /dev/null
+++ b/crates/sagespool-entry/src/run/judge.rs
@@ -0,0 +1,202 @@
+//! What follows a dispatch: the end, or another attempt elsewhere.
+
+use std::time::Duration;
+
+use sagespool_log::log_event;
+use sagespool_messages::{ChargeRecord, CrashReport, DispatchEnd, RefusalNotice};
+use sagespool_routing::{AttemptOutcome, AttemptResult, RouteChoice};
+use sagespool_types::{ClockTime, RefusalReason, RequestId, RunState, TokenCount};
+
+use super::attempt::{AttemptEnd, AttemptRun, DispatchOutcome};
+
+/// Every request in flight at a crash is reported within this time. Only then are the suspects'
+/// ranks the same everywhere, so that none runs again beside the one that took the upstream down.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(150);
+
+/// What follows a dispatch.
+pub(super) enum Judgement {
+    /// Nothing more is tried.
+    Ended(AttemptEnd),
+    /// Another attempt, for this reason.
+    TryElsewhere(String),
+}
+
+impl AttemptRun<'_> {
+    /// The refusal that is true of what this run knows.
+    pub(super) fn give_up(&mut self, reason: RefusalReason, message: String) -> AttemptEnd {
+        let run_state = match (&self.ran, self.maybe_ran) {
+            (None, false) => RunState::NotRun,
+            _ => RunState::Unknown,
+        };
+        let retry_after = Some(Duration::from_secs(1));
+        let notice = RefusalNotice { reason, run_state, message, retry_after };
+        if self.maybe_ran && self.ran.is_none() {
+            return AttemptEnd::Unsure { notice };
+        }
+        AttemptEnd::Refused { notice, ran: self.ran.take() }
+    }
+
+    /// Decides what follows a dispatch's outcome.
+    pub(super) async fn judge(
+        &mut self,
+        choice: &RouteChoice,
+        outcome: DispatchOutcome,
+    ) -> Judgement {
+        match outcome {
+            DispatchOutcome::Ended(end) => self.judge_end(choice, end).await,
+            DispatchOutcome::LinkLost { surely_not_sent, detail } => {
+                self.judge_loss(choice, surely_not_sent, detail).await
+            }
+            DispatchOutcome::CallerGone => {
+                self.note_end(choice, AttemptOutcome::Cancelled);
+                self.maybe_ran = true;
+                Judgement::Ended(
+                    self.give_up(RefusalReason::OutcomeUnknown, "the caller went away".into()),
+                )
+            }
+            DispatchOutcome::TimedOut => {
+                self.note_end(choice, AttemptOutcome::Failed);
+                self.maybe_ran = true;
+                let message = "the deadline passed while it ran".into();
+                Judgement::Ended(self.give_up(RefusalReason::DeadlineExceeded, message))
+            }
+        }
+    }
+
+    async fn judge_end(&mut self, choice: &RouteChoice, end: DispatchEnd) -> Judgement {
+        match end {
+            DispatchEnd::Whole { charge, stop } => {
+                self.note_end(choice, AttemptOutcome::Whole);
+                crate::home::clear_suspect(self.state, self.order.content);
+                Judgement::Ended(AttemptEnd::Whole { charge, stop })
+            }
+            DispatchEnd::GrantUnusable(detail) => {
+                self.note_end(choice, AttemptOutcome::Refused);
+                log_event!(
+                    info,
+                    "grant-unusable",
+                    request = self.order.request,
+                    charge = self.reserved.charge,
+                    detail = detail
+                );
+                if self.ran.is_some() || self.maybe_ran {
+                    // Something may have run under this charge, so it can't be given back.
+                    self.tried.push(choice.sidecar);
+                    return Judgement::TryElsewhere(detail);
+                }
+                Judgement::Ended(AttemptEnd::GrantUnusable)
+            }
+            DispatchEnd::Refused(notice) => self.judge_refusal(choice, notice),
+            DispatchEnd::Broken { ran, crashed, detail } => {
+                self.judge_break(choice, ran, crashed, detail).await
+            }
+            DispatchEnd::Cancelled { ran } => {
+                self.note_end(choice, AttemptOutcome::Cancelled);
+                self.keep_ran(ran);
+                let message = "it was stopped at its deadline, or cancelled".into();
+                Judgement::Ended(self.give_up(RefusalReason::DeadlineExceeded, message))
+            }
+        }
+    }
+
+    fn judge_refusal(&mut self, choice: &RouteChoice, notice: RefusalNotice) -> Judgement {
+        let elsewhere = matches!(
+            notice.reason,
+            RefusalReason::Leaving
+                | RefusalReason::Overloaded
+                | RefusalReason::NotReady
+                | RefusalReason::NoUpstream
+                | RefusalReason::LimitReached
+        );
+        if !elsewhere {
+            self.note_end(choice, AttemptOutcome::Refused);
+        }
+        if elsewhere && notice.run_state == RunState::NotRun {
+            self.note_end(choice, AttemptOutcome::Refused);
+            self.tried.push(choice.sidecar);
+            return Judgement::TryElsewhere(notice.message);
+        }
+        if self.ran.is_some() || self.maybe_ran {
+            return Judgement::Ended(self.give_up(notice.reason, notice.message));
+        }
+        if notice.run_state == RunState::Unknown {
+            // The sidecar knows of a run under this charge or key: nothing may be given back for it.
+            return Judgement::Ended(AttemptEnd::Unsure { notice });
+        }
+        Judgement::Ended(AttemptEnd::Refused { notice, ran: None })
+    }
+
+    fn keep_ran(&mut self, ran: Option<ChargeRecord>) {
+        let Some(record) = ran else {
+            return;
+        };
+        if let Some(older) = self.ran.replace(record) {
+            self.rerun_tokens += older.used;
+        }
+    }
+
+    /// Tells the routing table how an attempt ended; its first token was told when it came.
+    fn note_end(&self, choice: &RouteChoice, outcome: AttemptOutcome) {
+        let tokens = TokenCount(u64::from(self.passage.tokens()));
+        let result = AttemptResult { first_token: None, tokens, outcome };
+        self.state.upstreams.ended(choice, &result, ClockTime::now());
+    }
+
+    async fn judge_break(
+        &mut self,
+        choice: &RouteChoice,
+        ran: Option<ChargeRecord>,
+        crashed: bool,
+        detail: String,
+    ) -> Judgement {
+        let outcome = if crashed { AttemptOutcome::Unreachable } else { AttemptOutcome::Failed };
+        self.note_end(choice, outcome);
+        let did_run = ran.is_some();
+        self.keep_ran(ran);
+        if crashed && did_run {
+            self.report_crash(choice).await;
+            smol::Timer::after(SUSPECT_PAUSE).await;
+        }
+        if self.state.crashes.stopped(self.order.content) {
+            let message = "the request took its upstream down more than once and is stopped";
+            return Judgement::Ended(self.give_up(RefusalReason::Quarantined, message.into()));
+        }
+        if did_run && self.order.non_idempotent {
+            let message = format!("the upstream failed after it may have run: {detail}");
+            return Judgement::Ended(self.give_up(RefusalReason::OutcomeUnknown, message));
+        }
+        self.tried.push(choice.sidecar);
+        Judgement::TryElsewhere(detail)
+    }
+
+    async fn report_crash(&self, choice: &RouteChoice) {
+        let report = CrashReport {
+            content: self.order.content,
+            crash: RequestId(self.order.request.0 ^ u128::from(self.attempt.0)),
+            upstream: choice.upstream.clone(),
+            attempt: self.attempt,
+        };
+        crate::home::spread_crash(self.state, &report).await;
+    }
+
+    /// The link to the sidecar broke. What isn't sure not to have arrived may be running; a request
+    /// that may never run twice isn't tried elsewhere then.
+    async fn judge_loss(
+        &mut self,
+        choice: &RouteChoice,
+        surely_not_sent: bool,
+        detail: String,
+    ) -> Judgement {
+        self.note_end(choice, AttemptOutcome::Unreachable);
+        self.tried.push(choice.sidecar);
+        if surely_not_sent {
+            return Judgement::TryElsewhere(detail);
+        }
+        self.maybe_ran = true;
+        if self.order.non_idempotent {
+            let message = format!("the way to the upstream broke after it may have run: {detail}");
+            return Judgement::Ended(self.give_up(RefusalReason::OutcomeUnknown, message));
+        }
+        Judgement::TryElsewhere(detail)
+    }
+}
--- a/crates/sagespool-entry/src/run/mod.rs
+++ b/crates/sagespool-entry/src/run/mod.rs
@@ -6,7 +6,9 @@
 mod drive;
 mod events;
 mod homes;
+mod judge;
 mod order;
+mod passage;
 
 pub(crate) use admission::{QueueWord, refresh_limits};
 pub use drive::start_run;
