--- a/crates/sagespool-entry/src/run/attempt.rs
+++ b/crates/sagespool-entry/src/run/attempt.rs
@@ -24,6 +24,8 @@
 const CANCEL_LIMIT: Duration = Duration::from_secs(2);
 /// How long a request waits, at a time, for an upstream to come back.
 const UPSTREAM_PAUSE: Duration = Duration::from_millis(50);
+/// A suspect waits so long at most for others to come through.
+const SUSPECT_PATIENCE: Duration = Duration::from_secs(2);
 /// A request waits so long at most for any upstream at all.
 const UPSTREAM_PATIENCE: Duration = Duration::from_secs(3);
 
@@ -54,6 +56,16 @@
     Known(KeyState),
 }
 
+/// Where a request may go, given what it may have done.
+enum ApartPlace {
+    /// It isn't a suspect.
+    Anywhere,
+    /// There, and nowhere else.
+    At(RouteChoice),
+    /// Others have to come through first.
+    Later,
+}
+
 /// What one dispatch came to, before it is decided what follows.
 pub(super) enum DispatchOutcome {
     Ended(DispatchEnd),
@@ -152,9 +164,12 @@
 
     /// Where a request goes that was in flight when an upstream went down. Suspects run apart, each
     /// on an upstream of its own, so that the one that takes upstreams down does so alone, and the
-    /// others come through and are cleared. Nothing for any other request.
-    fn choose_apart(&self, now: ClockTime) -> Option<RouteChoice> {
-        let rank = self.state.crashes.rerun_rank(self.order.content)?;
+    /// others come through and are cleared. While there are more suspects than upstreams the later
+    /// ones wait for the earlier, for a bounded time.
+    fn place_apart(&self, waited: Duration, now: ClockTime) -> ApartPlace {
+        let Some(rank) = self.state.crashes.rerun_rank(self.order.content) else {
+            return ApartPlace::Anywhere;
+        };
         let mut sidecars = self.state.members.live(MemberRole::Sidecar, now);
         sidecars.retain(|member| {
             let serves = member.serves.as_ref();
@@ -162,11 +177,18 @@
                 && !self.tried.contains(&member.incarnation)
         });
         sidecars.sort_by(|one, other| one.instance.cmp(&other.instance));
-        let chosen = sidecars.get(rank % sidecars.len().max(1))?.incarnation;
+        if rank >= sidecars.len() && waited < SUSPECT_PATIENCE {
+            return ApartPlace::Later;
+        }
+        let Some(chosen) = sidecars.get(rank % sidecars.len().max(1)) else {
+            return ApartPlace::Anywhere;
+        };
+        let chosen = chosen.incarnation;
         let mut wish = self.wish();
         let others = sidecars.iter().map(|member| member.incarnation);
         wish.exclude.extend(others.filter(|incarnation| *incarnation != chosen));
-        self.state.upstreams.choose(&wish, now)
+        let choice = self.state.upstreams.choose(&wish, now);
+        choice.map_or(ApartPlace::Anywhere, ApartPlace::At)
     }
 
     /// An upstream to try: one not tried yet, else any, after a short wait for one to come back.
@@ -179,11 +201,17 @@
                     self.give_up(RefusalReason::DeadlineExceeded, "the deadline passed".into())
                 );
             }
-            if let Some(choice) = self.choose_apart(now) {
-                return Ok(choice);
-            }
-            if let Some(choice) = self.state.upstreams.choose(&self.wish(), now) {
-                return Ok(choice);
+            match self.place_apart(now.since(started), now) {
+                ApartPlace::At(choice) => return Ok(choice),
+                ApartPlace::Anywhere => {
+                    if let Some(choice) = self.state.upstreams.choose(&self.wish(), now) {
+                        return Ok(choice);
+                    }
+                }
+                ApartPlace::Later => {
+                    smol::Timer::after(UPSTREAM_PAUSE).await;
+                    continue;
+                }
             }
             self.tried.clear();
             if now.since(started) > UPSTREAM_PATIENCE {
