Test a quiet start, a reused address and a heal without any list

Cause: taking out the guards left every test green: the settings' addresses healed the partition, a newer revision replaced the old run. Change: fleets of the tests know addresses from the list, which is empty in the healed partition.

--- a/crates/sagespool-membership/tests/fleet/mod.rs
+++ b/crates/sagespool-membership/tests/fleet/mod.rs
@@ -79,8 +79,9 @@
     pub fn join(&mut self, info: MemberInfo) {
         let address = info.address;
         let table = MemberTable::new(info.clone(), self.policy.clone(), info.incarnation.0);
-        let seeds: Vec<_> = (0..3).map(self::address).collect();
-        table.seeds(&seeds, self.now);
+        let seeds: Vec<_> =
+            (0..3).map(|place| listed(&self::info(place, 1, MemberRole::Entry), false)).collect();
+        table.listed(&seeds, self.now);
         self.tables.insert(address, table);
     }
 
--- a/crates/sagespool-membership/tests/heartbeat_rounds.rs
+++ b/crates/sagespool-membership/tests/heartbeat_rounds.rs
@@ -102,6 +102,9 @@
         }
         fleet.run(1000);
         assert_eq!(fleet.at(0).members().len(), usize::from(all / 2), "{size:?}");
+        fleet.tables.values().for_each(|table| {
+            table.listed(&[], fleet.now);
+        });
         fleet.cut.clear();
         let healed = fleet.run_until(1500, Fleet::is_complete);
         assert!(healed.is_some(), "{size:?}");
@@ -113,6 +116,16 @@
     }
 }
 
+/// A whole fleet starts at once. Everyone discovers everyone, and if each passed
+/// each on as news, a large fleet would be busy with it for many minutes.
+#[test]
+fn quiet_start() {
+    let mut fleet = complete_fleet(GOSSIP);
+    fleet.size_of = Some(|beat| beat.others.len());
+    fleet.run(100);
+    assert!(fleet.bytes < 80, "{} members passed on in 10 s", fleet.bytes);
+}
+
 #[test]
 fn bounded_traffic() {
     let mut fleet = complete_fleet(GOSSIP);
--- a/crates/sagespool-membership/tests/stale_incarnation.rs
+++ b/crates/sagespool-membership/tests/stale_incarnation.rs
@@ -125,6 +125,22 @@
     assert!(fleet.is_complete());
 }
 
+/// An instance is taken down, and another gets its address. Whoever calls the
+/// address gets an answer, so no call to the old one ever fails: it would be
+/// routed to for as long as its successor lives.
+#[test]
+fn reused_address() {
+    let table = table();
+    let old = info(5, 1, MemberRole::Sidecar);
+    table.received(&gossip(vec![old.clone()]), NOW);
+    let mut new = info(6, 1, MemberRole::Sidecar);
+    new.address = old.address;
+    let answer = Heartbeat { from: new.clone(), ..gossip(Vec::new()) };
+    table.answered(old.address, &answer, NOW);
+    assert!(table.is_gone(old.incarnation, NOW));
+    assert_eq!(table.live(MemberRole::Sidecar, NOW), [new]);
+}
+
 #[test]
 fn first_numbers() {
     let started = WallTime(1_700_000_000_000);
