--- a/crates/sagespool-entry/src/heartbeats.rs
+++ b/crates/sagespool-entry/src/heartbeats.rs
@@ -44,6 +44,7 @@
 /// Brings what the members say of their upstreams to the routing table.
 pub(crate) fn refresh_upstreams(state: &EntryState) {
     let now = ClockTime::now();
+    state.witnesses.observe(&state.members.members());
     let live = state.members.live(MemberRole::Sidecar, now);
     for member in &live {
         state.upstreams.observe(member, now);
@@ -79,9 +80,11 @@
                 leaving: item.state == ListedState::Leaving,
             })
             .collect();
+        let sidecars = listed.iter().filter(|listed| listed.role == MemberRole::Sidecar);
+        state.witnesses.list(sidecars.map(|listed| listed.instance.clone()));
         // The platform may say that this instance leaves before anybody told the process.
         if state.members.listed(&listed, ClockTime::now()) {
-            state.members.update_own(|own| own.leaving = true);
+            state.leave();
         }
     }
 }
--- a/crates/sagespool-entry/src/peers.rs
+++ b/crates/sagespool-entry/src/peers.rs
@@ -45,6 +45,10 @@
             home::record_crash(state, &report);
             PeerReply::Done
         }
+        PeerRequest::Abandon(notice) => {
+            home::abandon(state, &notice);
+            PeerReply::Done
+        }
         PeerRequest::Status(query) => PeerReply::Status(status(state, &query)),
         PeerRequest::Dispatch(_)
         | PeerRequest::Attach(_)
--- a/crates/sagespool-entry/src/run/attempt.rs
+++ b/crates/sagespool-entry/src/run/attempt.rs
@@ -9,8 +9,8 @@
 use sagespool_log::log_event;
 use sagespool_messages::{
     CallTarget, CancelRequest, ChargeRecord, ClaimReply, ClaimRequest, CrashReport, DispatchEnd,
-    DispatchEvent, DispatchRequest, KeyState, PeerRequest, RefusalNotice, ReservedCharge,
-    ResumePoint, StopCause,
+    DispatchEvent, DispatchRequest, KeyState, MemberRole, PeerRequest, RefusalNotice,
+    ReservedCharge, ResumePoint, StopCause,
 };
 use sagespool_routing::{AttemptOutcome, AttemptResult, RouteChoice, RouteWish};
 use sagespool_types::{
@@ -25,6 +25,9 @@
 const CANCEL_LIMIT: Duration = Duration::from_secs(2);
 /// How long a request waits, at a time, for an upstream to come back.
 const UPSTREAM_PAUSE: Duration = Duration::from_millis(50);
+/// Every request in flight at a crash is reported within this time. Only then are the suspects'
+/// ranks the same everywhere, so that none runs again beside the one that took the upstream down.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(150);
 /// A request waits so long at most for any upstream at all.
 const UPSTREAM_PATIENCE: Duration = Duration::from_secs(3);
 
@@ -175,6 +178,25 @@
             .build()
     }
 
+    /// Where a request goes that was in flight when an upstream went down. Suspects run apart, each
+    /// on an upstream of its own, so that the one that takes upstreams down does so alone, and the
+    /// others come through and are cleared. Nothing for any other request.
+    fn choose_apart(&self, now: ClockTime) -> Option<RouteChoice> {
+        let rank = self.state.crashes.rerun_rank(self.order.content)?;
+        let mut sidecars = self.state.members.live(MemberRole::Sidecar, now);
+        sidecars.retain(|member| {
+            let serves = member.serves.as_ref();
+            serves.is_some_and(|serves| serves.service == self.order.service && serves.healthy)
+                && !self.tried.contains(&member.incarnation)
+        });
+        sidecars.sort_by(|one, other| one.instance.cmp(&other.instance));
+        let chosen = sidecars.get(rank % sidecars.len().max(1))?.incarnation;
+        let mut wish = self.wish();
+        let others = sidecars.iter().map(|member| member.incarnation);
+        wish.exclude.extend(others.filter(|incarnation| *incarnation != chosen));
+        self.state.upstreams.choose(&wish, now)
+    }
+
     /// An upstream to try: one not tried yet, else any, after a short wait for one to come back.
     async fn choose(&mut self) -> Result<RouteChoice, AttemptEnd> {
         let started = ClockTime::now();
@@ -185,6 +207,9 @@
                     self.give_up(RefusalReason::DeadlineExceeded, "the deadline passed".into())
                 );
             }
+            if let Some(choice) = self.choose_apart(now) {
+                return Ok(choice);
+            }
             if let Some(choice) = self.state.upstreams.choose(&self.wish(), now) {
                 return Ok(choice);
             }
@@ -437,6 +462,7 @@
         match end {
             DispatchEnd::Whole { charge, stop } => {
                 self.note_end(choice, AttemptOutcome::Whole);
+                crate::home::clear_suspect(self.state, self.order.content);
                 Judgement::Ended(AttemptEnd::Whole { charge, stop })
             }
             DispatchEnd::GrantUnusable(detail) => {
@@ -488,6 +514,10 @@
         if self.ran.is_some() || self.maybe_ran {
             return Judgement::Ended(self.give_up(notice.reason, notice.message));
         }
+        if notice.run_state == RunState::Unknown {
+            // The sidecar knows of a run under this charge or key: nothing may be given back for it.
+            return Judgement::Ended(AttemptEnd::Unsure { notice });
+        }
         Judgement::Ended(AttemptEnd::Refused { notice, ran: None })
     }
 
@@ -520,6 +550,7 @@
         self.keep_ran(ran);
         if crashed && did_run {
             self.report_crash(choice).await;
+            smol::Timer::after(SUSPECT_PAUSE).await;
         }
         if self.state.crashes.stopped(self.order.content) {
             let message = "the request took its upstream down more than once and is stopped";
--- a/crates/sagespool-entry/src/run/homes.rs
+++ b/crates/sagespool-entry/src/run/homes.rs
@@ -6,8 +6,8 @@
 
 use sagespool_log::log_event;
 use sagespool_messages::{
-    ClaimReply, ClaimRequest, FinishReport, MemberInfo, PeerReply, PeerRequest, ReserveReply,
-    ReserveRequest,
+    AbandonNotice, ClaimReply, ClaimRequest, FinishReport, MemberInfo, PeerReply, PeerRequest,
+    ReserveReply, ReserveRequest,
 };
 use sagespool_types::{BranchName, ClockTime};
 
@@ -17,6 +17,10 @@
 /// How often the end of a request is told to a home that doesn't answer. After that the sidecar's
 /// report tells it, which goes on until it is durable.
 const FINISH_TRIES: u32 = 4;
+/// A home that is paused or cut off is told for about half a minute; after that the reservation is
+/// overdue there, and the home looks into it by itself.
+const ABANDON_TRIES: u32 = 30;
+const ABANDON_PAUSE: Duration = Duration::from_secs(1);
 const FINISH_LIMIT: Duration = Duration::from_secs(2);
 
 fn other_home(state: &EntryState, branch: &BranchName) -> Option<MemberInfo> {
@@ -46,13 +50,29 @@
                 branch = order.branch,
                 error = error
             );
-            let time_left = order.time_left;
-            let order = ReserveRequest { time_left, ..order.clone() };
-            (home::reserve(state, &order).await, None)
+            if !error.surely_not_sent() {
+                smol::spawn(abandon(Arc::clone(state), other, order.clone())).detach();
+            }
+            (home::reserve(state, order).await, None)
         }
     }
 }
 
+/// Tells a home that didn't answer that its reservation, if it made one, is not used.
+async fn abandon(state: Arc<EntryState>, other: MemberInfo, order: ReserveRequest) {
+    let (request, branch, key) = (order.request, order.branch, order.key);
+    let notice = PeerRequest::Abandon(AbandonNotice { request, branch, key });
+    for _ in 0..ABANDON_TRIES {
+        if state.members.is_gone(other.incarnation, ClockTime::now()) {
+            return;
+        }
+        if state.link().ask(other.address, &notice, FINISH_LIMIT).await.is_ok() {
+            return;
+        }
+        smol::Timer::after(ABANDON_PAUSE).await;
+    }
+}
+
 /// Asks whoever reserved for the request to place the claim.
 pub(super) async fn claim(
     state: &Arc<EntryState>,
--- a/crates/sagespool-messages/src/wire.rs
+++ b/crates/sagespool-messages/src/wire.rs
@@ -36,6 +36,8 @@
         Order(OrderRequest),
         /// Anyone to anyone; answered by [`PeerReply::Status`].
         Status(StatusQuery),
+        /// Entry to a home that didn't answer; answered by [`PeerReply::Done`].
+        Abandon(AbandonNotice),
     }
 }
 
--- a/crates/sagespool-testkit/src/fleet/running.rs
+++ b/crates/sagespool-testkit/src/fleet/running.rs
@@ -28,6 +28,8 @@
 };
 
 const READY_LIMIT: Duration = Duration::from_secs(20);
+/// Times that a member is moved to other ports.
+const MOST_MOVES: u32 = 3;
 const READY_STEP: Duration = Duration::from_millis(20);
 const STORE_LIMIT: Duration = Duration::from_secs(5);
 /// The names that the fault proxy knows the platform by.
@@ -297,12 +299,19 @@
     ///
     /// # Errors
     /// If one isn't ready within 20 s.
-    pub async fn wait_ready(&self) -> Result<(), Report<FleetFault>> {
+    pub async fn wait_ready(&mut self) -> Result<(), Report<FleetFault>> {
         let client = Client::new(trillium_smol::ClientConfig::default());
         let started = Instant::now();
-        for member in self.members.iter().filter(|member| member.process.is_some()) {
-            let url = format!("http://{}/readyz", member.http);
-            loop {
+        for place in 0..self.members.len() {
+            let mut moves = 0;
+            while self.members[place].process.is_some() {
+                // Another program may have taken a port between its choice and the process's start.
+                if self.has_ended(place) && moves < MOST_MOVES {
+                    moves += 1;
+                    self.move_member(place)?;
+                }
+                let member = &self.members[place];
+                let url = format!("http://{}/readyz", member.http);
                 let answer = client.get(url.as_str()).await;
                 let ready = answer
                     .is_ok_and(|conn| conn.status().is_some_and(|status| status.is_success()));
@@ -311,7 +320,7 @@
                 }
                 if started.elapsed() > READY_LIMIT {
                     let doing = format!("waiting for {} to be ready", member.instance);
-                    return Err(Report::new(FleetFault::new(doing)));
+                    return Err(Report::new(FleetFault::new(doing)).attach(member.log_end()));
                 }
                 smol::Timer::after(READY_STEP).await;
             }
@@ -319,6 +328,31 @@
         Ok(())
     }
 
+    fn has_ended(&self, place: usize) -> bool {
+        let process = self.members[place].process.as_ref();
+        process.is_some_and(|process| matches!(process.ended(), Ok(Some(_)) | Err(_)))
+    }
+
+    /// Gives a member other ports and starts it there.
+    fn move_member(&mut self, place: usize) -> Result<(), Report<FleetFault>> {
+        let (http, link) = free_addresses()?;
+        let instance = self.members[place].instance.clone();
+        let fault = || FleetFault::new(format!("moving {instance}"));
+        let advertised = match &self.proxy {
+            Some(proxy) => {
+                proxy.register_sender(instance.as_str(), link);
+                proxy.udp_link(instance.as_str(), link).change_context_lazy(fault)?
+            }
+            None => link,
+        };
+        let member = &mut self.members[place];
+        (member.http, member.link, member.advertised) = (http, link, advertised);
+        member.process = None;
+        self.list.set(listed(&self.members[place], &self.options));
+        self.write_settings(&self.members[place])?;
+        self.start_member(place)
+    }
+
     /// Stops every process gracefully, at the same time; returns those that didn't end well.
     pub fn stop(&mut self) -> Vec<InstanceName> {
         for member in &self.members {
