--- a/crates/sagespool-entry/src/home/reserve.rs
+++ b/crates/sagespool-entry/src/home/reserve.rs
@@ -37,6 +37,10 @@
         }
     }
     let reply = wait_for_budget(state, order).await;
+    if state.abandoned().contains_key(&order.request) {
+        state.ledger.abandon(&order.branch, order.request);
+        return ReserveReply::NotHome;
+    }
     if let (ReserveReply::Refused(_), Some(key)) = (&reply, order.key) {
         state.keys.forget(key, order.request);
     }
--- a/crates/sagespool-testkit/tests/engine.rs
+++ b/crates/sagespool-testkit/tests/engine.rs
@@ -35,7 +35,7 @@
 }
 
 fn ends_of(engine: &EngineStand, marker: &str) -> Vec<RunEnd> {
-    let marker: RunMarker = marker.parse().expect("the marker is valid");
+    let marker: RunMarker = marker.parse().expect("a marker");
     let runs = engine.witness().runs_of(&marker);
     runs.iter().filter_map(|run| run.ended).map(|(end, _)| end).collect()
 }
@@ -142,7 +142,6 @@
 fn priority_order() {
     run(async {
         let engine = engine!(capacity: 1);
-        engine.freeze(false);
         engine.slow_factor(1e6);
         let holder = complete(engine.address(), &[], &completion("mark:a/0", 4)).await.unwrap();
         let mut waiting = Vec::new();
@@ -276,8 +275,9 @@
         assert_eq!(get(address, "/healthz").await.unwrap().status, 200);
         let load = get(address, "/load").await.unwrap().json();
         assert_eq!((&load["number"], &load["running"]), (&json!(0), &json!(0)));
+        assert_eq!(load["start"], json!(2));
         let events = get(address, "/cache-events?after=0").await.unwrap().json();
-        assert_eq!(events, json!({ "events": [] }));
+        assert_eq!(events, json!({ "start": 2, "events": [] }));
         let stream = complete(address, &[], &completion("again", 3)).await.unwrap();
         assert_eq!(joined_tokens(&stream.rest().await.unwrap(), 0), answer_text(MODEL, "again", 3));
     });
@@ -399,8 +399,8 @@
 
 async fn cache_events(engine: &EngineStand, query: &str) -> Vec<CacheEvent> {
     let path = format!("/cache-events?{query}");
-    let answer = get(engine.address(), &path).await.expect("the engine answers").json();
-    serde_json::from_value(answer["events"].clone()).expect("the events are valid")
+    let answer = get(engine.address(), &path).await.expect("an answer").json();
+    serde_json::from_value(answer["events"].clone()).expect("events")
 }
 
 #[test]
