--- a/crates/sagespool-claims/examples/claim_bench.rs
+++ b/crates/sagespool-claims/examples/claim_bench.rs
@@ -103,7 +103,7 @@
                 let answered = batch.observe(ClaimsRecord::default(), now).len();
                 waited.extend(arrived[place].drain(..answered).map(|at| now.since(at)));
             }
-            if batch.due_at().is_some_and(|due| due <= now) && batch.begin() {
+            if batch.due_at().is_some_and(|due| due <= now) && batch.begin(now) {
                 writes += 1;
                 *ends = Some(now.after(STORE_TIME));
             }
--- a/crates/sagespool-claims/src/batch.rs
+++ b/crates/sagespool-claims/src/batch.rs
@@ -126,9 +126,11 @@
 
     /// Begins a write of all wishes that wait. False if there are none, or a
     /// write is on its way.
-    pub fn begin(&mut self) -> bool {
-        let Some(due) = self.due_at() else { return false };
-        self.not_before = due.after(self.policy.least_gap);
+    pub fn begin(&mut self, now: ClockTime) -> bool {
+        if self.is_writing || self.waiting.is_empty() {
+            return false;
+        }
+        self.not_before = now.after(self.policy.least_gap);
         self.writing = self.waiting.drain(..).collect();
         self.is_writing = true;
         true
--- a/crates/sagespool-claims/tests/claim_batch.rs
+++ b/crates/sagespool-claims/tests/claim_batch.rs
@@ -41,10 +41,10 @@
         batch.add(wish(number, 10 + number, 100), NOW);
     }
     assert_eq!(batch.due_at(), Some(NOW), "a full batch doesn't wait");
-    assert!(batch.begin());
+    assert!(batch.begin(NOW));
     batch.add(wish(900, 910, 100), NOW);
     assert_eq!(batch.due_at(), None, "one write at a time");
-    assert!(!batch.begin());
+    assert!(!batch.begin(NOW));
     let mut record = ClaimsRecord::default();
     assert!(batch.apply(&mut record, WALL));
     let answers = batch.observe(record, NOW);
@@ -62,7 +62,7 @@
     let mut batch = ClaimBatch::new(BatchPolicy::default());
     batch.add(wish(1, 10, 100), NOW);
     batch.add(wish(2, 11, 100), NOW);
-    batch.begin();
+    batch.begin(NOW);
     let mut stored = ClaimsRecord::default();
     stored.claim(&wish(2, 99, 101), WALL, Duration::from_secs(3600));
     batch.apply(&mut stored, WALL);
@@ -70,7 +70,7 @@
     assert!(batch.is_store_away());
     let retry = batch.due_at().expect("the wishes wait");
     assert!(retry > NOW, "not at once");
-    batch.begin();
+    batch.begin(NOW);
     let mut again = stored.clone();
     assert!(!batch.apply(&mut again, WALL), "it is there already");
     let answers = batch.observe(again, retry);
@@ -95,14 +95,14 @@
             break;
         }
         assert!(batch.lapse(now).is_empty());
-        batch.begin();
+        batch.begin(now);
         batch.failed(now);
         now = batch.due_at().expect("it waits");
         tries += 1;
     }
     assert!((4..20).contains(&tries), "{tries} tries in 5 s spare a store in trouble");
     assert_eq!(batch.next_lapse(), Some(lapse));
-    batch.begin();
+    batch.begin(NOW);
     let lapsed = batch.lapse(now);
     assert_eq!(lapsed[0].verdict, ClaimVerdict::Lapsed);
     let mut record = ClaimsRecord::default();
@@ -229,7 +229,7 @@
     }
 
     fn write(&mut self, home: usize) {
-        if !self.homes[home].begin() {
+        if !self.homes[home].begin(NOW) {
             return;
         }
         let mut record = self.stored.clone();
