--- a/crates/sagespool-routing/src/choose.rs
+++ b/crates/sagespool-routing/src/choose.rs
@@ -28,8 +28,6 @@
 const BUSY_GAIN: f64 = 4.0;
 /// Of so many requests at most one probes a slow upstream: its caller waits longer.
 const SLOW_PROBE_SHARE: u32 = 200;
-/// Without any first token for so many times the expected time, an upstream is stalled.
-const STALL: f64 = 3.0;
 /// Costs closer than this, in seconds, are a tie.
 const TIE: f64 = 1e-4;
 
@@ -119,6 +117,9 @@
         let scale = self.scale(entries, wish.has_waited, now);
         let costs = open.iter().map(|place| self.cost(*place, &cached, &scale, now));
         let costs: Vec<f64> = costs.collect();
+        for place in &open {
+            self.suspect(*place, now);
+        }
         let least = costs.iter().copied().fold(f64::INFINITY, f64::min);
         let tied = open.iter().zip(&costs).filter(|(_, cost)| **cost <= least + TIE);
         let tied: Vec<usize> = tied.map(|(place, _)| *place).collect();
@@ -126,27 +127,25 @@
     }
 
     /// Looks at one suspect a time, whether it may be probed: an ejected one once its time is
-    /// over, a slow one once it hasn't been tried for a while.
+    /// over, a slow or stalled one once it hasn't been tried for a while.
     fn due_probe(&mut self, wish: &RouteWish, now: ClockTime) -> Option<usize> {
         self.unprobed = self.unprobed.saturating_add(1);
         let next = self.turn.checked_rem(self.suspects.len())?;
         self.turn = self.turn.wrapping_add(1);
         let id = self.suspects[next];
         let place = *self.places.get(&id)?;
-        let upstream = &self.upstreams[place];
-        let is_ejected = upstream.ejection.is_ejected();
-        if !is_ejected && !upstream.is_slow(&self.policy, now) {
+        if !self.is_suspect(place, now) {
             self.suspects.swap_remove(next);
             return None;
         }
         if !self.fits(place, wish.model.as_ref()) || wish.exclude.contains(&id) {
             return None;
         }
-        if is_ejected {
+        let upstream = &self.upstreams[place];
+        if upstream.ejection.is_ejected() {
             return (upstream.ejection.state(now) == UseState::ProbeDue).then_some(place);
         }
-        let is_due = upstream.is_slow_probe_due(&self.policy, now);
-        if !is_due || self.unprobed < SLOW_PROBE_SHARE {
+        if !upstream.is_trial_due(&self.policy, now) || self.unprobed < SLOW_PROBE_SHARE {
             return None;
         }
         self.unprobed = 0;
@@ -253,14 +252,13 @@
         let candidate = cached.iter().find(|candidate| candidate.place == place);
         let belief = candidate.map_or(0.0, |candidate| candidate.belief);
         let first_token = (scale.first_token - scale.prefix_gain * belief) * slowness;
-        let expected = first_token + wait;
         // An upstream that hangs shows by requests that get no first token, long before any ends.
-        let stalled = upstream.stalled_for(now).as_secs_f64();
-        let expected = if stalled > STALL * expected { stalled } else { expected };
+        let is_stalled = self.is_stalled(upstream, wait, now);
+        let stalled = if is_stalled { upstream.stalled_for(now).as_secs_f64() } else { 0.0 };
         let failures = upstream.failures.value(0.0, self.policy.half_life, now);
         let failing = failures * self.policy.failure_cost.as_secs_f64();
         let far = if upstream.is_near { 0.0 } else { self.policy.centre_penalty.as_secs_f64() };
-        expected + failing + far
+        (first_token + wait).max(stalled) + failing + far
     }
 
     fn make_choice(&mut self, place: usize, wish: &RouteWish, now: ClockTime) -> RouteChoice {
--- a/crates/sagespool-routing/src/service.rs
+++ b/crates/sagespool-routing/src/service.rs
@@ -23,6 +23,8 @@
 const HERDING: f64 = 0.5;
 /// How far own requests alone are taken to tell an upstream's load.
 const OWN_WEIGHT: f64 = 0.5;
+/// Without any first token for so many times the expected time, an upstream is stalled.
+const STALL: f64 = 3.0;
 /// Entries may have so many times the upstreams' capacity running: a choice that was a
 /// little wrong then costs no idle place.
 const OVERCOMMIT: f64 = 1.1;
@@ -141,11 +143,10 @@
         let Some(attempt) = self.running.get_mut(&choice.attempt) else { return };
         let Some(place) = self.places.get(&attempt.sidecar).copied() else { return };
         let upstream = &mut self.upstreams[place];
-        if !upstream.settle_pending(choice.attempt) {
+        if !upstream.answered(choice.attempt, attempt.started) {
             return;
         }
         attempt.first_token = Some(latency);
-        upstream.last_token = now;
         if attempt.is_unqueued {
             let is_cached = attempt.is_cached;
             upstream.speed.first_token(&mut self.speed, latency, is_cached, &self.policy, now);
@@ -203,14 +204,28 @@
         self.suspect(place, now);
     }
 
-    fn suspect(&mut self, place: usize, now: ClockTime) {
-        let upstream = &self.upstreams[place];
-        let is_suspect = upstream.ejection.is_ejected() || upstream.is_slow(&self.policy, now);
-        if is_suspect && !self.suspects.contains(&upstream.id) {
-            self.suspects.push(upstream.id);
+    /// Keeps an upstream in mind for a probe, if it is ejected, slow or stalled.
+    pub(crate) fn suspect(&mut self, place: usize, now: ClockTime) {
+        let id = self.upstreams[place].id;
+        if self.is_suspect(place, now) && !self.suspects.contains(&id) {
+            self.suspects.push(id);
         }
     }
 
+    pub(crate) fn is_suspect(&self, place: usize, now: ClockTime) -> bool {
+        let upstream = &self.upstreams[place];
+        upstream.ejection.is_ejected()
+            || upstream.is_slow(&self.policy, now)
+            || self.is_stalled(upstream, 0.0, now)
+    }
+
+    /// Without a first token for much longer than expected, `wait` seconds of queueing included.
+    pub(crate) fn is_stalled(&self, upstream: &UpstreamState, wait: f64, now: ClockTime) -> bool {
+        let first_token = self.speed.first_token(&self.policy, now);
+        let expected = first_token * upstream.speed.slowness(&self.policy, now) + wait;
+        upstream.stalled_for(now).as_secs_f64() > STALL * expected
+    }
+
     pub(crate) fn cache_event(
         &mut self,
         sidecar: IncarnationId,
--- a/crates/sagespool-routing/src/upstream.rs
+++ b/crates/sagespool-routing/src/upstream.rs
@@ -21,6 +21,9 @@
 /// An upstream that takes so many times as long as its peers is slow.
 const SLOW: f64 = 1.5;
 
+/// The pause between trials doubles with each request without an answer, up to so many.
+const MOST_UNANSWERED: usize = 6;
+
 /// One upstream, through its sidecar.
 #[derive(Debug)]
 pub(crate) struct UpstreamState {
@@ -39,9 +42,10 @@
     pub(crate) ejection: EjectionState,
     /// Share of attempts that failed.
     pub(crate) failures: SmoothedValue,
-    /// When an own attempt last started, and last had its first token.
-    pub(crate) last_start: ClockTime,
-    pub(crate) last_token: ClockTime,
+    /// When an own attempt last started.
+    last_start: ClockTime,
+    /// When the newest attempt started that had a first token.
+    last_answered: Option<ClockTime>,
     /// Own attempts without a first token yet, oldest first.
     pending: VecDeque<(u64, ClockTime)>,
     /// The highest cache event number seen.
@@ -64,7 +68,7 @@
             ejection: EjectionState::default(),
             failures: SmoothedValue::new(FAILURE_MEMORY),
             last_start: ClockTime::default(),
-            last_token: ClockTime::default(),
+            last_answered: None,
             pending: VecDeque::new(),
             cache_number: 0,
         }
@@ -112,10 +116,12 @@
         self.pending.push_back((attempt, now));
     }
 
-    /// How long own attempts have waited for a first token without any getting one.
+    /// How long own attempts have waited for a first token without any newer one getting its
+    /// own: one long prompt alone is no sign of an upstream that hangs.
     pub(crate) fn stalled_for(&self, now: ClockTime) -> Duration {
-        let oldest = self.pending.front().map_or(now, |(_, since)| *since);
-        now.since(oldest.max(self.last_token))
+        let answered = |(_, since): &(u64, ClockTime)| Some(*since) <= self.last_answered;
+        let oldest = self.pending.get(self.pending.partition_point(answered));
+        oldest.map_or(Duration::ZERO, |(_, since)| now.since(*since))
     }
 
     /// True while it takes so much longer than its peers that hardly anything goes there.
@@ -123,9 +129,21 @@
         self.speed.slowness(policy, now) > SLOW
     }
 
-    /// True for a slow upstream that nothing was tried on lately.
-    pub(crate) fn is_slow_probe_due(&self, policy: &RoutingPolicy, now: ClockTime) -> bool {
-        self.pending.is_empty() && now.since(self.last_start) >= policy.half_life
+    /// True for a slow or stalled upstream that nothing was tried on lately: the longer, the
+    /// more requests have no answer from it yet.
+    pub(crate) fn is_trial_due(&self, policy: &RoutingPolicy, now: ClockTime) -> bool {
+        let unanswered = self.pending.len().min(MOST_UNANSWERED) as u32;
+        let pause = policy.half_life.saturating_mul(1 << unanswered.saturating_sub(1));
+        now.since(self.last_start) >= pause
+    }
+
+    /// The first token of an attempt came; true if it was awaited.
+    pub(crate) fn answered(&mut self, attempt: u64, started: ClockTime) -> bool {
+        if !self.settle_pending(attempt) {
+            return false;
+        }
+        self.last_answered = self.last_answered.max(Some(started));
+        true
     }
 
     /// Drops an attempt from those without a first token; true if it was among them.
