--- a/crates/sagespool-entry/src/home/keys.rs
+++ b/crates/sagespool-entry/src/home/keys.rs
@@ -27,6 +27,14 @@
     Refused(RefusalNotice),
 }
 
+/// Takes a key for a request, unless it is known. What an earlier home of the branch was told isn't
+/// known here, however long this process has run, so only the time as the branch's home counts.
+fn begin(state: &EntryState, order: &ReserveRequest, key: KeyDigest) -> KeyDecision {
+    let now = ClockTime::now();
+    let since = state.members.home_since(&order.branch, now).unwrap_or(now);
+    state.keys.begin_since(key, order.request, order.content, since, now)
+}
+
 /// Looks a key up. A home younger than the retention of answers can't know what an earlier home
 /// dispatched, so it asks the sidecars, which do.
 pub(super) async fn begin_key(
@@ -34,7 +42,7 @@
     order: &ReserveRequest,
     key: KeyDigest,
 ) -> KeyStart {
-    match state.keys.begin(key, order.request, order.content, ClockTime::now()) {
+    match begin(state, order, key) {
         KeyDecision::New => KeyStart::New,
         KeyDecision::Unsure => ask_sidecars(state, order, key).await,
         KeyDecision::Attach(KeyState::Unknown { request }) => {
@@ -90,7 +98,7 @@
         return KeyStart::Known(KeyState::Unknown { request: lost });
     }
     state.keys.forget(key, lost);
-    match state.keys.begin(key, order.request, order.content, ClockTime::now()) {
+    match begin(state, order, key) {
         KeyDecision::New => KeyStart::New,
         KeyDecision::Unsure => ask_sidecars(state, order, key).await,
         KeyDecision::Attach(_) => KeyStart::Known(KeyState::Pending),
--- a/crates/sagespool-entry/src/state.rs
+++ b/crates/sagespool-entry/src/state.rs
@@ -203,12 +203,6 @@
         assert!(taken.is_ok(), "the link is started once");
     }
 
-    /// Since when no other process can have taken this home's requests, as far as is known: never,
-    /// since another region's or a cut-off entry might.
-    pub(crate) fn sole_since(&self) -> Option<ClockTime> {
-        None
-    }
-
     /// How long a claim is remembered.
     pub(crate) fn key_retention(&self) -> Duration {
         let config = self.config.current();
