--- a/crates/sagespool-sidecar/src/dispatcher.rs
+++ b/crates/sagespool-sidecar/src/dispatcher.rs
@@ -1,6 +1,5 @@
 //! The last gate before a request runs, and what follows from letting it in.
 
-use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -8,9 +7,12 @@
 use bon::Builder;
 use sagespool_log::log_event;
 use sagespool_messages::{
-    AttachRequest, CancelRequest, DispatchEvent, DispatchRequest, UpstreamKind,
+    AttachRequest, CancelRequest, ChargeRecord, DispatchEvent, DispatchRequest, KeyReply,
+    KeyRequest, RunningRequest, StatusQuery, UpstreamKind,
 };
-use sagespool_types::{ByteCount, ClockTime, IncarnationId, ServiceName, TokenCount, UpstreamName};
+use sagespool_metrics::FleetMetrics;
+use sagespool_settings::UpstreamSettings;
+use sagespool_types::{ByteCount, ClockTime, IncarnationId, ServiceName, TokenCount};
 
 use crate::admission::attach_refused;
 use crate::attempt::{AdmittedAttempt, AttemptEnd};
@@ -18,26 +20,20 @@
 use crate::run_service::ServiceTarget;
 use crate::running::{RunningTable, StopReason};
 use crate::{
-    AnswerReader, ChargeBook, KeyMemory, KeyRefusal, KeyRetention, LoadWatch, ReportPolicy,
-    UpstreamClient,
+    AnswerReader, ChargeBook, KeyMemory, KeyRefusal, KeyRetention, LoadWatch, OrderDesk,
+    ReportPolicy, UpstreamClient,
 };
 
 /// The memory for answers of keyed requests, if nothing else is said.
 const KEPT_ANSWERS: ByteCount = ByteCount(64 << 20);
 
-/// What a dispatcher is to know of its place.
+/// What a dispatcher is told of its place.
 #[derive(Debug, Clone, Builder)]
 pub struct DispatchOptions {
     /// The sidecar's incarnation.
     pub sidecar: IncarnationId,
-    /// The upstream's name.
-    pub upstream: UpstreamName,
-    /// Its service.
-    pub service: ServiceName,
-    /// What it is.
-    pub kind: UpstreamKind,
-    /// Where it is reached.
-    pub address: SocketAddr,
+    /// The upstream.
+    pub upstream: UpstreamSettings,
     /// The most memory for kept answers.
     #[builder(default = KEPT_ANSWERS)]
     pub kept_answers: ByteCount,
@@ -47,6 +43,9 @@
     /// How charges are reported.
     #[builder(default)]
     pub reports: ReportPolicy,
+    /// Where it notes what its upstream takes for each class and branch.
+    #[builder(default = FleetMetrics::new())]
+    pub metrics: FleetMetrics,
 }
 
 /// Checks, runs and witnesses every request for one upstream.
@@ -55,28 +54,33 @@
     pub(crate) sidecar: IncarnationId,
     pub(crate) kind: UpstreamKind,
     service: ServiceName,
-    pub(crate) leaving: AtomicBool,
+    leaving: AtomicBool,
     pub(crate) upstream: UpstreamClient,
     pub(crate) charges: ChargeBook,
     pub(crate) keys: KeyMemory,
     pub(crate) load: LoadWatch,
+    pub(crate) orders: OrderDesk,
     pub(crate) running: Arc<RunningTable>,
+    pub(crate) metrics: FleetMetrics,
 }
 
 impl Dispatcher {
     /// A dispatcher that runs nothing until [`ChargeBook::started`] was called.
     pub fn new(options: DispatchOptions) -> Arc<Self> {
-        let DispatchOptions { sidecar, kept_answers, retention, .. } = options;
+        let DispatchOptions { sidecar, upstream, kept_answers, retention, reports, metrics } =
+            options;
         Arc::new(Self {
             sidecar,
-            kind: options.kind,
-            service: options.service.clone(),
+            kind: upstream.kind,
+            service: upstream.service.clone(),
             leaving: AtomicBool::new(false),
-            upstream: UpstreamClient::new(options.address),
-            charges: ChargeBook::new(sidecar, options.reports),
+            upstream: UpstreamClient::new(upstream.address),
+            charges: ChargeBook::new(sidecar, reports),
             keys: KeyMemory::new(sidecar, kept_answers, retention),
-            load: LoadWatch::new(options.upstream, options.service, options.kind),
+            load: LoadWatch::new(&upstream),
+            orders: OrderDesk::new(),
             running: Arc::default(),
+            metrics,
         })
     }
 
@@ -100,19 +104,24 @@
         &self.upstream
     }
 
-    /// The service that the upstream belongs to.
-    pub fn service(&self) -> &ServiceName {
-        &self.service
-    }
-
     /// How many attempts run.
     pub fn running_count(&self) -> usize {
         self.running.count()
     }
 
-    /// From now on takes nothing new, or takes it again.
-    pub fn set_leaving(&self, is_leaving: bool) {
-        self.leaving.store(is_leaving, Ordering::SeqCst);
+    /// From now on takes nothing new.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether it takes nothing new, since it leaves or an operator drains it.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst) || self.load.is_drained()
+    }
+
+    /// At most so many of the attempts that run, and whether that is all.
+    pub fn list_running(&self, query: &StatusQuery, now: ClockTime) -> (Vec<RunningRequest>, bool) {
+        self.running.list(query.branch.as_ref(), query.running as usize, now)
     }
 
     /// Resolves when no attempt runs.
@@ -150,6 +159,14 @@
         reader.unwrap_or_else(attach_refused)
     }
 
+    /// What is known of a key; nothing if another service would run it.
+    pub fn find_key(&self, request: &KeyRequest, now: ClockTime) -> KeyReply {
+        if request.service != self.service {
+            return KeyReply { sidecar: self.sidecar, known: None };
+        }
+        self.keys.find(request, now)
+    }
+
     /// Stops an attempt that its entry has given up.
     pub fn cancel(&self, request: &CancelRequest) {
         self.running.stop(request.request, request.attempt, StopReason::Cancelled);
@@ -194,19 +211,43 @@
             self.charges.withdraw(attempt.charge, attempt.attempt, now);
             None
         };
+        if is_whole {
+            attempt.timings.whole(now.since(attempt.arrived));
+        }
         if let Some(wish) = &attempt.key {
             self.keys.end(wish, end.key_ending(), now);
         }
-        log_event!(
+        log_end(attempt, &end, charge.as_ref());
+        attempt.log.push(DispatchEvent::End(end.tell(charge)));
+    }
+}
+
+/// Whole answers are the rule, and logged for who looks closely.
+fn log_end(attempt: &AdmittedAttempt, end: &AttemptEnd, charge: Option<&ChargeRecord>) {
+    let used = charge.map_or(TokenCount::ZERO, |charge| charge.used);
+    let (request, number, outcome) = (attempt.request, attempt.attempt, end.as_str());
+    let (branch, charge) = (&attempt.branch, attempt.charge);
+    match end {
+        AttemptEnd::Whole(_) => log_event!(
+            debug,
+            "attempt-ended",
+            request = request,
+            attempt = number,
+            branch = branch,
+            charge = charge,
+            outcome = outcome,
+            used = used
+        ),
+        _ => log_event!(
             info,
             "attempt-ended",
-            request = attempt.request,
-            attempt = attempt.attempt,
-            branch = attempt.branch,
-            charge = attempt.charge,
-            outcome = end.as_str(),
-            used = charge.as_ref().map_or(TokenCount::ZERO, |charge| charge.used)
-        );
-        attempt.log.push(DispatchEvent::End(end.tell(charge)));
+            request = request,
+            attempt = number,
+            branch = branch,
+            charge = charge,
+            outcome = outcome,
+            used = used,
+            detail = end.detail()
+        ),
     }
 }
--- a/crates/sagespool-sidecar/src/run_completion.rs
+++ b/crates/sagespool-sidecar/src/run_completion.rs
@@ -5,7 +5,8 @@
 
 use futures_lite::FutureExt;
 use sagespool_messages::{CallTarget, ResumePoint, StopCause};
-use sagespool_types::{ModelName, TokenCount};
+use sagespool_metrics::RequestTimings;
+use sagespool_types::{ClockTime, ModelName, TokenCount};
 use smol::Timer;
 
 use crate::attempt::{AdmittedAttempt, AttemptEnd, unless_stopped};
@@ -46,6 +47,29 @@
     }
 }
 
+/// Times an attempt's tokens.
+#[derive(Debug)]
+struct TokenClock {
+    last: ClockTime,
+    has_first: bool,
+}
+
+impl TokenClock {
+    fn new(arrived: ClockTime) -> Self {
+        Self { last: arrived, has_first: false }
+    }
+
+    fn note_token(&mut self, timings: &RequestTimings, now: ClockTime) {
+        let took = now.since(self.last);
+        match self.has_first {
+            true => timings.between_tokens(took),
+            false => timings.first_token(took),
+        }
+        self.has_first = true;
+        self.last = now;
+    }
+}
+
 /// What the engine has still to be told.
 #[derive(Debug)]
 pub(crate) enum EngineRest {
@@ -123,6 +147,7 @@
         meter: &mut TokenMeter,
         mut stopped: Pin<&mut impl Future<Output = StopReason>>,
     ) -> AttemptEnd {
+        let mut clock = TokenClock::new(attempt.arrived);
         loop {
             let next = async {
                 attempt.log.room().await;
@@ -135,6 +160,9 @@
             };
             let step = meter.take(event);
             self.note_used(attempt, meter.used());
+            if matches!(step, MeterStep::Piece(_) | MeterStep::LastPiece(_)) {
+                clock.note_token(&attempt.timings, ClockTime::now());
+            }
             match step {
                 MeterStep::Piece(piece) => attempt.log.push(piece),
                 MeterStep::LastPiece(piece) => {
@@ -150,14 +178,12 @@
         }
     }
 
-    /// How an attempt ends whose call failed. A broken call doesn't say
-    /// whether the engine went down or only this request failed, so the engine
-    /// is asked.
+    /// How an attempt ends whose call failed.
     pub(crate) async fn end_of_fault(&self, fault: &CallFault) -> AttemptEnd {
         let crashed = match fault {
             CallFault::NotSent { refused, .. } => *refused,
             CallFault::Declined { .. } => false,
-            CallFault::Lost { .. } => !self.upstream.is_healthy().await,
+            CallFault::Lost { .. } => self.went_down().await,
         };
         if crashed {
             self.load.upstream_down();
@@ -165,6 +191,18 @@
         AttemptEnd::of_fault(fault, crashed)
     }
 
+    /// Whether the upstream went down under a call that broke.
+    ///
+    /// The call itself doesn't say, so the upstream is asked. One that was
+    /// started again at once answers, but counts its load from the beginning.
+    async fn went_down(&self) -> bool {
+        if !self.upstream.is_healthy().await {
+            return true;
+        }
+        let load = self.upstream.load().await;
+        load.is_some_and(|load| self.load.is_restarted(&load))
+    }
+
     /// Makes sure that the engine is free of an attempt that has ended.
     pub(crate) async fn free_engine(&self, attempt: &AdmittedAttempt, rest: EngineRest) {
         let must_cancel = match rest {
@@ -173,7 +211,7 @@
             EngineRest::Close(stream) => !closes(*stream).await,
         };
         if must_cancel {
-            self.upstream.cancel(attempt.request).await;
+            self.upstream.cancel(attempt.request, attempt.attempt).await;
         }
     }
 }
@@ -183,7 +221,9 @@
     let closing = async {
         loop {
             match stream.next().await {
-                Ok(EngineEvent::Finished { .. } | EngineEvent::Done) => return true,
+                Ok(EngineEvent::Finished { .. } | EngineEvent::Aborted(_) | EngineEvent::Done) => {
+                    return true;
+                }
                 Ok(EngineEvent::Empty) => {}
                 Ok(EngineEvent::Token { .. }) | Err(_) => return false,
             }
--- a/crates/sagespool-sidecar/src/upstream/control.rs
+++ b/crates/sagespool-sidecar/src/upstream/control.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
-use sagespool_types::{FenceNumber, ModelName, RequestId};
+use sagespool_types::{AttemptNumber, FenceNumber, ModelName, RequestId};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use smol::Timer;
@@ -16,8 +16,9 @@
 /// takes longer isn't answering.
 const PROBE_LIMIT: Duration = Duration::from_millis(500);
 
-/// For an order: loading a model takes its time.
-const ORDER_LIMIT: Duration = Duration::from_secs(120);
+/// For an order. Newer ones wait meanwhile, so a hanging engine must not hold
+/// them up for long.
+const ORDER_LIMIT: Duration = Duration::from_secs(30);
 
 /// An upstream's report of its load.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -56,7 +57,7 @@
     /// True if the upstream answers.
     pub async fn is_healthy(&self) -> bool {
         let status = within(PROBE_LIMIT, async {
-            let conn = self.control.get(self.control_url("/healthz")).await.ok()?;
+            let conn = self.client.get(self.control_url("/healthz")).await.ok()?;
             conn.status()
         });
         status.await == Some(Status::Ok)
@@ -65,7 +66,7 @@
     /// The upstream's load, as it reports it; none if it doesn't.
     pub async fn load(&self) -> Option<EngineLoad> {
         let body = within(PROBE_LIMIT, async {
-            let mut conn = self.control.get(self.control_url("/load")).await.ok()?;
+            let mut conn = self.client.get(self.control_url("/load")).await.ok()?;
             let is_report = conn.status() == Some(Status::Ok);
             let body = conn.response_body().read_bytes().await.ok()?;
             is_report.then_some(body)
@@ -75,9 +76,10 @@
 
     /// Tells an engine to give a request up. Dropping the stream alone would
     /// leave the engine working until it next writes. True if it answered.
-    pub async fn cancel(&self, request: RequestId) -> bool {
+    pub async fn cancel(&self, request: RequestId, attempt: AttemptNumber) -> bool {
         let url = self.control_url(&format!("/v1/requests/{request}/cancel"));
-        let answer = within(PROBE_LIMIT, async { self.control.post(url).await.ok() });
+        let conn = self.client.post(url).with_request_header("x-attempt", attempt.to_string());
+        let answer = within(PROBE_LIMIT, async { conn.await.ok() });
         answer.await.is_some()
     }
 
@@ -86,7 +88,7 @@
         let body = json!({ "fence": fence, "order": order });
         let answer = within(ORDER_LIMIT, async {
             let mut conn = self
-                .control
+                .client
                 .post(self.control_url("/orders"))
                 .with_request_header(KnownHeaderName::ContentType, "application/json")
                 .with_body(body.to_string())
@@ -103,7 +105,10 @@
             Some((status, _)) => {
                 OrderOutcome::Failed(format!("the engine answered the order with {status}"))
             }
-            None => OrderOutcome::Failed("the engine did not answer the order".to_owned()),
+            None => {
+                let detail = "the engine did not answer the order and may have carried it out";
+                OrderOutcome::Failed(detail.to_owned())
+            }
         }
     }
 
