Answer operators at the entry: queries, recorded commands, orders, stop

POST /operator/line takes a line from an operator's key. Queries combine what members say with one read of the store and name who didn't answer. A command is written to commands/ID before anything is done; each item's outcome is noted as it is known; a repeated id finds it, and another entry takes it up if its executor is gone. The record's turn, checked between read and conditional write, keeps a paused executor from undoing a later change. The floor of forgotten ids keeps a forgotten command from being done twice.

Hooks outside of the operators' files: EntryState has the desk, the entry and the sidecar answer PeerRequest::Leave, EntryRole::told_to_leave resolves on it, and the daemon waits for it beside signals.

--- a/crates/sagespool-daemon/src/process.rs
+++ b/crates/sagespool-daemon/src/process.rs
@@ -55,7 +55,10 @@
             return ExitCode::from(START_FAULT);
         }
     };
-    signals.next().await;
+    let signalled = async {
+        signals.next().await;
+    };
+    futures_lite::future::or(signalled, told_to_leave(&role)).await;
     log_event!(info, "stop-asked", limit_ms = stop_limit.as_millis());
     let clean = stop_role(role, stop_limit).await;
     if clean { ExitCode::SUCCESS } else { ExitCode::from(UNCLEAN_STOP) }
@@ -74,6 +77,14 @@
     }
 }
 
+/// Resolves when an operator, or the instance list for a sidecar, tells the process to stop.
+async fn told_to_leave(role: &RunningRole) {
+    match role {
+        RunningRole::Entry(entry) => entry.told_to_leave().await,
+        RunningRole::Sidecar(sidecar) => sidecar.told_to_leave().await,
+    }
+}
+
 async fn stop_role(role: RunningRole, limit: Duration) -> bool {
     match role {
         RunningRole::Entry(entry) => {
--- a/crates/sagespool-entry/src/caller/mod.rs
+++ b/crates/sagespool-entry/src/caller/mod.rs
@@ -11,4 +11,5 @@
 pub use completion::{CompletionCall, read_completion};
 pub use fault::{CallFault, refusal_status};
 pub use headers::{CallHeaders, read_headers};
+pub(crate) use identity::read_identity;
 pub use server::serve;
--- a/crates/sagespool-entry/src/operator.rs
+++ b/crates/sagespool-entry/src/operator.rs
@@ -1,16 +1,167 @@
 //! Operators' requests over HTTP.
+//!
+//! `POST /operator/line` takes one line of the operators' language. Queries are put together from what
+//! members say and the store holds; commands are recorded in the store before anything is done, so that
+//! one given again, through whichever entry, is done once. See `docs/design/OPERATIONS.md`.
+
+mod access;
+mod ask;
+mod basis;
+mod command;
+mod configuration;
+mod desk;
+mod edit;
+mod fleet;
+mod history;
+mod leave;
+mod orders;
+mod perform;
+mod prune;
+mod record;
+mod run;
+mod spend;
+mod store;
+mod tokens;
 
 use std::sync::Arc;
 
-use sagespool_types::RequestId;
-use trillium::{Conn, Status};
+use sagespool_log::log_event;
+use sagespool_operations::{
+    AnswerBody, FaultReply, HelpAnswer, LINE_PATH, LineRequest, OperatorAnswer, OperatorFault,
+    OperatorLine, OperatorQuery, parse_line, render_answer,
+};
+use sagespool_types::BranchName;
+use trillium::{Conn, KnownHeaderName, Status};
 
-use crate::caller::CallFault;
 use crate::state::EntryState;
+use access::{check_operator, read_request};
+use basis::BasisDraft;
+
+pub(crate) use desk::OperatorDesk;
+pub(crate) use leave::leave;
+
+/// Why a request of an operator isn't answered.
+#[derive(Debug, Clone, PartialEq)]
+struct OperatorRefusal {
+    status: Status,
+    fault: Box<OperatorFault>,
+}
+
+impl OperatorRefusal {
+    fn new(
+        status: Status,
+        code: &str,
+        message: impl Into<String>,
+        help: impl Into<String>,
+    ) -> Self {
+        Self { status, fault: Box::new(OperatorFault::new(code, message, help)) }
+    }
+}
+
+impl From<sagespool_operations::LineFault> for OperatorRefusal {
+    fn from(fault: sagespool_operations::LineFault) -> Self {
+        Self { status: Status::BadRequest, fault: Box::new(fault.into()) }
+    }
+}
+
+/// An answer before it says what it rests on.
+type DraftedAnswer = (AnswerBody, BasisDraft);
 
 /// Answers an operator's request.
-pub(crate) async fn route(_state: Arc<EntryState>, conn: Conn) -> Conn {
-    let message = format!("nothing is served at {}", conn.path());
-    let fault = CallFault::new(Status::NotFound, "unknown-path", message, "see docs/OPERATORS.md");
-    fault.respond(conn, RequestId::random())
+pub(crate) async fn route(state: Arc<EntryState>, mut conn: Conn) -> Conn {
+    match answer(&state, &mut conn).await {
+        Ok((answer, true)) => {
+            let text = serde_json::to_string(&answer).expect("an answer is plain data");
+            respond(conn, Status::Ok, "application/json", text)
+        }
+        Ok((answer, false)) => {
+            let text = format!("{}\n", render_answer(&answer));
+            respond(conn, Status::Ok, "text/plain; charset=utf-8", text)
+        }
+        Err(refusal) => {
+            let reply = FaultReply { error: *refusal.fault };
+            let text = serde_json::to_string(&reply).expect("a fault is plain data");
+            respond(conn, refusal.status, "application/json", text)
+        }
+    }
+}
+
+fn respond(conn: Conn, status: Status, content_type: &'static str, text: String) -> Conn {
+    conn.with_response_header(KnownHeaderName::ContentType, content_type)
+        .with_status(status)
+        .with_body(text)
+        .halt()
+}
+
+/// The answer, and whether it is wanted as JSON.
+async fn answer(
+    state: &Arc<EntryState>,
+    conn: &mut Conn,
+) -> Result<(OperatorAnswer, bool), OperatorRefusal> {
+    if conn.path() != LINE_PATH {
+        let message = format!("nothing is served at {}", conn.path());
+        let help = format!("POST {LINE_PATH}; see docs/OPERATORS.md");
+        return Err(OperatorRefusal::new(Status::NotFound, "unknown-path", message, help));
+    }
+    let operator = check_operator(state, conn).inspect_err(|_| state.metrics.rejected_caller())?;
+    let request = read_request(conn).await?;
+    let line = parse_line(&request.line)?;
+    let (answer, draft) = match line {
+        OperatorLine::Query(query) => ask_query(state, &request.line, query).await?,
+        OperatorLine::Command(wish) => command::give(state, &operator, &request, wish).await?,
+    };
+    log_answer(&operator, &request, &answer);
+    let answer = OperatorAnswer { basis: draft.finish(state), answer };
+    Ok((answer, request.json.unwrap_or(true)))
+}
+
+fn log_answer(operator: &BranchName, request: &LineRequest, answer: &AnswerBody) {
+    if let AnswerBody::Command(answer) = answer {
+        log_event!(
+            info,
+            "operator-command",
+            operator = operator,
+            command = answer.command,
+            state = answer.state,
+            line = request.line
+        );
+    }
+}
+
+async fn ask_query(
+    state: &Arc<EntryState>,
+    line: &str,
+    query: OperatorQuery,
+) -> Result<DraftedAnswer, OperatorRefusal> {
+    match query {
+        OperatorQuery::Spend { branches } => spend::answer(state, line, &branches).await,
+        OperatorQuery::Running { branch } => fleet::running(state, line, branch).await,
+        OperatorQuery::Upstreams => Ok(fleet::upstreams(state).await),
+        OperatorQuery::Members => Ok(fleet::members(state).await),
+        OperatorQuery::Configuration { place } => {
+            configuration::answer(state, line, place.as_ref()).await
+        }
+        OperatorQuery::Request { request } => Ok(history::of_request(state, request).await),
+        OperatorQuery::Key { branch, key } => Ok(history::of_key(state, &branch, &key).await),
+        OperatorQuery::Quarantine => Ok(fleet::quarantine(state).await),
+        OperatorQuery::Commands => Ok(record::list(state).await),
+        OperatorQuery::Command { command } => record::show(state, line, command).await,
+        OperatorQuery::Help { word } => {
+            Ok((AnswerBody::Help(HelpAnswer::about(word.as_deref())), BasisDraft::begin()))
+        }
+    }
+}
+
+/// Whether a branch is known to the configuration in force here; true as well while there is none.
+fn is_known(state: &EntryState, branch: &BranchName) -> bool {
+    state.config.current().is_none_or(|config| config.branch(branch).is_some())
+}
+
+/// A fault that points at an unknown branch in the line, with the one that may have been meant.
+fn unknown_branch(state: &EntryState, line: &str, branch: &BranchName) -> OperatorRefusal {
+    let config = state.config.current();
+    let names: Vec<&str> =
+        config.iter().flat_map(|config| config.branches()).map(|(name, _)| name.as_str()).collect();
+    let message = format!("there is no branch `{branch}`");
+    sagespool_operations::LineFault::at_word(line, branch.as_str(), message, &names).into()
 }
--- /dev/null
+++ b/crates/sagespool-entry/src/operator/configuration.rs
@@ -0,0 +1,200 @@
+//! `configuration`: the store's objects, and where they are in force.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sagespool_messages::{MemberInfo, StatusQuery};
+use sagespool_operations::{
+    AnswerBody, ConfigObjectRow, ConfigPlace, ConfigurationAnswer, InForce, LineFault, ShownPlace,
+    WantedVersions, in_force,
+};
+use sagespool_platform::{ObjectListing, StoreError};
+use sagespool_settings::{
+    CONFIGURATION_PREFIX, FLEET_OBJECT_KEY, FleetConfiguration, branch_object_key, branch_shard,
+};
+use sagespool_types::{ClockTime, ConfigVersion};
+use serde_json::Value;
+
+use super::ask::{MemberReplies, ask_members, known_members};
+use super::basis::BasisDraft;
+use super::{DraftedAnswer, OperatorRefusal, unknown_branch};
+use crate::state::EntryState;
+
+/// How long an accepted change is given to come into force everywhere before the answer names who isn't
+/// known to have it.
+const FORCE_WAIT: Duration = Duration::from_secs(2);
+const FORCE_STEP: Duration = Duration::from_millis(100);
+
+/// Answers `configuration`.
+pub(super) async fn answer(
+    state: &Arc<EntryState>,
+    line: &str,
+    place: Option<&ConfigPlace>,
+) -> Result<DraftedAnswer, OperatorRefusal> {
+    let mut draft = BasisDraft::begin();
+    draft.store_stands_at(state.objects.seen_revision());
+    let prefix = place.map_or_else(|| CONFIGURATION_PREFIX.to_owned(), object_of);
+    let listing = state.objects.list::<Value>(&prefix).await;
+    if let Err(error) = &listing {
+        draft.store_silent(error);
+    }
+    let config = state.config.current();
+    let shown = match place {
+        Some(place) => Some(show_place(state, line, place, &listing)?),
+        None => None,
+    };
+    let objects = listing.ok().map(|listing| object_rows(&listing));
+    let entry_version = config.map(|config| config.version());
+    let wanted = wanted_versions(objects.as_deref(), entry_version);
+    let (members, replies) = ask_versions(state).await;
+    draft.take_replies(&replies);
+    draft.note("a member that didn't answer is shown with the version that it last told");
+    let in_force = in_force(wanted, &members);
+    let answer = ConfigurationAnswer { entry_version, objects, in_force, shown };
+    Ok((AnswerBody::Configuration(answer), draft))
+}
+
+fn object_of(place: &ConfigPlace) -> String {
+    match place {
+        ConfigPlace::Branch(branch) => branch_object_key(branch_shard(branch)),
+        ConfigPlace::Class(_) | ConfigPlace::Service(_) => FLEET_OBJECT_KEY.to_owned(),
+    }
+}
+
+fn object_rows(listing: &ObjectListing<Value>) -> Vec<ConfigObjectRow> {
+    let row = |(key, stored): &(String, sagespool_platform::StoredObject<Value>)| ConfigObjectRow {
+        key: key.clone(),
+        version: stored.version,
+        holds: count_held(&stored.value),
+    };
+    listing.items.iter().map(row).collect()
+}
+
+fn count_held(value: &Value) -> u64 {
+    let branches = value["branches"].as_object().map_or(0, |branches| branches.len());
+    let lists = ["classes", "services"].map(|name| value[name].as_array().map_or(0, Vec::len));
+    (branches + lists.iter().sum::<usize>()) as u64
+}
+
+/// What members have to have in force: entries everything, sidecars the classes and services.
+fn wanted_versions(
+    objects: Option<&[ConfigObjectRow]>,
+    entry_version: Option<ConfigVersion>,
+) -> WantedVersions {
+    let Some(objects) = objects else {
+        return WantedVersions { entries: entry_version, sidecars: None };
+    };
+    let fleet = objects.iter().find(|object| object.key == FLEET_OBJECT_KEY);
+    WantedVersions {
+        entries: objects.iter().map(|object| ConfigVersion(object.version.0)).max(),
+        sidecars: fleet.map(|object| ConfigVersion(object.version.0)),
+    }
+}
+
+/// One part of the configuration, from the store; from what is in force here while the store is away.
+fn show_place(
+    state: &EntryState,
+    line: &str,
+    place: &ConfigPlace,
+    listing: &Result<ObjectListing<Value>, StoreError>,
+) -> Result<ShownPlace, OperatorRefusal> {
+    let stored = listing.as_ref().ok().map(|listing| {
+        let key = object_of(place);
+        listing.items.iter().find(|(listed, _)| *listed == key).map(|(_, stored)| stored)
+    });
+    let found = match stored {
+        Some(stored) => stored.and_then(|stored| {
+            Some((value_in(place, &stored.value)?, ConfigVersion(stored.version.0)))
+        }),
+        None => state
+            .config
+            .current()
+            .and_then(|config| Some((value_in_force(place, &config)?, config.version()))),
+    };
+    let (value, version) = found.ok_or_else(|| unknown_place(state, line, place))?;
+    Ok(ShownPlace { place: place.to_string(), version, value })
+}
+
+fn value_in(place: &ConfigPlace, object: &Value) -> Option<Value> {
+    let named = |list: &str, name: &str| {
+        let items = object[list].as_array()?;
+        items.iter().find(|item| item["name"] == name).cloned()
+    };
+    match place {
+        ConfigPlace::Branch(branch) => object["branches"].get(branch.as_str()).cloned(),
+        ConfigPlace::Class(class) => named("classes", class.as_str()),
+        ConfigPlace::Service(service) => named("services", service.as_str()),
+    }
+}
+
+fn value_in_force(place: &ConfigPlace, config: &FleetConfiguration) -> Option<Value> {
+    let value = match place {
+        ConfigPlace::Branch(branch) => serde_json::to_value(config.branch(branch)?),
+        ConfigPlace::Class(class) => serde_json::to_value(config.class(class)?),
+        ConfigPlace::Service(service) => serde_json::to_value(config.service(service)?),
+    };
+    value.ok()
+}
+
+fn unknown_place(state: &EntryState, line: &str, place: &ConfigPlace) -> OperatorRefusal {
+    let config = state.config.current();
+    let (kind, name, known) = match place {
+        ConfigPlace::Branch(branch) => return unknown_branch(state, line, branch),
+        ConfigPlace::Class(class) => {
+            let classes = config.iter().flat_map(|config| config.classes());
+            ("class", class.to_string(), classes.map(|class| class.name.to_string()).collect())
+        }
+        ConfigPlace::Service(service) => {
+            let services = config.iter().flat_map(|config| config.services());
+            let names: Vec<String> = services.map(|service| service.name.to_string()).collect();
+            ("service", service.to_string(), names)
+        }
+    };
+    let known: Vec<&str> = known.iter().map(String::as_str).collect();
+    let message = format!("there is no {kind} `{name}`");
+    LineFault::at_word(line, &name, message, &known).into()
+}
+
+/// The members with the versions that they have now; with what they told last where they don't answer.
+async fn ask_versions(state: &Arc<EntryState>) -> (Vec<MemberInfo>, MemberReplies) {
+    let members = known_members(state, None);
+    let replies = ask_members(state, &members, &StatusQuery { branch: None, running: 0 }).await;
+    (with_replies(members, &replies), replies)
+}
+
+fn with_replies(members: Vec<MemberInfo>, replies: &MemberReplies) -> Vec<MemberInfo> {
+    let answered = replies.by_member();
+    let newest = |member: MemberInfo| match answered.get(&member.incarnation) {
+        Some(reply) => reply.member.info.clone(),
+        None => member,
+    };
+    members.into_iter().map(newest).collect()
+}
+
+/// Where an accepted change is in force, after giving it a little time: only those not known to have it
+/// are asked again.
+pub(super) async fn force_of(
+    state: &Arc<EntryState>,
+    wanted: WantedVersions,
+    draft: &mut BasisDraft,
+) -> InForce {
+    let deadline = ClockTime::now().after(FORCE_WAIT);
+    let query = StatusQuery { branch: None, running: 0 };
+    loop {
+        let mut members = known_members(state, None);
+        let known = in_force(wanted, &members);
+        let not_known = |member: &MemberInfo| {
+            known.not_known.iter().any(|other| other.member.incarnation == member.incarnation)
+        };
+        let asked: Vec<MemberInfo> =
+            members.iter().filter(|info| not_known(info)).cloned().collect();
+        let replies = ask_members(state, &asked, &query).await;
+        members = with_replies(members, &replies);
+        let found = in_force(wanted, &members);
+        if found.not_known.is_empty() || ClockTime::now() >= deadline {
+            draft.take_replies(&replies);
+            return found;
+        }
+        smol::Timer::after(FORCE_STEP).await;
+    }
+}
--- /dev/null
+++ b/crates/sagespool-entry/src/operator/spend.rs
@@ -0,0 +1,158 @@
+//! `spend`: holders' words, one read of each book, holders' words again.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use sagespool_ledger::{BookRecord, BranchAccount, book_key, book_of};
+use sagespool_messages::{MemberRole, StatusQuery};
+use sagespool_operations::{
+    AnswerBody, BookFigures, DoubtedGrant, HolderWords, SpendAnswer, SpendEstimate, SpendRow,
+    TokenRange,
+};
+use sagespool_platform::{StoreError, StoredObject};
+use sagespool_types::{BookNumber, BranchName, StoreRevision, TokenCount};
+
+use super::ask::{MemberReplies, ask_members, known_members};
+use super::basis::BasisDraft;
+use super::{DraftedAnswer, OperatorRefusal, is_known, unknown_branch};
+use crate::state::EntryState;
+
+/// Rows of an answer to which no branch was named.
+const MOST_ROWS: usize = 1000;
+
+const MOMENT_NOTE: &str = "each row is true of the moment at which its book was read; `running` is as \
+                           the holders of grants said just after";
+
+type BookRead = Result<StoredObject<BookRecord>, StoreError>;
+
+/// Answers `spend`.
+///
+/// The order of the three steps is what makes the bounds true, see [`SpendEstimate`]: what a holder had
+/// used before the read it had surely used at the read, and what it has used and holds after the read is
+/// at least what it had used then.
+pub(super) async fn answer(
+    state: &Arc<EntryState>,
+    line: &str,
+    branches: &[BranchName],
+) -> Result<DraftedAnswer, OperatorRefusal> {
+    let mut draft = BasisDraft::begin();
+    let entries = known_members(state, Some(MemberRole::Entry));
+    let only = if let [branch] = branches { Some(branch.clone()) } else { None };
+    let query = StatusQuery { branch: only, running: 0 };
+    let before = ask_members(state, &entries, &query).await;
+    draft.store_stands_at(state.objects.seen_revision());
+    let books = read_books(state, branches).await;
+    let after = ask_members(state, &entries, &query).await;
+    draft.take_replies(&before);
+    draft.take_replies(&after);
+    for error in books.values().filter_map(|read| read.as_ref().err()) {
+        draft.store_silent(error);
+    }
+    draft.note(MOMENT_NOTE);
+    let wanted = wanted_branches(state, line, branches, &books)?;
+    let left_out = wanted.len().saturating_sub(MOST_ROWS);
+    let rows = wanted.iter().take(MOST_ROWS).map(|branch| {
+        let read = &books[&book_of(branch)];
+        row(branch, read.as_ref().ok(), &before, &after)
+    });
+    let answer = SpendAnswer { rows: rows.collect(), left_out: left_out as u64 };
+    Ok((AnswerBody::Spend(answer), draft))
+}
+
+/// Reads the branches' books, or all if none is named, at the same time.
+async fn read_books(
+    state: &Arc<EntryState>,
+    branches: &[BranchName],
+) -> BTreeMap<BookNumber, BookRead> {
+    let mut wanted: BTreeSet<BookNumber> = branches.iter().map(book_of).collect();
+    if branches.is_empty() {
+        wanted = (0..sagespool_ledger::BOOK_COUNT).map(BookNumber).collect();
+    }
+    let reads = wanted.into_iter().map(|book| {
+        let state = Arc::clone(state);
+        (book, smol::spawn(async move { read_book(&state, book).await }))
+    });
+    let reads: Vec<_> = reads.collect();
+    let mut books = BTreeMap::new();
+    for (book, read) in reads {
+        books.insert(book, read.await);
+    }
+    books
+}
+
+/// A book that isn't there has no account yet: nothing was ever paid in.
+async fn read_book(state: &EntryState, book: BookNumber) -> BookRead {
+    let stored = state.objects.get::<BookRecord>(&book_key(book)).await?;
+    let empty = || StoredObject { version: StoreRevision::ZERO, value: BookRecord::default() };
+    Ok(stored.unwrap_or_else(empty))
+}
+
+fn wanted_branches(
+    state: &EntryState,
+    line: &str,
+    branches: &[BranchName],
+    books: &BTreeMap<BookNumber, BookRead>,
+) -> Result<Vec<BranchName>, OperatorRefusal> {
+    let has_account = |branch: &BranchName| match &books[&book_of(branch)] {
+        Ok(book) => book.value.branches.contains_key(branch),
+        Err(_) => true,
+    };
+    let unknown = branches.iter().find(|branch| !is_known(state, branch) && !has_account(branch));
+    if let Some(branch) = unknown {
+        return Err(unknown_branch(state, line, branch));
+    }
+    if !branches.is_empty() {
+        return Ok(branches.to_vec());
+    }
+    let mut all: BTreeSet<BranchName> = BTreeSet::new();
+    if let Some(config) = state.config.current() {
+        all.extend(config.branches().map(|(branch, _)| branch.clone()));
+    }
+    let accounts = books.values().filter_map(|read| read.as_ref().ok());
+    all.extend(accounts.flat_map(|book| book.value.branches.keys().cloned()));
+    Ok(all.into_iter().collect())
+}
+
+fn row(
+    branch: &BranchName,
+    book: Option<&StoredObject<BookRecord>>,
+    before: &MemberReplies,
+    after: &MemberReplies,
+) -> SpendRow {
+    let before = HolderWords::of(branch, &before.replies);
+    let after = HolderWords::of(branch, &after.replies);
+    let Some(book) = book else {
+        return row_without_book(branch, &after);
+    };
+    let account = book.value.branches.get(branch).cloned().unwrap_or_default();
+    let estimate = SpendEstimate::combine(&account, &before, &after);
+    SpendRow {
+        branch: branch.clone(),
+        book: Some(BookFigures {
+            version: book.version,
+            prepaid: estimate.book.prepaid,
+            settled: estimate.book.settled,
+            granted: estimate.book.granted,
+            in_doubt: estimate.book.in_doubt,
+            free: estimate.book.free,
+        }),
+        running: estimate.reserved,
+        spent: estimate.spent,
+        in_doubt_grants: doubted_grants(&account),
+    }
+}
+
+fn row_without_book(branch: &BranchName, words: &HolderWords) -> SpendRow {
+    SpendRow {
+        branch: branch.clone(),
+        book: None,
+        running: TokenRange::at_least(TokenCount::ZERO),
+        spent: SpendEstimate::without_book(words),
+        in_doubt_grants: Vec::new(),
+    }
+}
+
+fn doubted_grants(account: &BranchAccount) -> Vec<DoubtedGrant> {
+    let doubted = account.grants.iter().filter(|(_, record)| record.in_doubt);
+    doubted.map(|(grant, record)| DoubtedGrant { grant: *grant, tokens: record.rest() }).collect()
+}
--- a/crates/sagespool-entry/src/peers.rs
+++ b/crates/sagespool-entry/src/peers.rs
@@ -46,13 +46,13 @@
             PeerReply::Done
         }
         PeerRequest::Status(query) => PeerReply::Status(status(state, &query)),
+        PeerRequest::Leave(request) => crate::operator::leave(state, &request),
         PeerRequest::Dispatch(_)
         | PeerRequest::Attach(_)
         | PeerRequest::Cancel(_)
         | PeerRequest::Seal(_)
         | PeerRequest::FindKey(_)
-        | PeerRequest::Order(_)
-        | PeerRequest::Leave(_) => PeerReply::Unsupported("this process is an entry".into()),
+        | PeerRequest::Order(_) => PeerReply::Unsupported("this process is an entry".into()),
     }
 }
 
--- a/crates/sagespool-entry/src/role.rs
+++ b/crates/sagespool-entry/src/role.rs
@@ -81,6 +81,11 @@
         &self.state
     }
 
+    /// Resolves when an operator tells this process to stop; the daemon then calls [`Self::stop`].
+    pub async fn told_to_leave(&self) {
+        self.state.operator.told_to_leave().await;
+    }
+
     /// Stops gracefully: nothing new, what runs may end, grants go back to their books. What still
     /// runs at the time limit is counted and logged, never cut in silence.
     pub async fn stop(self, limit: Duration) -> StopReport {
--- a/crates/sagespool-entry/src/state.rs
+++ b/crates/sagespool-entry/src/state.rs
@@ -24,6 +24,7 @@
 use sagespool_types::{ClockTime, ConfigVersion, IncarnationId, RequestId, ServiceName, WallTime};
 
 use crate::home::{BookWriter, ClaimWriter};
+use crate::operator::OperatorDesk;
 use crate::run::QueueWord;
 
 /// The configuration in force; none until the first has come.
@@ -125,6 +126,7 @@
     pub run_done: Event,
     pub(crate) books: BookWriter,
     pub(crate) claims: ClaimWriter,
+    pub(crate) operator: OperatorDesk,
     pub(crate) retries: RetryBudget,
     pub(crate) limits: BranchLimits,
     pub(crate) queue: AdmissionQueue,
@@ -165,6 +167,7 @@
             run_done: Event::new(),
             books: BookWriter::default(),
             claims: ClaimWriter::default(),
+            operator: OperatorDesk::default(),
             retries: RetryBudget::new(RetryPolicy::default()),
             limits: BranchLimits::new(),
             queue: AdmissionQueue::new(queue_policy(&settings)),
--- a/crates/sagespool-operations/src/answer/configuration.rs
+++ b/crates/sagespool-operations/src/answer/configuration.rs
@@ -1,6 +1,6 @@
 //! Answers about the configuration.
 
-use sagespool_messages::MemberInfo;
+use sagespool_messages::{MemberInfo, MemberRole};
 use sagespool_types::{ConfigVersion, StoreRevision, derives};
 use serde_json::Value;
 
@@ -69,17 +69,37 @@
     }
 }
 
-/// Where a version is in force, by what is known of the members.
-pub fn in_force(version: ConfigVersion, members: &[MemberInfo]) -> InForce {
-    let (there, not_yet): (Vec<_>, Vec<_>) =
-        members.iter().partition(|member| member.config >= version);
-    let told = |member: &&MemberInfo| ConfigMember {
-        member: MemberLabel::of(member),
-        version: member.config,
-    };
-    InForce {
-        version,
-        members: there.into_iter().map(MemberLabel::of).collect(),
-        not_known: not_yet.iter().map(told).collect(),
+/// The versions that processes must have in force, by their role. Sidecars take over classes and
+/// services only: their version is that of the one object that holds these.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct WantedVersions {
+    /// At entries.
+    pub entries: Option<ConfigVersion>,
+    /// At sidecars; nothing if what is asked for doesn't concern them.
+    pub sidecars: Option<ConfigVersion>,
+}
+
+impl WantedVersions {
+    fn of(&self, role: MemberRole) -> Option<ConfigVersion> {
+        match role {
+            MemberRole::Entry => self.entries,
+            MemberRole::Sidecar => self.sidecars,
+        }
+    }
+}
+
+/// Where versions are in force, by what is known of the members.
+pub fn in_force(wanted: WantedVersions, members: &[MemberInfo]) -> InForce {
+    let version = wanted.entries.max(wanted.sidecars).unwrap_or(ConfigVersion::ZERO);
+    let mut answer = InForce { version, members: Vec::new(), not_known: Vec::new() };
+    for info in members {
+        let Some(wanted) = wanted.of(info.role) else { continue };
+        let member = MemberLabel::of(info);
+        if info.config >= wanted {
+            answer.members.push(member);
+        } else {
+            answer.not_known.push(ConfigMember { member, version: info.config });
+        }
     }
+    answer
 }
--- a/crates/sagespool-operations/src/command/mod.rs
+++ b/crates/sagespool-operations/src/command/mod.rs
@@ -11,6 +11,6 @@
 pub use item::{CommandItem, OperatorCommand, TargetName};
 pub use outcome::{ItemOutcome, OutcomeState};
 pub use record::{
-    COMMANDS_PREFIX, CancelNote, CancelOutcome, CommandExecutor, CommandRecord, CommandState,
-    ItemRecord, NextItem, command_key,
+    BegunItem, COMMANDS_PREFIX, CancelNote, CancelOutcome, CommandExecutor, CommandRecord,
+    CommandState, ItemRecord, NextItem, command_key,
 };
--- a/crates/sagespool-operations/src/command/record.rs
+++ b/crates/sagespool-operations/src/command/record.rs
@@ -7,7 +7,9 @@
 
 use std::fmt;
 
-use sagespool_types::{BranchName, CommandId, ConfigVersion, IncarnationId, WallTime, derives};
+use sagespool_types::{
+    BranchName, CommandId, ConfigVersion, IncarnationId, StoreRevision, WallTime, derives,
+};
 
 use super::{CommandItem, ItemOutcome, OperatorCommand, OutcomeState};
 
@@ -93,8 +95,19 @@
     pub index: usize,
     /// The item.
     pub item: CommandItem,
-    /// True if an earlier executor may have begun it.
-    pub may_have_begun: bool,
+    /// Set if an earlier executor may have begun it: after this revision of the store.
+    pub begun_after: Option<StoreRevision>,
+}
+
+derives! { value;
+    /// An item that an earlier executor may have begun.
+    pub struct BegunItem {
+        /// Its place among the items.
+        pub index: usize,
+        /// The record's version before: whatever the earlier executor did for the item has a later
+        /// revision of the store, so that an object which hasn't changed since wasn't changed by it.
+        pub after: StoreRevision,
+    }
 }
 
 derives! { record;
@@ -115,7 +128,12 @@
         pub executor: CommandExecutor,
         /// The item that an earlier executor may have begun without noting its outcome.
         #[serde(default, skip_serializing_if = "Option::is_none")]
-        pub begun: Option<usize>,
+        pub begun: Option<BegunItem>,
+        /// True once its id was found to be above the floor, with the first outcome that was noted.
+        /// Until then whoever takes it up has to look: the record itself may be one made anew for a
+        /// command that was done and forgotten.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        pub admitted: bool,
         /// Set once somebody wants it cancelled.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         pub cancel: Option<CancelNote>,
@@ -144,6 +162,7 @@
             seen: wish.seen,
             executor: CommandExecutor { incarnation: executor, turn: 0 },
             begun: None,
+            admitted: false,
             cancel: None,
             items: items.collect(),
         }
@@ -171,24 +190,48 @@
     pub fn next_item(&self) -> Option<NextItem> {
         let index = self.next_place()?;
         let item = self.items[index].item.clone();
-        Some(NextItem { index, item, may_have_begun: self.begun == Some(index) })
+        let begun = self.begun.filter(|begun| begun.index == index);
+        Some(NextItem { index, item, begun_after: begun.map(|begun| begun.after) })
     }
 
-    /// Makes another the executor. The earlier one, if it is only paused, sees the higher turn
-    /// before it changes anything more in the store.
-    pub fn take_over(&mut self, incarnation: IncarnationId) -> CommandExecutor {
-        self.begun = self.next_place();
+    /// Makes another the executor of a record that was read at a version. The earlier one, if it is only
+    /// paused, sees the higher turn before it changes anything more in the store.
+    pub fn take_over(
+        &mut self,
+        incarnation: IncarnationId,
+        version: StoreRevision,
+    ) -> CommandExecutor {
+        let next = self.next_place();
+        // Of several executors that may have begun the same item, the first counts.
+        if self.begun.map(|begun| begun.index) != next {
+            self.begun = next.map(|index| BegunItem { index, after: version });
+        }
         self.executor = CommandExecutor { incarnation, turn: self.executor.turn + 1 };
         self.executor
     }
 
-    /// Notes how an item went; the first word on it counts.
+    /// Notes how an item went; the first word on it counts. Its id was admitted before.
     pub fn note(&mut self, index: usize, outcome: ItemOutcome) {
+        self.admitted = true;
         if let Some(item) = self.items.get_mut(index) {
             item.outcome.get_or_insert(outcome);
         }
     }
 
+    /// Ends every item that has no outcome, since the id is at or below the floor.
+    ///
+    /// A record that nobody has taken up before was made by this time of giving the command: it surely
+    /// did nothing this time, and what an earlier, forgotten time did can't be known.
+    pub fn refuse_forgotten(&mut self) {
+        let outcome = match self.executor.turn {
+            0 => ItemOutcome::new(OutcomeState::Refused, FORGOTTEN),
+            _ => ItemOutcome::new(OutcomeState::Unknown, FORGOTTEN),
+        };
+        for item in &mut self.items {
+            item.outcome.get_or_insert_with(|| outcome.clone());
+        }
+    }
+
     /// Notes a wish to cancel.
     pub fn ask_cancel(&mut self, note: CancelNote) -> CancelOutcome {
         if self.state() == CommandState::Ended {
@@ -201,21 +244,20 @@
         CancelOutcome::Noted
     }
 
-    /// If somebody wants it cancelled, ends the items that haven't begun; true if it did.
+    /// If somebody wants it cancelled, ends the items that haven't begun.
     ///
     /// An item that an earlier executor may have begun is not said to be cancelled, since it may
     /// have been done.
-    pub fn cancel_rest(&mut self) -> bool {
-        if self.cancel.is_none() || self.state() == CommandState::Ended {
-            return false;
+    pub fn cancel_rest(&mut self) {
+        if self.cancel.is_none() {
+            return;
         }
-        let begun = self.begun;
+        let begun = self.begun.map(|begun| begun.index);
         for (index, item) in self.items.iter_mut().enumerate() {
             let outcome =
                 if begun == Some(index) { cancelled_while_begun() } else { cancelled_before() };
             item.outcome.get_or_insert(outcome);
         }
-        true
     }
 
     /// The highest version that an edit of this command itself gave an object of the configuration.
@@ -231,6 +273,10 @@
     }
 }
 
+const FORGOTTEN: &str = "the command's id is as old as commands that are forgotten, so that nobody can \
+                         tell whether it was done before; it was not done now. Look, and give a new \
+                         command if it is still wanted";
+
 fn cancelled_before() -> ItemOutcome {
     ItemOutcome::new(OutcomeState::Cancelled, "the command was cancelled before this was begun")
 }
--- a/crates/sagespool-operations/src/lib.rs
+++ b/crates/sagespool-operations/src/lib.rs
@@ -25,12 +25,13 @@
     HistoryAnswer, HistoryFact, HistoryNote, HistorySource, InForce, ItemAnswer, MemberLabel,
     MemberRow, MembersAnswer, OperatorAnswer, QuarantineAnswer, QuarantineRow, RunningAnswer,
     RunningRow, ShownPlace, SilentMember, SpendAnswer, SpendRow, StoreBasis, UpstreamRow,
-    UpstreamState, UpstreamsAnswer, in_force,
+    UpstreamState, UpstreamsAnswer, WantedVersions, in_force,
 };
 pub use command::{
-    COMMAND_FLOOR_KEY, COMMANDS_PREFIX, CancelNote, CancelOutcome, CommandExecutor, CommandFloor,
-    CommandItem, CommandRecord, CommandState, ItemOutcome, ItemRecord, NextItem, OperatorCommand,
-    OutcomeState, PrunePlan, TargetName, command_key, id_time, new_command_id, plan_pruning,
+    BegunItem, COMMAND_FLOOR_KEY, COMMANDS_PREFIX, CancelNote, CancelOutcome, CommandExecutor,
+    CommandFloor, CommandItem, CommandRecord, CommandState, ItemOutcome, ItemRecord, NextItem,
+    OperatorCommand, OutcomeState, PrunePlan, TargetName, command_key, id_time, new_command_id,
+    plan_pruning,
 };
 pub use edit::{
     BranchChange, ClassChange, ConfigEdit, EditRefusal, EditedObject, FieldChange, HashStart,
--- a/crates/sagespool-operations/tests/command_records.rs
+++ b/crates/sagespool-operations/tests/command_records.rs
@@ -7,7 +7,9 @@
     CancelNote, CancelOutcome, CommandFloor, CommandRecord, CommandState, FenceHolder, FenceRecord,
     ItemOutcome, OperatorLine, OutcomeState, id_time, new_command_id, parse_line, plan_pruning,
 };
-use sagespool_types::{CommandId, ConfigVersion, FenceNumber, IncarnationId, WallTime};
+use sagespool_types::{
+    CommandId, ConfigVersion, FenceNumber, IncarnationId, StoreRevision, WallTime,
+};
 
 const FIRST: IncarnationId = IncarnationId(1);
 const SECOND: IncarnationId = IncarnationId(2);
@@ -35,7 +37,7 @@
     let mut record = record("top-up a 1, b 2");
     let first = record.next_item().unwrap();
     assert_eq!((first.index, first.item.to_string()), (0, "top-up a 1".to_owned()));
-    assert!(!first.may_have_begun);
+    assert_eq!(first.begun_after, None);
     record.note(0, done());
     record.note(0, ItemOutcome::new(OutcomeState::Failed, "a later word doesn't count"));
     assert_eq!(record.next_item().unwrap().index, 1);
@@ -53,13 +55,15 @@
     let mut record = record("top-up a 1, b 2, c 3");
     record.note(0, done());
     let before = record.executor;
-    let executor = record.take_over(SECOND);
+    let executor = record.take_over(SECOND, StoreRevision(40));
     assert_eq!((executor.incarnation, executor.turn), (SECOND, before.turn + 1));
-    assert!(record.next_item().unwrap().may_have_begun);
+    assert_eq!(record.next_item().unwrap().begun_after, Some(StoreRevision(40)));
+    // The same entry may take it up again after it gave up: the turn tells the two apart. Since when the
+    // item may have been begun is the first one's to say.
+    assert_ne!(record.take_over(SECOND, StoreRevision(50)), executor);
+    assert_eq!(record.next_item().unwrap().begun_after, Some(StoreRevision(40)));
     record.note(1, done());
-    assert!(!record.next_item().unwrap().may_have_begun);
-    // The same entry may take it up again after it gave up: the turn tells the two apart.
-    assert_ne!(record.take_over(SECOND), executor);
+    assert_eq!(record.next_item().unwrap().begun_after, None);
 }
 
 /// A command is cancelled while an entry that died may have done its second item: only the third is
@@ -67,18 +71,19 @@
 #[test]
 fn cancelled_rest() {
     let mut fresh = record("top-up a 1, b 2");
-    assert!(!fresh.cancel_rest());
+    fresh.cancel_rest();
+    assert_eq!(states(&fresh), [None; 2]);
     assert_eq!(fresh.ask_cancel(cancel()), CancelOutcome::Noted);
     assert_eq!(fresh.ask_cancel(cancel()), CancelOutcome::Already);
-    assert!(fresh.cancel_rest());
+    fresh.cancel_rest();
     assert_eq!(states(&fresh), [Some(OutcomeState::Cancelled); 2]);
     assert_eq!(fresh.ask_cancel(cancel()), CancelOutcome::Ended);
 
     let mut taken = record("top-up a 1, b 2, c 3");
     taken.note(0, done());
-    taken.take_over(SECOND);
+    taken.take_over(SECOND, StoreRevision(40));
     taken.ask_cancel(cancel());
-    assert!(taken.cancel_rest());
+    taken.cancel_rest();
     let wanted = [OutcomeState::Done, OutcomeState::Unknown, OutcomeState::Cancelled];
     assert_eq!(states(&taken), wanted.map(Some));
 }
--- a/crates/sagespool-sidecar/src/role/peers.rs
+++ b/crates/sagespool-sidecar/src/role/peers.rs
@@ -5,7 +5,7 @@
 
 use futures_lite::FutureExt;
 use sagespool_link::{EventSender, PeerCall, PeerHandler, PeerResponder};
-use sagespool_messages::{MemberStatus, PeerReply, PeerRequest, StatusQuery, StatusReply};
+use sagespool_messages::{LeaveRequest, MemberStatus, PeerReply, PeerRequest, StatusQuery, StatusReply};
 use sagespool_types::{ClockTime, WallTime};
 
 use super::state::SidecarState;
@@ -40,6 +40,7 @@
         PeerRequest::FindKey(request) => PeerReply::Key(dispatcher.find_key(&request, now)),
         PeerRequest::Order(request) => PeerReply::Order(dispatcher.carry_out(&request).await),
         PeerRequest::Status(query) => PeerReply::Status(status(state, &query, now)),
+        PeerRequest::Leave(request) => leave(state, &request),
         PeerRequest::Heartbeat(beat) => PeerReply::Heartbeat(state.members.received(&beat, now)),
         PeerRequest::Reserve(_)
         | PeerRequest::Claim(_)
@@ -69,6 +70,15 @@
     }
 }
 
+/// An operator stops this process: nothing new from now on, and the daemon begins the graceful stop.
+fn leave(state: &SidecarState, request: &LeaveRequest) -> PeerReply {
+    if request.incarnation != state.incarnation {
+        return PeerReply::Unsupported("another run of this process is meant".to_owned());
+    }
+    state.leave();
+    PeerReply::Done
+}
+
 fn status(state: &SidecarState, query: &StatusQuery, now: ClockTime) -> StatusReply {
     let (running, is_all) = state.dispatcher.list_running(query, now);
     StatusReply {
