Send operators' lines from sagespool

One line as argument, a prompt, or a script on the standard input; several entries are tried in turn; a command gets an id, is followed until it ends, and can be given again with it.

--- a/crates/sagespool-cli/src/error.rs
+++ b/crates/sagespool-cli/src/error.rs
@@ -26,6 +26,8 @@
     Unwritable(PathBuf),
     /// A certificate can't be made from what is there.
     Certificate(String),
+    /// The operator's input can't be read.
+    Input,
 }
 
 impl CommandError {
@@ -35,6 +37,7 @@
             Self::Usage { help, .. } => help,
             Self::Argument(fault) => fault.help,
             Self::RepeatedName(_) => "give each name once",
+            Self::Input => "give the line as an argument",
             Self::Unreadable(_) | Self::Unwritable(_) => "check the path and its permissions",
             Self::Certificate(_) => {
                 "use an empty directory, or one that holds `authority.pem` and `authority.key` of \
@@ -60,6 +63,7 @@
             Self::RepeatedName(name) => write!(f, "the name `{name}` was given twice"),
             Self::Unreadable(path) => write!(f, "can't read `{}`", path.display()),
             Self::Unwritable(path) => write!(f, "can't write `{}`", path.display()),
+            Self::Input => f.write_str("can't read the input"),
             Self::Certificate(detail) => write!(f, "can't make a certificate: {detail}"),
         }
     }
--- a/crates/sagespool-cli/src/main.rs
+++ b/crates/sagespool-cli/src/main.rs
@@ -3,6 +3,9 @@
 mod certificates;
 mod check;
 mod error;
+mod line_client;
+mod operate;
+mod prompt;
 
 use std::process::ExitCode;
 
@@ -12,23 +15,22 @@
 use crate::certificates::CertificateOptions;
 use crate::check::CheckOptions;
 use crate::error::CommandError;
+use crate::operate::OperateOptions;
 
 /// Exit code of a command that was given wrongly.
 const USAGE_FAULT: u8 = 2;
 
-/// The operators' command line of a sagespool fleet.
+/// What works on files here and asks no fleet.
 #[derive(Debug, Options)]
-struct CliOptions {
+struct LocalOptions {
     #[options(help = "print this help, or a command's after its name")]
     help: bool,
-    #[options(no_short, help = "print the version")]
-    version: bool,
     #[options(command)]
-    command: Option<CliCommand>,
+    command: Option<LocalCommand>,
 }
 
 #[derive(Debug, Options)]
-enum CliCommand {
+enum LocalCommand {
     #[options(help = "check settings files, or a configuration's objects")]
     Check(CheckOptions),
     #[options(help = "make a development set of link certificates")]
@@ -36,24 +38,29 @@
 }
 
 fn main() -> ExitCode {
-    let options = CliOptions::parse_args_default_or_exit();
-    if options.version {
-        println!("sagespool {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
-    let Some(command) = options.command else {
-        eprintln!("sagespool needs a command\n\nUsage: sagespool COMMAND\n");
-        eprintln!("{}", CliOptions::command_list().unwrap_or_default());
-        return ExitCode::from(USAGE_FAULT);
+    let first = std::env::args().nth(1);
+    let ended = match first.as_deref() {
+        Some("check" | "certificates") => run_local(),
+        _ => run_operate(),
     };
-    run(command).unwrap_or_else(|report| show_error(&report))
+    ended.unwrap_or_else(|report| show_error(&report))
+}
+
+fn run_local() -> Result<ExitCode, Report<CommandError>> {
+    match LocalOptions::parse_args_default_or_exit().command {
+        Some(LocalCommand::Check(options)) => check::run(&options),
+        Some(LocalCommand::Certificates(options)) => certificates::run(&options),
+        None => Ok(ExitCode::from(USAGE_FAULT)),
+    }
 }
 
-fn run(command: CliCommand) -> Result<ExitCode, Report<CommandError>> {
-    match command {
-        CliCommand::Check(options) => check::run(&options),
-        CliCommand::Certificates(options) => certificates::run(&options),
+fn run_operate() -> Result<ExitCode, Report<CommandError>> {
+    let options = OperateOptions::parse_args_default_or_exit();
+    if options.version {
+        println!("sagespool {}", env!("CARGO_PKG_VERSION"));
+        return Ok(ExitCode::SUCCESS);
     }
+    operate::run(&options)
 }
 
 fn show_error(report: &Report<CommandError>) -> ExitCode {
