--- a/crates/sagespool-entry/src/operator/configuration.rs
+++ b/crates/sagespool-entry/src/operator/configuration.rs
@@ -184,14 +184,14 @@
         let mut members = known_members(state, None);
         let known = in_force(wanted, &members);
         let not_known = |member: &MemberInfo| {
-            known.not_known.iter().any(|other| other.member.incarnation == member.incarnation)
+            known.not_known().any(|other| other.member.incarnation == member.incarnation)
         };
         let asked: Vec<MemberInfo> =
             members.iter().filter(|info| not_known(info)).cloned().collect();
         let replies = ask_members(state, &asked, &query).await;
         members = with_replies(members, &replies);
         let found = in_force(wanted, &members);
-        if found.not_known.is_empty() || ClockTime::now() >= deadline {
+        if found.not_known().next().is_none() || ClockTime::now() >= deadline {
             draft.take_replies(&replies);
             return found;
         }
--- a/crates/sagespool-operations/src/answer/configuration.rs
+++ b/crates/sagespool-operations/src/answer/configuration.rs
@@ -57,8 +57,8 @@
 }
 
 derives! { record;
-    /// Where a version is in force.
-    pub struct InForce {
+    /// Where a version is in force, among the processes of one role.
+    pub struct ForceRow {
         /// The version.
         pub version: ConfigVersion,
         /// Processes that said that they have it, or a later one, in force. Versions never go back, so
@@ -69,8 +69,29 @@
     }
 }
 
-/// The versions that processes must have in force, by their role. Sidecars take over classes and
-/// services only: their version is that of the one object that holds these.
+derives! { record;
+    /// Where a change is in force. Entries take over the whole configuration; sidecars take over classes
+    /// and services, and their version is that of the one object that holds these.
+    #[derive(Default)]
+    pub struct InForce {
+        /// At entries.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub entries: Option<ForceRow>,
+        /// At sidecars; nothing if the change doesn't concern them.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub sidecars: Option<ForceRow>,
+    }
+}
+
+impl InForce {
+    /// Every process that isn't known to have it in force.
+    pub fn not_known(&self) -> impl Iterator<Item = &ConfigMember> {
+        let rows = self.entries.iter().chain(&self.sidecars);
+        rows.flat_map(|row| &row.not_known)
+    }
+}
+
+/// The versions that processes must have in force, by their role.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct WantedVersions {
     /// At entries.
@@ -79,27 +100,27 @@
     pub sidecars: Option<ConfigVersion>,
 }
 
-impl WantedVersions {
-    fn of(&self, role: MemberRole) -> Option<ConfigVersion> {
-        match role {
-            MemberRole::Entry => self.entries,
-            MemberRole::Sidecar => self.sidecars,
-        }
+/// Where versions are in force, by what is known of the members.
+pub fn in_force(wanted: WantedVersions, members: &[MemberInfo]) -> InForce {
+    let row = |version, role| force_row(version, members.iter().filter(|info| info.role == role));
+    InForce {
+        entries: wanted.entries.map(|version| row(version, MemberRole::Entry)),
+        sidecars: wanted.sidecars.map(|version| row(version, MemberRole::Sidecar)),
     }
 }
 
-/// Where versions are in force, by what is known of the members.
-pub fn in_force(wanted: WantedVersions, members: &[MemberInfo]) -> InForce {
-    let version = wanted.entries.max(wanted.sidecars).unwrap_or(ConfigVersion::ZERO);
-    let mut answer = InForce { version, members: Vec::new(), not_known: Vec::new() };
+fn force_row<'a>(
+    version: ConfigVersion,
+    members: impl Iterator<Item = &'a MemberInfo>,
+) -> ForceRow {
+    let mut row = ForceRow { version, members: Vec::new(), not_known: Vec::new() };
     for info in members {
-        let Some(wanted) = wanted.of(info.role) else { continue };
         let member = MemberLabel::of(info);
-        if info.config >= wanted {
-            answer.members.push(member);
+        if info.config >= version {
+            row.members.push(member);
         } else {
-            answer.not_known.push(ConfigMember { member, version: info.config });
+            row.not_known.push(ConfigMember { member, version: info.config });
         }
     }
-    answer
+    row
 }
--- a/crates/sagespool-operations/src/answer/mod.rs
+++ b/crates/sagespool-operations/src/answer/mod.rs
@@ -10,8 +10,8 @@
 pub use basis::{AnswerBasis, MemberLabel, SilentMember, StoreBasis};
 pub use commands::{CommandAnswer, CommandSummary, CommandsAnswer, ItemAnswer};
 pub use configuration::{
-    ConfigMember, ConfigObjectRow, ConfigurationAnswer, InForce, ShownPlace, WantedVersions,
-    in_force,
+    ConfigMember, ConfigObjectRow, ConfigurationAnswer, ForceRow, InForce, ShownPlace,
+    WantedVersions, in_force,
 };
 pub use fleet::{
     MemberRow, MembersAnswer, QuarantineAnswer, QuarantineRow, RunningAnswer, RunningRow,
--- a/crates/sagespool-operations/src/lib.rs
+++ b/crates/sagespool-operations/src/lib.rs
@@ -21,11 +21,11 @@
 
 pub use answer::{
     AnswerBasis, AnswerBody, BookFigures, CommandAnswer, CommandSummary, CommandsAnswer,
-    ConfigMember, ConfigObjectRow, ConfigurationAnswer, DoubtedGrant, HelpAnswer, HelpLine,
-    HistoryAnswer, HistoryFact, HistoryNote, HistorySource, InForce, ItemAnswer, MemberLabel,
-    MemberRow, MembersAnswer, OperatorAnswer, QuarantineAnswer, QuarantineRow, RunningAnswer,
-    RunningRow, ShownPlace, SilentMember, SpendAnswer, SpendRow, StoreBasis, UpstreamRow,
-    UpstreamState, UpstreamsAnswer, WantedVersions, in_force,
+    ConfigMember, ConfigObjectRow, ConfigurationAnswer, DoubtedGrant, ForceRow, HelpAnswer,
+    HelpLine, HistoryAnswer, HistoryFact, HistoryNote, HistorySource, InForce, ItemAnswer,
+    MemberLabel, MemberRow, MembersAnswer, OperatorAnswer, QuarantineAnswer, QuarantineRow,
+    RunningAnswer, RunningRow, ShownPlace, SilentMember, SpendAnswer, SpendRow, StoreBasis,
+    UpstreamRow, UpstreamState, UpstreamsAnswer, WantedVersions, in_force,
 };
 pub use command::{
     BegunItem, COMMAND_FLOOR_KEY, COMMANDS_PREFIX, CancelNote, CancelOutcome, CommandExecutor,
--- a/crates/sagespool-operations/src/render/configuration.rs
+++ b/crates/sagespool-operations/src/render/configuration.rs
@@ -26,14 +26,18 @@
     vec![row.key.clone(), row.version.to_string(), row.holds.to_string()]
 }
 
-/// Where a version is in force; members that aren't known to have it are named.
+/// Where a change is in force; members that aren't known to have it are named.
 pub(super) fn render_in_force(in_force: &InForce) -> String {
-    let all = in_force.members.len() + in_force.not_known.len();
-    let there = in_force.members.len();
-    let mut text = format!("version {} is in force at {there} of {all} members", in_force.version);
-    for member in &in_force.not_known {
-        let (label, version) = (&member.member, member.version);
-        text.push_str(&format!("\nnot known to be in force: {label} (at version {version})"));
+    let rows = [("entries", &in_force.entries), ("sidecars", &in_force.sidecars)];
+    let mut lines = Vec::new();
+    for (role, row) in rows {
+        let Some(row) = row else { continue };
+        let (there, all) = (row.members.len(), row.members.len() + row.not_known.len());
+        lines.push(format!("version {} is in force at {there} of {all} {role}", row.version));
     }
-    text
+    let not_known = in_force.not_known();
+    lines.extend(not_known.map(|other| {
+        format!("not known to be in force: {} (at version {})", other.member, other.version)
+    }));
+    lines.join("\n")
 }
--- a/crates/sagespool-operations/tests/answer_text.rs
+++ b/crates/sagespool-operations/tests/answer_text.rs
@@ -2,11 +2,12 @@
 
 #![allow(clippy::unwrap_used)]
 
-use sagespool_messages::MemberRole;
+use sagespool_messages::{MemberInfo, MemberRole};
 use sagespool_operations::{
-    AnswerBasis, AnswerBody, BookFigures, CommandAnswer, ConfigMember, DoubtedGrant, HelpAnswer,
-    InForce, ItemAnswer, ItemOutcome, MemberLabel, OperatorAnswer, OutcomeState, SilentMember,
-    SpendAnswer, SpendRow, StoreBasis, TokenRange, render_answer,
+    AnswerBasis, AnswerBody, BookFigures, CommandAnswer, ConfigMember, DoubtedGrant, ForceRow,
+    HelpAnswer, InForce, ItemAnswer, ItemOutcome, MemberLabel, OperatorAnswer, OutcomeState,
+    SilentMember, SpendAnswer, SpendRow, StoreBasis, TokenRange, WantedVersions, in_force,
+    render_answer,
 };
 use sagespool_types::{
     CommandId, ConfigVersion, IncarnationId, StoreRevision, TokenCount, WallTime,
@@ -110,12 +111,15 @@
             item("top-up c 3", None),
         ],
         in_force: Some(InForce {
-            version: ConfigVersion(9),
-            members: vec![label("entry-1", MemberRole::Entry)],
-            not_known: vec![ConfigMember {
-                member: label("sidecar-1", MemberRole::Sidecar),
-                version: ConfigVersion(8),
-            }],
+            entries: Some(ForceRow {
+                version: ConfigVersion(9),
+                members: vec![label("entry-1", MemberRole::Entry)],
+                not_known: vec![ConfigMember {
+                    member: label("entry-2", MemberRole::Entry),
+                    version: ConfigVersion(8),
+                }],
+            }),
+            sidecars: None,
         }),
     };
     assert!(!answer.is_good());
@@ -126,12 +130,48 @@
 top-up a 1: done, 1 added
 top-up b 2: refused, there is no branch `b`; did you mean `bb`?
 top-up c 3: not ended yet
-version 9 is in force at 1 of 2 members
-not known to be in force: sidecar sidecar-1 (at version 8)
+version 9 is in force at 1 of 2 entries
+not known to be in force: entry entry-2 (at version 8)
 ";
     assert!(text.starts_with(wanted), "\n{text}");
 }
 
+/// A change of classes is told to be in force at a sidecar that has it not: its version is compared with
+/// that of the branches' newest object, which sidecars don't follow.
+#[test]
+fn force_by_role() {
+    let member = |instance: &str, role, config| MemberInfo {
+        instance: instance.parse().unwrap(),
+        incarnation: IncarnationId(1),
+        number: 1,
+        role,
+        region: "muscat".parse().unwrap(),
+        centre: "ghala".parse().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        leaving: false,
+        config: ConfigVersion(config),
+        started_at: None,
+        serves: None,
+    };
+    let members = [
+        member("entry-1", MemberRole::Entry, 9),
+        member("entry-2", MemberRole::Entry, 8),
+        member("sidecar-1", MemberRole::Sidecar, 7),
+        member("sidecar-2", MemberRole::Sidecar, 6),
+    ];
+    let versions = |entries, sidecars: Option<u64>| WantedVersions {
+        entries: Some(ConfigVersion(entries)),
+        sidecars: sidecars.map(ConfigVersion),
+    };
+    let names = |found: &InForce| {
+        found.not_known().map(|other| other.member.instance.to_string()).collect::<Vec<_>>()
+    };
+    let all = in_force(versions(9, Some(7)), &members);
+    assert_eq!(names(&all), ["entry-2", "sidecar-2"]);
+    let branch_only = in_force(versions(8, None), &members);
+    assert!(names(&branch_only).is_empty() && branch_only.sidecars.is_none());
+}
+
 #[test]
 fn help_text() {
     let answer = AnswerBody::Help(HelpAnswer::about(Some("drain")));
