--- a/crates/sagespool-daemon/src/process.rs
+++ b/crates/sagespool-daemon/src/process.rs
@@ -55,11 +55,18 @@
             return ExitCode::from(START_FAULT);
         }
     };
-    let signalled = async {
-        signals.next().await;
-    };
-    futures_lite::future::or(signalled, told_to_leave(&role)).await;
-    log_event!(info, "stop-asked", limit_ms = stop_limit.as_millis());
+    let reason = futures_lite::future::or(
+        async {
+            signals.next().await;
+            "signal"
+        },
+        async {
+            told_to_leave(&role).await;
+            "told-to-leave"
+        },
+    )
+    .await;
+    log_event!(info, "stop-asked", by = reason, limit_ms = stop_limit.as_millis());
     let clean = stop_role(role, stop_limit).await;
     if clean { ExitCode::SUCCESS } else { ExitCode::from(UNCLEAN_STOP) }
 }
@@ -77,7 +84,7 @@
     }
 }
 
-/// Resolves when an operator, or the instance list for a sidecar, tells the process to stop.
+/// Resolves when the platform takes the instance away, or an operator stops the process.
 async fn told_to_leave(role: &RunningRole) {
     match role {
         RunningRole::Entry(entry) => entry.told_to_leave().await,
--- a/crates/sagespool-entry/src/caller/mod.rs
+++ b/crates/sagespool-entry/src/caller/mod.rs
@@ -13,3 +13,4 @@
 pub use headers::{CallHeaders, read_headers};
 pub(crate) use identity::read_identity;
 pub use server::serve;
+pub use service_call::{ServiceCall, read_service_call};
--- a/crates/sagespool-entry/src/home/finish.rs
+++ b/crates/sagespool-entry/src/home/finish.rs
@@ -1,6 +1,6 @@
 //! The end of a request: its charge is settled, what it didn't use is free again.
 
-use sagespool_messages::{ChargeReport, ChargesDurable, FinishReport, FinishState};
+use sagespool_messages::{AbandonNotice, ChargeReport, ChargesDurable, FinishReport, FinishState};
 use sagespool_types::ClockTime;
 
 use crate::state::EntryState;
@@ -33,6 +33,17 @@
     }
 }
 
+/// Gives a reservation back whose entry went elsewhere, also one that is yet to come: the question
+/// may have waited in a paused process behind its own withdrawal.
+pub(crate) fn abandon(state: &EntryState, notice: &AbandonNotice) {
+    state.abandoned().insert(notice.request, ClockTime::now());
+    state.ledger.abandon(&notice.branch, notice.request);
+    if let Some(key) = notice.key {
+        state.keys.forget(key, notice.request);
+    }
+    state.budget_changed.notify(usize::MAX);
+}
+
 /// Takes in what a sidecar witnessed, and says which charges are durable and need no further report.
 pub(crate) fn take_report(state: &EntryState, report: &ChargeReport) -> ChargesDurable {
     let now = ClockTime::now();
--- a/crates/sagespool-entry/src/operator/desk.rs
+++ b/crates/sagespool-entry/src/operator/desk.rs
@@ -1,4 +1,4 @@
-//! The commands that this entry carries out now, and its own order to stop.
+//! The commands that this entry carries out now.
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -48,12 +48,10 @@
     }
 }
 
-/// The commands that this entry carries out now, and its own order to stop.
+/// The commands that this entry carries out now.
 #[derive(Debug, Default)]
 pub(crate) struct OperatorDesk {
     active: Mutex<HashMap<CommandId, Arc<ActiveCommand>>>,
-    told_to_leave: AtomicBool,
-    left: Event,
 }
 
 impl OperatorDesk {
@@ -64,7 +62,7 @@
 
     /// Takes a command up; nothing if it is being carried out here already. Two requests with one id
     /// that come at the same time must not both begin.
-    pub(super) fn begin(self: &OperatorDesk, record: &CommandRecord) -> Option<Arc<ActiveCommand>> {
+    pub(super) fn begin(&self, record: &CommandRecord) -> Option<Arc<ActiveCommand>> {
         let mut active = self.active.lock().unwrap_or_else(PoisonError::into_inner);
         if active.contains_key(&record.command) {
             return None;
@@ -86,21 +84,4 @@
             active.changed.notify(usize::MAX);
         }
     }
-
-    /// An operator tells this process to stop.
-    pub(super) fn tell_to_leave(&self) {
-        self.told_to_leave.store(true, Ordering::SeqCst);
-        self.left.notify(usize::MAX);
-    }
-
-    /// Resolves when an operator tells this process to stop.
-    pub(crate) async fn told_to_leave(&self) {
-        loop {
-            let left = self.left.listen();
-            if self.told_to_leave.load(Ordering::SeqCst) {
-                return;
-            }
-            left.await;
-        }
-    }
 }
--- a/crates/sagespool-entry/src/operator/leave.rs
+++ b/crates/sagespool-entry/src/operator/leave.rs
@@ -24,8 +24,7 @@
         return PeerReply::Unsupported("another run of this process is meant".to_owned());
     }
     log_event!(info, "stop-ordered", command = request.command);
-    state.members.update_own(|own| own.leaving = true);
-    state.operator.tell_to_leave();
+    state.leave();
     PeerReply::Done
 }
 
--- a/crates/sagespool-entry/src/state.rs
+++ b/crates/sagespool-entry/src/state.rs
@@ -8,7 +8,7 @@
 use async_channel::Sender;
 use event_listener::Event;
 use sagespool_claims::{CrashBoard, KeyBoard};
-use sagespool_ledger::{BudgetMode, HeldBack, HomeLedger, LedgerPolicy};
+use sagespool_ledger::{BudgetMode, HomeLedger, LedgerPolicy};
 use sagespool_link::LinkEndpoint;
 use sagespool_membership::{MemberTable, MembershipPolicy, first_number};
 use sagespool_messages::{MemberInfo, MemberRole};
@@ -23,7 +23,7 @@
 };
 use sagespool_types::{ClockTime, ConfigVersion, IncarnationId, RequestId, ServiceName, WallTime};
 
-use crate::home::{BookWriter, ClaimWriter};
+use crate::home::{BookWriter, BudgetRounds, ClaimWriter, WitnessBoard};
 use crate::operator::OperatorDesk;
 use crate::run::QueueWord;
 
@@ -76,7 +76,7 @@
 }
 
 fn queue_policy(settings: &EntrySettings) -> QueuePolicy {
-    QueuePolicy::builder().most_waiting(settings.queue.most_waiting as usize).build()
+    QueuePolicy::builder().most_waiting(settings.queue.most_waiting).build()
 }
 
 fn ledger_policy(settings: &EntrySettings) -> LedgerPolicy {
@@ -126,6 +126,10 @@
     pub run_done: Event,
     pub(crate) books: BookWriter,
     pub(crate) claims: ClaimWriter,
+    pub(crate) rounds: BudgetRounds,
+    pub(crate) witnesses: WitnessBoard,
+    /// Since when the store doesn't answer, if it doesn't.
+    store_away: Mutex<Option<ClockTime>>,
     pub(crate) operator: OperatorDesk,
     pub(crate) retries: RetryBudget,
     pub(crate) limits: BranchLimits,
@@ -135,7 +139,9 @@
     pub(crate) known_sidecars: Mutex<HashSet<IncarnationId>>,
     pub(crate) link: OnceLock<LinkEndpoint>,
     pub(crate) in_flight: AtomicU32,
+    abandoned: Mutex<HashMap<RequestId, ClockTime>>,
     pub(crate) leaving: AtomicBool,
+    pub(crate) leave_told: Event,
 }
 
 impl EntryState {
@@ -167,6 +173,9 @@
             run_done: Event::new(),
             books: BookWriter::default(),
             claims: ClaimWriter::default(),
+            rounds: BudgetRounds::default(),
+            witnesses: WitnessBoard::default(),
+            store_away: Mutex::default(),
             operator: OperatorDesk::default(),
             retries: RetryBudget::new(RetryPolicy::default()),
             limits: BranchLimits::new(),
@@ -175,7 +184,9 @@
             known_sidecars: Mutex::default(),
             link: OnceLock::new(),
             in_flight: AtomicU32::new(0),
+            abandoned: Mutex::default(),
             leaving: AtomicBool::new(false),
+            leave_told: Event::new(),
             config: ConfigHolder::default(),
             started: ClockTime::now(),
             incarnation,
@@ -195,21 +206,6 @@
         assert!(taken.is_ok(), "the link is started once");
     }
 
-    /// Brings what the configuration says of budgets to the ledger.
-    pub(crate) fn apply_configuration(&self) {
-        let Some(config) = self.config.current() else {
-            return;
-        };
-        self.metrics.set_config_version(config.version());
-        for (branch, entry) in config.branches() {
-            let held = entry
-                .held_back
-                .iter()
-                .map(|held| HeldBack { class: held.class.clone(), tokens: held.tokens });
-            self.ledger.hold_back(branch, held.collect());
-        }
-    }
-
     /// Since when no other process can have taken this home's requests, as far as is known: never,
     /// since another region's or a cut-off entry might.
     pub(crate) fn sole_since(&self) -> Option<ClockTime> {
@@ -234,6 +230,30 @@
         self.waiters.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Requests whose entries went to another home, and when they said so.
+    pub(crate) fn abandoned(&self) -> MutexGuard<'_, HashMap<RequestId, ClockTime>> {
+        self.abandoned.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes whether the store answered.
+    pub(crate) fn note_store(&self, reached: bool, now: ClockTime) {
+        let mut away = self.store_away.lock().unwrap_or_else(PoisonError::into_inner);
+        *away = if reached { None } else { Some(away.unwrap_or(now)) };
+    }
+
+    /// For how long the store has not answered; zero while it does.
+    pub(crate) fn store_away_for(&self, now: ClockTime) -> Duration {
+        let away = *self.store_away.lock().unwrap_or_else(PoisonError::into_inner);
+        away.map_or(Duration::ZERO, |since| now.since(since).max(Duration::from_millis(1)))
+    }
+
+    /// Takes nothing new from now on, and tells everybody.
+    pub(crate) fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+        self.members.update_own(|own| own.leaving = true);
+        self.leave_told.notify(usize::MAX);
+    }
+
     /// True from the moment it was told to stop.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
@@ -261,6 +281,10 @@
         if self.config.current().is_none() {
             return Some("no configuration yet");
         }
+        // Before it has heard of the others it would take itself for every branch's home.
+        if !self.members.is_settled() {
+            return Some("the fleet's members aren't known yet");
+        }
         None
     }
 
--- a/crates/sagespool-messages/src/lib.rs
+++ b/crates/sagespool-messages/src/lib.rs
@@ -27,7 +27,7 @@
     SpendStatus, StatusQuery, StatusReply,
 };
 pub use reserve::{
-    FinishReport, FinishState, RecallReply, RecallRequest, RefusalNotice, ReserveReply,
-    ReserveRequest, ReservedCharge,
+    AbandonNotice, FinishReport, FinishState, RecallReply, RecallRequest, RefusalNotice,
+    ReserveReply, ReserveRequest, ReservedCharge,
 };
 pub use wire::{PeerReply, PeerRequest};
--- a/crates/sagespool-routing/src/service.rs
+++ b/crates/sagespool-routing/src/service.rs
@@ -11,6 +11,7 @@
 use crate::affinity::{CacheEvent, CacheEventKind, PrefixMemory, PrefixRing};
 use crate::lag::LagEstimate;
 use crate::load::LoadOutlook;
+use crate::share::EntryShare;
 use crate::speed::{ServiceSpeed, WholeAnswer};
 use crate::totals::ServiceTotals;
 use crate::upstream::UpstreamState;
@@ -20,6 +21,8 @@
 const FADING_RUNS: f64 = 2.0;
 /// How far other entries are taken to follow the same old reports.
 const HERDING: f64 = 0.5;
+/// How far own requests alone are taken to tell an upstream's load.
+const OWN_WEIGHT: f64 = 0.5;
 /// Entries may have so many times the upstreams' capacity running: a choice that was a
 /// little wrong then costs no idle place.
 const OVERCOMMIT: f64 = 1.1;
@@ -45,13 +48,16 @@
     pub(crate) speed: ServiceSpeed,
     /// Places of the upstreams that take new work, by model; computed when asked for.
     pub(crate) usable: HashMap<Option<ModelName>, Arc<Vec<usize>>>,
-    /// Ejected upstreams, looked at in turn for one that is due to be probed.
-    pub(crate) ejected: Vec<IncarnationId>,
+    /// Ejected and slow upstreams, looked at in turn for one that is due to be probed.
+    pub(crate) suspects: Vec<IncarnationId>,
+    /// Choices since a slow upstream was probed.
+    pub(crate) unprobed: u32,
     pub(crate) turn: usize,
     pub(crate) random: Rng,
     pub(crate) next_attempt: u64,
     running: HashMap<u64, RunningAttempt>,
     lag: LagEstimate,
+    share: EntryShare,
     totals: ServiceTotals,
 }
 
@@ -64,12 +70,14 @@
             prefixes: PrefixMemory::new(policy.prefixes),
             speed: ServiceSpeed::default(),
             usable: HashMap::new(),
-            ejected: Vec::new(),
+            suspects: Vec::new(),
+            unprobed: 0,
             turn: 0,
             random: Rng::with_seed(seed),
             next_attempt: 0,
             running: HashMap::new(),
             lag: LagEstimate::default(),
+            share: EntryShare::default(),
             totals: ServiceTotals::default(),
             policy,
         }
@@ -90,7 +98,7 @@
         if upstream.observe(member, served, own_centre) {
             self.usable.clear();
         }
-        upstream.observe_load(served, &mut self.lag, now);
+        upstream.observe_load(served, &mut self.lag, &mut self.share, now);
     }
 
     fn insert(&mut self, member: &MemberInfo, served: &ServedUpstream) -> usize {
@@ -106,7 +114,7 @@
         let Some(place) = self.places.remove(&id) else { return };
         let gone = self.upstreams.swap_remove(place);
         self.ring.remove(&gone.name, id);
-        self.ejected.retain(|ejected| *ejected != id);
+        self.suspects.retain(|suspect| *suspect != id);
         if let Some(moved) = self.upstreams.get(place) {
             self.places.insert(moved.id, place);
         }
@@ -131,20 +139,26 @@
 
     pub(crate) fn first_token(&mut self, choice: &RouteChoice, latency: Duration, now: ClockTime) {
         let Some(attempt) = self.running.get_mut(&choice.attempt) else { return };
-        let Some(place) = self.places.get(&attempt.sidecar) else { return };
-        let upstream = &mut self.upstreams[*place];
+        let Some(place) = self.places.get(&attempt.sidecar).copied() else { return };
+        let upstream = &mut self.upstreams[place];
         if !upstream.settle_pending(choice.attempt) {
             return;
         }
         attempt.first_token = Some(latency);
+        upstream.last_token = now;
         if attempt.is_unqueued {
             let is_cached = attempt.is_cached;
             upstream.speed.first_token(&mut self.speed, latency, is_cached, &self.policy, now);
+            self.suspect(place, now);
         }
     }
 
     pub(crate) fn ended(&mut self, choice: &RouteChoice, result: &AttemptResult, now: ClockTime) {
-        if let Some(latency) = result.first_token {
+        let whole = (result.outcome == AttemptOutcome::Whole).then_some(now);
+        let started = self.running.get(&choice.attempt).map(|attempt| attempt.started);
+        // An answer in one piece: its end was its first token.
+        let in_one = whole.zip(started).map(|(now, started)| now.since(started));
+        if let Some(latency) = result.first_token.or(in_one) {
             self.first_token(choice, latency, now);
         }
         let Some(attempt) = self.running.remove(&choice.attempt) else { return };
@@ -173,25 +187,27 @@
         now: ClockTime,
     ) {
         let upstream = &mut self.upstreams[place];
-        if upstream.ejection.is_ejected() {
-            let id = upstream.id;
-            self.ejected.retain(|ejected| *ejected != id);
-        }
         upstream.ejection.succeeded();
         upstream.failures.add(0.0, self.policy.half_life, now);
         let took = now.since(attempt.started);
         let first_token = attempt.first_token;
         let answer = WholeAnswer { took, first_token, tokens: result.tokens.0 };
         upstream.speed.whole(&mut self.speed, &answer, &self.policy, now);
+        self.suspect(place, now);
     }
 
     fn failed(&mut self, place: usize, now: ClockTime) {
         let upstream = &mut self.upstreams[place];
-        let was_ejected = upstream.ejection.is_ejected();
         upstream.ejection.failed(&self.policy, self.random.f64(), now);
         upstream.failures.add(1.0, self.policy.half_life, now);
-        if upstream.ejection.is_ejected() && !was_ejected {
-            self.ejected.push(upstream.id);
+        self.suspect(place, now);
+    }
+
+    fn suspect(&mut self, place: usize, now: ClockTime) {
+        let upstream = &self.upstreams[place];
+        let is_suspect = upstream.ejection.is_ejected() || upstream.is_slow(&self.policy, now);
+        if is_suspect && !self.suspects.contains(&upstream.id) {
+            self.suspects.push(upstream.id);
         }
     }
 
@@ -213,7 +229,7 @@
         }
     }
 
-    /// The entry's own share of the capacity, or what it has plus its share of what is free,
+    /// An equal share of the capacity, or what this entry has plus its part of what is free,
     /// whichever is more: an entry that gets more callers than the others may use what they
     /// leave, and goes back to its share as they need theirs.
     pub(crate) fn room(&mut self, entries: u32, now: ClockTime) -> ServiceRoom {
@@ -221,8 +237,9 @@
         let own = self.running.len() as f64;
         let capacity = self.totals.capacity * OVERCOMMIT;
         let free = capacity - self.totals.others - own;
-        let entries = f64::from(entries.max(1));
-        let limit = (capacity / entries).max(own + free / entries).ceil();
+        let share = capacity / f64::from(entries.max(1));
+        let part = self.share.own_part(entries);
+        let limit = share.max(own + free * part).ceil();
         let run_time = Duration::from_secs_f64(self.speed.run_time(&self.policy, now));
         ServiceRoom { limit: limit.max(1.0) as u32, run_time }
     }
@@ -237,10 +254,11 @@
         let run_time = self.speed.run_time(&self.policy, now);
         LoadOutlook {
             lag: self.lag.lag(self.policy.report_lag),
-            others: f64::from(entries.max(1) - 1),
+            others: 1.0 / self.share.own_part(entries) - 1.0,
             others_mean: self.totals.others / self.totals.capacity.max(1.0),
             fading: Duration::from_secs_f64(run_time * FADING_RUNS),
             herding: HERDING,
+            own_weight: if entries > 1 { OWN_WEIGHT } else { 0.0 },
         }
     }
 
--- a/crates/sagespool-sidecar/src/role/reports.rs
+++ b/crates/sagespool-sidecar/src/role/reports.rs
@@ -1,10 +1,12 @@
 //! Reporting charges to the holders of their grants.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
-use sagespool_messages::{ChargeReport, PeerReply, PeerRequest};
-use sagespool_types::{ClockTime, IncarnationId};
+use sagespool_ledger::{BookRecord, book_key, book_of};
+use sagespool_messages::{ChargeReport, ChargesDurable, PeerReply, PeerRequest};
+use sagespool_types::{BookNumber, ClockTime, IncarnationId};
 use smol::Timer;
 
 use super::state::SidecarState;
@@ -24,7 +26,7 @@
         Timer::after(REPORT_PERIOD).await;
         for (to, report) in state.dispatcher.charges().due(ClockTime::now()) {
             let state = Arc::clone(&state);
-            smol::spawn(async move { send(&state, to, report).await }).detach();
+            smol::spawn(async move { send(&state, to, report, Holder::MayAnswer).await }).detach();
         }
     }
 }
@@ -35,7 +37,7 @@
         let reports = state.dispatcher.charges().flush(ClockTime::now());
         let sends = reports.into_iter().map(|(to, report)| {
             let state = Arc::clone(state);
-            smol::spawn(async move { send(&state, to, report).await })
+            smol::spawn(async move { send(&state, to, report, Holder::LastChance).await })
         });
         for send in sends.collect::<Vec<_>>() {
             send.await;
@@ -46,12 +48,49 @@
     }
 }
 
+/// Whether a holder that doesn't answer is asked again later.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Holder {
+    /// It is.
+    MayAnswer,
+    /// This process stops, so the books have to say it now.
+    LastChance,
+}
+
 /// One report. Whatever goes wrong, its charges fall due again.
-async fn send(state: &SidecarState, to: IncarnationId, report: ChargeReport) {
-    let Some(holder) = state.members.find(to) else { return };
-    let request = PeerRequest::ReportCharges(report);
-    let answer = state.link().ask(holder.address, &request, REPORT_LIMIT).await;
-    if let Ok(PeerReply::ChargesDurable(durable)) = answer {
-        state.dispatcher.charges().durable(&durable, ClockTime::now());
+async fn send(state: &SidecarState, to: IncarnationId, report: ChargeReport, holder: Holder) {
+    let gone = state.members.is_gone(to, ClockTime::now());
+    let answer = match state.members.find(to) {
+        Some(member) => {
+            let request = PeerRequest::ReportCharges(report.clone());
+            state.link().ask(member.address, &request, REPORT_LIMIT).await.ok()
+        }
+        None => None,
+    };
+    match answer {
+        Some(PeerReply::ChargesDurable(durable)) => {
+            state.dispatcher.charges().durable(&durable, ClockTime::now());
+        }
+        _ if gone || holder == Holder::LastChance => look_up(state, &report).await,
+        _ => {}
+    }
+}
+
+/// Looks in the books themselves for what has become of charges whose holder can't be asked: one
+/// that stopped gracefully has settled them and is gone. A grant that a charge ran under existed
+/// then, so that a book read now without it shows that the grant was closed, with every charge of
+/// it settled.
+async fn look_up(state: &SidecarState, report: &ChargeReport) {
+    let books: BTreeSet<BookNumber> =
+        report.charges.iter().map(|record| book_of(&record.branch)).collect();
+    for book in books {
+        let Ok(stored) = state.objects.get::<BookRecord>(&book_key(book)).await else {
+            return;
+        };
+        let record = stored.map(|stored| stored.value).unwrap_or_default();
+        let own = report.charges.iter().filter(|charge| book_of(&charge.branch) == book);
+        let settled = own.filter(|charge| record.is_settled(&charge.branch, &charge.charge));
+        let charges = settled.map(|charge| charge.charge).collect();
+        state.dispatcher.charges().durable(&ChargesDurable { charges }, ClockTime::now());
     }
 }
--- a/crates/sagespool-testkit/src/lib.rs
+++ b/crates/sagespool-testkit/src/lib.rs
@@ -27,6 +27,7 @@
 pub use loopback_server::StartError;
 pub use object_api::{AppliedWrite, ObjectStand, ObjectStandOptions, StoreCounts, StoreFaults};
 pub use plain_service::{FailureShares, ServiceLoad, ServiceOptions, ServiceStand, service_answer};
+pub use processes::{ChildProcess, ProcessError, ProcessUsage, free_tcp_port, free_udp_port};
 pub use proxy::{FaultProxy, PairBytes};
 pub use stand_server::StandError;
 pub use weight_store::{WeightLoad, WeightOptions, WeightStand};
--- a/crates/sagespool-testkit/src/load/faults/process.rs
+++ b/crates/sagespool-testkit/src/load/faults/process.rs
@@ -21,7 +21,7 @@
 
 /// Ends a member's process at once.
 pub(super) fn kill(fleet: &mut RunningFleet, place: usize) {
-    let Some(mut process) = fleet.members[place].process.take() else {
+    let Some(process) = fleet.members[place].process.take() else {
         return;
     };
     // One that has ended by itself is as dead.
