--- a/crates/sagespool-entry/src/operator/spend.rs
+++ b/crates/sagespool-entry/src/operator/spend.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use sagespool_ledger::{BookRecord, BranchAccount, book_key, book_of};
+use sagespool_ledger::{BookRecord, book_key, book_of};
 use sagespool_messages::{MemberRole, StatusQuery};
 use sagespool_operations::{
     AnswerBody, BookFigures, DoubtedGrant, HolderWords, SpendAnswer, SpendEstimate, SpendRow,
@@ -124,8 +124,7 @@
     let Some(book) = book else {
         return row_without_book(branch, &after);
     };
-    let account = book.value.branches.get(branch).cloned().unwrap_or_default();
-    let estimate = SpendEstimate::combine(&account, &before, &after);
+    let estimate = SpendEstimate::combine(&book.value, branch, &before, &after);
     SpendRow {
         branch: branch.clone(),
         book: Some(BookFigures {
@@ -138,7 +137,7 @@
         }),
         running: estimate.reserved,
         spent: estimate.spent,
-        in_doubt_grants: doubted_grants(&account),
+        in_doubt_grants: doubted_grants(&book.value, branch),
     }
 }
 
@@ -152,7 +151,12 @@
     }
 }
 
-fn doubted_grants(account: &BranchAccount) -> Vec<DoubtedGrant> {
-    let doubted = account.grants.iter().filter(|(_, record)| record.in_doubt);
-    doubted.map(|(grant, record)| DoubtedGrant { grant: *grant, tokens: record.rest() }).collect()
+fn doubted_grants(book: &BookRecord, branch: &BranchName) -> Vec<DoubtedGrant> {
+    let grants = book.branches.get(branch).into_iter().flat_map(|account| &account.grants);
+    let doubted = grants.filter(|(_, record)| record.is_unaccounted());
+    let doubted = doubted.map(|(grant, record)| DoubtedGrant {
+        grant: *grant,
+        tokens: record.rest().less(record.known_use()),
+    });
+    doubted.collect()
 }
--- a/crates/sagespool-operations/src/spend.rs
+++ b/crates/sagespool-operations/src/spend.rs
@@ -20,7 +20,7 @@
 
 use std::collections::HashMap;
 
-use sagespool_ledger::{BranchAccount, GrantRecord, SpendBounds};
+use sagespool_ledger::{BookRecord, GrantRecord, SpendBounds};
 use sagespool_messages::{GrantUse, StatusReply};
 use sagespool_types::{BranchName, GrantId, IncarnationId, TokenCount, derives};
 
@@ -98,20 +98,28 @@
 
 impl SpendEstimate {
     /// Combines a read of the book with what the holders said before and after it.
-    pub fn combine(account: &BranchAccount, before: &HolderWords, after: &HolderWords) -> Self {
-        let mut least = account.settled;
-        let mut most = account.settled;
+    pub fn combine(
+        book: &BookRecord,
+        branch: &BranchName,
+        before: &HolderWords,
+        after: &HolderWords,
+    ) -> Self {
+        let bounds = book.spend(branch).unwrap_or_default();
+        let Some(account) = book.branches.get(branch) else {
+            let none = TokenRange::exactly(TokenCount::ZERO);
+            return Self { book: bounds, spent: none, reserved: none };
+        };
+        let (mut least, mut most) = (account.settled, account.settled);
         let mut held = TokenRange::exactly(TokenCount::ZERO);
         for (grant, record) in &account.grants {
-            let is_told = record.sealed_by.is_none() && !record.in_doubt;
-            let before = before.word(grant).filter(|_| is_told);
-            least += record.settled.max(before.map_or(TokenCount::ZERO, |word| word.used));
+            let is_told = !record.is_unaccounted();
+            least += at_least(record, before.word(grant).filter(|_| is_told));
             let after_word = after.word(grant).filter(|_| is_told);
             most += at_most(record, after_word);
             held = add_held(held, record, after_word, is_told && after.answered(grant.holder));
         }
         let spent = TokenRange { least, most: Some(most) };
-        Self { book: book_bounds(account), spent, reserved: held }
+        Self { book: bounds, spent, reserved: held }
     }
 
     /// What is known while the book can't be read: the spend is at least what the holders that answer
@@ -121,6 +129,13 @@
     }
 }
 
+fn at_least(record: &GrantRecord, word: Option<&GrantUse>) -> TokenCount {
+    if record.is_unaccounted() {
+        return record.settled + record.known_use();
+    }
+    record.settled.max(word.map_or(TokenCount::ZERO, |word| word.used))
+}
+
 fn at_most(record: &GrantRecord, word: Option<&GrantUse>) -> TokenCount {
     let Some(word) = word else { return record.amount };
     (word.used + word.reserved).max(record.settled).min(record.amount)
@@ -140,18 +155,3 @@
     };
     TokenRange { least: held.least + least, most: held.most.map(|sum| sum + most) }
 }
-
-/// The figures of the book, each exact at its version.
-fn book_bounds(account: &BranchAccount) -> SpendBounds {
-    let mut bounds = SpendBounds {
-        prepaid: account.prepaid,
-        settled: account.settled_in_all(),
-        free: account.free(),
-        ..SpendBounds::default()
-    };
-    for grant in account.grants.values() {
-        let sum = if grant.in_doubt { &mut bounds.in_doubt } else { &mut bounds.granted };
-        *sum += grant.rest();
-    }
-    bounds
-}
--- a/crates/sagespool-operations/tests/spend_bounds.rs
+++ b/crates/sagespool-operations/tests/spend_bounds.rs
@@ -69,7 +69,7 @@
     HolderWords::of(&branch(), replies)
 }
 
-fn account(prepaid: u64, settled: u64, grants: &[(u64, u64, u64, u64)]) -> BranchAccount {
+fn book(prepaid: u64, settled: u64, grants: &[(u64, u64, u64, u64)]) -> BookRecord {
     let grants = grants.iter().map(|(holder, number, amount, settled)| {
         let id = GrantId { holder: IncarnationId(*holder), number: *number };
         let record = serde_json::from_value(serde_json::json!({
@@ -77,12 +77,17 @@
         }));
         (id, record.unwrap())
     });
-    BranchAccount {
+    let account = BranchAccount {
         prepaid: TokenCount(prepaid),
         settled: TokenCount(settled),
         grants: grants.collect(),
         ..BranchAccount::default()
-    }
+    };
+    BookRecord { branches: [(branch(), account)].into() }
+}
+
+fn combine(book: &BookRecord, before: &HolderWords, after: &HolderWords) -> SpendEstimate {
+    SpendEstimate::combine(book, &branch(), before, after)
 }
 
 fn range(least: u64, most: u64) -> TokenRange {
@@ -96,7 +101,7 @@
 fn settled_meanwhile() {
     let before = words(&[word(1, &[(0, 30, 0)])]);
     let after = words(&[word(1, &[(0, 30, 0)])]);
-    let estimate = SpendEstimate::combine(&account(100, 0, &[(1, 0, 50, 30)]), &before, &after);
+    let estimate = combine(&book(100, 0, &[(1, 0, 50, 30)]), &before, &after);
     assert_eq!(estimate.spent, range(30, 30));
     assert_eq!(estimate.book.settled, TokenCount(30));
 }
@@ -106,20 +111,20 @@
 #[test]
 fn closed_meanwhile() {
     let before = words(&[word(1, &[(0, 30, 10)])]);
-    let closed = account(100, 38, &[(1, 1, 20, 0)]);
-    let estimate = SpendEstimate::combine(&closed, &before, &HolderWords::default());
+    let closed = book(100, 38, &[(1, 1, 20, 0)]);
+    let estimate = combine(&closed, &before, &HolderWords::default());
     assert_eq!(estimate.spent, range(38, 58));
     assert_eq!(estimate.reserved, range(0, 20));
 }
 
 #[test]
 fn silent_holder() {
-    let book = account(200, 10, &[(1, 0, 50, 5), (2, 0, 40, 8)]);
+    let book = book(200, 10, &[(1, 0, 50, 5), (2, 0, 40, 8)]);
     let heard = words(&[word(1, &[(0, 7, 3)])]);
-    let estimate = SpendEstimate::combine(&book, &heard, &heard);
+    let estimate = combine(&book, &heard, &heard);
     assert_eq!(estimate.spent, range(10 + 7 + 8, 10 + 10 + 40));
     assert_eq!(estimate.reserved, range(3, 3 + 32));
-    let silent = SpendEstimate::combine(&book, &HolderWords::default(), &HolderWords::default());
+    let silent = combine(&book, &HolderWords::default(), &HolderWords::default());
     assert_eq!(silent.spent, range(23, 100));
     assert_eq!(silent.book.free, TokenCount(100));
 }
@@ -128,14 +133,12 @@
 /// meanwhile: its word doesn't narrow the bounds.
 #[test]
 fn sealed_grant() {
-    let mut book = account(100, 0, &[(1, 0, 50, 20)]);
+    let mut book = book(100, 0, &[(1, 0, 50, 20)]);
     let heard = words(&[word(1, &[(0, 25, 5)])]);
     let grant = GrantId { holder: IncarnationId(1), number: 0 };
-    book.grants.get_mut(&grant).unwrap().sealed_by = Some(IncarnationId(9));
-    let estimate = SpendEstimate::combine(&book, &heard, &heard);
-    assert_eq!(estimate.spent, range(20, 50));
-    book.grants.get_mut(&grant).unwrap().in_doubt = true;
-    let estimate = SpendEstimate::combine(&book, &heard, &heard);
+    let record = book.branches.get_mut(&branch()).unwrap().grants.get_mut(&grant).unwrap();
+    record.sealed_by = Some(IncarnationId(9));
+    let estimate = combine(&book, &heard, &heard);
     assert_eq!(estimate.spent, range(20, 50));
     assert_eq!(estimate.book.in_doubt, TokenCount(30));
     assert_eq!(estimate.book.granted, TokenCount(0));
@@ -148,7 +151,7 @@
     let mut stranger = word(1, &[(0, 40, 0)]);
     stranger.from = IncarnationId(2);
     let heard = words(&[stranger]);
-    let estimate = SpendEstimate::combine(&account(100, 0, &[(1, 0, 50, 5)]), &heard, &heard);
+    let estimate = combine(&book(100, 0, &[(1, 0, 50, 5)]), &heard, &heard);
     assert_eq!(estimate.spent, range(5, 50));
     assert_eq!(estimate.reserved, range(0, 45));
 }
@@ -364,19 +367,18 @@
         };
         before.extend(asked(|asked| asked.before));
         if at == run.read {
-            let account = fleet.book.branches[&branch()].clone();
-            read = Some((account, fleet.spent));
+            read = Some((fleet.book.clone(), fleet.spent));
         }
         after.extend(asked(|asked| asked.after));
         if let Some(step) = run.steps.get(at) {
             fleet.take(step);
         }
     }
-    let (account, spent) = read.unwrap();
-    let estimate = SpendEstimate::combine(&account, &words(&before), &words(&after));
+    let (book, spent) = read.unwrap();
+    let estimate = combine(&book, &words(&before), &words(&after));
     let (least, most) = (estimate.spent.least.0, estimate.spent.most.unwrap().0);
     let settled = estimate.book.settled.0;
-    settled <= least && least <= spent && spent <= most && most <= account.prepaid.0
+    settled <= least && least <= spent && spent <= most && most <= estimate.book.prepaid.0
 }
 
 #[test]
