--- a/crates/sagespool-daemon/src/process.rs
+++ b/crates/sagespool-daemon/src/process.rs
@@ -62,7 +62,7 @@
         },
         async {
             told_to_leave(&role).await;
-            "instance-list"
+            "told-to-leave"
         },
     )
     .await;
@@ -84,7 +84,7 @@
     }
 }
 
-/// Resolves when the platform takes the instance away.
+/// Resolves when the platform takes the instance away, or an operator stops the process.
 async fn told_to_leave(role: &RunningRole) {
     match role {
         RunningRole::Entry(entry) => entry.told_to_leave().await,
