Count a pause of the process as one tick while it connects

A process that doesn't run for a second finds its timer expired before it reads the answer, and takes a peer that is well for gone.

Change: the limits of connecting and probing are counted in ticks of 100 ms; a stretch in which the process didn't run counts as one, however long it was.

--- a/crates/sagespool-link/src/shared.rs
+++ b/crates/sagespool-link/src/shared.rs
@@ -12,7 +12,7 @@
 use crate::counters::TrafficMeter;
 use crate::peers::{PeerAccess, PeerTable, PreparationWork, PreparedConnection};
 use crate::server::{PeerHandler, serve_connection};
-use crate::time::within;
+use crate::time::within_ticks;
 use crate::{LinkError, LinkIdentity};
 
 /// The name that a client gives a server in the handshake. Nobody looks at it.
@@ -110,14 +110,14 @@
 }
 
 async fn answers(connection: &Arc<PeerConnection>) -> bool {
-    matches!(within(PROBE_LIMIT, connection.probe()).await, Some(Ok(())))
+    matches!(within_ticks(PROBE_LIMIT, connection.probe()).await, Some(Ok(())))
 }
 
 async fn connect(shared: &Arc<LinkShared>, peer: SocketAddr) -> PreparedConnection {
     if shared.is_closing() {
         return Err(unreachable(peer, "this process's link is closing"));
     }
-    let attempt = within(CONNECT_LIMIT, handshake(shared, peer)).await;
+    let attempt = within_ticks(CONNECT_LIMIT, handshake(shared, peer)).await;
     attempt.unwrap_or_else(|| Err(unreachable(peer, "no answer to a handshake")))
 }
 
