--- a/crates/sagespool-daemon/tests/operators.rs
+++ b/crates/sagespool-daemon/tests/operators.rs
@@ -110,6 +110,10 @@
         let most_used = desk.fleet.witness.used_at(&row.branch, after).most;
         let (least, most) = (row.spent.least, row.spent.most);
         assert!(least <= most_used, "{row:?} but at most {most_used} were used");
+        if let Some(book) = &row.book {
+            let parts = book.settled + book.granted + book.in_doubt + book.free;
+            assert_eq!(book.prepaid, parts, "{row:?}");
+        }
         let is_covered = most.is_none_or(|most| most >= least_used);
         assert!(is_covered, "{row:?} but at least {least_used} were used");
     }
--- a/crates/sagespool-entry/src/operator.rs
+++ b/crates/sagespool-entry/src/operator.rs
@@ -14,6 +14,7 @@
 mod fleet;
 mod history;
 mod leave;
+mod load_turn;
 mod order_send;
 mod order_target;
 mod orders;
--- a/crates/sagespool-entry/src/operator/orders.rs
+++ b/crates/sagespool-entry/src/operator/orders.rs
@@ -6,6 +6,7 @@
 };
 use sagespool_types::{FenceNumber, UpstreamName};
 
+use super::load_turn::{give_turn_back, take_turn};
 use super::order_send::send;
 use super::order_target::{OrderTarget, find_target, unfit_order};
 use super::run::{CommandRun, ItemEnd};
@@ -28,14 +29,34 @@
     if let Some(refusal) = unfit_order(&run.state, &target, order) {
         return ItemEnd::Ended(refusal);
     }
+    let is_load = matches!(order, EngineOrder::LoadModel(_) | EngineOrder::LoadAdapter { .. });
+    if !is_load {
+        return give(run, next, &target, order).await;
+    }
+    let holder = holder_of(run, next, 0);
+    if let Err(end) = take_turn(run, holder).await {
+        return end;
+    }
+    let end = give(run, next, &target, order).await;
+    give_turn_back(run, holder).await;
+    end
+}
+
+/// Gives an order, and again with a new number while only orders about other things overtake it.
+async fn give(
+    run: &CommandRun,
+    next: &NextItem,
+    target: &OrderTarget,
+    order: &EngineOrder,
+) -> ItemEnd {
     for renewal in 0..=MOST_RENEWALS {
         let fence = match take_fence(run, next, renewal, &target.upstream, order).await {
             Ok(fence) => fence,
             Err(end) => return end,
         };
         let request = OrderRequest { command: run.record.command, fence, order: order.clone() };
-        let outcome = send(&run.state, &target, request).await;
-        if outcome.state != OutcomeState::Conflict || !stands(run, &target, order, fence).await {
+        let outcome = send(&run.state, target, request).await;
+        if outcome.state != OutcomeState::Conflict || !stands(run, target, order, fence).await {
             return ItemEnd::Ended(ItemOutcome { fence: Some(fence), ..outcome });
         }
     }
@@ -43,6 +64,11 @@
     ItemEnd::Ended(ItemOutcome::new(OutcomeState::Failed, message))
 }
 
+fn holder_of(run: &CommandRun, next: &NextItem, renewal: u32) -> FenceHolder {
+    let CommandRecord { command, executor, .. } = run.record;
+    FenceHolder { command, item: next.index, turn: executor.turn, renewal }
+}
+
 /// Whether an order that the sidecar refused, since it has seen a higher number, still is the newest about
 /// its thing. Then nothing stands against giving it again, with a number of its own.
 async fn stands(
@@ -65,8 +91,7 @@
     upstream: &UpstreamName,
     order: &EngineOrder,
 ) -> Result<FenceNumber, ItemEnd> {
-    let CommandRecord { command, executor, .. } = run.record;
-    let holder = FenceHolder { command, item: next.index, turn: executor.turn, renewal };
+    let holder = holder_of(run, next, renewal);
     let decide = |moment: ChangeMoment<'_, FenceRecord>| {
         // Carried out by an earlier executor and answered by another operator's order since, it would
         // undo that.
--- a/crates/sagespool-entry/src/operator/run.rs
+++ b/crates/sagespool-entry/src/operator/run.rs
@@ -2,7 +2,7 @@
 //!
 //! The record's turn says who may. Whoever takes a command up raises it by a conditional update, and an
 //! executor that was only paused finds that before it changes anything more in the store: see
-//! [`CommandRun::is_mine`] and [`super::store::change`].
+//! [`CommandRun::state_in_store`] and [`super::store::change`].
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -39,6 +39,17 @@
     Relieved,
 }
 
+/// Whose a command is, by its record in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RunState {
+    /// This executor's.
+    Mine,
+    /// This executor's, and somebody wants it cancelled.
+    Cancelled,
+    /// Another has taken it up, or it is forgotten.
+    Others,
+}
+
 /// Whether the record is as this executor wants it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum SaveEnd {
@@ -117,13 +128,18 @@
         self.save(CommandRecord::refuse_forgotten).await
     }
 
-    /// Whether this executor still is the one that may carry the command out.
+    /// Whether this executor still is the one that may carry the command out, and is to.
     ///
     /// # Errors
     /// If the record can't be read.
-    pub async fn is_mine(&self) -> Result<bool, StoreError> {
+    pub async fn state_in_store(&self) -> Result<RunState, StoreError> {
         let stored = record::read(&self.state, self.record.command).await?;
-        Ok(stored.is_some_and(|stored| stored.value.executor == self.record.executor))
+        let own = stored.filter(|stored| stored.value.executor == self.record.executor);
+        Ok(match own {
+            None => RunState::Others,
+            Some(stored) if stored.value.cancel.is_some() => RunState::Cancelled,
+            Some(_) => RunState::Mine,
+        })
     }
 
     /// Brings a change into the record in the store; making it twice must be as making it once.
--- a/crates/sagespool-entry/src/operator/spend.rs
+++ b/crates/sagespool-entry/src/operator/spend.rs
@@ -20,8 +20,8 @@
 /// Rows of an answer to which no branch was named.
 const MOST_ROWS: usize = 1000;
 
-const MOMENT_NOTE: &str = "each row is true of the moment at which its book was read; `running` is as \
-                           the holders of grants said just after";
+const MOMENT_NOTE: &str = "each row is true of the moment at which its book was read; `running` of just \
+                           after it";
 
 type BookRead = Result<StoredObject<BookRecord>, StoreError>;
 
--- a/crates/sagespool-entry/src/operator/store.rs
+++ b/crates/sagespool-entry/src/operator/store.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use super::run::CommandRun;
+use super::run::{CommandRun, RunState};
 
 const CHANGE_LIMIT: Duration = Duration::from_secs(8);
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
@@ -102,7 +102,7 @@
         ChangeStep::Write(value, result) => (value, result),
         ChangeStep::Stop(result) => return Ok(ChangeEnd::Stopped(result)),
     };
-    if !run.is_mine().await.map_err(unread)? {
+    if run.state_in_store().await.map_err(unread)? == RunState::Others {
         return Ok(ChangeEnd::Relieved);
     }
     let written = objects.put(key, version, &value).await;
--- a/crates/sagespool-operations/src/lib.rs
+++ b/crates/sagespool-operations/src/lib.rs
@@ -14,6 +14,7 @@
 mod edit;
 mod fence;
 mod line;
+mod load_turn;
 mod query;
 mod render;
 mod spend;
@@ -39,6 +40,7 @@
 };
 pub use fence::{FENCES_PREFIX, FenceHolder, FenceRecord, fence_key};
 pub use line::{LineFault, LineSpan, OperatorLine, VerbHelp, nearest_of, parse_line, verb_help};
+pub use load_turn::{LOAD_TURN_KEY, LoadTurn};
 pub use query::{ConfigPlace, OperatorQuery};
 pub use render::render_answer;
 pub use spend::{HolderWords, SpendEstimate, TokenRange};
--- a/crates/sagespool-operations/tests/command_records.rs
+++ b/crates/sagespool-operations/tests/command_records.rs
@@ -5,7 +5,8 @@
 use sagespool_messages::EngineOrder;
 use sagespool_operations::{
     CancelNote, CancelOutcome, CommandFloor, CommandRecord, CommandState, FenceHolder, FenceRecord,
-    ItemOutcome, OperatorLine, OutcomeState, id_time, new_command_id, parse_line, plan_pruning,
+    ItemOutcome, LoadTurn, OperatorLine, OutcomeState, id_time, new_command_id, parse_line,
+    plan_pruning,
 };
 use sagespool_types::{
     CommandId, ConfigVersion, FenceNumber, IncarnationId, StoreRevision, WallTime,
@@ -174,3 +175,20 @@
     let fourth = FenceRecord::next(Some(&third), holder(4, 0), &unload).unwrap();
     assert!(!fourth.is_newest(&load, second.number));
 }
+
+/// Two operators load models at once through different entries: one after the other. An entry that dies
+/// with the turn doesn't stop all loads for good.
+#[test]
+fn load_turns() {
+    let holder =
+        |command, turn| FenceHolder { command: CommandId(command), item: 0, turn, renewal: 0 };
+    let mut turn = LoadTurn::default();
+    assert!(turn.take(holder(1, 0), WallTime(1000)));
+    assert!(turn.take(holder(1, 1), WallTime(1000)), "taken up anew, it is still the item's");
+    assert!(!turn.take(holder(2, 0), WallTime(60_000)));
+    assert!(!turn.release(holder(2, 0)) && !turn.release(holder(1, 0)));
+    assert!(turn.take(holder(2, 0), WallTime(121_000)));
+    assert!(!turn.release(holder(1, 1)), "passed over, it doesn't end the other's turn");
+    assert!(turn.release(holder(2, 0)));
+    assert!(turn.take(holder(3, 0), WallTime(121_001)));
+}
