--- a/crates/sagespool-membership/tests/stale_incarnation.rs
+++ b/crates/sagespool-membership/tests/stale_incarnation.rs
@@ -81,28 +81,32 @@
 }
 
 /// An instance's clock was set back and the store is away, so neither tells that
-/// the restarted entry is the newer run. Its dead predecessor looks newer to all,
-/// and the entry would never be home of anything: it has to outnumber the rumour.
+/// the restarted entry is the newer run; nor does its address, which is another.
+/// Its dead predecessor looks newer to all, and the entry would never be home of
+/// anything: it has to outnumber the rumour.
 #[test]
 fn clock_set_back() {
-    let mut fleet = Fleet::start(4, 0, MembershipPolicy::default());
-    let mut old = info(3, 9, MemberRole::Entry);
-    old.started_at = None;
-    fleet.join(old.clone());
-    fleet.run(50);
-    fleet.kill(3);
-    fleet.run(2);
-    let mut new = info(3, 2, MemberRole::Entry);
-    new.started_at = None;
-    fleet.join(new.clone());
-    let known = fleet.run_until(50, |fleet| {
-        fleet.all_but(&[3], |table| {
-            let live = table.live(MemberRole::Entry, fleet.now);
-            live.iter().any(|info| info.incarnation == new.incarnation)
-        })
-    });
-    assert!(known.is_some());
-    assert!(fleet.all_but(&[], |table| table.is_gone(old.incarnation, fleet.now)));
+    for down_ticks in [2, 60] {
+        let mut fleet = Fleet::start(4, 0, MembershipPolicy::default());
+        let mut old = info(3, 9, MemberRole::Entry);
+        old.started_at = None;
+        fleet.join(old.clone());
+        fleet.run(50);
+        fleet.kill(3);
+        fleet.run(down_ticks);
+        let mut new = info(3, 2, MemberRole::Entry);
+        new.started_at = None;
+        new.address = address(9);
+        fleet.join(new.clone());
+        let known = fleet.run_until(50, |fleet| {
+            fleet.all_but(&[9], |table| {
+                let live = table.live(MemberRole::Entry, fleet.now);
+                live.iter().any(|info| info.incarnation == new.incarnation)
+            })
+        });
+        assert!(known.is_some(), "down for {down_ticks} ticks");
+        assert!(fleet.all_but(&[], |table| table.is_gone(old.incarnation, fleet.now)));
+    }
 }
 
 /// A process restarts at its old address within a second, before anyone missed
@@ -121,6 +125,22 @@
     assert!(fleet.is_complete());
 }
 
+/// An instance is taken down, and another gets its address. Whoever calls the
+/// address gets an answer, so no call to the old one ever fails: it would be
+/// routed to for as long as its successor lives.
+#[test]
+fn reused_address() {
+    let table = table();
+    let old = info(5, 1, MemberRole::Sidecar);
+    table.received(&gossip(vec![old.clone()]), NOW);
+    let mut new = info(6, 1, MemberRole::Sidecar);
+    new.address = old.address;
+    let answer = Heartbeat { from: new.clone(), ..gossip(Vec::new()) };
+    table.answered(old.address, &answer, NOW);
+    assert!(table.is_gone(old.incarnation, NOW));
+    assert_eq!(table.live(MemberRole::Sidecar, NOW), [new]);
+}
+
 #[test]
 fn first_numbers() {
     let started = WallTime(1_700_000_000_000);
