--- a/crates/sagespool-entry/src/home/keys.rs
+++ b/crates/sagespool-entry/src/home/keys.rs
@@ -21,6 +21,8 @@
 pub(super) enum KeyStart {
     /// Run it.
     New,
+    /// Run it again: it ran before, or may have, and that answer can't be had.
+    Again,
     /// Attach, or tell the caller what became of it.
     Known(KeyState),
     /// Refuse.
@@ -98,10 +100,14 @@
         return KeyStart::Known(KeyState::Unknown { request: lost });
     }
     state.keys.forget(key, lost);
-    match begin(state, order, key) {
+    let start = match begin(state, order, key) {
         KeyDecision::New => KeyStart::New,
         KeyDecision::Unsure => ask_sidecars(state, order, key).await,
         KeyDecision::Attach(_) => KeyStart::Known(KeyState::Pending),
+    };
+    match start {
+        KeyStart::New => KeyStart::Again,
+        start => start,
     }
 }
 
@@ -184,8 +190,12 @@
     verdict: InquiryVerdict,
 ) -> Option<KeyStart> {
     let now = ClockTime::now();
+    let mut start = KeyStart::New;
     let silent = match verdict {
-        InquiryVerdict::Found(KeyState::Unknown { .. }) if !order.non_idempotent => Vec::new(),
+        InquiryVerdict::Found(KeyState::Unknown { .. }) if !order.non_idempotent => {
+            start = KeyStart::Again;
+            Vec::new()
+        }
         InquiryVerdict::Found(known) => {
             if let KeyState::At { sidecar, request, content } = known {
                 state.keys.learn(key, request, content, sidecar, now);
@@ -200,7 +210,7 @@
         return None;
     }
     match state.keys.restart(key, order.request, order.content, now) {
-        true => Some(KeyStart::New),
+        true => Some(start),
         false => Some(KeyStart::Known(KeyState::Pending)),
     }
 }
--- a/crates/sagespool-entry/src/state.rs
+++ b/crates/sagespool-entry/src/state.rs
@@ -24,6 +24,7 @@
 use sagespool_types::{ClockTime, ConfigVersion, IncarnationId, RequestId, ServiceName, WallTime};
 
 use crate::home::{BookWriter, BudgetRounds, ClaimWriter, WitnessBoard};
+use crate::operator::OperatorDesk;
 use crate::run::QueueWord;
 
 /// The configuration in force; none until the first has come.
@@ -129,6 +130,7 @@
     pub(crate) witnesses: WitnessBoard,
     /// Since when the store doesn't answer, if it doesn't.
     store_away: Mutex<Option<ClockTime>>,
+    pub(crate) operator: OperatorDesk,
     pub(crate) retries: RetryBudget,
     pub(crate) limits: BranchLimits,
     pub(crate) queue: AdmissionQueue,
@@ -174,6 +176,7 @@
             rounds: BudgetRounds::default(),
             witnesses: WitnessBoard::default(),
             store_away: Mutex::default(),
+            operator: OperatorDesk::default(),
             retries: RetryBudget::new(RetryPolicy::default()),
             limits: BranchLimits::new(),
             queue: AdmissionQueue::new(queue_policy(&settings)),
