--- a/crates/sagespool-entry/src/home/claims.rs
+++ b/crates/sagespool-entry/src/home/claims.rs
@@ -108,7 +108,7 @@
     let shards = state.claims.shards();
     let absent_at = shards.get(&claim_shard(key)).and_then(|shard| shard.batch.absent_at(key));
     drop(shards);
-    let earlier = earlier_run(absent_at, state.sole_since());
+    let earlier = earlier_run(absent_at, state.members.sole_since(ClockTime::now()));
     let notice = refuse_claim(verdict, earlier, RETRY_AFTER);
     notice.unwrap_or_else(|| RefusalNotice {
         reason: RefusalReason::ClaimUnreachable,
@@ -150,6 +150,17 @@
     }
 }
 
+/// Whether a letter may have gone out under a key before, as the store knows. Every sidecar that ran
+/// it may have been replaced since, so that nobody else remembers; a refusal of the letter that said
+/// `not-run` all the same would have its caller send it under another key.
+pub(super) async fn may_be_claimed(state: &EntryState, key: KeyDigest) -> bool {
+    match state.objects.get::<ClaimsRecord>(&claim_key(claim_shard(key))).await {
+        Ok(Some(stored)) => stored.value.is_claimed(key),
+        Ok(None) => false,
+        Err(_) => true,
+    }
+}
+
 /// Hands a wish to the shard's writer, and waits for its verdict.
 async fn wish_for(state: &Arc<EntryState>, wish: ClaimWish) -> ClaimVerdict {
     let (asker, answer) = async_channel::bounded(1);
@@ -184,7 +195,7 @@
             }
             match entry.batch.due_at() {
                 Some(due) if due <= now => {
-                    entry.batch.begin();
+                    entry.batch.begin(now);
                     None
                 }
                 Some(due) => Some(due.since(now).min(WRITER_STEP)),
--- a/crates/sagespool-entry/src/home/keys.rs
+++ b/crates/sagespool-entry/src/home/keys.rs
@@ -13,17 +13,30 @@
 use crate::state::EntryState;
 
 const FIND_LIMIT: Duration = Duration::from_secs(1);
+const ASK_AGAIN: Duration = Duration::from_millis(250);
+/// Kept back from a request's time, so that a refusal reaches the caller before its deadline.
+const ANSWER_MARGIN: Duration = Duration::from_millis(50);
 
 /// What is to be done with a keyed request.
 pub(super) enum KeyStart {
     /// Run it.
     New,
+    /// Run it again: it ran before, or may have, and that answer can't be had.
+    Again,
     /// Attach, or tell the caller what became of it.
     Known(KeyState),
     /// Refuse.
     Refused(RefusalNotice),
 }
 
+/// Takes a key for a request, unless it is known. What an earlier home of the branch was told isn't
+/// known here, however long this process has run, so only the time as the branch's home counts.
+fn begin(state: &EntryState, order: &ReserveRequest, key: KeyDigest) -> KeyDecision {
+    let now = ClockTime::now();
+    let since = state.members.home_since(&order.branch, now).unwrap_or(now);
+    state.keys.begin_since(key, order.request, order.content, since, now)
+}
+
 /// Looks a key up. A home younger than the retention of answers can't know what an earlier home
 /// dispatched, so it asks the sidecars, which do.
 pub(super) async fn begin_key(
@@ -31,7 +44,7 @@
     order: &ReserveRequest,
     key: KeyDigest,
 ) -> KeyStart {
-    match state.keys.begin(key, order.request, order.content, ClockTime::now()) {
+    match begin(state, order, key) {
         KeyDecision::New => KeyStart::New,
         KeyDecision::Unsure => ask_sidecars(state, order, key).await,
         KeyDecision::Attach(KeyState::Unknown { request }) => {
@@ -87,10 +100,14 @@
         return KeyStart::Known(KeyState::Unknown { request: lost });
     }
     state.keys.forget(key, lost);
-    match state.keys.begin(key, order.request, order.content, ClockTime::now()) {
+    let start = match begin(state, order, key) {
         KeyDecision::New => KeyStart::New,
         KeyDecision::Unsure => ask_sidecars(state, order, key).await,
         KeyDecision::Attach(_) => KeyStart::Known(KeyState::Pending),
+    };
+    match start {
+        KeyStart::New => KeyStart::Again,
+        start => start,
     }
 }
 
@@ -105,8 +122,26 @@
     }
 }
 
-/// Asks every sidecar of the service.
+/// Asks the sidecars of the service, and again those that can't be asked until they answer or are
+/// believed gone: at a sidecar's death that is a few seconds, against refusing every new key until
+/// then.
 async fn ask_sidecars(state: &EntryState, order: &ReserveRequest, key: KeyDigest) -> KeyStart {
+    let deadline = ClockTime::now().after(order.time_left.saturating_sub(ANSWER_MARGIN));
+    loop {
+        let verdict = inquire(state, order, key).await;
+        if let Some(start) = judge_inquiry(state, order, key, verdict) {
+            return start;
+        }
+        if ClockTime::now() >= deadline {
+            state.keys.forget(key, order.request);
+            return KeyStart::Refused(unasked_notice());
+        }
+        smol::Timer::after(ASK_AGAIN).await;
+    }
+}
+
+/// Asks every sidecar of the service at the same time.
+async fn inquire(state: &EntryState, order: &ReserveRequest, key: KeyDigest) -> InquiryVerdict {
     let sidecars = state.members.live(MemberRole::Sidecar, ClockTime::now());
     let serving = sidecars.into_iter().filter(|member| {
         member.serves.as_ref().is_some_and(|serves| serves.service == order.service)
@@ -131,43 +166,51 @@
             (incarnation, _) => inquiry.failed(incarnation),
         }
     }
-    judge_inquiry(state, order, key, inquiry.verdict())
+    inquiry.verdict()
+}
+
+fn unasked_notice() -> RefusalNotice {
+    RefusalNotice {
+        reason: RefusalReason::OutcomeUnknown,
+        run_state: RunState::Unknown,
+        message: "an upstream that may be running a request with this key can't be asked".into(),
+        retry_after: Some(Duration::from_secs(2)),
+    }
 }
 
-/// One that can't be asked and isn't known to be gone may be running the request: for a request that
-/// may run twice the honest answer then is that the outcome isn't known, since a second run would be
-/// a second bill. For one that may not, the store's claim decides.
+/// What the sidecars' answers mean; nothing if some have to be asked again.
+///
+/// One that can't be asked and isn't known to be gone may be running the request. For a request that
+/// may run twice a second run would be a second bill; for one that may not, the store's claim
+/// decides.
 fn judge_inquiry(
     state: &EntryState,
     order: &ReserveRequest,
     key: KeyDigest,
     verdict: InquiryVerdict,
-) -> KeyStart {
+) -> Option<KeyStart> {
     let now = ClockTime::now();
+    let mut start = KeyStart::New;
     let silent = match verdict {
-        InquiryVerdict::Found(KeyState::Unknown { .. }) if !order.non_idempotent => Vec::new(),
+        InquiryVerdict::Found(KeyState::Unknown { .. }) if !order.non_idempotent => {
+            start = KeyStart::Again;
+            Vec::new()
+        }
         InquiryVerdict::Found(known) => {
             if let KeyState::At { sidecar, request, content } = known {
                 state.keys.learn(key, request, content, sidecar, now);
             }
-            return KeyStart::Known(known);
+            return Some(KeyStart::Known(known));
         }
         InquiryVerdict::Nowhere | InquiryVerdict::Open => Vec::new(),
         InquiryVerdict::Incomplete(silent) => silent,
     };
     let unsure = silent.iter().any(|incarnation| !state.members.is_gone(*incarnation, now));
     if unsure && !order.non_idempotent {
-        state.keys.forget(key, order.request);
-        return KeyStart::Refused(RefusalNotice {
-            reason: RefusalReason::OutcomeUnknown,
-            run_state: RunState::Unknown,
-            message: "an upstream that may be running a request with this key can't be asked"
-                .into(),
-            retry_after: Some(Duration::from_secs(2)),
-        });
+        return None;
     }
     match state.keys.restart(key, order.request, order.content, now) {
-        true => KeyStart::New,
-        false => KeyStart::Known(KeyState::Pending),
+        true => Some(start),
+        false => Some(KeyStart::Known(KeyState::Pending)),
     }
 }
