Measure slowness against a mean that can move, and count overdue requests

Samples now count for the service up to a bound instead. A request that is given up long after its first token was due counts as that late a token: an upstream that hangs went on eating requests as deadlines freed its places.

--- a/crates/sagespool-routing/src/service.rs
+++ b/crates/sagespool-routing/src/service.rs
@@ -170,7 +170,8 @@
         match result.outcome {
             AttemptOutcome::Whole => self.succeeded(place, &attempt, result, now),
             AttemptOutcome::Failed | AttemptOutcome::Unreachable => self.failed(place, now),
-            AttemptOutcome::Cancelled | AttemptOutcome::Refused => upstream.ejection.undecided(),
+            AttemptOutcome::Cancelled => self.cancelled(place, &attempt, now),
+            AttemptOutcome::Refused => upstream.ejection.undecided(),
             AttemptOutcome::Leaving => {
                 upstream.ejection.undecided();
                 upstream.has_left = true;
@@ -197,6 +198,21 @@
         self.suspect(place, now);
     }
 
+    /// Guards against an upstream that hangs and goes on eating requests: their deadlines end
+    /// them, its places look free again, and the next ones are sent there. A request that was
+    /// given up without a first token long after one was due counts as that late a token.
+    fn cancelled(&mut self, place: usize, attempt: &RunningAttempt, now: ClockTime) {
+        let took = now.since(attempt.started);
+        let first_token = self.speed.first_token(&self.policy, now);
+        let upstream = &mut self.upstreams[place];
+        upstream.ejection.undecided();
+        let is_overdue = took.as_secs_f64() > STALL * first_token;
+        if attempt.first_token.is_none() && attempt.is_unqueued && is_overdue {
+            upstream.speed.overdue(&self.speed, took, &self.policy, now);
+            self.suspect(place, now);
+        }
+    }
+
     fn failed(&mut self, place: usize, now: ClockTime) {
         let upstream = &mut self.upstreams[place];
         upstream.ejection.failed(&self.policy, self.random.f64(), now);
--- a/crates/sagespool-routing/src/speed.rs
+++ b/crates/sagespool-routing/src/speed.rs
@@ -12,6 +12,13 @@
 const UPSTREAM_MEMORY: f64 = 8.0;
 /// A single sample says at most that an upstream is so many times as slow, or as fast.
 const MOST_RATIO: f64 = 20.0;
+/// A slow upstream's sample counts for the service as at most so many times the mean. (Dividing
+/// it by the upstream's slowness instead leaves the scale of both undetermined: it stays where
+/// the first guess put it.)
+const MOST_OUTLYING: f64 = 3.0;
+/// A run counts as at most so many times the mean: answers differ more in length than in their
+/// first token.
+const LONGEST_RUN: f64 = 20.0;
 /// From so many tokens on, their pace is a measurement.
 const ENOUGH_TOKENS: u64 = 8;
 
@@ -23,7 +30,7 @@
     pub(crate) tokens: u64,
 }
 
-/// Times measured over all upstreams of a service, in seconds, as on an upstream of ordinary speed.
+/// Times measured over all upstreams of a service, in seconds.
 #[derive(Debug, Clone)]
 pub(crate) struct ServiceSpeed {
     /// To the first token, where the prefix wasn't believed to be cached.
@@ -92,7 +99,7 @@
     ) {
         let seconds = latency.as_secs_f64();
         let expected = service.first_token(policy, now);
-        let ordinary = seconds / self.slowness(policy, now);
+        let ordinary = seconds.min(expected * MOST_OUTLYING);
         let ratio = seconds / expected.max(1e-6);
         if is_cached {
             service.cached.add(ordinary, policy.half_life, now);
@@ -104,6 +111,18 @@
         }
     }
 
+    /// Takes in that no first token came for so long.
+    pub(crate) fn overdue(
+        &mut self,
+        service: &ServiceSpeed,
+        waited: Duration,
+        policy: &RoutingPolicy,
+        now: ClockTime,
+    ) {
+        let expected = service.first_token(policy, now);
+        self.add(waited.as_secs_f64() / expected.max(1e-6), policy, now);
+    }
+
     /// Takes in a whole answer.
     pub(crate) fn whole(
         &mut self,
@@ -117,13 +136,14 @@
         let after = (answer.took.as_secs_f64() - to_first).max(0.0);
         // Waiting in the upstream's queue holds no place in it.
         let held = to_first.min(service.first_token(policy, now) * slowness) + after;
-        service.run.add(held / slowness, policy.half_life, now);
+        let ordinary = held.min(service.run_time(policy, now) * LONGEST_RUN);
+        service.run.add(ordinary, policy.half_life, now);
         if answer.tokens < ENOUGH_TOKENS {
             return;
         }
         let token = after / answer.tokens as f64;
         let expected = service.token.value(token, policy.half_life, now);
-        service.token.add(token / slowness, policy.half_life, now);
+        service.token.add(token.min(expected * MOST_OUTLYING), policy.half_life, now);
         self.add(token / expected.max(1e-9), policy, now);
     }
 
