--- a/crates/sagespool-entry/src/run/attempt.rs
+++ b/crates/sagespool-entry/src/run/attempt.rs
@@ -322,7 +322,7 @@
                 Some(Ok(event)) => event,
                 Some(Err(error)) => {
                     return DispatchOutcome::LinkLost {
-                        surely_not_sent: false,
+                        surely_not_sent: error.surely_not_sent(),
                         detail: error.to_string(),
                     };
                 }
