--- a/crates/sagespool-sidecar/src/role/peers.rs
+++ b/crates/sagespool-sidecar/src/role/peers.rs
@@ -5,7 +5,9 @@
 
 use futures_lite::FutureExt;
 use sagespool_link::{EventSender, PeerCall, PeerHandler, PeerResponder};
-use sagespool_messages::{LeaveRequest, MemberStatus, PeerReply, PeerRequest, StatusQuery, StatusReply};
+use sagespool_messages::{
+    LeaveRequest, MemberStatus, PeerReply, PeerRequest, StatusQuery, StatusReply,
+};
 use sagespool_types::{ClockTime, WallTime};
 
 use super::state::SidecarState;
