--- a/crates/sagespool-entry/src/caller/mod.rs
+++ b/crates/sagespool-entry/src/caller/mod.rs
@@ -11,5 +11,6 @@
 pub use completion::{CompletionCall, read_completion};
 pub use fault::{CallFault, refusal_status};
 pub use headers::{CallHeaders, read_headers};
+pub(crate) use identity::read_identity;
 pub use server::serve;
 pub use service_call::{ServiceCall, read_service_call};
--- a/crates/sagespool-entry/src/peers.rs
+++ b/crates/sagespool-entry/src/peers.rs
@@ -68,6 +68,7 @@
             PeerReply::Done
         }
         PeerRequest::Status(query) => PeerReply::Status(status(state, &query)),
+        PeerRequest::Leave(request) => crate::operator::leave(state, &request),
         PeerRequest::Dispatch(_)
         | PeerRequest::Attach(_)
         | PeerRequest::Cancel(_)
