--- a/crates/sagespool-daemon/tests/common/members.rs
+++ b/crates/sagespool-daemon/tests/common/members.rs
@@ -42,6 +42,16 @@
     .await;
 }
 
+/// Waits until a process says that it is ready.
+pub async fn until_ready(fleet: &RunningFleet, place: usize) {
+    let what = format!("{} is ready", fleet.members[place].instance);
+    let address = fleet.members[place].http;
+    until_async(&what, async || {
+        read(address, "/readyz").await.is_ok_and(|answer| answer.status == 200)
+    })
+    .await;
+}
+
 /// An entry's present incarnation.
 pub async fn incarnation_of(fleet: &RunningFleet, entry: usize) -> IncarnationId {
     let answer = read(fleet.members[entry].http, "/healthz").await.expect("the entry answers");
