Count prefix hits in the engine stand, and let it break streams

Change: the stand counts the runs that found their prefix cached, over all of its starts, and breaks the connections of a set share of its runs at a random place of their answers while it stays well itself.

--- a/crates/sagespool-testkit/src/engine/batch.rs
+++ b/crates/sagespool-testkit/src/engine/batch.rs
@@ -7,9 +7,10 @@
 
 use sagespool_messages::UpstreamKind;
 use sagespool_types::{AttemptNumber, ClockTime, TokenCount};
+use twox_hash::XxHash3_64;
 
 use super::EngineOptions;
-use super::cache::{CacheFeed, PrefixCache};
+use super::cache::{CacheFeed, PrefixCache, PrefixUses};
 use super::load::EngineLoad;
 use super::request::CompletionOrder;
 use super::stream::{RunStream, StreamEnd};
@@ -58,6 +59,8 @@
     credit: f64,
     /// The next token's place in the whole answer.
     next: u32,
+    /// The place at which its stream breaks, if it is to break.
+    breaks_at: Option<u32>,
 }
 
 /// One start of an engine: everything that a crash loses.
@@ -70,6 +73,7 @@
     pub(crate) role: String,
     pub(crate) feed: CacheFeed,
     cache: PrefixCache,
+    random: fastrand::Rng,
     load: LaggedState<EngineLoad>,
     waiting: BTreeMap<(u8, RunNumber), WaitingRun>,
     running: BTreeMap<RunNumber, ActiveRun>,
@@ -83,10 +87,22 @@
 pub(crate) struct EnginePace {
     pub(crate) frozen: bool,
     pub(crate) slow_factor: f64,
+    /// The share of runs that break in the middle of their streams.
+    pub(crate) break_share: f64,
+}
+
+impl Default for EnginePace {
+    fn default() -> Self {
+        Self { frozen: false, slow_factor: 1.0, break_share: 0.0 }
+    }
 }
 
 impl EngineBatch {
-    pub(crate) fn new(options: Arc<EngineOptions>, now: ClockTime) -> Self {
+    pub(crate) fn new(
+        options: Arc<EngineOptions>,
+        prefix_uses: Arc<PrefixUses>,
+        now: ClockTime,
+    ) -> Self {
         let models: Vec<String> = options.models.iter().map(|model| model.to_string()).collect();
         let idle = EngineLoad::idle(&options, models.clone(), options.role.clone());
         Self {
@@ -94,7 +110,8 @@
             loading: Vec::new(),
             role: options.role.clone(),
             feed: CacheFeed::new(options.cache_lag, options.cache_gap_share, options.seed),
-            cache: PrefixCache::new(options.cached_prefixes),
+            cache: PrefixCache::new(options.cached_prefixes, prefix_uses),
+            random: own_choices(&options, now),
             load: LaggedState::new(options.load_lag, idle),
             waiting: BTreeMap::new(),
             running: BTreeMap::new(),
@@ -140,7 +157,7 @@
         let stream = Arc::new(RunStream::default());
         let place = (arrived.order.priority, number);
         self.waiting.insert(place, WaitingRun { arrived, stream: stream.clone() });
-        self.fill_slots(now);
+        self.fill_slots(pace, now);
         self.note_load(pace, now);
         Ok((number, stream))
     }
@@ -163,8 +180,9 @@
         for prefix in prefilled {
             self.cache_prefix(prefix, now);
         }
+        self.break_due(now);
         self.end_finished(now);
-        self.fill_slots(now);
+        self.fill_slots(pace, now);
         self.note_load(pace, now);
     }
 
@@ -185,7 +203,7 @@
         for &number in &numbers {
             self.take_out(number, RunEnd::Cancelled, now);
         }
-        self.fill_slots(now);
+        self.fill_slots(pace, now);
         self.note_load(pace, now);
         !numbers.is_empty()
     }
@@ -194,7 +212,7 @@
     pub(crate) fn give_up(&mut self, number: RunNumber, pace: EnginePace, now: ClockTime) {
         self.advance(pace, now);
         self.take_out(number, RunEnd::Dropped, now);
-        self.fill_slots(now);
+        self.fill_slots(pace, now);
         self.note_load(pace, now);
     }
 
@@ -227,6 +245,14 @@
         }
     }
 
+    fn break_due(&mut self, now: ClockTime) {
+        let broken = self.running.extract_if(.., |_, run| run.is_broken());
+        for (_, run) in broken {
+            run.tally.end(RunEnd::Broken, now);
+            run.stream.end(StreamEnd::Broken);
+        }
+    }
+
     fn end_finished(&mut self, now: ClockTime) {
         let finished = self.running.extract_if(.., |_, run| run.is_finished());
         for (_, run) in finished {
@@ -235,18 +261,18 @@
         }
     }
 
-    fn fill_slots(&mut self, now: ClockTime) {
+    fn fill_slots(&mut self, pace: EnginePace, now: ClockTime) {
         while self.running.len() < self.options.capacity && !self.poisoned {
             let Some(((_, number), run)) = self.waiting.pop_first() else {
                 return;
             };
-            let run = self.start(run, now);
+            let run = self.start(run, pace, now);
             self.poisoned |= run.arrived.order.poisonous;
             self.running.insert(number, run);
         }
     }
 
-    fn start(&mut self, run: WaitingRun, now: ClockTime) -> ActiveRun {
+    fn start(&mut self, run: WaitingRun, pace: EnginePace, now: ClockTime) -> ActiveRun {
         let WaitingRun { arrived, stream } = run;
         let order = &arrived.order;
         let start = RunStart {
@@ -261,14 +287,16 @@
             arrived_at: arrived.at,
         };
         let tally = self.options.witness.start(start, now);
-        let cached = self.cache.hit(order.prefix);
+        let cached = self.cache.use_prefix(order.prefix);
         let fresh_tokens = if cached { 0 } else { order.prompt_tokens };
         let prefill = self.options.prompt_token_time.as_secs_f64() * fresh_tokens as f64;
         let base = self.options.first_token_base.as_secs_f64();
         // Above 0 even where all times are 0: every run begins by reading its prompt.
         let prefill_left = (base + prefill).max(f64::MIN_POSITIVE);
         let next = order.resumed_from;
-        ActiveRun { stream, tally, prefill_left, credit: 0.0, next, arrived }
+        let breaks = next < order.length && self.random.f64() < pace.break_share;
+        let breaks_at = breaks.then(|| self.random.u32(next..order.length));
+        ActiveRun { stream, tally, prefill_left, credit: 0.0, next, breaks_at, arrived }
     }
 
     fn cache_prefix(&mut self, prefix: u128, now: ClockTime) {
@@ -298,6 +326,12 @@
     }
 }
 
+/// Engines of one fleet share a seed, and a restarted one must not break the same runs again.
+fn own_choices(options: &EngineOptions, now: ClockTime) -> fastrand::Rng {
+    let name = XxHash3_64::oneshot_with_seed(options.seed, options.name.as_str().as_bytes());
+    fastrand::Rng::with_seed(name.wrapping_add(now.0))
+}
+
 impl ActiveRun {
     /// Does some seconds of work; whether that made the first token.
     fn advance(&mut self, work: f64, rate: f64, now: ClockTime) -> bool {
@@ -320,7 +354,8 @@
     fn make_tokens(&mut self, now: ClockTime) {
         let order = &self.arrived.order;
         let whole = self.credit.floor();
-        let made = (whole as u32).min(order.length - self.next);
+        let until = self.breaks_at.unwrap_or(order.length);
+        let made = (whole as u32).min(until - self.next);
         if made == 0 {
             return;
         }
@@ -331,6 +366,10 @@
         self.stream.make_available(self.next);
     }
 
+    fn is_broken(&self) -> bool {
+        self.prefill_left <= 0.0 && self.breaks_at.is_some_and(|place| self.next >= place)
+    }
+
     fn is_finished(&self) -> bool {
         self.prefill_left <= 0.0 && self.next >= self.arrived.order.length
     }
--- a/crates/sagespool-testkit/src/engine/cache.rs
+++ b/crates/sagespool-testkit/src/engine/cache.rs
@@ -1,6 +1,8 @@
 //! The prefix cache and the feed of its events, late and with gaps.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use sagespool_types::{ClockTime, derives};
@@ -38,19 +40,57 @@
     }
 }
 
+/// How many runs found their prefix cached, over all starts of an engine.
+#[derive(Debug, Default)]
+pub(crate) struct PrefixUses {
+    hits: AtomicU64,
+    misses: AtomicU64,
+}
+
+impl PrefixUses {
+    pub(crate) fn counts(&self) -> PrefixCounts {
+        let hits = self.hits.load(Ordering::Relaxed);
+        PrefixCounts { hits, misses: self.misses.load(Ordering::Relaxed) }
+    }
+
+    fn note(&self, was_cached: bool) {
+        let count = if was_cached { &self.hits } else { &self.misses };
+        count.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+derives! { value;
+    /// Runs by whether their prefix was cached when they started.
+    #[derive(Default)]
+    pub struct PrefixCounts {
+        /// It was.
+        pub hits: u64,
+        /// It wasn't.
+        pub misses: u64,
+    }
+}
+
 /// The prefixes an engine has cached, the least recently used first.
 pub(crate) struct PrefixCache {
     capacity: usize,
     prefixes: VecDeque<u128>,
+    uses: Arc<PrefixUses>,
 }
 
 impl PrefixCache {
-    pub(crate) fn new(capacity: usize) -> Self {
-        Self { capacity, prefixes: VecDeque::new() }
+    pub(crate) fn new(capacity: usize, uses: Arc<PrefixUses>) -> Self {
+        Self { capacity, prefixes: VecDeque::new(), uses }
+    }
+
+    /// Whether a run that starts finds its prefix cached; counted.
+    pub(crate) fn use_prefix(&mut self, prefix: u128) -> bool {
+        let was_cached = self.hit(prefix);
+        self.uses.note(was_cached);
+        was_cached
     }
 
     /// Whether a prefix is cached; if so, it is now the most recently used.
-    pub(crate) fn hit(&mut self, prefix: u128) -> bool {
+    fn hit(&mut self, prefix: u128) -> bool {
         let Some(place) = self.prefixes.iter().position(|&cached| cached == prefix) else {
             return false;
         };
--- a/crates/sagespool-testkit/src/engine/mod.rs
+++ b/crates/sagespool-testkit/src/engine/mod.rs
@@ -26,7 +26,8 @@
 
 pub use answer::{answer_text, answer_token, natural_length, prompt_tokens};
 use batch::{EngineBatch, EnginePace};
-pub use cache::{CacheChange, CacheEvent, prefix_digest};
+use cache::PrefixUses;
+pub use cache::{CacheChange, CacheEvent, PrefixCounts, prefix_digest};
 pub use load::EngineLoad;
 pub use options::EngineOptions;
 use orders::OrderBook;
@@ -57,6 +58,7 @@
     server: StandServer,
     gate: FaultGate,
     state: Mutex<EngineState>,
+    prefix_uses: Arc<PrefixUses>,
     /// Notified when something runs after an idle time.
     work_came: Event,
     /// Notified when the cache has a new event.
@@ -78,9 +80,10 @@
     pub fn start(options: EngineOptions) -> Result<Self, Report<StandError>> {
         let options = Arc::new(options);
         let now = ClockTime::now();
+        let prefix_uses = Arc::new(PrefixUses::default());
         let state = EngineState {
-            pace: EnginePace { frozen: false, slow_factor: 1.0 },
-            batch: EngineBatch::new(options.clone(), now),
+            pace: EnginePace::default(),
+            batch: EngineBatch::new(options.clone(), prefix_uses.clone(), now),
             orders: OrderBook::new(options.honours_fences),
         };
         let shared = Arc::new(EngineShared {
@@ -88,6 +91,7 @@
             server: StandServer::reserve()?,
             gate: FaultGate::new(),
             state: Mutex::new(state),
+            prefix_uses,
             work_came: Event::new(),
             feed_grown: Event::new(),
         });
@@ -158,6 +162,18 @@
         self.shared().change_pace(|pace| pace.slow_factor = factor);
     }
 
+    /// Breaks the connections of a share of the runs in the middle of their streams, from 0 to
+    /// 1, while the engine itself stays well; applies to runs that start from now on.
+    pub fn break_share(&self, share: f64) {
+        assert!((0.0..=1.0).contains(&share), "a share is from 0 to 1");
+        self.shared().change_pace(|pace| pace.break_share = share);
+    }
+
+    /// How many runs found their prefix cached, over all of its starts.
+    pub fn prefix_counts(&self) -> PrefixCounts {
+        self.shared().prefix_uses.counts()
+    }
+
     fn shared(&self) -> &Arc<EngineShared> {
         &self.owner.0
     }
@@ -232,7 +248,8 @@
             return Ok(());
         };
         state.pace.frozen = false;
-        state.batch = EngineBatch::new(self.options.clone(), ClockTime::now());
+        let (options, prefix_uses) = (self.options.clone(), self.prefix_uses.clone());
+        state.batch = EngineBatch::new(options, prefix_uses, ClockTime::now());
         let served = self.server.serve(http::routes(self.clone(), start));
         if served.is_err() {
             self.gate.end();
--- a/crates/sagespool-testkit/src/lib.rs
+++ b/crates/sagespool-testkit/src/lib.rs
@@ -20,8 +20,8 @@
 
 pub use engine::{
     AdapterName, CacheChange, CacheEvent, EngineLoad, EngineOptions, EngineOrder, EngineStand,
-    FencedOrder, OrderRecord, answer_text, answer_token, natural_length, prefix_digest,
-    prompt_tokens,
+    FencedOrder, OrderRecord, PrefixCounts, answer_text, answer_token, natural_length,
+    prefix_digest, prompt_tokens,
 };
 pub use instance_list::{InstanceEntry, InstanceOptions, InstanceStand, InstanceState};
 pub use loopback_server::StartError;
--- a/crates/sagespool-testkit/src/witness/record.rs
+++ b/crates/sagespool-testkit/src/witness/record.rs
@@ -43,6 +43,8 @@
     Dropped,
     /// The upstream crashed.
     Crashed,
+    /// The upstream broke the connection in the middle of its answer, and is well.
+    Broken,
 }
 
 /// One run of one request by one upstream.
--- a/crates/sagespool-testkit/tests/engine.rs
+++ b/crates/sagespool-testkit/tests/engine.rs
@@ -9,8 +9,8 @@
     within,
 };
 use sagespool_testkit::{
-    CacheChange, CacheEvent, EngineOptions, EngineStand, RunEnd, RunMarker, answer_text,
-    prompt_tokens,
+    CacheChange, CacheEvent, EngineOptions, EngineStand, PrefixCounts, RunEnd, RunMarker,
+    answer_text, prompt_tokens,
 };
 use sagespool_types::TokenRate;
 use serde_json::{Value, json};
@@ -397,6 +397,55 @@
     });
 }
 
+#[test]
+fn broken_streams() {
+    // A connection to an engine breaks in the middle of an answer, while the engine itself is
+    // well: what it had sent is a true beginning of the answer, nothing closes the stream in
+    // good order, and the next run is answered whole.
+    run(async {
+        let engine = engine!();
+        let prompt = "Read the dossier. mark:a/1";
+        engine.break_share(1.0);
+        let mut stream = complete(engine.address(), &[], &completion(prompt, 40)).await.unwrap();
+        let mut events = Vec::new();
+        let broke = loop {
+            match stream.next().await {
+                Ok(Some(event)) => events.push(event),
+                Ok(None) => break false,
+                Err(_) => break true,
+            }
+        };
+        assert!(broke, "the stream broke");
+        let tokens = events.len() as u32;
+        assert!(tokens < 40);
+        assert_eq!(joined_tokens(&events, 0), answer_text(MODEL, prompt, tokens));
+        assert_eq!(ends_of(&engine, "mark:a/1"), [RunEnd::Broken]);
+
+        engine.break_share(0.0);
+        let stream = complete(engine.address(), &[], &completion(prompt, 40)).await.unwrap();
+        let events = stream.rest().await.unwrap();
+        assert_eq!(joined_tokens(&events, 0), answer_text(MODEL, prompt, 40));
+    });
+}
+
+#[test]
+fn prefix_counts() {
+    run(async {
+        let engine = engine!(cached_prefixes: 1);
+        for prompt in ["one", "one", "two", "one", "one"] {
+            let stream = complete(engine.address(), &[], &completion(prompt, 1)).await.unwrap();
+            stream.rest().await.unwrap();
+        }
+        assert_eq!(engine.prefix_counts(), PrefixCounts { hits: 2, misses: 3 });
+        engine.crash();
+        engine.restart().unwrap();
+        let stream = complete(engine.address(), &[], &completion("one", 1)).await.unwrap();
+        stream.rest().await.unwrap();
+        let counts = engine.prefix_counts();
+        assert_eq!(counts, PrefixCounts { hits: 2, misses: 4 }, "a crash loses the cache only");
+    });
+}
+
 async fn cache_events(engine: &EngineStand, query: &str) -> Vec<CacheEvent> {
     let path = format!("/cache-events?{query}");
     let answer = get(engine.address(), &path).await.expect("an answer").json();
