Describe the load tool's scenarios as a table, with five on routing

Rates, budgets and shares stood in branches of code, the engines could not be the bottleneck, and no two prompts shared a prefix: each call's marker stood within the first 256 bytes, so that no policy could have a hit. Change: a scenario is a plan (size, engines, calls, course of phases); phases multiply the rate, one branch's part or one engine's times. Prompts share their first 256 bytes.

--- a/crates/sagespool-testkit/examples/load.rs
+++ b/crates/sagespool-testkit/examples/load.rs
@@ -2,14 +2,18 @@
 //!
 //! ```text
 //! cargo run --release --locked -p sagespool-testkit --example load -- --scenario steady --seed 1
+//! cargo run --release --locked -p sagespool-testkit --example load -- --scenario lagging-load \
+//!     --policy sagespool --against round-robin,least-reported-load,two-choices
 //! ```
 
 use std::process::ExitCode;
 use std::time::Duration;
 
 use gumdrop::Options;
-use sagespool_testkit::fleet::find_binaries;
-use sagespool_testkit::load::{LoadReport, ScenarioOptions, check_names, run_scenario};
+use sagespool_testkit::fleet::{FleetBinaries, find_binaries};
+use sagespool_testkit::load::{
+    LoadReport, ScenarioOptions, check_names, comparison_table, run_scenario,
+};
 
 const USAGE_FAULT: u8 = 2;
 
@@ -24,8 +28,8 @@
     seed: u64,
     #[options(no_short, meta = "A,B", help = "faults beside the scenario's own")]
     faults: Option<String>,
-    #[options(no_short, meta = "S", help = "how long the traffic lasts", default = "20")]
-    seconds: u64,
+    #[options(no_short, meta = "S", help = "how long the traffic lasts")]
+    seconds: Option<u64>,
     #[options(meta = "R", help = "requests a second")]
     rate: Option<f64>,
     #[options(
@@ -34,6 +38,8 @@
         default = "escrow"
     )]
     policy: String,
+    #[options(no_short, meta = "A,B", help = "run again under these policies, and compare")]
+    against: Option<String>,
     #[options(no_short, meta = "NAME", help = "the deployment", default = "local")]
     deployment: String,
     #[options(no_short, meta = "LEVEL", help = "level of the processes' logs", default = "info")]
@@ -54,39 +60,61 @@
             return ExitCode::FAILURE;
         }
     };
-    let is_routing = ROUTING_POLICIES.contains(&options.policy.as_str());
-    let (routing, budget) = match is_routing {
-        true => (options.policy.as_str(), "escrow"),
-        false => ("sagespool", options.policy.as_str()),
-    };
-    let faults = options.faults.as_deref().unwrap_or_default();
-    let faults = faults.split(',').filter(|fault| !fault.is_empty()).map(str::to_owned);
-    let scenario = ScenarioOptions::builder()
+    let against = words(options.against.as_deref());
+    let policies = [options.policy.clone()].into_iter().chain(against);
+    let scenarios: Vec<_> =
+        policies.map(|policy| scenario_options(&options, &policy, &binaries)).collect();
+    if let Some(message) = scenarios.iter().find_map(|scenario| check_names(scenario).err()) {
+        eprintln!("{message}");
+        return ExitCode::from(USAGE_FAULT);
+    }
+    let mut reports = Vec::new();
+    for scenario in &scenarios {
+        match smol::block_on(run_scenario(scenario)) {
+            Ok(report) => {
+                print_report(&report, options.json);
+                reports.push(report);
+            }
+            Err(report) => {
+                eprintln!("{report:?}");
+                return ExitCode::FAILURE;
+            }
+        }
+    }
+    if reports.len() > 1 && !options.json {
+        print!("{}", comparison_table(&reports));
+    }
+    let is_clean = reports.iter().all(LoadReport::is_clean);
+    if is_clean { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn words(list: Option<&str>) -> Vec<String> {
+    let words = list.unwrap_or_default().split(',').filter(|word| !word.is_empty());
+    words.map(str::to_owned).collect()
+}
+
+fn scenario_options(
+    options: &LoadOptions,
+    policy: &str,
+    binaries: &FleetBinaries,
+) -> ScenarioOptions {
+    let is_routing = ROUTING_POLICIES.contains(&policy);
+    let (routing, budget) = if is_routing { (policy, "escrow") } else { ("sagespool", policy) };
+    ScenarioOptions::builder()
         .scenario(options.scenario.clone())
         .seed(options.seed)
-        .faults(faults.collect())
-        .lasting(Duration::from_secs(options.seconds.max(1)))
+        .faults(words(options.faults.as_deref()))
+        .maybe_lasting(options.seconds.map(|seconds| Duration::from_secs(seconds.max(1))))
         .maybe_rate(options.rate)
         .routing(routing)
         .budget(budget)
         .deployment(options.deployment.clone())
         .log_level(options.log_level.clone())
-        .binaries(binaries)
-        .build();
-    if let Err(message) = check_names(&scenario) {
-        eprintln!("{message}");
-        return ExitCode::from(USAGE_FAULT);
-    }
-    match smol::block_on(run_scenario(&scenario)) {
-        Ok(report) => conclude(&report, options.json),
-        Err(report) => {
-            eprintln!("{report:?}");
-            ExitCode::FAILURE
-        }
-    }
+        .binaries(binaries.clone())
+        .build()
 }
 
-fn conclude(report: &LoadReport, terse: bool) -> ExitCode {
+fn print_report(report: &LoadReport, terse: bool) {
     if !terse {
         for finding in &report.findings {
             println!("{finding}");
@@ -97,5 +125,4 @@
         Ok(line) => println!("{line}"),
         Err(error) => eprintln!("the report can't be written: {error}"),
     }
-    if report.is_clean() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
--- a/crates/sagespool-testkit/src/fleet.rs
+++ b/crates/sagespool-testkit/src/fleet.rs
@@ -12,5 +12,5 @@
 pub use certificates::CertificateSet;
 pub use deployment::{CentrePlan, DeploymentPlan, DepositPlan, ServicePlan, read_deployment};
 pub use member::FleetMember;
-pub use options::{FleetFault, FleetOptions};
+pub use options::{EngineTuning, FleetFault, FleetOptions};
 pub use running::{RunningFleet, top_up};
--- a/crates/sagespool-testkit/src/fleet/options.rs
+++ b/crates/sagespool-testkit/src/fleet/options.rs
@@ -30,6 +30,29 @@
 
 impl std::error::Error for FleetFault {}
 
+/// What all engines of a fleet are like, beside what their deployment says.
+#[derive(Debug, Clone, Copy, PartialEq, Builder)]
+pub struct EngineTuning {
+    /// How old the load is that they report.
+    #[builder(default = Duration::from_millis(200))]
+    pub load_lag: Duration,
+    /// Time to the first token of a prompt whose prefix is cached.
+    #[builder(default = Duration::from_millis(20))]
+    pub first_token_base: Duration,
+    /// Time that each token of a prompt adds where its prefix isn't cached.
+    #[builder(default = Duration::from_micros(20))]
+    pub prompt_token_time: Duration,
+    /// How often they make tokens.
+    #[builder(default = Duration::from_millis(5))]
+    pub tick: Duration,
+}
+
+impl Default for EngineTuning {
+    fn default() -> Self {
+        Self::builder().build()
+    }
+}
+
 /// What a fleet is started with.
 #[derive(Debug, Clone, Builder)]
 pub struct FleetOptions {
@@ -65,6 +88,9 @@
     /// How late the instance list is.
     #[builder(default = Duration::from_millis(500))]
     pub list_lag: Duration,
+    /// What the engines are like.
+    #[builder(default)]
+    pub engine: EngineTuning,
     /// Seed of the stand-ins' random choices.
     #[builder(default = 1)]
     pub seed: u64,
--- a/crates/sagespool-testkit/src/fleet/running.rs
+++ b/crates/sagespool-testkit/src/fleet/running.rs
@@ -152,12 +152,17 @@
         let fault = || FleetFault::new(format!("starting upstream {name}"));
         let upstream: UpstreamName = name.parse().change_context_lazy(fault)?;
         if let Some(rate) = plan.tokens_per_second {
+            let tuning = self.options.engine;
             let options = EngineOptions::builder()
                 .name(upstream.clone())
                 .models(plan.models.clone())
                 .capacity(plan.capacity as usize)
                 .token_rate(TokenRate(rate))
                 .honours_fences(plan.honours_fence)
+                .load_lag(tuning.load_lag)
+                .first_token_base(tuning.first_token_base)
+                .prompt_token_time(tuning.prompt_token_time)
+                .tick(tuning.tick)
                 .witness(self.witness.clone())
                 .seed(self.options.seed)
                 .build();
--- a/crates/sagespool-testkit/src/load.rs
+++ b/crates/sagespool-testkit/src/load.rs
@@ -2,8 +2,10 @@
 
 mod book;
 mod caller;
+mod compare;
 mod direct;
 mod faults;
+mod figures;
 mod oracle;
 mod outcome;
 mod plan;
@@ -15,11 +17,17 @@
 
 pub use book::DepositLog;
 pub use caller::LoadCaller;
+pub use compare::comparison_table;
 pub use faults::FAULT_NAMES;
+pub use figures::{AnswerFigures, BranchFigures, DeadlineRefusals, GreedEffect, PhaseFigures};
 pub use oracle::{OracleInput, OracleVerdict, judge};
 pub use outcome::{CallOutcome, CallRecord, SendRecord};
 pub use plan::{BranchTraffic, CallKind, PlanBuilder, PlannedCall, TrafficMix, plan_calls};
 pub use report::{LatencyFigures, LoadReport};
 pub use run::run_calls;
-pub use scenario::{SCENARIO_NAMES, ScenarioOptions, check_names, run_scenario};
+pub use scenario::{
+    EngineTraits, FleetSize, GREEDY_BRANCH, LoadPhase, SCENARIO_NAMES, ScenarioOptions,
+    ScenarioPlan, TimedPhase, TrafficTraits, check_names, course_calls, lay_out, run_scenario,
+    scenario_plan,
+};
 pub use session::{StoreTraffic, conclude, first_deposits, note_usage, traffic_of};
--- a/crates/sagespool-testkit/src/load/faults/scripts.rs
+++ b/crates/sagespool-testkit/src/load/faults/scripts.rs
@@ -25,6 +25,8 @@
 const LOST_SHARE: f64 = 0.3;
 const REORDERED_SHARE: f64 = 0.05;
 const DUPLICATED_SHARE: f64 = 0.05;
+/// With the crashes, about one run in ten fails.
+const BROKEN_SHARE: f64 = 0.1;
 const TOP_UP: TokenCount = TokenCount(2_000);
 const TOP_UPS: u32 = 6;
 
@@ -166,9 +168,16 @@
     set(0.0, 0.0).await;
 }
 
-/// Engines crash in the middle of their streams, one after the other, and come back.
+/// Engines break a share of their streams all the time, and crash in the middle of the others
+/// one after the other, and come back.
 async fn upstream_kill(stage: &FaultStage) {
     let mut rng = stage.rng("upstream-kill");
+    let break_streams = async |share: f64| {
+        for engine in stage.fleet().await.engines.values() {
+            engine.break_share(share);
+        }
+    };
+    break_streams(BROKEN_SHARE).await;
     for step in 0..4 {
         let share = 0.15 + 0.18 * f64::from(step);
         stage.until(share).await;
@@ -184,4 +193,6 @@
             eprintln!("{report:?}");
         }
     }
+    stage.until(0.95).await;
+    break_streams(0.0).await;
 }
--- a/crates/sagespool-testkit/src/load/plan.rs
+++ b/crates/sagespool-testkit/src/load/plan.rs
@@ -8,6 +8,9 @@
 
 use crate::{RunMarker, prompt_tokens};
 
+/// What engines take for a prompt's prefix, see docs/PLATFORM.md.
+const PREFIX_BYTES: usize = 256;
+
 /// What a call asks for.
 #[derive(Debug, Clone, PartialEq)]
 pub enum CallKind {
@@ -130,12 +133,21 @@
     /// The longest answer.
     #[builder(default = 24)]
     pub longest_answer: u32,
+    /// Answers that are longer than that, in thousandths.
+    #[builder(default = 0)]
+    pub long_share: u32,
+    /// The longest of those.
+    #[builder(default = 24)]
+    pub longest_long_answer: u32,
     /// Bytes of a prompt.
     #[builder(default = 200)]
     pub prompt_bytes: usize,
     /// Different beginnings of prompts; the rest of each is its own.
     #[builder(default = 50)]
     pub prefixes: u32,
+    /// How unevenly they are used: 1 for all alike, 2 for some more than others.
+    #[builder(default = 1)]
+    pub prefix_skew: i32,
     /// The deadline of a call.
     #[builder(default = Duration::from_secs(20))]
     pub deadline: Duration,
@@ -213,10 +225,11 @@
 
     fn completion(&mut self, mix: &TrafficMix, marker: &RunMarker) -> CallKind {
         let model = mix.models[self.rng.usize(0..mix.models.len())].clone();
-        let length = self.rng.u32(1..=mix.longest_answer.max(1));
-        let prefix = self.rng.u32(0..mix.prefixes.max(1));
-        let mut prompt = format!("Dossier {prefix:04}. ").repeat(17);
-        prompt.truncate(256);
+        let length = self.length(mix);
+        let prefix = self.prefix(mix);
+        // Engines' caches are keyed by the first 256 bytes: the marker must come after them.
+        let mut prompt = format!("Dossier {prefix:04}. ").repeat(PREFIX_BYTES);
+        prompt.truncate(PREFIX_BYTES);
         prompt.push_str(&format!(" {marker} len:{length} "));
         while prompt.len() < mix.prompt_bytes {
             prompt.push_str("More of the file. ");
@@ -231,6 +244,21 @@
         }
     }
 
+    fn length(&mut self, mix: &TrafficMix) -> u32 {
+        let is_long = mix.long_share > 0 && self.chance(mix.long_share);
+        let longest = if is_long { mix.longest_long_answer } else { mix.longest_answer };
+        self.rng.u32(1..=longest.max(1))
+    }
+
+    fn prefix(&mut self, mix: &TrafficMix) -> u32 {
+        let prefixes = mix.prefixes.max(1);
+        if mix.prefix_skew <= 1 {
+            return self.rng.u32(0..prefixes);
+        }
+        let place = self.rng.f64().powi(mix.prefix_skew) * f64::from(prefixes);
+        place as u32
+    }
+
     /// The time to the next arrival at a rate, as arrivals that know nothing of each other have it.
     pub fn gap(&mut self, rate: f64) -> Duration {
         let uniform = self.rng.f64().max(1e-12);
--- a/crates/sagespool-testkit/src/load/report.rs
+++ b/crates/sagespool-testkit/src/load/report.rs
@@ -6,6 +6,7 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
+use super::figures::{BranchFigures, DeadlineRefusals, GreedEffect, PhaseFigures};
 use super::{CallOutcome, CallRecord, OracleVerdict};
 
 /// Percentiles of a latency, in milliseconds.
@@ -89,10 +90,24 @@
     pub stranded_tokens: u64,
     /// Runs at upstreams for each call that ran.
     pub runs_per_request: f64,
-    /// Time to the first token of streamed answers.
+    /// The share of the engines' runs that an engine's fault cut off.
+    pub broken_run_share: f64,
+    /// Requests refused since they could not meet their deadline.
+    pub deadline_refusals: DeadlineRefusals,
+    /// Time to the first token of streamed answers, in the phases that are measured.
     pub first_token_ms: LatencyPair,
-    /// Time to the whole answer.
+    /// Time to the whole answer, in the phases that are measured.
     pub whole_ms: LatencyPair,
+    /// Both by branch.
+    pub branch_ms: BranchFigures,
+    /// What each phase of the scenario came to.
+    pub phases: BTreeMap<String, PhaseFigures>,
+    /// What a greedy branch did to the others, if one was.
+    pub greed_effect: Option<GreedEffect>,
+    /// Runs that found their prompt's prefix in their engine's cache.
+    pub prefix_hits: u64,
+    /// Runs that didn't.
+    pub prefix_misses: u64,
     /// Writes that reached the store, for each call.
     pub store_writes_per_request: f64,
     /// Reads that reached the store, for each call, watches not counted.
@@ -101,6 +116,8 @@
     pub control_bytes_per_second_per_node: f64,
     /// Processor time of each process, in seconds.
     pub cpu_seconds: BTreeMap<String, f64>,
+    /// The machine's load when the traffic began and when it ended.
+    pub machine_load: Vec<f64>,
     /// Peak memory of each process.
     pub peak_rss_mb: BTreeMap<String, f64>,
     /// What was found, in words.
--- a/crates/sagespool-testkit/src/load/scenario.rs
+++ b/crates/sagespool-testkit/src/load/scenario.rs
@@ -1,5 +1,8 @@
 //! Scenarios: a deployment, its traffic, and the faults beside it.
 
+mod table;
+mod traffic;
+
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,31 +10,29 @@
 use async_lock::Mutex;
 use bon::Builder;
 use error_stack::Report;
-use sagespool_types::{ClockTime, TokenCount};
+use sagespool_types::ClockTime;
 
-use super::faults::{FaultStage, run_fault};
+use super::direct::{DirectTimes, run_direct};
+use super::faults::{FAULT_NAMES, FaultStage, run_fault};
+use super::figures::{CourseInput, machine_load, note_course};
 use super::session::{StoreTraffic, conclude, first_deposits, traffic_of};
 use super::{
-    CallKind, LatencyFigures, LoadReport, PlanBuilder, PlannedCall, TrafficMix, plan_calls,
-    run_calls,
+    CallRecord, DepositLog, LatencyFigures, LoadReport, PlannedCall, TrafficMix, run_calls,
+};
+use crate::EngineStand;
+use crate::fleet::{
+    DeploymentPlan, EngineTuning, FleetBinaries, FleetFault, FleetOptions, RunningFleet,
+    read_deployment,
 };
-use crate::fleet::{FleetBinaries, FleetFault, FleetOptions, RunningFleet, read_deployment};
-use crate::load::direct::run_direct;
 
-/// Scenarios beside those that are named like a fault.
-pub const SCENARIO_NAMES: [&str; 2] = ["steady", "dry"];
+pub use table::{
+    EngineTraits, FleetSize, GREEDY_BRANCH, LoadPhase, SCENARIO_NAMES, ScenarioPlan, TimedPhase,
+    TrafficTraits, lay_out, scenario_plan,
+};
+pub use traffic::course_calls;
 
-const STEADY_RATE: f64 = 200.0;
-const FAULT_RATE: f64 = 60.0;
-const DRY_RATE: f64 = 80.0;
-/// What each branch has in `dry`: enough for some ten requests.
-const DRY_BUDGET: TokenCount = TokenCount(1_500);
-const PLENTY: TokenCount = TokenCount(50_000_000);
-/// In scenarios with faults, budgets run out towards the end.
-const FAULT_BUDGET: TokenCount = TokenCount(40_000);
 const SETTLE_LIMIT: Duration = Duration::from_secs(30);
 const SETTLE_STEP: Duration = Duration::from_millis(250);
-const POISON_CALLS: u64 = 3;
 
 /// What the load tool is asked to run.
 #[derive(Debug, Clone, Builder)]
@@ -43,9 +44,8 @@
     /// Faults beside the scenario's own.
     #[builder(default)]
     pub faults: Vec<String>,
-    /// How long the traffic lasts.
-    #[builder(default = Duration::from_secs(20))]
-    pub lasting: Duration,
+    /// How long the traffic lasts; the scenario's own time if none is given.
+    pub lasting: Option<Duration>,
     /// Requests a second; the scenario's own if none is given.
     pub rate: Option<f64>,
     /// How entries pay.
@@ -67,7 +67,7 @@
 impl ScenarioOptions {
     /// Every fault of the run: the scenario's own and those beside it.
     fn all_faults(&self) -> Vec<String> {
-        let own = super::faults::FAULT_NAMES.contains(&self.scenario.as_str());
+        let own = FAULT_NAMES.contains(&self.scenario.as_str());
         let mut faults: Vec<String> = own.then(|| self.scenario.clone()).into_iter().collect();
         for fault in &self.faults {
             if !faults.contains(fault) {
@@ -76,22 +76,6 @@
         }
         faults
     }
-
-    fn default_rate(&self) -> f64 {
-        match self.scenario.as_str() {
-            "steady" => STEADY_RATE,
-            "dry" => DRY_RATE,
-            _ => FAULT_RATE,
-        }
-    }
-
-    fn budget_of_branch(&self) -> TokenCount {
-        match self.scenario.as_str() {
-            "steady" => PLENTY,
-            "dry" => DRY_BUDGET,
-            _ => FAULT_BUDGET,
-        }
-    }
 }
 
 /// Checks the names of a run.
@@ -99,35 +83,66 @@
 /// # Errors
 /// The known names.
 pub fn check_names(options: &ScenarioOptions) -> Result<(), String> {
-    let faults = super::faults::FAULT_NAMES;
-    let known = |name: &str| SCENARIO_NAMES.contains(&name) || faults.contains(&name);
-    if !known(&options.scenario) {
+    if scenario_plan(&options.scenario).is_none() {
         return Err(format!(
             "no scenario is called `{}`: {}, {}",
             options.scenario,
             SCENARIO_NAMES.join(", "),
-            faults.join(", ")
+            FAULT_NAMES.join(", ")
         ));
     }
-    match options.faults.iter().find(|fault| !faults.contains(&fault.as_str())) {
-        Some(fault) => Err(format!("no fault is called `{fault}`: {}", faults.join(", "))),
+    match options.faults.iter().find(|fault| !FAULT_NAMES.contains(&fault.as_str())) {
+        Some(fault) => Err(format!("no fault is called `{fault}`: {}", FAULT_NAMES.join(", "))),
         None => Ok(()),
     }
 }
 
-fn fleet_options(options: &ScenarioOptions) -> Result<FleetOptions, Report<FleetFault>> {
-    let directory =
-        Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples").join(&options.deployment);
-    let (mut deployment, fleet, branches) = read_deployment(&directory)?;
+/// A scenario's plan, with what the options say instead.
+fn plan_of(options: &ScenarioOptions) -> Result<ScenarioPlan, Report<FleetFault>> {
+    let unknown = || FleetFault::new(format!("looking for scenario {}", options.scenario));
+    let mut plan = scenario_plan(&options.scenario).ok_or_else(|| Report::new(unknown()))?;
+    plan.rate = options.rate.unwrap_or(plan.rate);
+    plan.lasting = options.lasting.unwrap_or(plan.lasting);
+    Ok(plan)
+}
+
+/// Gives a deployment a scenario's engines, size and budgets.
+fn shape(deployment: &mut DeploymentPlan, plan: &ScenarioPlan) {
     for deposit in deployment.branches.values_mut() {
-        deposit.prepaid = options.budget_of_branch();
+        deposit.prepaid = plan.budget;
     }
-    for service in
-        deployment.services.values_mut().filter(|service| service.tokens_per_second.is_some())
-    {
-        service.capacity = service.capacity.max(64);
-        service.tokens_per_second = Some(500);
+    let services = deployment.services.iter_mut();
+    let engines = services.filter(|(_, service)| service.tokens_per_second.is_some());
+    let mut names = Vec::new();
+    for (name, service) in engines {
+        service.capacity = plan.engine.capacity;
+        service.tokens_per_second = Some(plan.engine.token_rate);
+        names.push(name.clone());
     }
+    let Some(size) = plan.size else { return };
+    let centres = deployment.centres.len() as u32;
+    for (place, centre) in deployment.centres.iter_mut().enumerate() {
+        let part = |all: u32| all / centres + u32::from((place as u32) < all % centres);
+        centre.entries = part(size.entries);
+        for name in &names {
+            centre.upstreams.insert(name.clone(), part(size.engines));
+        }
+    }
+}
+
+fn fleet_options(
+    options: &ScenarioOptions,
+    plan: &ScenarioPlan,
+) -> Result<FleetOptions, Report<FleetFault>> {
+    let directory =
+        Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples").join(&options.deployment);
+    let (mut deployment, fleet, branches) = read_deployment(&directory)?;
+    shape(&mut deployment, plan);
+    let tuning = EngineTuning::builder()
+        .load_lag(plan.engine.load_lag)
+        .first_token_base(plan.engine.first_token)
+        .prompt_token_time(plan.engine.prompt_token)
+        .tick(plan.engine.tick);
     Ok(FleetOptions::builder()
         .binaries(options.binaries.clone())
         .deployment(deployment)
@@ -137,127 +152,114 @@
         .routing(options.routing.clone())
         .budget(options.budget.clone())
         .log_level(options.log_level.clone())
+        .engine(tuning.build())
         .seed(options.seed)
         .build())
 }
 
+/// What a scenario's traffic came to, before the fleet is stopped.
+struct CourseOutcome {
+    records: Vec<CallRecord>,
+    direct: Vec<DirectTimes>,
+    phases: Vec<TimedPhase>,
+    start: ClockTime,
+}
+
 /// Runs a scenario whole: the fleet is started, loaded, faulted, healed, stopped and judged.
 ///
 /// # Errors
 /// If the fleet can't be started.
 pub async fn run_scenario(options: &ScenarioOptions) -> Result<LoadReport, Report<FleetFault>> {
-    let fleet_options = fleet_options(options)?;
-    let mix = traffic_of(&fleet_options);
-    let fleet = RunningFleet::start(fleet_options).await?;
-    let entries = fleet.entry_addresses();
-    let before = StoreTraffic::of(&fleet);
-    let deposits = Arc::new(Mutex::new(first_deposits(&fleet.options)));
-    let fleet = Arc::new(Mutex::new(fleet));
-    let faults = options.all_faults();
-    let calls = plan(options, &mix, &faults);
-    let direct = match options.scenario == "steady" {
-        true => Some(direct_calls(options, &mix)),
-        false => None,
-    };
-    let stage =
-        FaultStage::new(Arc::clone(&fleet), Arc::clone(&deposits), options.lasting, options.seed);
-    let scripts: Vec<_> = faults
-        .iter()
-        .map(|fault| {
-            let (fault, stage) = (fault.clone(), stage.clone());
-            smol::spawn(async move { run_fault(&fault, stage).await })
-        })
-        .collect();
-    let direct = match direct {
-        Some(calls) => {
-            let engines: Vec<_> =
-                fleet.lock().await.engines.values().map(|engine| engine.address()).collect();
-            Some(smol::spawn(run_direct(calls, engines)))
-        }
-        None => None,
-    };
-    let records = run_calls(calls, entries).await;
-    for script in scripts {
-        script.await;
-    }
-    let mut fleet = fleet.lock().await;
-    let traffic = StoreTraffic::of(&fleet);
+    let plan = plan_of(options)?;
+    let fleet_options = fleet_options(options, &plan)?;
+    let mix = traffic::shaped(&traffic_of(&fleet_options), &plan);
     let mut report = LoadReport {
         scenario: options.scenario.clone(),
         seed: options.seed,
         policy: format!("{}/{}", options.routing, options.budget),
-        faults,
+        faults: options.all_faults(),
         ..LoadReport::default()
     };
+    let fleet = RunningFleet::start(fleet_options).await?;
+    let before = StoreTraffic::of(&fleet);
+    let deposits = Arc::new(Mutex::new(first_deposits(&fleet.options)));
+    let fleet = Arc::new(Mutex::new(fleet));
+    report.machine_load.extend(machine_load());
+    let outcome = drive(options, &plan, &mix, &fleet, &deposits).await;
+    report.machine_load.extend(machine_load());
+    let mut fleet = fleet.lock().await;
+    let traffic = StoreTraffic::of(&fleet);
     heal(&mut fleet);
     wait_settled(&fleet).await;
-    let sent = records.len().max(1) as f64;
+    let sent = outcome.records.len().max(1) as f64;
     report.store_writes_per_request = (traffic.writes - before.writes) as f64 / sent;
     report.store_reads_per_request = (traffic.reads - before.reads) as f64 / sent;
     report.control_bytes_per_second_per_node =
         super::scrape::control_bytes_per_second(&fleet).await;
-    let sends = || {
-        records.iter().filter(|record| record.is_answered()).flat_map(|record| record.sends.first())
-    };
-    report.first_token_ms.routed = LatencyFigures::of(sends().filter_map(|send| send.first_token));
-    report.whole_ms.routed = LatencyFigures::of(sends().map(|send| send.ended.since(send.sent)));
-    if let Some(direct) = direct {
-        let direct = direct.await;
-        let firsts = direct.iter().filter_map(|answer| answer.first_token);
-        report.first_token_ms.direct = LatencyFigures::of(firsts);
-        report.whole_ms.direct = LatencyFigures::of(direct.iter().map(|answer| answer.whole));
-    }
+    note_latencies(&mut report, &outcome, &fleet);
     let deposits = deposits.lock().await.clone();
-    conclude(&mut report, &mut fleet, &records, &deposits);
+    conclude(&mut report, &mut fleet, &outcome.records, &deposits);
     Ok(report)
 }
 
-fn plan(options: &ScenarioOptions, mix: &TrafficMix, faults: &[String]) -> Vec<PlannedCall> {
-    let mut builder = PlanBuilder::new(options.seed);
-    let rate = options.rate.unwrap_or(options.default_rate());
-    let mut mix = mix.clone();
-    if options.scenario != "steady" {
-        mix.keyed_share = 600;
-    }
-    let mut calls = plan_calls(&mut builder, &mix, rate, Duration::ZERO, options.lasting);
-    if faults.iter().any(|fault| fault == "poison") {
-        let at = options.lasting.mul_f64(0.3);
-        for number in 0..POISON_CALLS {
-            calls.push(poison_call(&mut builder, &mix, at + Duration::from_millis(700 * number)));
-        }
-        calls.sort_by_key(|call| call.at);
+/// Sends a scenario's calls, with its faults beside them, and waits for their ends.
+async fn drive(
+    options: &ScenarioOptions,
+    plan: &ScenarioPlan,
+    mix: &TrafficMix,
+    fleet: &Arc<Mutex<RunningFleet>>,
+    deposits: &Arc<Mutex<DepositLog>>,
+) -> CourseOutcome {
+    let phases = lay_out(plan.course, plan.lasting);
+    let calls = traffic::planned_calls(options, mix, plan.rate, &phases);
+    let (entries, engines) = {
+        let fleet = fleet.lock().await;
+        (fleet.entry_addresses(), fleet.engines.values().cloned().collect::<Vec<_>>())
+    };
+    let stage =
+        FaultStage::new(Arc::clone(fleet), Arc::clone(deposits), plan.lasting, options.seed);
+    let start = stage.start;
+    let scripts = options.all_faults().into_iter().map(|fault| {
+        let stage = stage.clone();
+        smol::spawn(async move { run_fault(&fault, stage).await })
+    });
+    let scripts: Vec<_> = scripts.collect();
+    let slowing = smol::spawn(slow_one(engines.first().cloned(), phases.clone(), start));
+    let direct = plan.direct.then(|| {
+        let calls: Vec<PlannedCall> = traffic::direct_calls(options, mix, plan.rate, plan.lasting);
+        let engines = engines.iter().map(EngineStand::address).collect();
+        smol::spawn(run_direct(calls, engines))
+    });
+    let records = run_calls(calls, entries).await;
+    slowing.await;
+    for script in scripts {
+        script.await;
     }
-    calls
-}
-
-/// A request that takes down every engine that runs it; each time under another key and through
-/// another entry, with the same content.
-fn poison_call(builder: &mut PlanBuilder, mix: &TrafficMix, at: Duration) -> PlannedCall {
-    let mut call = builder.call(mix, at);
-    let model = mix.models[0].clone();
-    call.kind = CallKind::Completion {
-        model,
-        prompt: "poison: a dossier that no engine survives. len:5".into(),
-        max_tokens: 20,
-        length: 5,
-        stream: true,
+    let direct = match direct {
+        Some(direct) => direct.await,
+        None => Vec::new(),
     };
-    call.non_idempotent = false;
-    call.key = Some(format!("poison-{}", call.marker.number));
-    call
+    CourseOutcome { records, direct, phases, start }
 }
 
-/// Calls of the same kind for the stand-ins themselves, at a quarter of the rate.
-fn direct_calls(options: &ScenarioOptions, mix: &TrafficMix) -> Vec<PlannedCall> {
-    let mut builder = PlanBuilder::new(options.seed ^ 0xD1EC7);
-    let mut mix = mix.clone();
-    mix.service_share = 0;
-    mix.stream_share = 1000;
-    for branch in &mut mix.branches {
-        branch.branch = "direct".parse().expect("the name is valid");
+/// Makes one engine as slow as each phase says.
+async fn slow_one(engine: Option<EngineStand>, phases: Vec<TimedPhase>, start: ClockTime) {
+    let Some(engine) = engine else { return };
+    for timed in phases {
+        let wait = start.after(timed.from).since(ClockTime::now());
+        smol::Timer::after(wait).await;
+        engine.slow_factor(timed.phase.slowness);
     }
-    let rate = options.rate.unwrap_or(options.default_rate()) / 4.0;
-    plan_calls(&mut builder, &mix, rate, Duration::ZERO, options.lasting)
+}
+
+fn note_latencies(report: &mut LoadReport, outcome: &CourseOutcome, fleet: &RunningFleet) {
+    let input =
+        CourseInput { records: &outcome.records, phases: &outcome.phases, start: outcome.start };
+    note_course(report, &input, fleet);
+    let direct = &outcome.direct;
+    let firsts = direct.iter().filter_map(|answer| answer.first_token);
+    report.first_token_ms.direct = LatencyFigures::of(firsts);
+    report.whole_ms.direct = LatencyFigures::of(direct.iter().map(|answer| answer.whole));
 }
 
 /// Undoes every fault, and starts what doesn't run, so that what remains can settle.
