Tell entries of engines' prompt caches on the streams of their dispatches

Cause: routing can take cache events in, but nobody read them from the engines. An engine's restart evicts all that was stored. No message is sent for it, and an entry hears only of caches that it uses, so the bytes grow with traffic and not with entries times upstreams.

--- a/crates/sagespool-entry/src/run/attempt.rs
+++ b/crates/sagespool-entry/src/run/attempt.rs
@@ -17,6 +17,7 @@
     AttemptNumber, ClockTime, IncarnationId, RefusalReason, RequestId, RunState, TokenCount,
 };
 
+use super::cache_news::take_cache_news;
 use super::{AnswerEvent, RequestOrder, homes};
 use crate::state::EntryState;
 
@@ -339,6 +340,10 @@
             let now = ClockTime::now();
             let taken = match event {
                 DispatchEvent::Started => true,
+                DispatchEvent::CacheNews(news) => {
+                    take_cache_news(&self.state.upstreams, choice.sidecar, &news, now);
+                    true
+                }
                 DispatchEvent::Head { status, headers } => self.take_head(status, headers).await,
                 DispatchEvent::Piece { at, tokens, data } => {
                     if tokens > 0 {
--- /dev/null
+++ b/crates/sagespool-entry/src/run/cache_news.rs
@@ -0,0 +1,22 @@
+//! What sidecars tell of their engines' prompt caches.
+
+use sagespool_messages::CacheNews;
+use sagespool_routing::{CacheEvent, CacheEventKind, UpstreamTable};
+use sagespool_types::{ClockTime, IncarnationId};
+
+/// Takes in what a sidecar told on the stream of a dispatch.
+pub(super) fn take_cache_news(
+    upstreams: &UpstreamTable,
+    sidecar: IncarnationId,
+    news: &CacheNews,
+    now: ClockTime,
+) {
+    for (number, note) in news.numbered() {
+        let kind = match note.is_stored {
+            true => CacheEventKind::Stored,
+            false => CacheEventKind::Evicted,
+        };
+        let event = CacheEvent { number, kind, prefix: note.prefix.into() };
+        upstreams.cache_event(sidecar, &event, now);
+    }
+}
--- a/crates/sagespool-entry/src/run/mod.rs
+++ b/crates/sagespool-entry/src/run/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod attach;
 mod attempt;
+mod cache_news;
 mod drive;
 mod events;
 mod homes;
--- a/crates/sagespool-messages/src/dispatch.rs
+++ b/crates/sagespool-messages/src/dispatch.rs
@@ -147,6 +147,57 @@
         },
         /// The end.
         End(DispatchEnd),
+        /// What the asker has not been told yet of the engine's prompt cache; may come anywhere
+        /// before the end.
+        CacheNews(CacheNews),
+    }
+}
+
+derives! { value;
+    /// The digest by which engines cache a prompt's prefix, as `docs/PLATFORM.md` has it.
+    ///
+    /// Sixteen bytes on the wire, where a random number of variable length takes nineteen.
+    pub struct PrefixDigest([u8; 16]);
+}
+
+impl From<u128> for PrefixDigest {
+    fn from(digest: u128) -> Self {
+        Self(digest.to_le_bytes())
+    }
+}
+
+impl From<PrefixDigest> for u128 {
+    fn from(digest: PrefixDigest) -> u128 {
+        u128::from_le_bytes(digest.0)
+    }
+}
+
+derives! { value;
+    /// A prefix, and whether its engine has it cached.
+    pub struct CacheNote {
+        /// The prefix.
+        pub prefix: PrefixDigest,
+        /// False if it was evicted.
+        pub is_stored: bool,
+    }
+}
+
+derives! { record;
+    /// What happened lately in an engine's prompt cache, late and with gaps.
+    pub struct CacheNews {
+        /// The number of the last note, counted by the sidecar; those before it count back
+        /// from there.
+        pub newest: u64,
+        /// The oldest first.
+        pub notes: Vec<CacheNote>,
+    }
+}
+
+impl CacheNews {
+    /// Each note with its number.
+    pub fn numbered(&self) -> impl Iterator<Item = (u64, CacheNote)> {
+        let first = (self.newest + 1).saturating_sub(self.notes.len() as u64);
+        (first..).zip(self.notes.iter().copied())
     }
 }
 
--- a/crates/sagespool-messages/src/lib.rs
+++ b/crates/sagespool-messages/src/lib.rs
@@ -16,8 +16,8 @@
 pub use charges::{ChargeRecord, ChargeReport, ChargesDurable, SealReply, SealRequest, SealScope};
 pub use claims::{ClaimReply, ClaimRequest, CrashReport, KeyReply, KeyRequest, KeyState};
 pub use dispatch::{
-    AttachRequest, CallTarget, CancelRequest, DispatchEnd, DispatchEvent, DispatchRequest,
-    HeaderPair, ResumePoint, StopCause,
+    AttachRequest, CacheNews, CacheNote, CallTarget, CancelRequest, DispatchEnd, DispatchEvent,
+    DispatchRequest, HeaderPair, PrefixDigest, ResumePoint, StopCause,
 };
 pub use members::{
     Heartbeat, LoadReport, MemberInfo, MemberRole, ServedUpstream, SuspectNote, UpstreamKind,
--- a/crates/sagespool-sidecar/src/dispatcher.rs
+++ b/crates/sagespool-sidecar/src/dispatcher.rs
@@ -20,8 +20,8 @@
 use crate::run_service::ServiceTarget;
 use crate::running::{RunningTable, StopReason};
 use crate::{
-    AnswerReader, ChargeBook, KeyMemory, KeyRefusal, KeyRetention, LoadWatch, OrderDesk,
-    ReportPolicy, UpstreamClient,
+    AnswerReader, CacheRelay, ChargeBook, KeyMemory, KeyRefusal, KeyRetention, LoadWatch,
+    OrderDesk, ReportPolicy, UpstreamClient,
 };
 
 /// The memory for answers of keyed requests, if nothing else is said.
@@ -59,6 +59,7 @@
     pub(crate) charges: ChargeBook,
     pub(crate) keys: KeyMemory,
     pub(crate) load: LoadWatch,
+    cache: CacheRelay,
     pub(crate) orders: OrderDesk,
     pub(crate) running: Arc<RunningTable>,
     pub(crate) metrics: FleetMetrics,
@@ -78,6 +79,7 @@
             charges: ChargeBook::new(sidecar, reports),
             keys: KeyMemory::new(sidecar, kept_answers, retention),
             load: LoadWatch::new(&upstream),
+            cache: CacheRelay::default(),
             orders: OrderDesk::new(),
             running: Arc::default(),
             metrics,
@@ -99,6 +101,16 @@
         &self.load
     }
 
+    /// What askers are told of the engine's prompt cache.
+    pub fn cache(&self) -> &CacheRelay {
+        &self.cache
+    }
+
+    /// Engine or plain service.
+    pub fn kind(&self) -> UpstreamKind {
+        self.kind
+    }
+
     /// The upstream.
     pub fn upstream(&self) -> &UpstreamClient {
         &self.upstream
--- a/crates/sagespool-sidecar/src/lib.rs
+++ b/crates/sagespool-sidecar/src/lib.rs
@@ -11,6 +11,8 @@
 //! - [`TokenMeter`]: the answer ends with the last token that was reserved.
 //! - [`OrderDesk`]: orders reach the engine in the order of their fencing numbers.
 //!
+//! What helps to choose well, [`LoadWatch`] and [`CacheRelay`] pass on.
+//!
 //! These decide without I/O and take the time as an argument. [`SidecarRole`]
 //! is the process around them: link, heartbeats, charge reports, graceful stop.
 //!
@@ -23,6 +25,7 @@
 mod admission;
 mod answer_log;
 mod attempt;
+mod cache_relay;
 mod charge_book;
 mod dispatcher;
 mod engine_body;
@@ -40,6 +43,7 @@
 mod upstream;
 
 pub use answer_log::{AnswerLog, AnswerReader};
+pub use cache_relay::CacheRelay;
 pub use charge_book::{ChargeBook, ChargeRefusal, ChargeWish, ReportPolicy};
 pub use dispatcher::{DispatchOptions, Dispatcher};
 pub use engine_body::{EngineTerms, engine_body};
@@ -50,6 +54,6 @@
 pub use role::{RoleFault, SidecarRole, StopReport};
 pub use token_meter::{MeterStep, TokenMeter};
 pub use upstream::{
-    CallFault, CompletionStream, EngineLoad, OrderOutcome, RunCall, ServiceAnswer, ServiceCall,
-    UpstreamClient,
+    CacheFeed, CallFault, CompletionStream, EngineCacheEvent, EngineLoad, OrderOutcome, RunCall,
+    ServiceAnswer, ServiceCall, UpstreamClient,
 };
--- a/crates/sagespool-sidecar/src/role.rs
+++ b/crates/sagespool-sidecar/src/role.rs
@@ -152,6 +152,7 @@
     vec![
         smol::spawn(upstream_tasks::find_start(Arc::clone(state))),
         smol::spawn(upstream_tasks::watch_load(Arc::clone(state))),
+        smol::spawn(upstream_tasks::follow_cache(Arc::clone(state))),
         smol::spawn(upstream_tasks::expire(Arc::clone(state))),
         smol::spawn(members::send_heartbeats(Arc::clone(state))),
         smol::spawn(members::read_instances(Arc::clone(state))),
--- a/crates/sagespool-sidecar/src/role/peers.rs
+++ b/crates/sagespool-sidecar/src/role/peers.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 
 use futures_lite::FutureExt;
-use sagespool_link::{EventSender, PeerCall, PeerHandler, PeerResponder};
-use sagespool_messages::{MemberStatus, PeerReply, PeerRequest, StatusQuery, StatusReply};
+use sagespool_link::{EventSender, PeerCall, PeerHandler};
+use sagespool_messages::{
+    CacheNews, DispatchEvent, MemberStatus, PeerReply, PeerRequest, StatusQuery, StatusReply,
+};
 use sagespool_types::{ClockTime, WallTime};
 
 use super::state::SidecarState;
@@ -15,22 +17,24 @@
 pub(super) fn peer_handler(state: Arc<SidecarState>) -> PeerHandler {
     Arc::new(move |call: PeerCall| {
         let state = Arc::clone(&state);
-        Box::pin(async move { answer(&state, call.request, call.responder).await })
+        Box::pin(async move { answer(&state, call).await })
     })
 }
 
-async fn answer(state: &SidecarState, request: PeerRequest, responder: PeerResponder) {
+async fn answer(state: &SidecarState, call: PeerCall) {
+    let PeerCall { from, request, responder } = call;
     let now = ClockTime::now();
     let dispatcher = &state.dispatcher;
     let reply = match request {
         PeerRequest::Dispatch(dispatch) => {
             let _forward = state.forwards.enter();
             let reader = dispatcher.dispatch(dispatch, now).await;
-            return pass_on(reader, responder.events()).await;
+            let news = dispatcher.cache().news_for(from);
+            return pass_on(reader, news, responder.events()).await;
         }
         PeerRequest::Attach(request) => {
             let _forward = state.forwards.enter();
-            return pass_on(dispatcher.attach(&request), responder.events()).await;
+            return pass_on(dispatcher.attach(&request), None, responder.events()).await;
         }
         PeerRequest::Cancel(request) => {
             dispatcher.cancel(&request);
@@ -52,9 +56,14 @@
     responder.reply(reply).await;
 }
 
-/// Sends an answer's events as they come. When the asker is gone the reader is
-/// dropped, which tells the attempt.
-async fn pass_on(mut reader: AnswerReader, mut sender: EventSender) {
+/// Sends an answer's events as they come, after what is new of the cache. When the asker is
+/// gone the reader is dropped, which tells the attempt.
+async fn pass_on(mut reader: AnswerReader, news: Option<CacheNews>, mut sender: EventSender) {
+    if let Some(news) = news
+        && sender.send(&DispatchEvent::CacheNews(news)).await.is_err()
+    {
+        return;
+    }
     let mut gone = pin!(sender.asker_gone());
     loop {
         let asker_gone = async {
--- a/crates/sagespool-sidecar/src/role/upstream_tasks.rs
+++ b/crates/sagespool-sidecar/src/role/upstream_tasks.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use sagespool_log::log_event;
+use sagespool_messages::UpstreamKind;
 use sagespool_types::ClockTime;
 use serde::de::IgnoredAny;
 use smol::Timer;
@@ -14,6 +15,15 @@
 /// How often the upstream is looked at.
 const LOAD_PERIOD: Duration = Duration::from_millis(200);
 
+/// How long the engine may wait for a change of its cache.
+const CACHE_WAIT: Duration = Duration::from_secs(10);
+
+/// Between two questions for changes, so that many come in one answer.
+const CACHE_PAUSE: Duration = Duration::from_millis(200);
+
+/// Between two tries to ask for changes.
+const CACHE_RETRY: Duration = Duration::from_secs(1);
+
 /// How often memories are cleared of what is past its time.
 const EXPIRY_PERIOD: Duration = Duration::from_secs(1);
 
@@ -57,6 +67,28 @@
     }
 }
 
+/// Follows the changes of an engine's prompt cache.
+pub(super) async fn follow_cache(state: Arc<SidecarState>) {
+    let dispatcher = &state.dispatcher;
+    if dispatcher.kind() != UpstreamKind::Engine {
+        return;
+    }
+    loop {
+        let after = dispatcher.cache().ask_after();
+        let pause = match dispatcher.upstream().cache_events(after, CACHE_WAIT).await {
+            Some(feed) => {
+                dispatcher.cache().take(&feed);
+                CACHE_PAUSE
+            }
+            None => {
+                dispatcher.cache().lost_touch();
+                CACHE_RETRY
+            }
+        };
+        Timer::after(pause).await;
+    }
+}
+
 /// Clears the memories of what is past its time.
 pub(super) async fn expire(state: Arc<SidecarState>) {
     loop {
--- a/crates/sagespool-sidecar/src/upstream.rs
+++ b/crates/sagespool-sidecar/src/upstream.rs
@@ -12,7 +12,7 @@
 
 use connector::UpstreamConnector;
 
-pub use control::{EngineLoad, OrderOutcome};
+pub use control::{CacheFeed, EngineCacheEvent, EngineLoad, OrderOutcome};
 pub use fault::CallFault;
 pub use run::{CompletionStream, RunCall, ServiceAnswer, ServiceCall};
 
--- a/crates/sagespool-sidecar/src/upstream/control.rs
+++ b/crates/sagespool-sidecar/src/upstream/control.rs
@@ -1,9 +1,11 @@
 //! Calls about the upstream itself: health, load, cancelling, orders.
 
 use std::io;
+use std::num::ParseIntError;
 use std::time::Duration;
 
 use futures_lite::FutureExt;
+use sagespool_messages::{CacheNote, PrefixDigest};
 use sagespool_types::{AttemptNumber, FenceNumber, ModelName, RequestId};
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -41,6 +43,49 @@
     pub models: Vec<ModelName>,
 }
 
+/// One change of an engine's prompt cache.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(try_from = "WireCacheEvent")]
+pub struct EngineCacheEvent {
+    /// Counted by the engine from its start.
+    pub number: u64,
+    /// What changed.
+    pub note: CacheNote,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum WireCacheChange {
+    Stored,
+    Evicted,
+}
+
+#[derive(Deserialize)]
+struct WireCacheEvent {
+    number: u64,
+    kind: WireCacheChange,
+    prefix: String,
+}
+
+impl TryFrom<WireCacheEvent> for EngineCacheEvent {
+    type Error = ParseIntError;
+
+    fn try_from(event: WireCacheEvent) -> Result<Self, ParseIntError> {
+        let prefix = PrefixDigest::from(u128::from_str_radix(&event.prefix, 16)?);
+        let is_stored = matches!(event.kind, WireCacheChange::Stored);
+        Ok(Self { number: event.number, note: CacheNote { prefix, is_stored } })
+    }
+}
+
+/// Changes of an engine's prompt cache.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct CacheFeed {
+    /// Another value after each start of the engine.
+    pub start: Value,
+    /// In order, with gaps.
+    pub events: Vec<EngineCacheEvent>,
+}
+
 /// How an engine answered an order.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum OrderOutcome {
@@ -80,6 +125,19 @@
         serde_json::from_slice(&body.await?).ok()
     }
 
+    /// Changes of an engine's prompt cache after a number; waits for one for so long. None if the
+    /// engine doesn't tell.
+    pub async fn cache_events(&self, after: u64, wait: Duration) -> Option<CacheFeed> {
+        let query = format!("/cache-events?after={after}&wait_ms={}", wait.as_millis());
+        let body = within(wait + PROBE_LIMIT, async {
+            let mut conn = self.client.get(self.control_url(&query)).await.ok()?;
+            let is_feed = conn.status() == Some(Status::Ok);
+            let body = conn.response_body().read_bytes().await.ok()?;
+            is_feed.then_some(body)
+        });
+        serde_json::from_slice(&body.await?).ok()
+    }
+
     /// Tells an engine to give a request up. Dropping the stream alone would
     /// leave the engine working until it next writes. True if it answered.
     pub async fn cancel(&self, request: RequestId, attempt: AttemptNumber) -> bool {
