Tell a cached prefix's gain by the quick first tokens only

The bonus of a cached prefix under full load is no longer multiplied by an upstream's slowness, which had made a slow one look the cheapest. The unknown part of a load grows with the upstream's size.

--- a/crates/sagespool-routing/src/choose.rs
+++ b/crates/sagespool-routing/src/choose.rs
@@ -19,13 +19,13 @@
 const RING_BELIEF: [f64; RING_CANDIDATES] = [1.0, 0.5];
 const SENT_BELIEF: f64 = 0.4;
 const STORED_BELIEF: f64 = 1.0;
-/// Variance of the load that an estimate doesn't know of, in requests.
-const UNKNOWN_LOAD: f64 = 4.0;
+/// Variance of an estimated load, for each place of the upstream.
+const UNKNOWN_LOAD: f64 = 1.0;
 /// From this use of the upstreams on, a place is worth more to those that wait than to the
 /// request itself, and so is a cached prefix, which frees its place earlier.
 const BUSY: f64 = 0.9;
-/// How many times more a cached prefix counts where all places are taken.
-const BUSY_GAIN: f64 = 4.0;
+/// How many times its gain a cached prefix counts beyond that, where all places are taken.
+const BUSY_GAIN: f64 = 2.0;
 /// Of so many requests at most one probes a slow upstream: its caller waits longer.
 const SLOW_PROBE_SHARE: u32 = 200;
 /// Costs closer than this, in seconds, are a tie.
@@ -37,6 +37,8 @@
     first_token: f64,
     run_time: f64,
     prefix_gain: f64,
+    /// What a cached prefix is worth to those that wait, beyond that.
+    busy_gain: f64,
 }
 
 /// An upstream that may hold the wish's prefix.
@@ -225,12 +227,14 @@
         let outlook = self.outlook(entries, now);
         let busy = ((self.use_share() - BUSY) / (1.0 - BUSY)).clamp(0.0, 1.0);
         let busy = if has_waited { busy } else { 0.0 };
-        let prefix_gain = self.speed.prefix_gain(&self.policy, now) * (1.0 + BUSY_GAIN * busy);
+        let prefix_gain = self.speed.prefix_gain(&self.policy, now);
+        let busy_gain = prefix_gain * BUSY_GAIN * busy;
         ChoiceScale {
             outlook,
             first_token: self.speed.first_token(&self.policy, now),
             run_time: self.speed.run_time(&self.policy, now),
             prefix_gain,
+            busy_gain,
         }
     }
 
@@ -247,18 +251,19 @@
         let load = upstream.load.estimate(&scale.outlook, capacity, now);
         let slowness = upstream.speed.slowness(&self.policy, now);
         let over = load + 1.0 - capacity;
-        let waiting = (over + (over * over + UNKNOWN_LOAD).sqrt()) / 2.0;
+        let waiting = (over + (over * over + capacity * UNKNOWN_LOAD).sqrt()) / 2.0;
         let wait = waiting * scale.run_time * slowness / capacity;
         let candidate = cached.iter().find(|candidate| candidate.place == place);
         let belief = candidate.map_or(0.0, |candidate| candidate.belief);
         let first_token = (scale.first_token - scale.prefix_gain * belief) * slowness;
+        let bonus = scale.busy_gain * belief;
         // An upstream that hangs shows by requests that get no first token, long before any ends.
         let is_stalled = self.is_stalled(upstream, wait, now);
         let stalled = if is_stalled { upstream.stalled_for(now).as_secs_f64() } else { 0.0 };
         let failures = upstream.failures.value(0.0, self.policy.half_life, now);
         let failing = failures * self.policy.failure_cost.as_secs_f64();
         let far = if upstream.is_near { 0.0 } else { self.policy.centre_penalty.as_secs_f64() };
-        (first_token + wait).max(stalled) + failing + far
+        (first_token + wait).max(stalled) + failing + far - bonus
     }
 
     fn make_choice(&mut self, place: usize, wish: &RouteWish, now: ClockTime) -> RouteChoice {
--- a/crates/sagespool-routing/src/load.rs
+++ b/crates/sagespool-routing/src/load.rs
@@ -95,8 +95,8 @@
     /// to have done alike. What an old report says beyond the average fades as the requests
     /// that it counted end.
     ///
-    /// Half of the estimate is what the load would be if the others had there in proportion what
-    /// this entry has. It is never late, and entries that all weigh it keep to their part of
+    /// A part of the estimate is what the load would be if the others had there in proportion
+    /// what this entry has. It is never late, and entries that all weigh it keep to their part of
     /// each upstream without a message.
     pub(crate) fn estimate(&self, outlook: &LoadOutlook, capacity: f64, now: ClockTime) -> f64 {
         let own = f64::from(self.own());
--- a/crates/sagespool-routing/src/service.rs
+++ b/crates/sagespool-routing/src/service.rs
@@ -22,7 +22,7 @@
 /// How far other entries are taken to follow the same old reports.
 const HERDING: f64 = 0.5;
 /// How far own requests alone are taken to tell an upstream's load.
-const OWN_WEIGHT: f64 = 0.5;
+const OWN_WEIGHT: f64 = 0.75;
 /// Without any first token for so many times the expected time, an upstream is stalled.
 const STALL: f64 = 3.0;
 /// Entries may have so many times the upstreams' capacity running: a choice that was a
--- a/crates/sagespool-routing/src/speed.rs
+++ b/crates/sagespool-routing/src/speed.rs
@@ -16,6 +16,10 @@
 /// it by the upstream's slowness instead leaves the scale of both undetermined: it stays where
 /// the first guess put it.)
 const MOST_OUTLYING: f64 = 3.0;
+/// A first token is quick within this part of the ordinary time: its prefix was cached.
+const QUICK: f64 = 0.6;
+/// So many quick ones of those believed to be cached show that caching works at all.
+const ENOUGH_HITS: f64 = 0.1;
 /// A run counts as at most so many times the mean: answers differ more in length than in their
 /// first token.
 const LONGEST_RUN: f64 = 20.0;
@@ -35,8 +39,10 @@
 pub(crate) struct ServiceSpeed {
     /// To the first token, where the prefix wasn't believed to be cached.
     uncached: SmoothedValue,
-    /// To the first token, where it was.
+    /// To the first token, where it was, and came quickly.
     cached: SmoothedValue,
+    /// How often it came quickly where the prefix was believed to be cached, from 0 to 1.
+    hits: SmoothedValue,
     /// For one token more.
     token: SmoothedValue,
     /// For which a request holds its place.
@@ -46,7 +52,7 @@
 impl Default for ServiceSpeed {
     fn default() -> Self {
         let empty = SmoothedValue::new(SERVICE_MEMORY);
-        Self { uncached: empty, cached: empty, token: empty, run: empty }
+        Self { uncached: empty, cached: empty, hits: empty, token: empty, run: empty }
     }
 }
 
@@ -56,12 +62,17 @@
         self.uncached.value(policy.first_token.as_secs_f64(), policy.half_life, now)
     }
 
-    /// Seconds that a cached prefix saves.
+    /// Seconds that a cached prefix saves, where it is really cached.
+    ///
+    /// Beliefs are often wrong while prefixes are spread over all upstreams. Averaged over them
+    /// the gain looks small, small gains spread the prefixes further, and it stays that way. So
+    /// only the quick ones tell the gain, and that there are any tells that it is real.
     pub(crate) fn prefix_gain(&self, policy: &RoutingPolicy, now: ClockTime) -> f64 {
         let uncached = self.first_token(policy, now);
         let guess = (uncached - policy.prefix_gain.as_secs_f64()).max(0.0);
         let cached = self.cached.value(guess, policy.half_life, now);
-        (uncached - cached).max(0.0)
+        let hits = self.hits.value(1.0, policy.half_life, now);
+        (uncached - cached).max(0.0) * (hits / ENOUGH_HITS).min(1.0)
     }
 
     /// Seconds that a request holds its place.
@@ -102,7 +113,11 @@
         let ordinary = seconds.min(expected * MOST_OUTLYING);
         let ratio = seconds / expected.max(1e-6);
         if is_cached {
-            service.cached.add(ordinary, policy.half_life, now);
+            let is_quick = ratio < QUICK;
+            service.hits.add(f64::from(u8::from(is_quick)), policy.half_life, now);
+            if is_quick {
+                service.cached.add(ordinary, policy.half_life, now);
+            }
             // Quick because it was cached says nothing about the upstream's speed.
             self.add(ratio.max(1.0), policy, now);
         } else {
