--- a/crates/sagespool-sidecar/src/role/peers.rs
+++ b/crates/sagespool-sidecar/src/role/peers.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use futures_lite::FutureExt;
-use sagespool_link::{EventSender, PeerCall, PeerHandler, PeerResponder};
+use sagespool_link::{EventSender, PeerCall, PeerHandler};
 use sagespool_messages::{
     CacheNews, DispatchEvent, LeaveRequest, MemberStatus, PeerReply, PeerRequest, StatusQuery,
     StatusReply,
