--- a/crates/sagespool-entry/src/run/attempt.rs
+++ b/crates/sagespool-entry/src/run/attempt.rs
@@ -14,6 +14,7 @@
 use sagespool_routing::{RouteChoice, RouteWish};
 use sagespool_types::{AttemptNumber, ClockTime, IncarnationId, RefusalReason, TokenCount};
 
+use super::cache_news::take_cache_news;
 use super::judge::Judgement;
 use super::passage::{AnswerPassage, PieceTaken};
 use super::{AnswerEvent, RequestOrder, homes};
@@ -336,6 +337,10 @@
             let now = ClockTime::now();
             let taken = match event {
                 DispatchEvent::Started => true,
+                DispatchEvent::CacheNews(news) => {
+                    take_cache_news(&self.state.upstreams, choice.sidecar, &news, now);
+                    true
+                }
                 DispatchEvent::Head { status, headers } => {
                     self.passage.take_head(status, headers).await
                 }
