--- a/crates/sagespool-routing/src/service.rs
+++ b/crates/sagespool-routing/src/service.rs
@@ -303,7 +303,7 @@
             others_mean: self.totals.others / self.totals.capacity.max(1.0),
             fading: Duration::from_secs_f64(run_time * FADING_RUNS),
             herding: HERDING,
-            own_weight: if entries > 1 { OWN_WEIGHT } else { 0.0 },
+            own_weight: OWN_WEIGHT,
         }
     }
 
