--- a/crates/sagespool-daemon/tests/common/calls.rs
+++ b/crates/sagespool-daemon/tests/common/calls.rs
@@ -122,10 +122,10 @@
     assert_promises_after(fleet, records, &first_deposits(&fleet.options));
 }
 
-/// As [`assert_promises`], but for refusals for budget: a side that is cut off from the store refuses
-/// what the fleet as a whole could pay.
-pub fn assert_promises_cut_off(fleet: &TestFleet, records: &[CallRecord], deposits: &DepositLog) {
-    let found = verdict(fleet, records, deposits);
+/// As [`assert_promises`], but for refusals for budget: while the store is away, or some of the budget
+/// is in doubt, what nobody spent is refused all the same.
+pub fn assert_promises_but_refusals(fleet: &TestFleet, records: &[CallRecord]) {
+    let found = verdict(fleet, records, &first_deposits(&fleet.options));
     assert_kept(&OracleVerdict { false_refusals: 0, ..found });
 }
 
--- a/crates/sagespool-daemon/tests/store_outage.rs
+++ b/crates/sagespool-daemon/tests/store_outage.rs
@@ -6,7 +6,7 @@
 
 use common::*;
 use sagespool_testkit::EngineStand;
-use sagespool_testkit::load::{PlannedCall, first_deposits};
+use sagespool_testkit::load::PlannedCall;
 
 const PREPAID: u64 = 1000;
 /// Long enough for an answer, short enough that a wait for the store ends.
@@ -69,7 +69,7 @@
         assert!(is_own_whole(&last_send), "{last_send:?}");
         records.push(record(&last, [last_send]));
         until_settled(&fleet, BRANCH, PREPAID).await;
-        assert_promises_cut_off(&fleet, &records, &first_deposits(&fleet.options));
+        assert_promises_but_refusals(&fleet, &records);
     });
 }
 
--- a/crates/sagespool-ledger/src/purse.rs
+++ b/crates/sagespool-ledger/src/purse.rs
@@ -364,7 +364,10 @@
         version: StoreRevision,
         now: ClockTime,
     ) {
-        let others = account.grants.iter().filter(|(id, _)| id.holder != own);
+        // What is in doubt nobody gives back: a request that waited for it would only be refused
+        // later, at its deadline.
+        let others =
+            account.grants.iter().filter(|(id, record)| id.holder != own && !record.in_doubt);
         self.view = BookView {
             free: account.free(),
             others: others.map(|(id, record)| (*id, id.holder, record.rest())).collect(),
--- a/crates/sagespool-ledger/tests/seal_recovery.rs
+++ b/crates/sagespool-ledger/tests/seal_recovery.rs
@@ -290,3 +290,24 @@
     case.take_reply(&listed(SIDECAR, vec![whole(&book.branch, foreign, 1, 60)]));
     assert_eq!(case.verdict(), RecoveryVerdict::Close(Vec::new()));
 }
+
+/// A home dies, and so does a sidecar, and what the grant may have paid is in doubt for good. A
+/// request that the rest of the budget doesn't cover must be refused now: if the doubtful grant
+/// counted among those that a holder could still give back, it would wait until its deadline.
+#[test]
+fn doubt_unawaited() {
+    let mut book = StoredBook::new(100);
+    book.reserve(&home(HOME), 60, at(1));
+    let next = home(OTHER_HOME);
+    book.grant(&next, 40, at(1));
+    assert_eq!(book.short(&next, 50, at(1)).expect("it is short").others.len(), 1);
+
+    book.mark_sealed(HOME, OTHER_HOME);
+    let grant = book.grants().into_iter().find(|grant| grant.holder == HOME);
+    let grant = grant.expect("the grant is outstanding");
+    let mut case = RecoveryCase::new(book.branch.clone(), grant, StoreRevision(1), [SIDECAR]);
+    case.give_up(SIDECAR);
+    recover(&mut book, &case);
+    book.write(&next, at(2));
+    assert_eq!(book.short(&next, 50, at(2)).expect("it is short").others, []);
+}
