--- a/crates/sagespool-daemon/tests/sidecar_kill.rs
+++ b/crates/sagespool-daemon/tests/sidecar_kill.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::collections::BTreeSet;
+
 use common::*;
 use sagespool_types::TokenCount;
 
@@ -19,6 +21,25 @@
     }
 }
 
+/// Waits until an entry has had calls of the other branch answered by every engine.
+async fn until_reaches_engines(fleet: &TestFleet, entry: usize) {
+    let mut reached = BTreeSet::new();
+    until_async("the entry reaches every engine", async || {
+        let call = completion(OTHER_BRANCH, 1);
+        send(fleet, &call, entry).await;
+        reached.extend(runs_of(fleet, &call).into_iter().map(|run| run.start.upstream));
+        reached.len() == fleet.engines.len()
+    })
+    .await;
+}
+
+/// Waits until an entry has passed a first token on, and had a second, of an answer to the branch.
+async fn until_passed_on(fleet: &TestFleet, entry: usize) {
+    let name = format!("sagespool_branch_between_tokens_seconds_count{{branch=\"{BRANCH}\"}}");
+    let passed = async || metric(fleet, entry, &name).await.is_some_and(|count| count >= 1.0);
+    until_async("the entry passes tokens on", passed).await;
+}
+
 #[test]
 fn killed_stream() {
     // A sidecar dies in the middle of a stream, with the engine's answer half passed on. The entry
@@ -29,7 +50,7 @@
         let BranchHome { home, first, .. } = home_of(&fleet, BRANCH).await;
         let stream = completion(BRANCH, LONG_ANSWER);
         let stream_send = start_send(&fleet, &stream, home);
-        until_running(&fleet, &stream).await;
+        until_passed_on(&fleet, home).await;
         let engine = runs_of(&fleet, &stream)[0].start.upstream.clone();
         let sidecar = fleet.place_of(&format!("{engine}-sidecar")).expect("each has its sidecar");
         fleet.kill(sidecar);
@@ -128,7 +149,7 @@
         }
 
         fleet.pause(home, false);
-        until_knows(&fleet, home, fleet.members.len()).await;
+        until_reaches_engines(&fleet, home).await;
         let late = completion(BRANCH, 40);
         let late_send = send(&fleet, &late, home).await;
         assert!(refusal(&late_send).is_some(), "{late_send:?}");
