Name private modules in the documentation without linking to them

The clean checkout's verdict was red: rustdoc refuses links from public pages to private items. The linter and the tests had been run before each landing, the documentation had not.

--- a/crates/sagespool-entry/src/lib.rs
+++ b/crates/sagespool-entry/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! A request's way through an entry: [`caller`] checks who asks and what for,
 //! [`run`] has it paid by the branch's [`home`] (this entry or another),
-//! chooses an upstream and streams the answer back. [`peers`] answers what
-//! other processes ask, and [`role`] starts and stops it all.
+//! chooses an upstream and streams the answer back. `peers` answers what
+//! other processes ask, and `role` starts and stops it all.
 
 pub mod caller;
 mod configuration;
