--- a/crates/sagespool-daemon/tests/common/calls.rs
+++ b/crates/sagespool-daemon/tests/common/calls.rs
@@ -66,6 +66,11 @@
     planned
 }
 
+/// The same call with less time.
+pub fn patient(call: PlannedCall, deadline: Duration) -> PlannedCall {
+    PlannedCall { deadline, ..call }
+}
+
 /// The same call with an idempotency key.
 pub fn keyed(call: PlannedCall, key: &str) -> PlannedCall {
     PlannedCall { key: Some(key.to_owned()), ..call }
@@ -125,7 +130,16 @@
 /// As [`assert_promises`], but for refusals for budget: while the store is away, or some of the budget
 /// is in doubt, what nobody spent is refused all the same.
 pub fn assert_promises_but_refusals(fleet: &TestFleet, records: &[CallRecord]) {
-    let found = verdict(fleet, records, &first_deposits(&fleet.options));
+    assert_promises_but_refusals_after(fleet, records, &first_deposits(&fleet.options));
+}
+
+/// The same with other deposits.
+pub fn assert_promises_but_refusals_after(
+    fleet: &TestFleet,
+    records: &[CallRecord],
+    deposits: &DepositLog,
+) {
+    let found = verdict(fleet, records, deposits);
     assert_kept(&OracleVerdict { false_refusals: 0, ..found });
 }
 
--- a/crates/sagespool-daemon/tests/common/mod.rs
+++ b/crates/sagespool-daemon/tests/common/mod.rs
@@ -1,10 +1,11 @@
 //! A small fleet of real processes, and what the tests ask of it.
 
 // Each test file uses its own part of this.
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 mod books;
 mod calls;
+mod links;
 mod members;
 mod raw;
 
@@ -22,6 +23,7 @@
 
 pub use books::*;
 pub use calls::*;
+pub use links::*;
 pub use members::*;
 pub use raw::*;
 
--- /dev/null
+++ b/crates/sagespool-daemon/tests/poison.rs
@@ -0,0 +1,84 @@
+//! One request that takes down each upstream that runs it.
+
+mod common;
+
+use std::collections::BTreeSet;
+
+use common::*;
+use sagespool_testkit::load::{CallKind, PlannedCall, SendRecord};
+use sagespool_types::TokenCount;
+
+/// Long enough that a crash falls into the middle of it.
+const LONG_ANSWER: u32 = 300;
+const MOST_NEIGHBOURS: usize = 60;
+
+/// A completion that no engine survives.
+fn poison(name: &str) -> PlannedCall {
+    let mut planned = completion(name, 5);
+    let CallKind::Completion { prompt, .. } = &mut planned.kind else {
+        unreachable!("a completion")
+    };
+    *prompt = prompt.replace("Compare", "poison");
+    planned
+}
+
+/// Starts idempotent streams until every engine runs one.
+async fn start_neighbours(fleet: &TestFleet) -> Vec<(PlannedCall, smol::Task<SendRecord>)> {
+    let entries = fleet.entries();
+    let mut neighbours = Vec::new();
+    let busy = || {
+        let running = fleet.witness.running().into_iter();
+        running.map(|run| run.start.upstream).collect::<BTreeSet<_>>().len()
+    };
+    while busy() < fleet.engines.len() {
+        assert!(neighbours.len() < MOST_NEIGHBOURS, "an engine gets nothing to do");
+        let call = completion(OTHER_BRANCH, LONG_ANSWER);
+        let task = start_send(fleet, &call, entries[neighbours.len() % entries.len()]);
+        until("the neighbour runs", || !runs_of(fleet, &call).is_empty()).await;
+        neighbours.push((call, task));
+    }
+    neighbours
+}
+
+#[test]
+fn stopped_everywhere() {
+    // A caller's dossier crashes the engine that reads it. It is tried once more, elsewhere, and
+    // crashes that engine too. Its caller sends it again: with another key, through the other
+    // entry, as another of its branches would. Not one more engine may go down for it, and each
+    // time the caller is told why, and truly whether it ran. The other callers whose streams ran on
+    // the crashed engines see nothing of it: each has its whole answer and pays for it once.
+    run(async {
+        let start = SmallFleet { proxied: true, engines: 3, ..Default::default() };
+        let fleet = start.start().await;
+        let entries = fleet.entries();
+        let neighbours = start_neighbours(&fleet).await;
+        let poison = keyed(poison(BRANCH), "first");
+        let first_send = send(&fleet, &poison, entries[0]).await;
+        assert_eq!(refusal(&first_send), Some(("quarantined", "unknown")), "{first_send:?}");
+        let crashed: BTreeSet<_> =
+            runs_of(&fleet, &poison).into_iter().map(|run| run.start.upstream).collect();
+        assert_eq!(crashed.len(), 2, "{:?}", runs_of(&fleet, &poison));
+
+        let mut records = vec![record(&poison, [first_send])];
+        for (entry, key) in [(entries[0], "second"), (entries[1], "third"), (entries[1], "fourth")]
+        {
+            let again = keyed(poison.clone(), key);
+            let sent = send(&fleet, &again, entry).await;
+            assert_eq!(refusal(&sent), Some(("quarantined", "not-run")), "{sent:?}");
+        }
+        assert_eq!(runs_of(&fleet, &poison).len(), 2, "{:?}", runs_of(&fleet, &poison));
+        let mut run_again = 0;
+        for (call, task) in neighbours {
+            let sent = task.await;
+            assert!(is_own_whole(&sent), "{sent:?}");
+            run_again += usize::from(runs_of(&fleet, &call).len() > 1);
+            records.push(record(&call, [sent]));
+        }
+        assert!(run_again > 0, "no neighbour was in flight on a crashed engine");
+        let neighbours =
+            records.iter().filter(|record| record.call.branch().as_str() == OTHER_BRANCH);
+        let spent: TokenCount = neighbours.map(|record| record.billed()).sum();
+        until_settled(&fleet, OTHER_BRANCH, spent.0).await;
+        assert_promises(&fleet, &records);
+    });
+}
--- a/crates/sagespool-daemon/tests/store_outage.rs
+++ b/crates/sagespool-daemon/tests/store_outage.rs
@@ -17,8 +17,8 @@
     fleet.change_store(|faults| faults.outage = outage);
 }
 
-fn patient(call: PlannedCall) -> PlannedCall {
-    PlannedCall { deadline: PATIENCE, ..call }
+fn hurried(call: PlannedCall) -> PlannedCall {
+    patient(call, PATIENCE)
 }
 
 #[test]
@@ -35,14 +35,14 @@
         records.push(first);
         outage(&fleet, true);
 
-        let letter = patient(letter(BRANCH, "letter"));
+        let letter = hurried(letter(BRANCH, "letter"));
         let letter_send = send(&fleet, &letter, home).await;
         let (reason, _) = refusal(&letter_send).expect("a letter that can't be claimed is refused");
         assert_eq!(reason, "claim-unreachable", "{letter_send:?}");
         assert!(runs_of(&fleet, &letter).is_empty(), "the letter went out unclaimed");
         let mut answered = 0;
         for number in 0..MOST_CALLS {
-            let call = patient(completion(BRANCH, 40));
+            let call = hurried(completion(BRANCH, 40));
             let entry = [home, other][number % 2];
             let sent = send(&fleet, &call, entry).await;
             records.push(record(&call, [sent.clone()]));
@@ -89,7 +89,7 @@
         let tried = fleet.store.counts().out_of_service;
         until("the letter waits for its claim", || fleet.store.counts().out_of_service > tried)
             .await;
-        let second_send = send(&fleet, &patient(letter.clone()), entries.home).await;
+        let second_send = send(&fleet, &hurried(letter.clone()), entries.home).await;
         let (_, run_state) = refusal(&second_send).expect("the second window has little time");
         assert_eq!(run_state, "unknown", "{second_send:?}");
 
@@ -123,14 +123,14 @@
         let at_door = completion(BRANCH, 10);
         let refused = send(&fleet, &at_door, entries.other).await;
         assert_eq!(refusal(&refused), Some(("not-ready", "not-run")), "{refused:?}");
-        let served = patient(completion(BRANCH, 10));
+        let served = hurried(completion(BRANCH, 10));
         let sent = send(&fleet, &served, entries.home).await;
         assert!(is_own_whole(&sent), "{sent:?}");
         let runs = runs_of(&fleet, &served);
         assert!(runs.iter().all(|run| run.start.upstream != replaced), "{runs:?}");
         let others = fleet.engines.values().filter(|engine| *engine.name() != replaced);
         others.for_each(EngineStand::crash);
-        let unserved = patient(completion(BRANCH, 10));
+        let unserved = hurried(completion(BRANCH, 10));
         let sent = send(&fleet, &unserved, entries.home).await;
         assert_eq!(refusal(&sent).map(|refusal| refusal.1), Some("not-run"), "{sent:?}");
         for call in [&at_door, &unserved] {
--- a/crates/sagespool-entry/src/run/attempt.rs
+++ b/crates/sagespool-entry/src/run/attempt.rs
@@ -135,6 +135,10 @@
             let outcome = self.dispatch(&choice).await;
             match self.judge(&choice, outcome).await {
                 Judgement::Ended(end) => return end,
+                Judgement::RunAgain(detail) => {
+                    last_failure = detail;
+                    continue;
+                }
                 Judgement::TryElsewhere(detail) => last_failure = detail,
             }
             if self.attempt.0 < MOST_ATTEMPTS && !self.state.may_retry(&self.order.service) {
--- a/crates/sagespool-entry/src/run/judge.rs
+++ b/crates/sagespool-entry/src/run/judge.rs
@@ -17,8 +17,14 @@
 pub(super) enum Judgement {
     /// Nothing more is tried.
     Ended(AttemptEnd),
-    /// Another attempt, for this reason.
+    /// Another attempt, for this reason, within the retry budget.
     TryElsewhere(String),
+    /// Another attempt, for this reason, since the process that had the request is gone.
+    ///
+    /// The retry budget guards upstreams that fail because they have too much to do. One that went
+    /// down, or can't be reached, takes nothing more, and loses each request in flight once. Counted
+    /// against the budget, its neighbours' requests were refused when a poisonous one crashed it.
+    RunAgain(String),
 }
 
 impl AttemptRun<'_> {
@@ -166,7 +172,10 @@
             return Judgement::Ended(self.give_up(RefusalReason::OutcomeUnknown, message));
         }
         self.tried.push(choice.sidecar);
-        Judgement::TryElsewhere(detail)
+        match crashed {
+            true => Judgement::RunAgain(detail),
+            false => Judgement::TryElsewhere(detail),
+        }
     }
 
     async fn report_crash(&self, choice: &RouteChoice) {
@@ -190,13 +199,13 @@
         self.note_end(choice, AttemptOutcome::Unreachable);
         self.tried.push(choice.sidecar);
         if surely_not_sent {
-            return Judgement::TryElsewhere(detail);
+            return Judgement::RunAgain(detail);
         }
         self.maybe_ran = true;
         if self.order.non_idempotent {
             let message = format!("the way to the upstream broke after it may have run: {detail}");
             return Judgement::Ended(self.give_up(RefusalReason::OutcomeUnknown, message));
         }
-        Judgement::TryElsewhere(detail)
+        Judgement::RunAgain(detail)
     }
 }
