Write shared logic once in types, settings, claims and stand-ins

Cause: whole-number newtypes and the conversions to and from text stood in two macros and five impls; each checked object of the settings repeated the same four lines; an engine and a plain service each had their own way of ending one start and coming back later; three link tests built the same handler; the home's memory of keys was one file with two jobs.

Change: `whole_numbers!` and `text_form!` beside the common derives; `check_document` and `check_text` in the settings; `FaultGate::end` ends a given start or the present one, `do_later` waits for a stand without keeping it alive; `event_handler` for the link's tests; `KeyPolicy` and the record of one key in a module of their own.

Ruled out: one struct for the engine's and the service's whole public surface (seven one-line methods in each): it would take a generic or a trait object for state that only looks alike. Nesting the fields that `CommandSummary` and `CommandAnswer` share: it changes their JSON.

Tests of the seven packages pass.

--- a/crates/sagespool-claims/src/entry.rs
+++ b/crates/sagespool-claims/src/entry.rs
@@ -55,19 +55,7 @@
     }
 }
 
-impl TryFrom<String> for ClaimEntry {
-    type Error = ParseFault;
-
-    fn try_from(text: String) -> Result<Self, ParseFault> {
-        text.parse()
-    }
-}
-
-impl From<ClaimEntry> for String {
-    fn from(entry: ClaimEntry) -> String {
-        entry.to_string()
-    }
-}
+sagespool_types::text_form!(ClaimEntry);
 
 derives! { value;
     /// A claim that can't be used any more: its sidecar, still the same
--- a/crates/sagespool-claims/src/keys.rs
+++ b/crates/sagespool-claims/src/keys.rs
@@ -2,34 +2,14 @@
 
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
-use bon::Builder;
 use sagespool_messages::KeyState;
 use sagespool_types::{ClockTime, ContentDigest, IncarnationId, KeyDigest, RequestId};
 
-const SHARD_COUNT: usize = 16;
-
-/// How long a home remembers keys.
-#[derive(Debug, Clone, PartialEq, Builder)]
-pub struct KeyPolicy {
-    /// How long the answer to a key is kept after its request ended.
-    #[builder(default = Duration::from_secs(900))]
-    pub answer_retention: Duration,
-    /// How long a request may hold a key before it runs anywhere. After that
-    /// another may take it over; [`KeyBoard::place`] tells the first.
-    #[builder(default = Duration::from_secs(60))]
-    pub pending_limit: Duration,
-    /// How long a request may run without its end being reported.
-    #[builder(default = Duration::from_secs(2 * 3600))]
-    pub running_limit: Duration,
-}
+use crate::KeyPolicy;
+use crate::key_record::{KeyPlace, KeyRecord};
 
-impl Default for KeyPolicy {
-    fn default() -> Self {
-        Self::builder().build()
-    }
-}
+const SHARD_COUNT: usize = 16;
 
 /// What a home says to a request with a key.
 #[derive(Debug, Clone, PartialEq)]
@@ -54,49 +34,12 @@
     Broken,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum KeyPlace {
-    Pending,
-    Running(IncarnationId),
-    Kept(IncarnationId),
-    Lost,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct KeyRecord {
-    request: RequestId,
-    content: ContentDigest,
-    place: KeyPlace,
-    since: ClockTime,
-}
-
-impl KeyRecord {
-    fn pending(request: RequestId, content: ContentDigest, now: ClockTime) -> Self {
-        Self { request, content, place: KeyPlace::Pending, since: now }
-    }
-
-    fn state(&self) -> KeyState {
-        match self.place {
-            KeyPlace::Pending => KeyState::Pending,
-            KeyPlace::Running(sidecar) | KeyPlace::Kept(sidecar) => {
-                KeyState::At { sidecar, request: self.request, content: self.content }
-            }
-            KeyPlace::Lost => KeyState::Unknown { request: self.request },
-        }
-    }
+type KeyShard = HashMap<KeyDigest, KeyRecord>;
 
-    fn has_lapsed(&self, policy: &KeyPolicy, now: ClockTime) -> bool {
-        let limit = match self.place {
-            KeyPlace::Pending => policy.pending_limit,
-            KeyPlace::Running(_) => policy.running_limit,
-            KeyPlace::Kept(_) | KeyPlace::Lost => policy.answer_retention,
-        };
-        now.since(self.since) >= limit
-    }
+fn lock(shard: &Mutex<KeyShard>) -> MutexGuard<'_, KeyShard> {
+    shard.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-type KeyShard = HashMap<KeyDigest, KeyRecord>;
-
 /// A home's memory of the keys of its branches, in shards under their own locks.
 ///
 /// It spares callers a second run and the sidecars most questions. At-most-once
@@ -123,7 +66,7 @@
 
     fn shard(&self, key: KeyDigest) -> MutexGuard<'_, KeyShard> {
         let place = (key.0 >> 64) as usize % SHARD_COUNT;
-        self.shards[place].lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.shards[place])
     }
 
     /// A request with a key arrives at a process that has been home of its
@@ -292,7 +235,7 @@
     /// A sidecar's process is gone, and the answers that it kept with it.
     pub fn sidecar_gone(&self, sidecar: IncarnationId, now: ClockTime) {
         for shard in &self.shards {
-            let mut shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut shard = lock(shard);
             for record in shard.values_mut() {
                 let here = [KeyPlace::Running(sidecar), KeyPlace::Kept(sidecar)];
                 if here.contains(&record.place) {
@@ -313,15 +256,14 @@
     /// Forgets what has lapsed; to be called every few seconds.
     pub fn expire(&self, now: ClockTime) {
         for shard in &self.shards {
-            let mut shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut shard = lock(shard);
             shard.retain(|_, record| !record.has_lapsed(&self.policy, now));
         }
     }
 
     /// How many keys are known.
     pub fn len(&self) -> usize {
-        let count =
-            |shard: &Mutex<KeyShard>| shard.lock().unwrap_or_else(PoisonError::into_inner).len();
+        let count = |shard| lock(shard).len();
         self.shards.iter().map(count).sum()
     }
 
--- a/crates/sagespool-claims/src/lib.rs
+++ b/crates/sagespool-claims/src/lib.rs
@@ -15,6 +15,7 @@
 mod crash;
 mod entry;
 mod inquiry;
+mod key_record;
 mod keys;
 mod quarantine;
 mod record;
@@ -25,7 +26,8 @@
 pub use crash::{CrashBoard, CrashPolicy, CrashVerdict, SuspectContent};
 pub use entry::{ClaimEntry, ClaimWish, FencedClaim};
 pub use inquiry::{InquiryVerdict, KeyInquiry};
-pub use keys::{KeyBoard, KeyDecision, KeyOutcome, KeyPolicy};
+pub use key_record::KeyPolicy;
+pub use keys::{KeyBoard, KeyDecision, KeyOutcome};
 pub use quarantine::{CrashNote, QUARANTINE_KEY, QuarantineEntry, QuarantineRecord, StopOutcome};
 pub use record::{
     CLAIM_SHARDS, ClaimOutcome, ClaimsRecord, DETAILS_KEPT, MOST_RECORD_BYTES, claim_key,
--- a/crates/sagespool-link/tests/event_stream.rs
+++ b/crates/sagespool-link/tests/event_stream.rs
@@ -4,10 +4,12 @@
 
 mod support;
 
-use async_channel::{Receiver, bounded};
+use async_channel::Receiver;
 use sagespool_link::{EventSender, EventStream, LinkEndpoint, LinkError};
 use sagespool_messages::DispatchEvent;
-use support::{PATIENCE, TestAuthority, attach, deaf, endpoint, handler, piece, soon, whole_end};
+use support::{
+    PATIENCE, TestAuthority, attach, deaf, endpoint, event_handler, piece, soon, whole_end,
+};
 
 /// A client, and the senders of the streams that it opens at a server.
 struct EventFixture {
@@ -19,13 +21,7 @@
 impl EventFixture {
     fn start() -> Self {
         let authority = TestAuthority::new();
-        let (hand_out, senders) = bounded(10);
-        let handing = handler(move |call| {
-            let hand_out = hand_out.clone();
-            async move {
-                let _ = hand_out.send(call.responder.events()).await;
-            }
-        });
+        let (handing, senders) = event_handler();
         let server = endpoint(authority.identity(), handing);
         let client = endpoint(authority.identity(), deaf());
         Self { server, client, senders }
--- a/crates/sagespool-link/tests/paused_process.rs
+++ b/crates/sagespool-link/tests/paused_process.rs
@@ -7,11 +7,10 @@
 
 use std::time::Duration;
 
-use async_channel::bounded;
 use sagespool_messages::PeerReply;
 use support::{
-    PATIENCE, TestAuthority, UdpRelay, attach, deaf, endpoint, handler, question, soon, until,
-    whole_end,
+    PATIENCE, TestAuthority, UdpRelay, attach, deaf, endpoint, event_handler, handler, question,
+    soon, until, whole_end,
 };
 
 /// Blocks the executor's thread.
@@ -48,13 +47,7 @@
     // take the time that it missed for its peer's silence and cut the answer off.
     smol::block_on(async {
         let authority = TestAuthority::new();
-        let (hand_out, senders) = bounded(1);
-        let handing = handler(move |call| {
-            let hand_out = hand_out.clone();
-            async move {
-                let _ = hand_out.send(call.responder.events()).await;
-            }
-        });
+        let (handing, senders) = event_handler();
         let server = endpoint(authority.identity(), handing);
         let client = endpoint(authority.identity(), deaf());
         let to = server.local_address();
--- a/crates/sagespool-link/tests/peer_loss.rs
+++ b/crates/sagespool-link/tests/peer_loss.rs
@@ -8,11 +8,11 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use async_channel::bounded;
 use sagespool_link::{LinkEndpoint, LinkError};
 use sagespool_messages::{PeerReply, PeerRequest};
 use support::{
-    PATIENCE, TestAuthority, UdpRelay, attach, deaf, endpoint, handler, question, soon, until,
+    PATIENCE, TestAuthority, UdpRelay, attach, deaf, endpoint, event_handler, handler, question,
+    soon, until,
 };
 
 /// Longer than a connection counts as heard lately.
@@ -91,13 +91,7 @@
     smol::block_on(async {
         for (forth, back) in [(true, true), (true, false), (false, true)] {
             let authority = TestAuthority::new();
-            let (hand_out, senders) = bounded(1);
-            let handing = handler(move |call| {
-                let hand_out = hand_out.clone();
-                async move {
-                    let _ = hand_out.send(call.responder.events()).await;
-                }
-            });
+            let (handing, senders) = event_handler();
             let server = endpoint(authority.identity(), handing);
             let relay = UdpRelay::start(server.local_address());
             let client = endpoint(authority.identity(), deaf());
--- a/crates/sagespool-link/tests/support/mod.rs
+++ b/crates/sagespool-link/tests/support/mod.rs
@@ -9,8 +9,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_channel::{Receiver, bounded};
 use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
-use sagespool_link::{LinkEndpoint, LinkIdentity, PeerCall, PeerHandler};
+use sagespool_link::{EventSender, LinkEndpoint, LinkIdentity, PeerCall, PeerHandler};
 use sagespool_messages::{
     AttachRequest, CallTarget, ChargeRecord, DispatchEnd, DispatchEvent, DispatchRequest,
     PeerRequest, ReservedCharge, StatusQuery, StopCause,
@@ -72,6 +73,18 @@
     Arc::new(move |call| -> Pin<Box<dyn Future<Output = ()> + Send>> { Box::pin(handle(call)) })
 }
 
+/// A handler that opens a stream of events for each call and hands out its sender.
+pub fn event_handler() -> (PeerHandler, Receiver<EventSender>) {
+    let (hand_out, senders) = bounded(10);
+    let handing = handler(move |call| {
+        let hand_out = hand_out.clone();
+        async move {
+            let _ = hand_out.send(call.responder.events()).await;
+        }
+    });
+    (handing, senders)
+}
+
 /// A handler that answers nothing.
 pub fn deaf() -> PeerHandler {
     handler(async |_| {})
--- a/crates/sagespool-operations/src/edit/mod.rs
+++ b/crates/sagespool-operations/src/edit/mod.rs
@@ -179,26 +179,14 @@
     }
 }
 
-impl TryFrom<String> for HashStart {
-    type Error = ParseFault;
-
-    fn try_from(text: String) -> Result<Self, ParseFault> {
-        text.parse()
-    }
-}
-
-impl From<HashStart> for String {
-    fn from(start: HashStart) -> String {
-        start.0
-    }
-}
-
 impl fmt::Display for HashStart {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.0)
     }
 }
 
+sagespool_types::text_form!(HashStart);
+
 /// The edit as a line would say it.
 impl fmt::Display for ConfigEdit {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/sagespool-settings/src/configuration/branches.rs
+++ b/crates/sagespool-settings/src/configuration/branches.rs
@@ -5,9 +5,9 @@
 use sagespool_types::{BranchName, ClassName, SecretHash, ServiceName, TokenCount, derives};
 use serde_json::Value;
 
-use crate::check::{CheckNode, FaultLog, ObjectNode};
+use crate::check::{CheckNode, ObjectNode};
 use crate::configuration::route::{read_limits, read_rule};
-use crate::document::read_document;
+use crate::document::{check_document, check_text};
 use crate::{LimitEntry, RouteRule, SettingsFaults};
 
 derives! { record;
@@ -93,9 +93,7 @@
 ///
 /// Every fault at once.
 pub fn check_branches(value: &Value) -> Result<BranchObject, SettingsFaults> {
-    let faults = FaultLog::default();
-    let branches = CheckNode::root(value, &faults).object(read_object);
-    faults.outcome(branches)
+    check_document(value, read_object)
 }
 
 /// As [`check_branches`], from a file's text; repeated fields are faults too.
@@ -104,10 +102,7 @@
 ///
 /// Every fault at once.
 pub fn read_branches(text: &str) -> Result<BranchObject, SettingsFaults> {
-    let faults = FaultLog::default();
-    let document = read_document(text, &faults)?;
-    let branches = CheckNode::root(&document, &faults).object(read_object);
-    faults.outcome(branches)
+    check_text(text, read_object)
 }
 
 fn read_object(object: &ObjectNode) -> Option<BranchObject> {
--- a/crates/sagespool-settings/src/configuration/fleet.rs
+++ b/crates/sagespool-settings/src/configuration/fleet.rs
@@ -6,9 +6,9 @@
 use sagespool_types::{ClassName, ModelName, ServiceName, TokenCount, derives};
 use serde_json::Value;
 
-use crate::check::{CheckNode, FaultLog, ObjectNode};
+use crate::check::{CheckNode, ObjectNode};
 use crate::configuration::route::{read_limits, read_rule};
-use crate::document::read_document;
+use crate::document::{check_document, check_text};
 use crate::{LimitEntry, RouteRule, SettingsFaults};
 
 derives! { record;
@@ -102,9 +102,7 @@
 ///
 /// Every fault at once.
 pub fn check_fleet(value: &Value) -> Result<FleetObject, SettingsFaults> {
-    let faults = FaultLog::default();
-    let fleet = CheckNode::root(value, &faults).object(read_object);
-    faults.outcome(fleet)
+    check_document(value, read_object)
 }
 
 /// As [`check_fleet`], from a file's text; repeated fields are faults too.
@@ -113,10 +111,7 @@
 ///
 /// Every fault at once.
 pub fn read_fleet(text: &str) -> Result<FleetObject, SettingsFaults> {
-    let faults = FaultLog::default();
-    let document = read_document(text, &faults)?;
-    let fleet = CheckNode::root(&document, &faults).object(read_object);
-    faults.outcome(fleet)
+    check_text(text, read_object)
 }
 
 fn read_object(object: &ObjectNode) -> Option<FleetObject> {
--- a/crates/sagespool-settings/src/document.rs
+++ b/crates/sagespool-settings/src/document.rs
@@ -1,19 +1,40 @@
-//! From text to a JSON document, with repeated fields noted.
+//! From text to a JSON document, with repeated fields noted, and from a document to what it holds.
 
 use std::fmt;
 
 use serde::de::{DeserializeSeed, Deserializer, Error, MapAccess, SeqAccess, Visitor};
 use serde_json::{Map, Number, Value};
 
-use crate::check::{FaultLog, field_path};
+use crate::check::{CheckNode, FaultLog, ObjectNode, field_path};
 use crate::{SettingsFault, SettingsFaults};
 
+/// Reads what a document holds, with `read` for its fields; every fault at once.
+pub(crate) fn check_document<T>(
+    document: &Value,
+    read: fn(&ObjectNode) -> Option<T>,
+) -> Result<T, SettingsFaults> {
+    let faults = FaultLog::default();
+    let value = CheckNode::root(document, &faults).object(read);
+    faults.outcome(value)
+}
+
+/// As [`check_document`], from a file's text; repeated fields are faults too.
+pub(crate) fn check_text<T>(
+    text: &str,
+    read: fn(&ObjectNode) -> Option<T>,
+) -> Result<T, SettingsFaults> {
+    let faults = FaultLog::default();
+    let document = read_document(text, &faults)?;
+    let value = CheckNode::root(&document, &faults).object(read);
+    faults.outcome(value)
+}
+
 /// Reads a text as one JSON document.
 ///
 /// JSON readers usually keep the last of two fields with one name, in
 /// silence: an operator who edits the first sees no effect. Here the second
 /// is a fault.
-pub(crate) fn read_document(text: &str, faults: &FaultLog) -> Result<Value, SettingsFaults> {
+fn read_document(text: &str, faults: &FaultLog) -> Result<Value, SettingsFaults> {
     let mut reader = serde_json::Deserializer::from_str(text);
     let seed = ValueSeed { path: "$".to_owned(), faults };
     let value = seed.deserialize(&mut reader).map_err(|fault| syntax_fault(&fault))?;
--- a/crates/sagespool-settings/src/process/common.rs
+++ b/crates/sagespool-settings/src/process/common.rs
@@ -8,8 +8,8 @@
 use sagespool_messages::MemberRole;
 use sagespool_types::{CentreName, InstanceName, RegionName};
 
-use crate::check::{CheckNode, FaultLog, ObjectNode};
-use crate::document::read_document;
+use crate::check::{CheckNode, ObjectNode};
+use crate::document::check_text;
 use crate::process::entry::{ENTRY_FIELDS, read_entry};
 use crate::process::sidecar::{SIDECAR_FIELDS, read_sidecar};
 use crate::{EntrySettings, SecretText, SettingsFaults, SidecarSettings};
@@ -111,10 +111,7 @@
 /// Every fault at once: its path, what was found and what is allowed. Files
 /// that the settings name aren't looked at; see [`check_files`](crate::check_files).
 pub fn check_process(text: &str) -> Result<ProcessSettings, SettingsFaults> {
-    let faults = FaultLog::default();
-    let document = read_document(text, &faults)?;
-    let settings = CheckNode::root(&document, &faults).object(read_process);
-    faults.outcome(settings)
+    check_text(text, read_process)
 }
 
 fn read_process(object: &ObjectNode) -> Option<ProcessSettings> {
--- a/crates/sagespool-testkit/src/engine/mod.rs
+++ b/crates/sagespool-testkit/src/engine/mod.rs
@@ -35,7 +35,7 @@
 pub(crate) use request::is_poisonous;
 
 use crate::fault_gate::{FaultGate, StandGone, StartNumber};
-use crate::stand_server::{StandError, StandServer, lock};
+use crate::stand_server::{StandError, StandServer, do_later, lock};
 use crate::witness::WitnessLog;
 
 /// A model engine stand-in. Clones are the same engine; the last one dropped ends it.
@@ -229,10 +229,7 @@
     /// Ends the present start, or only the given one.
     fn crash(&self, only: Option<StartNumber>) {
         let mut state = lock(&self.state);
-        if only.is_some() && self.gate.start() != only {
-            return;
-        }
-        if self.gate.end().is_none() {
+        if !self.gate.end(only) {
             return;
         }
         // First the log, as a caller that sees its connection break may send its request
@@ -252,7 +249,7 @@
         state.batch = EngineBatch::new(options, prefix_uses, ClockTime::now());
         let served = self.server.serve(http::routes(self.clone(), start));
         if served.is_err() {
-            self.gate.end();
+            self.gate.end(None);
         }
         served
     }
@@ -262,16 +259,12 @@
         let Some(time) = self.options.restart_after else {
             return;
         };
-        let engine = Arc::downgrade(self);
-        SmolRuntime::default().spawn(async move {
-            Timer::after(time).await;
-            let Some(engine) = engine.upgrade() else {
-                return;
-            };
-            if engine.gate.newest_start() == crashed {
-                engine.restart().expect("the port is held for this engine");
+        let restart = move |stand: &Arc<Self>| {
+            if stand.gate.newest_start() == crashed {
+                stand.restart().expect("the port is held for this stand");
             }
-        });
+        };
+        do_later(self, time, restart);
     }
 
     /// Does the work since the last tick; whether there is more to do.
--- a/crates/sagespool-testkit/src/fault_gate.rs
+++ b/crates/sagespool-testkit/src/fault_gate.rs
@@ -49,17 +49,17 @@
         Some(StartNumber(state.start))
     }
 
-    /// The present start ends; none if there is none.
-    pub(crate) fn end(&self) -> Option<StartNumber> {
+    /// The present start ends, or only the given one; false if it has ended already.
+    pub(crate) fn end(&self, only: Option<StartNumber>) -> bool {
         let mut state = lock(&self.state);
-        if !state.serving {
-            return None;
+        let is_meant = only.is_none_or(|start| start == StartNumber(state.start));
+        if !state.serving || !is_meant {
+            return false;
         }
         state.serving = false;
-        let start = StartNumber(state.start);
         drop(state);
         self.changed.notify(usize::MAX);
-        Some(start)
+        true
     }
 
     /// Freezes or thaws the stand.
--- a/crates/sagespool-testkit/src/plain_service/mod.rs
+++ b/crates/sagespool-testkit/src/plain_service/mod.rs
@@ -11,14 +11,12 @@
 use error_stack::Report;
 use sagespool_types::{ClockTime, UpstreamName, derives};
 use serde_json::json;
-use smol::Timer;
-use trillium_smol::SmolRuntime;
 use twox_hash::XxHash3_64;
 
 use crate::fault_gate::{FaultGate, StartNumber};
 use crate::lagged::LaggedState;
-use crate::stand_server::{StandError, StandServer, lock};
-use crate::witness::{RunEnd, RunMarker, RunTally, WitnessLog};
+use crate::stand_server::{StandError, StandServer, do_later, lock};
+use crate::witness::{RunEnd, RunMarker, RunRecord, RunTally, WitnessLog};
 
 /// How a service stand behaves.
 #[derive(Clone, Builder)]
@@ -163,13 +161,15 @@
 
     /// How often this service ran an idempotency key.
     pub fn runs_of_key(&self, key: &str) -> usize {
-        let runs = self.witness().runs_of_key(key);
-        runs.iter().filter(|run| run.start.upstream == *self.name()).count()
+        self.count_own(&self.witness().runs_of_key(key))
     }
 
     /// How often this service ran a marked call.
     pub fn runs_of(&self, marker: &RunMarker) -> usize {
-        let runs = self.witness().runs_of(marker);
+        self.count_own(&self.witness().runs_of(marker))
+    }
+
+    fn count_own(&self, runs: &[RunRecord]) -> usize {
         runs.iter().filter(|run| run.start.upstream == *self.name()).count()
     }
 
@@ -216,7 +216,7 @@
         state.load = LaggedState::new(self.options.load_lag, state.present);
         let served = self.server.serve(http::routes(self.clone(), start));
         if served.is_err() {
-            self.gate.end();
+            self.gate.end(None);
         }
         served
     }
@@ -224,10 +224,7 @@
     /// Ends the present start, or only the given one.
     fn crash(&self, only: Option<StartNumber>) {
         let mut state = lock(&self.state);
-        if only.is_some() && self.gate.start() != only {
-            return;
-        }
-        if self.gate.end().is_none() {
+        if !self.gate.end(only) {
             return;
         }
         // First the log, as a caller that sees its connection break may send its call again
@@ -244,16 +241,12 @@
         let Some(time) = self.options.restart_after else {
             return;
         };
-        let service = Arc::downgrade(self);
-        SmolRuntime::default().spawn(async move {
-            Timer::after(time).await;
-            let Some(service) = service.upgrade() else {
-                return;
-            };
-            if service.gate.newest_start() == crashed {
-                service.restart().expect("the port is held for this service");
+        let restart = move |stand: &Arc<Self>| {
+            if stand.gate.newest_start() == crashed {
+                stand.restart().expect("the port is held for this stand");
             }
-        });
+        };
+        do_later(self, time, restart);
     }
 
     fn change_load(&self, change: impl FnOnce(&mut ServiceLoad)) {
--- a/crates/sagespool-testkit/src/stand_server.rs
+++ b/crates/sagespool-testkit/src/stand_server.rs
@@ -8,13 +8,14 @@
 use std::io;
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
+use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
-use smol::Async;
+use smol::{Async, Timer};
 use socket2::{Domain, Socket, Type};
 use trillium::{Conn, Handler};
 use trillium_server_common::{Acceptor, Binding, ServerHandle, Transport};
-use trillium_smol::{SmolTransport, async_net};
+use trillium_smol::{SmolRuntime, SmolTransport, async_net};
 
 const BACKLOG: i32 = 4096;
 const MOST_CONNECTIONS: usize = 100_000;
@@ -40,6 +41,21 @@
     mutex.lock().expect("no holder of this lock panics")
 }
 
+/// Does something with a stand after a time, unless the stand is gone by then.
+pub(crate) fn do_later<S: Send + Sync + 'static>(
+    stand: &Arc<S>,
+    time: Duration,
+    action: impl FnOnce(&Arc<S>) + Send + 'static,
+) {
+    let stand = Arc::downgrade(stand);
+    SmolRuntime::default().spawn(async move {
+        Timer::after(time).await;
+        if let Some(stand) = stand.upgrade() {
+            action(&stand);
+        }
+    });
+}
+
 /// A server at one address that outlives its crashes.
 pub(crate) struct StandServer {
     /// Keeps the port for this server while it doesn't listen.
--- a/crates/sagespool-testkit/src/weight_store.rs
+++ b/crates/sagespool-testkit/src/weight_store.rs
@@ -126,13 +126,13 @@
         };
         let served = self.server.serve(Router::new().get("/weights/:model", weights));
         if served.is_err() {
-            self.gate.end();
+            self.gate.end(None);
         }
         served
     }
 
     fn crash(&self) {
-        if self.gate.end().is_some() {
+        if self.gate.end(None) {
             self.server.stop();
         }
     }
--- a/crates/sagespool-types/src/derives.rs
+++ b/crates/sagespool-types/src/derives.rs
@@ -29,3 +29,57 @@
         $($item)*
     };
 }
+
+/// Lets a type that has `Display` and `FromStr` stand as its text in a JSON document.
+///
+/// The type says so to serde by `#[serde(try_from = "String", into = "String")]`, as
+/// [`GrantId`](crate::GrantId) does; its `FromStr` has [`ParseFault`](crate::ParseFault) as its
+/// error.
+#[macro_export]
+macro_rules! text_form {
+    ($name:ident) => {
+        impl TryFrom<String> for $name {
+            type Error = $crate::ParseFault;
+
+            fn try_from(text: String) -> Result<Self, $crate::ParseFault> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(value: $name) -> String {
+                value.to_string()
+            }
+        }
+    };
+}
+
+/// Newtypes of a whole number: compared as it, written as its digits, in documents a number.
+macro_rules! whole_numbers {
+    ($($(#[$doc:meta])* $name:ident($inner:ty), $wanted:literal;)*) => {$(
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default,
+            serde::Serialize, serde::Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl std::fmt::Display for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl std::str::FromStr for $name {
+            type Err = $crate::ParseFault;
+
+            fn from_str(text: &str) -> Result<Self, $crate::ParseFault> {
+                let fault = |_| $crate::ParseFault::new($wanted, text, "a whole number");
+                text.parse().map(Self).map_err(fault)
+            }
+        }
+    )*};
+}
+
+pub(crate) use whole_numbers;
--- a/crates/sagespool-types/src/digest.rs
+++ b/crates/sagespool-types/src/digest.rs
@@ -31,19 +31,7 @@
             }
         }
 
-        impl TryFrom<String> for $name {
-            type Error = ParseFault;
-
-            fn try_from(text: String) -> Result<Self, ParseFault> {
-                text.parse()
-            }
-        }
-
-        impl From<$name> for String {
-            fn from(digest: $name) -> String {
-                digest.to_string()
-            }
-        }
+        crate::text_form!($name);
     )*};
 }
 
@@ -134,16 +122,4 @@
     }
 }
 
-impl TryFrom<String> for SecretHash {
-    type Error = ParseFault;
-
-    fn try_from(text: String) -> Result<Self, ParseFault> {
-        text.parse()
-    }
-}
-
-impl From<SecretHash> for String {
-    fn from(hash: SecretHash) -> String {
-        hash.0
-    }
-}
+crate::text_form!(SecretHash);
--- a/crates/sagespool-types/src/ids.rs
+++ b/crates/sagespool-types/src/ids.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ParseFault;
+use crate::derives::whole_numbers;
 
 macro_rules! hex_ids {
     ($($(#[$doc:meta])* $name:ident($inner:ty, $width:literal), $wanted:literal;)*) => {$(
@@ -40,19 +41,7 @@
             }
         }
 
-        impl TryFrom<String> for $name {
-            type Error = ParseFault;
-
-            fn try_from(text: String) -> Result<Self, ParseFault> {
-                text.parse()
-            }
-        }
-
-        impl From<$name> for String {
-            fn from(id: $name) -> String {
-                id.to_string()
-            }
-        }
+        crate::text_form!($name);
     )*};
 }
 
@@ -65,46 +54,27 @@
     CommandId(u128, "32"), "a command id";
 }
 
-macro_rules! counters {
-    ($($(#[$doc:meta])* $name:ident($inner:ty), $wanted:literal;)*) => {$(
-        $(#[$doc])*
-        #[derive(
-            Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
-        )]
-        #[serde(transparent)]
-        pub struct $name(pub $inner);
+whole_numbers! {
+    /// The place of a charge within its grant, counted from 0.
+    SequenceNumber(u64), "a sequence number";
+    /// Which try at a request this is, counted from 1.
+    AttemptNumber(u32), "an attempt number";
+    /// A fencing number: an order with a lower one than seen before is stale.
+    FenceNumber(u64), "a fencing number";
+}
 
+macro_rules! counters {
+    ($($name:ident)*) => {$(
         impl $name {
             /// The number after this one.
             pub fn next(self) -> Self {
                 Self(self.0.saturating_add(1))
             }
         }
-
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                self.0.fmt(f)
-            }
-        }
-
-        impl FromStr for $name {
-            type Err = ParseFault;
-
-            fn from_str(text: &str) -> Result<Self, ParseFault> {
-                text.parse().map(Self).map_err(|_| ParseFault::new($wanted, text, "a whole number"))
-            }
-        }
     )*};
 }
 
-counters! {
-    /// The place of a charge within its grant, counted from 0.
-    SequenceNumber(u64), "a sequence number";
-    /// Which try at a request this is, counted from 1.
-    AttemptNumber(u32), "an attempt number";
-    /// A fencing number: an order with a lower one than seen before is stale.
-    FenceNumber(u64), "a fencing number";
-}
+counters! { SequenceNumber AttemptNumber FenceNumber }
 
 /// A grant: an amount of a branch's budget that one incarnation may spend.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -135,19 +105,7 @@
     }
 }
 
-impl TryFrom<String> for GrantId {
-    type Error = ParseFault;
-
-    fn try_from(text: String) -> Result<Self, ParseFault> {
-        text.parse()
-    }
-}
-
-impl From<GrantId> for String {
-    fn from(id: GrantId) -> String {
-        id.to_string()
-    }
-}
+crate::text_form!(GrantId);
 
 /// A charge: one request paid from one grant.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/sagespool-types/src/names.rs
+++ b/crates/sagespool-types/src/names.rs
@@ -50,19 +50,7 @@
             }
         }
 
-        impl TryFrom<String> for $name {
-            type Error = ParseFault;
-
-            fn try_from(text: String) -> Result<Self, ParseFault> {
-                text.parse()
-            }
-        }
-
-        impl From<$name> for String {
-            fn from(name: $name) -> String {
-                name.0.as_ref().to_owned()
-            }
-        }
+        crate::text_form!($name);
     )*};
 }
 
--- a/crates/sagespool-types/src/sizes.rs
+++ b/crates/sagespool-types/src/sizes.rs
@@ -1,23 +1,29 @@
 //! Sizes, versions and rates.
 
-use std::fmt;
 use std::iter::Sum;
 use std::ops::{Add, AddAssign};
-use std::str::FromStr;
 
-use serde::{Deserialize, Serialize};
+use crate::derives::whole_numbers;
 
-use crate::ParseFault;
+whole_numbers! {
+    /// A number of tokens, the unit of every budget. Sums saturate.
+    TokenCount(u64), "a number of tokens";
+    /// A number of bytes.
+    ByteCount(u64), "a number of bytes";
+    /// The store's revision at which an object last changed; grows over the whole store.
+    StoreRevision(u64), "a store revision";
+    /// A version of the fleet's configuration: the store's revision of the object that holds it.
+    ConfigVersion(u64), "a configuration version";
+    /// One of the fixed number of books that the branches are spread over.
+    BookNumber(u64), "a book number";
+    /// Requests a second.
+    RequestRate(u64), "a number of requests a second";
+    /// Tokens a second.
+    TokenRate(u64), "a number of tokens a second";
+}
 
 macro_rules! sizes {
-    ($($(#[$doc:meta])* $name:ident($inner:ty), $wanted:literal;)*) => {$(
-        $(#[$doc])*
-        #[derive(
-            Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
-        )]
-        #[serde(transparent)]
-        pub struct $name(pub $inner);
-
+    ($($name:ident)*) => {$(
         impl $name {
             /// None of it.
             pub const ZERO: Self = Self(0);
@@ -47,36 +53,7 @@
                 items.fold(Self::ZERO, Add::add)
             }
         }
-
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                self.0.fmt(f)
-            }
-        }
-
-        impl FromStr for $name {
-            type Err = ParseFault;
-
-            fn from_str(text: &str) -> Result<Self, ParseFault> {
-                text.parse().map(Self).map_err(|_| ParseFault::new($wanted, text, "a whole number"))
-            }
-        }
     )*};
 }
 
-sizes! {
-    /// A number of tokens, the unit of every budget. Sums saturate.
-    TokenCount(u64), "a number of tokens";
-    /// A number of bytes.
-    ByteCount(u64), "a number of bytes";
-    /// The store's revision at which an object last changed; grows over the whole store.
-    StoreRevision(u64), "a store revision";
-    /// A version of the fleet's configuration: the store's revision of the object that holds it.
-    ConfigVersion(u64), "a configuration version";
-    /// One of the fixed number of books that the branches are spread over.
-    BookNumber(u64), "a book number";
-    /// Requests a second.
-    RequestRate(u64), "a number of requests a second";
-    /// Tokens a second.
-    TokenRate(u64), "a number of tokens a second";
-}
+sizes! { TokenCount ByteCount StoreRevision ConfigVersion BookNumber RequestRate TokenRate }
