Show claims, platform and link in use, as doctests

Cause: three of the packages that others embed said what they are for and not how they are called.

Change: an example in each lib.rs. The one of claims lets two requests wish for one key; the one of the link asks a peer over loopback and runs; the one of the platform needs an object API, so it is only compiled.

--- a/crates/sagespool-claims/src/lib.rs
+++ b/crates/sagespool-claims/src/lib.rs
@@ -9,6 +9,37 @@
 //! upstreams that run it.
 //!
 //! Nothing here opens a socket or reads a clock.
+//!
+//! Two homes wish for the same key; the store's conditional write lets one record win, and the
+//! other is told whose claim stands:
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use sagespool_claims::{ClaimOutcome, ClaimWish, ClaimsRecord};
+//! use sagespool_types::{
+//!     AttemptNumber, ContentDigest, IncarnationId, KeyDigest, RequestId, WallTime,
+//! };
+//!
+//! let wish_of = |request: u128, sidecar: u64| ClaimWish {
+//!     key: KeyDigest(7),
+//!     request: RequestId(request),
+//!     content: ContentDigest::of("POST /letters", b"the clarification"),
+//!     sidecar: IncarnationId(sidecar),
+//!     attempt: AttemptNumber(1),
+//!     home: IncarnationId(1),
+//!     overturns: None,
+//!     time_left: Duration::from_secs(2),
+//! };
+//! let (now, retention) = (WallTime::now(), Duration::from_secs(24 * 3600));
+//! let mut record = ClaimsRecord::default();
+//! assert_eq!(record.claim(&wish_of(1, 10), now, retention), ClaimOutcome::Claimed);
+//! assert_eq!(record.claim(&wish_of(1, 10), now, retention), ClaimOutcome::AlreadyMine);
+//! let ClaimOutcome::Taken(entry) = record.claim(&wish_of(2, 11), now, retention) else {
+//!     panic!("a second request must not run under the key");
+//! };
+//! assert_eq!(entry.sidecar, IncarnationId(10));
+//! ```
 
 mod aged;
 mod batch;
--- a/crates/sagespool-link/src/lib.rs
+++ b/crates/sagespool-link/src/lib.rs
@@ -9,6 +9,41 @@
 //! must be able to rely on, so [`LinkError::surely_not_sent`] is strict: it is
 //! true only if no byte of the request left this process, or if the peer said
 //! that it turned the request away before its handler saw it.
+//!
+//! ```
+//! use std::sync::Arc;
+//! use std::time::Duration;
+//!
+//! use sagespool_link::{LinkEndpoint, LinkIdentity, PeerHandler};
+//! use sagespool_messages::{PeerReply, PeerRequest, StatusQuery};
+//! # use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+//!
+//! # fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! # let authority_key = KeyPair::generate()?;
+//! # let mut params = CertificateParams::new(Vec::new())?;
+//! # params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+//! # let authority = params.self_signed(&authority_key)?.pem();
+//! # let issuer = Issuer::new(params, authority_key);
+//! # let pair = KeyPair::generate()?;
+//! # let certificate =
+//! #     CertificateParams::new(vec!["node.test".to_owned()])?.signed_by(&pair, &issuer)?.pem();
+//! # let key = pair.serialize_pem();
+//! // `certificate`, `key` and `authority` are PEM texts, as `sagespool certificates` writes them.
+//! let identity = || LinkIdentity::from_pem(&certificate, &key, &authority);
+//! let handler: PeerHandler =
+//!     Arc::new(|call| Box::pin(async move { call.responder.reply(PeerReply::Done).await }));
+//! let any_port = "127.0.0.1:0".parse()?;
+//! # let fault = |report: error_stack::Report<_>| report.to_string();
+//! # let identity = || identity().map_err(|report| report.to_string());
+//! let server = LinkEndpoint::start(any_port, identity()?, handler.clone()).map_err(fault)?;
+//! let client = LinkEndpoint::start(any_port, identity()?, handler).map_err(fault)?;
+//! let question = PeerRequest::Status(StatusQuery { branch: None, running: 0 });
+//! let limit = Duration::from_secs(5);
+//! let reply = smol::block_on(client.ask(server.local_address(), &question, limit))?;
+//! assert_eq!(reply, PeerReply::Done);
+//! # Ok(())
+//! # }
+//! ```
 
 mod authority;
 mod connection;
--- a/crates/sagespool-platform/src/lib.rs
+++ b/crates/sagespool-platform/src/lib.rs
@@ -3,6 +3,28 @@
 //! Both keep their connections, bound each call's time, and tell strictly
 //! whether a failed call may have taken effect: a write whose answer was lost
 //! is [`StoreError::Uncertain`], never a failure that looks like "not done".
+//!
+//! ```no_run
+//! use std::time::Duration;
+//!
+//! use sagespool_platform::{ObjectClient, ObjectOptions, StoreError, UpdateChoice, update_object};
+//!
+//! # fn main() -> Result<(), StoreError> {
+//! let options = ObjectOptions::builder()
+//!     .address(([127, 0, 0, 1], 8500).into())
+//!     .token("the platform's token".into())
+//!     .build();
+//! let client = ObjectClient::new(options);
+//! // Called with each state that is read, until one write finds the object unchanged.
+//! let count = |starts: &mut u64| {
+//!     *starts += 1;
+//!     UpdateChoice::Write
+//! };
+//! let updated = update_object(&client, "starts", Duration::from_secs(5), count);
+//! println!("stored at version {}", smol::block_on(updated)?.version);
+//! # Ok(())
+//! # }
+//! ```
 
 mod caller;
 mod connector;
