Drop answers that are another call's, and count every answer that goes nowhere

The counter of dropped answers existed and nothing ever counted there; an upstream that mixed its answers up had them passed on. Upstreams may name a call in their answer (x-request-id, x-attempt; the stand-ins do); the sidecar throws an answer away that names another, counts and logs it, and the request runs again elsewhere or, if it may not run twice, ends as outcome-unknown. An entry drops an end that names another charge, and counts pieces that came twice, callers that left and answers past their deadline. A sidecar counts an answer whose asker was gone before it had the end, as after a pause.

--- /dev/null
+++ b/crates/sagespool-daemon/tests/crossed_answers.rs
@@ -0,0 +1,161 @@
+//! Answers that come doubled, late, out of order, or to the wrong call.
+
+mod common;
+
+use std::time::Duration;
+
+use common::*;
+use sagespool_testkit::load::PlannedCall;
+use sagespool_types::TokenCount;
+
+const CALLS: usize = 24;
+const SHARE: f64 = 0.2;
+const DELAY: Duration = Duration::from_millis(3);
+/// Long enough that a pause falls into the middle of it.
+const LONG_ANSWER: u32 = 300;
+const CROSSED: &str = "sagespool_dropped_answers_total{cause=\"crossed\"}";
+const CALLER_GONE: &str = "sagespool_dropped_answers_total{cause=\"caller-gone\"}";
+
+/// Delays, doubles and reorders packets between all processes.
+fn disturb(fleet: &TestFleet) {
+    let proxy = fleet.proxy.as_ref().expect("the fleet is proxied");
+    let names: Vec<String> =
+        fleet.members.iter().map(|member| member.instance.to_string()).collect();
+    for (place, one) in names.iter().enumerate() {
+        for other in &names[place + 1..] {
+            proxy.reorder_share(one, other, SHARE);
+            proxy.duplicate_share(one, other, SHARE);
+            proxy.delay(one, other, DELAY);
+        }
+    }
+}
+
+/// How often a process has thrown an answer away for a cause.
+async fn dropped(fleet: &TestFleet, place: usize, cause: &str) -> f64 {
+    metric(fleet, place, cause).await.unwrap_or_default()
+}
+
+async fn start() -> TestFleet {
+    SmallFleet { proxied: true, answer_ms: 50, ..Default::default() }.start().await
+}
+
+#[test]
+fn disturbed_packets() {
+    // Packets between all processes are late, doubled and out of order while two branches' callers
+    // ask at once, for streams and letters, and some send the same request twice with its key. Each
+    // gets its own answer whole, each letter goes out once, and each request is paid for once.
+    run(async {
+        let fleet = start().await;
+        disturb(&fleet);
+        let entries = fleet.entries();
+        let mut calls: Vec<PlannedCall> = Vec::new();
+        for number in 0..CALLS {
+            let name = [BRANCH, OTHER_BRANCH][number % 2];
+            calls.push(match number % 3 {
+                0 => letter(name, &format!("letter-{number}")),
+                1 => keyed(completion(name, 30), &format!("stream-{number}")),
+                _ => completion(name, 30),
+            });
+        }
+        let mut sends = Vec::new();
+        for (number, call) in calls.iter().enumerate() {
+            let mut tasks = vec![start_send(&fleet, call, entries[number % 2])];
+            if call.key.is_some() {
+                tasks.push(start_send(&fleet, call, entries[(number + 1) % 2]));
+            }
+            sends.push(tasks);
+        }
+        let mut records = Vec::new();
+        for (call, tasks) in calls.iter().zip(sends) {
+            let mut ended = Vec::new();
+            for task in tasks {
+                let sent = task.await;
+                assert!(is_own_whole(&sent), "{sent:?}");
+                ended.push(sent);
+            }
+            records.push(record(call, ended));
+        }
+        for call in calls.iter().filter(|call| call.key.is_some()) {
+            assert_eq!(runs_of(&fleet, call).len(), 1, "runs of {}", call.marker);
+        }
+        for name in [BRANCH, OTHER_BRANCH] {
+            let own = calls.iter().filter(|call| call.branch().as_str() == name);
+            let cost: TokenCount = own.map(PlannedCall::whole_cost).sum();
+            until_settled(&fleet, name, cost.0).await;
+        }
+        assert_promises(&fleet, &records);
+    });
+}
+
+#[test]
+fn crossed_upstream() {
+    // An engine mixes its answers up and gives each call the text of the one before, and so does the
+    // letters' service. No caller may see another's text: the sidecar throws the answer away, counts
+    // it, and the stream runs again on the other engine. What became of the letter nobody can tell,
+    // so its caller is told so, and it doesn't go out again.
+    run(async {
+        let fleet = start().await;
+        let entries = fleet.entries();
+        let crossing = fleet.engines.values().next().expect("there are engines");
+        let sidecar = fleet.place_of(&format!("{}-sidecar", crossing.name()));
+        let sidecar = sidecar.expect("each engine has its sidecar");
+        crossing.cross_answers(true);
+        let mut records = Vec::new();
+        let mut number = 0;
+        until_async("the engine's answers cross", async || {
+            let call = completion([BRANCH, OTHER_BRANCH][number % 2], 20);
+            let sent = send(&fleet, &call, entries[number % 2]).await;
+            assert!(is_own_whole(&sent), "{sent:?}");
+            number += 1;
+            records.push(record(&call, [sent]));
+            dropped(&fleet, sidecar, CROSSED).await >= 1.0
+        })
+        .await;
+        let rerun = records.iter().filter(|record| runs_of(&fleet, &record.call).len() == 2);
+        assert_eq!(rerun.count(), 1, "runs of the call whose answer was crossed");
+
+        let before = letter(OTHER_BRANCH, "before");
+        let before_send = send(&fleet, &before, entries[0]).await;
+        assert!(is_own_whole(&before_send), "{before_send:?}");
+        fleet.services.values().for_each(|service| service.cross_answers(true));
+        let letter = letter(BRANCH, "letter");
+        let mut sends = Vec::new();
+        for entry in [entries[0], entries[1]] {
+            let sent = send(&fleet, &letter, entry).await;
+            assert_eq!(refusal(&sent), Some(("outcome-unknown", "unknown")), "{sent:?}");
+            sends.push(sent);
+        }
+        assert_eq!(runs_of(&fleet, &letter).len(), 1, "runs of the letter");
+        assert_eq!(dropped(&fleet, fleet.sidecars(LETTERS)[0], CROSSED).await, 1.0);
+        records.extend([record(&before, [before_send]), record(&letter, sends)]);
+        assert_promises(&fleet, &records);
+    });
+}
+
+#[test]
+fn late_answer() {
+    // A sidecar stops in the middle of a stream, for longer than the entry waits for it; the entry
+    // goes on at the other engine from where its caller stands. Then the sidecar wakes up and sends
+    // the rest, late. The caller sees each token once, and the late ones go nowhere, which is
+    // counted. The stream is paid for once, though both sidecars report what they ran.
+    run(async {
+        let fleet = start().await;
+        disturb(&fleet);
+        let BranchHome { home, first, .. } = home_of(&fleet, BRANCH).await;
+        let stream = completion(BRANCH, LONG_ANSWER);
+        let stream_send = start_send(&fleet, &stream, home);
+        until_running(&fleet, &stream).await;
+        let engine = runs_of(&fleet, &stream)[0].start.upstream.clone();
+        let sidecar = fleet.place_of(&format!("{engine}-sidecar")).expect("each has its sidecar");
+        fleet.pause(sidecar, true);
+        let stream_send = stream_send.await;
+        assert!(is_own_whole(&stream_send), "{stream_send:?}");
+        assert_eq!(runs_of(&fleet, &stream).len(), 2, "{:?}", runs_of(&fleet, &stream));
+        fleet.pause(sidecar, false);
+        let is_counted = async || dropped(&fleet, sidecar, CALLER_GONE).await >= 1.0;
+        until_async("the late answer is counted", is_counted).await;
+        let cost = first.call.whole_cost() + stream.whole_cost();
+        until_settled(&fleet, BRANCH, cost.0).await;
+        assert_promises(&fleet, &[first, record(&stream, [stream_send])]);
+    });
+}
--- a/crates/sagespool-entry/src/run/attempt.rs
+++ b/crates/sagespool-entry/src/run/attempt.rs
@@ -11,6 +11,7 @@
     CallTarget, CancelRequest, ChargeRecord, ClaimReply, ClaimRequest, DispatchEnd, DispatchEvent,
     DispatchRequest, KeyState, MemberRole, PeerRequest, RefusalNotice, ReservedCharge, StopCause,
 };
+use sagespool_metrics::DropCause;
 use sagespool_routing::{RouteChoice, RouteWish};
 use sagespool_types::{AttemptNumber, ClockTime, IncarnationId, RefusalReason, TokenCount};
 
@@ -287,7 +288,13 @@
             }
         };
         let outcome = self.pass_on(&mut stream, choice, started).await;
-        if matches!(outcome, DispatchOutcome::CallerGone | DispatchOutcome::TimedOut) {
+        let dropped = match outcome {
+            DispatchOutcome::CallerGone => Some(DropCause::CallerGone),
+            DispatchOutcome::TimedOut => Some(DropCause::Late),
+            DispatchOutcome::Ended(_) | DispatchOutcome::LinkLost { .. } => None,
+        };
+        if let Some(cause) = dropped {
+            self.note_dropped(cause, "the rest of the answer isn't waited for");
             self.cancel(choice).await;
         }
         outcome
@@ -354,6 +361,10 @@
                     }
                     match self.passage.take_piece(at, tokens, data).await {
                         PieceTaken::Passed => true,
+                        PieceTaken::Repeated => {
+                            self.note_dropped(DropCause::Duplicate, "a piece came twice");
+                            true
+                        }
                         PieceTaken::Gap => {
                             return DispatchOutcome::LinkLost {
                                 surely_not_sent: false,
@@ -363,6 +374,14 @@
                         PieceTaken::CallerGone => false,
                     }
                 }
+                DispatchEvent::End(end) if !self.is_own(&end) => {
+                    let detail = "the end of another request's answer came";
+                    self.note_dropped(DropCause::Crossed, detail);
+                    return DispatchOutcome::LinkLost {
+                        surely_not_sent: false,
+                        detail: detail.into(),
+                    };
+                }
                 DispatchEvent::End(end) => return DispatchOutcome::Ended(end),
             };
             if !taken && self.order.key.is_none() {
@@ -371,6 +390,30 @@
         }
     }
 
+    /// True if an attempt's end is about this request's own charge.
+    fn is_own(&self, end: &DispatchEnd) -> bool {
+        let charge = match end {
+            DispatchEnd::Whole { charge, .. } => Some(charge),
+            DispatchEnd::Broken { ran, .. } | DispatchEnd::Cancelled { ran } => ran.as_ref(),
+            DispatchEnd::Refused(_) | DispatchEnd::GrantUnusable(_) => None,
+        };
+        charge.is_none_or(|charge| charge.charge == self.reserved.charge)
+    }
+
+    /// Counts and logs an answer, or a part of one, that is thrown away.
+    fn note_dropped(&self, cause: DropCause, detail: &str) {
+        self.state.metrics.dropped_answer(cause);
+        let (request, attempt) = (self.order.request, self.attempt);
+        log_event!(
+            warn,
+            "answer-dropped",
+            cause = cause,
+            request = request,
+            attempt = attempt,
+            detail = detail
+        );
+    }
+
     fn observe_piece(
         &self,
         first_token: &mut Option<Duration>,
--- a/crates/sagespool-entry/src/run/passage.rs
+++ b/crates/sagespool-entry/src/run/passage.rs
@@ -8,8 +8,10 @@
 /// What became of a piece.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum PieceTaken {
-    /// The caller has it, or had it before.
+    /// The caller has it.
     Passed,
+    /// The caller had it all before.
+    Repeated,
     /// It lies beyond what the caller has: something is missing between.
     Gap,
     /// The caller is gone.
@@ -61,7 +63,7 @@
             _ => self.new_text(at, tokens, data),
         };
         match data {
-            Ok(data) if data.is_empty() => PieceTaken::Passed,
+            Ok(data) if data.is_empty() => PieceTaken::Repeated,
             Ok(data) => match self.answers.send(AnswerEvent::Piece { tokens, data }).await {
                 Ok(()) => PieceTaken::Passed,
                 Err(_) => PieceTaken::CallerGone,
--- a/crates/sagespool-link/src/server.rs
+++ b/crates/sagespool-link/src/server.rs
@@ -235,6 +235,12 @@
         Ok(())
     }
 
+    /// Waits until the asker has what was sent, or gave its stream up. False if the connection is
+    /// lost before: it may have it or not.
+    pub async fn heard(&self) -> bool {
+        self.send.stopped().await.is_ok()
+    }
+
     async fn write(&mut self, frame: Bytes) -> Result<(), LinkError> {
         self.send.write_chunk(frame).await.map_err(|error| match error {
             WriteError::Stopped(_) => self.interrupted("the asker gave the stream up"),
--- a/crates/sagespool-metrics/src/labels.rs
+++ b/crates/sagespool-metrics/src/labels.rs
@@ -17,13 +17,19 @@
             $($(#[$variant_doc])* $variant,)*
         }
 
-        impl EncodeLabelValue for $name {
-            fn encode(&self, encoder: &mut LabelValueEncoder) -> fmt::Result {
-                encoder.write_str(match self {
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(match self {
                     $(Self::$variant => $label,)*
                 })
             }
         }
+
+        impl EncodeLabelValue for $name {
+            fn encode(&self, encoder: &mut LabelValueEncoder) -> fmt::Result {
+                write!(encoder, "{self}")
+            }
+        }
     )*};
 }
 
--- a/crates/sagespool-sidecar/src/dispatcher.rs
+++ b/crates/sagespool-sidecar/src/dispatcher.rs
@@ -10,7 +10,7 @@
     AttachRequest, CancelRequest, ChargeRecord, DispatchEvent, DispatchRequest, KeyReply,
     KeyRequest, RunningRequest, StatusQuery, UpstreamKind,
 };
-use sagespool_metrics::FleetMetrics;
+use sagespool_metrics::{DropCause, FleetMetrics};
 use sagespool_settings::UpstreamSettings;
 use sagespool_types::{ByteCount, ClockTime, IncarnationId, ServiceName, TokenCount};
 
@@ -213,6 +213,12 @@
         self.charges.update(attempt.charge, attempt.attempt, used);
     }
 
+    /// Counts and logs an answer, or a part of one, that is thrown away.
+    pub(crate) fn note_dropped(&self, cause: DropCause, detail: &str) {
+        self.metrics.dropped_answer(cause);
+        log_event!(warn, "answer-dropped", cause = cause, detail = detail);
+    }
+
     /// Ends an attempt everywhere, the asker last: what it does next must find
     /// the charge and the key in their final state.
     fn finish(&self, attempt: &AdmittedAttempt, end: AttemptEnd, now: ClockTime) {
--- a/crates/sagespool-sidecar/src/role/peers.rs
+++ b/crates/sagespool-sidecar/src/role/peers.rs
@@ -9,10 +9,11 @@
     CacheNews, DispatchEvent, LeaveRequest, MemberStatus, PeerReply, PeerRequest, StatusQuery,
     StatusReply,
 };
+use sagespool_metrics::DropCause;
 use sagespool_types::{ClockTime, WallTime};
 
 use super::state::SidecarState;
-use crate::AnswerReader;
+use crate::{AnswerReader, Dispatcher};
 
 /// The handler that the link calls for every request of a peer.
 pub(super) fn peer_handler(state: Arc<SidecarState>) -> PeerHandler {
@@ -31,11 +32,12 @@
             let _forward = state.forwards.enter();
             let reader = dispatcher.dispatch(dispatch, now).await;
             let news = dispatcher.cache().news_for(from);
-            return pass_on(reader, news, responder.events()).await;
+            return pass_on(dispatcher, reader, news, responder.events()).await;
         }
         PeerRequest::Attach(request) => {
             let _forward = state.forwards.enter();
-            return pass_on(dispatcher.attach(&request), None, responder.events()).await;
+            return pass_on(dispatcher, dispatcher.attach(&request), None, responder.events())
+                .await;
         }
         PeerRequest::Cancel(request) => {
             dispatcher.cancel(&request);
@@ -59,22 +61,47 @@
 }
 
 /// Sends an answer's events as they come, after what is new of the cache. When the asker is
-/// gone the reader is dropped, which tells the attempt.
-async fn pass_on(mut reader: AnswerReader, news: Option<CacheNews>, mut sender: EventSender) {
+/// gone the reader is dropped, which tells the attempt; what is left of the answer goes nowhere.
+async fn pass_on(
+    dispatcher: &Dispatcher,
+    mut reader: AnswerReader,
+    news: Option<CacheNews>,
+    mut sender: EventSender,
+) {
     if let Some(news) = news
         && sender.send(&DispatchEvent::CacheNews(news)).await.is_err()
     {
         return;
     }
     let mut gone = pin!(sender.asker_gone());
+    let mut passage = AnswerPassage { dispatcher, heard: false };
+    let mut ended = false;
     loop {
         let asker_gone = async {
             gone.as_mut().await;
             None
         };
-        let Some(event) = asker_gone.or(reader.next()).await else { return };
+        let Some(event) = asker_gone.or(reader.next()).await else { break };
         if sender.send(&event).await.is_err() {
-            return;
+            break;
+        }
+        ended |= matches!(*event, DispatchEvent::End(_));
+    }
+    passage.heard = ended && sender.heard().await;
+}
+
+/// An answer on its way to its asker. Where the asker is gone before it has the end, what is left
+/// goes nowhere, which is counted: so late answers show of a sidecar that was paused or cut off.
+struct AnswerPassage<'a> {
+    dispatcher: &'a Dispatcher,
+    heard: bool,
+}
+
+impl Drop for AnswerPassage<'_> {
+    fn drop(&mut self) {
+        if !self.heard {
+            let detail = "the asker left before it had the answer's end";
+            self.dispatcher.note_dropped(DropCause::CallerGone, detail);
         }
     }
 }
--- a/crates/sagespool-sidecar/src/run_completion.rs
+++ b/crates/sagespool-sidecar/src/run_completion.rs
@@ -5,7 +5,7 @@
 
 use futures_lite::FutureExt;
 use sagespool_messages::{CallTarget, ResumePoint, StopCause};
-use sagespool_metrics::RequestTimings;
+use sagespool_metrics::{DropCause, RequestTimings};
 use sagespool_types::{ClockTime, ModelName, TokenCount};
 use smol::Timer;
 
@@ -183,8 +183,12 @@
         let crashed = match fault {
             CallFault::NotSent { refused, .. } => *refused,
             CallFault::Declined { .. } => false,
+            CallFault::Crossed { .. } => false,
             CallFault::Lost { .. } => self.went_down().await,
         };
+        if let CallFault::Crossed { detail } = fault {
+            self.note_dropped(DropCause::Crossed, detail);
+        }
         if crashed {
             self.load.upstream_down();
         }
--- a/crates/sagespool-sidecar/src/upstream/fault.rs
+++ b/crates/sagespool-sidecar/src/upstream/fault.rs
@@ -25,12 +25,17 @@
         /// What happened.
         detail: String,
     },
+    /// The upstream answered another call: this one may have run, and its answer is lost.
+    Crossed {
+        /// Whose answer it was.
+        detail: String,
+    },
 }
 
 impl CallFault {
     /// True if the call may have run.
     pub fn may_have_run(&self) -> bool {
-        matches!(self, Self::Lost { .. })
+        matches!(self, Self::Lost { .. } | Self::Crossed { .. })
     }
 }
 
@@ -41,6 +46,7 @@
             Self::Declined { status, detail } => {
                 write!(f, "the upstream declined with status {status}: {detail}")
             }
+            Self::Crossed { detail } => write!(f, "the answer was another call's: {detail}"),
             Self::Lost { detail } => write!(f, "the call to the upstream broke: {detail}"),
         }
     }
--- a/crates/sagespool-sidecar/src/upstream/run.rs
+++ b/crates/sagespool-sidecar/src/upstream/run.rs
@@ -6,7 +6,7 @@
 use sagespool_messages::HeaderPair;
 use sagespool_types::{AttemptNumber, RequestId};
 use trillium_client::{
-    Conn, EventStream, HeaderName, KnownHeaderName, Method, SseError, SseErrorKind,
+    Conn, EventStream, HeaderName, Headers, KnownHeaderName, Method, SseError, SseErrorKind,
 };
 use trillium_http::{Error, Status};
 
@@ -14,6 +14,11 @@
 use super::{CallFault, UpstreamClient, is_own_header, passed_headers};
 use crate::EngineEvent;
 
+/// Names a call's request to the upstream, and in its answer.
+const REQUEST_HEADER: &str = "x-request-id";
+/// Names a call's attempt likewise.
+const ATTEMPT_HEADER: &str = "x-attempt";
+
 /// How much of an error's body is shown.
 const SHOWN_BYTES: usize = 300;
 
@@ -34,6 +39,23 @@
         self.name.had_connection()
     }
 
+    /// Checks that an answer is to this call, if it says whose it is.
+    ///
+    /// An upstream that mixes its answers up, or sends that of an earlier attempt late, would show
+    /// one branch's answer to another's caller. It names the call in two headers, as it got them.
+    fn check_owner(&self, headers: &Headers) -> Result<(), CallFault> {
+        let named = |name: &'static str| headers.get_str(name).map(str::to_owned);
+        let (request, attempt) = (named(REQUEST_HEADER), named(ATTEMPT_HEADER));
+        let is_request = request.as_ref().is_none_or(|named| *named == self.request.to_string());
+        let is_attempt = attempt.as_ref().is_none_or(|named| *named == self.attempt.to_string());
+        if is_request && is_attempt {
+            return Ok(());
+        }
+        let part = |named: Option<String>| named.unwrap_or_else(|| "none".to_owned());
+        let detail = format!("request {}, attempt {}", part(request), part(attempt));
+        Err(CallFault::Crossed { detail })
+    }
+
     fn fault(&self, error: &Error) -> CallFault {
         let detail = error.to_string();
         if self.may_have_run() {
@@ -80,7 +102,10 @@
             .with_request_header(KnownHeaderName::ContentType, "application/json")
             .with_body(body);
         match conn.into_sse().await {
-            Ok(events) => Ok(CompletionStream { events }),
+            Ok(events) => {
+                call.check_owner(events.conn().response_headers())?;
+                Ok(CompletionStream { events })
+            }
             Err(error) => Err(stream_fault(call, error).await),
         }
     }
@@ -118,6 +143,7 @@
         if matches!(status, Status::TooManyRequests | Status::ServiceUnavailable) {
             return Err(declined(conn, status).await);
         }
+        call.check_owner(conn.response_headers())?;
         let headers = passed_headers(conn.response_headers());
         Ok(ServiceAnswer { status: status as u16, headers, conn, buffer: vec![0; READ_BYTES] })
     }
@@ -127,8 +153,8 @@
         self.client
             .build_conn(method, url)
             .with_request_header(KnownHeaderName::Host, self.address.to_string())
-            .with_request_header("x-request-id", call.request.to_string())
-            .with_request_header("x-attempt", call.attempt.to_string())
+            .with_request_header(REQUEST_HEADER, call.request.to_string())
+            .with_request_header(ATTEMPT_HEADER, call.attempt.to_string())
     }
 }
 
--- a/crates/sagespool-testkit/src/engine/http.rs
+++ b/crates/sagespool-testkit/src/engine/http.rs
@@ -19,8 +19,11 @@
 use super::orders::{EngineOrder, FencedOrder};
 use super::request::CompletionOrder;
 use super::stream::{AnswerBody, RunStream, StreamPlan};
+use crate::crossing::OwnedAnswer;
 use crate::fault_gate::{StandGone, StartNumber};
-use crate::http_answer::{answer_error, answer_json, attempt_of, header_text, query_number};
+use crate::http_answer::{
+    answer_error, answer_json, attempt_of, header_text, query_number, with_owner,
+};
 use crate::stand_server::{connection_of, lock, peer_gone};
 
 const LONGEST_WAIT: Duration = Duration::from_secs(60);
@@ -83,21 +86,29 @@
         Ok(order) => order,
         Err(fault) => return answer_error(conn, Status::BadRequest, &fault.to_string()),
     };
+    let own = OwnedAnswer {
+        request: header_text(&conn, "x-request-id"),
+        attempt: attempt_of(&conn),
+        content: order.seed,
+    };
+    let answer = lock(&call.engine.crossed).answer_for(own.clone());
     let plan = StreamPlan {
-        seed: order.seed,
+        seed: answer.content,
         prompt_tokens: order.prompt_tokens,
         resumed_from: order.resumed_from,
     };
     let arrived = ArrivedRequest {
         order,
-        request: header_text(&conn, "x-request-id"),
-        attempt: attempt_of(&conn),
+        request: own.request,
+        attempt: own.attempt,
         key: header_text(&conn, "idempotency-key"),
         at: ClockTime::now(),
     };
     let submit = |batch: &mut EngineBatch, pace, now| batch.submit(arrived, pace, now);
     match call.engine.with_batch(call.start, submit) {
-        Ok(Ok((number, stream))) => answer_stream(call, conn, number, stream, plan),
+        Ok(Ok((number, stream))) => {
+            answer_stream(call, with_owner(conn, &answer), number, stream, plan)
+        }
         Ok(Err(SubmitRefusal::UnknownModel)) => {
             answer_error(conn, Status::NotFound, "this engine doesn't serve the model")
         }
--- a/crates/sagespool-testkit/src/engine/mod.rs
+++ b/crates/sagespool-testkit/src/engine/mod.rs
@@ -24,6 +24,7 @@
 use smol::Timer;
 use trillium_smol::SmolRuntime;
 
+use answer::AnswerSeed;
 pub use answer::{answer_text, answer_token, natural_length, prompt_tokens};
 use batch::{EngineBatch, EnginePace};
 use cache::PrefixUses;
@@ -34,6 +35,7 @@
 pub use orders::{AdapterName, EngineOrder, FencedOrder, OrderRecord};
 pub(crate) use request::is_poisonous;
 
+use crate::crossing::CrossedAnswers;
 use crate::fault_gate::{FaultGate, StandGone, StartNumber};
 use crate::stand_server::{StandError, StandServer, do_later, lock};
 use crate::witness::WitnessLog;
@@ -58,6 +60,7 @@
     server: StandServer,
     gate: FaultGate,
     state: Mutex<EngineState>,
+    crossed: Mutex<CrossedAnswers<AnswerSeed>>,
     prefix_uses: Arc<PrefixUses>,
     /// Notified when something runs after an idle time.
     work_came: Event,
@@ -91,6 +94,7 @@
             server: StandServer::reserve()?,
             gate: FaultGate::new(),
             state: Mutex::new(state),
+            crossed: Mutex::default(),
             prefix_uses,
             work_came: Event::new(),
             feed_grown: Event::new(),
@@ -169,6 +173,11 @@
         self.shared().change_pace(|pace| pace.break_share = share);
     }
 
+    /// From now on gives each call the answer to the call before it, as that one's, or ends that.
+    pub fn cross_answers(&self, on: bool) {
+        lock(&self.shared().crossed).set(on);
+    }
+
     /// How many runs found their prefix cached, over all of its starts.
     pub fn prefix_counts(&self) -> PrefixCounts {
         self.shared().prefix_uses.counts()
--- a/crates/sagespool-testkit/src/http_answer.rs
+++ b/crates/sagespool-testkit/src/http_answer.rs
@@ -5,6 +5,8 @@
 use serde_json::json;
 use trillium::{Conn, KnownHeaderName, Status};
 
+use crate::crossing::OwnedAnswer;
+
 /// Answers with a JSON document.
 pub(crate) fn answer_json(conn: Conn, status: Status, value: &impl Serialize) -> Conn {
     let body = serde_json::to_vec(value).expect("an answer's types serialize to JSON");
@@ -29,6 +31,18 @@
     header_text(conn, "x-attempt")?.parse().ok()
 }
 
+/// Says whose an answer is, as the call named itself.
+pub(crate) fn with_owner<T>(conn: Conn, answer: &OwnedAnswer<T>) -> Conn {
+    let conn = match &answer.request {
+        Some(request) => conn.with_response_header("x-request-id", request.clone()),
+        None => conn,
+    };
+    match answer.attempt {
+        Some(attempt) => conn.with_response_header("x-attempt", attempt.to_string()),
+        None => conn,
+    }
+}
+
 /// A number of the query.
 pub(crate) fn query_number(conn: &Conn, name: &str) -> Option<u64> {
     let pairs = conn.querystring().split('&').filter_map(|pair| pair.split_once('='));
--- a/crates/sagespool-testkit/src/lib.rs
+++ b/crates/sagespool-testkit/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of the platform, fault proxy, example fleet and load tool.
 
 mod call_query;
+mod crossing;
 mod engine;
 mod fault_gate;
 pub mod fleet;
--- a/crates/sagespool-testkit/src/plain_service/http.rs
+++ b/crates/sagespool-testkit/src/plain_service/http.rs
@@ -10,9 +10,10 @@
 use trillium_router::Router;
 
 use super::{FailureShares, ServiceLoad, ServiceShared, service_answer};
+use crate::crossing::OwnedAnswer;
 use crate::engine::is_poisonous;
 use crate::fault_gate::{StandGone, StartNumber};
-use crate::http_answer::{answer_error, answer_json, attempt_of, header_text};
+use crate::http_answer::{answer_error, answer_json, attempt_of, header_text, with_owner};
 use crate::stand_server::{break_connection, lock};
 use crate::witness::{RunEnd, RunMarker, RunStart, RunTally};
 
@@ -105,11 +106,16 @@
                 Err(conn)
             }
             Ok(CallOutcome::Answered) => {
-                let answer = service_answer(&path, &body);
-                let conn = conn
+                let own = OwnedAnswer {
+                    request: header_text(&conn, "x-request-id"),
+                    attempt: attempt_of(&conn),
+                    content: service_answer(&path, &body),
+                };
+                let answer = lock(&self.service.crossed).answer_for(own);
+                let conn = with_owner(conn, &answer)
                     .with_status(Status::Ok)
                     .with_response_header(KnownHeaderName::ContentType, "application/json")
-                    .with_body(answer);
+                    .with_body(answer.content);
                 Ok(conn.halt())
             }
             Err(StandGone) => Err(conn),
--- a/crates/sagespool-testkit/src/plain_service/mod.rs
+++ b/crates/sagespool-testkit/src/plain_service/mod.rs
@@ -13,6 +13,7 @@
 use serde_json::json;
 use twox_hash::XxHash3_64;
 
+use crate::crossing::CrossedAnswers;
 use crate::fault_gate::{FaultGate, StartNumber};
 use crate::lagged::LaggedState;
 use crate::stand_server::{StandError, StandServer, do_later, lock};
@@ -94,6 +95,7 @@
     gate: FaultGate,
     slots: async_lock::Semaphore,
     state: Mutex<ServiceState>,
+    crossed: Mutex<CrossedAnswers<String>>,
 }
 
 struct ServiceState {
@@ -126,6 +128,7 @@
             gate: FaultGate::new(),
             slots: async_lock::Semaphore::new(options.capacity),
             state: Mutex::new(state),
+            crossed: Mutex::default(),
             options,
         });
         shared.restart()?;
@@ -202,6 +205,11 @@
         lock(&self.shared().state).failures = failures;
     }
 
+    /// From now on gives each call the answer to the call before it, as that one's, or ends that.
+    pub fn cross_answers(&self, on: bool) {
+        lock(&self.shared().crossed).set(on);
+    }
+
     fn shared(&self) -> &Arc<ServiceShared> {
         &self.owner.0
     }
