--- a/crates/sagespool-daemon/tests/claimed_letter.rs
+++ b/crates/sagespool-daemon/tests/claimed_letter.rs
@@ -25,19 +25,18 @@
 }
 
 /// Sends the letter again through an entry with little time; it must be told that nobody knows.
-async fn told_unknown(fleet: &TestFleet, letter: &PlannedCall, entry: usize) {
+async fn told_unknown(fleet: &TestFleet, letter: &PlannedCall, entry: usize, reason: &str) {
     let again = send(fleet, &patient(letter.clone(), PATIENCE), entry).await;
-    let (_, run_state) = refusal(&again).expect("nobody can say what became of the letter");
-    assert_eq!(run_state, "unknown", "{again:?}");
+    assert_eq!(refusal(&again), Some((reason, "unknown")), "{again:?}");
 }
 
 #[test]
 fn claimed_unsent() {
-    // A letter is claimed in the store, but its dispatch doesn't get through to the sidecar. The
-    // store goes away and the entry dies. The caller comes back through the other entry, which sees
-    // neither the claim nor what became of it: told `not-run`, the caller would write the letter
-    // anew under another key, and the first may still go out. When the store is back, the sidecar
-    // says that the letter never came, and it goes out once.
+    // A letter is claimed in the store, but its dispatch doesn't get through to the sidecar, and its
+    // entry dies. Another serves the branch when the store goes away, and the caller comes back: the
+    // claim can't be seen, nor what became of it. Told `not-run`, the caller would write the letter
+    // anew under another key. When the store is back, the sidecar says that the letter never came,
+    // and it goes out once.
     run(async {
         let start = SmallFleet { proxied: true, ..Default::default() };
         let mut fleet = start.start().await;
@@ -51,10 +50,24 @@
         let letter = letter(BRANCH, KEY);
         let first_send = start_send(&fleet, &letter, home);
         until("the letter is claimed", || is_claimed(&fleet)).await;
-        outage(&fleet, true);
         fleet.kill(home);
         let first_send = first_send.await;
-        told_unknown(&fleet, &letter, other).await;
+        for _ in 0..4 {
+            let served = completion(BRANCH, 40);
+            let served_send = send(&fleet, &served, other).await;
+            assert!(is_own_whole(&served_send), "{served_send:?}");
+            records.push(record(&served, [served_send]));
+        }
+        until_settled(&fleet, BRANCH, records.iter().map(|record| record.billed().0).sum()).await;
+        let holder = incarnation_of(&fleet, other).await;
+        until("the other entry holds grants ahead of need", || {
+            let grants = account(&fleet, BRANCH).grants.into_iter();
+            let own = grants.filter(|(id, _)| id.holder == holder);
+            own.map(|(_, grant)| grant.rest().0).sum::<u64>() >= HELD
+        })
+        .await;
+        outage(&fleet, true);
+        told_unknown(&fleet, &letter, other, "claim-unreachable").await;
         assert!(runs_of(&fleet, &letter).is_empty(), "{:?}", runs_of(&fleet, &letter));
 
         outage(&fleet, false);
@@ -87,7 +100,7 @@
         fleet.kill(sidecar);
         fleet.start_member(sidecar).expect("a sidecar can be started again");
         let first_send = first_send.await;
-        told_unknown(&fleet, &letter, other).await;
+        told_unknown(&fleet, &letter, other, "budget-unreachable").await;
 
         outage(&fleet, false);
         until_ready(&fleet, sidecar).await;
