Tell a racing operator what changed, also where the winner's answer was lost

It found that an edit whose write took effect and whose answer the store lost is found as wished and recorded without its changes: the other operator was told of a conflict "by no recorded command". The edit now remembers the changes of its last write; where another executor found it made, the command is named without them. Guard taken out once (decide without the look at the version seen): racing_edits and races_with_lost_answers, "left: Done, right: Conflict".

--- a/crates/sagespool-daemon/tests/desk/mod.rs
+++ b/crates/sagespool-daemon/tests/desk/mod.rs
@@ -1,5 +1,10 @@
 //! A small fleet of real processes, and an operator with `sagespool`.
 
+// Each test file uses its own part of this.
+#![allow(dead_code, unused_imports)]
+
+mod asks;
+
 use std::path::Path;
 use std::process::{Command, Output};
 use std::time::Duration;
@@ -13,6 +18,8 @@
 use sagespool_types::{BranchName, ClockTime, CommandId};
 use serde::de::DeserializeOwned;
 
+pub use asks::*;
+
 /// The operator's key and that of a branch that isn't an operator's, in `examples/local`.
 pub const OPERATOR_TOKEN: &str = "local-desk-development-key";
 pub const CALLER_TOKEN: &str = "local-first-development-key";
--- a/crates/sagespool-entry/src/operator/edit.rs
+++ b/crates/sagespool-entry/src/operator/edit.rs
@@ -1,5 +1,7 @@
 //! Edits of the configuration: checked, conditional, and told what stands in their way.
 
+use std::sync::{Mutex, PoisonError};
+
 use sagespool_operations::{
     COMMANDS_PREFIX, CommandItem, CommandRecord, ConfigEdit, EditRefusal, FieldChange, ItemOutcome,
     OutcomeState,
@@ -25,12 +27,25 @@
 ) -> ItemEnd {
     let key = edit.object_key();
     let seen = seen_version(&run.record, &key);
-    let decide = |moment: ChangeMoment<'_, Value>| decide(&run.state, edit, seen, &moment);
+    // Where the answer to the write is lost, the object is found as wished, and only this tells what
+    // was changed: without it, a racing operator would be told of a conflict with nobody's change.
+    let tried = Mutex::new(Vec::new());
+    let decide = |moment: ChangeMoment<'_, Value>| {
+        let step = decide(&run.state, edit, seen, &moment);
+        if let ChangeStep::Write(_, outcome) = &step {
+            tried.lock().unwrap_or_else(PoisonError::into_inner).clone_from(&outcome.changes);
+        }
+        step
+    };
     match change(run, &key, begun, decide).await {
         ChangeEnd::Written { version, result, .. } => {
             let version = Some(ConfigVersion(version.0));
             ItemEnd::Ended(ItemOutcome { version, ..result })
         }
+        ChangeEnd::Stopped(outcome) if outcome.state == OutcomeState::Done => {
+            let changes = tried.into_inner().unwrap_or_else(PoisonError::into_inner);
+            ItemEnd::Ended(ItemOutcome { changes, ..outcome })
+        }
         ChangeEnd::Stopped(outcome) if outcome.state == OutcomeState::Conflict => {
             ItemEnd::Ended(explain(run, edit, seen, outcome).await)
         }
@@ -199,7 +214,10 @@
             return Some(EarlierEdit { version: None, by, changes: Vec::new() });
         };
         let is_newer = outcome.version.is_some_and(|version| version > seen);
-        let is_change = is_newer && outcome.state.is_good() && !outcome.changes.is_empty();
+        // What an earlier executor changed may not be known to the one that took the command up.
+        let is_change = is_newer
+            && (outcome.state == OutcomeState::Done
+                || outcome.state.is_good() && !outcome.changes.is_empty());
         is_change.then(|| EarlierEdit {
             version: outcome.version,
             by: by.clone(),
