Keep the partition test's budget below the longest answer

So that the guard's absence shows as spend: with BookRecord's free budget not less outstanding grants, cut_off_home says "nothing is free on this side" of a call that was served (before, the test's own call was invalid: more tokens than the model's longest answer).

--- a/crates/sagespool-daemon/tests/partition_topup.rs
+++ b/crates/sagespool-daemon/tests/partition_topup.rs
@@ -9,7 +9,7 @@
 use sagespool_testkit::load::{CallRecord, first_deposits};
 use sagespool_types::{ClockTime, CommandId, TokenCount};
 
-const PREPAID: u64 = 1000;
+const PREPAID: u64 = 800;
 const FIRST_TOP_UP: TokenCount = TokenCount(300);
 const SECOND_TOP_UP: TokenCount = TokenCount(200);
 const PATIENCE: Duration = Duration::from_secs(2);
