Tell wrong options, show codes of faults, and list commands' outcomes

Cause: trying every line and option by hand against the example fleet showed what an operator can't work with. A misspelt option was named without the one meant and without a word on where the options are; a wrong `--entry` said "invalid socket address syntax", one in SAGESPOOL_ENTRY didn't say which. The page names faults by codes that the text never showed. `commands` showed a command whose items were all refused just as one that was done. `help` ignored `--json`. An empty key was sent and came back with advice on an HTTP header. `--help` had one example and no exit codes; `check` and `certificates` weren't on the page.

Change: options are read by `read_arguments`, whose faults have the nearest option, what is allowed and where help is, with exit code 2 as before; `error[CODE]` for faults of the fleet; a column `as wished` in `commands`; the help of the program and its two file commands with examples and exit codes. A misspelt file command is recognized.

Ruled out: help on the standard output, as `help_lines` holds it to the standard error; a place at the branch for `top-up a 1, a 2`, as `wrong_lines` holds it to the number.

Tests: wrong options and values, help as JSON, a list of commands.

--- a/crates/sagespool-cli/src/certificates.rs
+++ b/crates/sagespool-cli/src/certificates.rs
@@ -15,16 +15,25 @@
 };
 use sagespool_types::{InstanceName, ParseFault};
 
+use crate::arguments::{CommandUsage, read_arguments};
 use crate::error::CommandError;
 
-/// Options of `sagespool certificates`.
+/// Makes certificates with which a development fleet's processes know each other.
+///
+/// Writes `authority.pem` and `authority.key`, and `NAME.pem` and `NAME.key` for each name. Run again
+/// with the same directory it keeps the authority, and adds or renews the names.
+///
+/// Example:
+/// $ sagespool certificates examples/certificates --names entry-1,sidecar-1
+///
+/// Exit codes: 0 written, 1 a file can't be read or written, 2 wrong arguments.
 #[derive(Debug, Options)]
-pub struct CertificateOptions {
+struct CertificateOptions {
     #[options(help = "print this help")]
     help: bool,
     #[options(free, help = "the directory to write to; made if it isn't there")]
     directory: Option<PathBuf>,
-    #[options(no_short, meta = "A,B,…", help = "the processes to make certificates for")]
+    #[options(no_short, meta = "A,B", help = "the processes to make certificates for")]
     names: Option<String>,
 }
 
@@ -32,15 +41,26 @@
 const AUTHORITY_TITLE: &str = "sagespool development authority";
 /// The name, beside 127.0.0.1, that every certificate of the set is good for.
 const SERVER_NAME: &str = "sagespool";
-const USAGE: &str = "sagespool certificates DIR --names entry-1,sidecar-1";
+const EXAMPLE: &str = "sagespool certificates DIR --names entry-1,sidecar-1";
+const USAGE: CommandUsage = CommandUsage {
+    synopsis: "sagespool certificates DIR --names A,B",
+    help: "`sagespool certificates --help` lists the options",
+};
 
 /// Writes `authority.pem`, and `NAME.pem` and `NAME.key` for each name.
 ///
 /// An authority that is there from an earlier run is kept, so that processes
 /// that trust it accept the new certificates: a set is added to, and renewed,
 /// by running the command again.
-pub fn run(options: &CertificateOptions) -> Result<ExitCode, Report<CommandError>> {
-    let usage = |message| Report::new(CommandError::Usage { message, help: USAGE });
+pub fn run(arguments: &[String]) -> Result<ExitCode, Report<CommandError>> {
+    match read_arguments::<CertificateOptions>(&USAGE, arguments)? {
+        Some(options) => make_set(&options),
+        None => Ok(ExitCode::SUCCESS),
+    }
+}
+
+fn make_set(options: &CertificateOptions) -> Result<ExitCode, Report<CommandError>> {
+    let usage = |message| Report::new(CommandError::Usage { message, help: EXAMPLE });
     let directory =
         options.directory.as_deref().ok_or_else(|| usage("the directory is missing"))?;
     let names = options.names.as_deref().ok_or_else(|| usage("`--names` is missing"))?;
--- a/crates/sagespool-cli/src/check.rs
+++ b/crates/sagespool-cli/src/check.rs
@@ -13,11 +13,24 @@
 use sagespool_types::ConfigVersion;
 use serde::Serialize;
 
+use crate::arguments::{CommandUsage, read_arguments};
 use crate::error::CommandError;
 
-/// Options of `sagespool check`.
+const USAGE: CommandUsage = CommandUsage {
+    synopsis: "sagespool check [FILE…] [--fleet FILE] [--branches FILE] [--json]",
+    help: "`sagespool check --help` lists the options",
+};
+
+/// Checks settings files, or the objects of a configuration, as a process does at its start. Every
+/// fault is shown at once, with its path in the file, what was found and what is allowed.
+///
+/// Examples:
+/// $ sagespool check examples/entry.json examples/sidecar.json
+/// $ sagespool check --fleet fleet.json --branches branches.json
+///
+/// Exit codes: 0 all are good, 1 there are faults or a file can't be read, 2 wrong arguments.
 #[derive(Debug, Options)]
-pub struct CheckOptions {
+struct CheckOptions {
     #[options(help = "print this help")]
     help: bool,
     #[options(free, help = "settings files of processes")]
@@ -39,7 +52,14 @@
 }
 
 /// Checks the files; exit code 0 if all are good, else 1.
-pub fn run(options: &CheckOptions) -> Result<ExitCode, Report<CommandError>> {
+pub fn run(arguments: &[String]) -> Result<ExitCode, Report<CommandError>> {
+    match read_arguments::<CheckOptions>(&USAGE, arguments)? {
+        Some(options) => check_all(&options),
+        None => Ok(ExitCode::SUCCESS),
+    }
+}
+
+fn check_all(options: &CheckOptions) -> Result<ExitCode, Report<CommandError>> {
     if options.settings.is_empty() && options.fleet.is_none() && options.branches.is_none() {
         return Err(Report::new(CommandError::Usage {
             message: "there is nothing to check",
--- a/crates/sagespool-cli/src/error.rs
+++ b/crates/sagespool-cli/src/error.rs
@@ -16,6 +16,15 @@
         /// What to give instead.
         help: &'static str,
     },
+    /// An option that there isn't, or one whose value is missing or wrong.
+    Options {
+        /// What is wrong.
+        message: String,
+        /// The option that may have been meant.
+        nearest: Option<String>,
+        /// Where the options are listed.
+        help: &'static str,
+    },
     /// One of the arguments is not what it should be.
     Argument(ParseFault),
     /// A name was given twice.
@@ -34,7 +43,7 @@
     /// What a person can do about it.
     pub fn help(&self) -> &'static str {
         match self {
-            Self::Usage { help, .. } => help,
+            Self::Usage { help, .. } | Self::Options { help, .. } => help,
             Self::Argument(fault) => fault.help,
             Self::RepeatedName(_) => "give each name once",
             Self::Input => "give the line as an argument",
@@ -46,10 +55,21 @@
         }
     }
 
+    /// What may have been meant.
+    pub fn nearest(&self) -> Option<&str> {
+        match self {
+            Self::Options { nearest, .. } => nearest.as_deref(),
+            _ => None,
+        }
+    }
+
     /// The exit code of the process.
     pub fn exit_code(&self) -> u8 {
         match self {
-            Self::Usage { .. } | Self::Argument(_) | Self::RepeatedName(_) => crate::USAGE_FAULT,
+            Self::Usage { .. }
+            | Self::Options { .. }
+            | Self::Argument(_)
+            | Self::RepeatedName(_) => crate::USAGE_FAULT,
             _ => 1,
         }
     }
@@ -59,6 +79,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Usage { message, .. } => f.write_str(message),
+            Self::Options { message, .. } => f.write_str(message),
             Self::Argument(fault) => write!(f, "`{}` is not {}", fault.found, fault.wanted),
             Self::RepeatedName(name) => write!(f, "the name `{name}` was given twice"),
             Self::Unreadable(path) => write!(f, "can't read `{}`", path.display()),
--- a/crates/sagespool-cli/src/operate.rs
+++ b/crates/sagespool-cli/src/operate.rs
@@ -7,15 +7,16 @@
 use error_stack::Report;
 use gumdrop::Options;
 use sagespool_operations::{
-    AnswerBody, CommandState, HelpAnswer, LineRequest, OperatorAnswer, OperatorFault, OperatorLine,
-    OperatorQuery, new_command_id, parse_line, render_answer, verb_help,
+    AnswerBody, CommandState, HelpAnswer, LineFault, LineRequest, OperatorAnswer, OperatorFault,
+    OperatorLine, OperatorQuery, nearest_of, new_command_id, parse_line, render_answer,
 };
-use sagespool_types::{ClockTime, CommandId, WallTime};
+use sagespool_types::{ClockTime, CommandId, ParseFault, WallTime};
 
-use crate::USAGE_FAULT;
+use crate::arguments::{CommandUsage, read_arguments};
 use crate::error::CommandError;
 use crate::line_client::{LineClient, LineEnd};
 use crate::prompt;
+use crate::{LOCAL_COMMANDS, USAGE_FAULT};
 
 /// Exit code if a command isn't as wished, or was refused.
 const NOT_GOOD: u8 = 1;
@@ -26,22 +27,38 @@
 /// An entry is asked anew after so long, while a command goes on.
 const ROUND_WAIT: Duration = Duration::from_secs(10);
 
-/// Asks and commands a sagespool fleet.
+const USAGE: CommandUsage = CommandUsage {
+    synopsis: "sagespool [OPTIONS] [LINE]\n       sagespool check --help\n       sagespool certificates --help",
+    help: "`sagespool --help` lists the options",
+};
+
+/// Asks and commands a sagespool fleet: a line of the operators' language goes to any entry. Without a
+/// line there is a prompt (`exit` ends it); lines may also come from a file on the standard input.
 ///
-/// `sagespool --entry 127.0.0.1:8101 'spend ruwi-bids'` sends one line; without a line there is a
-/// prompt. `sagespool help` lists the lines; `sagespool check` and `sagespool certificates` work on
-/// files, see their `--help`.
+/// Examples:
+/// $ sagespool help
+/// $ sagespool --entry 127.0.0.1:8101 --token KEY members
+/// $ sagespool 'spend ruwi-bids, sohar-hub'
+/// $ sagespool 'top-up ruwi-bids 500_000'
+/// $ sagespool --json upstreams
+/// $ sagespool --command 01a23846c0f2b8aaa80b29b62b43082a 'top-up ruwi-bids 500_000'
+///
+/// Exit codes:
+///   0  answered; every item of a command is as wished
+///   1  refused, or an item of the command is not (known to be) as wished
+///   2  the line or the options are wrong; nothing was done
+///   3  no entry answered; of a command it isn't known whether it was taken
 #[derive(Debug, Options)]
-pub struct OperateOptions {
+struct OperateOptions {
     #[options(help = "print this help")]
     help: bool,
-    /// Print the version and end.
     #[options(no_short, help = "print the version")]
-    pub version: bool,
+    version: bool,
     #[options(free, help = "the line: `help` lists them")]
     line: Vec<String>,
     #[options(
         meta = "IP:PORT",
+        parse(try_from_str = "parse_entry"),
         help = "an entry; several are tried in turn (default: SAGESPOOL_ENTRY, parted by commas)"
     )]
     entry: Vec<SocketAddr>,
@@ -55,7 +72,12 @@
         help = "the command's id, to give a command again; else a new one"
     )]
     command: Option<CommandId>,
-    #[options(no_short, meta = "SECONDS", help = "how long to wait for a command to end")]
+    #[options(
+        no_short,
+        meta = "SECONDS",
+        parse(try_from_str = "parse_wait"),
+        help = "how long to wait for a command to end (default: 60)"
+    )]
     wait: Option<u64>,
 }
 
@@ -63,11 +85,18 @@
 const TOKEN_VARIABLE: &str = "SAGESPOOL_TOKEN";
 
 /// Carries out the line, or those that are typed; the exit code says how it went.
-pub fn run(options: &OperateOptions) -> Result<ExitCode, Report<CommandError>> {
+pub fn run(arguments: &[String]) -> Result<ExitCode, Report<CommandError>> {
+    let Some(options) = read_arguments::<OperateOptions>(&USAGE, arguments)? else {
+        return Ok(ExitCode::SUCCESS);
+    };
+    if options.version {
+        println!("sagespool {}", env!("CARGO_PKG_VERSION"));
+        return Ok(ExitCode::SUCCESS);
+    }
     if options.line.is_empty() {
-        return prompt::run(|line| run_line(options, line));
+        return prompt::run(|line| run_line(&options, line));
     }
-    run_line(options, &options.line.join(" ")).map(ExitCode::from)
+    run_line(&options, &options.line.join(" ")).map(ExitCode::from)
 }
 
 /// Carries out one line; 0 if all is as wished.
@@ -76,12 +105,12 @@
     let parsed = match parse_line(line) {
         Ok(parsed) => parsed,
         Err(fault) => {
-            show_fault(options, &fault.into());
+            show_fault(options, &suggest_local(fault).into());
             return Ok(USAGE_FAULT);
         }
     };
     if let OperatorLine::Query(OperatorQuery::Help { word }) = &parsed {
-        show_help(word.as_deref());
+        show_help(options, word.as_deref());
         return Ok(0);
     }
     let client = LineClient::new(entries(options)?, token(options)?);
@@ -93,25 +122,46 @@
     Ok(show_end(options, command, end))
 }
 
+/// A first word that begins no line may be meant for a command that works on files.
+fn suggest_local(mut fault: LineFault) -> LineFault {
+    let first = fault.line.split_whitespace().next().unwrap_or_default();
+    if fault.at.start == 0 && fault.nearest.is_none() {
+        fault.nearest = nearest_of(first, &LOCAL_COMMANDS);
+    }
+    fault
+}
+
+fn parse_entry(text: &str) -> Result<SocketAddr, ParseFault> {
+    text.parse().map_err(|_| ParseFault::new("an entry", text, "IP:PORT, as 127.0.0.1:8101"))
+}
+
+fn parse_wait(text: &str) -> Result<u64, ParseFault> {
+    text.parse().map_err(|_| ParseFault::new("a number of seconds", text, "a whole number"))
+}
+
 fn entries(options: &OperateOptions) -> Result<Vec<SocketAddr>, Report<CommandError>> {
     if !options.entry.is_empty() {
         return Ok(options.entry.clone());
     }
-    let missing = || {
-        Report::new(CommandError::Usage {
-            message: "no entry is named, or one that isn't IP:PORT",
-            help: "give `--entry IP:PORT`, or set SAGESPOOL_ENTRY",
-        })
-    };
-    let text = std::env::var(ENTRY_VARIABLE).map_err(|_| missing())?;
+    let text = std::env::var(ENTRY_VARIABLE).unwrap_or_default();
     let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
-    let entries: Result<Vec<SocketAddr>, _> = parts.map(str::parse).collect();
-    entries.ok().filter(|entries| !entries.is_empty()).ok_or_else(missing)
+    let entries: Result<Vec<SocketAddr>, _> = parts.map(parse_entry).collect();
+    let entries = entries.map_err(|fault| {
+        let message = format!("{ENTRY_VARIABLE} names no entry: {fault}");
+        Report::new(CommandError::Options { message, nearest: None, help: USAGE.help })
+    })?;
+    if entries.is_empty() {
+        return Err(Report::new(CommandError::Usage {
+            message: "no entry is named",
+            help: "give `--entry IP:PORT`, or set SAGESPOOL_ENTRY",
+        }));
+    }
+    Ok(entries)
 }
 
 fn token(options: &OperateOptions) -> Result<String, Report<CommandError>> {
     let given = options.token.clone().or_else(|| std::env::var(TOKEN_VARIABLE).ok());
-    given.ok_or_else(|| {
+    given.filter(|token| !token.is_empty()).ok_or_else(|| {
         Report::new(CommandError::Usage {
             message: "the operator's key is missing",
             help: "set SAGESPOOL_TOKEN, or give `--token KEY`",
@@ -192,16 +242,27 @@
     if options.json {
         let value = serde_json::json!({"error": fault});
         println!("{value:#}");
-    } else {
+    } else if fault.line.is_some() {
         eprintln!("error: {fault}");
+    } else {
+        eprintln!("error[{}]: {fault}", fault.code);
     }
 }
 
-fn show_help(word: Option<&str>) {
-    for line in HelpAnswer::about(word).lines {
+/// Help needs no fleet, so its answer rests on nothing.
+fn show_help(options: &OperateOptions, word: Option<&str>) {
+    let answer = HelpAnswer::about(word);
+    if options.json {
+        let value = serde_json::json!({"answer": AnswerBody::Help(answer)});
+        println!("{value:#}");
+        return;
+    }
+    for line in answer.lines {
         println!("{}\n    {}", line.usage, line.summary);
     }
     if word.is_none() {
-        println!("\n{} kinds of lines; docs/OPERATORS.md has examples", verb_help(None).len());
+        println!(
+            "\n`sagespool --help` lists the options; docs/OPERATORS.md says what each line does"
+        );
     }
 }
--- a/crates/sagespool-cli/tests/operate_lines.rs
+++ b/crates/sagespool-cli/tests/operate_lines.rs
@@ -60,6 +60,34 @@
     assert_eq!(bad_entry.status.code(), Some(2));
 }
 
+/// A wrong option is told with the one that may be meant, and a wrong value with what is allowed.
+#[test]
+fn wrong_options() {
+    let cases: [(&[&str], &str); 7] = [
+        (&["--entyr", "spend"], "did you mean `--entry`?\nhelp: `sagespool --help`"),
+        (&["--entry", "here", "spend"], "`here` is not an entry: IP:PORT"),
+        (&["--wait", "long", "spend"], "`long` is not a number of seconds"),
+        (&["check", "--flet", "f"], "did you mean `--fleet`?\nhelp: `sagespool check --help`"),
+        (&["certificates", "--nmaes", "a"], "did you mean `--names`?"),
+        (&["chekc", "f"], "did you mean `check`?"),
+        (&["--entry", "127.0.0.1:1", "--token", "", "spend"], "the operator's key is missing"),
+    ];
+    for (arguments, wanted) in cases {
+        let output = run(arguments);
+        assert_eq!(output.status.code(), Some(2), "{arguments:?}");
+        assert!(stderr(&output).contains(wanted), "{arguments:?}: {}", stderr(&output));
+    }
+    let variable = sagespool(&["spend"]).env("SAGESPOOL_ENTRY", "127.0.0.1:1,here").output();
+    assert!(stderr(&variable.unwrap()).contains("SAGESPOOL_ENTRY names no entry: `here`"));
+}
+
+#[test]
+fn help_json() {
+    let value: Value = serde_json::from_str(&stdout(&run(&["--json", "help", "drain"]))).unwrap();
+    assert_eq!(value["answer"]["kind"], "help");
+    assert_eq!(value["answer"]["lines"].as_array().map(Vec::len), Some(1));
+}
+
 #[test]
 fn help_lines() {
     let all = stdout(&run(&["help"]));
--- a/crates/sagespool-operations/src/render/commands.rs
+++ b/crates/sagespool-operations/src/render/commands.rs
@@ -13,7 +13,7 @@
     if rows.is_empty() {
         return "no command is recorded".to_owned();
     }
-    let header = ["command", "at", "by", "state", "items", "line"];
+    let header = ["command", "at", "by", "state", "items", "as wished", "line"];
     column_table(&header, &[], rows.iter().map(show_summary))
 }
 
@@ -33,6 +33,7 @@
         row.by.to_string(),
         state,
         format!("{} of {}", row.ended, row.items),
+        row.good.to_string(),
         line,
     ]
 }
--- a/crates/sagespool-operations/tests/answer_text.rs
+++ b/crates/sagespool-operations/tests/answer_text.rs
@@ -4,10 +4,10 @@
 
 use sagespool_messages::{MemberInfo, MemberRole};
 use sagespool_operations::{
-    AnswerBasis, AnswerBody, BookFigures, CommandAnswer, ConfigMember, DoubtedGrant, ForceRow,
-    HelpAnswer, InForce, ItemAnswer, ItemOutcome, MemberLabel, OperatorAnswer, OutcomeState,
-    SilentMember, SpendAnswer, SpendRow, StoreBasis, TokenRange, WantedVersions, in_force,
-    render_answer,
+    AnswerBasis, AnswerBody, BookFigures, CommandAnswer, CommandState, CommandSummary,
+    CommandsAnswer, ConfigMember, DoubtedGrant, ForceRow, HelpAnswer, InForce, ItemAnswer,
+    ItemOutcome, MemberLabel, OperatorAnswer, OutcomeState, SilentMember, SpendAnswer, SpendRow,
+    StoreBasis, TokenRange, WantedVersions, in_force, render_answer,
 };
 use sagespool_types::{
     CommandId, ConfigVersion, IncarnationId, StoreRevision, TokenCount, WallTime,
@@ -136,6 +136,28 @@
     assert!(text.starts_with(wanted), "\n{text}");
 }
 
+/// A command that has ended, one of its two items refused: the list shows that not all is as wished.
+#[test]
+fn command_list() {
+    let row = CommandSummary {
+        command: CommandId(7),
+        line: "top-up a 1, b 2".to_owned(),
+        by: "desk".parse().unwrap(),
+        at: WallTime(1_700_000_000_000),
+        state: CommandState::Ended,
+        cancelled: false,
+        ended: 2,
+        good: 1,
+        items: 2,
+    };
+    let answer = AnswerBody::Commands(CommandsAnswer { rows: Some(vec![row]) });
+    let text = render_answer(&OperatorAnswer { basis: basis(), answer });
+    let words: Vec<_> =
+        text.lines().map(|line| line.split_whitespace().collect::<Vec<_>>()).collect();
+    assert_eq!(words[0], ["command", "at", "by", "state", "items", "as", "wished", "line"]);
+    assert_eq!(words[1][3..], ["ended", "2", "of", "2", "1", "top-up", "a", "1,", "b", "2"]);
+}
+
 /// A change of classes is told to be in force at a sidecar that has it not: its version is compared with
 /// that of the branches' newest object, which sidecars don't follow.
 #[test]
