Give the engine stand-in's parts a module each, and say how calls fail

Calls of the object API and the reading of identities didn't name their errors.

Change: run.rs, pace.rs, weights.rs and ticker.rs beside them; the tests in engine.rs, engine_faults.rs, engine_cache.rs and engine_orders.rs, moved as they are with the engine they start from in calls/mod.rs. `# Errors` on the public calls; one test of the link has a name of two words.

--- a/crates/sagespool-link/src/identity.rs
+++ b/crates/sagespool-link/src/identity.rs
@@ -88,7 +88,11 @@
 }
 
 impl LinkIdentity {
-    /// Reads PEM files.
+    /// As [`Self::from_pem`], from files.
+    ///
+    /// # Errors
+    ///
+    /// [`IdentityError`] with the file that can't be read, or what it doesn't hold.
     pub fn from_files(
         certificate: &Path,
         key: &Path,
@@ -99,6 +103,10 @@
 
     /// Reads PEM text: the certificate chain with the process's own first, the
     /// private key, and the authority.
+    ///
+    /// # Errors
+    ///
+    /// [`IdentityError`] with what a text doesn't hold, or that key and certificate don't fit.
     pub fn from_pem(
         certificate: &str,
         key: &str,
--- a/crates/sagespool-link/tests/ask_reply.rs
+++ b/crates/sagespool-link/tests/ask_reply.rs
@@ -210,7 +210,7 @@
 }
 
 #[test]
-fn reply_on_its_way() {
+fn reply_resent() {
     // A process has answered its last request and closes. The network loses the
     // answer's datagrams just then: it must be sent again, not forgotten.
     smol::block_on(async {
--- a/crates/sagespool-platform/src/objects.rs
+++ b/crates/sagespool-platform/src/objects.rs
@@ -69,6 +69,10 @@
 }
 
 /// Client of the object API. Clones share connections and counters.
+///
+/// # Errors
+///
+/// Each call fails with a [`StoreError`], which says what is known of its effect.
 #[derive(Debug, Clone)]
 pub struct ObjectClient {
     caller: PlatformCaller,
@@ -126,6 +130,11 @@
 
     /// Writes an object if it is at the expected version; 0 = it must not exist.
     /// Gives its new version.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Conflict`] at another version; [`StoreError::Uncertain`] if the answer was
+    /// lost, after which it may have taken effect, or may yet.
     pub async fn put<T: Serialize>(
         &self,
         key: &str,
@@ -141,7 +150,7 @@
         Ok(written.version)
     }
 
-    /// Deletes an object if it is at the expected version.
+    /// Deletes an object if it is at the expected version; fails as [`Self::put`] does.
     pub async fn delete(&self, key: &str, expected: StoreRevision) -> Result<(), StoreError> {
         let path = format!("/objects/{}?if_version={expected}", checked(key)?);
         let call = PlatformCall::new(CallKind::Write, Method::Delete, path);
@@ -170,6 +179,10 @@
 
     /// Waits for changes under a prefix after a revision: returns at once if there
     /// are any, else after at most `wait`, then with none.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::HistoryGone`] if the changes after `after` aren't kept any more: list again.
     pub async fn watch<T: DeserializeOwned>(
         &self,
         prefix: &str,
--- a/crates/sagespool-testkit/src/engine/batch.rs
+++ b/crates/sagespool-testkit/src/engine/batch.rs
@@ -12,30 +12,11 @@
 use super::EngineOptions;
 use super::cache::{CacheFeed, PrefixCache, PrefixUses};
 use super::load::EngineLoad;
-use super::request::CompletionOrder;
+use super::pace::EnginePace;
+use super::run::{ActiveRun, ArrivedRequest, RunNumber, WaitingRun};
 use super::stream::{RunStream, StreamEnd};
 use crate::lagged::LaggedState;
-use crate::witness::{RunEnd, RunMarker, RunStart, RunTally};
-
-/// The number of a run within one engine stand.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct RunNumber(u64);
-
-/// A request as it arrived.
-pub(crate) struct ArrivedRequest {
-    pub(crate) order: CompletionOrder,
-    pub(crate) request: Option<String>,
-    pub(crate) attempt: Option<AttemptNumber>,
-    pub(crate) key: Option<String>,
-    pub(crate) at: ClockTime,
-}
-
-impl ArrivedRequest {
-    fn is(&self, request: &str, attempt: Option<AttemptNumber>) -> bool {
-        let attempt_fits = attempt.is_none() || self.attempt == attempt;
-        self.request.as_deref() == Some(request) && attempt_fits
-    }
-}
+use crate::witness::{RunEnd, RunMarker, RunStart};
 
 /// Why a request isn't taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,25 +25,6 @@
     QueueFull,
 }
 
-struct WaitingRun {
-    arrived: ArrivedRequest,
-    stream: Arc<RunStream>,
-}
-
-struct ActiveRun {
-    arrived: ArrivedRequest,
-    stream: Arc<RunStream>,
-    tally: RunTally,
-    /// Seconds of work until the first token.
-    prefill_left: f64,
-    /// Tokens of work that aren't a whole token yet.
-    credit: f64,
-    /// The next token's place in the whole answer.
-    next: u32,
-    /// The place at which its stream breaks, if it is to break.
-    breaks_at: Option<u32>,
-}
-
 /// One start of an engine: everything that a crash loses.
 pub(crate) struct EngineBatch {
     options: Arc<EngineOptions>,
@@ -82,21 +44,6 @@
     poisoned: bool,
 }
 
-/// The pace of an engine, set by its faults.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct EnginePace {
-    pub(crate) frozen: bool,
-    pub(crate) slow_factor: f64,
-    /// The share of runs that break in the middle of their streams.
-    pub(crate) break_share: f64,
-}
-
-impl Default for EnginePace {
-    fn default() -> Self {
-        Self { frozen: false, slow_factor: 1.0, break_share: 0.0 }
-    }
-}
-
 impl EngineBatch {
     pub(crate) fn new(
         options: Arc<EngineOptions>,
@@ -331,46 +278,3 @@
     let name = XxHash3_64::oneshot_with_seed(options.seed, options.name.as_str().as_bytes());
     fastrand::Rng::with_seed(name.wrapping_add(now.0))
 }
-
-impl ActiveRun {
-    /// Does some seconds of work; whether that made the first token.
-    fn advance(&mut self, work: f64, rate: f64, now: ClockTime) -> bool {
-        let was_prefilling = self.prefill_left > 0.0;
-        let left = self.prefill_left - work;
-        self.prefill_left = left.max(0.0);
-        if left > 0.0 {
-            return false;
-        }
-        if was_prefilling {
-            // The first token is there as soon as the prompt is read.
-            self.credit = 1.0 - left * rate;
-        } else {
-            self.credit += work * rate;
-        }
-        self.make_tokens(now);
-        was_prefilling
-    }
-
-    fn make_tokens(&mut self, now: ClockTime) {
-        let order = &self.arrived.order;
-        let whole = self.credit.floor();
-        let until = self.breaks_at.unwrap_or(order.length);
-        let made = (whole as u32).min(until - self.next);
-        if made == 0 {
-            return;
-        }
-        self.credit -= whole;
-        self.next += made;
-        let total = self.next - order.resumed_from;
-        self.tally.produced(TokenCount(total.into()), now);
-        self.stream.make_available(self.next);
-    }
-
-    fn is_broken(&self) -> bool {
-        self.prefill_left <= 0.0 && self.breaks_at.is_some_and(|place| self.next >= place)
-    }
-
-    fn is_finished(&self) -> bool {
-        self.prefill_left <= 0.0 && self.next >= self.arrived.order.length
-    }
-}
--- a/crates/sagespool-testkit/src/engine/mod.rs
+++ b/crates/sagespool-testkit/src/engine/mod.rs
@@ -11,28 +11,32 @@
 mod load;
 mod options;
 mod orders;
+mod pace;
 mod request;
+mod run;
 mod stream;
+mod ticker;
+mod weights;
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, Weak};
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
 
 use error_stack::Report;
 use event_listener::Event;
 use sagespool_types::{ClockTime, UpstreamName};
-use smol::Timer;
 use trillium_smol::SmolRuntime;
 
 pub use answer::{answer_text, answer_token, natural_length, prompt_tokens};
-use batch::{EngineBatch, EnginePace};
+use batch::EngineBatch;
 use cache::PrefixUses;
 pub use cache::{CacheChange, CacheEvent, PrefixCounts, prefix_digest};
 pub use load::EngineLoad;
 pub use options::EngineOptions;
 use orders::OrderBook;
 pub use orders::{AdapterName, EngineOrder, FencedOrder, OrderRecord};
+use pace::EnginePace;
 pub(crate) use request::is_poisonous;
+use ticker::keep_ticking;
 
 use crate::fault_gate::{FaultGate, StandGone, StartNumber};
 use crate::stand_server::{StandError, StandServer, do_later, lock};
@@ -266,42 +270,4 @@
         };
         do_later(self, time, restart);
     }
-
-    /// Does the work since the last tick; whether there is more to do.
-    fn tick(self: &Arc<Self>) -> bool {
-        let Some(start) = self.gate.start() else {
-            return false;
-        };
-        let busy = self.with_batch(start, |batch, pace, now| {
-            batch.advance(pace, now);
-            batch.is_busy()
-        });
-        busy.unwrap_or(false)
-    }
-}
-
-/// Lets an engine work, tick by tick, for as long as it exists.
-async fn keep_ticking(engine: Weak<EngineShared>) {
-    loop {
-        let Some(shared) = engine.upgrade() else {
-            return;
-        };
-        let tick = shared.options.tick;
-        let work_came = shared.work_came.listen();
-        if shared.tick() {
-            drop(work_came);
-            drop(shared);
-            Timer::after(tick).await;
-        } else {
-            drop(shared);
-            futures_lite::future::or(work_came, wait_idle()).await;
-        }
-    }
-}
-
-/// The longest an idle ticker sleeps, so that it notices that its engine is gone.
-const IDLE_TICK: Duration = Duration::from_millis(500);
-
-async fn wait_idle() {
-    Timer::after(IDLE_TICK).await;
 }
--- a/crates/sagespool-testkit/tests/calls/mod.rs
+++ b/crates/sagespool-testkit/tests/calls/mod.rs
@@ -227,3 +227,17 @@
     }
     text
 }
+
+/// An engine with one model that answers fast, and these settings besides.
+#[allow(unused_macros, reason = "each test file uses a part")]
+macro_rules! engine {
+    ($($setting:ident: $value:expr),* $(,)?) => {{
+        let options = sagespool_testkit::EngineOptions::builder()
+            .name("engine-1".parse().unwrap())
+            .models(vec![calls::MODEL.parse().unwrap()])
+            .first_token_base(std::time::Duration::from_millis(1))
+            $(.$setting($value))*
+            .build();
+        sagespool_testkit::EngineStand::start(options).unwrap()
+    }};
+}
--- /dev/null
+++ b/crates/sagespool-testkit/tests/engine_faults.rs
@@ -0,0 +1,147 @@
+//! The contract of the model engine: crashes, freezes, a slow pace, broken streams.
+
+#[macro_use]
+mod calls;
+
+use std::time::Duration;
+
+use calls::{MODEL, complete, completion, get, is_held, joined_tokens, run, send, until};
+use sagespool_testkit::{EngineStand, RunEnd, RunMarker, answer_text};
+use sagespool_types::TokenRate;
+use serde_json::json;
+
+fn ends_of(engine: &EngineStand, marker: &str) -> Vec<RunEnd> {
+    let marker: RunMarker = marker.parse().expect("a marker");
+    let runs = engine.witness().runs_of(&marker);
+    runs.iter().filter_map(|run| run.ended).map(|(end, _)| end).collect()
+}
+
+#[test]
+fn crash_restart() {
+    // An engine dies under its streams. Callers must see broken streams, not short answers
+    // that look whole; then the port refuses until the engine is back on the same port.
+    run(async {
+        let engine = engine!(load_lag: Duration::ZERO, cache_gap_share: 0.0);
+        let address = engine.address();
+        complete(address, &[], &completion("cached", 1)).await.unwrap().rest().await.unwrap();
+        let mut running = complete(address, &[], &completion("mark:a/1", 1_000_000)).await.unwrap();
+        running.next().await.unwrap().expect("a first token");
+        engine.crash();
+        running.rest().await.expect_err("the stream breaks");
+        assert!(get(address, "/healthz").await.is_err(), "the port refuses");
+        assert!(!engine.is_serving());
+        assert_eq!(ends_of(&engine, "mark:a/1"), [RunEnd::Crashed]);
+        engine.restart().unwrap();
+        assert_eq!(engine.address(), address);
+        assert_eq!(get(address, "/healthz").await.unwrap().status, 200);
+        let load = get(address, "/load").await.unwrap().json();
+        assert_eq!((&load["number"], &load["running"]), (&json!(0), &json!(0)));
+        assert_eq!(load["start"], json!(2));
+        let events = get(address, "/cache-events?after=0").await.unwrap().json();
+        assert_eq!(events, json!({ "start": 2, "events": [] }));
+        let stream = complete(address, &[], &completion("again", 3)).await.unwrap();
+        assert_eq!(joined_tokens(&stream.rest().await.unwrap(), 0), answer_text(MODEL, "again", 3));
+    });
+}
+
+#[test]
+fn poisonous_prompt() {
+    // One request crashes each engine that runs it, and takes the streams of others with it.
+    // The engine comes back by itself, and the same request crashes it again.
+    run(async {
+        let restart_after = Some(Duration::from_millis(10));
+        let engine = engine!(restart_after: restart_after, capacity: 2);
+        for round in 1..=2 {
+            let long = completion("mark:a/1", 1_000_000);
+            let mut other = complete(engine.address(), &[], &long).await.unwrap();
+            other.next().await.unwrap().expect("a first token");
+            let body = completion("poison mark:b/1", 4).to_string();
+            let path = "/v1/chat/completions";
+            let poisonous = send("POST", engine.address(), path, &[], &body).await;
+            assert!(poisonous.is_err(), "round {round}: its connection breaks");
+            other.rest().await.expect_err("the other stream breaks");
+            assert_eq!(ends_of(&engine, "mark:b/1"), vec![RunEnd::Crashed; round]);
+            assert_eq!(ends_of(&engine, "mark:a/1"), vec![RunEnd::Crashed; round]);
+            until("it is back", || engine.is_serving()).await;
+        }
+    });
+}
+
+#[test]
+fn waiting_poison() {
+    run(async {
+        let engine = engine!(capacity: 1, restart_after: None);
+        engine.slow_factor(1e6);
+        let running = complete(engine.address(), &[], &completion("one", 4)).await.unwrap();
+        let _poison = complete(engine.address(), &[], &completion("poison", 4)).await.unwrap();
+        assert!(engine.is_serving(), "it crashes only once the prompt runs");
+        drop(running);
+        until("it crashed", || !engine.is_serving()).await;
+    });
+}
+
+#[test]
+fn frozen_engine() {
+    // A paused engine keeps its connections: calls hang rather than fail, and streams stop.
+    // Once it goes on, the streams are whole.
+    run(async {
+        let engine = engine!(token_rate: TokenRate(1000));
+        let body = completion("mark:a/1", 300);
+        let mut stream = complete(engine.address(), &[], &body).await.unwrap();
+        stream.next().await.unwrap().expect("a first token");
+        engine.freeze(true);
+        let frozen = engine.witness().runs()[0].produced;
+        assert!(is_held(get(engine.address(), "/healthz")).await);
+        assert_eq!(engine.witness().runs()[0].produced, frozen);
+        engine.freeze(false);
+        assert_eq!(get(engine.address(), "/healthz").await.unwrap().status, 200);
+        let rest = stream.rest().await.unwrap();
+        let text = answer_text(MODEL, "mark:a/1", 300);
+        assert!(text.ends_with(&joined_tokens(&rest, 1)));
+        assert_eq!(rest.len(), 299 + 2);
+    });
+}
+
+#[test]
+fn slowed_engine() {
+    run(async {
+        let engine = engine!();
+        let body = completion("mark:a/1", 1_000_000);
+        let mut stream = complete(engine.address(), &[], &body).await.unwrap();
+        stream.next().await.unwrap().expect("a first token");
+        assert_eq!(engine.load_now().tokens_per_second, 500);
+        engine.slow_factor(10.0);
+        assert_eq!(engine.load_now().tokens_per_second, 50);
+    });
+}
+
+#[test]
+fn broken_streams() {
+    // A connection to an engine breaks in the middle of an answer, while the engine itself is
+    // well: what it had sent is a true beginning of the answer, nothing closes the stream in
+    // good order, and the next run is answered whole.
+    run(async {
+        let engine = engine!();
+        let prompt = "Read the dossier. mark:a/1";
+        engine.break_share(1.0);
+        let mut stream = complete(engine.address(), &[], &completion(prompt, 40)).await.unwrap();
+        let mut events = Vec::new();
+        let broke = loop {
+            match stream.next().await {
+                Ok(Some(event)) => events.push(event),
+                Ok(None) => break false,
+                Err(_) => break true,
+            }
+        };
+        assert!(broke, "the stream broke");
+        let tokens = events.len() as u32;
+        assert!(tokens < 40);
+        assert_eq!(joined_tokens(&events, 0), answer_text(MODEL, prompt, tokens));
+        assert_eq!(ends_of(&engine, "mark:a/1"), [RunEnd::Broken]);
+
+        engine.break_share(0.0);
+        let stream = complete(engine.address(), &[], &completion(prompt, 40)).await.unwrap();
+        let events = stream.rest().await.unwrap();
+        assert_eq!(joined_tokens(&events, 0), answer_text(MODEL, prompt, 40));
+    });
+}
