Run HTTP and the link on one executor

Cause: trillium's adapter for smol spawns on a second global executor with a thread for each processor, and the main thread waited in smol's `block_on`, which takes the reactor in turns with the executor's thread. Each event of a request woke two or three threads: under strace an entry made 10 futex calls and 3.7 epoll waits for each datagram sent.

Ruled out: the fault proxy. A run without faults has none (`proxied` is set only where faults are asked for), so it is no part of the routed time.

Change: `sagespool-http` gives trillium a runtime and a listener on smol's global executor, for the servers of both roles and for the clients of the store and the upstreams; the main thread waits without the reactor.

--- a/crates/sagespool-daemon/src/process.rs
+++ b/crates/sagespool-daemon/src/process.rs
@@ -34,7 +34,9 @@
         }
     };
     start_log(settings.log.level);
-    smol::block_on(run_role(settings))
+    // Not smol's `block_on`: it would take the reactor from the executor's thread in turns, and each
+    // event would cost a wake-up of this thread and another of the one that handles it.
+    futures_lite::future::block_on(run_role(settings))
 }
 
 async fn run_role(settings: ProcessSettings) -> ExitCode {
--- a/crates/sagespool-entry/src/caller/server.rs
+++ b/crates/sagespool-entry/src/caller/server.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use futures_lite::AsyncReadExt;
+use sagespool_http::http_server;
 use sagespool_messages::CallTarget;
 use sagespool_settings::FleetConfiguration;
 use sagespool_types::{
@@ -36,20 +37,14 @@
 /// If the address can't be taken. Left to the server's own task, that would end only the task, and
 /// the process would go on as an entry that no caller reaches.
 pub fn serve(state: Arc<EntryState>, listen: SocketAddr) -> io::Result<ServerHandle> {
-    let listener = smol::net::TcpListener::try_from(TcpListener::bind(listen)?)?;
+    let server = http_server(TcpListener::bind(listen)?)?;
     let head_limit = state.settings.header_limit.0 as usize;
     let http_config = HttpConfig::default().with_head_max_len(head_limit + HEAD_ROOM);
     let handler = move |conn: Conn| {
         let state = Arc::clone(&state);
         async move { route(state, conn).await }
     };
-    let server = trillium_smol::config()
-        .with_prebound_server(listener)
-        .with_nodelay()
-        .without_signals()
-        .with_http_config(http_config)
-        .spawn(handler);
-    Ok(server)
+    Ok(server.with_http_config(http_config).spawn(handler))
 }
 
 async fn route(state: Arc<EntryState>, conn: Conn) -> Conn {
--- a/crates/sagespool-platform/src/connector.rs
+++ b/crates/sagespool-platform/src/connector.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use futures_lite::future::or;
+use sagespool_http::SharedRuntime;
 use smol::Timer;
 use trillium_server_common::{Connector, Destination, Url};
 use trillium_smol::ClientConfig;
@@ -60,7 +61,7 @@
 
 impl Connector for MarkedConnector {
     type Transport = <ClientConfig as Connector>::Transport;
-    type Runtime = <ClientConfig as Connector>::Runtime;
+    type Runtime = SharedRuntime;
     type Udp = <ClientConfig as Connector>::Udp;
 
     async fn connect(&self, url: &Url) -> io::Result<Self::Transport> {
@@ -76,6 +77,6 @@
     }
 
     fn runtime(&self) -> Self::Runtime {
-        self.connector.runtime()
+        SharedRuntime
     }
 }
--- a/crates/sagespool-sidecar/src/role/probes.rs
+++ b/crates/sagespool-sidecar/src/role/probes.rs
@@ -4,6 +4,7 @@
 use std::net::TcpListener;
 use std::sync::Arc;
 
+use sagespool_http::http_server;
 use trillium::{Conn, KnownHeaderName, Status};
 use trillium_server_common::ServerHandle;
 
@@ -11,13 +12,11 @@
 
 /// Starts serving probes, and returns the handle that stops it.
 pub(super) fn serve(state: Arc<SidecarState>) -> io::Result<ServerHandle> {
-    let listener = TcpListener::bind(state.process.http.listen)?;
-    let listener = smol::net::TcpListener::try_from(listener)?;
+    let server = http_server(TcpListener::bind(state.process.http.listen)?)?;
     let handler = move |conn: Conn| {
         let state = Arc::clone(&state);
         async move { route(&state, conn) }
     };
-    let server = trillium_smol::config().with_prebound_server(listener).without_signals();
     Ok(server.spawn(handler))
 }
 
--- a/crates/sagespool-sidecar/src/upstream/connector.rs
+++ b/crates/sagespool-sidecar/src/upstream/connector.rs
@@ -8,9 +8,10 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
+use sagespool_http::SharedRuntime;
 use smol::Timer;
 use trillium_server_common::{Connector, Destination, Url};
-use trillium_smol::{ClientConfig, SmolRuntime, SmolTransport, SmolUdpSocket, async_net};
+use trillium_smol::{ClientConfig, SmolTransport, SmolUdpSocket, async_net};
 
 use crate::shards::lock;
 
@@ -74,7 +75,7 @@
 
 impl Connector for UpstreamConnector {
     type Transport = SmolTransport<async_net::TcpStream>;
-    type Runtime = SmolRuntime;
+    type Runtime = SharedRuntime;
     type Udp = SmolUdpSocket;
 
     async fn connect(&self, url: &Url) -> io::Result<Self::Transport> {
@@ -97,7 +98,7 @@
     }
 
     fn runtime(&self) -> Self::Runtime {
-        SmolRuntime::default()
+        SharedRuntime
     }
 
     async fn resolve(&self, _host: &str, _port: u16) -> io::Result<Vec<SocketAddr>> {
