Bring configuration to processes through a few watchers and relays

Each process listed and watched the store itself, so a process that started while the store was away had no configuration however many neighbours had it. Now the first two entries of a data centre watch; the others ask a neighbour whose heartbeat or notice tells of something newer.

--- /dev/null
+++ b/crates/sagespool-configuration/src/relay.rs
@@ -0,0 +1,154 @@
+//! Asking neighbours for what is newer, and telling them that there is something.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use sagespool_membership::watch_order;
+use sagespool_messages::{
+    ConfigNotice, ConfigScope, MemberInfo, MemberRole, PeerReply, PeerRequest,
+};
+use sagespool_types::{ClockTime, StoreRevision};
+use smol::Timer;
+
+use crate::{ConfigFollower, FollowContext};
+
+/// Between two questions of a process that has a configuration, on average; only for the age of the
+/// store's word, since heartbeats and notices tell of changes.
+const POLL_PERIOD: Duration = Duration::from_secs(5);
+/// Between two questions of a process that has none yet.
+const START_PERIOD: Duration = Duration::from_millis(200);
+/// How long a neighbour may take over one part of its answer.
+const ASK_LIMIT: Duration = Duration::from_secs(2);
+const NOTICE_LIMIT: Duration = Duration::from_secs(1);
+/// Neighbours of each role that are told of a change at once. With four, all but two in a hundred
+/// are told by someone; heartbeats tell the rest.
+const TOLD_NEIGHBOURS: usize = 4;
+/// Parts of one answer; 64 shards of 1 MB come in fewer.
+const MOST_PARTS: usize = 80;
+/// Of so many questions one goes to each of the two first watchers, one to anybody.
+const POLL_CYCLE: usize = 3;
+
+/// Whether a process of a role has all that a follower needs.
+pub(crate) fn can_answer(scope: ConfigScope, role: MemberRole) -> bool {
+    scope == ConfigScope::Fleet || role == MemberRole::Entry
+}
+
+impl ConfigFollower {
+    /// Asks neighbours whenever one has something newer, and now and then without a cause.
+    pub(crate) async fn relay(&self, context: FollowContext<'_>) {
+        for round in 0.. {
+            let hinted = self.wait_for_hint().await;
+            let now = ClockTime::now();
+            let address = hinted.or_else(|| self.choose(&context, round, now));
+            if let Some(address) = address {
+                self.ask(context, address).await;
+            }
+            self.begin(context);
+        }
+    }
+
+    /// Waits until someone is known to have something newer, or a question is due.
+    async fn wait_for_hint(&self) -> Option<SocketAddr> {
+        let period = match self.state().in_force {
+            true => POLL_PERIOD.mul_f64(0.5 + fastrand::f64()),
+            false => START_PERIOD,
+        };
+        let told = async {
+            loop {
+                let hinted = self.hinted.listen();
+                let hint = self.state().take_hint();
+                if let Some(hint) = hint {
+                    return Some(hint.address);
+                }
+                hinted.await;
+            }
+        };
+        let due = async {
+            Timer::after(period).await;
+            None
+        };
+        told.or(due).await
+    }
+
+    /// Whom to ask without a cause.
+    fn choose(
+        &self,
+        context: &FollowContext<'_>,
+        round: usize,
+        now: ClockTime,
+    ) -> Option<SocketAddr> {
+        let mut live = context.live(now);
+        live.retain(|member| can_answer(self.scope, member.role));
+        if !self.state().in_force {
+            return newest_of(&live);
+        }
+        let own = context.members.own();
+        let order = watch_order(&own, &live);
+        let watcher = order.get(round % POLL_CYCLE).filter(|_| round % POLL_CYCLE < 2);
+        let watcher = watcher.filter(|member| member.incarnation != self.own);
+        watcher.map(|member| member.address).or_else(|| fastrand::choice(&live).map(|m| m.address))
+    }
+
+    /// Asks a neighbour for all that is newer, part by part.
+    async fn ask(&self, context: FollowContext<'_>, address: SocketAddr) {
+        let mut ask = self.state().book.ask();
+        for _ in 0..MOST_PARTS {
+            let request = PeerRequest::AskConfiguration(ask);
+            let reply = context.link.ask(address, &request, ASK_LIMIT).await;
+            let Ok(PeerReply::Configuration(reply)) = reply else {
+                return;
+            };
+            let next = reply.next;
+            if let Some(word) = reply.word {
+                self.state().hear_word(word, self.own, ClockTime::now());
+            }
+            self.take(context, |book| book.take_reply(&ask, reply));
+            match next {
+                Some(next) => ask.after = next,
+                None => return,
+            }
+        }
+    }
+
+    /// Tells a few neighbours of a change; whoever lacks it asks for it, and passes it on in turn.
+    pub(crate) fn tell_neighbours(
+        &self,
+        context: FollowContext<'_>,
+        newest: StoreRevision,
+        is_fleet: bool,
+    ) {
+        let now = ClockTime::now();
+        let mut told = Vec::new();
+        if self.scope == ConfigScope::All {
+            told.extend(some_of(context.members.live(MemberRole::Entry, now)));
+        }
+        if is_fleet {
+            told.extend(some_of(context.members.live(MemberRole::Sidecar, now)));
+        }
+        let notice = ConfigNotice { from: context.members.own().address, newest };
+        for member in told {
+            let link = context.link.clone();
+            let request = PeerRequest::NoticeConfiguration(notice);
+            smol::spawn(async move {
+                // A notice that is lost is made up for by the next heartbeat.
+                let _ = link.ask(member.address, &request, NOTICE_LIMIT).await;
+            })
+            .detach();
+        }
+    }
+}
+
+fn some_of(mut members: Vec<MemberInfo>) -> Vec<MemberInfo> {
+    fastrand::shuffle(&mut members);
+    members.truncate(TOLD_NEIGHBOURS);
+    members
+}
+
+/// One of the members with the newest configuration, entries before sidecars.
+fn newest_of(live: &[MemberInfo]) -> Option<SocketAddr> {
+    let rank = |member: &MemberInfo| (member.role == MemberRole::Entry, member.config);
+    let best = live.iter().map(rank).max()?;
+    let best: Vec<_> = live.iter().filter(|member| rank(member) == best).collect();
+    fastrand::choice(best).map(|member| member.address)
+}
--- /dev/null
+++ b/crates/sagespool-configuration/src/watcher.rs
@@ -0,0 +1,92 @@
+//! Watching the store, while this process is one of those that do.
+
+use std::time::Duration;
+
+use sagespool_log::log_event;
+use sagespool_membership::{WatchPlace, watch_order};
+use sagespool_messages::ConfigObject;
+use sagespool_platform::StoreError;
+use sagespool_types::{ClockTime, StoreRevision};
+use serde_json::Value;
+use smol::Timer;
+
+use crate::{ConfigFollower, FollowContext};
+
+/// How long a watch waits for a change. Each answer is a word of the store to the others.
+const WATCH_WAIT: Duration = Duration::from_secs(5);
+/// Between two tries while the store doesn't answer, for the first in order.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// How often a process looks whether it is to watch.
+const LOOK_PAUSE: Duration = Duration::from_millis(250);
+
+impl ConfigFollower {
+    /// Watches the store whenever this process is to.
+    pub(crate) async fn watch(&self, context: FollowContext<'_>) {
+        loop {
+            let Some(place) = self.place_to_watch(context, ClockTime::now()) else {
+                Timer::after(LOOK_PAUSE).await;
+                continue;
+            };
+            if let Err(error) = self.watch_once(context).await {
+                log_event!(debug, "configuration-unread", cause = error);
+                let pause = place.retry_pause(RETRY_PAUSE);
+                Timer::after(pause.mul_f64(0.5 + fastrand::f64())).await;
+            }
+        }
+    }
+
+    /// This process's place among the watchers, if it is to watch now.
+    fn place_to_watch(&self, context: FollowContext<'_>, now: ClockTime) -> Option<WatchPlace> {
+        let own = context.members.own();
+        let live = context.live(now);
+        let is_new = now.since(self.started) < self.policy.start_grace;
+        if live.is_empty() && is_new {
+            return None;
+        }
+        let order = watch_order(&own, &live);
+        let place = WatchPlace::of(&own, &order, &self.policy)?;
+        place.is_to_watch(self.silence(now), &self.policy).then_some(place)
+    }
+
+    async fn watch_once(&self, context: FollowContext<'_>) -> Result<(), StoreError> {
+        let (is_filled, after) = {
+            let state = self.state();
+            (state.book.is_filled(), state.book.complete())
+        };
+        if !is_filled {
+            return self.list(context).await;
+        }
+        let prefix = self.scope.prefix();
+        match context.objects.watch::<Value>(prefix, after, WATCH_WAIT).await {
+            Ok(watched) => {
+                let changes = watched.changes.into_iter();
+                let changes =
+                    changes.map(|change| object_of(change.key, change.version, change.value));
+                let changes: Vec<_> = changes.collect();
+                self.state().own_word = Some(ClockTime::now());
+                self.take(context, |book| book.follow(after, watched.revision, changes));
+                Ok(())
+            }
+            Err(StoreError::HistoryGone) => self.list(context).await,
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn list(&self, context: FollowContext<'_>) -> Result<(), StoreError> {
+        let listing = context.objects.list::<Value>(self.scope.prefix()).await?;
+        let items = listing.items.into_iter();
+        let items = items.map(|(key, stored)| object_of(key, stored.version, Some(stored.value)));
+        let items: Vec<_> = items.collect();
+        {
+            let mut state = self.state();
+            state.own_word = Some(ClockTime::now());
+            state.from_store = true;
+        }
+        self.take(context, |book| book.list(listing.revision, items));
+        Ok(())
+    }
+}
+
+fn object_of(key: String, version: StoreRevision, value: Option<Value>) -> ConfigObject {
+    ConfigObject { key, version, value: value.map(|value| value.to_string()) }
+}
--- a/crates/sagespool-entry/src/heartbeats.rs
+++ b/crates/sagespool-entry/src/heartbeats.rs
@@ -28,6 +28,7 @@
                 match state.link().ask(address, &request, BEAT_LIMIT).await {
                     Ok(PeerReply::Heartbeat(reply)) => {
                         state.members.answered(address, &reply, ClockTime::now());
+                        state.follower.heard(&reply.from);
                         refresh_upstreams(&state);
                     }
                     _ => state.members.unanswered(address, ClockTime::now()),
--- a/crates/sagespool-entry/src/peers.rs
+++ b/crates/sagespool-entry/src/peers.rs
@@ -44,6 +44,7 @@
     match request {
         PeerRequest::Heartbeat(beat) => {
             let reply = state.members.received(&beat, ClockTime::now());
+            state.follower.heard(&beat.from);
             if beat.from.role == MemberRole::Sidecar {
                 crate::heartbeats::refresh_upstreams(state);
             }
@@ -69,6 +70,14 @@
         }
         PeerRequest::Status(query) => PeerReply::Status(status(state, &query)),
         PeerRequest::Leave(request) => crate::operator::leave(state, &request),
+        PeerRequest::AskConfiguration(ask) => {
+            let reply = state.follower.answer(&ask, ClockTime::now());
+            reply.map_or_else(no_configuration, PeerReply::Configuration)
+        }
+        PeerRequest::NoticeConfiguration(notice) => {
+            state.follower.noticed(&notice);
+            PeerReply::Done
+        }
         PeerRequest::Dispatch(_)
         | PeerRequest::Attach(_)
         | PeerRequest::Cancel(_)
@@ -78,6 +87,10 @@
     }
 }
 
+fn no_configuration() -> PeerReply {
+    PeerReply::Unsupported("this process has no configuration yet".into())
+}
+
 /// This entry's state, as it knows it.
 pub(crate) fn status(state: &EntryState, query: &StatusQuery) -> StatusReply {
     StatusReply {
--- a/crates/sagespool-entry/src/state.rs
+++ b/crates/sagespool-entry/src/state.rs
@@ -8,10 +8,11 @@
 use async_channel::Sender;
 use event_listener::Event;
 use sagespool_claims::{CrashBoard, KeyBoard};
+use sagespool_configuration::ConfigFollower;
 use sagespool_ledger::{BudgetMode, HomeLedger, LedgerPolicy};
 use sagespool_link::LinkEndpoint;
 use sagespool_membership::{MemberTable, MembershipPolicy, first_number};
-use sagespool_messages::{MemberInfo, MemberRole};
+use sagespool_messages::{ConfigScope, MemberInfo, MemberRole};
 use sagespool_metrics::FleetMetrics;
 use sagespool_platform::{InstanceClient, ObjectClient, ObjectOptions};
 use sagespool_routing::{
@@ -108,6 +109,8 @@
     pub instances: InstanceClient,
     /// The configuration in force.
     pub config: ConfigHolder,
+    /// Where the configuration comes from and goes on to.
+    pub(crate) follower: ConfigFollower,
     /// Who is in the fleet.
     pub members: MemberTable,
     /// The upstreams, as this entry sees them.
@@ -188,6 +191,7 @@
             leaving: AtomicBool::new(false),
             leave_told: Event::new(),
             config: ConfigHolder::default(),
+            follower: ConfigFollower::new(ConfigScope::All, incarnation, ClockTime::now()),
             started: ClockTime::now(),
             incarnation,
             objects,
--- a/crates/sagespool-membership/src/home.rs
+++ b/crates/sagespool-membership/src/home.rs
@@ -43,7 +43,8 @@
     (weight(home.name_hash, branch_hash), home.incarnation)
 }
 
-fn weight(name_hash: u64, branch_hash: u64) -> u64 {
+/// A name's weight in the rendezvous order of a subject.
+pub(crate) fn weight(name_hash: u64, branch_hash: u64) -> u64 {
     mix(name_hash ^ branch_hash.rotate_left(32))
 }
 
--- a/crates/sagespool-membership/src/lib.rs
+++ b/crates/sagespool-membership/src/lib.rs
@@ -7,6 +7,8 @@
 //! Nothing that must always hold rests on this view: it says who should try,
 //! while the store's conditional updates and the sidecars decide what may run.
 
+mod config_book;
+mod config_watch;
 mod description;
 mod exchange;
 mod home;
@@ -24,6 +26,8 @@
 mod versions;
 mod view;
 
+pub use config_book::ConfigBook;
+pub use config_watch::{WatchPlace, WatchPolicy, watch_order};
 pub use policy::MembershipPolicy;
 pub use record::ListedAddress;
 pub use seniority::first_number;
--- /dev/null
+++ b/crates/sagespool-membership/tests/config_book.rs
@@ -0,0 +1,210 @@
+//! Objects of the configuration as they come from the store and from neighbours.
+
+use std::collections::BTreeMap;
+
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use sagespool_membership::ConfigBook;
+use sagespool_messages::{ConfigAsk, ConfigObject, ConfigReply, ConfigScope, FLEET_OBJECT_KEY};
+use sagespool_types::StoreRevision;
+
+const BOOKS: usize = 3;
+const KEYS: u8 = 4;
+
+/// The store, and processes that read it or each other.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Put(u8),
+    Delete(u8),
+    List(usize),
+    Follow(usize),
+    Relay {
+        from: usize,
+        to: usize,
+    },
+    /// An answer that a relay gave now and that comes at the end.
+    Late {
+        from: usize,
+        to: usize,
+    },
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let book = |g: &mut Gen| usize::arbitrary(g) % BOOKS;
+        let key = |g: &mut Gen| u8::arbitrary(g) % KEYS;
+        match u8::arbitrary(g) % 8 {
+            0 | 1 => Self::Put(key(g)),
+            2 => Self::Delete(key(g)),
+            3 => Self::List(book(g)),
+            4 => Self::Follow(book(g)),
+            5 | 6 => Self::Relay { from: book(g), to: book(g) },
+            _ => Self::Late { from: book(g), to: book(g) },
+        }
+    }
+}
+
+fn key(number: u8) -> String {
+    format!("configuration/branches/{number}")
+}
+
+#[derive(Default)]
+struct Store {
+    revision: u64,
+    /// The last change of each key.
+    changes: BTreeMap<String, ConfigObject>,
+}
+
+impl Store {
+    fn change(&mut self, number: u8, is_there: bool) {
+        self.revision += 1;
+        let value = is_there.then(|| self.revision.to_string());
+        let version = StoreRevision(self.revision);
+        self.changes.insert(key(number), ConfigObject { key: key(number), version, value });
+    }
+
+    fn present(&self) -> Vec<ConfigObject> {
+        self.changes.values().filter(|object| object.value.is_some()).cloned().collect()
+    }
+
+    fn after(&self, revision: StoreRevision) -> Vec<ConfigObject> {
+        self.changes.values().filter(|object| object.version > revision).cloned().collect()
+    }
+}
+
+/// All parts of an answer, one object each.
+fn parts(from: &ConfigBook, mut ask: ConfigAsk) -> Vec<(ConfigAsk, ConfigReply)> {
+    let mut parts = Vec::new();
+    while let Some(reply) = from.reply(&ask, 1) {
+        let next = reply.next;
+        parts.push((ask, reply));
+        let Some(next) = next else { break };
+        ask.after = next;
+    }
+    parts
+}
+
+/// What is in force, as a process's owner sees it.
+struct Process {
+    book: ConfigBook,
+    versions: BTreeMap<String, StoreRevision>,
+    went_back: bool,
+}
+
+impl Process {
+    fn apply(&mut self, news: Vec<ConfigObject>) {
+        for object in news {
+            let before = self.versions.insert(object.key, object.version);
+            self.went_back |= before.is_some_and(|before| before >= object.version);
+        }
+    }
+
+    fn take(&mut self, parts: Vec<(ConfigAsk, ConfigReply)>) {
+        for (ask, reply) in parts {
+            let news = self.book.take_reply(&ask, reply);
+            self.apply(news);
+        }
+    }
+
+    fn list(&mut self, store: &Store) {
+        let news = self.book.list(StoreRevision(store.revision), store.present());
+        self.apply(news);
+    }
+}
+
+quickcheck! {
+    /// Whatever processes read, from whom and how late: no object goes back, and whoever then asks
+    /// one that has read the store has in force exactly what the store has.
+    fn same_as_store(steps: Vec<Step>) -> bool {
+        let mut store = Store::default();
+        let new = || Process {
+            book: ConfigBook::new(ConfigScope::All),
+            versions: BTreeMap::new(),
+            went_back: false,
+        };
+        let mut processes: Vec<Process> = (0..BOOKS).map(|_| new()).collect();
+        let mut late = Vec::new();
+        store.change(0, true);
+        for step in steps {
+            match step {
+                Step::Put(number) => store.change(number, true),
+                Step::Delete(number) => store.change(number, false),
+                Step::List(place) => processes[place].list(&store),
+                Step::Follow(place) => {
+                    let process = &mut processes[place];
+                    if process.book.is_filled() {
+                        let after = process.book.complete();
+                        let revision = StoreRevision(store.revision);
+                        let news = process.book.follow(after, revision, store.after(after));
+                        process.apply(news);
+                    }
+                }
+                Step::Relay { from, to } => {
+                    let told = parts(&processes[from].book, processes[to].book.ask());
+                    processes[to].take(told);
+                }
+                Step::Late { from, to } => {
+                    late.push((to, parts(&processes[from].book, processes[to].book.ask())));
+                }
+            }
+        }
+        processes[0].list(&store);
+        for place in 1..BOOKS {
+            let told = parts(&processes[0].book, processes[place].book.ask());
+            processes[place].take(told);
+        }
+        for (place, told) in late {
+            processes[place].take(told);
+        }
+        let is_same = |process: &Process| {
+            process.book.objects().cloned().collect::<Vec<_>>() == store.present()
+        };
+        processes.iter().all(|process| !process.went_back && is_same(process))
+    }
+}
+
+fn object(key: &str, version: u64) -> ConfigObject {
+    ConfigObject { key: key.to_owned(), version: StoreRevision(version), value: Some("{}".into()) }
+}
+
+#[test]
+fn whole_answers_only() {
+    // A process is still reading, or has the fleet's object alone. If it answered a question for
+    // everything, the asker would take the branches that it doesn't name for deleted.
+    let ask_all = ConfigBook::new(ConfigScope::All).ask();
+    let mut reading = ConfigBook::new(ConfigScope::All);
+    let part = ConfigReply {
+        as_of: StoreRevision(9),
+        objects: vec![object(FLEET_OBJECT_KEY, 3)],
+        next: Some(StoreRevision(3)),
+        present: None,
+        word: None,
+    };
+    reading.take_reply(&ask_all, part);
+    assert_eq!(reading.reply(&ask_all, 1), None);
+
+    let mut sidecar = ConfigBook::new(ConfigScope::Fleet);
+    let listed = vec![object(FLEET_OBJECT_KEY, 3), object(&key(1), 4)];
+    assert_eq!(sidecar.list(StoreRevision(9), listed).len(), 1, "what a sidecar follows");
+    assert_eq!(sidecar.reply(&ask_all, 1), None);
+    let ask_fleet = ConfigBook::new(ConfigScope::Fleet).ask();
+    let reply = sidecar.reply(&ask_fleet, 1).expect("a sidecar passes the fleet's object on");
+    assert_eq!(reply.objects, [object(FLEET_OBJECT_KEY, 3)]);
+}
+
+#[test]
+fn lone_object() {
+    // A part of an answer brings a branch's object of version 8, and the rest is lost. The object of
+    // version 6 is missing still, so the next question must begin before it.
+    let mut book = ConfigBook::new(ConfigScope::All);
+    book.list(StoreRevision(5), vec![object(FLEET_OBJECT_KEY, 5)]);
+    let ask = book.ask();
+    let part = ConfigReply {
+        as_of: StoreRevision(9),
+        objects: vec![object(&key(1), 8)],
+        next: Some(StoreRevision(8)),
+        present: None,
+        word: None,
+    };
+    assert_eq!(book.take_reply(&ask, part).len(), 1);
+    assert_eq!(book.ask().after, StoreRevision(5));
+}
--- /dev/null
+++ b/crates/sagespool-membership/tests/config_watch.rs
@@ -0,0 +1,96 @@
+//! Who watches the store for the others of its data centre.
+
+use std::time::Duration;
+
+use quickcheck::quickcheck;
+use sagespool_membership::{WatchPlace, WatchPolicy, watch_order};
+use sagespool_messages::{MemberInfo, MemberRole};
+use sagespool_types::{ConfigVersion, IncarnationId};
+
+fn member(number: u8, role: MemberRole, centre: &str, leaving: bool) -> MemberInfo {
+    MemberInfo {
+        instance: format!("{role}-{number}").parse().expect("the name is valid"),
+        incarnation: IncarnationId(u64::from(number) << 1 | u64::from(role == MemberRole::Entry)),
+        number: 1,
+        role,
+        region: "coast".parse().expect("the name is valid"),
+        centre: centre.parse().expect("the name is valid"),
+        address: ([127, 0, 0, 1], 4000 + u16::from(number)).into(),
+        leaving,
+        config: ConfigVersion::ZERO,
+        started_at: None,
+        serves: None,
+    }
+}
+
+/// The members that watch at once, if each sees all others.
+fn first_watchers(members: &[MemberInfo]) -> Vec<&MemberInfo> {
+    let policy = WatchPolicy::default();
+    let watches = |own: &&MemberInfo| {
+        let others: Vec<_> =
+            members.iter().filter(|other| other.instance != own.instance).cloned().collect();
+        let place = WatchPlace::of(own, &watch_order(own, &others), &policy);
+        place.is_some_and(|place| place.is_to_watch(Duration::ZERO, &policy))
+    };
+    members.iter().filter(watches).collect()
+}
+
+quickcheck! {
+    /// With one view of the fleet two entries of a data centre watch, or as many as there are;
+    /// sidecars only where there is no entry; nobody who leaves.
+    fn two_watchers(entries: Vec<bool>, sidecars: Vec<bool>) -> bool {
+        let all = |role, leaving: &[bool]| -> Vec<MemberInfo> {
+            let numbered = (0u8..20).zip(leaving);
+            numbered.map(|(number, leaving)| member(number, role, "north", *leaving)).collect()
+        };
+        let mut members = all(MemberRole::Entry, &entries);
+        members.extend(all(MemberRole::Sidecar, &sidecars));
+        members.push(member(90, MemberRole::Entry, "south", false));
+        let staying = |role| {
+            let north = |m: &&MemberInfo| m.role == role && !m.leaving && m.centre.as_str() == "north";
+            members.iter().filter(north).count()
+        };
+        let role = match staying(MemberRole::Entry) {
+            0 => MemberRole::Sidecar,
+            _ => MemberRole::Entry,
+        };
+        let watchers = first_watchers(&members);
+        let north: Vec<_> = watchers.iter().filter(|m| m.centre.as_str() == "north").collect();
+        watchers.len() == north.len() + 1
+            && north.len() == staying(role).min(2)
+            && north.iter().all(|m| m.role == role && !m.leaving)
+    }
+
+    /// However many of the first in order are silent, everyone who stays watches in the end.
+    fn all_take_over(entries: u8, sidecars: u8) -> bool {
+        let policy = WatchPolicy::default();
+        let own = member(200, MemberRole::Sidecar, "north", false);
+        let mut live: Vec<_> =
+            (0..entries % 50).map(|n| member(n, MemberRole::Entry, "north", false)).collect();
+        live.extend((0..sidecars % 50).map(|n| member(n, MemberRole::Sidecar, "north", false)));
+        let generations = live.len() as u32 + 1;
+        let limit = policy.silence_limit + policy.generation_step * generations;
+        let place = WatchPlace::of(&own, &watch_order(&own, &live), &policy);
+        place.is_some_and(|place| place.is_to_watch(limit, &policy))
+    }
+}
+
+#[test]
+fn silent_watchers() {
+    // The watchers of a data centre answer heartbeats and can't reach the store. The others must
+    // not wait for them for ever, nor all turn to the store at once.
+    let policy = WatchPolicy::default();
+    let (limit, step) = (policy.silence_limit, policy.generation_step);
+    let moment = Duration::from_millis(1);
+    let cases = [
+        (0, Duration::ZERO, true),
+        (1, limit, false),
+        (1, limit + moment, true),
+        (2, limit + moment, false),
+        (2, limit + step + moment, true),
+    ];
+    for (generation, silent, expected) in cases {
+        let watches = WatchPlace { generation }.is_to_watch(silent, &policy);
+        assert_eq!(watches, expected, "generation {generation} after {silent:?}");
+    }
+}
--- a/crates/sagespool-messages/src/lib.rs
+++ b/crates/sagespool-messages/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod charges;
 mod claims;
+mod configuration;
 mod dispatch;
 mod members;
 mod operations;
@@ -15,6 +16,10 @@
 
 pub use charges::{ChargeRecord, ChargeReport, ChargesDurable, SealReply, SealRequest, SealScope};
 pub use claims::{ClaimReply, ClaimRequest, CrashReport, KeyReply, KeyRequest, KeyState};
+pub use configuration::{
+    CONFIGURATION_PREFIX, ConfigAsk, ConfigNotice, ConfigObject, ConfigReply, ConfigScope,
+    FLEET_OBJECT_KEY, StoreWord,
+};
 pub use dispatch::{
     AttachRequest, CacheNews, CacheNote, CallTarget, CancelRequest, DispatchEnd, DispatchEvent,
     DispatchRequest, HeaderPair, PrefixDigest, ResumePoint, StopCause,
--- a/crates/sagespool-messages/src/wire.rs
+++ b/crates/sagespool-messages/src/wire.rs
@@ -41,6 +41,11 @@
         /// Operator's entry to any process; answered by [`PeerReply::Done`] once it has begun to leave,
         /// by [`PeerReply::Unsupported`] if it is another run of the process.
         Leave(LeaveRequest),
+        /// Anyone to anyone; answered by [`PeerReply::Configuration`], or by
+        /// [`PeerReply::Unsupported`] if the receiver doesn't have all that is asked for.
+        AskConfiguration(ConfigAsk),
+        /// Anyone to anyone; answered by [`PeerReply::Done`].
+        NoticeConfiguration(ConfigNotice),
     }
 }
 
@@ -69,5 +74,7 @@
         Status(StatusReply),
         /// The receiver doesn't do this, with the reason in words.
         Unsupported(String),
+        /// Objects that are newer than the asker's.
+        Configuration(ConfigReply),
     }
 }
--- a/crates/sagespool-settings/src/configuration/shard.rs
+++ b/crates/sagespool-settings/src/configuration/shard.rs
@@ -7,11 +7,7 @@
 
 use crate::BranchObject;
 
-/// Every object of the configuration, and nothing else, has a key that begins so.
-pub const CONFIGURATION_PREFIX: &str = "configuration/";
-
-/// The object that holds the classes and services.
-pub const FLEET_OBJECT_KEY: &str = "configuration/fleet";
+pub use sagespool_messages::{CONFIGURATION_PREFIX, FLEET_OBJECT_KEY};
 
 /// How many objects the branches are spread over. At 57,000 branches each
 /// holds about 900, well under the store's 1 MB a value.
--- a/crates/sagespool-sidecar/src/role/configuration.rs
+++ b/crates/sagespool-sidecar/src/role/configuration.rs
@@ -4,68 +4,36 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sagespool_configuration::FollowContext;
 use sagespool_log::log_event;
-use sagespool_membership::{AppliedVersions, VersionOffer};
-use sagespool_platform::StoreError;
-use sagespool_settings::{FLEET_OBJECT_KEY, check_fleet};
-use sagespool_types::{ConfigVersion, StoreRevision};
+use sagespool_messages::ConfigObject;
+use sagespool_settings::check_fleet;
+use sagespool_types::ConfigVersion;
 use serde_json::Value;
-use smol::Timer;
 
 use super::state::SidecarState;
 use crate::KeyRetention;
 
-/// How long a watch waits for a change.
-const WATCH_WAIT: Duration = Duration::from_secs(30);
-
-/// Between two tries while the store can't be read.
-const RETRY_PAUSE: Duration = Duration::from_secs(1);
-
-/// Follows the fleet's object: a reading, then watches; a reading anew
-/// whenever a watch has lost its place.
+/// Follows the fleet's object for the process's whole life.
 pub(super) async fn follow(state: Arc<SidecarState>) {
-    let versions = AppliedVersions::new();
-    loop {
-        if let Err(error) = read_and_watch(&state, &versions).await {
-            log_event!(debug, "configuration-unread", cause = error);
-        }
-        Timer::after(RETRY_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
-    }
-}
-
-async fn read_and_watch(
-    state: &SidecarState,
-    versions: &AppliedVersions,
-) -> Result<(), StoreError> {
-    let listing = state.objects.list::<Value>(FLEET_OBJECT_KEY).await?;
-    for (key, stored) in &listing.items {
-        apply(state, versions, key, stored.version, &stored.value);
-    }
-    let mut after = listing.revision;
-    loop {
-        let watched = state.objects.watch::<Value>(FLEET_OBJECT_KEY, after, WATCH_WAIT).await?;
-        for change in &watched.changes {
-            if let Some(value) = &change.value {
-                apply(state, versions, &change.key, change.version, value);
-            }
-        }
-        after = watched.revision;
-    }
+    let context = FollowContext {
+        members: &state.members,
+        objects: &state.objects,
+        link: state.link(),
+        apply: &|object| apply(&state, object),
+    };
+    state.follower.run(context).await;
 }
 
-/// Puts a version of the fleet's object in force, unless a newer one is: an
-/// answer that was long on its way must not undo a later change.
-fn apply(
-    state: &SidecarState,
-    versions: &AppliedVersions,
-    key: &str,
-    version: StoreRevision,
-    value: &Value,
-) {
-    if key != FLEET_OBJECT_KEY || versions.offer(key, version) != VersionOffer::Apply {
+/// Puts a version of the fleet's object in force, unless it is not valid.
+fn apply(state: &SidecarState, object: &ConfigObject) {
+    let ConfigObject { key, version, value } = object;
+    let Some(value) = value else { return };
+    let Ok(value) = serde_json::from_str::<Value>(value) else {
+        log_event!(error, "configuration-invalid", object = key, faults = "not JSON");
         return;
-    }
-    let fleet = match check_fleet(value) {
+    };
+    let fleet = match check_fleet(&value) {
         Ok(fleet) => fleet,
         Err(faults) => {
             log_event!(error, "configuration-invalid", object = key, faults = faults);
@@ -76,8 +44,8 @@
         answers: Duration::from_millis(fleet.answer_retention_ms),
         keys: Duration::from_millis(fleet.key_retention_ms),
     });
-    let version = ConfigVersion(version.0);
-    state.members.update_own(|own| own.config = version);
-    state.metrics.set_config_version(version);
-    log_event!(info, "configuration-applied", version = version);
+    let config_version = ConfigVersion(version.0);
+    state.members.update_own(|own| own.config = config_version);
+    state.metrics.set_config_version(config_version);
+    log_event!(info, "configuration-applied", object = key, version = version);
 }
--- a/crates/sagespool-sidecar/src/role/members.rs
+++ b/crates/sagespool-sidecar/src/role/members.rs
@@ -34,6 +34,7 @@
                 match state.link().ask(address, &request, BEAT_LIMIT).await {
                     Ok(PeerReply::Heartbeat(reply)) => {
                         state.members.answered(address, &reply, ClockTime::now());
+                        state.follower.heard(&reply.from);
                     }
                     _ => state.members.unanswered(address, ClockTime::now()),
                 }
--- a/crates/sagespool-sidecar/src/role/peers.rs
+++ b/crates/sagespool-sidecar/src/role/peers.rs
@@ -46,7 +46,19 @@
         PeerRequest::Order(request) => PeerReply::Order(dispatcher.carry_out(&request).await),
         PeerRequest::Status(query) => PeerReply::Status(status(state, &query, now)),
         PeerRequest::Leave(request) => leave(state, &request),
-        PeerRequest::Heartbeat(beat) => PeerReply::Heartbeat(state.members.received(&beat, now)),
+        PeerRequest::Heartbeat(beat) => {
+            let reply = state.members.received(&beat, now);
+            state.follower.heard(&beat.from);
+            PeerReply::Heartbeat(reply)
+        }
+        PeerRequest::AskConfiguration(ask) => {
+            let reply = state.follower.answer(&ask, now);
+            reply.map_or_else(no_configuration, PeerReply::Configuration)
+        }
+        PeerRequest::NoticeConfiguration(notice) => {
+            state.follower.noticed(&notice);
+            PeerReply::Done
+        }
         PeerRequest::Reserve(_)
         | PeerRequest::Claim(_)
         | PeerRequest::Finish(_)
@@ -58,6 +70,10 @@
     responder.reply(reply).await;
 }
 
+fn no_configuration() -> PeerReply {
+    PeerReply::Unsupported("this process doesn't have the configuration that is asked for".into())
+}
+
 /// Sends an answer's events as they come, after what is new of the cache. When the asker is
 /// gone the reader is dropped, which tells the attempt.
 async fn pass_on(mut reader: AnswerReader, news: Option<CacheNews>, mut sender: EventSender) {
--- a/crates/sagespool-sidecar/src/role/state.rs
+++ b/crates/sagespool-sidecar/src/role/state.rs
@@ -5,10 +5,11 @@
 use std::sync::{Arc, OnceLock};
 
 use event_listener::Event;
+use sagespool_configuration::ConfigFollower;
 use sagespool_link::LinkEndpoint;
 use sagespool_log::log_event;
 use sagespool_membership::{MemberTable, MembershipPolicy, first_number};
-use sagespool_messages::{MemberInfo, MemberRole};
+use sagespool_messages::{ConfigScope, MemberInfo, MemberRole};
 use sagespool_metrics::FleetMetrics;
 use sagespool_platform::{InstanceClient, ObjectClient, ObjectOptions};
 use sagespool_settings::{ProcessSettings, SidecarSettings};
@@ -25,6 +26,8 @@
     pub(super) started: ClockTime,
     pub(super) dispatcher: Arc<Dispatcher>,
     pub(super) members: MemberTable,
+    /// Where the fleet's object comes from and goes on to.
+    pub(super) follower: ConfigFollower,
     pub(super) objects: ObjectClient,
     pub(super) instances: InstanceClient,
     pub(super) metrics: FleetMetrics,
@@ -56,6 +59,7 @@
         Self {
             dispatcher: Dispatcher::new(dispatch.build()),
             started: ClockTime::now(),
+            follower: ConfigFollower::new(ConfigScope::Fleet, incarnation, ClockTime::now()),
             forwards: WorkTally::default(),
             link: OnceLock::new(),
             leaving: AtomicBool::new(false),
--- a/crates/sagespool-testkit/src/load.rs
+++ b/crates/sagespool-testkit/src/load.rs
@@ -3,6 +3,7 @@
 mod book;
 mod caller;
 mod compare;
+mod config_oracle;
 mod direct;
 mod faults;
 mod figures;
@@ -18,6 +19,7 @@
 pub use book::DepositLog;
 pub use caller::LoadCaller;
 pub use compare::comparison_table;
+pub use config_oracle::{ConfigFigures, ConfigLog, LogVerdict, judge_log};
 pub use faults::FAULT_NAMES;
 pub use figures::{AnswerFigures, BranchFigures, DeadlineRefusals, GreedEffect, PhaseFigures};
 pub use oracle::{OracleInput, OracleVerdict, judge};
--- a/crates/sagespool-testkit/src/load/report.rs
+++ b/crates/sagespool-testkit/src/load/report.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 
 use super::figures::{BranchFigures, DeadlineRefusals, GreedEffect, PhaseFigures};
-use super::{CallOutcome, CallRecord, OracleVerdict};
+use super::{CallOutcome, CallRecord, ConfigFigures, OracleVerdict};
 
 /// Percentiles of a latency, in milliseconds.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
@@ -120,6 +120,9 @@
     pub machine_load: Vec<f64>,
     /// Peak memory of each process.
     pub peak_rss_mb: BTreeMap<String, f64>,
+    /// How soon changes of the configuration were in force, where a script makes some.
+    #[serde(flatten)]
+    pub config: Option<ConfigFigures>,
     /// What was found, in words.
     pub findings: Vec<String>,
 }
@@ -155,6 +158,7 @@
         self.false_not_run = verdict.false_not_run;
         self.stranded_tokens = verdict.stranded_tokens;
         self.findings.clone_from(&verdict.findings);
+        self.findings.extend(self.config.iter().flat_map(|config| config.findings.clone()));
     }
 
     /// True if no promise was broken.
@@ -165,7 +169,8 @@
             + self.under_bills
             + self.lost
             + self.mixed_answers
-            + self.false_not_run;
+            + self.false_not_run
+            + self.config.as_ref().map_or(0, ConfigFigures::broken);
         broken == 0
     }
 
--- a/crates/sagespool-testkit/src/load/scenario.rs
+++ b/crates/sagespool-testkit/src/load/scenario.rs
@@ -12,12 +12,14 @@
 use error_stack::Report;
 use sagespool_types::ClockTime;
 
+use super::config_oracle::{judge_config, wait_spread};
 use super::direct::{DirectTimes, run_direct};
 use super::faults::{FAULT_NAMES, FaultStage, run_fault};
 use super::figures::{CourseInput, machine_load, note_course};
 use super::session::{StoreTraffic, conclude, first_deposits, traffic_of};
 use super::{
-    CallRecord, DepositLog, LatencyFigures, LoadReport, PlannedCall, TrafficMix, run_calls,
+    CallRecord, ConfigLog, DepositLog, LatencyFigures, LoadReport, PlannedCall, TrafficMix,
+    run_calls,
 };
 use crate::EngineStand;
 use crate::fleet::{
@@ -163,6 +165,7 @@
     direct: Vec<DirectTimes>,
     phases: Vec<TimedPhase>,
     start: ClockTime,
+    config_log: ConfigLog,
 }
 
 /// Runs a scenario whole: the fleet is started, loaded, faulted, healed, stopped and judged.
@@ -191,6 +194,10 @@
     let traffic = StoreTraffic::of(&fleet);
     heal(&mut fleet);
     wait_settled(&fleet).await;
+    if outcome.config_log != ConfigLog::default() {
+        wait_spread(&fleet, &outcome.config_log).await;
+        report.config = Some(judge_config(&fleet, &outcome.config_log));
+    }
     let sent = outcome.records.len().max(1) as f64;
     report.store_writes_per_request = (traffic.writes - before.writes) as f64 / sent;
     report.store_reads_per_request = (traffic.reads - before.reads) as f64 / sent;
@@ -239,7 +246,8 @@
         Some(direct) => direct.await,
         None => Vec::new(),
     };
-    CourseOutcome { records, direct, phases, start }
+    let config_log = stage.config_log().await.clone();
+    CourseOutcome { records, direct, phases, start, config_log }
 }
 
 /// Makes one engine as slow as each phase says.
