--- a/crates/sagespool-membership/tests/config_book.rs
+++ b/crates/sagespool-membership/tests/config_book.rs
@@ -194,7 +194,8 @@
 #[test]
 fn lone_object() {
     // A part of an answer brings a branch's object of version 8, and the rest is lost. The object of
-    // version 6 is missing still, so the next question must begin before it.
+    // version 6 is missing still, so the next question must begin before it. Another relay's answer
+    // from before comes late, with version 7 of the branch's object: it must not take version 8 back.
     let mut book = ConfigBook::new(ConfigScope::All);
     book.list(StoreRevision(5), vec![object(FLEET_OBJECT_KEY, 5)]);
     let ask = book.ask();
@@ -207,4 +208,12 @@
     };
     assert_eq!(book.take_reply(&ask, part).len(), 1);
     assert_eq!(book.ask().after, StoreRevision(5));
+    let late = ConfigReply {
+        as_of: StoreRevision(7),
+        objects: vec![object(&key(1), 7)],
+        next: None,
+        present: None,
+        word: None,
+    };
+    assert_eq!(book.take_reply(&ask, late), []);
 }
