Ask a living holder for what is in doubt before refusing for budget

Ruled out: a wrong doubt (the sidecar that could tell had restarted), a late write (the seal was in the book). Change: a grant in doubt is asked for if its holder lives; the holder reads the book anew before it answers, so it finds itself sealed, settles and closes. A reservation whose witness is lost doesn't count any more among what may come back, here or at another holder, so that nobody waits for it until the deadline. Left: a holder wrongly taken for dead again just after a partition costs one more recall.

--- a/crates/sagespool-entry/src/home/books.rs
+++ b/crates/sagespool-entry/src/home/books.rs
@@ -29,6 +29,10 @@
     /// and written only if that helps one of them: else each request refused near a budget's end
     /// would cost a write.
     Round,
+    /// Another home asks for what this one doesn't need. The book is read anew: the other may have
+    /// taken this home for dead and sealed its grants, which shows there and not in what was read
+    /// before; what isn't accounted for would stay in doubt, and the other would refuse for budget.
+    Recall,
 }
 
 /// The books as last seen in the store, each under its own lock so that one process never races
@@ -71,7 +75,7 @@
 ) -> Result<(), StoreError> {
     let held = state.books.book(book);
     let mut cached = held.lock().await;
-    if cause == WriteCause::Round {
+    if cause != WriteCause::Turn {
         *cached = None;
     }
     for _ in 0..CONFLICT_TRIES {
@@ -89,7 +93,9 @@
         let now = ClockTime::now();
         let changed = match cause {
             WriteCause::Round => state.ledger.apply_needed(book, &mut record, base, seen, now),
-            WriteCause::Turn => state.ledger.apply(book, &mut record, base, seen, now),
+            WriteCause::Turn | WriteCause::Recall => {
+                state.ledger.apply(book, &mut record, base, seen, now)
+            }
         };
         if !changed {
             *cached = Some(stored);
--- a/crates/sagespool-entry/src/home/recall.rs
+++ b/crates/sagespool-entry/src/home/recall.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use sagespool_ledger::book_of;
+use sagespool_ledger::{ShortNotice, book_of};
 use sagespool_messages::{PeerReply, PeerRequest, RecallReply, RecallRequest};
 use sagespool_types::{BranchName, ClockTime, GrantId, IncarnationId, TokenCount};
 
@@ -21,6 +21,23 @@
     pub(super) unanswered: TokenCount,
 }
 
+/// The grants to ask for: those that aren't in doubt, and of the others those whose holder lives.
+///
+/// Guards against refusals for what is in doubt only by mistake: a home that was cut off was taken for
+/// dead, its grants were sealed, and a sidecar that could tell what ran had restarted. After the
+/// partition it can account for them at once. One that is gone isn't waited for.
+pub(super) fn to_ask(
+    state: &EntryState,
+    short: ShortNotice,
+) -> Vec<(GrantId, IncarnationId, TokenCount)> {
+    let now = ClockTime::now();
+    let lives = |holder: IncarnationId| {
+        state.members.find(holder).is_some() && !state.members.is_gone(holder, now)
+    };
+    let doubted = short.doubted.into_iter().filter(|(_, holder, _)| lives(*holder));
+    short.others.into_iter().chain(doubted).collect()
+}
+
 fn holders(others: &[(GrantId, IncarnationId, TokenCount)]) -> Vec<IncarnationId> {
     let mut holders: Vec<IncarnationId> = others.iter().map(|(_, holder, _)| *holder).collect();
     holders.sort_unstable();
@@ -72,9 +89,8 @@
 /// Gives back what this home holds of a branch and doesn't need, durable before it says so.
 pub(crate) async fn give_back(state: &EntryState, request: &RecallRequest) -> RecallReply {
     let returned = state.ledger.give_back(&request.branch, request.wanted, ClockTime::now());
-    let written = write_book(state, book_of(&request.branch), WriteCause::Turn).await;
-    let spend = state.ledger.spend(Some(&request.branch));
-    let running = spend.iter().map(|spend| spend.reserved).sum();
+    let written = write_book(state, book_of(&request.branch), WriteCause::Recall).await;
+    let running = state.ledger.may_return(&request.branch);
     let returned = if written.is_ok() { returned } else { TokenCount::ZERO };
     RecallReply { returned, running }
 }
--- a/crates/sagespool-entry/src/home/rounds.rs
+++ b/crates/sagespool-entry/src/home/rounds.rs
@@ -10,7 +10,7 @@
 use sagespool_types::{BranchName, ClockTime, TokenCount};
 
 use super::books::{WriteCause, write_book};
-use super::recall::recall_others;
+use super::recall::{recall_others, to_ask};
 use crate::state::EntryState;
 
 /// A store that doesn't answer for so long isn't waited for in a round.
@@ -76,10 +76,11 @@
     let Err(short) = state.ledger.covers(order) else {
         return result;
     };
-    if short.others.is_empty() {
+    let others = to_ask(state, short);
+    if others.is_empty() {
         return result;
     }
-    let recalled = recall_others(state, &order.branch, order.amount, &short.others).await;
+    let recalled = recall_others(state, &order.branch, order.amount, &others).await;
     result.others_running = recalled.running;
     result.unanswered = recalled.unanswered;
     if !result.store_away {
--- a/crates/sagespool-ledger/src/grant.rs
+++ b/crates/sagespool-ledger/src/grant.rs
@@ -164,6 +164,13 @@
         }
     }
 
+    /// What is reserved for charges that may still end.
+    pub(crate) fn may_return(&self) -> TokenCount {
+        let lost = self.open.values().filter(|open| open.lost);
+        let lost: TokenCount = lost.map(|open| open.reserved).sum();
+        self.reserved.less(lost)
+    }
+
     /// Puts what ended into the grant's record; true if that changed it. Each charge is found by its
     /// number, so that one put in before counts once.
     pub(crate) fn settle_into(&self, record: &mut GrantRecord) -> bool {
--- a/crates/sagespool-ledger/src/home.rs
+++ b/crates/sagespool-ledger/src/home.rs
@@ -31,6 +31,9 @@
     pub book_free: Option<TokenCount>,
     /// Grants of other holders, with what isn't settled of them.
     pub others: Vec<(GrantId, IncarnationId, TokenCount)>,
+    /// The same for grants in doubt. A holder that is gone gives nothing of them back, so nobody is
+    /// to wait for that; one that was only cut off accounts for them once it is asked.
+    pub doubted: Vec<(GrantId, IncarnationId, TokenCount)>,
 }
 
 /// The answer to a reservation.
@@ -431,6 +434,12 @@
         shard.purses.get_mut(branch).map_or(TokenCount::ZERO, |purse| purse.give_back(wanted))
     }
 
+    /// What running requests of a branch hold here and may give back.
+    pub fn may_return(&self, branch: &BranchName) -> TokenCount {
+        let shard = self.shard_of(branch);
+        shard.purses.get(branch).map_or(TokenCount::ZERO, BranchPurse::may_return)
+    }
+
     /// Hands every grant back, for a graceful stop; nothing new is reserved.
     pub fn return_all(&self, _now: ClockTime) {
         self.leaving.store(true, Ordering::Relaxed);
--- a/crates/sagespool-ledger/src/purse.rs
+++ b/crates/sagespool-ledger/src/purse.rs
@@ -94,6 +94,7 @@
 pub(crate) struct BookView {
     pub(crate) free: TokenCount,
     pub(crate) others: Vec<(GrantId, IncarnationId, TokenCount)>,
+    pub(crate) doubted: Vec<(GrantId, IncarnationId, TokenCount)>,
     pub(crate) seen: bool,
 }
 
@@ -136,6 +137,12 @@
         self.grants.iter().map(|grant| grant.reserved).sum()
     }
 
+    /// What running requests may give back. A charge whose witness is lost gives nothing back: a
+    /// request that waited for it would be refused at its deadline instead of at once.
+    pub(crate) fn may_return(&self) -> TokenCount {
+        self.grants.iter().map(HeldGrant::may_return).sum()
+    }
+
     /// What is kept from a class for the others.
     fn kept_from(&self, class: &ClassName) -> TokenCount {
         self.held_back.iter().filter(|held| held.class != *class).map(|held| held.tokens).sum()
@@ -158,9 +165,10 @@
     pub(crate) fn short(&self, class: &ClassName, amount: TokenCount) -> ShortNotice {
         ShortNotice {
             missing: self.missing(class, amount),
-            may_return: self.reserved(),
+            may_return: self.may_return(),
             book_free: self.view.seen.then_some(self.view.free),
             others: self.view.others.clone(),
+            doubted: self.view.doubted.clone(),
         }
     }
 
@@ -450,13 +458,15 @@
         version: StoreRevision,
         now: ClockTime,
     ) {
-        // What is in doubt nobody gives back: a request that waited for it would only be refused
-        // later, at its deadline.
-        let others =
-            account.grants.iter().filter(|(id, record)| id.holder != own && !record.in_doubt);
+        let others = account.grants.iter().filter(|(id, _)| id.holder != own);
+        let (doubted, others): (Vec<_>, Vec<_>) = others.partition(|(_, record)| record.in_doubt);
+        let rests = |grants: Vec<(&GrantId, &GrantRecord)>| {
+            grants.into_iter().map(|(id, record)| (*id, id.holder, record.rest())).collect()
+        };
         self.view = BookView {
             free: account.free(),
-            others: others.map(|(id, record)| (*id, id.holder, record.rest())).collect(),
+            others: rests(others),
+            doubted: rests(doubted),
             seen: true,
         };
         // In this order: a grant that was sealed before this home heard of it is taken in, found
--- a/crates/sagespool-ledger/tests/seal_recovery.rs
+++ b/crates/sagespool-ledger/tests/seal_recovery.rs
@@ -4,7 +4,7 @@
 
 use fixture::*;
 use sagespool_ledger::{RecoveryCase, RecoveryVerdict, ReleaseOutcome};
-use sagespool_messages::SealReply;
+use sagespool_messages::{FinishState, SealReply};
 use sagespool_types::{StoreRevision, TokenCount};
 
 fn case_of(book: &StoredBook, sidecars: &[sagespool_types::IncarnationId]) -> RecoveryCase {
@@ -310,4 +310,51 @@
     recover(&mut book, &case);
     book.write(&next, at(2));
     assert_eq!(book.short(&next, 50, at(2)).expect("it is short").others, []);
+    assert_eq!(book.short(&next, 50, at(2)).expect("it is short").doubted.len(), 1);
+}
+
+/// A partition has a home taken for dead, and its grant is put in doubt, as a sidecar has restarted.
+/// After it has healed a request that the rest of the budget doesn't cover is refused, although the
+/// home lives and has spent nothing: nobody asked it. Asked, it reads its book and hands all back.
+#[test]
+fn doubt_asked() {
+    let mut book = StoredBook::new(100);
+    let holder = home(HOME);
+    let reserved = book.reserve(&holder, 60, at(1));
+    book.ran(&holder, reserved.charge, 20, at(1));
+    let next = home(OTHER_HOME);
+    book.grant(&next, 40, at(1));
+
+    book.mark_sealed(HOME, OTHER_HOME);
+    let mut case = case_of(&book, &[SIDECAR]);
+    case.give_up(SIDECAR);
+    recover(&mut book, &case);
+    book.write(&next, at(2));
+    let short = book.short(&next, 70, at(2)).expect("it is short");
+    let asked: Vec<_> = short.doubted.iter().map(|(_, holder, _)| *holder).collect();
+    assert_eq!(asked, [HOME]);
+
+    holder.give_back(&book.branch, TokenCount(70), at(2));
+    book.write(&holder, at(2));
+    assert_eq!((book.settled(), book.spend_in_doubt()), (20, 0));
+    book.reserve(&next, 70, at(2));
+}
+
+/// A sidecar dies with a request of this home, whose reservation stays held for good. A request that
+/// the rest doesn't cover must be refused at once: nothing comes back from the lost one, and waiting
+/// for it would only bring the refusal later.
+#[test]
+fn lost_charge() {
+    let mut book = StoredBook::new(100);
+    let holder = home(HOME);
+    let reserved = book.reserve(&holder, 60, at(1));
+    assert_eq!(book.short(&holder, 80, at(1)).expect("it is short").may_return, TokenCount(60));
+
+    book.finish(&holder, reserved.charge, FinishState::Unknown, at(1));
+    let mut case = case_of(&book, &[SIDECAR]);
+    case.give_up(SIDECAR);
+    holder.resolve_case(&case, &[reserved.charge]);
+    let short = book.short(&holder, 80, at(2)).expect("it is short");
+    assert_eq!(short.may_return, TokenCount::ZERO);
+    assert_eq!(holder.may_return(&book.branch), TokenCount::ZERO);
 }
