Measure how long a home's death is felt

The entry-kill fault kills an entry that holds grants, and the report tells home_served_again_ms (callers' answers) and home_settled_ms (the store stand-in's books).

--- a/crates/sagespool-testkit/src/load/faults.rs
+++ b/crates/sagespool-testkit/src/load/faults.rs
@@ -1,5 +1,6 @@
 //! The faults of the load tool, as scripts that run beside the traffic.
 
+mod home;
 mod process;
 mod scripts;
 mod stage;
--- a/crates/sagespool-testkit/src/load/faults/process.rs
+++ b/crates/sagespool-testkit/src/load/faults/process.rs
@@ -5,7 +5,7 @@
 use crate::fleet::RunningFleet;
 
 /// The places of the members of a kind that run.
-fn running(fleet: &RunningFleet, entries: bool) -> Vec<usize> {
+pub(super) fn running(fleet: &RunningFleet, entries: bool) -> Vec<usize> {
     let members = fleet.members.iter().enumerate();
     members
         .filter(|(_, member)| member.is_entry() == entries && member.process.is_some())
--- a/crates/sagespool-testkit/src/load/faults/scripts.rs
+++ b/crates/sagespool-testkit/src/load/faults/scripts.rs
@@ -5,7 +5,7 @@
 use sagespool_types::{BranchName, TokenCount};
 
 use super::stage::FaultStage;
-use super::{process, store};
+use super::{home, process, store};
 
 /// The faults by name.
 pub const FAULT_NAMES: [&str; 9] = [
@@ -85,18 +85,17 @@
     names.iter().map(String::as_str).collect()
 }
 
-/// An entry dies with streams open, and comes back later as another incarnation.
+/// An entry that is home of some branch dies with streams open, and comes back later as another
+/// incarnation.
 async fn entry_kill(stage: &FaultStage) {
     let mut rng = stage.rng("entry-kill");
     stage.until(0.3).await;
-    let place = {
-        let mut fleet = stage.fleet().await;
-        let Some(place) = process::pick(&fleet, true, &mut rng) else { return };
-        process::kill(&mut fleet, place);
-        place
-    };
+    let Some(kill) = home::kill_one(&mut *stage.fleet().await, &mut rng).await else { return };
+    let place = kill.place;
+    let watch = smol::spawn(home::watch_settled(stage.clone(), kill));
     stage.until(0.7).await;
     process::restart(&mut *stage.fleet().await, place);
+    watch.await;
 }
 
 /// The store is out of service for half of the time.
--- a/crates/sagespool-testkit/src/load/faults/stage.rs
+++ b/crates/sagespool-testkit/src/load/faults/stage.rs
@@ -8,13 +8,15 @@
 use sagespool_types::{BranchName, ClockTime, CommandId, TokenCount};
 
 use crate::fleet::{RunningFleet, top_up};
-use crate::load::DepositLog;
+use crate::load::{DepositLog, HomeKill};
 
 /// What the scripts of one run share. Each holds the fleet only for a step at a time.
 #[derive(Clone)]
 pub struct FaultStage {
     fleet: Arc<Mutex<RunningFleet>>,
     deposits: Arc<Mutex<DepositLog>>,
+    /// The home that a script has killed.
+    pub home_kill: Arc<Mutex<Option<HomeKill>>>,
     /// When the traffic started.
     pub start: ClockTime,
     /// How long the traffic lasts.
@@ -31,7 +33,7 @@
         lasting: Duration,
         seed: u64,
     ) -> Self {
-        Self { fleet, deposits, start: ClockTime::now(), lasting, seed }
+        Self { fleet, deposits, home_kill: Arc::default(), start: ClockTime::now(), lasting, seed }
     }
 
     /// The fleet, for one step.
--- a/crates/sagespool-testkit/src/load/report.rs
+++ b/crates/sagespool-testkit/src/load/report.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 
 use super::figures::{BranchFigures, DeadlineRefusals, GreedEffect, PhaseFigures};
-use super::{CallOutcome, CallRecord, OracleVerdict};
+use super::{CallOutcome, CallRecord, HomeKill, OracleVerdict};
 
 /// Percentiles of a latency, in milliseconds.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
@@ -92,6 +92,10 @@
     pub runs_per_request: f64,
     /// The share of the engines' runs that an engine's fault cut off.
     pub broken_run_share: f64,
+    /// From a home's kill until the last of its branches was answered again, in milliseconds.
+    pub home_served_again_ms: Option<f64>,
+    /// From a home's kill until the last of its grants was settled, or in doubt, in milliseconds.
+    pub home_settled_ms: Option<f64>,
     /// Requests refused since they could not meet their deadline.
     pub deadline_refusals: DeadlineRefusals,
     /// Time to the first token of streamed answers, in the phases that are measured.
@@ -157,6 +161,13 @@
         self.findings.clone_from(&verdict.findings);
     }
 
+    /// Takes in how long a home's death was felt.
+    pub fn note_home_kill(&mut self, kill: &HomeKill, records: &[CallRecord]) {
+        let millis = |time: Duration| time.as_secs_f64() * 1000.0;
+        self.home_served_again_ms = kill.served_after(records).map(millis);
+        self.home_settled_ms = kill.settled_after().map(millis);
+    }
+
     /// True if no promise was broken.
     pub fn is_clean(&self) -> bool {
         let broken = self.overspend_tokens
--- a/crates/sagespool-testkit/src/load/scenario.rs
+++ b/crates/sagespool-testkit/src/load/scenario.rs
@@ -17,7 +17,8 @@
 use super::figures::{CourseInput, machine_load, note_course};
 use super::session::{StoreTraffic, conclude, first_deposits, traffic_of};
 use super::{
-    CallRecord, DepositLog, LatencyFigures, LoadReport, PlannedCall, TrafficMix, run_calls,
+    CallRecord, DepositLog, HomeKill, LatencyFigures, LoadReport, PlannedCall, TrafficMix,
+    run_calls,
 };
 use crate::EngineStand;
 use crate::fleet::{
@@ -163,6 +164,7 @@
     direct: Vec<DirectTimes>,
     phases: Vec<TimedPhase>,
     start: ClockTime,
+    home_kill: Option<HomeKill>,
 }
 
 /// Runs a scenario whole: the fleet is started, loaded, faulted, healed, stopped and judged.
@@ -197,6 +199,9 @@
     report.control_bytes_per_second_per_node =
         super::scrape::control_bytes_per_second(&fleet).await;
     note_latencies(&mut report, &outcome, &fleet);
+    if let Some(kill) = &outcome.home_kill {
+        report.note_home_kill(kill, &outcome.records);
+    }
     let deposits = deposits.lock().await.clone();
     conclude(&mut report, &mut fleet, &outcome.records, &deposits);
     Ok(report)
@@ -239,7 +244,8 @@
         Some(direct) => direct.await,
         None => Vec::new(),
     };
-    CourseOutcome { records, direct, phases, start }
+    let home_kill = stage.home_kill.lock().await.take();
+    CourseOutcome { records, direct, phases, start, home_kill }
 }
 
 /// Makes one engine as slow as each phase says.
--- a/crates/sagespool-testkit/src/load/scrape.rs
+++ b/crates/sagespool-testkit/src/load/scrape.rs
@@ -66,7 +66,10 @@
     orphaned
 }
 
-async fn incarnation_of(client: &Client, address: std::net::SocketAddr) -> Option<IncarnationId> {
+pub(super) async fn incarnation_of(
+    client: &Client,
+    address: std::net::SocketAddr,
+) -> Option<IncarnationId> {
     let mut conn = client.get(format!("http://{address}/healthz").as_str()).await.ok()?;
     let text = conn.response_body().read_string().await.ok()?;
     text.split_whitespace().find_map(|word| word.strip_prefix("incarnation=")?.parse().ok())
