--- a/crates/sagespool-testkit/src/load/faults/stage.rs
+++ b/crates/sagespool-testkit/src/load/faults/stage.rs
@@ -8,13 +8,14 @@
 use sagespool_types::{BranchName, ClockTime, CommandId, TokenCount};
 
 use crate::fleet::{RunningFleet, top_up};
-use crate::load::{DepositLog, HomeKill};
+use crate::load::{ConfigLog, DepositLog, HomeKill};
 
 /// What the scripts of one run share. Each holds the fleet only for a step at a time.
 #[derive(Clone)]
 pub struct FaultStage {
     fleet: Arc<Mutex<RunningFleet>>,
     deposits: Arc<Mutex<DepositLog>>,
+    config_log: Arc<Mutex<ConfigLog>>,
     /// The home that a script has killed.
     pub home_kill: Arc<Mutex<Option<HomeKill>>>,
     /// When the traffic started.
@@ -33,7 +34,8 @@
         lasting: Duration,
         seed: u64,
     ) -> Self {
-        Self { fleet, deposits, home_kill: Arc::default(), start: ClockTime::now(), lasting, seed }
+        let (config_log, home_kill) = (Arc::default(), Arc::default());
+        Self { fleet, deposits, config_log, home_kill, start: ClockTime::now(), lasting, seed }
     }
 
     /// The fleet, for one step.
@@ -41,6 +43,11 @@
         self.fleet.lock().await
     }
 
+    /// What the scripts did to the configuration.
+    pub async fn config_log(&self) -> MutexGuard<'_, ConfigLog> {
+        self.config_log.lock().await
+    }
+
     /// Waits until a share of the traffic's time has passed.
     pub async fn until(&self, share: f64) {
         let due = self.start.after(self.lasting.mul_f64(share));
--- a/crates/sagespool-testkit/src/load/scenario.rs
+++ b/crates/sagespool-testkit/src/load/scenario.rs
@@ -12,13 +12,14 @@
 use error_stack::Report;
 use sagespool_types::ClockTime;
 
+use super::config_oracle::{judge_config, wait_spread};
 use super::direct::{DirectTimes, run_direct};
 use super::faults::{FAULT_NAMES, FaultStage, run_fault};
 use super::figures::{CourseInput, machine_load, note_course};
 use super::session::{StoreTraffic, conclude, first_deposits, traffic_of};
 use super::{
-    CallRecord, DepositLog, HomeKill, LatencyFigures, LoadReport, PlannedCall, TrafficMix,
-    run_calls,
+    CallRecord, ConfigLog, DepositLog, HomeKill, LatencyFigures, LoadReport, PlannedCall,
+    TrafficMix, run_calls,
 };
 use crate::EngineStand;
 use crate::fleet::{
@@ -164,6 +165,7 @@
     direct: Vec<DirectTimes>,
     phases: Vec<TimedPhase>,
     start: ClockTime,
+    config_log: ConfigLog,
     home_kill: Option<HomeKill>,
 }
 
@@ -193,6 +195,10 @@
     let traffic = StoreTraffic::of(&fleet);
     heal(&mut fleet);
     wait_settled(&fleet).await;
+    if outcome.config_log != ConfigLog::default() {
+        wait_spread(&fleet, &outcome.config_log).await;
+        report.config = Some(judge_config(&fleet, &outcome.config_log));
+    }
     let sent = outcome.records.len().max(1) as f64;
     report.store_writes_per_request = (traffic.writes - before.writes) as f64 / sent;
     report.store_reads_per_request = (traffic.reads - before.reads) as f64 / sent;
@@ -244,8 +250,9 @@
         Some(direct) => direct.await,
         None => Vec::new(),
     };
+    let config_log = stage.config_log().await.clone();
     let home_kill = stage.home_kill.lock().await.take();
-    CourseOutcome { records, direct, phases, start, home_kill }
+    CourseOutcome { records, direct, phases, start, config_log, home_kill }
 }
 
 /// Makes one engine as slow as each phase says.
