Don't run a suspect again where an upstream has just gone down

Cause, from its log: the poison was stopped 10 ms before the neighbour ran again; the neighbour moved up into the poison's rank, was sent to the engine that the poison had just taken down, had its connection reset, and was reported for that crash as its second. Ruled out: reports that came too late (all were there 150 ms before).

--- a/crates/sagespool-claims/src/crash.rs
+++ b/crates/sagespool-claims/src/crash.rs
@@ -6,7 +6,7 @@
 
 use bon::Builder;
 use sagespool_messages::CrashReport;
-use sagespool_types::{ClockTime, ContentDigest};
+use sagespool_types::{ClockTime, ContentDigest, UpstreamName};
 
 use crate::quarantine::{CrashNote, QuarantineRecord};
 
@@ -159,17 +159,38 @@
         self.state().records.contains_key(&content)
     }
 
-    /// The place of a suspect among all contents suspected now and not stopped,
-    /// the same on every entry that had the same reports. The suspect of rank
-    /// `r` is run again on the `r`-th of the upstreams left (in the order of
-    /// their names, counted round), so that no two suspects meet on one as long
-    /// as there are enough of them. Nothing for a content not suspected.
-    pub fn rerun_rank(&self, content: ContentDigest) -> Option<usize> {
+    /// The place of a suspect among all contents suspected now, the same on
+    /// every entry that had the same reports. The suspect of rank `r` is run
+    /// again on the `r`-th of the upstreams left (in the order of their names,
+    /// counted round), so that no two suspects meet on one as long as there are
+    /// enough of them. Nothing for a content not suspected, or stopped.
+    ///
+    /// One that was just stopped keeps its place for a moment: the others'
+    /// would else move up while they are about to run, one of them to the
+    /// upstream that has just gone down, and be stopped for a crash that was
+    /// over before it came.
+    pub fn rerun_rank(&self, content: ContentDigest, now: ClockTime) -> Option<usize> {
         let state = self.state();
-        let mut suspects = state.records.iter().filter(|(_, record)| !record.stopped);
+        if state.records.get(&content)?.stopped {
+            return None;
+        }
+        let keeps_place = |record: &CrashRecord| {
+            !record.stopped || now.since(record.newest) < self.policy.same_crash
+        };
+        let mut suspects = state.records.iter().filter(|(_, record)| keeps_place(record));
         suspects.position(|(suspect, _)| *suspect == content)
     }
 
+    /// True if an upstream went down a moment ago, by any report. Nothing that was in flight at a
+    /// crash is to run again there: sent to an upstream that is still going down, it would be
+    /// reported for that crash too, as its second.
+    pub fn went_down(&self, upstream: &UpstreamName, now: ClockTime) -> bool {
+        let state = self.state();
+        let mut crashes = state.records.values().flat_map(|record| &record.crashes);
+        crashes
+            .any(|(note, at)| note.upstream == *upstream && now.since(*at) < self.policy.same_crash)
+    }
+
     /// A run of a content came through whole: it takes no upstream down. True
     /// if it was stopped, so that the store's verdict must be lifted too.
     pub fn completed(&self, content: ContentDigest) -> bool {
--- a/crates/sagespool-claims/tests/crash_board.rs
+++ b/crates/sagespool-claims/tests/crash_board.rs
@@ -64,7 +64,8 @@
         board.record(&report(*content, content.0, 0), at(0));
     }
     let others: Vec<_> = (1..upstreams).collect();
-    let place = |content| others[board.rerun_rank(content).expect("a suspect") % others.len()];
+    let rank = |content| board.rerun_rank(content, at(1)).expect("a suspect");
+    let place = |content| others[rank(content) % others.len()];
     let places: Vec<_> = contents.iter().map(|content| place(*content)).collect();
     let poisoned = place(POISON);
     for (content, upstream) in contents.iter().zip(&places) {
@@ -89,6 +90,28 @@
     assert_eq!(stopped.len(), 1);
 }
 
+/// The poison takes down its second upstream just before a neighbour of its first one runs again. If
+/// the neighbour moved up into the poison's place, or ran where the upstream goes down, it would be
+/// stopped for a crash that was over before it came.
+#[test]
+fn kept_places() {
+    let board = CrashBoard::new();
+    let (before, after) = (ContentDigest(60), ContentDigest(68));
+    for content in [before, POISON, after] {
+        board.record(&report(content, content.0, 0), at(0));
+    }
+    let again = CrashReport { attempt: AttemptNumber(2), ..report(POISON, 66, 1) };
+    assert_eq!(board.record(&again, at(3)), CrashVerdict::Stopped);
+    assert_eq!(board.rerun_rank(before, at(3)), Some(0));
+    assert_eq!(board.rerun_rank(POISON, at(3)), None, "it doesn't run again");
+    assert_eq!(board.rerun_rank(after, at(3)), Some(2));
+    assert_eq!(board.rerun_rank(after, at(6)), Some(1), "its place is free later");
+    let upstream = |number| report(POISON, 0, number).upstream;
+    assert!(board.went_down(&upstream(1), at(4)));
+    assert!(!board.went_down(&upstream(1), at(6)));
+    assert!(!board.went_down(&upstream(2), at(4)));
+}
+
 #[test]
 fn old_suspicion() {
     let board = CrashBoard::new();
--- a/crates/sagespool-entry/src/run/attempt.rs
+++ b/crates/sagespool-entry/src/run/attempt.rs
@@ -173,14 +173,17 @@
     /// others come through and are cleared. While there are more suspects than upstreams the later
     /// ones wait for the earlier, for a bounded time.
     fn place_apart(&self, waited: Duration, now: ClockTime) -> ApartPlace {
-        let Some(rank) = self.state.crashes.rerun_rank(self.order.content) else {
+        let Some(rank) = self.state.crashes.rerun_rank(self.order.content, now) else {
             return ApartPlace::Anywhere;
         };
         let mut sidecars = self.state.members.live(MemberRole::Sidecar, now);
         sidecars.retain(|member| {
             let serves = member.serves.as_ref();
-            serves.is_some_and(|serves| serves.service == self.order.service && serves.healthy)
-                && !self.tried.contains(&member.incarnation)
+            let may_serve = serves.is_some_and(|serves| {
+                let is_down = self.state.crashes.went_down(&serves.upstream, now);
+                serves.service == self.order.service && serves.healthy && !is_down
+            });
+            may_serve && !self.tried.contains(&member.incarnation)
         });
         sidecars.sort_by(|one, other| one.instance.cmp(&other.instance));
         if rank >= sidecars.len() && waited < SUSPECT_PATIENCE {
