--- a/crates/sagespool-testkit/src/load/faults.rs
+++ b/crates/sagespool-testkit/src/load/faults.rs
@@ -1,6 +1,7 @@
 //! The faults of the load tool, as scripts that run beside the traffic.
 
 mod config_churn;
+mod home;
 mod process;
 mod scripts;
 mod stage;
--- a/crates/sagespool-testkit/src/load/faults/stage.rs
+++ b/crates/sagespool-testkit/src/load/faults/stage.rs
@@ -8,7 +8,7 @@
 use sagespool_types::{BranchName, ClockTime, CommandId, TokenCount};
 
 use crate::fleet::{RunningFleet, top_up};
-use crate::load::{ConfigLog, DepositLog};
+use crate::load::{ConfigLog, DepositLog, HomeKill};
 
 /// What the scripts of one run share. Each holds the fleet only for a step at a time.
 #[derive(Clone)]
@@ -16,6 +16,8 @@
     fleet: Arc<Mutex<RunningFleet>>,
     deposits: Arc<Mutex<DepositLog>>,
     config_log: Arc<Mutex<ConfigLog>>,
+    /// The home that a script has killed.
+    pub home_kill: Arc<Mutex<Option<HomeKill>>>,
     /// When the traffic started.
     pub start: ClockTime,
     /// How long the traffic lasts.
@@ -32,8 +34,8 @@
         lasting: Duration,
         seed: u64,
     ) -> Self {
-        let config_log = Arc::default();
-        Self { fleet, deposits, config_log, start: ClockTime::now(), lasting, seed }
+        let (config_log, home_kill) = (Arc::default(), Arc::default());
+        Self { fleet, deposits, config_log, home_kill, start: ClockTime::now(), lasting, seed }
     }
 
     /// The fleet, for one step.
--- a/crates/sagespool-testkit/src/load/scenario.rs
+++ b/crates/sagespool-testkit/src/load/scenario.rs
@@ -18,8 +18,8 @@
 use super::figures::{CourseInput, machine_load, note_course};
 use super::session::{StoreTraffic, conclude, first_deposits, traffic_of};
 use super::{
-    CallRecord, ConfigLog, DepositLog, LatencyFigures, LoadReport, PlannedCall, TrafficMix,
-    run_calls,
+    CallRecord, ConfigLog, DepositLog, HomeKill, LatencyFigures, LoadReport, PlannedCall,
+    TrafficMix, run_calls,
 };
 use crate::EngineStand;
 use crate::fleet::{
@@ -166,6 +166,7 @@
     phases: Vec<TimedPhase>,
     start: ClockTime,
     config_log: ConfigLog,
+    home_kill: Option<HomeKill>,
 }
 
 /// Runs a scenario whole: the fleet is started, loaded, faulted, healed, stopped and judged.
@@ -204,6 +205,9 @@
     report.control_bytes_per_second_per_node =
         super::scrape::control_bytes_per_second(&fleet).await;
     note_latencies(&mut report, &outcome, &fleet);
+    if let Some(kill) = &outcome.home_kill {
+        report.note_home_kill(kill, &outcome.records);
+    }
     let deposits = deposits.lock().await.clone();
     conclude(&mut report, &mut fleet, &outcome.records, &deposits);
     Ok(report)
@@ -247,7 +251,8 @@
         None => Vec::new(),
     };
     let config_log = stage.config_log().await.clone();
-    CourseOutcome { records, direct, phases, start, config_log }
+    let home_kill = stage.home_kill.lock().await.take();
+    CourseOutcome { records, direct, phases, start, config_log, home_kill }
 }
 
 /// Makes one engine as slow as each phase says.
