Measure control traffic while the calls are sent

Cause: the load tool read the counters of control traffic over two seconds after the last call, so that its figure was that of reports repeated to an idle fleet: 10.3 KB/s a process at 200 requests a second, where the counters over the traffic say 25.0 KB/s.

Change: the counters are read before the first call and after the last one has ended, and the report tells entries from sidecars.

--- a/crates/sagespool-testkit/src/load.rs
+++ b/crates/sagespool-testkit/src/load.rs
@@ -23,7 +23,7 @@
 pub use oracle::{OracleInput, OracleVerdict, judge};
 pub use outcome::{CallOutcome, CallRecord, SendRecord};
 pub use plan::{BranchTraffic, CallKind, PlanBuilder, PlannedCall, TrafficMix, plan_calls};
-pub use report::{LatencyFigures, LoadReport};
+pub use report::{ControlRates, LatencyFigures, LoadReport};
 pub use run::run_calls;
 pub use scenario::{
     EngineTraits, FleetSize, GREEDY_BRANCH, LoadPhase, SCENARIO_NAMES, ScenarioOptions,
--- a/crates/sagespool-testkit/src/load/report.rs
+++ b/crates/sagespool-testkit/src/load/report.rs
@@ -49,6 +49,17 @@
     pub direct: LatencyFigures,
 }
 
+/// Control traffic of a process, sent and received, in bytes a second.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub struct ControlRates {
+    /// The mean over all processes.
+    pub node: f64,
+    /// The mean over entries.
+    pub entry: f64,
+    /// The mean over sidecars.
+    pub sidecar: f64,
+}
+
 /// The report of a run.
 #[derive(Debug, Clone, Default, PartialEq, Serialize)]
 pub struct LoadReport {
@@ -112,8 +123,10 @@
     pub store_writes_per_request: f64,
     /// Reads that reached the store, for each call, watches not counted.
     pub store_reads_per_request: f64,
-    /// Control traffic of a process, the mean over all.
+    /// Control traffic of a process while the calls were sent, the mean over all.
     pub control_bytes_per_second_per_node: f64,
+    /// The same by role.
+    pub control_bytes_per_second: ControlRates,
     /// Processor time of each process, in seconds.
     pub cpu_seconds: BTreeMap<String, f64>,
     /// The machine's load when the traffic began and when it ended.
--- a/crates/sagespool-testkit/src/load/scenario.rs
+++ b/crates/sagespool-testkit/src/load/scenario.rs
@@ -15,6 +15,7 @@
 use super::direct::{DirectTimes, run_direct};
 use super::faults::{FAULT_NAMES, FaultStage, run_fault};
 use super::figures::{CourseInput, machine_load, note_course};
+use super::scrape::ControlReading;
 use super::session::{StoreTraffic, conclude, first_deposits, traffic_of};
 use super::{
     CallRecord, DepositLog, LatencyFigures, LoadReport, PlannedCall, TrafficMix, run_calls,
@@ -182,6 +183,7 @@
     };
     let fleet = RunningFleet::start(fleet_options).await?;
     let before = StoreTraffic::of(&fleet);
+    let control = ControlReading::of(&fleet).await;
     let deposits = Arc::new(Mutex::new(first_deposits(&fleet.options)));
     let fleet = Arc::new(Mutex::new(fleet));
     report.machine_load.extend(machine_load());
@@ -190,12 +192,12 @@
     let mut fleet = fleet.lock().await;
     let traffic = StoreTraffic::of(&fleet);
     heal(&mut fleet);
+    report.control_bytes_per_second = ControlReading::of(&fleet).await.rates_since(&control);
+    report.control_bytes_per_second_per_node = report.control_bytes_per_second.node;
     wait_settled(&fleet).await;
     let sent = outcome.records.len().max(1) as f64;
     report.store_writes_per_request = (traffic.writes - before.writes) as f64 / sent;
     report.store_reads_per_request = (traffic.reads - before.reads) as f64 / sent;
-    report.control_bytes_per_second_per_node =
-        super::scrape::control_bytes_per_second(&fleet).await;
     note_latencies(&mut report, &outcome, &fleet);
     let deposits = deposits.lock().await.clone();
     conclude(&mut report, &mut fleet, &outcome.records, &deposits);
--- a/crates/sagespool-testkit/src/load/scrape.rs
+++ b/crates/sagespool-testkit/src/load/scrape.rs
@@ -1,16 +1,15 @@
 //! What the fleet says of itself, for figures that no stand-in sees, and what the books hold.
 
-use std::collections::BTreeSet;
-use std::time::Duration;
+use std::collections::{BTreeMap, BTreeSet};
 
 use sagespool_ledger::{BOOK_COUNT, BookRecord, book_key};
-use sagespool_types::{BookNumber, IncarnationId};
+use sagespool_types::{BookNumber, ClockTime, IncarnationId, InstanceName};
 use trillium_client::Client;
 
+use super::ControlRates;
 use crate::fleet::RunningFleet;
 
 const CONTROL_METRIC: &str = "sagespool_link_bytes_total{traffic=\"control\"}";
-const MEASURED: Duration = Duration::from_secs(2);
 
 async fn metrics_of(client: &Client, address: std::net::SocketAddr) -> Option<String> {
     let mut conn = client.get(format!("http://{address}/metrics").as_str()).await.ok()?;
@@ -22,23 +21,50 @@
     line.rsplit_once(' ')?.1.parse().ok()
 }
 
-async fn control_bytes(fleet: &RunningFleet, client: &Client) -> f64 {
-    let mut sum = 0.0;
-    for member in fleet.members.iter().filter(|member| member.process.is_some()) {
-        let text = metrics_of(client, member.http).await;
-        sum += text.and_then(|text| metric(&text, CONTROL_METRIC)).unwrap_or_default();
-    }
-    sum
+/// Control bytes that each process had sent and received by a moment.
+pub(super) struct ControlReading {
+    at: ClockTime,
+    bytes: BTreeMap<InstanceName, f64>,
+    entries: BTreeSet<InstanceName>,
 }
 
-/// Control traffic of a process, sent and received, the mean over all and over two quiet seconds.
-pub(super) async fn control_bytes_per_second(fleet: &RunningFleet) -> f64 {
-    let client = Client::new(trillium_smol::ClientConfig::default());
-    let before = control_bytes(fleet, &client).await;
-    smol::Timer::after(MEASURED).await;
-    let after = control_bytes(fleet, &client).await;
-    let members = fleet.members.len().max(1) as f64;
-    (after - before).max(0.0) / MEASURED.as_secs_f64() / members
+impl ControlReading {
+    /// The counters of every process that runs.
+    pub(super) async fn of(fleet: &RunningFleet) -> Self {
+        let client = Client::new(trillium_smol::ClientConfig::default());
+        let mut bytes = BTreeMap::new();
+        let mut entries = BTreeSet::new();
+        for member in fleet.members.iter().filter(|member| member.process.is_some()) {
+            let text = metrics_of(&client, member.http).await;
+            let Some(count) = text.and_then(|text| metric(&text, CONTROL_METRIC)) else {
+                continue;
+            };
+            bytes.insert(member.instance.clone(), count);
+            if member.is_entry() {
+                entries.insert(member.instance.clone());
+            }
+        }
+        Self { at: ClockTime::now(), bytes, entries }
+    }
+
+    /// Bytes a second of each role since an earlier reading, the mean over its processes. One that
+    /// was started anew in between counts from its start.
+    pub(super) fn rates_since(&self, earlier: &Self) -> ControlRates {
+        let seconds = self.at.since(earlier.at).as_secs_f64();
+        let rate_of = |is_wanted: &dyn Fn(&InstanceName) -> bool| {
+            let wanted: Vec<_> = self.bytes.iter().filter(|(name, _)| is_wanted(name)).collect();
+            let grown = wanted.iter().map(|(name, count)| {
+                let before = earlier.bytes.get(*name).copied().unwrap_or_default();
+                if **count < before { **count } else { **count - before }
+            });
+            grown.sum::<f64>() / seconds / wanted.len().max(1) as f64
+        };
+        ControlRates {
+            node: rate_of(&|_| true),
+            entry: rate_of(&|name| self.entries.contains(name)),
+            sidecar: rate_of(&|name| !self.entries.contains(name)),
+        }
+    }
 }
 
 /// Grants in the books of holders that aren't among the entries that run now, and not in doubt.
