Send ids between processes as bytes

Cause: incarnations, requests, grants and digests were text in every format, so that a message took twice the room for each, and an allocation at either end.

Change: they are text in formats for people (the store's JSON, operators' answers), and their bytes in postcard.

--- a/crates/sagespool-types/src/digest.rs
+++ b/crates/sagespool-types/src/digest.rs
@@ -7,13 +7,13 @@
 use sha2::{Digest, Sha256};
 use twox_hash::XxHash3_128;
 
+use crate::binary::id_serde;
 use crate::{BranchName, ParseFault};
 
 macro_rules! digests {
     ($($(#[$doc:meta])* $name:ident, $wanted:literal;)*) => {$(
         $(#[$doc])*
-        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-        #[serde(try_from = "String", into = "String")]
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
         pub struct $name(pub u128);
 
         impl fmt::Display for $name {
@@ -31,7 +31,7 @@
             }
         }
 
-        crate::text_form!($name);
+        id_serde!($name(u128));
     )*};
 }
 
--- a/crates/sagespool-types/src/ids.rs
+++ b/crates/sagespool-types/src/ids.rs
@@ -3,16 +3,17 @@
 use std::fmt;
 use std::str::FromStr;
 
-use serde::{Deserialize, Serialize};
+use serde::de::Error;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 use crate::ParseFault;
+use crate::binary::id_serde;
 use crate::derives::whole_numbers;
 
 macro_rules! hex_ids {
     ($($(#[$doc:meta])* $name:ident($inner:ty, $width:literal), $wanted:literal;)*) => {$(
         $(#[$doc])*
-        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-        #[serde(try_from = "String", into = "String")]
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
         pub struct $name(pub $inner);
 
         impl $name {
@@ -41,7 +42,7 @@
             }
         }
 
-        crate::text_form!($name);
+        id_serde!($name($inner));
     )*};
 }
 
@@ -77,8 +78,7 @@
 counters! { SequenceNumber AttemptNumber FenceNumber }
 
 /// A grant: an amount of a branch's budget that one incarnation may spend.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(try_from = "String", into = "String")]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct GrantId {
     /// The incarnation that asked for the grant and alone may spend it.
     pub holder: IncarnationId,
@@ -105,7 +105,25 @@
     }
 }
 
-crate::text_form!(GrantId);
+impl Serialize for GrantId {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            return serializer.collect_str(self);
+        }
+        (self.holder, self.number).serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for GrantId {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if deserializer.is_human_readable() {
+            let text = String::deserialize(deserializer)?;
+            return text.parse().map_err(D::Error::custom);
+        }
+        let (holder, number) = Deserialize::deserialize(deserializer)?;
+        Ok(Self { holder, number })
+    }
+}
 
 /// A charge: one request paid from one grant.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/sagespool-types/src/lib.rs
+++ b/crates/sagespool-types/src/lib.rs
@@ -12,6 +12,7 @@
 //! # Ok::<(), sagespool_types::ParseFault>(())
 //! ```
 
+mod binary;
 mod clock;
 mod derives;
 mod digest;
