Report a charge first when its home has had time to settle it

Cause: a sidecar reported each charge 0.25 s after its end and again after 2 and 4 more, while its home settles at most each five seconds: the first one or two reports were answered in vain.

Change: a charge whose entry still listened at its end is reported first after six seconds; the entry tells the home meanwhile. One whose entry was gone is reported after 0.25 s as before. Only the time rests on that: an entry that dies with the word is made up for by the sidecar's report.

Ruled out: to leave out the first report altogether until the home says what is durable by itself, which needs the home to know every witness of its charges.

--- a/crates/sagespool-sidecar/src/answer_log.rs
+++ b/crates/sagespool-sidecar/src/answer_log.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// True while anybody reads.
+    pub fn is_read(&self) -> bool {
+        !lock(&self.state).readers.is_empty()
+    }
+
     /// Resolves when nobody reads any more.
     pub async fn abandoned(&self) {
         loop {
--- a/crates/sagespool-sidecar/src/charge_book.rs
+++ b/crates/sagespool-sidecar/src/charge_book.rs
@@ -42,6 +42,16 @@
     pub non_idempotent: bool,
 }
 
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ChargeEnding {
+    /// True if the answer came whole.
+    pub whole: bool,
+    /// True if its entry still listened, and so will tell the home. Only the time of the first
+    /// report rests on it: an entry that dies with the word is made up for by that report.
+    pub heard: bool,
+}
+
 /// Why an attempt may not start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ChargeRefusal {
@@ -157,10 +167,12 @@
         &self,
         charge: ChargeId,
         attempt: AttemptNumber,
-        whole: bool,
+        ending: ChargeEnding,
         now: ClockTime,
     ) -> Option<ChargeRecord> {
-        let due = now.after(self.policy.first_after);
+        let ChargeEnding { whole, heard } = ending;
+        let wait = if heard { self.policy.heard_after } else { self.policy.first_after };
+        let due = now.after(wait);
         self.change(charge, |grant| grant.end(charge.sequence, attempt, whole, due))
     }
 
--- a/crates/sagespool-sidecar/src/charge_book/policy.rs
+++ b/crates/sagespool-sidecar/src/charge_book/policy.rs
@@ -7,9 +7,14 @@
 /// How often ended charges are reported to the holder of their grant.
 #[derive(Debug, Clone, Copy, Builder)]
 pub struct ReportPolicy {
-    /// From the end of a charge to its first report; reports of a tick share a message.
+    /// From the end of a charge to its first report if its entry no longer listened; reports of a
+    /// tick share a message.
     #[builder(default = Duration::from_millis(250))]
     pub first_after: Duration,
+    /// The same if its entry was told, which tells the home. A home settles charges at most every
+    /// five seconds, so that a report before that is answered in vain and has to be repeated.
+    #[builder(default = Duration::from_secs(6))]
+    pub heard_after: Duration,
     /// From the first report to the second; the wait doubles with each.
     /// The holder writes its books every few seconds, so asking sooner is in vain.
     #[builder(default = Duration::from_secs(2))]
--- a/crates/sagespool-sidecar/src/dispatcher.rs
+++ b/crates/sagespool-sidecar/src/dispatcher.rs
@@ -20,8 +20,8 @@
 use crate::run_service::ServiceTarget;
 use crate::running::{RunningTable, StopReason};
 use crate::{
-    AnswerReader, CacheRelay, ChargeBook, KeyMemory, KeyRefusal, KeyRetention, LoadWatch,
-    OrderDesk, ReportPolicy, UpstreamClient,
+    AnswerReader, CacheRelay, ChargeBook, ChargeEnding, KeyMemory, KeyRefusal, KeyRetention,
+    LoadWatch, OrderDesk, ReportPolicy, UpstreamClient,
 };
 
 /// The memory for answers of keyed requests, if nothing else is said.
@@ -218,7 +218,8 @@
     fn finish(&self, attempt: &AdmittedAttempt, end: AttemptEnd, now: ClockTime) {
         let is_whole = matches!(end, AttemptEnd::Whole(_));
         let charge = if end.may_have_run() {
-            self.charges.end(attempt.charge, attempt.attempt, is_whole, now)
+            let ending = ChargeEnding { whole: is_whole, heard: attempt.log.is_read() };
+            self.charges.end(attempt.charge, attempt.attempt, ending, now)
         } else {
             self.charges.withdraw(attempt.charge, attempt.attempt, now);
             None
--- a/crates/sagespool-sidecar/src/lib.rs
+++ b/crates/sagespool-sidecar/src/lib.rs
@@ -44,7 +44,7 @@
 
 pub use answer_log::{AnswerLog, AnswerReader};
 pub use cache_relay::CacheRelay;
-pub use charge_book::{ChargeBook, ChargeRefusal, ChargeWish, ReportPolicy};
+pub use charge_book::{ChargeBook, ChargeEnding, ChargeRefusal, ChargeWish, ReportPolicy};
 pub use dispatcher::{DispatchOptions, Dispatcher};
 pub use engine_body::{EngineTerms, engine_body};
 pub use engine_events::{EngineEvent, EventFault};
--- a/crates/sagespool-sidecar/tests/charge_book.rs
+++ b/crates/sagespool-sidecar/tests/charge_book.rs
@@ -6,7 +6,7 @@
 
 use quickcheck::quickcheck;
 use sagespool_messages::{ChargesDurable, ReservedCharge, SealRequest, SealScope};
-use sagespool_sidecar::{ChargeBook, ChargeRefusal, ChargeWish, ReportPolicy};
+use sagespool_sidecar::{ChargeBook, ChargeEnding, ChargeRefusal, ChargeWish, ReportPolicy};
 use sagespool_types::{
     AttemptNumber, ChargeId, ClockTime, GrantId, IncarnationId, RequestId, SequenceNumber,
     StoreRevision, TokenCount,
@@ -49,7 +49,12 @@
 fn run(book: &ChargeBook, sequence: u64, used: u64) {
     book.open(&wish(sequence, 1), NOW).unwrap();
     book.update(charge(sequence), AttemptNumber(1), TokenCount(used));
-    book.end(charge(sequence), AttemptNumber(1), true, NOW).unwrap();
+    end(book, sequence, false);
+}
+
+fn end(book: &ChargeBook, sequence: u64, heard: bool) {
+    let ending = ChargeEnding { whole: true, heard };
+    book.end(charge(sequence), AttemptNumber(1), ending, NOW).unwrap();
 }
 
 fn after(millis: u64) -> ClockTime {
@@ -164,6 +169,18 @@
     assert!(book.due(after(1_000_000)).is_empty());
 }
 
+// An entry dies with the word of a charge's end. Its home would hold the reservation until the
+// request is overdue, and refuse others for it: the sidecar's own report comes all the same.
+#[test]
+fn heard_end() {
+    let book = started_book();
+    book.open(&wish(1, 1), NOW).unwrap();
+    end(&book, 1, true);
+    assert!(book.due(after(5999)).is_empty(), "the home settles first");
+    let reports = book.due(after(6000));
+    assert_eq!((reports.len(), reports[0].1.charges.len()), (1, 1));
+}
+
 // The holder of a grant dies with charges unreported. Its heir seals the grant
 // and must hear of them, or they stay in doubt for ever.
 #[test]
