--- a/crates/sagespool-testkit/src/load.rs
+++ b/crates/sagespool-testkit/src/load.rs
@@ -27,7 +27,7 @@
 pub use oracle::{OracleInput, OracleVerdict, judge};
 pub use outcome::{CallOutcome, CallRecord, SendRecord};
 pub use plan::{BranchTraffic, CallKind, PlanBuilder, PlannedCall, TrafficMix, plan_calls};
-pub use report::{LatencyFigures, LoadReport};
+pub use report::{ControlRates, LatencyFigures, LoadReport};
 pub use run::run_calls;
 pub use scenario::{
     EngineTraits, FleetSize, GREEDY_BRANCH, LoadPhase, SCENARIO_NAMES, ScenarioOptions,
