Forget a need once what was granted covers it

Needs by amount stayed for two seconds after they were met. As before the change to amounts, the sum that is asked for is now less what was granted, and at zero nobody waits.

--- a/crates/sagespool-ledger/src/purse.rs
+++ b/crates/sagespool-ledger/src/purse.rs
@@ -62,13 +62,15 @@
     /// The amounts, each with when it was last asked for. One sum wouldn't do: a grant that covers
     /// the least of them may cover no other.
     amounts: BTreeMap<TokenCount, ClockTime>,
+    /// What they ask for together, less what was granted since; nobody waits once it is zero.
     sum: TokenCount,
 }
 
 impl WaitingNeed {
     fn note(&mut self, amount: TokenCount, now: ClockTime) {
         self.amounts.retain(|_, at| now.since(*at) < NEED_LASTS);
-        if self.amounts.is_empty() {
+        if self.amounts.is_empty() || self.sum == TokenCount::ZERO {
+            self.amounts.clear();
             self.sum = TokenCount::ZERO;
         }
         if self.amounts.len() >= MOST_AMOUNTS {
@@ -84,7 +86,9 @@
 
     /// The amounts that requests wait for now, the least first.
     fn waiting(&self, now: ClockTime) -> impl DoubleEndedIterator<Item = TokenCount> + '_ {
-        let fresh = self.amounts.iter().filter(move |(_, at)| now.since(**at) < NEED_LASTS);
+        let some_wait = self.sum > TokenCount::ZERO;
+        let fresh = move |at: &ClockTime| some_wait && now.since(*at) < NEED_LASTS;
+        let fresh = self.amounts.iter().filter(move |(_, at)| fresh(at));
         fresh.map(|(amount, _)| *amount)
     }
 }
