Choose a branch's home by its book

Cause: homes of the branches of one book write the same object; with hundreds of entries most writes are conflicts. Ruled out: one writer a book that homes send their wishes to (a hop and a second proof for the same number of writes), and settling less often (300 s at that size).

Change: the home is the first entry in the rendezvous order of the book, so that one home's write is for all branches of it; no message is new.

--- a/crates/sagespool-entry/src/home/keys.rs
+++ b/crates/sagespool-entry/src/home/keys.rs
@@ -10,6 +10,7 @@
 };
 use sagespool_types::{ClockTime, IncarnationId, KeyDigest, RefusalReason, RequestId, RunState};
 
+use super::place::home_name;
 use crate::state::EntryState;
 
 const FIND_LIMIT: Duration = Duration::from_secs(1);
@@ -33,7 +34,7 @@
 /// known here, however long this process has run, so only the time as the branch's home counts.
 fn begin(state: &EntryState, order: &ReserveRequest, key: KeyDigest) -> KeyDecision {
     let now = ClockTime::now();
-    let since = state.members.home_since(&order.branch, now).unwrap_or(now);
+    let since = state.members.home_since(&home_name(&order.branch), now).unwrap_or(now);
     state.keys.begin_since(key, order.request, order.content, since, now)
 }
 
--- a/crates/sagespool-entry/src/run/homes.rs
+++ b/crates/sagespool-entry/src/run/homes.rs
@@ -24,7 +24,7 @@
 const FINISH_LIMIT: Duration = Duration::from_secs(2);
 
 fn other_home(state: &EntryState, branch: &BranchName) -> Option<MemberInfo> {
-    let home = state.members.home_of(branch, ClockTime::now())?;
+    let home = state.members.home_of(&home::home_name(branch), ClockTime::now())?;
     (home.incarnation != state.incarnation).then_some(home)
 }
 
--- a/crates/sagespool-ledger/src/home.rs
+++ b/crates/sagespool-ledger/src/home.rs
@@ -351,7 +351,8 @@
         seen: StoreRevision,
         now: ClockTime,
     ) -> bool {
-        let gains = {
+        // The baselines write in each round, as they did when they were measured first.
+        let gains = self.policy.mode != BudgetMode::Escrow || {
             let shard = self.shard(book);
             shard.purses.iter().any(|(branch, purse)| {
                 let account = record.branches.get(branch);
