Refuse orders at a restarted sidecar until it knows the newest number

Cause: a sidecar kept the highest fencing number in memory only. Restarted, it took an order that had been held up for the first one, and an engine that ignores numbers carried it out although a newer order had been. It also forgot that it was drained. Two drains that came at the same time could also be put in force in the wrong order, between the check of the number and the change.

Ruled out: a number kept beside the engine (processes have no disk); asking the store for each order (an order then fails with the store, and the read may be older than the order's number all the same).

Change: a desk takes no order until it has read fences/UPSTREAM after its start, and takes that number as seen and its word on draining as in force. A number is taken in the store before its order is sent, so all that earlier runs carried out has a number that the read shows. Meanwhile the answer is NotReady; the entry asks again within the order's time, and says that nothing was done if it is in vain. The check and the change of a drain are one step.

--- a/crates/sagespool-entry/src/operator/order_send.rs
+++ b/crates/sagespool-entry/src/operator/order_send.rs
@@ -18,6 +18,8 @@
 const ORDER_LIMIT: Duration = Duration::from_secs(60);
 /// A drain needs no engine.
 const DRAIN_LIMIT: Duration = Duration::from_secs(5);
+const NOT_READY: &str =
+    "not done: the sidecar has just started and can't read the newest order's number in the store";
 const TRY_PAUSE: Duration = Duration::from_millis(200);
 /// How long an engine is given to show that a model is loaded.
 const LOAD_LIMIT: Duration = Duration::from_secs(60);
@@ -37,6 +39,10 @@
     loop {
         let left = deadline.since(ClockTime::now());
         let error = match state.link().ask(target.sidecar.address, &peer_request, left).await {
+            Ok(PeerReply::Order(OrderReply::NotReady)) if ClockTime::now() < deadline => {
+                smol::Timer::after(TRY_PAUSE).await;
+                continue;
+            }
             Ok(PeerReply::Order(reply)) => {
                 return answered(state, target, &request, &reply, may_have_got_it).await;
             }
@@ -73,6 +79,11 @@
             let message = format!("not done: overtaken by order {newest}");
             ItemOutcome::new(OutcomeState::Conflict, message)
         }
+        OrderReply::NotReady if sent_before => ItemOutcome::new(
+            OutcomeState::Unknown,
+            format!("{NOT_READY}; an earlier run of it may have carried it out"),
+        ),
+        OrderReply::NotReady => ItemOutcome::new(OutcomeState::Failed, NOT_READY),
         // The word covers an engine that refused and one that didn't answer the sidecar in time.
         OrderReply::Failed(detail) => {
             let message = format!("not confirmed: {detail}; `upstreams` shows what it has loaded");
--- a/crates/sagespool-messages/src/operations.rs
+++ b/crates/sagespool-messages/src/operations.rs
@@ -52,6 +52,8 @@
         },
         /// Failed, in words.
         Failed(String),
+        /// Nothing was done: the sidecar has started anew and hasn't read the newest order's number yet.
+        NotReady,
     }
 }
 
--- a/crates/sagespool-sidecar/src/lib.rs
+++ b/crates/sagespool-sidecar/src/lib.rs
@@ -50,7 +50,7 @@
 pub use engine_events::{EngineEvent, EventFault};
 pub use key_memory::{KeyAdmission, KeyEnding, KeyMemory, KeyRefusal, KeyRetention, KeyWish};
 pub use load_watch::{LoadWatch, UpstreamHealth, UpstreamSample};
-pub use orders::OrderDesk;
+pub use orders::{OrderDesk, OrderRefusal};
 pub use role::{RoleFault, SidecarRole, StopReport};
 pub use token_meter::{MeterStep, TokenMeter};
 pub use upstream::{
--- a/crates/sagespool-sidecar/src/orders.rs
+++ b/crates/sagespool-sidecar/src/orders.rs
@@ -3,6 +3,13 @@
 //! Operators race each other, and an order may be held up on its way. Some
 //! engines refuse an order with an old number, others ignore the number, so
 //! the sidecar refuses it for either kind.
+//!
+//! The number is kept in memory, and a sidecar that was restarted would take
+//! the held up order for the first: its engine, if it ignores numbers, would do
+//! what a newer order undid. So a desk takes no order until it has been told
+//! the newest number that the store gave out. A number is taken in the store
+//! before its order is sent, so whatever this sidecar's earlier runs carried
+//! out has a number that the store shows at the start of this one.
 
 use std::sync::Mutex;
 
@@ -15,30 +22,77 @@
 use crate::upstream::OrderOutcome;
 use crate::{Dispatcher, UpstreamClient};
 
+/// Why an order isn't carried out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderRefusal {
+    /// A newer one was seen: this number.
+    Stale(FenceNumber),
+    /// The newest number isn't known yet.
+    NotReady,
+}
+
+impl From<OrderRefusal> for OrderReply {
+    fn from(refusal: OrderRefusal) -> Self {
+        match refusal {
+            OrderRefusal::Stale(newest) => Self::Stale { newest },
+            OrderRefusal::NotReady => Self::NotReady,
+        }
+    }
+}
+
 /// The newest order seen, and the engine's turn.
 #[derive(Debug, Default)]
 pub struct OrderDesk {
+    /// Nothing until the store's newest number is known.
     newest: Mutex<Option<FenceNumber>>,
     turn: async_lock::Mutex<()>,
 }
 
 impl OrderDesk {
-    /// A desk that has seen no order.
+    /// A desk that has seen no order and takes none yet.
     pub fn new() -> Self {
         Self::default()
     }
 
+    /// Takes orders from now on, if they aren't older than the newest number
+    /// that the store had given out after this process's start. What that order
+    /// left behind is put in force before any other is taken; a second telling
+    /// changes nothing, since orders may have come after the first.
+    pub fn started(&self, newest: FenceNumber, put_in_force: impl FnOnce()) {
+        let mut seen = lock(&self.newest);
+        if seen.is_none() {
+            put_in_force();
+            *seen = Some(newest);
+        }
+    }
+
     /// Notes an order's number.
     ///
     /// # Errors
     ///
-    /// The newest number seen, if that is higher.
-    pub fn admit(&self, fence: FenceNumber) -> Result<(), FenceNumber> {
+    /// If a higher number was seen, or may have been before this process's start.
+    pub fn admit(&self, fence: FenceNumber) -> Result<(), OrderRefusal> {
+        self.admit_then(fence, || {})
+    }
+
+    /// Notes an order's number and carries it out before another is noted: of two
+    /// that come at the same time the older must not be carried out last.
+    ///
+    /// # Errors
+    ///
+    /// As `admit`; it isn't carried out then.
+    pub fn admit_then(
+        &self,
+        fence: FenceNumber,
+        carry_out: impl FnOnce(),
+    ) -> Result<(), OrderRefusal> {
         let mut newest = lock(&self.newest);
         match *newest {
-            Some(seen) if seen > fence => Err(seen),
-            _ => {
+            None => Err(OrderRefusal::NotReady),
+            Some(seen) if seen > fence => Err(OrderRefusal::Stale(seen)),
+            Some(_) => {
                 *newest = Some(fence);
+                carry_out();
                 Ok(())
             }
         }
@@ -54,12 +108,12 @@
         fence: FenceNumber,
         order: &Value,
     ) -> OrderReply {
-        if let Err(newest) = self.admit(fence) {
-            return OrderReply::Stale { newest };
+        if let Err(refusal) = self.admit(fence) {
+            return refusal.into();
         }
         let _turn = self.turn.lock().await;
-        if let Err(newest) = self.admit(fence) {
-            return OrderReply::Stale { newest };
+        if let Err(refusal) = self.admit(fence) {
+            return refusal.into();
         }
         match engine.order(fence, order).await {
             OrderOutcome::Done => OrderReply::Done,
@@ -85,6 +139,11 @@
 }
 
 impl Dispatcher {
+    /// Takes orders from now on, and is drained as the newest order before this process's start says.
+    pub fn start_orders(&self, newest: FenceNumber, is_drained: bool) {
+        self.orders.started(newest, || self.load.set_drained(is_drained));
+    }
+
     /// Carries out an operator's order.
     pub async fn carry_out(&self, request: &OrderRequest) -> OrderReply {
         let reply = match &request.order {
@@ -96,17 +155,17 @@
             OrderReply::Done => "done",
             OrderReply::Stale { .. } => "stale",
             OrderReply::Failed(_) => "failed",
+            OrderReply::NotReady => "not-ready",
         };
         log_event!(info, "order-ended", command = command, fence = fence, outcome = outcome);
         reply
     }
 
     fn drain(&self, fence: FenceNumber, is_on: bool) -> OrderReply {
-        if let Err(newest) = self.orders.admit(fence) {
-            return OrderReply::Stale { newest };
+        match self.orders.admit_then(fence, || self.load.set_drained(is_on)) {
+            Ok(()) => OrderReply::Done,
+            Err(refusal) => refusal.into(),
         }
-        self.load.set_drained(is_on);
-        OrderReply::Done
     }
 
     async fn order_engine(&self, fence: FenceNumber, order: &EngineOrder) -> OrderReply {
--- a/crates/sagespool-sidecar/src/role/upstream_tasks.rs
+++ b/crates/sagespool-sidecar/src/role/upstream_tasks.rs
@@ -5,7 +5,9 @@
 
 use sagespool_log::log_event;
 use sagespool_messages::UpstreamKind;
-use sagespool_types::ClockTime;
+use sagespool_operations::{FenceRecord, fence_key};
+use sagespool_platform::StoreError;
+use sagespool_types::{ClockTime, FenceNumber, StoreRevision};
 use serde::de::IgnoredAny;
 use smol::Timer;
 
@@ -34,16 +36,15 @@
 /// A prefix under which the store has no object: its revision is all that is asked.
 const EMPTY_PREFIX: &str = "sidecar-start/";
 
-/// Reads the store's revision after this incarnation's start, however long the
-/// store can't be reached. Until then no grant is known to be newer.
+/// Reads the upstream's newest order and the store's revision after this
+/// incarnation's start, however long the store can't be reached. Until then no
+/// order and no grant is known to be newer.
 pub(super) async fn find_start(state: Arc<SidecarState>) {
     let mut pause = FIRST_PAUSE;
     loop {
-        match state.objects.list::<IgnoredAny>(EMPTY_PREFIX).await {
-            Ok(listing) => {
-                state.dispatcher.charges().started(listing.revision);
-                state.members.update_own(|own| own.started_at = Some(listing.revision));
-                log_event!(info, "sidecar-ready", started_at = listing.revision);
+        match read_start(&state).await {
+            Ok(revision) => {
+                log_event!(info, "sidecar-ready", started_at = revision);
                 return;
             }
             Err(error) => log_event!(warn, "store-unreached", cause = error),
@@ -53,6 +54,20 @@
     }
 }
 
+/// The orders come first: an upstream that is drained must not run anything on a
+/// grant that the second reading lets in.
+async fn read_start(state: &SidecarState) -> Result<StoreRevision, StoreError> {
+    let key = fence_key(&state.settings.upstream.name);
+    let fence = state.objects.get::<FenceRecord>(&key).await?.map(|stored| stored.value);
+    let newest = fence.as_ref().map_or(FenceNumber(0), |fence| fence.number);
+    let is_drained = fence.is_some_and(|fence| fence.drained);
+    state.dispatcher.start_orders(newest, is_drained);
+    let revision = state.objects.list::<IgnoredAny>(EMPTY_PREFIX).await?.revision;
+    state.dispatcher.charges().started(revision);
+    state.members.update_own(|own| own.started_at = Some(revision));
+    Ok(revision)
+}
+
 /// Looks at the upstream and tells the members when it changed.
 pub(super) async fn watch_load(state: Arc<SidecarState>) {
     let dispatcher = &state.dispatcher;
--- a/crates/sagespool-sidecar/tests/bench/mod.rs
+++ b/crates/sagespool-sidecar/tests/bench/mod.rs
@@ -18,8 +18,8 @@
 use sagespool_sidecar::{AnswerReader, DispatchOptions, Dispatcher};
 use sagespool_testkit::{EngineOptions, EngineStand, answer_text};
 use sagespool_types::{
-    AttemptNumber, ChargeId, ClockTime, ContentDigest, GrantId, IncarnationId, KeyDigest,
-    RequestId, SequenceNumber, StoreRevision, TokenCount, TokenRate,
+    AttemptNumber, ChargeId, ClockTime, ContentDigest, FenceNumber, GrantId, IncarnationId,
+    KeyDigest, RequestId, SequenceNumber, StoreRevision, TokenCount, TokenRate,
 };
 use smol::io::{AsyncRead, AsyncReadExt};
 
@@ -51,6 +51,7 @@
 pub fn dispatcher(address: SocketAddr, kind: UpstreamKind) -> Arc<Dispatcher> {
     let dispatcher = unstarted(address, kind);
     dispatcher.charges().started(StoreRevision(100));
+    dispatcher.start_orders(FenceNumber(0), false);
     dispatcher
 }
 
--- a/crates/sagespool-sidecar/tests/order_fencing.rs
+++ b/crates/sagespool-sidecar/tests/order_fencing.rs
@@ -5,7 +5,7 @@
 mod bench;
 
 use bench::*;
-use sagespool_messages::{EngineOrder, OrderReply, OrderRequest};
+use sagespool_messages::{EngineOrder, OrderReply, OrderRequest, UpstreamKind};
 use sagespool_sidecar::{OrderDesk, UpstreamClient};
 use sagespool_testkit::EngineOrder as TakenOrder;
 use sagespool_types::{CommandId, FenceNumber};
@@ -53,6 +53,7 @@
     let engine = engine(|options| options.honours_fences = false);
     let client = UpstreamClient::new(engine.address());
     let desk = OrderDesk::new();
+    desk.started(FenceNumber(0), || {});
     let unload = json!({ "unload_model": "clause-3b" });
     let pass_on = |fence| Box::pin(desk.pass_on(&client, FenceNumber(fence), &unload));
     engine.freeze(true);
@@ -86,6 +87,28 @@
     });
 }
 
+// An order to load is held up on its way, a newer one unloads, and the sidecar
+// is restarted. The late order is the first that the new process sees, and its
+// engine ignores numbers: it would load the model again.
+#[test]
+fn restarted_sidecar() {
+    for honours_fences in [true, false] {
+        let engine = engine(|options| options.honours_fences = honours_fences);
+        block_on(async {
+            assert_eq!(beside(&engine).carry_out(&unload(5)).await, OrderReply::Done);
+            let restarted = unstarted(engine.address(), UpstreamKind::Engine);
+            assert_eq!(restarted.carry_out(&load(4)).await, OrderReply::NotReady);
+            assert_eq!(restarted.carry_out(&load(6)).await, OrderReply::NotReady);
+            restarted.start_orders(FenceNumber(5), true);
+            assert!(restarted.load().is_drained());
+            assert_eq!(restarted.carry_out(&load(4)).await, STALE);
+            assert_eq!(restarted.carry_out(&unload(6)).await, OrderReply::Done);
+        });
+        let loads = |order: &TakenOrder| matches!(order, TakenOrder::LoadModel(_));
+        assert!(!engine.orders().iter().any(|record| loads(&record.fenced.order)));
+    }
+}
+
 // A drain and its end race. The upstream must stay as the newest order says.
 #[test]
 fn fenced_drain() {
