Keep a stopping entry answering, and a new run from its predecessor's leaving

The list names instances, not runs. An entry with nothing in flight also closed its port before the balancer in front of it could have seen that /readyz says no, which breaks callers' connections.

Change: a run that the list has never shown as staying takes no work while it is listed as leaving, and leaves itself only if that lasts for 5 s, longer than the word about an earlier run may stand. An entry that is told to stop goes on answering (refusals that send callers on) for 2 s, within the limit of its stop.

--- a/crates/sagespool-entry/src/heartbeats.rs
+++ b/crates/sagespool-entry/src/heartbeats.rs
@@ -65,7 +65,8 @@
 pub(crate) async fn run_instance_watch(state: Arc<EntryState>) {
     let mut after = None;
     loop {
-        let Ok(listing) = state.instances.list(after, LIST_WAIT).await else {
+        let wait = if state.members.is_listed_leaving() { LIST_PAUSE } else { LIST_WAIT };
+        let Ok(listing) = state.instances.list(after, wait).await else {
             smol::Timer::after(LIST_PAUSE).await;
             continue;
         };
--- a/crates/sagespool-entry/src/role.rs
+++ b/crates/sagespool-entry/src/role.rs
@@ -15,6 +15,11 @@
 use crate::state::EntryState;
 use crate::{caller, configuration, heartbeats, home, peers, upkeep};
 
+/// How long an entry that is told to stop goes on answering at least. The balancer in front of it
+/// sends callers until it has seen `/readyz` say no; a closed port would break their connections,
+/// and a caller without a key can't come back. Until then they are refused and sent on.
+const BALANCER_NOTICE: Duration = Duration::from_secs(2);
+
 /// An entry that couldn't be started.
 #[derive(Debug)]
 pub struct RoleFault {
@@ -99,6 +104,7 @@
         let state = &self.state;
         state.leave();
         let deadline = ClockTime::now().after(limit);
+        smol::Timer::after(BALANCER_NOTICE.min(limit)).await;
         wait_for_runs(state, deadline).await;
         wait_for_others(state, deadline).await;
         let cut = state.in_flight();
--- a/crates/sagespool-entry/src/state.rs
+++ b/crates/sagespool-entry/src/state.rs
@@ -272,6 +272,9 @@
         if self.is_leaving() {
             return Some("leaving");
         }
+        if self.members.is_listed_leaving() {
+            return Some("the instance list shows this instance as leaving");
+        }
         if self.config.current().is_none() {
             return Some("no configuration yet");
         }
--- a/crates/sagespool-membership/src/table.rs
+++ b/crates/sagespool-membership/src/table.rs
@@ -83,8 +83,14 @@
     }
 
     /// Takes in the instance list: addresses to try, and who is leaving. True
-    /// if the own instance is listed as leaving. The list lags, so it neither
-    /// adds nor removes a member.
+    /// if the own instance is to leave. The list lags, so it neither adds nor
+    /// removes a member.
+    ///
+    /// It names instances, not runs of their processes: one that is started
+    /// again finds the word about its predecessor still there, and would end as
+    /// soon as it began. So a run that the list has never shown otherwise waits
+    /// for as long as a list may lag before it takes the word for its own; it
+    /// takes no work meanwhile, see `is_listed_leaving`.
     pub fn listed(&self, instances: &[ListedAddress], now: ClockTime) -> bool {
         let addresses: BTreeSet<_> = instances.iter().map(|listed| listed.address).collect();
         let leaving = instances.iter().filter(|listed| listed.leaving);
@@ -93,7 +99,13 @@
         let own_leaving = leaving.contains(&view.own.instance);
         view.seeds.listed(&addresses, now);
         view.list_leaving(leaving, now);
-        own_leaving
+        view.is_to_leave(own_leaving, now)
+    }
+
+    /// Whether the instance list shows the own instance as leaving.
+    pub fn is_listed_leaving(&self) -> bool {
+        let view = self.view();
+        view.listed_leaving.contains(&view.own.instance)
     }
 
     /// Addresses to try from the settings; they are never dropped.
--- a/crates/sagespool-membership/src/view.rs
+++ b/crates/sagespool-membership/src/view.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use sagespool_messages::{MemberInfo, MemberRole};
 use sagespool_types::{ClockTime, IncarnationId, InstanceName};
@@ -14,6 +15,10 @@
 use crate::rounds::RoundClock;
 use crate::seeds::SeedList;
 
+/// The instance list's word about an earlier run of a process may stand so long
+/// after the next run has begun.
+const LIST_LAG: Duration = Duration::from_secs(5);
+
 #[derive(Debug)]
 pub(crate) struct MemberView {
     pub(crate) policy: MembershipPolicy,
@@ -33,6 +38,10 @@
     /// Members to call besides the rounds, and when.
     pub(crate) probes: BTreeMap<IncarnationId, ClockTime>,
     pub(crate) listed_leaving: BTreeSet<InstanceName>,
+    /// Whether the list has shown the own instance as not leaving since the start.
+    was_listed_staying: bool,
+    /// When the list was first read.
+    first_listed: Option<ClockTime>,
     /// Other runs of the own instance that this process has outnumbered once.
     pub(crate) rivals: BTreeSet<IncarnationId>,
     pub(crate) seeds: SeedList,
@@ -65,6 +74,8 @@
             newest: BTreeMap::new(),
             probes: BTreeMap::new(),
             listed_leaving: BTreeSet::new(),
+            was_listed_staying: false,
+            first_listed: None,
             rivals: BTreeSet::new(),
             seeds: SeedList::default(),
             news: NewsQueue::default(),
@@ -131,6 +142,13 @@
         }
     }
 
+    /// Whether the list's word that the own instance leaves is meant for this run.
+    pub(crate) fn is_to_leave(&mut self, is_listed: bool, now: ClockTime) -> bool {
+        self.was_listed_staying |= !is_listed;
+        let first = *self.first_listed.get_or_insert(now);
+        is_listed && (self.was_listed_staying || now.since(first) >= LIST_LAG)
+    }
+
     /// A member as it should be seen: the instance list may know that it leaves.
     pub(crate) fn shown(&self, info: &MemberInfo) -> MemberInfo {
         let mut info = info.clone();
--- a/crates/sagespool-membership/tests/leaving_spread.rs
+++ b/crates/sagespool-membership/tests/leaving_spread.rs
@@ -73,3 +73,22 @@
     assert!(fleet.at(0).listed(&[listed(&own, true)], fleet.now), "it is told of itself");
     assert!(fleet.is_complete(), "the list removes nobody");
 }
+
+/// A process is stopped for good and its instance is used again. The list still
+/// says that the instance leaves, which was meant for the earlier run; the new
+/// one must not end for it, and must follow the list from then on.
+#[test]
+fn predecessors_leaving() {
+    let own = info(0, 1, MemberRole::Sidecar);
+    let table = MemberTable::new(own.clone(), MembershipPolicy::default(), 7);
+    let now = sagespool_types::ClockTime(1);
+    assert!(!table.listed(&[listed(&own, true)], now), "the earlier run is meant");
+    assert!(table.is_listed_leaving());
+    assert!(!table.listed(&[listed(&own, false)], now));
+    assert!(!table.is_listed_leaving());
+    assert!(table.listed(&[listed(&own, true)], now), "now this run is meant");
+    let table = MemberTable::new(own.clone(), MembershipPolicy::default(), 7);
+    assert!(!table.listed(&[listed(&own, true)], now));
+    let later = now.after(std::time::Duration::from_secs(60));
+    assert!(table.listed(&[listed(&own, true)], later), "no list lags for so long");
+}
--- a/crates/sagespool-sidecar/src/dispatcher.rs
+++ b/crates/sagespool-sidecar/src/dispatcher.rs
@@ -55,6 +55,7 @@
     pub(crate) kind: UpstreamKind,
     service: ServiceName,
     leaving: AtomicBool,
+    held: AtomicBool,
     pub(crate) upstream: UpstreamClient,
     pub(crate) charges: ChargeBook,
     pub(crate) keys: KeyMemory,
@@ -75,6 +76,7 @@
             kind: upstream.kind,
             service: upstream.service.clone(),
             leaving: AtomicBool::new(false),
+            held: AtomicBool::new(false),
             upstream: UpstreamClient::new(upstream.address),
             charges: ChargeBook::new(sidecar, reports),
             keys: KeyMemory::new(sidecar, kept_answers, retention),
@@ -126,9 +128,16 @@
         self.leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Takes nothing new while the instance list shows its instance as leaving, though that may be
+    /// about an earlier run.
+    pub fn hold(&self, is_held: bool) {
+        self.held.store(is_held, Ordering::SeqCst);
+    }
+
     /// Whether it takes nothing new, since it leaves or an operator drains it.
     pub(crate) fn is_closed(&self) -> bool {
-        self.leaving.load(Ordering::SeqCst) || self.load.is_drained()
+        let is_leaving = self.leaving.load(Ordering::SeqCst) || self.held.load(Ordering::SeqCst);
+        is_leaving || self.load.is_drained()
     }
 
     /// At most so many of the attempts that run, and whether that is all.
--- a/crates/sagespool-sidecar/src/role/members.rs
+++ b/crates/sagespool-sidecar/src/role/members.rs
@@ -21,7 +21,7 @@
 /// the list is for who knows nobody, and each reading counts at the platform.
 const LIST_PERIOD: Duration = Duration::from_secs(20);
 
-/// Between two tries while the list can't be read and nobody is known.
+/// Between two tries while the list can't be read, or shows this instance as leaving.
 const LIST_PAUSE: Duration = Duration::from_secs(1);
 
 /// Sends heartbeats as they fall due.
@@ -54,7 +54,10 @@
                 if state.members.listed(&listed, ClockTime::now()) {
                     state.leave();
                 }
-                LIST_PERIOD.mul_f64(0.5 + fastrand::f64())
+                let is_held = state.members.is_listed_leaving();
+                state.dispatcher.hold(is_held);
+                let pause = if is_held { LIST_PAUSE } else { LIST_PERIOD };
+                pause.mul_f64(0.5 + fastrand::f64())
             }
             Err(_) => LIST_PAUSE.mul_f64(0.5 + fastrand::f64()),
         };
