Judge graceful stops, drains, late orders, operators' races and answers under load

The load tool had no scenario in which processes leave as the platform makes them leave, and held no operator's answer against what the stand-ins saw.

New scenarios, each with a script of its own: rolling-restart (every process is stopped with SIGTERM and started again in turn; callers' balancer follows /readyz), drain (by an operator, with a restart of the drained sidecar; by the instance list; by a signal while store and list are cut off), stale-order (late entry, paused executor, sidecar killed in between; every second engine ignores numbers) and operators-race (two edits on one version, one top-up through all entries at once, answers lost). Report keys: cut, late_dispatches, not_resumed, restarts, orders_carried_out, stale_orders, races, race_faults.

In every scenario a task asks operators' queries through the entries in turn, and an oracle holds each figure, bound and state against the stand-ins' log, the deposits and the store's writes between question and answer: operator_answers, statements, false_statements. Any of these faults ends the tool with 1.

--- a/crates/sagespool-testkit/src/fleet.rs
+++ b/crates/sagespool-testkit/src/fleet.rs
@@ -3,6 +3,7 @@
 mod binaries;
 mod certificates;
 mod deployment;
+mod life;
 mod member;
 mod options;
 mod running;
@@ -11,6 +12,7 @@
 pub use binaries::{FleetBinaries, find_binaries};
 pub use certificates::CertificateSet;
 pub use deployment::{CentrePlan, DeploymentPlan, DepositPlan, ServicePlan, read_deployment};
+pub use life::{LifeEvent, LifeKind};
 pub use member::FleetMember;
 pub use options::{EngineTuning, FleetFault, FleetOptions};
 pub use running::{RunningFleet, top_up};
--- a/crates/sagespool-testkit/src/fleet/options.rs
+++ b/crates/sagespool-testkit/src/fleet/options.rs
@@ -64,6 +64,9 @@
     pub fleet: FleetObject,
     /// The branches.
     pub branches: BranchObject,
+    /// Whether every second engine ignores fencing numbers.
+    #[builder(default = false)]
+    pub mixed_fences: bool,
     /// Whether every link passes through the fault proxy.
     #[builder(default = false)]
     pub proxied: bool,
@@ -95,3 +98,12 @@
     #[builder(default = 1)]
     pub seed: u64,
 }
+
+impl FleetOptions {
+    /// The key of the first branch that is an operator's; an empty one if none is.
+    pub fn operator_token(&self) -> String {
+        let operators = self.branches.branches.iter().filter(|(_, branch)| branch.operator);
+        let mut tokens = operators.filter_map(|(name, _)| self.deployment.branches.get(name));
+        tokens.next().map(|deposit| deposit.token.clone()).unwrap_or_default()
+    }
+}
--- a/crates/sagespool-testkit/src/fleet/running.rs
+++ b/crates/sagespool-testkit/src/fleet/running.rs
@@ -11,8 +11,8 @@
 use sagespool_platform::{ObjectClient, ObjectOptions, UpdateChoice, update_object};
 use sagespool_settings::{FLEET_OBJECT_KEY, branch_object_key, split_branches};
 use sagespool_types::{
-    BranchName, CentreName, CommandId, InstanceName, ServiceName, StoreRevision, TokenCount,
-    TokenRate, UpstreamName,
+    BranchName, CentreName, ClockTime, CommandId, InstanceName, ServiceName, StoreRevision,
+    TokenCount, TokenRate, UpstreamName,
 };
 use tempfile::TempDir;
 use trillium_client::Client;
@@ -20,7 +20,7 @@
 use super::certificates::CertificateSet;
 use super::member::{FleetMember, free_addresses};
 use super::settings_file::{PlatformAddresses, entry_settings, sidecar_settings};
-use super::{FleetFault, FleetOptions, ServicePlan};
+use super::{FleetFault, FleetOptions, LifeEvent, LifeKind, ServicePlan};
 use crate::processes::ChildProcess;
 use crate::{
     EngineOptions, EngineStand, FaultProxy, InstanceEntry, InstanceOptions, InstanceStand,
@@ -56,6 +56,8 @@
     pub members: Vec<FleetMember>,
     /// A client of the store that no fault touches.
     pub objects: ObjectClient,
+    /// When processes were started, told to stop, and ended.
+    pub life: Vec<LifeEvent>,
     certificates: CertificateSet,
     directory: TempDir,
 }
@@ -88,6 +90,7 @@
             proxy,
             members: Vec::new(),
             objects,
+            life: Vec::new(),
             certificates,
             directory,
         };
@@ -158,7 +161,7 @@
                 .models(plan.models.clone())
                 .capacity(plan.capacity as usize)
                 .token_rate(TokenRate(rate))
-                .honours_fences(plan.honours_fence)
+                .honours_fences(plan.honours_fence && !self.ignores_fences())
                 .load_lag(tuning.load_lag)
                 .first_token_base(tuning.first_token_base)
                 .prompt_token_time(tuning.prompt_token_time)
@@ -260,6 +263,11 @@
         std::fs::write(&member.settings, settings.to_string()).change_context_lazy(fault)
     }
 
+    /// Whether the next engine is one of those that ignore fencing numbers.
+    fn ignores_fences(&self) -> bool {
+        self.options.mixed_fences && self.engines.len() % 2 == 1
+    }
+
     fn upstream_address(&self, upstream: &UpstreamName) -> SocketAddr {
         match self.engines.get(upstream) {
             Some(engine) => engine.address(),
@@ -281,9 +289,21 @@
         let argument = member.settings.display().to_string();
         let process = ChildProcess::start(&daemon, &[argument.as_str()], &member.log);
         member.process = Some(process.change_context_lazy(fault)?);
+        self.note_life(place, LifeKind::Started);
         Ok(())
     }
 
+    /// Notes what was done to a member's process, now.
+    pub fn note_life(&mut self, place: usize, kind: LifeKind) {
+        let instance = self.members[place].instance.clone();
+        self.life.push(LifeEvent { instance, at: ClockTime::now(), kind });
+    }
+
+    /// Shows a member as live in the instance list, which lags.
+    pub fn list_live(&self, place: usize) {
+        self.list.set(listed(&self.members[place], &self.options));
+    }
+
     /// The place of a member.
     pub fn place_of(&self, instance: &str) -> Option<usize> {
         self.members.iter().position(|member| member.instance.as_str() == instance)
--- a/crates/sagespool-testkit/src/load/faults/scripts.rs
+++ b/crates/sagespool-testkit/src/load/faults/scripts.rs
@@ -5,10 +5,10 @@
 use sagespool_types::{BranchName, TokenCount};
 
 use super::stage::FaultStage;
-use super::{process, store};
+use super::{drain, operators_race, process, rolling_restart, stale_order, store};
 
 /// The faults by name.
-pub const FAULT_NAMES: [&str; 9] = [
+pub const FAULT_NAMES: [&str; 13] = [
     "partition-topup",
     "entry-kill",
     "store-outage",
@@ -18,6 +18,10 @@
     "poison",
     "crossed-answers",
     "upstream-kill",
+    "rolling-restart",
+    "drain",
+    "stale-order",
+    "operators-race",
 ];
 
 /// Longer than any process takes to believe another dead.
@@ -41,6 +45,10 @@
         "sidecar-kill" => sidecar_kill(&stage).await,
         "crossed-answers" => crossed_answers(&stage).await,
         "upstream-kill" => upstream_kill(&stage).await,
+        "rolling-restart" => rolling_restart::rolling_restart(&stage).await,
+        "drain" => drain::drain(&stage).await,
+        "stale-order" => stale_order::stale_order(&stage).await,
+        "operators-race" => operators_race::operators_race(&stage).await,
         "poison" => {}
         _ => return false,
     }
--- a/crates/sagespool-testkit/src/load/faults/stage.rs
+++ b/crates/sagespool-testkit/src/load/faults/stage.rs
@@ -8,7 +8,7 @@
 use sagespool_types::{BranchName, ClockTime, CommandId, TokenCount};
 
 use crate::fleet::{RunningFleet, top_up};
-use crate::load::DepositLog;
+use crate::load::{DepositLog, FleetNotes, OperatorClient};
 
 /// What the scripts of one run share. Each holds the fleet only for a step at a time.
 #[derive(Clone)]
@@ -21,6 +21,8 @@
     pub lasting: Duration,
     /// Seed of the script's own choices.
     pub seed: u64,
+    /// What the scripts do to processes and upstreams.
+    pub notes: FleetNotes,
 }
 
 impl FaultStage {
@@ -31,7 +33,8 @@
         lasting: Duration,
         seed: u64,
     ) -> Self {
-        Self { fleet, deposits, start: ClockTime::now(), lasting, seed }
+        let notes = FleetNotes::default();
+        Self { fleet, deposits, start: ClockTime::now(), lasting, seed, notes }
     }
 
     /// The fleet, for one step.
@@ -48,6 +51,16 @@
         }
     }
 
+    /// The share of the traffic's time that has passed.
+    pub fn share_passed(&self) -> f64 {
+        ClockTime::now().since(self.start).as_secs_f64() / self.lasting.as_secs_f64()
+    }
+
+    /// An operator with the key of the deployment's operators.
+    pub async fn operator(&self) -> OperatorClient {
+        OperatorClient::new(self.fleet.lock().await.options.operator_token())
+    }
+
     /// Choices of one script, the same for the same seed whatever other scripts do.
     pub fn rng(&self, script: &str) -> Rng {
         let salt: u64 = script.bytes().map(u64::from).sum();
@@ -57,9 +70,20 @@
     /// Tops a branch up, noting when the tokens could be spent first.
     pub async fn top_up(&self, branch: &BranchName, amount: TokenCount) {
         let objects = self.fleet.lock().await.objects.clone();
+        self.begin_top_up(branch, amount).await;
         let topped = top_up(&objects, branch, amount, CommandId::random()).await;
         if topped.is_ok() {
-            self.deposits.lock().await.note(branch, amount, ClockTime::now());
+            self.end_top_up(branch, amount).await;
         }
     }
+
+    /// Notes that a branch is about to be topped up.
+    pub async fn begin_top_up(&self, branch: &BranchName, amount: TokenCount) {
+        self.deposits.lock().await.begin(branch, amount, ClockTime::now());
+    }
+
+    /// Notes that a branch has surely been topped up.
+    pub async fn end_top_up(&self, branch: &BranchName, amount: TokenCount) {
+        self.deposits.lock().await.note(branch, amount, ClockTime::now());
+    }
 }
--- /dev/null
+++ b/crates/sagespool-testkit/src/load/operator_line.rs
@@ -0,0 +1,78 @@
+//! Operators' lines, sent to an entry as `sagespool` sends them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_lite::future::or;
+use sagespool_operations::{FaultReply, LINE_PATH, LineRequest, OperatorAnswer};
+use sagespool_types::CommandId;
+use trillium_client::Client;
+
+/// Longer than an entry waits for a command.
+const COMMAND_LIMIT: Duration = Duration::from_secs(15);
+/// Longer than an entry waits for members and the store.
+const QUERY_LIMIT: Duration = Duration::from_secs(4);
+
+/// An operator with a key.
+#[derive(Debug, Clone)]
+pub struct OperatorClient {
+    client: Client,
+    token: String,
+}
+
+impl OperatorClient {
+    /// An operator with this key.
+    pub fn new(token: impl Into<String>) -> Self {
+        let client = Client::new(trillium_smol::ClientConfig::default()).without_keepalive();
+        Self { client, token: token.into() }
+    }
+
+    /// Asks a question.
+    ///
+    /// # Errors
+    /// Why there is no answer, in words.
+    pub async fn ask(&self, entry: SocketAddr, line: &str) -> Result<OperatorAnswer, String> {
+        self.send(entry, line, None).await
+    }
+
+    /// Gives a command, or asks for the one of that id again, and waits for its end.
+    ///
+    /// # Errors
+    /// Why there is no answer, in words; it may be under way all the same.
+    pub async fn give(
+        &self,
+        entry: SocketAddr,
+        line: &str,
+        command: CommandId,
+    ) -> Result<OperatorAnswer, String> {
+        self.send(entry, line, Some(command)).await
+    }
+
+    async fn send(
+        &self,
+        entry: SocketAddr,
+        line: &str,
+        command: Option<CommandId>,
+    ) -> Result<OperatorAnswer, String> {
+        let limit = if command.is_some() { COMMAND_LIMIT } else { QUERY_LIMIT };
+        let request = LineRequest { line: line.to_owned(), command, json: None, wait_ms: None };
+        let body = serde_json::to_string(&request).expect("a request is plain data");
+        let exchange = async {
+            let url = format!("http://{entry}{LINE_PATH}");
+            let conn = self.client.post(url.as_str()).with_body(body);
+            let conn = conn.with_request_header("authorization", format!("Bearer {}", self.token));
+            let mut conn = conn.await.map_err(|error| error.to_string())?;
+            let text = conn.response_body().read_string().await;
+            text.map_err(|error| error.to_string())
+        };
+        let late = async {
+            smol::Timer::after(limit).await;
+            Err("no answer in time".to_owned())
+        };
+        let text = or(exchange, late).await?;
+        serde_json::from_str(&text).map_err(|_| match serde_json::from_str::<FaultReply>(&text) {
+            Ok(reply) => format!("{}: {}", reply.error.code, reply.error.message),
+            Err(error) => format!("the answer can't be read: {error}"),
+        })
+    }
+}
--- /dev/null
+++ b/crates/sagespool-testkit/src/load/operator_oracle/fleet.rs
@@ -0,0 +1,262 @@
+//! `running`, `upstreams`, `members` and `configuration`.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use sagespool_messages::MemberRole;
+use sagespool_operations::{
+    ConfigurationAnswer, MemberRow, MembersAnswer, RunningAnswer, RunningRow, UpstreamRow,
+    UpstreamState, UpstreamsAnswer,
+};
+use sagespool_settings::CONFIGURATION_PREFIX;
+use sagespool_types::{ClockTime, InstanceName, UpstreamName};
+
+use super::{AnswerFacts, AnswerVerdict, revision_at};
+use crate::RunRecord;
+use crate::fleet::LifeKind;
+use crate::load::{AnswerSample, CallOutcome, LeavingSpan};
+
+/// A request whose caller had its whole answer for longer than this doesn't run.
+const END_GRACE: Duration = Duration::from_secs(2);
+/// The load that an upstream reports is at most so old: its own lag, and the way to the entry.
+const REPORT_AGE: Duration = Duration::from_secs(6);
+/// Within this an upstream that begins to leave is to be seen as such.
+const LEAVING_LIMIT: Duration = Duration::from_secs(3);
+/// A process counts its own time from a moment after its start.
+const START_GRACE: Duration = Duration::from_millis(500);
+
+/// Runs that the fleet brought about and that went on from the question to the answer.
+fn runs_through<'a>(
+    facts: &'a AnswerFacts,
+    sample: &AnswerSample,
+    upstream: &UpstreamName,
+) -> Vec<&'a RunRecord> {
+    let runs = facts.runs.iter().filter(|run| {
+        run.start.upstream == *upstream
+            && run.start.request.is_some()
+            && run.running_at(sample.before)
+            && run.running_at(sample.after)
+    });
+    runs.collect()
+}
+
+pub(super) fn judge_running(
+    sample: &AnswerSample,
+    answer: &RunningAnswer,
+    facts: &AnswerFacts,
+    verdict: &mut AnswerVerdict,
+) {
+    for row in &answer.rows {
+        judge_running_row(sample, row, facts, verdict);
+    }
+    let listed: BTreeSet<(&UpstreamName, String)> = answer
+        .rows
+        .iter()
+        .filter_map(|row| Some((row.upstream.as_ref()?, row.request.to_string())))
+        .collect();
+    let answered = sample.answer.basis.answered.iter();
+    let whole = answered
+        .filter(|label| label.role == MemberRole::Sidecar && !answer.cut.contains(&label.instance));
+    for label in whole {
+        let Some(upstream) = facts.upstreams.get(&label.instance) else { continue };
+        for run in runs_through(facts, sample, upstream) {
+            let request = run.start.request.clone().unwrap_or_default();
+            let is_listed = listed.contains(&(upstream, request.clone()));
+            verdict.hold(sample, is_listed, || {
+                format!("{request} ran at {upstream}, and its sidecar doesn't list it")
+            });
+        }
+    }
+}
+
+fn judge_running_row(
+    sample: &AnswerSample,
+    row: &RunningRow,
+    facts: &AnswerFacts,
+    verdict: &mut AnswerVerdict,
+) {
+    let request = row.request.to_string();
+    let sends =
+        facts.records.iter().flat_map(|record| record.sends.iter().map(move |send| (record, send)));
+    let mut own = sends.filter(|(_, send)| send.request.as_ref() == Some(&request));
+    // A send whose connection broke before its head came is not known by its id.
+    if let Some((record, send)) = own.next() {
+        verdict.hold(sample, *record.call.branch() == row.branch, || {
+            format!("{request} is said to be of {}", row.branch)
+        });
+        let is_whole = matches!(send.outcome, CallOutcome::Whole { .. });
+        let is_over = is_whole && send.ended.after(END_GRACE) < sample.before;
+        verdict.hold(sample, !is_over && send.sent <= sample.after, || {
+            format!("{request} is said to run; it was answered at {} ms", send.ended.0 / 1000)
+        });
+    }
+    let runs = facts.runs.iter().filter(|run| {
+        run.start.request.as_ref() == Some(&request)
+            && Some(&run.start.upstream) == row.upstream.as_ref()
+            && run.start.attempt == Some(row.attempt)
+    });
+    for run in runs {
+        let most = run.used_at(sample.after).most + run.start.resumed_from;
+        verdict.hold(sample, row.used <= most, || {
+            format!("{request} is said to have used {}; at most {most}", row.used)
+        });
+    }
+}
+
+/// The most runs that an upstream had at once within a time.
+fn most_at_once(
+    facts: &AnswerFacts,
+    upstream: &UpstreamName,
+    from: ClockTime,
+    to: ClockTime,
+) -> u32 {
+    let runs = facts.runs.iter().filter(|run| {
+        run.start.upstream == *upstream
+            && run.started_at <= to
+            && run.ended.is_none_or(|(_, ended)| ended >= from)
+    });
+    let mut steps: Vec<(ClockTime, i32)> = Vec::new();
+    for run in runs {
+        steps.push((run.started_at.max(from), 1));
+        if let Some((_, ended)) = run.ended {
+            steps.push((ended.after(Duration::from_micros(1)), -1));
+        }
+    }
+    steps.sort();
+    let mut present = 0;
+    let counts = steps.iter().map(|(_, change)| {
+        present += change;
+        present
+    });
+    counts.max().unwrap_or(0).max(0) as u32
+}
+
+pub(super) fn judge_upstreams(
+    sample: &AnswerSample,
+    answer: &UpstreamsAnswer,
+    facts: &AnswerFacts,
+    verdict: &mut AnswerVerdict,
+) {
+    for row in answer.rows.iter().filter(|row| row.state != UpstreamState::Silent) {
+        judge_upstream(sample, row, facts, verdict);
+        judge_upstream_state(sample, row, facts, verdict);
+    }
+}
+
+fn judge_upstream(
+    sample: &AnswerSample,
+    row: &UpstreamRow,
+    facts: &AnswerFacts,
+    verdict: &mut AnswerVerdict,
+) {
+    let upstream = &row.upstream;
+    let beside = facts.upstreams.get(&row.sidecar.instance);
+    verdict.hold(sample, beside == Some(upstream), || {
+        format!("{} is said to be beside {upstream}", row.sidecar.instance)
+    });
+    let through = runs_through(facts, sample, upstream).len() as u32;
+    verdict.hold(sample, row.in_flight.is_none_or(|told| told >= through), || {
+        format!("{upstream} is said to have {:?} in flight; {through} ran", row.in_flight)
+    });
+    let from = ClockTime(sample.before.0.saturating_sub(REPORT_AGE.as_micros() as u64));
+    let most = most_at_once(facts, upstream, from, sample.after);
+    verdict.hold(sample, row.running <= most, || {
+        format!("{upstream} is said to run {}; at most {most} ran at once", row.running)
+    });
+}
+
+fn judge_upstream_state(
+    sample: &AnswerSample,
+    row: &UpstreamRow,
+    facts: &AnswerFacts,
+    verdict: &mut AnswerVerdict,
+) {
+    let spans: Vec<LeavingSpan> =
+        facts.notes.spans().into_iter().filter(|span| span.upstream == row.upstream).collect();
+    let says = |what: &str| format!("{} is said to be {what}: {spans:?}", row.upstream);
+    match row.state {
+        UpstreamState::Serving => {
+            let is_within = |span: &LeavingSpan| {
+                sample.before > span.began.after(LEAVING_LIMIT)
+                    && span.ended.is_none_or(|ended| sample.after < ended)
+            };
+            verdict.hold(sample, !spans.iter().any(is_within), || says("serving"));
+        }
+        UpstreamState::Drained | UpstreamState::Leaving => {
+            let has_begun = spans.iter().any(|span| span.began <= sample.after);
+            verdict.hold(sample, has_begun, || says("leaving or drained"));
+        }
+        UpstreamState::Unhealthy | UpstreamState::Silent => {}
+    }
+}
+
+pub(super) fn judge_members(
+    sample: &AnswerSample,
+    answer: &MembersAnswer,
+    facts: &AnswerFacts,
+    verdict: &mut AnswerVerdict,
+) {
+    let mut answered: BTreeMap<&InstanceName, u32> = BTreeMap::new();
+    for row in &answer.rows {
+        judge_member(sample, row, facts, verdict);
+        if row.up_ms.is_some() {
+            *answered.entry(&row.member.instance).or_default() += 1;
+        }
+    }
+    for (instance, runs) in answered {
+        verdict.hold(sample, runs == 1, || format!("{runs} runs of {instance} answered"));
+    }
+}
+
+fn judge_member(
+    sample: &AnswerSample,
+    row: &MemberRow,
+    facts: &AnswerFacts,
+    verdict: &mut AnswerVerdict,
+) {
+    let instance = &row.member.instance;
+    let own = || facts.life.iter().filter(|event| event.instance == *instance);
+    if row.leaving {
+        let was_told =
+            own().any(|event| event.kind != LifeKind::Started && event.at <= sample.after);
+        verdict.hold(sample, was_told, || format!("{instance} is said to be leaving"));
+    }
+    let Some(up_ms) = row.up_ms else { return };
+    let starts = own().filter(|event| event.kind == LifeKind::Started);
+    let last = own().filter(|event| event.kind != LifeKind::Stopping && event.at <= sample.before);
+    let is_down = last.max_by_key(|event| event.at).is_none_or(|event| {
+        event.kind == LifeKind::Ended
+            && !starts.clone().any(|start| start.at > event.at && start.at <= sample.after)
+    });
+    verdict.hold(sample, !is_down, || format!("{instance} is said to have answered; it was dead"));
+    let first = starts.clone().map(|start| start.at).min();
+    let longest = first.map(|first| sample.after.since(first) + START_GRACE);
+    let told = Duration::from_millis(up_ms);
+    verdict.hold(sample, longest.is_some_and(|longest| told <= longest), || {
+        format!("{instance} is said to be up for {up_ms} ms")
+    });
+}
+
+pub(super) fn judge_configuration(
+    sample: &AnswerSample,
+    answer: &ConfigurationAnswer,
+    facts: &AnswerFacts,
+    verdict: &mut AnswerVerdict,
+) {
+    for object in answer.objects.iter().flatten() {
+        let least = revision_at(facts, sample.before, |key| key == object.key);
+        let most = revision_at(facts, sample.after, |key| key == object.key);
+        let is_true = least <= object.version && object.version <= most;
+        verdict.hold(sample, is_true, || {
+            format!("{} is said to have version {}; {least} to {most}", object.key, object.version)
+        });
+    }
+    let newest = revision_at(facts, sample.after, |key| key.starts_with(CONFIGURATION_PREFIX));
+    let rows = answer.in_force.entries.iter().chain(&answer.in_force.sidecars);
+    let told = rows.map(|row| row.version.0).chain(answer.entry_version.map(|version| version.0));
+    for version in told {
+        verdict.hold(sample, version <= newest.0, || {
+            format!("version {version} is said to be in force; the newest is {newest}")
+        });
+    }
+}
--- /dev/null
+++ b/crates/sagespool-testkit/src/load/operator_oracle/spend.rs
@@ -0,0 +1,111 @@
+//! `spend`: prepaid, settled, and the bounds of what is spent and held.
+
+use std::collections::BTreeSet;
+
+use sagespool_operations::{SpendAnswer, SpendRow};
+use sagespool_types::{BranchName, ClockTime, TokenCount};
+
+use super::{AnswerFacts, AnswerVerdict};
+use crate::RunMarker;
+use crate::load::{AnswerSample, CallOutcome, CallRecord};
+
+pub(super) fn judge(
+    sample: &AnswerSample,
+    answer: &SpendAnswer,
+    facts: &AnswerFacts,
+    verdict: &mut AnswerVerdict,
+) {
+    for row in &answer.rows {
+        judge_bounds(sample, row, facts, verdict);
+        judge_book(sample, row, facts, verdict);
+        judge_held(sample, row, facts, verdict);
+    }
+}
+
+/// What a branch was surely billed by a moment: its callers had been told.
+fn surely_billed(facts: &AnswerFacts, branch: &BranchName, at: ClockTime) -> TokenCount {
+    let records = facts.records.iter().filter(|record| record.call.branch() == branch);
+    let told = |record: &&CallRecord| {
+        let mut sends = record.sends.iter();
+        sends.any(|send| matches!(send.outcome, CallOutcome::Whole { .. }) && send.ended <= at)
+    };
+    records.filter(told).map(CallRecord::billed).sum()
+}
+
+/// The most that a branch can have been billed by a moment, for all that an upstream had begun.
+fn most_billed(facts: &AnswerFacts, branch: &BranchName, at: ClockTime) -> TokenCount {
+    let begun: BTreeSet<&RunMarker> = facts
+        .runs
+        .iter()
+        .filter(|run| run.started_at <= at)
+        .filter_map(|run| run.start.marker.as_ref())
+        .filter(|marker| marker.branch == *branch)
+        .collect();
+    let records = facts.records.iter().filter(|record| begun.contains(&record.call.marker));
+    let most = records.map(|record| match record.is_answered() {
+        true => record.billed(),
+        false => record.call.greatest_cost(),
+    });
+    most.sum()
+}
+
+fn judge_bounds(
+    sample: &AnswerSample,
+    row: &SpendRow,
+    facts: &AnswerFacts,
+    verdict: &mut AnswerVerdict,
+) {
+    let most = most_billed(facts, &row.branch, sample.after);
+    verdict.hold(sample, row.spent.least <= most, || {
+        format!("{} has spent at least {}; at most {most}", row.branch, row.spent.least)
+    });
+    if let Some(told) = row.spent.most {
+        let least = surely_billed(facts, &row.branch, sample.before);
+        verdict.hold(sample, told >= least, || {
+            format!("{} has spent at most {told}; at least {least}", row.branch)
+        });
+    }
+}
+
+fn judge_book(
+    sample: &AnswerSample,
+    row: &SpendRow,
+    facts: &AnswerFacts,
+    verdict: &mut AnswerVerdict,
+) {
+    let Some(book) = &row.book else { return };
+    let branch = &row.branch;
+    let parts = book.settled + book.granted + book.in_doubt + book.free;
+    verdict.hold(sample, book.prepaid == parts, || {
+        format!("the parts of {branch} are {parts} of {}", book.prepaid)
+    });
+    let least = facts.deposits.prepaid_at(branch, sample.before);
+    let most = facts.deposits.begun_at(branch, sample.after);
+    verdict.hold(sample, least <= book.prepaid && book.prepaid <= most, || {
+        format!("{branch} has prepaid {}; {least} to {most}", book.prepaid)
+    });
+    let most = most_billed(facts, branch, sample.after);
+    verdict.hold(sample, book.settled <= most, || {
+        format!("{branch} has settled {}; at most {most} was billed", book.settled)
+    });
+}
+
+/// What ran from before the question until after the answer had its tokens held all the time.
+fn judge_held(
+    sample: &AnswerSample,
+    row: &SpendRow,
+    facts: &AnswerFacts,
+    verdict: &mut AnswerVerdict,
+) {
+    let (Some(told), Some(book)) = (row.running.most, &row.book) else { return };
+    let through = facts.runs.iter().filter(|run| {
+        let marker = run.start.marker.as_ref();
+        marker.is_some_and(|marker| marker.branch == row.branch)
+            && run.running_at(sample.before)
+            && run.running_at(sample.after)
+    });
+    let used: TokenCount = through.map(|run| run.used_at(sample.before).least).sum();
+    verdict.hold(sample, told + book.in_doubt >= used, || {
+        format!("{} holds at most {told} for running requests; they had used {used}", row.branch)
+    });
+}
--- a/crates/sagespool-testkit/src/load/report.rs
+++ b/crates/sagespool-testkit/src/load/report.rs
@@ -7,7 +7,9 @@
 use serde::Serialize;
 
 use super::figures::{BranchFigures, DeadlineRefusals, GreedEffect, PhaseFigures};
-use super::{CallOutcome, CallRecord, OracleVerdict};
+use super::{
+    AnswerVerdict, CallOutcome, CallRecord, FleetNotes, LeavingVerdict, OracleVerdict, OrderVerdict,
+};
 
 /// Percentiles of a latency, in milliseconds.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
@@ -86,6 +88,28 @@
     pub mixed_answers: u64,
     /// Callers told `not-run` whose request ran.
     pub false_not_run: u64,
+    /// Calls that a graceful stop or a drain cut off; judged where nothing else breaks them.
+    pub cut: u64,
+    /// Runs that an upstream was given more than 3 s after it had begun to leave.
+    pub late_dispatches: u64,
+    /// Upstreams that were let work again and got no work.
+    pub not_resumed: u64,
+    /// Processes that were stopped gracefully and started again.
+    pub restarts: u64,
+    /// Operators' answers that were judged.
+    pub operator_answers: u64,
+    /// Statements in them that were held against the stand-ins' own log.
+    pub statements: u64,
+    /// Those that were false.
+    pub false_statements: u64,
+    /// Orders that engines carried out.
+    pub orders_carried_out: u64,
+    /// Of those, orders older than one that was carried out before.
+    pub stale_orders: u64,
+    /// Races between operators.
+    pub races: u64,
+    /// Races in which an operator was told something false, or something was done twice or undone.
+    pub race_faults: u64,
     /// Tokens outstanding or in doubt at the end.
     pub stranded_tokens: u64,
     /// Runs at upstreams for each call that ran.
@@ -157,6 +181,36 @@
         self.findings.clone_from(&verdict.findings);
     }
 
+    /// Takes in the judgement of graceful stops and drains.
+    pub fn take_leaving(&mut self, verdict: &LeavingVerdict) {
+        self.cut = verdict.cut;
+        self.late_dispatches = verdict.late_dispatches;
+        self.not_resumed = verdict.not_resumed;
+        self.restarts = verdict.restarts;
+        self.findings.extend(verdict.findings.iter().cloned());
+    }
+
+    /// Takes in the judgement of operators' answers.
+    pub fn take_answers(&mut self, verdict: &AnswerVerdict) {
+        self.operator_answers = verdict.answers;
+        self.statements = verdict.statements;
+        self.false_statements = verdict.false_statements;
+        self.findings.extend(verdict.findings.iter().cloned());
+    }
+
+    /// Takes in the judgement of orders to engines.
+    pub fn take_orders(&mut self, verdict: &OrderVerdict) {
+        self.orders_carried_out = verdict.carried_out;
+        self.stale_orders = verdict.stale;
+        self.findings.extend(verdict.findings.iter().cloned());
+    }
+
+    /// Takes in what came of races between operators.
+    pub fn take_races(&mut self, notes: &FleetNotes) {
+        (self.races, self.race_faults) = notes.race_counts();
+        self.findings.extend(notes.findings());
+    }
+
     /// True if no promise was broken.
     pub fn is_clean(&self) -> bool {
         let broken = self.overspend_tokens
@@ -165,7 +219,13 @@
             + self.under_bills
             + self.lost
             + self.mixed_answers
-            + self.false_not_run;
+            + self.false_not_run
+            + self.cut
+            + self.late_dispatches
+            + self.not_resumed
+            + self.false_statements
+            + self.stale_orders
+            + self.race_faults;
         broken == 0
     }
 
--- a/crates/sagespool-testkit/src/load/run.rs
+++ b/crates/sagespool-testkit/src/load/run.rs
@@ -1,12 +1,11 @@
 //! Sending planned calls: open loop, so that a slow answer never slows the arrivals down.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use sagespool_types::ClockTime;
 
-use super::{CallOutcome, CallRecord, LoadCaller, PlannedCall};
+use super::{CallOutcome, CallRecord, EntryBalancer, LoadCaller, PlannedCall};
 
 /// How often a caller with a key comes back after its connection broke.
 const MOST_SENDS: usize = 12;
@@ -18,8 +17,12 @@
 /// same one, for as long as its deadline lasts; without a key it gives up, since it could ask for
 /// a second run unknowingly. A refusal because an entry is leaving or not ready sends any caller on.
 pub async fn run_calls(calls: Vec<PlannedCall>, entries: Vec<SocketAddr>) -> Vec<CallRecord> {
+    run_balanced(calls, EntryBalancer::new(entries)).await
+}
+
+/// The same behind a balancer, which passes over entries that it knows not to be ready.
+pub async fn run_balanced(calls: Vec<PlannedCall>, balancer: EntryBalancer) -> Vec<CallRecord> {
     let caller = LoadCaller::new();
-    let entries = Arc::new(entries);
     let start = ClockTime::now();
     let mut tasks = Vec::with_capacity(calls.len());
     for call in calls {
@@ -28,8 +31,8 @@
         if due > now {
             smol::Timer::after(due.since(now)).await;
         }
-        let (caller, entries) = (caller.clone(), Arc::clone(&entries));
-        tasks.push(smol::spawn(async move { run_call(&caller, call, &entries).await }));
+        let (caller, balancer) = (caller.clone(), balancer.clone());
+        tasks.push(smol::spawn(async move { run_call(&caller, call, &balancer).await }));
     }
     let mut records = Vec::with_capacity(tasks.len());
     for task in tasks {
@@ -38,15 +41,16 @@
     records
 }
 
-async fn run_call(caller: &LoadCaller, call: PlannedCall, entries: &[SocketAddr]) -> CallRecord {
+async fn run_call(caller: &LoadCaller, call: PlannedCall, balancer: &EntryBalancer) -> CallRecord {
     let mut record = CallRecord { call, sends: Vec::new() };
-    let mut entry = record.call.entry % entries.len();
+    let mut wanted = record.call.entry;
     let deadline = ClockTime::now().after(record.call.deadline);
     let mut repeat_left = record.call.repeated;
     while record.sends.len() < MOST_SENDS {
         let mut call = record.call.clone();
         call.deadline = deadline.since(ClockTime::now()).max(Duration::from_millis(50));
-        let send = caller.send(&call, entry, entries[entry]).await;
+        let (entry, address) = balancer.pick(wanted);
+        let send = caller.send(&call, entry, address).await;
         let outcome = send.outcome.clone();
         record.sends.push(send);
         let again = match &outcome {
@@ -59,7 +63,7 @@
         if !again || late {
             break;
         }
-        entry = (entry + 1) % entries.len();
+        wanted = entry + 1;
         if !matches!(outcome, CallOutcome::Whole { .. }) {
             smol::Timer::after(COME_BACK).await;
         }
--- a/crates/sagespool-testkit/src/load/scenario.rs
+++ b/crates/sagespool-testkit/src/load/scenario.rs
@@ -5,6 +5,7 @@
 
 use std::path::Path;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use async_lock::Mutex;
@@ -15,9 +16,12 @@
 use super::direct::{DirectTimes, run_direct};
 use super::faults::{FAULT_NAMES, FaultStage, run_fault};
 use super::figures::{CourseInput, machine_load, note_course};
-use super::session::{StoreTraffic, conclude, first_deposits, traffic_of};
+use super::session::{
+    AnswerInput, StoreTraffic, conclude, first_deposits, note_answers, traffic_of,
+};
 use super::{
-    CallRecord, DepositLog, LatencyFigures, LoadReport, PlannedCall, TrafficMix, run_calls,
+    AnswerSample, CallRecord, DepositLog, EntryBalancer, FleetNotes, LatencyFigures, LoadReport,
+    PlannedCall, TrafficMix, ask_around, judge_leaving, judge_orders, run_balanced,
 };
 use crate::EngineStand;
 use crate::fleet::{
@@ -65,6 +69,12 @@
 }
 
 impl ScenarioOptions {
+    /// Whether processes leave, and nothing fails.
+    fn is_graceful(&self) -> bool {
+        let faults = self.all_faults();
+        !faults.is_empty() && faults.iter().all(|fault| GRACEFUL_FAULTS.contains(&fault.as_str()))
+    }
+
     /// Every fault of the run: the scenario's own and those beside it.
     fn all_faults(&self) -> Vec<String> {
         let own = FAULT_NAMES.contains(&self.scenario.as_str());
@@ -148,6 +158,7 @@
         .deployment(deployment)
         .fleet(fleet)
         .branches(branches)
+        .mixed_fences(options.all_faults().iter().any(|fault| fault == "stale-order"))
         .proxied(!options.all_faults().is_empty())
         .routing(options.routing.clone())
         .budget(options.budget.clone())
@@ -163,8 +174,13 @@
     direct: Vec<DirectTimes>,
     phases: Vec<TimedPhase>,
     start: ClockTime,
+    notes: FleetNotes,
+    answers: Vec<AnswerSample>,
 }
 
+/// Faults in which nothing but processes that are stopped gracefully leaves.
+const GRACEFUL_FAULTS: [&str; 2] = ["rolling-restart", "drain"];
+
 /// Runs a scenario whole: the fleet is started, loaded, faulted, healed, stopped and judged.
 ///
 /// # Errors
@@ -199,6 +215,18 @@
     note_latencies(&mut report, &outcome, &fleet);
     let deposits = deposits.lock().await.clone();
     conclude(&mut report, &mut fleet, &outcome.records, &deposits);
+    let judged = AnswerInput {
+        records: &outcome.records,
+        samples: &outcome.answers,
+        deposits: &deposits,
+        notes: &outcome.notes,
+    };
+    note_answers(&mut report, &fleet, &judged);
+    report.take_orders(&judge_orders(&fleet));
+    report.take_races(&outcome.notes);
+    if options.is_graceful() {
+        report.take_leaving(&judge_leaving(&outcome.records, &fleet.witness, &outcome.notes));
+    }
     Ok(report)
 }
 
@@ -230,16 +258,32 @@
         let engines = engines.iter().map(EngineStand::address).collect();
         smol::spawn(run_direct(calls, engines))
     });
-    let records = run_calls(calls, entries).await;
+    let balancer = EntryBalancer::new(entries);
+    let probes = options.is_graceful().then(|| {
+        let balancer = balancer.clone();
+        smol::spawn(async move { balancer.probe().await })
+    });
+    let ended = Arc::new(AtomicBool::new(false));
+    let asking = smol::spawn({
+        let ended = Arc::clone(&ended);
+        let (operator, branches) = (stage.operator().await, mix.branches.iter());
+        let branches = branches.map(|branch| branch.branch.clone()).collect();
+        let addresses = fleet.lock().await.entry_addresses();
+        ask_around(operator, addresses, branches, move || ended.load(Ordering::Relaxed))
+    });
+    let records = run_balanced(calls, balancer).await;
     slowing.await;
     for script in scripts {
         script.await;
     }
+    drop(probes);
+    ended.store(true, Ordering::Relaxed);
+    let answers = asking.await;
     let direct = match direct {
         Some(direct) => direct.await,
         None => Vec::new(),
     };
-    CourseOutcome { records, direct, phases, start }
+    CourseOutcome { records, direct, phases, start, notes: stage.notes, answers }
 }
 
 /// Makes one engine as slow as each phase says.
--- a/crates/sagespool-testkit/src/load/scenario/table.rs
+++ b/crates/sagespool-testkit/src/load/scenario/table.rs
@@ -181,7 +181,7 @@
     direct: true,
 };
 
-/// Every scenario that is named like a fault has this plan.
+/// Scenarios that are named like a fault have this plan, but for [`FAULT_PLANS`].
 const FAULTED: ScenarioPlan = ScenarioPlan {
     name: "faulted",
     traffic: MIXED_TRAFFIC,
@@ -191,6 +191,40 @@
     ..STEADY
 };
 
+/// Streams of up to three seconds run while processes and upstreams leave and come back.
+const LEAVING: ScenarioPlan = ScenarioPlan {
+    name: "rolling-restart",
+    engine: EngineTraits { token_rate: 100, ..QUICK_ENGINE },
+    traffic: TrafficTraits { long_share: 100, longest_long_answer: 300, ..MIXED_TRAFFIC },
+    rate: 40.0,
+    lasting: Duration::from_secs(60),
+    budget: PLENTY,
+    ..FAULTED
+};
+
+const DRAIN: ScenarioPlan =
+    ScenarioPlan { name: "drain", lasting: Duration::from_secs(70), ..LEAVING };
+
+/// Long enough for each way of being late at each engine.
+const STALE_ORDER: ScenarioPlan = ScenarioPlan {
+    name: "stale-order",
+    rate: 30.0,
+    lasting: Duration::from_secs(40),
+    budget: PLENTY,
+    ..FAULTED
+};
+
+const OPERATORS_RACE: ScenarioPlan = ScenarioPlan {
+    name: "operators-race",
+    rate: 30.0,
+    lasting: Duration::from_secs(30),
+    budget: PLENTY,
+    ..FAULTED
+};
+
+/// Scenarios that are named like a fault and have a plan of their own.
+const FAULT_PLANS: [ScenarioPlan; 4] = [LEAVING, DRAIN, STALE_ORDER, OPERATORS_RACE];
+
 const DRY: ScenarioPlan = ScenarioPlan { name: "dry", rate: 80.0, budget: DRY_BUDGET, ..FAULTED };
 
 /// Twelve engines of eight places, each held for 0.95 s on average, run 100 requests a second.
@@ -279,7 +313,8 @@
 /// The plan of a scenario; none if nothing is called so.
 pub fn scenario_plan(name: &str) -> Option<ScenarioPlan> {
     if FAULT_NAMES.contains(&name) {
-        return Some(FAULTED);
+        let own = FAULT_PLANS.into_iter().find(|plan| plan.name == name);
+        return Some(own.unwrap_or(FAULTED));
     }
     PLANS.into_iter().find(|plan| plan.name == name)
 }
--- a/crates/sagespool-testkit/src/load/session.rs
+++ b/crates/sagespool-testkit/src/load/session.rs
@@ -4,10 +4,13 @@
 
 use sagespool_ledger::BookRecord;
 use sagespool_messages::UpstreamKind;
-use sagespool_types::{ClockTime, TokenCount};
+use sagespool_types::{ClockTime, InstanceName, TokenCount, UpstreamName};
 
 use super::plan::BranchTraffic;
-use super::{CallRecord, DepositLog, LoadReport, OracleInput, TrafficMix, judge};
+use super::{
+    AnswerFacts, AnswerSample, CallRecord, DepositLog, FleetNotes, LoadReport, OracleInput,
+    TrafficMix, judge, judge_answers,
+};
 use crate::fleet::{FleetOptions, RunningFleet};
 
 /// Traffic of all branches, models and the first plain service of a deployment.
@@ -37,6 +40,7 @@
 pub fn first_deposits(options: &FleetOptions) -> DepositLog {
     let mut deposits = DepositLog::default();
     for (branch, deposit) in &options.deployment.branches {
+        deposits.begin(branch, deposit.prepaid, ClockTime::default());
         deposits.note(branch, deposit.prepaid, ClockTime::default());
     }
     deposits
@@ -96,6 +100,47 @@
     report.runs_per_request = runs_per_request(fleet);
 }
 
+/// What operators' answers are judged from, beside the fleet.
+pub struct AnswerInput<'a> {
+    /// The calls and what came of them.
+    pub records: &'a [CallRecord],
+    /// Questions and answers.
+    pub samples: &'a [AnswerSample],
+    /// What was prepaid when.
+    pub deposits: &'a DepositLog,
+    /// What scripts did.
+    pub notes: &'a FleetNotes,
+}
+
+/// Judges what operators were answered during a run.
+pub fn note_answers(report: &mut LoadReport, fleet: &RunningFleet, input: &AnswerInput) {
+    let entries: Vec<InstanceName> = fleet
+        .members
+        .iter()
+        .filter(|member| member.is_entry())
+        .map(|member| member.instance.clone())
+        .collect();
+    let upstreams: BTreeMap<InstanceName, UpstreamName> = fleet
+        .members
+        .iter()
+        .filter_map(|member| Some((member.instance.clone(), member.upstream.clone()?.0)))
+        .collect();
+    let verdict = judge_answers(
+        input.samples,
+        &AnswerFacts {
+            records: input.records,
+            runs: &fleet.witness.runs(),
+            deposits: input.deposits,
+            notes: input.notes,
+            life: &fleet.life,
+            writes: &fleet.store.writes(),
+            entries: &entries,
+            upstreams: &upstreams,
+        },
+    );
+    report.take_answers(&verdict);
+}
+
 fn runs_per_request(fleet: &RunningFleet) -> f64 {
     let runs: BTreeMap<_, usize> = fleet.witness.runs_by_marker();
     if runs.is_empty() {
