--- a/crates/sagespool-testkit/src/engine/mod.rs
+++ b/crates/sagespool-testkit/src/engine/mod.rs
@@ -11,31 +11,37 @@
 mod load;
 mod options;
 mod orders;
+mod pace;
 mod request;
+mod run;
 mod stream;
+mod ticker;
+mod weights;
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, Weak};
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
 
 use error_stack::Report;
 use event_listener::Event;
 use sagespool_types::{ClockTime, UpstreamName};
-use smol::Timer;
 use trillium_smol::SmolRuntime;
 
+use answer::AnswerSeed;
 pub use answer::{answer_text, answer_token, natural_length, prompt_tokens};
-use batch::{EngineBatch, EnginePace};
+use batch::EngineBatch;
 use cache::PrefixUses;
 pub use cache::{CacheChange, CacheEvent, PrefixCounts, prefix_digest};
 pub use load::EngineLoad;
 pub use options::EngineOptions;
 use orders::OrderBook;
 pub use orders::{AdapterName, EngineOrder, FencedOrder, OrderRecord};
+use pace::EnginePace;
 pub(crate) use request::is_poisonous;
+use ticker::keep_ticking;
 
+use crate::crossing::CrossedAnswers;
 use crate::fault_gate::{FaultGate, StandGone, StartNumber};
-use crate::stand_server::{StandError, StandServer, lock};
+use crate::stand_server::{StandError, StandServer, do_later, lock};
 use crate::witness::WitnessLog;
 
 /// A model engine stand-in. Clones are the same engine; the last one dropped ends it.
@@ -58,6 +64,7 @@
     server: StandServer,
     gate: FaultGate,
     state: Mutex<EngineState>,
+    crossed: Mutex<CrossedAnswers<AnswerSeed>>,
     prefix_uses: Arc<PrefixUses>,
     /// Notified when something runs after an idle time.
     work_came: Event,
@@ -91,6 +98,7 @@
             server: StandServer::reserve()?,
             gate: FaultGate::new(),
             state: Mutex::new(state),
+            crossed: Mutex::default(),
             prefix_uses,
             work_came: Event::new(),
             feed_grown: Event::new(),
@@ -169,6 +177,11 @@
         self.shared().change_pace(|pace| pace.break_share = share);
     }
 
+    /// From now on gives each call the answer to the call before it, as that one's, or ends that.
+    pub fn cross_answers(&self, on: bool) {
+        lock(&self.shared().crossed).set(on);
+    }
+
     /// How many runs found their prefix cached, over all of its starts.
     pub fn prefix_counts(&self) -> PrefixCounts {
         self.shared().prefix_uses.counts()
@@ -229,10 +242,7 @@
     /// Ends the present start, or only the given one.
     fn crash(&self, only: Option<StartNumber>) {
         let mut state = lock(&self.state);
-        if only.is_some() && self.gate.start() != only {
-            return;
-        }
-        if self.gate.end().is_none() {
+        if !self.gate.end(only) {
             return;
         }
         // First the log, as a caller that sees its connection break may send its request
@@ -252,7 +262,7 @@
         state.batch = EngineBatch::new(options, prefix_uses, ClockTime::now());
         let served = self.server.serve(http::routes(self.clone(), start));
         if served.is_err() {
-            self.gate.end();
+            self.gate.end(None);
         }
         served
     }
@@ -262,53 +272,11 @@
         let Some(time) = self.options.restart_after else {
             return;
         };
-        let engine = Arc::downgrade(self);
-        SmolRuntime::default().spawn(async move {
-            Timer::after(time).await;
-            let Some(engine) = engine.upgrade() else {
-                return;
-            };
-            if engine.gate.newest_start() == crashed {
-                engine.restart().expect("the port is held for this engine");
+        let restart = move |stand: &Arc<Self>| {
+            if stand.gate.newest_start() == crashed {
+                stand.restart().expect("the port is held for this stand");
             }
-        });
-    }
-
-    /// Does the work since the last tick; whether there is more to do.
-    fn tick(self: &Arc<Self>) -> bool {
-        let Some(start) = self.gate.start() else {
-            return false;
         };
-        let busy = self.with_batch(start, |batch, pace, now| {
-            batch.advance(pace, now);
-            batch.is_busy()
-        });
-        busy.unwrap_or(false)
+        do_later(self, time, restart);
     }
 }
-
-/// Lets an engine work, tick by tick, for as long as it exists.
-async fn keep_ticking(engine: Weak<EngineShared>) {
-    loop {
-        let Some(shared) = engine.upgrade() else {
-            return;
-        };
-        let tick = shared.options.tick;
-        let work_came = shared.work_came.listen();
-        if shared.tick() {
-            drop(work_came);
-            drop(shared);
-            Timer::after(tick).await;
-        } else {
-            drop(shared);
-            futures_lite::future::or(work_came, wait_idle()).await;
-        }
-    }
-}
-
-/// The longest an idle ticker sleeps, so that it notices that its engine is gone.
-const IDLE_TICK: Duration = Duration::from_millis(500);
-
-async fn wait_idle() {
-    Timer::after(IDLE_TICK).await;
-}
--- a/crates/sagespool-testkit/src/load/faults/scripts.rs
+++ b/crates/sagespool-testkit/src/load/faults/scripts.rs
@@ -5,10 +5,10 @@
 use sagespool_types::{BranchName, TokenCount};
 
 use super::stage::FaultStage;
-use super::{drain, operators_race, process, rolling_restart, stale_order, store};
+use super::{config_churn, drain, operators_race, process, rolling_restart, stale_order, store};
 
 /// The faults by name.
-pub const FAULT_NAMES: [&str; 13] = [
+pub const FAULT_NAMES: [&str; 14] = [
     "partition-topup",
     "entry-kill",
     "store-outage",
@@ -22,6 +22,7 @@
     "drain",
     "stale-order",
     "operators-race",
+    "config-churn",
 ];
 
 /// Longer than any process takes to believe another dead.
@@ -49,6 +50,7 @@
         "drain" => drain::drain(&stage).await,
         "stale-order" => stale_order::stale_order(&stage).await,
         "operators-race" => operators_race::operators_race(&stage).await,
+        "config-churn" => config_churn::run(&stage).await,
         "poison" => {}
         _ => return false,
     }
--- a/crates/sagespool-testkit/src/load/faults/stage.rs
+++ b/crates/sagespool-testkit/src/load/faults/stage.rs
@@ -8,13 +8,14 @@
 use sagespool_types::{BranchName, ClockTime, CommandId, TokenCount};
 
 use crate::fleet::{RunningFleet, top_up};
-use crate::load::{DepositLog, FleetNotes, OperatorClient};
+use crate::load::{ConfigLog, DepositLog, FleetNotes, OperatorClient};
 
 /// What the scripts of one run share. Each holds the fleet only for a step at a time.
 #[derive(Clone)]
 pub struct FaultStage {
     fleet: Arc<Mutex<RunningFleet>>,
     deposits: Arc<Mutex<DepositLog>>,
+    config_log: Arc<Mutex<ConfigLog>>,
     /// When the traffic started.
     pub start: ClockTime,
     /// How long the traffic lasts.
@@ -34,7 +35,8 @@
         seed: u64,
     ) -> Self {
         let notes = FleetNotes::default();
-        Self { fleet, deposits, start: ClockTime::now(), lasting, seed, notes }
+        let config_log = Arc::default();
+        Self { fleet, deposits, config_log, start: ClockTime::now(), lasting, seed, notes }
     }
 
     /// The fleet, for one step.
@@ -42,6 +44,11 @@
         self.fleet.lock().await
     }
 
+    /// What the scripts did to the configuration.
+    pub async fn config_log(&self) -> MutexGuard<'_, ConfigLog> {
+        self.config_log.lock().await
+    }
+
     /// Waits until a share of the traffic's time has passed.
     pub async fn until(&self, share: f64) {
         let due = self.start.after(self.lasting.mul_f64(share));
--- a/crates/sagespool-testkit/src/load/report.rs
+++ b/crates/sagespool-testkit/src/load/report.rs
@@ -8,7 +8,8 @@
 
 use super::figures::{BranchFigures, DeadlineRefusals, GreedEffect, PhaseFigures};
 use super::{
-    AnswerVerdict, CallOutcome, CallRecord, FleetNotes, LeavingVerdict, OracleVerdict, OrderVerdict,
+    AnswerVerdict, CallOutcome, CallRecord, ConfigFigures, FleetNotes, LeavingVerdict,
+    OracleVerdict, OrderVerdict,
 };
 
 /// Percentiles of a latency, in milliseconds.
@@ -144,6 +145,9 @@
     pub machine_load: Vec<f64>,
     /// Peak memory of each process.
     pub peak_rss_mb: BTreeMap<String, f64>,
+    /// How soon changes of the configuration were in force, where a script makes some.
+    #[serde(flatten)]
+    pub config: Option<ConfigFigures>,
     /// What was found, in words.
     pub findings: Vec<String>,
 }
@@ -179,6 +183,7 @@
         self.false_not_run = verdict.false_not_run;
         self.stranded_tokens = verdict.stranded_tokens;
         self.findings.clone_from(&verdict.findings);
+        self.findings.extend(self.config.iter().flat_map(|config| config.findings.clone()));
     }
 
     /// Takes in the judgement of graceful stops and drains.
@@ -225,7 +230,8 @@
             + self.not_resumed
             + self.false_statements
             + self.stale_orders
-            + self.race_faults;
+            + self.race_faults
+            + self.config.as_ref().map_or(0, ConfigFigures::broken);
         broken == 0
     }
 
--- a/crates/sagespool-testkit/src/load/scenario.rs
+++ b/crates/sagespool-testkit/src/load/scenario.rs
@@ -13,6 +13,7 @@
 use error_stack::Report;
 use sagespool_types::ClockTime;
 
+use super::config_oracle::{judge_config, wait_spread};
 use super::direct::{DirectTimes, run_direct};
 use super::faults::{FAULT_NAMES, FaultStage, run_fault};
 use super::figures::{CourseInput, machine_load, note_course};
@@ -20,8 +21,8 @@
     AnswerInput, StoreTraffic, conclude, first_deposits, note_answers, traffic_of,
 };
 use super::{
-    AnswerSample, CallRecord, DepositLog, EntryBalancer, FleetNotes, LatencyFigures, LoadReport,
-    PlannedCall, TrafficMix, ask_around, judge_leaving, judge_orders, run_balanced,
+    AnswerSample, CallRecord, ConfigLog, DepositLog, EntryBalancer, FleetNotes, LatencyFigures,
+    LoadReport, PlannedCall, TrafficMix, ask_around, judge_leaving, judge_orders, run_balanced,
 };
 use crate::EngineStand;
 use crate::fleet::{
@@ -176,6 +177,7 @@
     start: ClockTime,
     notes: FleetNotes,
     answers: Vec<AnswerSample>,
+    config_log: ConfigLog,
 }
 
 /// Faults in which nothing but processes that are stopped gracefully leaves.
@@ -207,6 +209,10 @@
     let traffic = StoreTraffic::of(&fleet);
     heal(&mut fleet);
     wait_settled(&fleet).await;
+    if outcome.config_log != ConfigLog::default() {
+        wait_spread(&fleet, &outcome.config_log).await;
+        report.config = Some(judge_config(&fleet, &outcome.config_log));
+    }
     let sent = outcome.records.len().max(1) as f64;
     report.store_writes_per_request = (traffic.writes - before.writes) as f64 / sent;
     report.store_reads_per_request = (traffic.reads - before.reads) as f64 / sent;
@@ -283,7 +289,8 @@
         Some(direct) => direct.await,
         None => Vec::new(),
     };
-    CourseOutcome { records, direct, phases, start, notes: stage.notes, answers }
+    let config_log = stage.config_log().await.clone();
+    CourseOutcome { records, direct, phases, start, notes: stage.notes, answers, config_log }
 }
 
 /// Makes one engine as slow as each phase says.
