--- /dev/null
+++ b/crates/sagespool-testkit/tests/answer_oracle.rs
@@ -0,0 +1,99 @@
+//! The judgements of operators' answers and of leaving upstreams find what is false.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sagespool_messages::UpstreamKind;
+use sagespool_testkit::load::{
+    AnswerFacts, AnswerSample, DepositLog, FleetNotes, judge_answers, judge_leaving,
+};
+use sagespool_testkit::{RunEnd, RunStart, WitnessLog};
+use sagespool_types::{BranchName, ClockTime, TokenCount, UpstreamName};
+use serde_json::json;
+
+fn seconds(number: u64) -> ClockTime {
+    ClockTime::default().after(Duration::from_secs(number))
+}
+
+/// An answer to `spend first`, asked and answered at 20 s.
+fn spend_sample(prepaid: u64, settled: u64, least: u64) -> AnswerSample {
+    let entry = json!({"instance": "east-entry-1", "incarnation": "1", "role": "entry"});
+    let answer = json!({
+        "basis": {
+            "entry": entry, "from": 1, "to": 2, "store": "not-asked", "answered": [], "silent": [],
+        },
+        "answer": {"kind": "spend", "left_out": 0, "rows": [{
+            "branch": "first",
+            "book": {
+                "version": 4, "prepaid": prepaid, "settled": settled, "granted": 0, "in_doubt": 0,
+                "free": prepaid - settled,
+            },
+            "running": {"least": 0, "most": 0},
+            "spent": {"least": least, "most": null},
+        }]},
+    });
+    AnswerSample {
+        entry: 0,
+        line: "spend first".to_owned(),
+        before: seconds(20),
+        after: seconds(20),
+        answer: serde_json::from_value(answer).unwrap(),
+    }
+}
+
+fn false_statements(sample: AnswerSample) -> u64 {
+    let branch: BranchName = "first".parse().unwrap();
+    let mut deposits = DepositLog::default();
+    for (amount, at) in [(100, 1), (50, 10), (30, 30)] {
+        deposits.begin(&branch, TokenCount(amount), seconds(at));
+        deposits.note(&branch, TokenCount(amount), seconds(at + 1));
+    }
+    let facts = AnswerFacts {
+        records: &[],
+        runs: &[],
+        deposits: &deposits,
+        notes: &FleetNotes::default(),
+        life: &[],
+        writes: &[],
+        entries: &["east-entry-1".parse().unwrap()],
+        upstreams: &BTreeMap::new(),
+    };
+    judge_answers(&[sample], &facts).false_statements
+}
+
+/// Nothing ran, and 150 tokens were prepaid by the moment of the answer.
+#[test]
+fn spend_answers() {
+    assert_eq!(false_statements(spend_sample(150, 0, 0)), 0);
+    assert_eq!(false_statements(spend_sample(180, 0, 0)), 1, "a deposit that came later");
+    assert_eq!(false_statements(spend_sample(100, 0, 0)), 1, "a deposit is missing");
+    assert_eq!(false_statements(spend_sample(150, 5, 0)), 1, "nothing was billed");
+    assert_eq!(false_statements(spend_sample(150, 0, 5)), 1, "nothing was spent");
+}
+
+/// A run that came 4 s after its upstream began to leave, and one that was cut off.
+#[test]
+fn late_runs() {
+    let upstream: UpstreamName = "engines-1".parse().unwrap();
+    let (witness, notes) = (WitnessLog::new(), FleetNotes::default());
+    let span = notes.begin(&upstream, "stop", seconds(10));
+    for (at, end) in [(12, RunEnd::Finished), (14, RunEnd::Finished), (12, RunEnd::Dropped)] {
+        let start = RunStart {
+            upstream: upstream.clone(),
+            kind: UpstreamKind::Engine,
+            request: None,
+            attempt: None,
+            marker: Some("mark:first/7".parse().unwrap()),
+            key: None,
+            prompt_tokens: TokenCount(5),
+            resumed_from: TokenCount(0),
+            arrived_at: seconds(at),
+        };
+        witness.start(start, seconds(at)).end(end, seconds(at + 1));
+    }
+    notes.end(span, seconds(20), true);
+    let verdict = judge_leaving(&[], &witness, &notes);
+    assert_eq!((verdict.cut, verdict.late_dispatches, verdict.not_resumed), (1, 1, 1));
+}
