Show a request's prompt as used only once its first token came

A sidecar showed the prompt as used as soon as the engine's answer had a head.

Change: what is shown follows the tokens that came; what is charged if the attempt ends now is as before.

--- a/crates/sagespool-sidecar/src/dispatcher.rs
+++ b/crates/sagespool-sidecar/src/dispatcher.rs
@@ -217,9 +217,14 @@
 
     /// Notes what an attempt has used; never more than was reserved.
     pub(crate) fn note_used(&self, attempt: &AdmittedAttempt, used: TokenCount) {
-        let used = used.min(attempt.reserved);
-        attempt.place.attempt.note_used(used);
-        self.charges.update(attempt.charge, attempt.attempt, used);
+        attempt.place.attempt.note_used(used.min(attempt.reserved));
+        self.note_charged(attempt, used);
+    }
+
+    /// Notes what an attempt is charged if it ends now, without showing it as used: an engine that has
+    /// taken a request in may not have begun with its prompt.
+    pub(crate) fn note_charged(&self, attempt: &AdmittedAttempt, used: TokenCount) {
+        self.charges.update(attempt.charge, attempt.attempt, used.min(attempt.reserved));
     }
 
     /// Counts and logs an answer, or a part of one, that is thrown away.
--- a/crates/sagespool-sidecar/src/run_completion.rs
+++ b/crates/sagespool-sidecar/src/run_completion.rs
@@ -104,7 +104,7 @@
                 return (end, rest);
             }
         };
-        self.note_used(attempt, meter.used());
+        self.note_charged(attempt, meter.used());
         let end = self.pass_tokens(attempt, &mut stream, &mut meter, stopped).await;
         let rest = match end {
             AttemptEnd::Whole(_) if meter.is_full() => EngineRest::Close(stream),
@@ -159,8 +159,9 @@
                 Err(reason) => return AttemptEnd::Stopped { ran: true, reason },
             };
             let step = meter.take(event);
-            self.note_used(attempt, meter.used());
+            self.note_charged(attempt, meter.used());
             if matches!(step, MeterStep::Piece(_) | MeterStep::LastPiece(_)) {
+                self.note_used(attempt, meter.used());
                 clock.note_token(&attempt.timings, ClockTime::now());
             }
             match step {
