--- a/crates/sagespool-sidecar/src/dispatcher.rs
+++ b/crates/sagespool-sidecar/src/dispatcher.rs
@@ -55,6 +55,7 @@
     pub(crate) kind: UpstreamKind,
     service: ServiceName,
     leaving: AtomicBool,
+    held: AtomicBool,
     pub(crate) upstream: UpstreamClient,
     pub(crate) charges: ChargeBook,
     pub(crate) keys: KeyMemory,
@@ -75,6 +76,7 @@
             kind: upstream.kind,
             service: upstream.service.clone(),
             leaving: AtomicBool::new(false),
+            held: AtomicBool::new(false),
             upstream: UpstreamClient::new(upstream.address),
             charges: ChargeBook::new(sidecar, reports),
             keys: KeyMemory::new(sidecar, kept_answers, retention),
@@ -126,9 +128,16 @@
         self.leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Takes nothing new while the instance list shows its instance as leaving, though that may be
+    /// about an earlier run.
+    pub fn hold(&self, is_held: bool) {
+        self.held.store(is_held, Ordering::SeqCst);
+    }
+
     /// Whether it takes nothing new, since it leaves or an operator drains it.
     pub(crate) fn is_closed(&self) -> bool {
-        self.leaving.load(Ordering::SeqCst) || self.load.is_drained()
+        let is_leaving = self.leaving.load(Ordering::SeqCst) || self.held.load(Ordering::SeqCst);
+        is_leaving || self.load.is_drained()
     }
 
     /// At most so many of the attempts that run, and whether that is all.
@@ -208,9 +217,14 @@
 
     /// Notes what an attempt has used; never more than was reserved.
     pub(crate) fn note_used(&self, attempt: &AdmittedAttempt, used: TokenCount) {
-        let used = used.min(attempt.reserved);
-        attempt.place.attempt.note_used(used);
-        self.charges.update(attempt.charge, attempt.attempt, used);
+        attempt.place.attempt.note_used(used.min(attempt.reserved));
+        self.note_charged(attempt, used);
+    }
+
+    /// Notes what an attempt is charged if it ends now, without showing it as used: an engine that has
+    /// taken a request in may not have begun with its prompt.
+    pub(crate) fn note_charged(&self, attempt: &AdmittedAttempt, used: TokenCount) {
+        self.charges.update(attempt.charge, attempt.attempt, used.min(attempt.reserved));
     }
 
     /// Counts and logs an answer, or a part of one, that is thrown away.
