--- a/crates/sagespool-daemon/tests/common/raw.rs
+++ b/crates/sagespool-daemon/tests/common/raw.rs
@@ -83,10 +83,24 @@
 
 /// A call as bytes, for one whole answer on one connection.
 pub fn raw_request(call: &PlannedCall) -> Vec<u8> {
+    raw_call(call, false)
+}
+
+/// A call as bytes, for an answer as events on one connection.
+pub fn raw_stream(call: &PlannedCall) -> Vec<u8> {
+    raw_call(call, true)
+}
+
+fn raw_call(call: &PlannedCall, stream: bool) -> Vec<u8> {
     let (path, body) = match &call.kind {
         CallKind::Completion { model, prompt, max_tokens, .. } => {
             let messages = json!([{"role": "user", "content": prompt}]);
-            let body = json!({"model": model, "messages": messages, "max_tokens": max_tokens});
+            let body = json!({
+                "model": model,
+                "messages": messages,
+                "max_tokens": max_tokens,
+                "stream": stream,
+            });
             ("/v1/chat/completions".to_owned(), body.to_string())
         }
         CallKind::Service { service, path, .. } => {
