Tell entries on each dispatch's stream how many others the sidecar has

Cause: an engine's report is late and comes twice a second, so two entries find the same free places. The sidecar lets every request in and knows the present count; nobody was told.

Change: a dispatch's stream carries the number of other requests at its start and before its end. The choice takes others' requests from it; what it showed beyond the expected fades within one run time. What the engine reports beyond the sidecar's count is load from outside the fleet.

An entry that sends an engine nothing hears no count and goes by the report.

--- a/crates/sagespool-entry/src/run/attach.rs
+++ b/crates/sagespool-entry/src/run/attach.rs
@@ -98,7 +98,7 @@
             return AttachEnd::AskAgain;
         };
         let sent = match event {
-            DispatchEvent::Started | DispatchEvent::CacheNews(_) => true,
+            DispatchEvent::Started | DispatchEvent::CacheNews(_) | DispatchEvent::Beside(_) => true,
             DispatchEvent::Head { status, headers } => {
                 passed = true;
                 answers.send(AnswerEvent::Head { status, headers }).await.is_ok()
--- a/crates/sagespool-entry/src/run/attempt.rs
+++ b/crates/sagespool-entry/src/run/attempt.rs
@@ -341,6 +341,10 @@
                     take_cache_news(&self.state.upstreams, choice.sidecar, &news, now);
                     true
                 }
+                DispatchEvent::Beside(count) => {
+                    self.state.upstreams.counted(choice.sidecar, count, now);
+                    true
+                }
                 DispatchEvent::Head { status, headers } => {
                     self.passage.take_head(status, headers).await
                 }
--- a/crates/sagespool-messages/src/dispatch.rs
+++ b/crates/sagespool-messages/src/dispatch.rs
@@ -150,6 +150,9 @@
         /// What the asker has not been told yet of the engine's prompt cache; may come anywhere
         /// before the end.
         CacheNews(CacheNews),
+        /// How many other requests the sidecar has at its upstream at this moment, from all
+        /// entries; at the start and before the end.
+        Beside(u32),
     }
 }
 
--- a/crates/sagespool-routing/examples/policy_compare/model.rs
+++ b/crates/sagespool-routing/examples/policy_compare/model.rs
@@ -6,8 +6,8 @@
 use fastrand::Rng;
 use sagespool_messages::{LoadReport, MemberInfo, MemberRole, ServedUpstream, UpstreamKind};
 use sagespool_routing::{
-    AdmissionQueue, AttemptOutcome, AttemptResult, OfferOutcome, PolicyKind, QueuePolicy,
-    QueueTicket, RouteChoice, RouteWish, RoutingPolicy, UpstreamTable,
+    AdmissionQueue, AttemptOutcome, AttemptResult, OfferOutcome, PolicyKind, QueueTicket,
+    RouteChoice, RouteWish, RoutingPolicy, UpstreamTable,
 };
 use sagespool_types::{ClockTime, ConfigVersion, IncarnationId, RequestId, TokenCount};
 
@@ -122,7 +122,7 @@
             let policy = RoutingPolicy::builder().kind(kind).seed(seed * 1000 + place as u64);
             let table = UpstreamTable::new(policy.build(), centre(place));
             table.set_entries(scenario.entries as u32);
-            Entry { table, queue: AdmissionQueue::new(QueuePolicy::default()) }
+            Entry { table, queue: AdmissionQueue::new(scenario.admission.clone()) }
         };
         Self {
             scenario,
@@ -147,7 +147,8 @@
             self.push(start.after(offset), Event::Report(engine));
         }
         for entry in 0..self.entries.len() {
-            self.push(start, Event::Tick(entry));
+            let offset = TICK.mul_f64(entry as f64 / self.entries.len() as f64);
+            self.push(start.after(offset), Event::Tick(entry));
             self.push(start, Event::Arrive(entry));
         }
         while let Some(std::cmp::Reverse((now, _, event))) = self.events.pop() {
@@ -277,6 +278,25 @@
     }
 
     fn reach(&mut self, place: usize, now: ClockTime) {
+        self.enter(place, now);
+        self.tell_count(place, now);
+    }
+
+    /// The sidecar tells the job's entry how many other requests it has.
+    fn tell_count(&self, place: usize, now: ClockTime) {
+        if !self.scenario.counts {
+            return;
+        }
+        let job = &self.jobs[place];
+        let engine = &self.engines[job.engine];
+        let outside = if job.engine == 0 { self.scenario.outside } else { 0 };
+        let in_flight = engine.running + engine.waiting.len() as u32;
+        let beside = in_flight.saturating_sub(outside + 1);
+        let sidecar = IncarnationId(job.engine as u64);
+        self.entries[job.entry].table.counted(sidecar, beside, now);
+    }
+
+    fn enter(&mut self, place: usize, now: ClockTime) {
         let number = self.jobs[place].engine;
         self.engines[number].dispatched += 1;
         if counts(self.jobs[place].arrived) {
@@ -332,6 +352,7 @@
 
     fn done(&mut self, place: usize, now: ClockTime) {
         let number = self.jobs[place].engine;
+        self.tell_count(place, now);
         self.engines[number].running -= 1;
         self.settle(place, AttemptOutcome::Whole, now);
         self.free(place, now);
--- a/crates/sagespool-routing/examples/policy_compare/scenario.rs
+++ b/crates/sagespool-routing/examples/policy_compare/scenario.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use sagespool_routing::QueuePolicy;
+
 /// Time for one token.
 pub(crate) const TOKEN: Duration = Duration::from_millis(10);
 /// Time to the first token of a prompt whose prefix isn't cached, and of one whose prefix is.
@@ -42,6 +44,9 @@
     pub(crate) noise: f64,
     pub(crate) deadline: Duration,
     pub(crate) queue: bool,
+    /// Sidecars tell how many requests they have, when a dispatch comes and when it ends.
+    pub(crate) counts: bool,
+    pub(crate) admission: QueuePolicy,
     pub(crate) seeds: u64,
 }
 
@@ -69,6 +74,8 @@
             noise: 1.0,
             deadline: Duration::from_secs(20),
             queue: true,
+            counts: true,
+            admission: QueuePolicy::default(),
             seeds: 3,
         }
     }
@@ -127,6 +134,12 @@
             "branches" => self.branches = number as usize,
             "noise" => self.noise = number,
             "deadline" => self.deadline = millis,
+            "excess" => self.admission.excess_percent = number as u32,
+            "crowding" => self.admission.crowding = number as u32,
+            "headroom" => self.admission.headroom_percent = number as u32,
+            "span" => self.admission.share_span = millis,
+            "burst" => self.admission.burst = number as u32,
+            "counts" => self.counts = number > 0.0,
             "queue" => self.queue = number > 0.0,
             "seeds" => self.seeds = number as u64,
             _ => panic!("unknown setting `{key}`"),
--- a/crates/sagespool-routing/src/load.rs
+++ b/crates/sagespool-routing/src/load.rs
@@ -23,6 +23,8 @@
     pub(crate) others: f64,
     /// Requests of other entries for each place of an upstream, on average.
     pub(crate) others_mean: f64,
+    /// How long a request runs.
+    pub(crate) run_time: Duration,
     /// How long a report's surplus over the average lasts.
     pub(crate) fading: Duration,
     /// How far others are taken to follow the same old reports, from 0 to 1.
@@ -31,6 +33,16 @@
     pub(crate) own_weight: f64,
 }
 
+/// What a sidecar had at its upstream when it told this entry.
+#[derive(Debug, Clone, Copy)]
+struct SidecarCount {
+    /// Requests of other entries.
+    others: u32,
+    /// All requests.
+    in_flight: u32,
+    at: ClockTime,
+}
+
 /// One upstream's load: the newest report and what this entry did since.
 #[derive(Debug, Clone)]
 pub(crate) struct LoadView {
@@ -41,6 +53,10 @@
     /// Requests there beyond what own ones would mean, by the reports of the last minute.
     beyond: SmoothedValue,
     history: OwnHistory,
+    /// What the sidecar counted last.
+    count: Option<SidecarCount>,
+    /// Requests there that came by no sidecar, by the reports of the last minute.
+    outside: SmoothedValue,
     /// Own dispatches ever, and at the newest report.
     sent: u64,
     sent_at_report: u64,
@@ -54,6 +70,8 @@
             rests: None,
             beyond: SmoothedValue::new(BEYOND_MEMORY),
             history: OwnHistory::default(),
+            count: None,
+            outside: SmoothedValue::new(BEYOND_MEMORY),
             sent: 0,
             sent_at_report: 0,
         }
@@ -94,6 +112,17 @@
         let own_then = f64::from(self.own_then(outlook.lag));
         let beyond = f64::from(total(report)) - own_then * (1.0 + outlook.others);
         self.beyond.add(beyond, BEYOND_HALF_LIFE, now);
+        // An older count says nothing of what the report shows.
+        if let Some(count) = self.count.filter(|count| now.since(count.at) <= outlook.run_time) {
+            let outside = f64::from(total(report)) - f64::from(count.in_flight);
+            self.outside.add(outside, BEYOND_HALF_LIFE, now);
+        }
+    }
+
+    /// Takes in how many requests the sidecar has at its upstream beside one own that runs there.
+    pub(crate) fn counted(&mut self, beside: u32, now: ClockTime) {
+        let others = (beside + 1).saturating_sub(self.own());
+        self.count = Some(SidecarCount { others, in_flight: beside + 1, at: now });
     }
 
     pub(crate) fn started(&mut self, now: ClockTime) {
@@ -110,6 +139,26 @@
         f64::from(total(&self.report).saturating_sub(self.own_then(lag)))
     }
 
+    /// Requests of others there by the newest that is known: a report, or the sidecar's count.
+    pub(crate) fn others_lately(&self, outlook: &LoadOutlook, now: ClockTime) -> f64 {
+        self.others_by_count(self.others_then(outlook.lag), outlook, now)
+    }
+
+    /// Requests of others there now, given what is expected without the sidecar's count.
+    ///
+    /// Guards against entries that don't know of each other's last second, in which each finds
+    /// the same engine's free places: the engine's report shows only later that they were
+    /// taken, and some requests wait there while places elsewhere are free. The count was true
+    /// of its moment, whatever the report's lag. What it showed beyond the expected fades as
+    /// the requests end that it counted.
+    fn others_by_count(&self, expected: f64, outlook: &LoadOutlook, now: ClockTime) -> f64 {
+        let Some(count) = self.count else { return expected };
+        let age = now.since(count.at).as_secs_f64();
+        let kept = (-age / outlook.run_time.as_secs_f64().max(1e-3)).exp();
+        let outside = self.outside.value(0.0, BEYOND_HALF_LIFE, now).max(0.0);
+        expected + (f64::from(count.others) + outside - expected) * kept
+    }
+
     /// Own requests there when the report was made.
     fn own_then(&self, lag: Duration) -> u32 {
         self.made_at(lag).map_or(0, |made_at| self.history.at(made_at))
@@ -126,12 +175,15 @@
     /// A part of the estimate is what the load would be if the others had there in proportion
     /// what this entry has, and what the reports lately showed beyond that. It is never late, and
     /// entries that all weigh it keep to their part of each upstream without a message.
+    ///
+    /// Where the sidecar lately counted what it has there, that goes before all of this.
     pub(crate) fn estimate(&self, outlook: &LoadOutlook, capacity: f64, now: ClockTime) -> f64 {
         let own = f64::from(self.own());
         let others_mean = outlook.others_mean * capacity;
         let followed = outlook.others * outlook.herding;
         let Some(made_at) = self.made_at(outlook.lag) else {
-            return own * (1.0 + followed) + others_mean;
+            let others = own * followed + others_mean;
+            return own + self.others_by_count(others, outlook, now);
         };
         let own_then = f64::from(self.history.at(made_at));
         let age = now.since(made_at).as_secs_f64();
@@ -141,7 +193,8 @@
         let by_report = own + others.max(0.0);
         let beyond = self.beyond.value(0.0, BEYOND_HALF_LIFE, now);
         let by_own = (own * (1.0 + outlook.others) + beyond).max(own);
-        by_report + (by_own - by_report) * outlook.own_weight
+        let expected = by_report + (by_own - by_report) * outlook.own_weight;
+        own + self.others_by_count(expected - own, outlook, now)
     }
 
     fn made_at(&self, lag: Duration) -> Option<ClockTime> {
--- a/crates/sagespool-routing/src/service.rs
+++ b/crates/sagespool-routing/src/service.rs
@@ -251,6 +251,11 @@
         upstream.stalled_for(now).as_secs_f64() > STALL * expected
     }
 
+    pub(crate) fn counted(&mut self, sidecar: IncarnationId, beside: u32, now: ClockTime) {
+        let Some(place) = self.places.get(&sidecar) else { return };
+        self.upstreams[*place].load.counted(beside, now);
+    }
+
     pub(crate) fn cache_event(
         &mut self,
         sidecar: IncarnationId,
@@ -273,7 +278,7 @@
     /// whichever is more: an entry that gets more callers than the others may use what they
     /// leave, and goes back to its share as they need theirs.
     pub(crate) fn room(&mut self, entries: u32, now: ClockTime) -> ServiceRoom {
-        self.renew_totals(now);
+        self.renew_totals(entries, now);
         let own = self.running.len() as f64;
         let capacity = self.totals.capacity * OVERCOMMIT;
         let free = capacity - self.totals.others - own;
@@ -290,7 +295,7 @@
     }
 
     pub(crate) fn outlook(&mut self, entries: u32, now: ClockTime) -> LoadOutlook {
-        self.renew_totals(now);
+        self.renew_totals(entries, now);
         self.last_outlook(entries, now)
     }
 
@@ -301,16 +306,17 @@
             lag: self.lag.lag(self.policy.report_lag),
             others: 1.0 / self.share.own_part(entries) - 1.0,
             others_mean: self.totals.others / self.totals.capacity.max(1.0),
+            run_time: Duration::from_secs_f64(run_time),
             fading: Duration::from_secs_f64(run_time * FADING_RUNS),
             herding: HERDING,
             own_weight: OWN_WEIGHT,
         }
     }
 
-    fn renew_totals(&mut self, now: ClockTime) {
+    fn renew_totals(&mut self, entries: u32, now: ClockTime) {
         if self.totals.is_old(self.upstreams.len(), now) {
-            let lag = self.lag.lag(self.policy.report_lag);
-            self.totals = ServiceTotals::of(&self.upstreams, lag, now);
+            let outlook = self.last_outlook(entries, now);
+            self.totals = ServiceTotals::of(&self.upstreams, &outlook, now);
         }
     }
 }
--- a/crates/sagespool-routing/src/table.rs
+++ b/crates/sagespool-routing/src/table.rs
@@ -110,6 +110,14 @@
         lock(&shard).cache_event(sidecar, event, now);
     }
 
+    /// Takes in how many requests a sidecar has at its upstream at this moment beside an own one
+    /// that has started and not ended, on whose stream it tells so.
+    pub fn counted(&self, sidecar: IncarnationId, beside: u32, now: ClockTime) {
+        let service = lock(&self.sidecars).get(&sidecar).cloned();
+        let Some(shard) = service.and_then(|service| self.shard(&service)) else { return };
+        lock(&shard).counted(sidecar, beside, now);
+    }
+
     /// How many requests this entry may have running in a service. Ask a few times a second,
     /// and hand the limit to [`crate::AdmissionQueue::set_limit`].
     pub fn room(&self, service: &ServiceName, now: ClockTime) -> Option<ServiceRoom> {
--- a/crates/sagespool-routing/src/totals.rs
+++ b/crates/sagespool-routing/src/totals.rs
@@ -5,6 +5,7 @@
 use sagespool_types::ClockTime;
 
 use crate::ejection::UseState;
+use crate::load::LoadOutlook;
 use crate::upstream::UpstreamState;
 
 /// The sums are renewed after this time, and later where there are many upstreams.
@@ -17,7 +18,7 @@
     at: Option<ClockTime>,
     /// Requests that they run at once.
     pub(crate) capacity: f64,
-    /// Requests of other entries there, by the newest reports.
+    /// Requests of other entries there, by the newest reports and counts.
     pub(crate) others: f64,
 }
 
@@ -27,13 +28,13 @@
         self.at.is_none_or(|at| now.since(at) >= RENEWED_AFTER.max(many))
     }
 
-    pub(crate) fn of(upstreams: &[UpstreamState], lag: Duration, now: ClockTime) -> Self {
+    pub(crate) fn of(upstreams: &[UpstreamState], outlook: &LoadOutlook, now: ClockTime) -> Self {
         let mut totals = Self { at: Some(now), ..Self::default() };
         for upstream in upstreams {
             let is_open = upstream.ejection.state(now) == UseState::Open;
             if upstream.takes_work && is_open {
                 totals.capacity += f64::from(upstream.capacity);
-                totals.others += upstream.load.others_then(lag);
+                totals.others += upstream.load.others_lately(outlook, now);
             }
         }
         totals
--- a/crates/sagespool-sidecar/src/answer_log.rs
+++ b/crates/sagespool-sidecar/src/answer_log.rs
@@ -230,7 +230,10 @@
         DispatchEvent::Head { headers, .. } => {
             headers.iter().map(|pair| pair.name.len() + pair.value.len()).sum()
         }
-        DispatchEvent::Started | DispatchEvent::End(_) | DispatchEvent::CacheNews(_) => 0,
+        DispatchEvent::Started
+        | DispatchEvent::End(_)
+        | DispatchEvent::CacheNews(_)
+        | DispatchEvent::Beside(_) => 0,
     };
     EVENT_OVERHEAD + data as u64
 }
--- a/crates/sagespool-sidecar/src/dispatcher.rs
+++ b/crates/sagespool-sidecar/src/dispatcher.rs
@@ -12,7 +12,9 @@
 };
 use sagespool_metrics::FleetMetrics;
 use sagespool_settings::UpstreamSettings;
-use sagespool_types::{ByteCount, ClockTime, IncarnationId, ServiceName, TokenCount};
+use sagespool_types::{
+    AttemptNumber, ByteCount, ClockTime, IncarnationId, RequestId, ServiceName, TokenCount,
+};
 
 use crate::admission::attach_refused;
 use crate::attempt::{AdmittedAttempt, AttemptEnd};
@@ -121,6 +123,12 @@
         self.running.count()
     }
 
+    /// How many attempts run beside one, whether that one still does or not.
+    pub fn count_beside(&self, request: RequestId, attempt: AttemptNumber) -> u32 {
+        let own = usize::from(self.running.runs(request, attempt));
+        self.running.count().saturating_sub(own) as u32
+    }
+
     /// From now on takes nothing new.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::SeqCst);
--- a/crates/sagespool-sidecar/src/role/peers.rs
+++ b/crates/sagespool-sidecar/src/role/peers.rs
@@ -6,8 +6,7 @@
 use futures_lite::FutureExt;
 use sagespool_link::{EventSender, PeerCall, PeerHandler};
 use sagespool_messages::{
-    CacheNews, DispatchEvent, LeaveRequest, MemberStatus, PeerReply, PeerRequest, StatusQuery,
-    StatusReply,
+    DispatchEvent, LeaveRequest, MemberStatus, PeerReply, PeerRequest, StatusQuery, StatusReply,
 };
 use sagespool_types::{ClockTime, WallTime};
 
@@ -29,13 +28,15 @@
     let reply = match request {
         PeerRequest::Dispatch(dispatch) => {
             let _forward = state.forwards.enter();
+            let (id, attempt) = (dispatch.request, dispatch.attempt);
             let reader = dispatcher.dispatch(dispatch, now).await;
-            let news = dispatcher.cache().news_for(from);
-            return pass_on(reader, news, responder.events()).await;
+            let news = dispatcher.cache().news_for(from).map(DispatchEvent::CacheNews);
+            let beside = || DispatchEvent::Beside(dispatcher.count_beside(id, attempt));
+            return pass_on_told(reader, news, beside, responder.events()).await;
         }
         PeerRequest::Attach(request) => {
             let _forward = state.forwards.enter();
-            return pass_on(dispatcher.attach(&request), None, responder.events()).await;
+            return pass_on(dispatcher.attach(&request), || None, responder.events()).await;
         }
         PeerRequest::Cancel(request) => {
             dispatcher.cancel(&request);
@@ -58,14 +59,29 @@
     responder.reply(reply).await;
 }
 
-/// Sends an answer's events as they come, after what is new of the cache. When the asker is
-/// gone the reader is dropped, which tells the attempt.
-async fn pass_on(mut reader: AnswerReader, news: Option<CacheNews>, mut sender: EventSender) {
-    if let Some(news) = news
-        && sender.send(&DispatchEvent::CacheNews(news)).await.is_err()
-    {
-        return;
+/// Sends an answer's events as they come, after what is new of the cache, and with what else the
+/// upstream has when it starts and when it ends.
+async fn pass_on_told(
+    reader: AnswerReader,
+    news: Option<DispatchEvent>,
+    beside: impl Fn() -> DispatchEvent,
+    mut sender: EventSender,
+) {
+    for event in [Some(beside()), news].into_iter().flatten() {
+        if sender.send(&event).await.is_err() {
+            return;
+        }
     }
+    pass_on(reader, || Some(beside()), sender).await;
+}
+
+/// Sends an answer's events as they come, and something before the last. When the asker is gone the
+/// reader is dropped, which tells the attempt.
+async fn pass_on(
+    mut reader: AnswerReader,
+    before_end: impl Fn() -> Option<DispatchEvent>,
+    mut sender: EventSender,
+) {
     let mut gone = pin!(sender.asker_gone());
     loop {
         let asker_gone = async {
@@ -73,6 +89,12 @@
             None
         };
         let Some(event) = asker_gone.or(reader.next()).await else { return };
+        let is_end = matches!(*event, DispatchEvent::End(_));
+        if let Some(last_word) = is_end.then(&before_end).flatten()
+            && sender.send(&last_word).await.is_err()
+        {
+            return;
+        }
         if sender.send(&event).await.is_err() {
             return;
         }
--- a/crates/sagespool-sidecar/src/running.rs
+++ b/crates/sagespool-sidecar/src/running.rs
@@ -143,6 +143,13 @@
         attempts.filter(|running| running.attempt < attempt).cloned().collect()
     }
 
+    /// True if an attempt runs here.
+    pub(crate) fn runs(&self, request: RequestId, attempt: AttemptNumber) -> bool {
+        let shard = self.attempts.of(&request);
+        let mut attempts = shard.get(&request).into_iter().flatten();
+        attempts.any(|running| running.attempt == attempt)
+    }
+
     /// Stops an attempt, if it runs here.
     pub(crate) fn stop(&self, request: RequestId, attempt: AttemptNumber, reason: StopReason) {
         let shard = self.attempts.of(&request);
--- a/crates/sagespool-sidecar/tests/bench/mod.rs
+++ b/crates/sagespool-sidecar/tests/bench/mod.rs
@@ -155,7 +155,7 @@
     let (mut data, mut status, mut first_at) = (Vec::new(), None, None);
     loop {
         match reader.next().await.expect("an answer ends with its end").as_ref() {
-            DispatchEvent::Started | DispatchEvent::CacheNews(_) => {}
+            DispatchEvent::Started | DispatchEvent::CacheNews(_) | DispatchEvent::Beside(_) => {}
             DispatchEvent::Head { status: came, .. } => status = Some(*came),
             DispatchEvent::Piece { at, data: piece, .. } => {
                 first_at.get_or_insert(*at);
