--- a/crates/sagespool-daemon/tests/caller_gone.rs
+++ b/crates/sagespool-daemon/tests/caller_gone.rs
@@ -9,7 +9,8 @@
 use sagespool_testkit::{RunEnd, RunRecord};
 use sagespool_types::{ClockTime, TokenCount};
 
-const PREPAID: u64 = 1060;
+/// Enough for the long answer, and little enough that one other answer can spend what it leaves.
+const PREPAID: u64 = 1040;
 /// Five seconds of an engine, so that nobody waits for its end by accident.
 const LONG_ANSWER: u32 = 1000;
 
