Have a starting process ask the store once before it waits for its members to settle

Cause: a process that had its configuration from a neighbour began only once its view of the members had settled, which takes as long as processes come and go.

--- a/crates/sagespool-configuration/src/follower.rs
+++ b/crates/sagespool-configuration/src/follower.rs
@@ -6,7 +6,7 @@
 use event_listener::Event;
 use sagespool_link::LinkEndpoint;
 use sagespool_log::log_event;
-use sagespool_membership::{ConfigBook, MemberTable, WatchPolicy};
+use sagespool_membership::{MemberTable, WatchPolicy};
 use sagespool_messages::{
     ConfigAsk, ConfigNotice, ConfigObject, ConfigReply, ConfigScope, FLEET_OBJECT_KEY, MemberInfo,
     MemberRole,
@@ -117,10 +117,10 @@
     pub(crate) fn take(
         &self,
         context: FollowContext<'_>,
-        take: impl FnOnce(&mut ConfigBook) -> Vec<ConfigObject>,
+        take: impl FnOnce(&mut FollowState) -> Vec<ConfigObject>,
     ) {
         let mut state = self.state();
-        let mut news = take(&mut state.book);
+        let mut news = take(&mut state);
         if !state.in_force {
             if !self.may_begin(&mut state, context) {
                 return;
--- a/crates/sagespool-configuration/src/relay.rs
+++ b/crates/sagespool-configuration/src/relay.rs
@@ -103,7 +103,7 @@
             if let Some(word) = reply.word {
                 self.state().hear_word(word, self.own, ClockTime::now());
             }
-            self.take(context, |book| book.take_reply(&ask, reply));
+            self.take(context, |state| state.book.take_reply(&ask, reply));
             match next {
                 Some(next) => ask.after = next,
                 None => return,
--- a/crates/sagespool-configuration/src/state.rs
+++ b/crates/sagespool-configuration/src/state.rs
@@ -20,12 +20,12 @@
     pub(crate) book: ConfigBook,
     /// False until the first whole configuration; till then nothing is put in force.
     pub(crate) in_force: bool,
-    /// The book was read from the store itself.
+    /// The store itself has confirmed the book, or was read whole.
     pub(crate) from_store: bool,
     /// What a member has in force and this process waits for, as it was logged.
     pub(crate) waits_for: Option<StoreRevision>,
     /// When the store last answered this process.
-    pub(crate) own_word: Option<ClockTime>,
+    own_word: Option<ClockTime>,
     /// Another process's newest word of the store, and when this process was told.
     heard_word: Option<(StoreWord, ClockTime)>,
     hint: Option<RelayHint>,
@@ -44,6 +44,13 @@
         }
     }
 
+    /// The store tells all that is newer than what is here; to be called under the same lock as
+    /// its objects are taken in, else the book could be put in force without them.
+    pub(crate) fn confirm(&mut self, now: ClockTime) {
+        self.own_word = Some(now);
+        self.from_store = true;
+    }
+
     /// Notes that someone has something; true if this process lacks it.
     pub(crate) fn note(&mut self, hint: RelayHint) -> bool {
         if hint.newest <= self.book.complete() {
--- a/crates/sagespool-configuration/src/watcher.rs
+++ b/crates/sagespool-configuration/src/watcher.rs
@@ -16,6 +16,8 @@
 const WATCH_WAIT: Duration = Duration::from_secs(5);
 /// Between two tries while the store doesn't answer, for the first in order.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// How long a process that starts is left to its neighbours before it reads all objects itself.
+const NEIGHBOUR_TIME: Duration = Duration::from_secs(3);
 /// How often a process looks whether it is to watch.
 const LOOK_PAUSE: Duration = Duration::from_millis(250);
 
@@ -45,26 +47,41 @@
         }
         let order = watch_order(&own, &live);
         let place = WatchPlace::of(&own, &order, &self.policy)?;
-        place.is_to_watch(self.silence(now), &self.policy).then_some(place)
+        let is_wanted = self.asks_first(now) || place.is_to_watch(self.silence(now), &self.policy);
+        is_wanted.then_some(place)
+    }
+
+    /// Whether this process has to ask the store before it begins.
+    ///
+    /// Guards against a start that lasts as long as the fleet is in motion: what a neighbour told may
+    /// be old, and who else could know is settled only once members stop coming and going. One
+    /// call to the store says whether there is anything newer; while it is away, the members decide.
+    fn asks_first(&self, now: ClockTime) -> bool {
+        let state = self.state();
+        let has_waited = now.since(self.started) > NEIGHBOUR_TIME;
+        !state.in_force && (state.book.is_filled() || has_waited)
     }
 
     async fn watch_once(&self, context: FollowContext<'_>) -> Result<(), StoreError> {
-        let (is_filled, after) = {
+        let (is_filled, after, wait) = {
             let state = self.state();
-            (state.book.is_filled(), state.book.complete())
+            let wait = if state.in_force { WATCH_WAIT } else { Duration::ZERO };
+            (state.book.is_filled(), state.book.complete(), wait)
         };
         if !is_filled {
             return self.list(context).await;
         }
         let prefix = self.scope.prefix();
-        match context.objects.watch::<Value>(prefix, after, WATCH_WAIT).await {
+        match context.objects.watch::<Value>(prefix, after, wait).await {
             Ok(watched) => {
                 let changes = watched.changes.into_iter();
                 let changes =
                     changes.map(|change| object_of(change.key, change.version, change.value));
                 let changes: Vec<_> = changes.collect();
-                self.state().own_word = Some(ClockTime::now());
-                self.take(context, |book| book.follow(after, watched.revision, changes));
+                self.take(context, |state| {
+                    state.confirm(ClockTime::now());
+                    state.book.follow(after, watched.revision, changes)
+                });
                 Ok(())
             }
             Err(StoreError::HistoryGone) => self.list(context).await,
@@ -77,12 +94,10 @@
         let items = listing.items.into_iter();
         let items = items.map(|(key, stored)| object_of(key, stored.version, Some(stored.value)));
         let items: Vec<_> = items.collect();
-        {
-            let mut state = self.state();
-            state.own_word = Some(ClockTime::now());
-            state.from_store = true;
-        }
-        self.take(context, |book| book.list(listing.revision, items));
+        self.take(context, |state| {
+            state.confirm(ClockTime::now());
+            state.book.list(listing.revision, items)
+        });
         Ok(())
     }
 }
