--- a/crates/sagespool-configuration/src/relay.rs
+++ b/crates/sagespool-configuration/src/relay.rs
@@ -79,7 +79,12 @@
         now: ClockTime,
     ) -> Option<SocketAddr> {
         let mut live = context.live(now);
-        live.retain(|member| can_answer(self.scope, member.role));
+        // What a sidecar passes on of the store is older by its own period between two questions.
+        let has_entry = live.iter().any(|member| member.role == MemberRole::Entry);
+        live.retain(|member| {
+            let is_best = member.role == MemberRole::Entry || !has_entry;
+            is_best && can_answer(self.scope, member.role)
+        });
         if !self.state().in_force {
             return newest_of(&live);
         }
