--- a/crates/sagespool-sidecar/src/dispatcher.rs
+++ b/crates/sagespool-sidecar/src/dispatcher.rs
@@ -12,7 +12,9 @@
 };
 use sagespool_metrics::{DropCause, FleetMetrics};
 use sagespool_settings::UpstreamSettings;
-use sagespool_types::{ByteCount, ClockTime, IncarnationId, ServiceName, TokenCount};
+use sagespool_types::{
+    AttemptNumber, ByteCount, ClockTime, IncarnationId, RequestId, ServiceName, TokenCount,
+};
 
 use crate::admission::attach_refused;
 use crate::attempt::{AdmittedAttempt, AttemptEnd};
@@ -20,8 +22,8 @@
 use crate::run_service::ServiceTarget;
 use crate::running::{RunningTable, StopReason};
 use crate::{
-    AnswerReader, CacheRelay, ChargeBook, KeyMemory, KeyRefusal, KeyRetention, LoadWatch,
-    OrderDesk, ReportPolicy, UpstreamClient,
+    AnswerReader, CacheRelay, ChargeBook, ChargeEnding, KeyMemory, KeyRefusal, KeyRetention,
+    LoadWatch, OrderDesk, ReportPolicy, UpstreamClient,
 };
 
 /// The memory for answers of keyed requests, if nothing else is said.
@@ -55,6 +57,7 @@
     pub(crate) kind: UpstreamKind,
     service: ServiceName,
     leaving: AtomicBool,
+    held: AtomicBool,
     pub(crate) upstream: UpstreamClient,
     pub(crate) charges: ChargeBook,
     pub(crate) keys: KeyMemory,
@@ -75,6 +78,7 @@
             kind: upstream.kind,
             service: upstream.service.clone(),
             leaving: AtomicBool::new(false),
+            held: AtomicBool::new(false),
             upstream: UpstreamClient::new(upstream.address),
             charges: ChargeBook::new(sidecar, reports),
             keys: KeyMemory::new(sidecar, kept_answers, retention),
@@ -121,14 +125,27 @@
         self.running.count()
     }
 
+    /// How many attempts run beside one, whether that one still does or not.
+    pub fn count_beside(&self, request: RequestId, attempt: AttemptNumber) -> u32 {
+        let own = usize::from(self.running.runs(request, attempt));
+        self.running.count().saturating_sub(own) as u32
+    }
+
     /// From now on takes nothing new.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Takes nothing new while the instance list shows its instance as leaving, though that may be
+    /// about an earlier run.
+    pub fn hold(&self, is_held: bool) {
+        self.held.store(is_held, Ordering::SeqCst);
+    }
+
     /// Whether it takes nothing new, since it leaves or an operator drains it.
     pub(crate) fn is_closed(&self) -> bool {
-        self.leaving.load(Ordering::SeqCst) || self.load.is_drained()
+        let is_leaving = self.leaving.load(Ordering::SeqCst) || self.held.load(Ordering::SeqCst);
+        is_leaving || self.load.is_drained()
     }
 
     /// At most so many of the attempts that run, and whether that is all.
@@ -208,9 +225,14 @@
 
     /// Notes what an attempt has used; never more than was reserved.
     pub(crate) fn note_used(&self, attempt: &AdmittedAttempt, used: TokenCount) {
-        let used = used.min(attempt.reserved);
-        attempt.place.attempt.note_used(used);
-        self.charges.update(attempt.charge, attempt.attempt, used);
+        attempt.place.attempt.note_used(used.min(attempt.reserved));
+        self.note_charged(attempt, used);
+    }
+
+    /// Notes what an attempt is charged if it ends now, without showing it as used: an engine that has
+    /// taken a request in may not have begun with its prompt.
+    pub(crate) fn note_charged(&self, attempt: &AdmittedAttempt, used: TokenCount) {
+        self.charges.update(attempt.charge, attempt.attempt, used.min(attempt.reserved));
     }
 
     /// Counts and logs an answer, or a part of one, that is thrown away.
@@ -224,7 +246,8 @@
     fn finish(&self, attempt: &AdmittedAttempt, end: AttemptEnd, now: ClockTime) {
         let is_whole = matches!(end, AttemptEnd::Whole(_));
         let charge = if end.may_have_run() {
-            self.charges.end(attempt.charge, attempt.attempt, is_whole, now)
+            let ending = ChargeEnding { whole: is_whole, heard: attempt.log.is_read() };
+            self.charges.end(attempt.charge, attempt.attempt, ending, now)
         } else {
             self.charges.withdraw(attempt.charge, attempt.attempt, now);
             None
--- a/crates/sagespool-sidecar/src/role/peers.rs
+++ b/crates/sagespool-sidecar/src/role/peers.rs
@@ -6,8 +6,7 @@
 use futures_lite::FutureExt;
 use sagespool_link::{EventSender, PeerCall, PeerHandler};
 use sagespool_messages::{
-    CacheNews, DispatchEvent, LeaveRequest, MemberStatus, PeerReply, PeerRequest, StatusQuery,
-    StatusReply,
+    DispatchEvent, LeaveRequest, MemberStatus, PeerReply, PeerRequest, StatusQuery, StatusReply,
 };
 use sagespool_metrics::DropCause;
 use sagespool_types::{ClockTime, WallTime};
@@ -30,14 +29,16 @@
     let reply = match request {
         PeerRequest::Dispatch(dispatch) => {
             let _forward = state.forwards.enter();
+            let (id, attempt) = (dispatch.request, dispatch.attempt);
             let reader = dispatcher.dispatch(dispatch, now).await;
-            let news = dispatcher.cache().news_for(from);
-            return pass_on(dispatcher, reader, news, responder.events()).await;
+            let news = dispatcher.cache().news_for(from).map(DispatchEvent::CacheNews);
+            let beside = || DispatchEvent::Beside(dispatcher.count_beside(id, attempt));
+            return pass_on_told(dispatcher, reader, news, beside, responder.events()).await;
         }
         PeerRequest::Attach(request) => {
             let _forward = state.forwards.enter();
-            return pass_on(dispatcher, dispatcher.attach(&request), None, responder.events())
-                .await;
+            let reader = dispatcher.attach(&request);
+            return pass_on(dispatcher, reader, || None, responder.events()).await;
         }
         PeerRequest::Cancel(request) => {
             dispatcher.cancel(&request);
@@ -76,19 +77,31 @@
     PeerReply::Unsupported("this process doesn't have the configuration that is asked for".into())
 }
 
-/// Sends an answer's events as they come, after what is new of the cache. When the asker is
-/// gone the reader is dropped, which tells the attempt; what is left of the answer goes nowhere.
+/// Sends an answer's events as they come, after what is new of the cache, and with what else the
+/// upstream has when it starts and when it ends.
+async fn pass_on_told(
+    dispatcher: &Dispatcher,
+    reader: AnswerReader,
+    news: Option<DispatchEvent>,
+    beside: impl Fn() -> DispatchEvent,
+    mut sender: EventSender,
+) {
+    for event in [Some(beside()), news].into_iter().flatten() {
+        if sender.send(&event).await.is_err() {
+            return;
+        }
+    }
+    pass_on(dispatcher, reader, || Some(beside()), sender).await;
+}
+
+/// Sends an answer's events as they come, and something before the last. When the asker is gone the
+/// reader is dropped, which tells the attempt; what is left of the answer goes nowhere.
 async fn pass_on(
     dispatcher: &Dispatcher,
     mut reader: AnswerReader,
-    news: Option<CacheNews>,
+    before_end: impl Fn() -> Option<DispatchEvent>,
     mut sender: EventSender,
 ) {
-    if let Some(news) = news
-        && sender.send(&DispatchEvent::CacheNews(news)).await.is_err()
-    {
-        return;
-    }
     let mut gone = pin!(sender.asker_gone());
     let mut passage = AnswerPassage { dispatcher, heard: false };
     let mut ended = false;
@@ -98,10 +111,16 @@
             None
         };
         let Some(event) = asker_gone.or(reader.next()).await else { break };
+        let is_end = matches!(*event, DispatchEvent::End(_));
+        if let Some(last_word) = is_end.then(&before_end).flatten()
+            && sender.send(&last_word).await.is_err()
+        {
+            break;
+        }
         if sender.send(&event).await.is_err() {
             break;
         }
-        ended |= matches!(*event, DispatchEvent::End(_));
+        ended |= is_end;
     }
     passage.heard = ended && sender.heard().await;
 }
--- a/crates/sagespool-testkit/src/load/faults/scripts.rs
+++ b/crates/sagespool-testkit/src/load/faults/scripts.rs
@@ -5,10 +5,12 @@
 use sagespool_types::{BranchName, TokenCount};
 
 use super::stage::FaultStage;
-use super::{config_churn, process, store};
+use super::{
+    config_churn, drain, home, operators_race, process, rolling_restart, stale_order, store,
+};
 
 /// The faults by name.
-pub const FAULT_NAMES: [&str; 10] = [
+pub const FAULT_NAMES: [&str; 14] = [
     "partition-topup",
     "entry-kill",
     "store-outage",
@@ -18,6 +20,10 @@
     "poison",
     "crossed-answers",
     "upstream-kill",
+    "rolling-restart",
+    "drain",
+    "stale-order",
+    "operators-race",
     "config-churn",
 ];
 
@@ -42,6 +48,10 @@
         "sidecar-kill" => sidecar_kill(&stage).await,
         "crossed-answers" => crossed_answers(&stage).await,
         "upstream-kill" => upstream_kill(&stage).await,
+        "rolling-restart" => rolling_restart::rolling_restart(&stage).await,
+        "drain" => drain::drain(&stage).await,
+        "stale-order" => stale_order::stale_order(&stage).await,
+        "operators-race" => operators_race::operators_race(&stage).await,
         "config-churn" => config_churn::run(&stage).await,
         "poison" => {}
         _ => return false,
@@ -87,18 +97,17 @@
     names.iter().map(String::as_str).collect()
 }
 
-/// An entry dies with streams open, and comes back later as another incarnation.
+/// An entry that is home of some branch dies with streams open, and comes back later as another
+/// incarnation.
 async fn entry_kill(stage: &FaultStage) {
     let mut rng = stage.rng("entry-kill");
     stage.until(0.3).await;
-    let place = {
-        let mut fleet = stage.fleet().await;
-        let Some(place) = process::pick(&fleet, true, &mut rng) else { return };
-        process::kill(&mut fleet, place);
-        place
-    };
+    let Some(kill) = home::kill_one(&mut *stage.fleet().await, &mut rng).await else { return };
+    let place = kill.place;
+    let watch = smol::spawn(home::watch_settled(stage.clone(), kill));
     stage.until(0.7).await;
     process::restart(&mut *stage.fleet().await, place);
+    watch.await;
 }
 
 /// The store is out of service for half of the time.
