--- a/crates/sagespool-entry/src/operator/fleet.rs
+++ b/crates/sagespool-entry/src/operator/fleet.rs
@@ -107,7 +107,8 @@
         kind: served.kind,
         sidecar: MemberLabel::of(info),
         centre: info.centre.clone(),
-        state: upstream_state(info, served, reply.is_some(), drain_ordered),
+        // The instance list may know that it leaves before its sidecar does.
+        state: upstream_state(info, served, reply.is_some(), drain_ordered, sidecar.leaving),
         in_flight: reply.map(|reply| reply.member.in_flight),
         running: served.load.running,
         waiting: served.load.waiting,
@@ -124,8 +125,9 @@
     served: &ServedUpstream,
     answered: bool,
     drain_ordered: Option<bool>,
+    is_known_leaving: bool,
 ) -> UpstreamState {
-    match (answered, info.leaving, served.healthy, drain_ordered) {
+    match (answered, info.leaving || is_known_leaving, served.healthy, drain_ordered) {
         (false, ..) => UpstreamState::Silent,
         (true, true, ..) => UpstreamState::Leaving,
         (true, false, true, _) => UpstreamState::Serving,
--- a/crates/sagespool-testkit/src/load/operator_oracle/fleet.rs
+++ b/crates/sagespool-testkit/src/load/operator_oracle/fleet.rs
@@ -25,6 +25,12 @@
 /// A process counts its own time from a moment after its start.
 const START_GRACE: Duration = Duration::from_millis(500);
 
+/// Calls for comparison go straight to the engines, and no sidecar knows of them.
+fn is_routed(run: &RunRecord) -> bool {
+    let marker = run.start.marker.as_ref();
+    run.start.request.is_some() && marker.is_some_and(|marker| marker.branch.as_str() != "direct")
+}
+
 /// Runs that the fleet brought about and that went on from the question to the answer.
 fn runs_through<'a>(
     facts: &'a AnswerFacts,
@@ -33,7 +39,7 @@
 ) -> Vec<&'a RunRecord> {
     let runs = facts.runs.iter().filter(|run| {
         run.start.upstream == *upstream
-            && run.start.request.is_some()
+            && is_routed(run)
             && run.running_at(sample.before)
             && run.running_at(sample.after)
     });
