--- a/crates/sagespool-sidecar/tests/bench/mod.rs
+++ b/crates/sagespool-sidecar/tests/bench/mod.rs
@@ -18,8 +18,8 @@
 use sagespool_sidecar::{AnswerReader, DispatchOptions, Dispatcher};
 use sagespool_testkit::{EngineOptions, EngineStand, answer_text};
 use sagespool_types::{
-    AttemptNumber, ChargeId, ClockTime, ContentDigest, GrantId, IncarnationId, KeyDigest,
-    RequestId, SequenceNumber, StoreRevision, TokenCount, TokenRate,
+    AttemptNumber, ChargeId, ClockTime, ContentDigest, FenceNumber, GrantId, IncarnationId,
+    KeyDigest, RequestId, SequenceNumber, StoreRevision, TokenCount, TokenRate,
 };
 use smol::io::{AsyncRead, AsyncReadExt};
 
@@ -51,6 +51,7 @@
 pub fn dispatcher(address: SocketAddr, kind: UpstreamKind) -> Arc<Dispatcher> {
     let dispatcher = unstarted(address, kind);
     dispatcher.charges().started(StoreRevision(100));
+    dispatcher.start_orders(FenceNumber(0), false);
     dispatcher
 }
 
@@ -155,7 +156,7 @@
     let (mut data, mut status, mut first_at) = (Vec::new(), None, None);
     loop {
         match reader.next().await.expect("an answer ends with its end").as_ref() {
-            DispatchEvent::Started | DispatchEvent::CacheNews(_) => {}
+            DispatchEvent::Started | DispatchEvent::CacheNews(_) | DispatchEvent::Beside(_) => {}
             DispatchEvent::Head { status: came, .. } => status = Some(*came),
             DispatchEvent::Piece { at, data: piece, .. } => {
                 first_at.get_or_insert(*at);
--- a/crates/sagespool-testkit/src/load/faults/process.rs
+++ b/crates/sagespool-testkit/src/load/faults/process.rs
@@ -2,10 +2,10 @@
 
 use fastrand::Rng;
 
-use crate::fleet::RunningFleet;
+use crate::fleet::{LifeKind, RunningFleet};
 
 /// The places of the members of a kind that run.
-fn running(fleet: &RunningFleet, entries: bool) -> Vec<usize> {
+pub(super) fn running(fleet: &RunningFleet, entries: bool) -> Vec<usize> {
     let members = fleet.members.iter().enumerate();
     members
         .filter(|(_, member)| member.is_entry() == entries && member.process.is_some())
@@ -26,6 +26,7 @@
     };
     // One that has ended by itself is as dead.
     let _ = process.kill();
+    fleet.note_life(place, LifeKind::Ended);
 }
 
 /// Starts a member again if it doesn't run.
