--- a/crates/sagespool-settings/src/configuration/shard.rs
+++ b/crates/sagespool-settings/src/configuration/shard.rs
@@ -9,9 +9,9 @@
 
 pub use sagespool_messages::{CONFIGURATION_PREFIX, FLEET_OBJECT_KEY};
 
-/// How many objects the branches are spread over. At 57,000 branches each
-/// holds about 900, well under the store's 1 MB a value.
-pub const BRANCH_SHARDS: u64 = 64;
+/// How many objects the branches are spread over. At 57,000 branches each holds about 14. A change
+/// goes through the fleet as its whole object, from neighbour to neighbour, so objects are small.
+pub const BRANCH_SHARDS: u64 = 4096;
 
 /// The shard that a branch is in, the same in every process and version.
 pub fn branch_shard(branch: &BranchName) -> u64 {
