Don't ask a restarted holder for charges of its earlier run

A charge's holder had been restarted; the new run answers at the same address, knows nothing of the old one's grants and calls none of their charges durable. As it answered, the books were never looked into. Ruled out: a lost charge (bills were right), the settle interval. Change: a holder whose address another member has isn't asked; the books are, which say that the grant is closed. A holder that is only believed dead is asked as before. Before: the new test restarted_holder fails after 10 s with (0, 1) cut and unsettled; after: (0, 0). A first try left out every holder believed gone: charge_reported failed, as a silent one may answer yet.

--- a/crates/sagespool-sidecar/src/role/reports.rs
+++ b/crates/sagespool-sidecar/src/role/reports.rs
@@ -60,19 +60,32 @@
 /// One report. Whatever goes wrong, its charges fall due again.
 async fn send(state: &SidecarState, to: IncarnationId, report: ChargeReport, holder: Holder) {
     let gone = state.members.is_gone(to, ClockTime::now());
-    let answer = match state.members.find(to) {
-        Some(member) => {
-            let request = PeerRequest::ReportCharges(report.clone());
-            state.link().ask(member.address, &request, REPORT_LIMIT).await.ok()
-        }
-        None => None,
-    };
-    match answer {
-        Some(PeerReply::ChargesDurable(durable)) => {
-            state.dispatcher.charges().durable(&durable, ClockTime::now());
-        }
-        _ if gone || holder == Holder::LastChance => look_up(state, &report).await,
-        _ => {}
+    match ask_holder(state, to, &report).await {
+        Some(durable) => state.dispatcher.charges().durable(&durable, ClockTime::now()),
+        None if gone || holder == Holder::LastChance => look_up(state, &report).await,
+        None => {}
+    }
+}
+
+/// The holder's word on which charges are durable; nothing if it can't be had.
+///
+/// Guards against a holder that was restarted at its address: the new run would answer, and know
+/// nothing of the old one's charges. They would never be durable, and a stop would wait for them in
+/// vain and report them lost. So it isn't asked, and the books are.
+async fn ask_holder(
+    state: &SidecarState,
+    to: IncarnationId,
+    report: &ChargeReport,
+) -> Option<ChargesDurable> {
+    let address = state.members.find(to)?.address;
+    let mut members = state.members.members().into_iter();
+    if members.any(|member| member.address == address && member.incarnation != to) {
+        return None;
+    }
+    let request = PeerRequest::ReportCharges(report.clone());
+    match state.link().ask(address, &request, REPORT_LIMIT).await {
+        Ok(PeerReply::ChargesDurable(durable)) => Some(durable),
+        _ => None,
     }
 }
 
--- a/crates/sagespool-sidecar/tests/bench/fleet.rs
+++ b/crates/sagespool-sidecar/tests/bench/fleet.rs
@@ -21,7 +21,7 @@
     EngineStand, InstanceEntry, InstanceOptions, InstanceStand, InstanceState, ObjectStand,
     ObjectStandOptions, StoreFaults,
 };
-use sagespool_types::{ByteCount, ConfigVersion};
+use sagespool_types::{ByteCount, ConfigVersion, IncarnationId};
 use tempfile::TempDir;
 
 use super::{GRANT, upstream_at};
@@ -137,15 +137,16 @@
         );
         let holder = GrantHolder::start(identity.unwrap());
         let fleet = Self { role, holder, platform, _files: files };
-        fleet.introduce_holder().await;
+        fleet.introduce(GRANT.holder, 1).await;
         fleet
     }
 
-    async fn introduce_holder(&self) {
+    /// Tells the sidecar of a run of the holder's instance, at the holder's address.
+    pub async fn introduce(&self, incarnation: IncarnationId, number: u64) {
         let from = MemberInfo {
             instance: "entry-1".parse().unwrap(),
-            incarnation: GRANT.holder,
-            number: 1,
+            incarnation,
+            number,
             role: MemberRole::Entry,
             region: "muscat".parse().unwrap(),
             centre: "ghala".parse().unwrap(),
--- a/crates/sagespool-sidecar/tests/sidecar_role.rs
+++ b/crates/sagespool-sidecar/tests/sidecar_role.rs
@@ -64,6 +64,24 @@
     });
 }
 
+// A home is restarted after it has settled its charges and closed its grant. The new run answers at the
+// same address, and knows nothing of them: asked for ever, it never calls one durable, and a sidecar
+// that stops says that it lost charges. The book says that they are settled.
+#[test]
+fn restarted_holder() {
+    block_on(async {
+        let engine = engine(|_| {});
+        let fleet = TestFleet::start(&engine, PlatformStands::start()).await;
+        fleet.ready().await;
+        fleet.holder.settles.store(false, Ordering::SeqCst);
+        let end = end_of(&mut fleet.dispatch(completion(1)).await).await;
+        assert!(matches!(end, DispatchEnd::Whole { .. }), "{end:?}");
+        fleet.introduce(IncarnationId(GRANT.holder.0 + 1), 2).await;
+        let report = fleet.role.stop(LONG).await;
+        assert_eq!((report.cut, report.unsettled), (0, 0));
+    });
+}
+
 // A caller's entry goes away in the middle of an answer, while the engine is
 // slow. Over the link, too, the slot must be free without waiting for a token.
 #[test]
