Pin the 4,096 objects of the branches' configuration

Cause: a clean checkout's tests failed: shard_keys and even_shards pinned the 64 objects of before, which had changed and whose tests I had not waited for. Change: the tests pin 4,096 objects, all of them used, each under 8,000 B (before 64, each under 500,000 B), the place of ruwi-bids as 1375 (before 31), and that 4096 is no object's number.

--- a/crates/sagespool-settings/tests/fleet_schema.rs
+++ b/crates/sagespool-settings/tests/fleet_schema.rs
@@ -341,24 +341,25 @@
 fn shard_keys() {
     assert_eq!(branch_object_key(7), "configuration/branches/7");
     assert_eq!(branch_object_shard("configuration/branches/7"), Some(7));
-    for key in ["configuration/branches/64", "configuration/branches/07", "configuration/fleet"] {
+    for key in ["configuration/branches/4096", "configuration/branches/07", "configuration/fleet"] {
         assert_eq!(branch_object_shard(key), None, "{key}");
     }
     // Fixed for ever: another figure would lose every branch that is in the store.
-    assert_eq!(branch_shard(&"ruwi-bids".parse().unwrap()), 31);
+    assert_eq!(branch_shard(&"ruwi-bids".parse().unwrap()), 1375);
 }
 
 #[test]
 fn even_shards() {
-    // The store takes values up to 1 MB: 57,000 branches must spread over their objects.
+    // A change goes through the fleet as its whole object, with 2 KB a second for all control: 57,000
+    // branches must spread over their objects, and leave none out.
     let entry = BranchEntry::builder().key_hashes(vec![SecretHash::of("k"); 2]).build();
     let name = |number: u32| format!("client-account-{number}").parse().unwrap();
     let branches = (0..57_000).map(|number| (name(number), entry.clone())).collect();
     let shards = split_branches(BranchObject { branches });
-    assert_eq!(shards.len(), 64);
+    assert_eq!(shards.len(), 4096);
     for object in shards.values() {
         let size = serde_json::to_vec(object).unwrap().len();
-        assert!(size < 500_000, "{size} bytes");
+        assert!(size < 8_000, "{size} bytes");
     }
 }
 
