--- a/crates/sagespool-configuration/src/follower.rs
+++ b/crates/sagespool-configuration/src/follower.rs
@@ -9,7 +9,7 @@
 use sagespool_membership::{MemberTable, WatchPolicy};
 use sagespool_messages::{
     ConfigAsk, ConfigNotice, ConfigObject, ConfigReply, ConfigScope, FLEET_OBJECT_KEY, MemberInfo,
-    MemberRole,
+    MemberRole, PeerReply,
 };
 use sagespool_platform::ObjectClient;
 use sagespool_types::{ClockTime, IncarnationId, StoreRevision};
@@ -95,11 +95,17 @@
         }
     }
 
-    /// The answer to a neighbour; nothing if this process doesn't have all that is asked for.
-    ///
+    /// The answer to a neighbour; that there is none, if this process doesn't have all that is asked
+    /// for.
+    pub fn answer(&self, ask: &ConfigAsk, now: ClockTime) -> PeerReply {
+        let absent = "this process doesn't have the configuration that is asked for";
+        let reply = self.reply(ask, now).map(PeerReply::Configuration);
+        reply.unwrap_or_else(|| PeerReply::Unsupported(absent.to_owned()))
+    }
+
     /// A process that has nothing in force yet doesn't answer, even if its book is filled: it may
     /// still find out that what it was told is old.
-    pub fn answer(&self, ask: &ConfigAsk, now: ClockTime) -> Option<ConfigReply> {
+    fn reply(&self, ask: &ConfigAsk, now: ClockTime) -> Option<ConfigReply> {
         let state = self.state();
         if !state.in_force {
             return None;
--- a/crates/sagespool-daemon/tests/caller_gone.rs
+++ b/crates/sagespool-daemon/tests/caller_gone.rs
@@ -49,12 +49,10 @@
     let used = run.start.prompt_tokens.0 + run.produced.0;
     assert!((run.start.prompt_tokens.0..=used).contains(&billed), "billed {billed}, used {used}");
     // What it had reserved beyond that is free again: the branch can spend all the rest.
-    let rest = costing(BRANCH, PREPAID - before.0 - billed);
-    let rest_send = send(&fleet, &rest, fleet.entries()[1]).await;
-    assert!(is_own_whole(&rest_send), "{rest_send:?}");
-    until_settled(&fleet, BRANCH, PREPAID).await;
+    let entry = fleet.entries()[1];
+    let rest = spend_rest(&fleet, BRANCH, entry, PREPAID, before.0 + billed).await;
     let dropped = record(&call, [broken_send()]);
-    assert_promises(&fleet, &[first, dropped, record(&rest, [rest_send])]);
+    assert_promises(&fleet, &[first, dropped, rest]);
 }
 
 /// What a caller has that closed its connection.
--- a/crates/sagespool-daemon/tests/common/calls.rs
+++ b/crates/sagespool-daemon/tests/common/calls.rs
@@ -10,7 +10,7 @@
 use sagespool_testkit::{RunMarker, RunRecord, prompt_tokens};
 use sagespool_types::TokenCount;
 
-use super::{LETTER_PRICE, LETTERS, MODEL, TestFleet, branch, token_of, until};
+use super::{LETTER_PRICE, LETTERS, MODEL, TestFleet, branch, token_of, until, until_settled};
 
 static NEXT_NUMBER: AtomicU64 = AtomicU64::new(1);
 
@@ -116,6 +116,22 @@
     CallRecord { call: call.clone(), sends: sends.into_iter().collect() }
 }
 
+/// Spends all that a branch has left in one call, which must be answered whole, and waits until the
+/// branch has settled what it prepaid, no more and no less.
+pub async fn spend_rest(
+    fleet: &TestFleet,
+    name: &str,
+    entry: usize,
+    prepaid: u64,
+    spent: u64,
+) -> CallRecord {
+    let rest = costing(name, prepaid - spent);
+    let rest_send = send(fleet, &rest, entry).await;
+    assert!(is_own_whole(&rest_send), "{rest_send:?}");
+    until_settled(fleet, name, prepaid).await;
+    record(&rest, [rest_send])
+}
+
 /// The judgement over calls, from the upstreams' log, the deposits and the books as they are now.
 pub fn verdict(fleet: &TestFleet, records: &[CallRecord], deposits: &DepositLog) -> OracleVerdict {
     let books = |key: &str| fleet.store.object(key)?.parse().ok();
--- a/crates/sagespool-daemon/tests/sidecar_kill.rs
+++ b/crates/sagespool-daemon/tests/sidecar_kill.rs
@@ -138,10 +138,8 @@
         fleet.pause(home, true);
         until("the paused home's grants are settled", || holds_nothing(&fleet, BRANCH, holder))
             .await;
-        let rest = costing(BRANCH, PREPAID - spend(&fleet, BRANCH).settled.0);
-        let rest_send = send(&fleet, &rest, other).await;
-        assert!(is_own_whole(&rest_send), "{rest_send:?}");
-        until_settled(&fleet, BRANCH, PREPAID).await;
+        let spent = spend(&fleet, BRANCH).settled.0;
+        let rest = spend_rest(&fleet, BRANCH, other, PREPAID, spent).await;
         let sidecars = fleet.sidecars(ENGINES);
         replace(&mut fleet, &sidecars);
         for sidecar in &sidecars {
@@ -155,7 +153,7 @@
         assert!(refusal(&late_send).is_some(), "{late_send:?}");
         assert!(runs_of(&fleet, &late).is_empty(), "{:?}", runs_of(&fleet, &late));
         assert_eq!(spend(&fleet, BRANCH).settled.0, PREPAID);
-        records.extend([first, record(&rest, [rest_send]), record(&late, [late_send])]);
+        records.extend([first, rest, record(&late, [late_send])]);
         assert_promises(&fleet, &records);
     });
 }
--- a/crates/sagespool-daemon/tests/store_outage.rs
+++ b/crates/sagespool-daemon/tests/store_outage.rs
@@ -64,11 +64,7 @@
         records.push(record(&letter, [letter_send, letter_again]));
         let spent: u64 = records.iter().map(|record| record.billed().0).sum();
         until_settled(&fleet, BRANCH, spent).await;
-        let last = costing(BRANCH, PREPAID - spent);
-        let last_send = send(&fleet, &last, home).await;
-        assert!(is_own_whole(&last_send), "{last_send:?}");
-        records.push(record(&last, [last_send]));
-        until_settled(&fleet, BRANCH, PREPAID).await;
+        records.push(spend_rest(&fleet, BRANCH, home, PREPAID, spent).await);
         assert_promises_but_refusals(&fleet, &records);
     });
 }
--- a/crates/sagespool-daemon/tests/two_faults.rs
+++ b/crates/sagespool-daemon/tests/two_faults.rs
@@ -57,11 +57,7 @@
         let spent: u64 = records.iter().map(|record| record.billed().0).sum();
         until_settled(&fleet, BRANCH, spent).await;
         assert_eq!(spend(&fleet, BRANCH).in_doubt.0, 0);
-        let last = costing(BRANCH, PREPAID - spent);
-        let last_send = send(&fleet, &last, other).await;
-        assert!(is_own_whole(&last_send), "{last_send:?}");
-        records.push(record(&last, [last_send]));
-        until_settled(&fleet, BRANCH, PREPAID).await;
+        records.push(spend_rest(&fleet, BRANCH, other, PREPAID, spent).await);
         assert_promises_but_refusals(&fleet, &records);
     });
 }
@@ -114,11 +110,7 @@
         let spent: u64 = records.iter().map(|record| record.billed().0).sum();
         until_settled(&fleet, BRANCH, spent).await;
         until("the home's grants are settled", || spend(&fleet, BRANCH).in_doubt.0 == 0).await;
-        let last = costing(BRANCH, PREPAID - spent);
-        let last_send = send(&fleet, &last, home).await;
-        assert!(is_own_whole(&last_send), "{last_send:?}");
-        records.push(record(&last, [last_send]));
-        until_settled(&fleet, BRANCH, PREPAID).await;
+        records.push(spend_rest(&fleet, BRANCH, home, PREPAID, spent).await);
         assert_promises_but_refusals(&fleet, &records);
     });
 }
--- a/crates/sagespool-entry/src/peers.rs
+++ b/crates/sagespool-entry/src/peers.rs
@@ -70,10 +70,7 @@
         }
         PeerRequest::Status(query) => PeerReply::Status(status(state, &query)),
         PeerRequest::Leave(request) => crate::operator::leave(state, &request),
-        PeerRequest::AskConfiguration(ask) => {
-            let reply = state.follower.answer(&ask, ClockTime::now());
-            reply.map_or_else(no_configuration, PeerReply::Configuration)
-        }
+        PeerRequest::AskConfiguration(ask) => state.follower.answer(&ask, ClockTime::now()),
         PeerRequest::NoticeConfiguration(notice) => {
             state.follower.noticed(&notice);
             PeerReply::Done
@@ -87,10 +84,6 @@
     }
 }
 
-fn no_configuration() -> PeerReply {
-    PeerReply::Unsupported("this process has no configuration yet".into())
-}
-
 /// This entry's state, as it knows it.
 pub(crate) fn status(state: &EntryState, query: &StatusQuery) -> StatusReply {
     StatusReply {
--- a/crates/sagespool-sidecar/src/role/peers.rs
+++ b/crates/sagespool-sidecar/src/role/peers.rs
@@ -54,10 +54,7 @@
             state.follower.heard(&beat.from);
             PeerReply::Heartbeat(reply)
         }
-        PeerRequest::AskConfiguration(ask) => {
-            let reply = state.follower.answer(&ask, now);
-            reply.map_or_else(no_configuration, PeerReply::Configuration)
-        }
+        PeerRequest::AskConfiguration(ask) => state.follower.answer(&ask, now),
         PeerRequest::NoticeConfiguration(notice) => {
             state.follower.noticed(&notice);
             PeerReply::Done
@@ -73,10 +70,6 @@
     responder.reply(reply).await;
 }
 
-fn no_configuration() -> PeerReply {
-    PeerReply::Unsupported("this process doesn't have the configuration that is asked for".into())
-}
-
 /// Sends an answer's events as they come, after what is new of the cache, and with what else the
 /// upstream has when it starts and when it ends.
 async fn pass_on_told(
