--- a/crates/sagespool-daemon/src/process.rs
+++ b/crates/sagespool-daemon/src/process.rs
@@ -1,5 +1,6 @@
 //! One process from its settings to its graceful stop.
 
+use std::fs;
 use std::path::Path;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -7,8 +8,11 @@
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use sagespool_entry::EntryRole;
-use sagespool_log::{log_event, start_log};
-use sagespool_settings::{ProcessSettings, RoleSettings, load_process};
+use sagespool_gateway::GatewayRole;
+use sagespool_log::{log_event, start_log, start_log_queued};
+use sagespool_settings::{
+    GatewaySettings, ProcessSettings, RoleSettings, is_gateway, load_gateway, load_process,
+};
 use sagespool_sidecar::SidecarRole;
 
 /// The settings are not acceptable.
@@ -26,6 +30,9 @@
 
 /// Runs a process from its settings file until it is told to stop.
 pub fn run(path: &Path) -> ExitCode {
+    if file_is_gateway(path) {
+        return run_gateway(path);
+    }
     let settings = match load_process(path) {
         Ok(settings) => settings,
         Err(report) => {
@@ -39,6 +46,62 @@
     futures_lite::future::block_on(run_role(settings))
 }
 
+/// A file that can't be read is reported by whoever loads it.
+fn file_is_gateway(path: &Path) -> bool {
+    fs::read_to_string(path).is_ok_and(|text| is_gateway(&text))
+}
+
+fn run_gateway(path: &Path) -> ExitCode {
+    let settings = match load_gateway(path) {
+        Ok(settings) => settings,
+        Err(report) => {
+            eprintln!("{report:?}");
+            return ExitCode::from(SETTINGS_FAULT);
+        }
+    };
+    if let Err(error) = start_log_queued(settings.log.level) {
+        eprintln!("can't start the log: {error}");
+        return ExitCode::from(START_FAULT);
+    }
+    futures_lite::future::block_on(serve_gateway(settings, path))
+}
+
+async fn serve_gateway(settings: GatewaySettings, path: &Path) -> ExitCode {
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
+    let mut signals = match signals {
+        Ok(signals) => signals,
+        Err(error) => {
+            log_event!(error, "signals-unavailable", error = error);
+            return ExitCode::from(START_FAULT);
+        }
+    };
+    let stop_limit = settings.stop_limit;
+    let role = match GatewayRole::start(settings, sagespool_adapter::wire_dialect()) {
+        Ok(role) => role,
+        Err(report) => {
+            let help = report.current_context().help();
+            log_event!(error, "start-failed", detail = format!("{report:?}"), help = help);
+            return ExitCode::from(START_FAULT);
+        }
+    };
+    while let Some(Ok(Signal::Hup)) = signals.next().await {
+        reload(&role, path);
+    }
+    log_event!(info, "stop-asked", by = "signal", limit_ms = stop_limit.as_millis());
+    let report = role.stop(stop_limit).await;
+    if report.cut == 0 { ExitCode::SUCCESS } else { ExitCode::from(UNCLEAN_STOP) }
+}
+
+/// Reads the settings again. A file with faults changes nothing.
+fn reload(role: &GatewayRole, path: &Path) {
+    match load_gateway(path) {
+        Ok(settings) => role.reload(settings),
+        Err(report) => {
+            log_event!(error, "settings-kept", detail = format!("{report:?}"));
+        }
+    }
+}
+
 async fn run_role(settings: ProcessSettings) -> ExitCode {
     // Signals are taken before anything starts, so that none is missed.
     let signals = Signals::new([Signal::Term, Signal::Int]);
--- /dev/null
+++ b/crates/sagespool-forward/src/placement.rs
@@ -0,0 +1,303 @@
+//! Choosing the upstream that is expected to answer first.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use sagespool_types::{CentreName, ClockTime, TokenCount, UpstreamName};
+
+use crate::engine::{PartCache, chain_ids, mix};
+use crate::{EngineTraits, PromptPart, UpstreamRecord};
+
+mod health;
+
+use health::UpstreamHealth;
+
+/// Figures of the choice.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PlacementPolicy {
+    /// Prompt tokens that an engine reads in a millisecond. The users' engines read 48.2.
+    pub read_rate: f64,
+    /// By how much each running request slows a step of an engine, in milliseconds of the time to
+    /// a first event. The users' engines need 0.12 ms a request and step; a first event takes
+    /// about ten steps beside other requests' prompts.
+    pub crowding_ms: f64,
+    /// What a prompt that an engine probably keeps for other instances counts for: this instance
+    /// can't know, only that they send such prompts there.
+    pub unseen_share: f64,
+    /// The extra cost of another data centre, in milliseconds: its links are priced by the byte,
+    /// and its round trip is about one.
+    pub distance_ms: f64,
+    /// The expected time of a plain service's answer before any was seen, in milliseconds.
+    pub plain_ms: f64,
+}
+
+impl Default for PlacementPolicy {
+    fn default() -> Self {
+        Self {
+            read_rate: 48.0,
+            crowding_ms: 1.2,
+            unseen_share: 0.4,
+            distance_ms: 1.5,
+            plain_ms: 20.0,
+        }
+    }
+}
+
+/// What a request is like, as far as its place matters.
+#[derive(Debug, Clone, Copy)]
+pub struct WorkShape<'a> {
+    /// The parts of its prompt; none for plain services.
+    pub parts: &'a [PromptPart],
+    /// The engines' traits, if it goes to an engine.
+    pub engine: Option<&'a EngineTraits>,
+    /// The data centre that it is sent from.
+    pub centre: &'a CentreName,
+}
+
+/// A request's place at an upstream, from the choice to the end.
+#[derive(Debug, Clone)]
+pub struct SendTicket {
+    /// Where it goes.
+    pub upstream: UpstreamRecord,
+    /// When it was chosen.
+    pub sent: ClockTime,
+    /// When its first event, or its answer, was expected.
+    pub expected: Duration,
+    /// Tokens that the upstream probably has to read for it.
+    pub unread: TokenCount,
+    began: bool,
+}
+
+/// How a request ended at an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendOutcome {
+    /// It was answered whole.
+    Answered,
+    /// The upstream said that it didn't run it.
+    Refused,
+    /// The upstream answered that it failed.
+    Failed,
+    /// No connection, a broken answer, or none in time.
+    Broken,
+    /// The caller left, which says nothing of the upstream.
+    Cancelled,
+}
+
+#[derive(Debug)]
+struct UpstreamLoad {
+    /// Own requests in flight.
+    running: u32,
+    /// Tokens of own requests that the upstream has still to read.
+    unread: TokenCount,
+    /// Requests of others, as its newest answer told.
+    others: f64,
+    others_at: ClockTime,
+    /// Observed against expected time; 1 is as expected.
+    slowness: f64,
+    cache: Option<PartCache>,
+    health: UpstreamHealth,
+}
+
+/// What this instance knows of each upstream's load, and the choice made from it.
+#[derive(Debug)]
+pub struct PlacementBoard {
+    policy: PlacementPolicy,
+    loads: HashMap<UpstreamName, UpstreamLoad>,
+}
+
+/// Word of other instances' requests is half as good after this time: requests last about a second.
+const OTHERS_HALF_LIFE: Duration = Duration::from_millis(700);
+/// Weight of a new observation of an upstream's speed.
+const SPEED_WEIGHT: f64 = 0.2;
+const SLOWEST: f64 = 12.0;
+const FASTEST: f64 = 0.3;
+/// Time between a request's arrival at an idle engine and its first event, beside reading.
+const FIRST_EVENT_MS: f64 = 20.0;
+/// Costs closer than this are as good as equal.
+const TIE_SPREAD_MS: f64 = 0.5;
+
+impl PlacementBoard {
+    /// A board that knows nothing yet.
+    pub fn new(policy: PlacementPolicy) -> Self {
+        Self { policy, loads: HashMap::new() }
+    }
+
+    /// Chooses among candidates, and counts the request there. Nothing if there are none that
+    /// weren't tried.
+    pub fn choose<'a>(
+        &mut self,
+        candidates: impl Iterator<Item = &'a UpstreamRecord>,
+        shape: WorkShape<'_>,
+        tried: &[UpstreamName],
+        now: ClockTime,
+    ) -> Option<SendTicket> {
+        let candidates: Vec<&UpstreamRecord> =
+            candidates.filter(|record| !tried.contains(&record.name)).collect();
+        let sound: Vec<&UpstreamRecord> =
+            candidates.iter().copied().filter(|record| self.admits(&record.name, now)).collect();
+        // With most upstreams ejected, the cause is more likely on this side: use them all.
+        let usable = if sound.len() * 2 >= candidates.len() { sound } else { candidates };
+        let home = shared_chain(shape.parts).and_then(|chain| first_by_rank(&usable, chain));
+        let rated = usable.into_iter().map(|record| {
+            let is_home = home.as_ref() == Some(&record.name);
+            (record, self.rate(record, shape, is_home, now))
+        });
+        let (record, rating) = rated.min_by(|a, b| a.1.cost_ms.total_cmp(&b.1.cost_ms))?;
+        Some(self.take(record.clone(), rating, shape, now))
+    }
+
+    fn admits(&self, name: &UpstreamName, now: ClockTime) -> bool {
+        self.loads.get(name).is_none_or(|load| load.health.admits(now))
+    }
+
+    fn rate(
+        &mut self,
+        record: &UpstreamRecord,
+        shape: WorkShape<'_>,
+        is_home: bool,
+        now: ClockTime,
+    ) -> UpstreamRating {
+        let policy = self.policy.clone();
+        let load = self.load_of(&record.name, shape.engine);
+        let running = f64::from(load.running) + load.others_now(now);
+        let distance = if record.centre == *shape.centre { 0.0 } else { policy.distance_ms };
+        // Ties are broken at random, so that instances don't move together.
+        let jitter = fastrand::f64() * TIE_SPREAD_MS;
+        let (expected_ms, unread) = match &load.cache {
+            Some(cache) => {
+                let all: TokenCount = shape.parts.iter().map(|part| part.tokens).sum();
+                let unread = all.less(cache.kept(shape.parts));
+                let share = if is_home && unread > last_tokens(shape.parts) {
+                    policy.unseen_share
+                } else {
+                    1.0
+                };
+                let own = last_tokens(shape.parts).0 as f64;
+                let shared = unread.0 as f64 - own.min(unread.0 as f64);
+                let reading = (own + shared * share) / policy.read_rate;
+                let queued = load.unread.0 as f64 / policy.read_rate;
+                (FIRST_EVENT_MS + queued + reading + running * policy.crowding_ms, unread)
+            }
+            None => {
+                let slots = f64::from(record.slots.max(1));
+                (policy.plain_ms * (1.0 + running / slots), TokenCount::ZERO)
+            }
+        };
+        let expected_ms = expected_ms * load.slowness;
+        UpstreamRating { cost_ms: expected_ms + distance + jitter, expected_ms, unread }
+    }
+
+    fn take(
+        &mut self,
+        upstream: UpstreamRecord,
+        rating: UpstreamRating,
+        shape: WorkShape<'_>,
+        now: ClockTime,
+    ) -> SendTicket {
+        let load = self.load_of(&upstream.name, shape.engine);
+        load.running += 1;
+        load.unread += rating.unread;
+        if let Some(cache) = &mut load.cache {
+            cache.note(shape.parts);
+        }
+        load.health.begin(now);
+        let expected = Duration::from_secs_f64(rating.expected_ms / 1000.0);
+        SendTicket { upstream, sent: now, expected, unread: rating.unread, began: false }
+    }
+
+    fn load_of(&mut self, name: &UpstreamName, engine: Option<&EngineTraits>) -> &mut UpstreamLoad {
+        let fresh = || UpstreamLoad {
+            running: 0,
+            unread: TokenCount::ZERO,
+            others: 0.0,
+            others_at: ClockTime::default(),
+            slowness: 1.0,
+            cache: engine.map(|traits| PartCache::new(traits.memory)),
+            health: UpstreamHealth::default(),
+        };
+        self.loads.entry(name.clone()).or_insert_with(fresh)
+    }
+
+    /// Notes that the first event, or the answer, of a request has come.
+    pub fn began(&mut self, ticket: &mut SendTicket, now: ClockTime) {
+        if ticket.began {
+            return;
+        }
+        ticket.began = true;
+        let Some(load) = self.loads.get_mut(&ticket.upstream.name) else {
+            return;
+        };
+        load.unread = load.unread.less(ticket.unread);
+        let expected = ticket.expected.as_secs_f64().max(0.001);
+        let ratio = now.since(ticket.sent).as_secs_f64() / expected * load.slowness;
+        let blended = load.slowness * (1.0 - SPEED_WEIGHT) + ratio * SPEED_WEIGHT;
+        load.slowness = blended.clamp(FASTEST, SLOWEST);
+    }
+
+    /// Notes how a request ended.
+    pub fn finish(&mut self, mut ticket: SendTicket, outcome: SendOutcome, now: ClockTime) {
+        if outcome == SendOutcome::Answered {
+            self.began(&mut ticket, now);
+        }
+        let Some(load) = self.loads.get_mut(&ticket.upstream.name) else {
+            return;
+        };
+        load.running = load.running.saturating_sub(1);
+        if !ticket.began {
+            load.unread = load.unread.less(ticket.unread);
+        }
+        load.health.end(outcome, now);
+    }
+
+    /// Notes an upstream's own word of its load: all requests that it runs or keeps waiting.
+    pub fn note_load(&mut self, name: &UpstreamName, requests: u32, now: ClockTime) {
+        if let Some(load) = self.loads.get_mut(name) {
+            load.others = f64::from(requests.saturating_sub(load.running));
+            load.others_at = now;
+        }
+    }
+
+    /// Forgets an upstream that is gone.
+    pub fn forget(&mut self, name: &UpstreamName) {
+        self.loads.remove(name);
+    }
+
+    /// Own requests in flight at an upstream.
+    pub fn running(&self, name: &UpstreamName) -> u32 {
+        self.loads.get(name).map_or(0, |load| load.running)
+    }
+}
+
+impl UpstreamLoad {
+    fn others_now(&self, now: ClockTime) -> f64 {
+        let age = now.since(self.others_at).as_secs_f64() / OTHERS_HALF_LIFE.as_secs_f64();
+        self.others * 0.5f64.powf(age)
+    }
+}
+
+struct UpstreamRating {
+    cost_ms: f64,
+    expected_ms: f64,
+    unread: TokenCount,
+}
+
+/// The id of the part of a prompt that other requests may share: all but its last part.
+fn shared_chain(parts: &[PromptPart]) -> Option<u64> {
+    let shared = parts.len().checked_sub(1)?;
+    chain_ids(&parts[..shared.max(1)]).last()
+}
+
+fn last_tokens(parts: &[PromptPart]) -> TokenCount {
+    parts.last().map_or(TokenCount::ZERO, |part| part.tokens)
+}
+
+/// The upstream that all instances prefer for a shared prompt, by rendezvous hashing: without a
+/// word between them they send it to the same one, and it is read there once.
+fn first_by_rank(records: &[&UpstreamRecord], chain: u64) -> Option<UpstreamName> {
+    let rank = |record: &&&UpstreamRecord| {
+        let name =
+            record.name.as_str().bytes().fold(0u64, |hash, byte| mix(hash ^ u64::from(byte)));
+        mix(chain ^ name)
+    };
+    records.iter().max_by_key(rank).map(|record| record.name.clone())
+}
--- /dev/null
+++ b/crates/sagespool-forward/src/roster.rs
@@ -0,0 +1,161 @@
+//! The upstreams that may get work.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sagespool_types::{CentreName, ClockTime, ServiceName, UpstreamName};
+
+/// An upstream as the list of upstreams has it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct UpstreamRecord {
+    /// One run of it; after a restart it has another name.
+    pub name: UpstreamName,
+    /// The service that it belongs to.
+    pub service: ServiceName,
+    /// Where it takes calls.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub centre: CentreName,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// True if it wants no new work.
+    pub leaving: bool,
+}
+
+/// What a change of the list did.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RosterChange {
+    /// An upstream came, or is another than before.
+    Joined,
+    /// An upstream leaves, and gets no new work.
+    Leaving,
+    /// An upstream is gone.
+    Gone,
+    /// An entry is missing that may only have lapsed: it is kept for now.
+    Missing,
+    /// Nothing that matters.
+    Unchanged,
+}
+
+#[derive(Debug)]
+struct RosterEntry {
+    record: UpstreamRecord,
+    /// Since when it has been missing from the list.
+    missing: Option<ClockTime>,
+}
+
+/// What this instance knows of the upstreams.
+///
+/// Entries lapse while the store is away, since upstreams can't renew them, and are back soon
+/// after it returns. Dropping them at the first look would leave nothing to send to, though all
+/// upstreams are well. So for a while after an outage a missing entry is kept.
+#[derive(Debug, Default)]
+pub struct UpstreamRoster {
+    entries: BTreeMap<UpstreamName, RosterEntry>,
+    /// Until when missing entries are kept.
+    lapse_until: Option<ClockTime>,
+    loaded: bool,
+}
+
+/// How long entries may take to come back after an outage: the platform promises about two
+/// seconds, and its word takes a moment to arrive.
+const LAPSE_GRACE: Duration = Duration::from_millis(2200);
+
+impl UpstreamRoster {
+    /// Whether the list was ever read.
+    pub fn is_loaded(&self) -> bool {
+        self.loaded
+    }
+
+    /// Notes that the store was away until now.
+    pub fn store_returned(&mut self, now: ClockTime) {
+        self.lapse_until = Some(now.after(LAPSE_GRACE));
+    }
+
+    fn is_lapsing(&self, now: ClockTime) -> bool {
+        self.lapse_until.is_some_and(|until| now < until)
+    }
+
+    /// Takes the whole list. Gives what became of each upstream that changed.
+    pub fn replace(
+        &mut self,
+        records: Vec<UpstreamRecord>,
+        now: ClockTime,
+    ) -> Vec<(UpstreamName, RosterChange)> {
+        self.loaded = true;
+        let listed: Vec<UpstreamName> = records.iter().map(|record| record.name.clone()).collect();
+        let missing: Vec<UpstreamName> =
+            self.entries.keys().filter(|name| !listed.contains(name)).cloned().collect();
+        let mut changes: Vec<_> = records.into_iter().map(|record| self.put(record)).collect();
+        changes.extend(missing.into_iter().map(|name| self.remove(&name, now)));
+        changes.retain(|(_, change)| *change != RosterChange::Unchanged);
+        changes
+    }
+
+    /// Takes an entry that is new or has changed.
+    pub fn put(&mut self, record: UpstreamRecord) -> (UpstreamName, RosterChange) {
+        let name = record.name.clone();
+        let known = self.entries.get(&name);
+        let change = match known {
+            Some(known) if known.record == record => RosterChange::Unchanged,
+            _ if record.leaving => RosterChange::Leaving,
+            _ => RosterChange::Joined,
+        };
+        self.entries.insert(name.clone(), RosterEntry { record, missing: None });
+        (name, change)
+    }
+
+    /// Takes word that an entry was removed.
+    pub fn remove(&mut self, name: &UpstreamName, now: ClockTime) -> (UpstreamName, RosterChange) {
+        let lapsing = self.is_lapsing(now);
+        let Some(entry) = self.entries.get_mut(name) else {
+            return (name.clone(), RosterChange::Unchanged);
+        };
+        if lapsing && !entry.record.leaving {
+            entry.missing.get_or_insert(now);
+            return (name.clone(), RosterChange::Missing);
+        }
+        self.entries.remove(name);
+        (name.clone(), RosterChange::Gone)
+    }
+
+    /// Drops entries that lapsed and didn't come back in time.
+    pub fn expire(&mut self, now: ClockTime) -> Vec<UpstreamName> {
+        if self.is_lapsing(now) {
+            return Vec::new();
+        }
+        let lapsed = |(name, entry): (&UpstreamName, &RosterEntry)| {
+            entry.missing.is_some().then(|| name.clone())
+        };
+        let gone: Vec<UpstreamName> = self.entries.iter().filter_map(lapsed).collect();
+        for name in &gone {
+            self.entries.remove(name);
+        }
+        gone
+    }
+
+    /// The upstreams of a service that may get new work.
+    pub fn ready<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a UpstreamRecord> + 'a {
+        let records = self.entries.values().map(|entry| &entry.record);
+        records.filter(move |record| !record.leaving && record.service == *service)
+    }
+
+    /// An upstream, if it is still on the list.
+    pub fn get(&self, name: &UpstreamName) -> Option<&UpstreamRecord> {
+        self.entries.get(name).map(|entry| &entry.record)
+    }
+
+    /// How many upstreams there are.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -0,0 +1,266 @@
+//! One send of a request to one upstream.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::future::or;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
+use hyper::http::response::Parts;
+use hyper::{Request, Response};
+use sagespool_forward::{SendOutcome, SendTicket, WorkShape};
+use sagespool_log::log_event;
+use sagespool_types::ClockTime;
+use smol::Timer;
+
+use crate::dialect::OnwardTerms;
+use crate::flight::Flight;
+use crate::hop::strip_hop;
+use crate::pool::{UpstreamConnection, connect};
+use crate::state::GatewayState;
+
+/// An upstream's answer whose body is still to come.
+pub(crate) struct OpenAnswer {
+    pub(crate) head: Parts,
+    pub(crate) body: Incoming,
+    pub(crate) connection: UpstreamConnection,
+    pub(crate) place: SendPlace,
+}
+
+/// Why a send brought no answer that can be passed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SendFailure {
+    /// There is no upstream that wasn't tried.
+    NoUpstream,
+    /// Nothing of the request left this process.
+    NotSent(&'static str),
+    /// The upstream says that it hasn't run it.
+    TurnedAway,
+    /// It may have run.
+    Lost(&'static str),
+    /// It may be running; there was no answer in the time that it was given.
+    Silent,
+}
+
+impl SendFailure {
+    /// Whether the request surely hasn't run, so that it may be sent again and a refusal is true.
+    pub(crate) fn surely_not_run(self) -> bool {
+        matches!(self, Self::NoUpstream | Self::NotSent(_) | Self::TurnedAway)
+    }
+
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::NoUpstream => "no-upstream",
+            Self::NotSent(detail) | Self::Lost(detail) => detail,
+            Self::TurnedAway => "turned-away",
+            Self::Silent => "silent",
+        }
+    }
+}
+
+/// A request's place at an upstream, given up when this is dropped, also when the caller goes away
+/// in the middle of a send.
+pub(crate) struct SendPlace {
+    state: Arc<GatewayState>,
+    ticket: Option<SendTicket>,
+}
+
+impl SendPlace {
+    pub(crate) fn ticket(&self) -> &SendTicket {
+        self.ticket.as_ref().expect("a place holds its ticket until it is finished")
+    }
+
+    /// Notes that the first event, or the answer, has come.
+    pub(crate) fn began(&mut self, now: ClockTime) {
+        if let Some(ticket) = &mut self.ticket {
+            self.state.board().began(ticket, now);
+        }
+    }
+
+    /// Gives the place up, with what became of the request.
+    pub(crate) fn finish(mut self, outcome: SendOutcome, now: ClockTime) {
+        if let Some(ticket) = self.ticket.take() {
+            self.state.board().finish(ticket, outcome, now);
+        }
+    }
+}
+
+impl Drop for SendPlace {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            self.state.board().finish(ticket, SendOutcome::Cancelled, ClockTime::now());
+        }
+    }
+}
+
+/// Sends a request to the upstream that is expected to answer first, and waits for the head of its
+/// answer, for at most `patience`.
+pub(crate) async fn send_once(
+    flight: &mut Flight,
+    patience: Duration,
+) -> Result<OpenAnswer, SendFailure> {
+    let now = ClockTime::now();
+    let place = choose_place(flight, now).ok_or(SendFailure::NoUpstream)?;
+    let upstream = place.ticket().upstream.clone();
+    flight.tried.push(upstream.name.clone());
+    flight.record.upstream = Some(upstream.name.clone());
+    let result = exchange(flight, &place, patience).await;
+    let now = ClockTime::now();
+    let failure = match result {
+        Ok((response, connection)) => match judge(flight, response, connection, place, now) {
+            Ok(answer) => return Ok(answer),
+            Err(failure) => failure,
+        },
+        Err(failure) => {
+            place.finish(SendOutcome::Broken, now);
+            failure
+        }
+    };
+    if failure.surely_not_run() {
+        flight.uncharge_prompt();
+    } else {
+        flight.may_have_run = true;
+    }
+    log_event!(
+        warn,
+        "send-failed",
+        request = flight.request.demand.request,
+        upstream = upstream.name,
+        address = upstream.address,
+        cause = failure.as_str(),
+        not_run = failure.surely_not_run(),
+        sends = flight.sends,
+        left_ms = flight.time_left(now).as_millis(),
+    );
+    Err(failure)
+}
+
+fn choose_place(flight: &Flight, now: ClockTime) -> Option<SendPlace> {
+    let state = &flight.state;
+    let engine = flight
+        .request
+        .index
+        .service(&flight.request.service)
+        .and_then(|service| service.engine.as_ref());
+    let shape =
+        WorkShape { parts: &flight.request.demand.parts, engine, centre: &state.settings.centre };
+    let roster = state.roster();
+    let ready = roster.ready(&flight.request.service);
+    let ticket = state.board().choose(ready, shape, &flight.tried, now)?;
+    Some(SendPlace { state: state.clone(), ticket: Some(ticket) })
+}
+
+async fn exchange(
+    flight: &mut Flight,
+    place: &SendPlace,
+    patience: Duration,
+) -> Result<(Response<Incoming>, UpstreamConnection), SendFailure> {
+    let upstream = &place.ticket().upstream;
+    let kept = flight.state.pool.take(&upstream.name, ClockTime::now());
+    let mut connection = match kept {
+        Some(connection) => connection,
+        None => match connect(upstream).await {
+            Ok(connection) => connection,
+            Err(_) => return Err(SendFailure::NotSent("not-connected")),
+        },
+    };
+    flight.state.metrics.sent(connection.carried == 0);
+    connection.carried += 1;
+    let request = build_request(flight, place, ClockTime::now());
+    flight.sends += 1;
+    flight.record.sends = flight.sends;
+    flight.charge_prompt();
+    let sent = connection.sender.try_send_request(request);
+    let answered = async { Some(sent.await) };
+    let timer = async {
+        Timer::after(patience).await;
+        None
+    };
+    let response = match or(answered, timer).await {
+        None => return Err(SendFailure::Silent),
+        Some(Ok(response)) => response,
+        Some(Err(error)) => return Err(failed_send(flight, error)),
+    };
+    Ok((response, connection))
+}
+
+/// The library gives a request back only if it wrote nothing of it.
+fn failed_send(
+    flight: &mut Flight,
+    mut error: TrySendError<Request<Full<hyper::body::Bytes>>>,
+) -> SendFailure {
+    if error.take_message().is_some() {
+        flight.sends -= 1;
+        flight.record.sends = flight.sends;
+        return SendFailure::NotSent("connection-closed");
+    }
+    if error.error().is_parse() {
+        SendFailure::Lost("garbled")
+    } else {
+        SendFailure::Lost("broken")
+    }
+}
+
+fn build_request(
+    flight: &Flight,
+    place: &SendPlace,
+    now: ClockTime,
+) -> Request<Full<hyper::body::Bytes>> {
+    let mut headers = flight.head.headers.clone();
+    strip_hop(&mut headers);
+    let terms = OnwardTerms {
+        upstream: &place.ticket().upstream.name,
+        branch: flight.request.branch.as_ref(),
+        time_left: flight.time_left(now),
+        priority: Some(flight.request.priority),
+        resume_after: flight.last_event.or(flight.request.demand.resume_after),
+    };
+    (flight.state.dialect.write_onward)(&mut headers, &terms);
+    let mut request = Request::new(Full::new(flight.request.body.clone()));
+    *request.method_mut() = flight.head.method.clone();
+    *request.uri_mut() = flight.head.uri.clone();
+    *request.headers_mut() = headers;
+    request
+}
+
+/// Looks at the head of an answer: is it for this request, and did the upstream run it?
+fn judge(
+    flight: &Flight,
+    response: Response<Incoming>,
+    mut connection: UpstreamConnection,
+    place: SendPlace,
+    now: ClockTime,
+) -> Result<OpenAnswer, SendFailure> {
+    let (mut head, body) = response.into_parts();
+    connection.note_idle_limit(idle_limit(&head));
+    let marks = (flight.state.dialect.mark_answer)(head.status, &mut head.headers);
+    if let Some(load) = marks.load {
+        flight.state.board().note_load(&place.ticket().upstream.name, load, now);
+    }
+    // An upstream may send a second answer, which the connection's next request would get. The
+    // request that was sent on it may be running, and its own answer can't be found any more.
+    let crossed =
+        marks.request.as_ref().is_some_and(|request| *request != flight.request.demand.request);
+    if crossed {
+        place.finish(SendOutcome::Broken, now);
+        return Err(SendFailure::Lost("crossed"));
+    }
+    if marks.not_run {
+        let outcome = if marks.misdirected { SendOutcome::Broken } else { SendOutcome::Refused };
+        place.finish(outcome, now);
+        return Err(SendFailure::TurnedAway);
+    }
+    if head.status.is_success() && !marks.signed {
+        place.finish(SendOutcome::Broken, now);
+        return Err(SendFailure::Lost("unsigned"));
+    }
+    Ok(OpenAnswer { head, body, connection, place })
+}
+
+/// How long the upstream keeps the connection open while it is idle.
+fn idle_limit(head: &Parts) -> Option<Duration> {
+    let text = head.headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/sagespool-gateway/src/callers.rs
@@ -0,0 +1,98 @@
+//! Callers' connections.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::task::Poll;
+use std::time::Duration;
+
+use futures_lite::future::{or, poll_fn};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use sagespool_log::log_event;
+use smol::Timer;
+use smol::net::{TcpListener, TcpStream};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+
+use crate::pipeline::serve;
+use crate::state::GatewayState;
+
+/// Before there is a configuration: what the users' configuration says.
+const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+const DEFAULT_HEADER_BYTES: usize = 16 << 10;
+/// The library's least.
+const LEAST_BUFFER: usize = 8 << 10;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Takes callers' connections for ever.
+pub(crate) async fn accept(state: Arc<GatewayState>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => smol::spawn(carry(state.clone(), stream)).detach(),
+            Err(error) => {
+                // Out of descriptors, most likely: existing connections go on meanwhile.
+                log_event!(warn, "accept-failed", error = error);
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Counts an open connection until it is dropped.
+struct OpenConnection(Arc<GatewayState>);
+
+impl OpenConnection {
+    fn new(state: Arc<GatewayState>) -> Self {
+        state.connections.fetch_add(1, Ordering::Relaxed);
+        Self(state)
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Serves the requests of one connection. When the caller closes it, the library drops the request
+/// under way, and all that hangs on it with it: nothing goes on for nobody.
+async fn carry(state: Arc<GatewayState>, stream: TcpStream) {
+    let _open = OpenConnection::new(state.clone());
+    if stream.set_nodelay(true).is_err() {
+        // The connection has ended already.
+        return;
+    }
+    let plan = state.plan();
+    let limits = plan.as_ref().map(|index| &index.plan().limits);
+    let idle = limits.map_or(DEFAULT_IDLE, |limits| limits.idle_time);
+    let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes.0 as usize);
+    let shared = state.clone();
+    let service = service_fn(move |request| {
+        let state = shared.clone();
+        async move { Ok::<_, Infallible>(serve(state, request).await) }
+    });
+    let mut builder = http1::Builder::new();
+    // The library's limit for a header runs from the end of the request before, so it has to allow
+    // for the longest idle time.
+    builder.timer(SmolTimer::new()).header_read_timeout(idle);
+    builder.max_buf_size(header_bytes.max(LEAST_BUFFER));
+    let mut connection = pin!(builder.serve_connection(FuturesIo::new(stream), service));
+    let asked = async {
+        let closing = state.closing.listen();
+        if !state.is_closing() {
+            closing.await;
+        }
+        true
+    };
+    let served = poll_fn(|context| match connection.as_mut().poll(context) {
+        Poll::Pending => Poll::Pending,
+        // Why a caller's connection broke concerns the caller alone.
+        Poll::Ready(_) => Poll::Ready(false),
+    });
+    if or(served, asked).await {
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
+    }
+}
--- /dev/null
+++ b/crates/sagespool-gateway/src/desk.rs
@@ -0,0 +1,384 @@
+//! Client accounts' budgets: what requests reserve, and the grants behind it.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_lock::Mutex as TurnLock;
+use sagespool_ledger::{GrantTerms, PrepaidBook, PrepaidPurse, prepaid_key};
+use sagespool_log::log_event;
+use sagespool_platform::{ObjectClient, StoreError, UpdateChoice, update_object};
+use sagespool_types::{
+    BranchName, ClockTime, ConfigVersion, IncarnationId, InstanceName, StoreRevision, TokenCount,
+};
+use smol::{Task, Timer};
+
+use crate::refusal::Refusal;
+
+/// Writes to one book that are tried before a request is refused: other instances write too.
+const MOST_TRIES: u32 = 8;
+/// The share of a request's time that waiting for the store may take.
+const STORE_SHARE: u32 = 4;
+const LONGEST_STORE_WAIT: Duration = Duration::from_millis(800);
+/// After a failed call, requests that need the store are refused at once for so long. Each call
+/// that waits for nothing costs its request the time in which it could be answered elsewhere.
+const STORE_PAUSE: Duration = Duration::from_millis(250);
+/// A book that couldn't cover a request is taken to be no fuller for so long.
+const SHORT_LIFE: Duration = Duration::from_millis(300);
+const RETRY_PAUSE: Duration = Duration::from_millis(3);
+
+/// What a request asks of its account.
+#[derive(Debug, Clone)]
+pub(crate) struct BudgetOrder {
+    pub(crate) branch: BranchName,
+    /// The configuration that the total is from.
+    pub(crate) version: ConfigVersion,
+    /// The account's total.
+    pub(crate) prepaid: TokenCount,
+    /// The most that the request can cost.
+    pub(crate) amount: TokenCount,
+    pub(crate) request: String,
+}
+
+/// This instance's grants.
+pub(crate) struct BudgetDesk {
+    store: ObjectClient,
+    run: IncarnationId,
+    instance: InstanceName,
+    terms: GrantTerms,
+    accounts: Mutex<HashMap<BranchName, Arc<AccountDesk>>>,
+    /// When the last call failed.
+    store_failed: Mutex<Option<ClockTime>>,
+}
+
+/// One account's.
+struct AccountDesk {
+    branch: BranchName,
+    purse: Mutex<PrepaidPurse>,
+    /// The book as it was last read or written. Whoever holds the lock writes.
+    book: TurnLock<Option<KnownBook>>,
+    shortage: Mutex<Option<Shortage>>,
+    tops_up: AtomicBool,
+}
+
+#[derive(Clone)]
+struct KnownBook {
+    version: StoreRevision,
+    value: PrepaidBook,
+}
+
+/// A book that couldn't cover a request.
+#[derive(Clone, Copy)]
+struct Shortage {
+    /// What it could have covered.
+    room: TokenCount,
+    version: ConfigVersion,
+    noted: ClockTime,
+}
+
+/// What became of asking for a larger grant.
+enum GrantOutcome {
+    Granted,
+    /// The book can cover this much and no more.
+    Short(TokenCount),
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl BudgetDesk {
+    pub(crate) fn new(store: ObjectClient, run: IncarnationId, instance: InstanceName) -> Self {
+        Self {
+            store,
+            run,
+            instance,
+            terms: GrantTerms::default(),
+            accounts: Mutex::default(),
+            store_failed: Mutex::default(),
+        }
+    }
+
+    fn account(&self, branch: &BranchName) -> Arc<AccountDesk> {
+        let mut accounts = lock(&self.accounts);
+        let fresh = || {
+            Arc::new(AccountDesk {
+                branch: branch.clone(),
+                purse: Mutex::default(),
+                book: TurnLock::new(None),
+                shortage: Mutex::default(),
+                tops_up: AtomicBool::new(false),
+            })
+        };
+        accounts.entry(branch.clone()).or_insert_with(fresh).clone()
+    }
+
+    /// Sets the most that a request can cost aside, out of what the store granted.
+    pub(crate) async fn reserve(
+        self: &Arc<Self>,
+        order: &BudgetOrder,
+        deadline: ClockTime,
+        instances: usize,
+    ) -> Result<Reservation, Refusal> {
+        let account = self.account(&order.branch);
+        let now = ClockTime::now();
+        if lock(&account.purse).reserve(order.amount, now) {
+            self.top_up_early(&account, order, instances, now);
+            return Ok(Reservation::new(account, order.amount));
+        }
+        if account.is_short_of(order, now) {
+            return Err(self.refuse(&account, order, Refusal::BudgetSpent, "known-short"));
+        }
+        if self.store_is_away(now) {
+            return Err(self.refuse(&account, order, Refusal::BudgetUnreachable, "store-away"));
+        }
+        let limit = (deadline.since(now) / STORE_SHARE).min(LONGEST_STORE_WAIT);
+        match self.ask_in_time(&account, order, order.amount, instances, limit).await {
+            Ok(GrantOutcome::Granted) => Ok(Reservation::new(account, order.amount)),
+            Ok(GrantOutcome::Short(room)) => {
+                let shortage = Shortage { room, version: order.version, noted: ClockTime::now() };
+                *lock(&account.shortage) = Some(shortage);
+                Err(self.refuse(&account, order, Refusal::BudgetSpent, "book-short"))
+            }
+            Err(error) => {
+                *lock(&self.store_failed) = Some(ClockTime::now());
+                Err(self.refuse(&account, order, Refusal::BudgetUnreachable, &error.to_string()))
+            }
+        }
+    }
+
+    fn refuse(
+        &self,
+        account: &AccountDesk,
+        order: &BudgetOrder,
+        refusal: Refusal,
+        cause: &str,
+    ) -> Refusal {
+        let free = lock(&account.purse).free();
+        log_event!(
+            info,
+            "budget-refused",
+            request = order.request,
+            branch = order.branch,
+            amount = order.amount,
+            free = free,
+            prepaid = order.prepaid,
+            plan = order.version,
+            reason = refusal.reason(),
+            cause = cause,
+        );
+        refusal
+    }
+
+    fn store_is_away(&self, now: ClockTime) -> bool {
+        lock(&self.store_failed).is_some_and(|failed| now.since(failed) < STORE_PAUSE)
+    }
+
+    async fn ask_in_time(
+        &self,
+        account: &AccountDesk,
+        order: &BudgetOrder,
+        missing: TokenCount,
+        instances: usize,
+        limit: Duration,
+    ) -> Result<GrantOutcome, StoreError> {
+        let asked = self.ask(account, order, missing, instances);
+        let timer = async {
+            Timer::after(limit).await;
+            Err(StoreError::Unavailable)
+        };
+        futures_lite::future::or(asked, timer).await
+    }
+
+    /// Asks for a grant that covers `missing` more, and reserves it.
+    async fn ask(
+        &self,
+        account: &AccountDesk,
+        order: &BudgetOrder,
+        missing: TokenCount,
+        instances: usize,
+    ) -> Result<GrantOutcome, StoreError> {
+        // Requests of one account wait for each other's writes: one grant serves them all.
+        let mut known = account.book.lock().await;
+        let key = prepaid_key(&account.branch);
+        for tries in 0..MOST_TRIES {
+            if missing > TokenCount::ZERO && lock(&account.purse).reserve(missing, ClockTime::now())
+            {
+                return Ok(GrantOutcome::Granted);
+            }
+            let fresh = known.is_none();
+            if fresh {
+                *known = Some(self.read_book(&key).await?);
+            }
+            let Some(read) = known.clone() else {
+                continue;
+            };
+            let mut book = read.value;
+            book.take_total(order.version, order.prepaid);
+            book.close_earlier(self.run, &self.instance);
+            let present = book.granted(self.run);
+            let now = ClockTime::now();
+            let wanted = lock(&account.purse)
+                .grant_to_ask(&book, present, missing, instances, self.terms, now);
+            let Some(wanted) = wanted else {
+                if fresh {
+                    let needed = lock(&account.purse).needed();
+                    return Ok(GrantOutcome::Short((book.free() + present).less(needed)));
+                }
+                // What was known may be old: others give back.
+                *known = None;
+                continue;
+            };
+            book.set_granted(self.run, &self.instance, wanted);
+            *known = None;
+            match self.store.put(&key, read.version, &book).await {
+                Ok(version) => {
+                    lock(&account.purse).acknowledged(wanted);
+                    self.log_grant(account, &book, wanted, version);
+                    *known = Some(KnownBook { version, value: book });
+                    if missing == TokenCount::ZERO {
+                        return Ok(GrantOutcome::Granted);
+                    }
+                }
+                Err(StoreError::Conflict { .. } | StoreError::Uncertain) => {
+                    Timer::after(RETRY_PAUSE.mul_f64(fastrand::f64() * f64::from(tries + 1))).await;
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        Err(StoreError::Unavailable)
+    }
+
+    async fn read_book(&self, key: &str) -> Result<KnownBook, StoreError> {
+        let found = self.store.get::<PrepaidBook>(key).await?;
+        Ok(match found {
+            Some(object) => KnownBook { version: object.version, value: object.value },
+            None => KnownBook { version: StoreRevision::ZERO, value: PrepaidBook::default() },
+        })
+    }
+
+    fn log_grant(
+        &self,
+        account: &AccountDesk,
+        book: &PrepaidBook,
+        granted: TokenCount,
+        version: StoreRevision,
+    ) {
+        log_event!(
+            info,
+            "grant-acknowledged",
+            branch = account.branch,
+            granted = granted,
+            book_free = book.free(),
+            prepaid = book.prepaid,
+            closed = book.closed,
+            holders = book.holders.len(),
+            revision = version,
+        );
+    }
+
+    /// Asks for more before the purse is empty, so that requests seldom wait for the store.
+    fn top_up_early(
+        self: &Arc<Self>,
+        account: &Arc<AccountDesk>,
+        order: &BudgetOrder,
+        instances: usize,
+        now: ClockTime,
+    ) {
+        let low = lock(&account.purse).runs_low(self.terms, now);
+        if !low || account.is_nearly_spent(now) || self.store_is_away(now) {
+            return;
+        }
+        if account.tops_up.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let (desk, account, order) = (self.clone(), account.clone(), order.clone());
+        smol::spawn(async move {
+            let asked =
+                desk.ask_in_time(&account, &order, TokenCount::ZERO, instances, LONGEST_STORE_WAIT);
+            if let Err(error) = asked.await {
+                *lock(&desk.store_failed) = Some(ClockTime::now());
+                log_event!(warn, "top-up-failed", branch = account.branch, error = error);
+            }
+            account.tops_up.store(false, Ordering::Relaxed);
+        })
+        .detach();
+    }
+
+    /// Ends this run's grants in the books, with what was really spent. For a graceful stop.
+    pub(crate) async fn close_all(self: &Arc<Self>, limit: Duration) {
+        let accounts: Vec<Arc<AccountDesk>> = lock(&self.accounts).values().cloned().collect();
+        let closing = accounts.into_iter().map(|account| {
+            let desk = self.clone();
+            smol::spawn(async move { desk.close(&account, limit).await })
+        });
+        let closing: Vec<Task<()>> = closing.collect();
+        for task in closing {
+            task.await;
+        }
+    }
+
+    async fn close(&self, account: &AccountDesk, limit: Duration) {
+        let spent = lock(&account.purse).needed();
+        lock(&account.purse).lower_to(spent);
+        let key = prepaid_key(&account.branch);
+        let close = |book: &mut PrepaidBook| {
+            if !book.holders.contains_key(&self.run) {
+                return UpdateChoice::Keep;
+            }
+            book.close(self.run, spent);
+            UpdateChoice::Write
+        };
+        match update_object(&self.store, &key, limit, close).await {
+            Ok(_) => log_event!(info, "grant-closed", branch = account.branch, spent = spent),
+            Err(error) => log_event!(warn, "grant-left", branch = account.branch, error = error),
+        }
+    }
+}
+
+impl AccountDesk {
+    fn is_short_of(&self, order: &BudgetOrder, now: ClockTime) -> bool {
+        let Some(shortage) = *lock(&self.shortage) else {
+            return false;
+        };
+        shortage.version == order.version
+            && now.since(shortage.noted) < SHORT_LIFE
+            && order.amount > shortage.room
+    }
+
+    fn is_nearly_spent(&self, now: ClockTime) -> bool {
+        lock(&self.shortage).is_some_and(|shortage| now.since(shortage.noted) < SHORT_LIFE)
+    }
+}
+
+/// What a request has set aside. Dropping it settles: the rest is free at once.
+pub(crate) struct Reservation {
+    account: Arc<AccountDesk>,
+    amount: TokenCount,
+    prompt: TokenCount,
+    answer: TokenCount,
+}
+
+impl Reservation {
+    fn new(account: Arc<AccountDesk>, amount: TokenCount) -> Self {
+        Self { account, amount, prompt: TokenCount::ZERO, answer: TokenCount::ZERO }
+    }
+
+    /// Sets what is charged for the prompt.
+    pub(crate) fn set_prompt(&mut self, tokens: TokenCount) {
+        self.prompt = tokens;
+    }
+
+    /// Adds to what is charged for the answer.
+    pub(crate) fn add_answer(&mut self, tokens: TokenCount) {
+        self.answer += tokens;
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        let used = (self.prompt + self.answer).min(self.amount);
+        lock(&self.account.purse).settle(self.amount, used);
+    }
+}
--- /dev/null
+++ b/crates/sagespool-gateway/src/flight.rs
@@ -0,0 +1,166 @@
+//! One request on its way.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Bytes;
+use hyper::http::request::Parts;
+use sagespool_forward::{CallerDemand, ForwardRoute, PlanIndex, RepeatRule};
+use sagespool_log::log_event;
+use sagespool_types::{BranchName, ClockTime, ServiceName, TokenCount, UpstreamName};
+
+use crate::desk::Reservation;
+use crate::metrics::Outcome;
+use crate::state::GatewayState;
+
+/// A request that may be sent: its route is known, its account pays for it.
+pub(crate) struct AdmittedRequest {
+    pub(crate) index: Arc<PlanIndex>,
+    pub(crate) route: ForwardRoute,
+    pub(crate) service: ServiceName,
+    pub(crate) branch: Option<BranchName>,
+    pub(crate) priority: u8,
+    pub(crate) demand: CallerDemand,
+    pub(crate) body: Bytes,
+    pub(crate) reservation: Option<Reservation>,
+    /// When its answer must be complete.
+    pub(crate) deadline: ClockTime,
+}
+
+/// All that the pipeline knows of a request on its way.
+pub(crate) struct Flight {
+    pub(crate) state: Arc<GatewayState>,
+    pub(crate) request: AdmittedRequest,
+    pub(crate) head: Parts,
+    /// Upstreams that it was sent to.
+    pub(crate) sends: u32,
+    /// Upstreams that it was sent to or that couldn't be reached.
+    pub(crate) tried: Vec<UpstreamName>,
+    /// True once an upstream may have run it.
+    pub(crate) may_have_run: bool,
+    /// The last event that was passed on to the caller.
+    pub(crate) last_event: Option<u64>,
+    pub(crate) record: FlightRecord,
+}
+
+impl Flight {
+    /// What is left until the answer must be complete.
+    pub(crate) fn time_left(&self, now: ClockTime) -> Duration {
+        self.request.deadline.since(now)
+    }
+
+    /// Whether it may reach a second upstream after one that may have run it.
+    pub(crate) fn is_idempotent(&self) -> bool {
+        self.request.route.repeat == RepeatRule::Idempotent
+    }
+
+    /// Charges the prompt: from the moment of sending an upstream may have read it, also if the
+    /// caller goes away before anything comes back.
+    pub(crate) fn charge_prompt(&mut self) {
+        let prompt = self.request.demand.tokens.map_or(TokenCount::ZERO, |tokens| tokens.prompt);
+        if let Some(reservation) = &mut self.request.reservation {
+            reservation.set_prompt(prompt);
+        }
+    }
+
+    /// Takes the charge of the prompt back, unless an upstream may have read it.
+    pub(crate) fn uncharge_prompt(&mut self) {
+        if self.may_have_run {
+            return;
+        }
+        if let Some(reservation) = &mut self.request.reservation {
+            reservation.set_prompt(TokenCount::ZERO);
+        }
+    }
+
+    /// Charges events that are passed on to the caller. An event may hold fewer tokens than most
+    /// do; a request is never charged more than it reserved.
+    pub(crate) fn charge_events(&mut self, count: u64) {
+        self.record.events += count;
+        let service = self.request.index.service(&self.request.service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        let each = engine.map_or(0, |engine| engine.event_tokens.0);
+        if let Some(reservation) = &mut self.request.reservation {
+            reservation.add_answer(TokenCount(count * each));
+        }
+    }
+}
+
+/// What logs and metrics tell of a request. Written when it ends, also when its caller goes away
+/// and everything else of it is dropped.
+pub(crate) struct FlightRecord {
+    pub(crate) state: Arc<GatewayState>,
+    pub(crate) request: String,
+    pub(crate) route: String,
+    pub(crate) branch: Option<BranchName>,
+    pub(crate) began: ClockTime,
+    pub(crate) first: Option<ClockTime>,
+    pub(crate) upstream: Option<UpstreamName>,
+    pub(crate) sends: u32,
+    pub(crate) events: u64,
+    /// What became of it.
+    pub(crate) outcome: Option<Outcome>,
+    pub(crate) status: u16,
+    pub(crate) detail: String,
+}
+
+impl FlightRecord {
+    pub(crate) fn new(state: &Arc<GatewayState>, began: ClockTime) -> Self {
+        Self {
+            state: state.clone(),
+            request: String::new(),
+            route: String::new(),
+            branch: None,
+            began,
+            first: None,
+            upstream: None,
+            sends: 0,
+            events: 0,
+            outcome: None,
+            status: 0,
+            detail: String::new(),
+        }
+    }
+
+    /// Notes how the request ends.
+    pub(crate) fn conclude(&mut self, outcome: Outcome, status: u16, detail: &str) {
+        self.outcome = Some(outcome);
+        self.status = status;
+        self.detail = detail.to_owned();
+    }
+}
+
+impl Drop for FlightRecord {
+    fn drop(&mut self) {
+        let now = ClockTime::now();
+        let outcome = self.outcome.unwrap_or(Outcome::CallerGone);
+        let none = String::new;
+        let branch = self.branch.as_ref().map_or_else(none, BranchName::to_string);
+        let upstream = self.upstream.as_ref().map_or_else(none, UpstreamName::to_string);
+        let first = self.first.map_or(now, |first| first);
+        log_event!(
+            info,
+            "request-ended",
+            request = self.request,
+            route = self.route,
+            branch = branch,
+            outcome = outcome.as_str(),
+            status = self.status,
+            upstream = upstream,
+            sends = self.sends,
+            events = self.events,
+            first_ms = first.since(self.began).as_millis(),
+            total_ms = now.since(self.began).as_millis(),
+            plan = self.state.plan_version(),
+            detail = self.detail,
+        );
+        let metrics = &self.state.metrics;
+        metrics.ended(outcome, &self.route);
+        metrics.observe(
+            &self.route,
+            self.branch.as_ref(),
+            first.since(self.began),
+            now.since(self.began),
+        );
+    }
+}
--- /dev/null
+++ b/crates/sagespool-gateway/src/lib.rs
@@ -0,0 +1,26 @@
+//! The gateway: an entry that forwards opaque requests straight to upstreams.
+//!
+//! One pipeline carries each request: admit, reserve its tokens, choose an upstream, attempt,
+//! answer, settle. The decisions are `sagespool-forward`'s and `sagespool-ledger`'s; here is the
+//! I/O around them. How callers, upstreams and the store spell things is handed in as a
+//! [`WireDialect`].
+
+mod attempt;
+mod body;
+mod callers;
+mod desk;
+mod dialect;
+mod flight;
+mod follow;
+mod hop;
+mod metrics;
+mod pipeline;
+mod pool;
+mod refusal;
+mod relay;
+mod role;
+mod state;
+mod status;
+
+pub use dialect::{AnswerMarks, DemandFault, OnwardTerms, WireDialect};
+pub use role::{GatewayError, GatewayRole, StopReport};
--- /dev/null
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -0,0 +1,311 @@
+//! A request's way: admit, reserve, attempt, answer, settle.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::future::or;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Bytes, Incoming};
+use hyper::header::{CONNECTION, HOST};
+use hyper::http::request::Parts as RequestParts;
+use hyper::http::response::Parts as ResponseParts;
+use hyper::{Request, Response};
+use sagespool_forward::{BranchPlan, CallerDemand, PlanIndex, SendOutcome};
+use sagespool_types::ClockTime;
+use smol::Timer;
+
+use crate::attempt::{OpenAnswer, SendFailure, send_once};
+use crate::body::AnswerBody;
+use crate::desk::{BudgetOrder, Reservation};
+use crate::flight::{AdmittedRequest, Flight, FlightRecord};
+use crate::hop::strip_hop;
+use crate::metrics::Outcome;
+use crate::refusal::Refusal;
+use crate::relay::start_relay;
+use crate::state::GatewayState;
+
+/// Less than this isn't worth a send: the way to an upstream and back takes up to two milliseconds.
+const LEAST_TIME: Duration = Duration::from_millis(5);
+/// Kept for the answer's way to the caller, so that it arrives before the caller gives up.
+const ANSWER_WAY: Duration = Duration::from_millis(10);
+/// An answer that isn't a stream is collected whole before it is passed on, up to this length: a
+/// broken one can then be told from a whole one, and asked for again.
+const LONGEST_WHOLE: usize = 16 << 20;
+/// The share of the latency target after which an idempotent request goes to another upstream.
+const PATIENCE_SHARE: f64 = 0.6;
+/// With a stream, the first event may wait for long prompts beside it: a second reading of its own
+/// prompt costs more than a late one.
+const STREAM_PATIENCE_SHARE: f64 = 1.5;
+/// The least urgent rank that upstreams know.
+const LAST_RANK: u8 = 9;
+
+/// Serves one request.
+pub(crate) async fn serve(
+    state: Arc<GatewayState>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let began = ClockTime::now();
+    let (head, body) = request.into_parts();
+    let mut record = FlightRecord::new(&state, began);
+    let request = match admit(&state, &head, body, began, &mut record).await {
+        Ok(request) => request,
+        Err(refusal) => return refuse(record, refusal, refusal.reason()),
+    };
+    state.retries().count_first(&request.service, ClockTime::now());
+    let flight = Flight {
+        state,
+        request,
+        head,
+        sends: 0,
+        tried: Vec::new(),
+        may_have_run: false,
+        last_event: None,
+        record,
+    };
+    run(flight).await
+}
+
+fn refuse(mut record: FlightRecord, refusal: Refusal, detail: &str) -> Response<AnswerBody> {
+    record.conclude(Outcome::Refused, refusal.status().as_u16(), detail);
+    refusal.response()
+}
+
+/// Everything before the first send.
+async fn admit(
+    state: &Arc<GatewayState>,
+    head: &RequestParts,
+    body: Incoming,
+    began: ClockTime,
+    record: &mut FlightRecord,
+) -> Result<AdmittedRequest, Refusal> {
+    let index = state.plan().ok_or(Refusal::NoPlan)?;
+    let demand = (state.dialect.read_demand)(&head.headers).map_err(Refusal::Demand)?;
+    record.request.clone_from(&demand.request);
+    let host = host_of(head).ok_or(Refusal::NoHost)?;
+    let found = index.route(&host, head.uri.path(), &demand.request);
+    let found = found.ok_or(Refusal::UnknownRoute)?;
+    record.route.clone_from(&found.route.name);
+    let (route, service) = (found.route.clone(), found.service.clone());
+    let branch = find_branch(&index, &demand, route.open)?;
+    record.branch = branch.map(|branch| branch.name.clone());
+    let patience = demand.patience.unwrap_or(route.time_limit).min(route.time_limit);
+    let deadline = began.after(patience.saturating_sub(ANSWER_WAY));
+    let body = read_body(&index, body, deadline.since(began)).await?;
+    if deadline.since(ClockTime::now()) < LEAST_TIME {
+        return Err(Refusal::TooLate);
+    }
+    let reservation = match branch {
+        Some(branch) => reserve(state, &index, branch, &demand, deadline).await?,
+        None => None,
+    };
+    let rank = branch.and_then(|branch| branch.priority).unwrap_or(route.priority);
+    let branch = branch.map(|branch| branch.name.clone());
+    Ok(AdmittedRequest {
+        priority: rank.min(LAST_RANK),
+        branch,
+        route,
+        service,
+        demand,
+        body,
+        reservation,
+        deadline,
+        index: index.clone(),
+    })
+}
+
+fn host_of(head: &RequestParts) -> Option<String> {
+    if let Some(authority) = head.uri.authority() {
+        return Some(authority.to_string());
+    }
+    head.headers.get(HOST)?.to_str().ok().map(str::to_owned)
+}
+
+/// The client account whose key a request shows.
+fn find_branch<'a>(
+    index: &'a PlanIndex,
+    demand: &CallerDemand,
+    open: bool,
+) -> Result<Option<&'a BranchPlan>, Refusal> {
+    let branch = demand.key.as_deref().and_then(|key| index.branch(key));
+    if branch.is_none() && !open && index.has_branches() {
+        return Err(Refusal::UnknownKey);
+    }
+    Ok(branch)
+}
+
+/// Sets the most that a request can cost aside.
+async fn reserve(
+    state: &GatewayState,
+    index: &PlanIndex,
+    branch: &BranchPlan,
+    demand: &CallerDemand,
+    deadline: ClockTime,
+) -> Result<Option<Reservation>, Refusal> {
+    let (Some(prepaid), Some(tokens)) = (branch.prepaid, demand.tokens) else {
+        return Ok(None);
+    };
+    let order = BudgetOrder {
+        branch: branch.name.clone(),
+        version: index.plan().version,
+        prepaid,
+        amount: tokens.most(),
+        request: demand.request.clone(),
+    };
+    state.desk.reserve(&order, deadline, state.instances()).await.map(Some)
+}
+
+async fn read_body(index: &PlanIndex, body: Incoming, limit: Duration) -> Result<Bytes, Refusal> {
+    let most = usize::try_from(index.plan().limits.body_bytes.0).unwrap_or(usize::MAX);
+    let collected = async {
+        let collected = Limited::new(body, most).collect().await;
+        collected.map(|whole| whole.to_bytes()).map_err(|error| body_fault(&*error))
+    };
+    let timer = async {
+        Timer::after(limit).await;
+        Err(Refusal::BodyTooSlow)
+    };
+    or(collected, timer).await
+}
+
+fn body_fault(error: &(dyn std::error::Error + Send + Sync + 'static)) -> Refusal {
+    match error.is::<LengthLimitError>() {
+        true => Refusal::BodyTooLarge,
+        // Its connection is broken, so the answer reaches nobody.
+        false => Refusal::BodyTooSlow,
+    }
+}
+
+/// A whole answer of an upstream.
+struct WholeAnswer {
+    head: ResponseParts,
+    bytes: Bytes,
+}
+
+impl WholeAnswer {
+    fn is_failure(&self) -> bool {
+        self.head.status.is_server_error()
+    }
+}
+
+/// Sends the request until it is answered or given up.
+async fn run(mut flight: Flight) -> Response<AnswerBody> {
+    // The failure that an upstream answered with, in case no other upstream does better.
+    let mut failed: Option<WholeAnswer> = None;
+    loop {
+        let patience = send_patience(&flight, ClockTime::now());
+        let result = match send_once(&mut flight, patience).await {
+            Ok(answer) if is_stream(&flight, &answer) => return start_relay(flight, answer),
+            Ok(answer) => collect(&mut flight, answer).await,
+            Err(failure) => Err(failure),
+        };
+        let failure = match result {
+            Ok(answer) if answer.is_failure() && flight.is_idempotent() => {
+                failed = Some(answer);
+                SendFailure::Lost("failure-status")
+            }
+            Ok(answer) => return respond(flight, answer),
+            Err(failure) => failure,
+        };
+        if may_send_again(&flight, failure, ClockTime::now()) {
+            continue;
+        }
+        return match failed {
+            Some(answer) => respond(flight, answer),
+            None => give_up(flight, failure),
+        };
+    }
+}
+
+fn is_stream(flight: &Flight, answer: &OpenAnswer) -> bool {
+    flight.request.route.streaming && answer.head.status.is_success()
+}
+
+/// How long to wait for the head of an answer.
+pub(crate) fn send_patience(flight: &Flight, now: ClockTime) -> Duration {
+    let left = flight.time_left(now);
+    let route = &flight.request.route;
+    let is_last = flight.sends + 1 >= route.attempts;
+    if !flight.is_idempotent() || is_last {
+        return left;
+    }
+    let share = if route.streaming { STREAM_PATIENCE_SHARE } else { PATIENCE_SHARE };
+    left.min(route.latency_target.mul_f64(share))
+}
+
+/// Whether a request whose send failed may go to another upstream.
+pub(crate) fn may_send_again(flight: &Flight, failure: SendFailure, now: ClockTime) -> bool {
+    if failure == SendFailure::NoUpstream || flight.time_left(now) < LEAST_TIME {
+        return false;
+    }
+    if !failure.surely_not_run() && !flight.is_idempotent() {
+        return false;
+    }
+    if flight.sends >= flight.request.route.attempts {
+        return false;
+    }
+    // Where nothing left this process, upstreams have nothing more to do.
+    if matches!(failure, SendFailure::NotSent(_)) {
+        return true;
+    }
+    let instances = flight.state.instances();
+    flight.state.retries().take_repeat(&flight.request.service, instances, now)
+}
+
+fn give_up(mut flight: Flight, failure: SendFailure) -> Response<AnswerBody> {
+    flight.uncharge_prompt();
+    let refusal = match failure {
+        SendFailure::Silent => Refusal::TimedOut,
+        _ if flight.may_have_run => Refusal::Failed,
+        SendFailure::TurnedAway => Refusal::Busy,
+        _ => Refusal::NoUpstream,
+    };
+    refuse(flight.record, refusal, failure.as_str())
+}
+
+/// Takes in a whole answer.
+async fn collect(flight: &mut Flight, answer: OpenAnswer) -> Result<WholeAnswer, SendFailure> {
+    flight.may_have_run = true;
+    let OpenAnswer { head, body, connection, mut place } = answer;
+    place.began(ClockTime::now());
+    let left = flight.time_left(ClockTime::now());
+    let collected = async {
+        let collected = Limited::new(body, LONGEST_WHOLE).collect().await;
+        collected.map(|whole| whole.to_bytes()).map_err(|_| SendFailure::Lost("answer-broken"))
+    };
+    let timer = async {
+        Timer::after(left).await;
+        Err(SendFailure::Silent)
+    };
+    let collected = or(collected, timer).await;
+    let now = ClockTime::now();
+    let bytes = match collected {
+        Ok(bytes) => bytes,
+        Err(failure) => {
+            place.finish(SendOutcome::Broken, now);
+            return Err(failure);
+        }
+    };
+    if !says_close(&head) {
+        flight.state.pool.keep(&place.ticket().upstream.name, connection, now);
+    }
+    let answer = WholeAnswer { head, bytes };
+    let outcome = if answer.is_failure() { SendOutcome::Failed } else { SendOutcome::Answered };
+    place.finish(outcome, now);
+    Ok(answer)
+}
+
+/// Whether the upstream closes the connection after this answer.
+pub(crate) fn says_close(head: &ResponseParts) -> bool {
+    let value = head.headers.get(CONNECTION);
+    value.and_then(|value| value.to_str().ok()).is_some_and(|text| text.contains("close"))
+}
+
+/// Passes a whole answer on, with the upstream's status and bytes.
+fn respond(mut flight: Flight, answer: WholeAnswer) -> Response<AnswerBody> {
+    let mut head = answer.head;
+    let outcome = if head.status.is_server_error() { Outcome::Failed } else { Outcome::Answered };
+    strip_hop(&mut head.headers);
+    flight.record.first = Some(ClockTime::now());
+    flight.record.conclude(outcome, head.status.as_u16(), "");
+    Response::from_parts(head, AnswerBody::whole(answer.bytes))
+}
--- /dev/null
+++ b/crates/sagespool-gateway/src/relay.rs
@@ -0,0 +1,180 @@
+//! Passing a stream on as it arrives, and going on with it at another upstream.
+
+use std::future::Future;
+
+use async_channel::{Sender, bounded};
+use futures_lite::future::or;
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::{Bytes, Incoming};
+use sagespool_forward::{EventCutter, SendOutcome};
+use sagespool_types::ClockTime;
+use smol::Timer;
+
+use crate::attempt::{OpenAnswer, SendFailure, send_once};
+use crate::body::{AnswerBody, BodyPiece};
+use crate::flight::Flight;
+use crate::hop::strip_hop;
+use crate::metrics::Outcome;
+use crate::pipeline::{may_send_again, says_close, send_patience};
+
+/// Pieces on their way to the caller's connection. A caller that reads slowly holds its upstream
+/// up after these, in place of filling this process's memory.
+const PIECES_AHEAD: usize = 8;
+
+/// How the stream of one upstream ended.
+enum StreamEnd {
+    /// It is complete.
+    Whole,
+    /// It broke off.
+    Broken,
+    /// The time ran out.
+    TimeOver,
+    /// The caller has gone.
+    CallerGone,
+}
+
+/// Answers with the head of a stream; a task of its own passes the events on.
+pub(crate) fn start_relay(mut flight: Flight, mut answer: OpenAnswer) -> Response<AnswerBody> {
+    flight.may_have_run = true;
+    let mut head = answer.head.clone();
+    strip_hop(&mut head.headers);
+    answer.place.began(ClockTime::now());
+    flight.record.status = head.status.as_u16();
+    let (sender, pieces) = bounded(PIECES_AHEAD);
+    let relay = smol::spawn(relay_all(flight, answer, sender));
+    Response::from_parts(head, AnswerBody::stream(pieces, relay))
+}
+
+/// Passes on the events of one upstream after the other, until the stream is complete or given up.
+async fn relay_all(mut flight: Flight, mut answer: OpenAnswer, sender: Sender<BodyPiece>) {
+    loop {
+        let end = relay_one(&mut flight, answer, &sender).await;
+        let failure = match end {
+            StreamEnd::Whole => {
+                flight.record.conclude(Outcome::Answered, flight.record.status, "");
+                // Settled before the caller can know that the stream is complete.
+                drop(flight.request.reservation.take());
+                let _ = sender.send(BodyPiece::End).await;
+                return;
+            }
+            StreamEnd::CallerGone => return,
+            StreamEnd::TimeOver => {
+                flight.record.conclude(Outcome::Cut, flight.record.status, "timed-out");
+                return;
+            }
+            StreamEnd::Broken => SendFailure::Lost("stream-broken"),
+        };
+        answer = match go_on(&mut flight, failure).await {
+            Some(answer) => answer,
+            None => {
+                flight.record.conclude(Outcome::Cut, flight.record.status, failure.as_str());
+                return;
+            }
+        };
+    }
+}
+
+/// Sends the request to another upstream, to go on after the last event that was passed on.
+async fn go_on(flight: &mut Flight, mut failure: SendFailure) -> Option<OpenAnswer> {
+    while flight.request.route.resumable && may_send_again(flight, failure, ClockTime::now()) {
+        let patience = send_patience(flight, ClockTime::now());
+        match send_once(flight, patience).await {
+            Ok(mut answer) if answer.head.status.is_success() => {
+                answer.place.began(ClockTime::now());
+                return Some(answer);
+            }
+            Ok(answer) => {
+                answer.place.finish(SendOutcome::Failed, ClockTime::now());
+                failure = SendFailure::Lost("failure-status");
+            }
+            Err(next) => failure = next,
+        }
+    }
+    None
+}
+
+async fn relay_one(
+    flight: &mut Flight,
+    answer: OpenAnswer,
+    sender: &Sender<BodyPiece>,
+) -> StreamEnd {
+    let OpenAnswer { head, mut body, connection, place } = answer;
+    let end = relay_body(flight, &mut body, sender).await;
+    let now = ClockTime::now();
+    match end {
+        StreamEnd::Whole => {
+            if !says_close(&head) {
+                flight.state.pool.keep(&place.ticket().upstream.name, connection, now);
+            }
+            place.finish(SendOutcome::Answered, now);
+        }
+        StreamEnd::Broken => place.finish(SendOutcome::Broken, now),
+        StreamEnd::TimeOver | StreamEnd::CallerGone => place.finish(SendOutcome::Cancelled, now),
+    }
+    end
+}
+
+async fn relay_body(
+    flight: &mut Flight,
+    body: &mut Incoming,
+    sender: &Sender<BodyPiece>,
+) -> StreamEnd {
+    let mut cutter = EventCutter::default();
+    loop {
+        let Some(frame) = in_time(flight, body.frame()).await else {
+            return StreamEnd::TimeOver;
+        };
+        let bytes = match frame {
+            None => return finish_stream(flight, &mut cutter, sender).await,
+            Some(Err(_)) => return StreamEnd::Broken,
+            Some(Ok(frame)) => match frame.into_data() {
+                Ok(bytes) => bytes,
+                // Trailers carry nothing for callers.
+                Err(_) => continue,
+            },
+        };
+        let whole = cutter.push(&bytes);
+        if whole.count == 0 {
+            continue;
+        }
+        flight.record.first.get_or_insert_with(ClockTime::now);
+        flight.charge_events(whole.count);
+        flight.last_event = whole.last_id.or(flight.last_event);
+        let piece = BodyPiece::Data(whole.bytes.into());
+        match in_time(flight, sender.send(piece)).await {
+            None => return StreamEnd::TimeOver,
+            Some(Err(_)) => return StreamEnd::CallerGone,
+            Some(Ok(())) => {}
+        }
+    }
+}
+
+/// Passes on what stands after the last whole event: the upstream ended the stream there itself.
+async fn finish_stream(
+    flight: &mut Flight,
+    cutter: &mut EventCutter,
+    sender: &Sender<BodyPiece>,
+) -> StreamEnd {
+    let rest = cutter.take_rest();
+    if rest.is_empty() {
+        return StreamEnd::Whole;
+    }
+    flight.charge_events(1);
+    match in_time(flight, sender.send(BodyPiece::Data(Bytes::from(rest)))).await {
+        None => StreamEnd::TimeOver,
+        Some(Err(_)) => StreamEnd::CallerGone,
+        Some(Ok(())) => StreamEnd::Whole,
+    }
+}
+
+/// What a step brings before the request's time is over.
+async fn in_time<T>(flight: &Flight, step: impl Future<Output = T>) -> Option<T> {
+    let left = flight.time_left(ClockTime::now());
+    let step = async { Some(step.await) };
+    let timer = async {
+        Timer::after(left).await;
+        None
+    };
+    or(step, timer).await
+}
--- /dev/null
+++ b/crates/sagespool-gateway/src/role.rs
@@ -0,0 +1,149 @@
+//! A gateway from its settings to its graceful stop.
+
+use std::fmt;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use error_stack::{Report, ResultExt};
+use sagespool_log::log_event;
+use sagespool_platform::{ObjectClient, ObjectOptions};
+use sagespool_settings::GatewaySettings;
+use sagespool_types::{ClockTime, IncarnationId};
+use smol::{Task, Timer};
+
+use crate::callers::accept;
+use crate::dialect::WireDialect;
+use crate::follow::{follow_plan, follow_upstreams, sweep};
+use crate::state::GatewayState;
+use crate::status::serve_status;
+
+/// A call of the store takes 4 ms; a slow store takes a quarter of a second.
+const STORE_LIMIT: Duration = Duration::from_millis(900);
+/// The balancer asks once a second and takes an instance out after two refusals: until then new
+/// callers come, and they are served.
+const ROTATION_TIME: Duration = Duration::from_millis(2600);
+/// Of the time for a graceful stop, kept for ending the grants in the store.
+const CLOSING_TIME: Duration = Duration::from_millis(1200);
+const STOP_POLL: Duration = Duration::from_millis(25);
+
+/// Why a gateway can't start.
+#[derive(Debug)]
+pub enum GatewayError {
+    /// It can't listen at an address.
+    Listen(SocketAddr),
+}
+
+impl GatewayError {
+    /// What a person can do about it.
+    pub fn help(&self) -> &'static str {
+        match self {
+            Self::Listen(_) => "check that the address is this machine's, and free",
+        }
+    }
+}
+
+impl fmt::Display for GatewayError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listen(address) => write!(f, "can't listen at {address}"),
+        }
+    }
+}
+
+impl std::error::Error for GatewayError {}
+
+/// How a graceful stop went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopReport {
+    /// Callers' connections that were cut off at the limit.
+    pub cut: usize,
+}
+
+/// A gateway that runs.
+pub struct GatewayRole {
+    state: Arc<GatewayState>,
+    _tasks: Vec<Task<()>>,
+}
+
+impl GatewayRole {
+    /// Starts a gateway; it is ready once it has read the configuration and the upstreams.
+    ///
+    /// # Errors
+    /// If it can't listen where its settings say.
+    pub fn start(
+        settings: GatewaySettings,
+        dialect: WireDialect,
+    ) -> Result<Self, Report<GatewayError>> {
+        let run = IncarnationId::random();
+        let options = ObjectOptions::builder()
+            .address(settings.object_api)
+            .call_limit(STORE_LIMIT)
+            .dialect(dialect.store);
+        let store = ObjectClient::new(options.build());
+        log_event!(
+            info,
+            "gateway-starts",
+            instance = settings.instance,
+            run = run,
+            centre = settings.centre,
+            callers = settings.callers,
+        );
+        let callers = listen(settings.callers)?;
+        let readiness = listen(settings.readiness)?;
+        let metrics = settings.metrics.map(listen).transpose()?;
+        let state = Arc::new(GatewayState::new(settings, run, dialect, store));
+        for listener in std::iter::once(readiness).chain(metrics) {
+            let address = state.settings.readiness;
+            serve_status(state.clone(), listener)
+                .change_context_lazy(|| GatewayError::Listen(address))?;
+        }
+        let address = state.settings.callers;
+        let callers = smol::net::TcpListener::try_from(callers)
+            .change_context_lazy(|| GatewayError::Listen(address))?;
+        let tasks = vec![
+            smol::spawn(accept(state.clone(), callers)),
+            smol::spawn(follow_plan(state.clone())),
+            smol::spawn(follow_upstreams(state.clone())),
+            smol::spawn(sweep(state.clone())),
+        ];
+        Ok(Self { state, _tasks: tasks })
+    }
+
+    /// Takes settings that were read again. What a running process can't change is said in the log
+    /// and holds from its next start on.
+    pub fn reload(&self, settings: GatewaySettings) {
+        let changed = settings != self.state.settings;
+        log_event!(info, "settings-read", changed = changed, in_force = "at the next start");
+    }
+
+    /// Stops gracefully: out of rotation first, while callers are still served; then connections
+    /// end one by one; last, unspent grants go back.
+    pub async fn stop(self, limit: Duration) -> StopReport {
+        let state = &self.state;
+        let began = ClockTime::now();
+        state.stopping.store(true, Ordering::Relaxed);
+        Timer::after(ROTATION_TIME.min(limit / 2)).await;
+        state.closing_now.store(true, Ordering::Relaxed);
+        state.closing.notify(usize::MAX);
+        let open = || state.connections.load(Ordering::Relaxed);
+        let last = began.after(limit.saturating_sub(CLOSING_TIME));
+        while open() > 0 && ClockTime::now() < last {
+            Timer::after(STOP_POLL).await;
+        }
+        let cut = open();
+        state.desk.close_all(CLOSING_TIME / 2).await;
+        log_event!(
+            info,
+            "gateway-stopped",
+            cut = cut,
+            took_ms = ClockTime::now().since(began).as_millis(),
+        );
+        StopReport { cut }
+    }
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, Report<GatewayError>> {
+    TcpListener::bind(address).change_context(GatewayError::Listen(address))
+}
--- /dev/null
+++ b/crates/sagespool-gateway/src/status.rs
@@ -0,0 +1,41 @@
+//! Readiness for the balancer, and metrics.
+
+use std::io;
+use std::net::TcpListener;
+use std::sync::Arc;
+
+use sagespool_http::http_server;
+use trillium::{Conn, KnownHeaderName, Status};
+
+use crate::state::GatewayState;
+
+const METRICS_PATH: &str = "/metrics";
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Answers on a socket whether this instance takes requests, and with its metrics.
+pub(crate) fn serve_status(state: Arc<GatewayState>, listener: TcpListener) -> io::Result<()> {
+    let server = http_server(listener)?;
+    let handler = move |conn: Conn| {
+        let state = state.clone();
+        async move { respond(&state, conn) }
+    };
+    smol::spawn(server.run_async(handler)).detach();
+    Ok(())
+}
+
+fn respond(state: &GatewayState, conn: Conn) -> Conn {
+    match conn.path() {
+        path if path == state.dialect.readiness_path => respond_readiness(state, conn),
+        METRICS_PATH => conn
+            .with_response_header(KnownHeaderName::ContentType, METRICS_TYPE)
+            .with_status(Status::Ok)
+            .with_body(state.metrics.encode())
+            .halt(),
+        _ => conn.with_status(Status::NotFound).halt(),
+    }
+}
+
+fn respond_readiness(state: &GatewayState, conn: Conn) -> Conn {
+    let status = if state.is_ready() { Status::Ok } else { Status::ServiceUnavailable };
+    conn.with_status(status).with_body("").halt()
+}
--- a/crates/sagespool-ledger/src/lib.rs
+++ b/crates/sagespool-ledger/src/lib.rs
@@ -24,6 +24,7 @@
 mod home;
 mod intervals;
 mod policy;
+mod prepaid;
 mod purse;
 mod recovery;
 
@@ -34,5 +35,6 @@
 pub use home::{HomeLedger, ReserveDecision, ShortNotice};
 pub use intervals::SequenceSet;
 pub use policy::{BudgetMode, LedgerPolicy};
+pub use prepaid::{GrantTerms, HolderRecord, PrepaidBook, PrepaidPurse, prepaid_key};
 pub use purse::{HeldBack, OrphanCharge};
 pub use recovery::{RecoveryCase, RecoveryVerdict};
--- /dev/null
+++ b/crates/sagespool-ledger/src/prepaid/book.rs
@@ -0,0 +1,91 @@
+//! The store's object of one account.
+
+use std::collections::BTreeMap;
+
+use sagespool_types::{
+    BranchName, ConfigVersion, IncarnationId, InstanceName, TokenCount, derives,
+};
+
+derives! { record;
+    /// What one run of an instance may spend.
+    pub struct HolderRecord {
+        /// The instance. A later run of it proves that this one has ended.
+        pub instance: InstanceName,
+        /// The most that it spends, over its whole life.
+        pub granted: TokenCount,
+    }
+}
+
+derives! { record;
+    /// Who may spend how much of an account's total.
+    #[derive(Default)]
+    pub struct PrepaidBook {
+        /// The configuration that the total is from.
+        pub version: ConfigVersion,
+        /// The total.
+        pub prepaid: TokenCount,
+        /// Grants of runs that have ended, counted as spent.
+        pub closed: TokenCount,
+        /// The runs that may spend.
+        pub holders: BTreeMap<IncarnationId, HolderRecord>,
+    }
+}
+
+/// The key of an account's book in the store.
+pub fn prepaid_key(branch: &BranchName) -> String {
+    format!("prepaid/{branch}")
+}
+
+impl PrepaidBook {
+    /// What nobody may spend yet.
+    pub fn free(&self) -> TokenCount {
+        let granted: TokenCount = self.holders.values().map(|holder| holder.granted).sum();
+        self.prepaid.less(self.closed + granted)
+    }
+
+    /// Takes the total of a configuration, unless the book has a newer one's.
+    pub fn take_total(&mut self, version: ConfigVersion, prepaid: TokenCount) {
+        if version >= self.version {
+            self.version = version;
+            self.prepaid = prepaid;
+        }
+    }
+
+    /// What a run was granted.
+    pub fn granted(&self, run: IncarnationId) -> TokenCount {
+        self.holders.get(&run).map_or(TokenCount::ZERO, |holder| holder.granted)
+    }
+
+    /// Sets what a run may spend. The caller has seen to it that a raise is covered by
+    /// [`free`](Self::free).
+    pub fn set_granted(
+        &mut self,
+        run: IncarnationId,
+        instance: &InstanceName,
+        granted: TokenCount,
+    ) {
+        let record = HolderRecord { instance: instance.clone(), granted };
+        self.holders.insert(run, record);
+    }
+
+    /// Closes the grants of earlier runs of an instance. What they hadn't spent is given up:
+    /// whether they had isn't known.
+    pub fn close_earlier(&mut self, run: IncarnationId, instance: &InstanceName) {
+        let earlier =
+            |id: &IncarnationId, holder: &HolderRecord| *id != run && holder.instance == *instance;
+        let ended: TokenCount = self
+            .holders
+            .iter()
+            .filter(|(id, holder)| earlier(id, holder))
+            .map(|(_, holder)| holder.granted)
+            .sum();
+        self.closed += ended;
+        self.holders.retain(|id, holder| !earlier(id, holder));
+    }
+
+    /// Ends a run that says itself what it has spent.
+    pub fn close(&mut self, run: IncarnationId, spent: TokenCount) {
+        self.holders.remove(&run);
+        self.closed += spent;
+    }
+}
--- /dev/null
+++ b/crates/sagespool-ledger/src/prepaid/purse.rs
@@ -0,0 +1,139 @@
+//! One instance's side of an account's budget.
+
+use std::time::Duration;
+
+use sagespool_types::{ClockTime, TokenCount};
+
+use super::PrepaidBook;
+
+/// How large grants are.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct GrantTerms {
+    /// A grant covers the use of so long a time: the store may be away without a warning, and
+    /// what isn't granted can't be spent then.
+    pub ahead: Duration,
+    /// No instance takes more than this part of an instance's even share of what is free, so that
+    /// one restart never gives up much of a total.
+    pub share: f64,
+}
+
+impl Default for GrantTerms {
+    fn default() -> Self {
+        // Outages and cuts on the users' platform last up to nine seconds.
+        Self { ahead: Duration::from_secs(10), share: 0.35 }
+    }
+}
+
+/// What this instance may spend of one account, and has spent.
+#[derive(Debug, Clone, Default)]
+pub struct PrepaidPurse {
+    /// The newest grant that the store acknowledged, or a lower one that was asked for since.
+    granted: TokenCount,
+    /// What other instances lent to this one in all.
+    borrowed: TokenCount,
+    /// What this one lent to others in all: it counts as spent here.
+    lent: TokenCount,
+    used: TokenCount,
+    reserved: TokenCount,
+    /// Tokens a second, over the last seconds.
+    rate: f64,
+    rate_at: ClockTime,
+}
+
+/// The rate of use forgets half within this time.
+const RATE_HALF_LIFE: Duration = Duration::from_secs(4);
+
+impl PrepaidPurse {
+    /// What can be spent beside what is reserved.
+    pub fn free(&self) -> TokenCount {
+        (self.granted + self.borrowed).less(self.lent + self.used + self.reserved)
+    }
+
+    /// Sets an amount aside for a request; false if the purse doesn't hold it.
+    pub fn reserve(&mut self, amount: TokenCount, now: ClockTime) -> bool {
+        self.note_use(amount, now);
+        if amount > self.free() {
+            return false;
+        }
+        self.reserved += amount;
+        true
+    }
+
+    /// Ends a reservation: a part of it was used.
+    pub fn settle(&mut self, reserved: TokenCount, used: TokenCount) {
+        self.reserved = self.reserved.less(reserved);
+        self.used += used;
+    }
+
+    /// Gives a part of what is free to another instance.
+    pub fn lend(&mut self, wanted: TokenCount) -> TokenCount {
+        let lent = wanted.min(self.free());
+        self.lent += lent;
+        lent
+    }
+
+    /// Takes what another instance gave.
+    pub fn borrow(&mut self, amount: TokenCount) {
+        self.borrowed += amount;
+    }
+
+    /// The least grant under which everything that was spent or promised is covered.
+    pub fn needed(&self) -> TokenCount {
+        (self.lent + self.used + self.reserved).less(self.borrowed)
+    }
+
+    /// Whether a larger grant should be asked for before the purse is empty.
+    pub fn runs_low(&self, terms: GrantTerms, now: ClockTime) -> bool {
+        (self.free().0 as f64) < self.wanted_ahead(terms, now) / 2.0
+    }
+
+    fn wanted_ahead(&self, terms: GrantTerms, now: ClockTime) -> f64 {
+        self.rate_now(now) * terms.ahead.as_secs_f64()
+    }
+
+    /// The grant to ask a book for, so that `missing` more can be reserved: that and a supply for
+    /// the time ahead, as far as the book goes. Nothing if the book can't cover `missing`.
+    pub fn grant_to_ask(
+        &self,
+        book: &PrepaidBook,
+        present: TokenCount,
+        missing: TokenCount,
+        instances: usize,
+        terms: GrantTerms,
+        now: ClockTime,
+    ) -> Option<TokenCount> {
+        // What the book has for this run counts as free: it is about to be set anew.
+        let room = book.free() + present;
+        let least = self.needed() + missing;
+        if least > room {
+            return None;
+        }
+        let spare = room.less(least).0 as f64;
+        let fair = spare * terms.share / instances.max(1) as f64;
+        let ahead = self.wanted_ahead(terms, now).min(fair);
+        Some(least + TokenCount(ahead as u64))
+    }
+
+    /// Takes the grant that the store acknowledged.
+    pub fn acknowledged(&mut self, granted: TokenCount) {
+        self.granted = granted;
+    }
+
+    /// Lowers the grant before a write that says so is sent: the write may take effect without an
+    /// answer, and what it gave back may then be granted to others.
+    pub fn lower_to(&mut self, granted: TokenCount) {
+        self.granted = self.granted.min(granted);
+    }
+
+    fn note_use(&mut self, amount: TokenCount, now: ClockTime) {
+        let rate = self.rate_now(now);
+        let decay = std::f64::consts::LN_2 / RATE_HALF_LIFE.as_secs_f64();
+        self.rate = rate + amount.0 as f64 * decay;
+        self.rate_at = now;
+    }
+
+    fn rate_now(&self, now: ClockTime) -> f64 {
+        let age = now.since(self.rate_at).as_secs_f64() / RATE_HALF_LIFE.as_secs_f64();
+        self.rate * 0.5f64.powf(age)
+    }
+}
--- a/crates/sagespool-log/src/start.rs
+++ b/crates/sagespool-log/src/start.rs
@@ -1,7 +1,10 @@
 //! Where a process's log goes.
 
-use std::io::Write;
+use std::io::{self, BufWriter, Write};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::thread;
 
 use spdlog::sink::{Sink, StdStreamSink, WriteSink};
 use spdlog::terminal_style::StyleMode;
@@ -31,6 +34,69 @@
     replace_logger(level, sink);
 }
 
+/// Lines that may wait for the standard output: some seconds of a busy process.
+const WAITING_LINES: usize = 8192;
+
+/// Sends the process's log to standard output through a bounded queue.
+///
+/// Guards against a reader of the log that stops reading: with a full pipe, a process that writes
+/// by itself stands still in the middle of its requests. Here lines that find the queue full are
+/// dropped, and the next line that is written tells how many.
+///
+/// # Errors
+/// If the thread that writes can't be started.
+pub fn start_log_queued(level: LogLevel) -> io::Result<()> {
+    let (sender, lines) = sync_channel(WAITING_LINES);
+    let dropped = Arc::new(AtomicU64::new(0));
+    let writer = QueueWriter { sender, dropped: dropped.clone(), line: Vec::new() };
+    thread::Builder::new().name("log".to_owned()).spawn(move || write_lines(&lines, &dropped))?;
+    start_log_to(level, writer);
+    Ok(())
+}
+
+/// Collects bytes up to a line's end, and queues whole lines.
+struct QueueWriter {
+    sender: SyncSender<Vec<u8>>,
+    dropped: Arc<AtomicU64>,
+    line: Vec<u8>,
+}
+
+impl Write for QueueWriter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(bytes);
+        if self.line.ends_with(b"\n") {
+            let line = std::mem::take(&mut self.line);
+            if let Err(TrySendError::Full(_)) = self.sender.try_send(line) {
+                self.dropped.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes lines until the process ends. What waits is written together, then flushed.
+fn write_lines(lines: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
+    let mut output = BufWriter::new(io::stdout());
+    while let Ok(first) = lines.recv() {
+        let mut result = output.write_all(&first);
+        for line in lines.try_iter() {
+            result = result.and_then(|()| output.write_all(&line));
+        }
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            result = result.and_then(|()| writeln!(output, "event=log-dropped lines={lost}"));
+        }
+        if result.and_then(|()| output.flush()).is_err() {
+            // Nobody reads the log any more, and there is nowhere else to say so.
+            return;
+        }
+    }
+}
+
 /// Whether events of a level are logged.
 pub fn is_enabled(level: LogLevel) -> bool {
     spdlog::default_logger().should_log(level.to_library())
--- a/crates/sagespool-platform/src/caller.rs
+++ b/crates/sagespool-platform/src/caller.rs
@@ -7,14 +7,14 @@
 
 use futures_lite::future::or;
 use sagespool_types::StoreRevision;
-use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use smol::Timer;
-use trillium_client::{Client, Conn, KnownHeaderName, Method, Version};
+use trillium_client::{Client, Conn, KnownHeaderName, Version};
 
 use crate::StoreError;
 use crate::connector::{MarkedConnector, is_connect_failure};
 use crate::counters::{CallKind, CallMeter, StoreCounters};
+use crate::dialect::{CallForm, FormFault};
 
 /// Of a call's limit, connecting may take this share: the rest is for the call.
 const CONNECT_SHARE: u32 = 2;
@@ -43,6 +43,7 @@
     address: SocketAddr,
     token: Option<String>,
     seen_revision: AtomicU64,
+    read_version: VersionReader,
     meter: CallMeter,
 }
 
@@ -50,18 +51,15 @@
 #[derive(Debug)]
 pub(crate) struct PlatformCall {
     pub(crate) kind: CallKind,
-    pub(crate) method: Method,
-    /// Path and query.
-    pub(crate) path: String,
-    pub(crate) body: Option<Vec<u8>>,
+    pub(crate) form: CallForm,
     /// How long the platform itself may wait.
     pub(crate) wait: Duration,
 }
 
 impl PlatformCall {
-    /// A call without a body.
-    pub(crate) fn new(kind: CallKind, method: Method, path: String) -> Self {
-        Self { kind, method, path, body: None, wait: Duration::ZERO }
+    /// A call at which the platform itself doesn't wait.
+    pub(crate) fn new(kind: CallKind, form: CallForm) -> Self {
+        Self { kind, form, wait: Duration::ZERO }
     }
 }
 
@@ -78,18 +76,21 @@
     Lost,
 }
 
-#[derive(Deserialize)]
-struct ConflictBody {
-    version: StoreRevision,
-}
+/// Reads the version in the body of a refused write.
+pub(crate) type VersionReader = fn(&[u8]) -> Result<StoreRevision, FormFault>;
 
 impl PlatformCaller {
-    pub(crate) fn new(address: SocketAddr, token: Option<String>, limit: Duration) -> Self {
+    pub(crate) fn new(
+        address: SocketAddr,
+        token: Option<String>,
+        limit: Duration,
+        read_version: VersionReader,
+    ) -> Self {
         let client = Client::new(MarkedConnector::new(limit / CONNECT_SHARE))
             .with_max_buffered_request_body(BODY_SENT_AT_ONCE);
         let seen_revision = AtomicU64::new(0);
         let meter = CallMeter::default();
-        let shared = CallerShared { client, address, token, seen_revision, meter };
+        let shared = CallerShared { client, address, token, seen_revision, read_version, meter };
         Self { shared: Arc::new(shared), limit }
     }
 
@@ -106,15 +107,25 @@
         self.shared.meter.counters()
     }
 
-    /// Makes a call and reads its answer, nothing if there is no such object.
+    /// Makes a call and reads its answer as JSON, nothing if there is no such object.
     pub(crate) async fn call<T: DeserializeOwned>(
         &self,
         call: PlatformCall,
+    ) -> Result<Option<T>, StoreError> {
+        let read = |body: &[u8]| serde_json::from_slice(body).map_err(|error| error.to_string());
+        self.call_read(call, read).await
+    }
+
+    /// Makes a call and reads its answer, nothing if there is no such object.
+    pub(crate) async fn call_read<T>(
+        &self,
+        call: PlatformCall,
+        read: impl FnOnce(&[u8]) -> Result<T, FormFault>,
     ) -> Result<Option<T>, StoreError> {
         let kind = call.kind;
         self.shared.meter.call(kind);
         let result = match self.send(call).await {
-            Ok(answer) => judge_answer(kind, answer),
+            Ok(answer) => judge_answer(kind, answer, read, self.shared.read_version),
             Err(CallFailure::NotSent) => Err(StoreError::Unavailable),
             Err(CallFailure::Lost) => Err(lost(kind)),
         };
@@ -135,15 +146,16 @@
     }
 
     async fn exchange(&self, call: PlatformCall) -> Result<PlatformAnswer, CallFailure> {
-        let url = format!("http://{}{}", self.shared.address, call.path);
-        let mut conn = self.shared.client.build_conn(call.method, url);
+        let form = call.form;
+        let url = format!("http://{}{}", self.shared.address, form.path);
+        let mut conn = self.shared.client.build_conn(form.method, url);
         // Pinned, or concurrent calls would wait for each other's connecting.
         conn.set_http_version(Version::Http1_1);
         if let Some(token) = &self.shared.token {
             let headers = conn.request_headers_mut();
             headers.insert(KnownHeaderName::Authorization, format!("Bearer {token}"));
         }
-        if let Some(body) = call.body {
+        if let Some(body) = form.body {
             conn.request_headers_mut().insert(KnownHeaderName::ContentType, "application/json");
             conn.set_request_body(body);
         }
@@ -183,14 +195,16 @@
     }
 }
 
-fn judge_answer<T: DeserializeOwned>(
+fn judge_answer<T>(
     kind: CallKind,
     answer: PlatformAnswer,
+    read: impl FnOnce(&[u8]) -> Result<T, FormFault>,
+    read_version: VersionReader,
 ) -> Result<Option<T>, StoreError> {
     match answer.status {
-        200 => read_body(kind, answer.body).map(Some),
+        200 | 201 => read_body(kind, answer.body, read).map(Some),
         404 => Ok(None),
-        409 => Err(conflict(answer.body)),
+        409 => Err(conflict(answer.body, read_version)),
         410 => Err(StoreError::HistoryGone),
         413 => Err(StoreError::TooLarge),
         429 => {
@@ -207,18 +221,22 @@
 
 /// Reads a body of an answer that says "done". A write whose answer can't be
 /// read took effect, but its caller doesn't know as which version.
-fn read_body<T: DeserializeOwned>(kind: CallKind, body: Option<Vec<u8>>) -> Result<T, StoreError> {
+fn read_body<T>(
+    kind: CallKind,
+    body: Option<Vec<u8>>,
+    read: impl FnOnce(&[u8]) -> Result<T, FormFault>,
+) -> Result<T, StoreError> {
     let body = body.ok_or_else(|| lost(kind))?;
-    serde_json::from_slice(&body).map_err(|error| match kind {
+    read(&body).map_err(|fault| match kind {
         CallKind::Write => StoreError::Uncertain,
-        CallKind::Read | CallKind::Watch => StoreError::Malformed(error.to_string()),
+        CallKind::Read | CallKind::Watch => StoreError::Malformed(fault),
     })
 }
 
-fn conflict(body: Option<Vec<u8>>) -> StoreError {
+fn conflict(body: Option<Vec<u8>>, read_version: VersionReader) -> StoreError {
     let body = body.unwrap_or_default();
-    match serde_json::from_slice::<ConflictBody>(&body) {
-        Ok(body) => StoreError::Conflict { present: body.version },
+    match read_version(&body) {
+        Ok(present) => StoreError::Conflict { present },
         Err(error) => StoreError::Malformed(format!("a conflict without a version: {error}")),
     }
 }
--- a/crates/sagespool-platform/src/instances.rs
+++ b/crates/sagespool-platform/src/instances.rs
@@ -10,6 +10,7 @@
 
 use crate::caller::{PlatformCall, PlatformCaller};
 use crate::counters::CallKind;
+use crate::dialect::{CallForm, StoreDialect};
 use crate::{StoreCounters, StoreError};
 
 /// The longest that a call may take, besides its own waiting time.
@@ -63,7 +64,14 @@
 impl InstanceClient {
     /// A client; connects when it is first used.
     pub fn new(address: SocketAddr, token: Option<String>) -> Self {
-        Self { caller: PlatformCaller::new(address, token, CALL_LIMIT) }
+        Self {
+            caller: PlatformCaller::new(
+                address,
+                token,
+                CALL_LIMIT,
+                StoreDialect::native().read_version,
+            ),
+        }
     }
 
     /// Reads the list: at once without `after`, else as soon as it changes after
@@ -75,10 +83,11 @@
         after: Option<StoreRevision>,
         wait: Duration,
     ) -> Result<InstanceListing, StoreError> {
-        let mut call = PlatformCall::new(CallKind::Read, Method::Get, "/instances".to_owned());
+        let mut call =
+            PlatformCall::new(CallKind::Read, CallForm::bare(Method::Get, "/instances".to_owned()));
         if let Some(after) = after {
             call.kind = CallKind::Watch;
-            call.path = format!("/instances?after={after}&wait_ms={}", wait.as_millis());
+            call.form.path = format!("/instances?after={after}&wait_ms={}", wait.as_millis());
             call.wait = wait;
         }
         let listing: Option<InstanceListing> = self.caller.call(call).await?;
--- a/crates/sagespool-platform/src/lib.rs
+++ b/crates/sagespool-platform/src/lib.rs
@@ -29,15 +29,18 @@
 mod caller;
 mod connector;
 mod counters;
+mod dialect;
 mod error;
 mod instances;
 mod objects;
 mod update;
 
 pub use counters::StoreCounters;
+pub use dialect::{CallForm, FormFault, ObjectForm, PageForm, StoreDialect};
 pub use error::StoreError;
 pub use instances::{InstanceClient, InstanceListing, ListedInstance, ListedState};
 pub use objects::{
     ObjectChange, ObjectChanges, ObjectClient, ObjectListing, ObjectOptions, StoredObject,
 };
+pub use trillium_client::Method as CallMethod;
 pub use update::{UpdateChoice, UpdatedObject, update_object};
--- a/crates/sagespool-platform/src/objects.rs
+++ b/crates/sagespool-platform/src/objects.rs
@@ -5,12 +5,13 @@
 
 use bon::Builder;
 use sagespool_types::StoreRevision;
+use serde::Serialize;
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
-use trillium_client::Method;
+use serde_json::value::RawValue;
 
 use crate::caller::{PlatformCall, PlatformCaller};
 use crate::counters::CallKind;
+use crate::dialect::StoreDialect;
 use crate::{StoreCounters, StoreError};
 
 /// The platform's limit for a value, 1 MB; it may mean a little less by it.
@@ -28,6 +29,9 @@
     /// own waiting time on top. 1 s unless given.
     #[builder(default = Duration::from_secs(1))]
     pub call_limit: Duration,
+    /// How its calls are spelled; as `docs/PLATFORM.md` has them unless given.
+    #[builder(default)]
+    pub dialect: StoreDialect,
 }
 
 /// An object's value at a version.
@@ -76,45 +80,20 @@
 #[derive(Debug, Clone)]
 pub struct ObjectClient {
     caller: PlatformCaller,
-}
-
-#[derive(Deserialize)]
-#[serde(bound = "T: DeserializeOwned")]
-struct ObjectBody<T> {
-    key: String,
-    version: StoreRevision,
-    value: T,
-}
-
-#[derive(Deserialize)]
-struct VersionBody {
-    version: StoreRevision,
-}
-
-#[derive(Deserialize)]
-#[serde(bound = "T: DeserializeOwned")]
-struct ListBody<T> {
-    revision: StoreRevision,
-    items: Vec<ObjectBody<T>>,
-}
-
-#[derive(Deserialize)]
-#[serde(bound = "T: DeserializeOwned")]
-struct WatchBody<T> {
-    revision: StoreRevision,
-    changes: Vec<ObjectBody<Option<T>>>,
+    dialect: StoreDialect,
 }
 
 impl ObjectClient {
     /// A client; connects when it is first used.
     pub fn new(options: ObjectOptions) -> Self {
-        let ObjectOptions { address, token, call_limit } = options;
-        Self { caller: PlatformCaller::new(address, token, call_limit) }
+        let ObjectOptions { address, token, call_limit, dialect } = options;
+        let caller = PlatformCaller::new(address, token, call_limit, dialect.read_version);
+        Self { caller, dialect }
     }
 
     /// The same client, whose calls take at most this long.
     pub(crate) fn bounded(&self, limit: Duration) -> Self {
-        Self { caller: self.caller.bounded(limit) }
+        Self { caller: self.caller.bounded(limit), dialect: self.dialect }
     }
 
     /// Reads an object; nothing if it doesn't exist.
@@ -122,10 +101,13 @@
         &self,
         key: &str,
     ) -> Result<Option<StoredObject<T>>, StoreError> {
-        let path = format!("/objects/{}", checked(key)?);
-        let call = PlatformCall::new(CallKind::Read, Method::Get, path);
-        let found: Option<ObjectBody<T>> = self.caller.call(call).await?;
-        Ok(found.map(|body| StoredObject { version: body.version, value: body.value }))
+        let call = PlatformCall::new(CallKind::Read, (self.dialect.get)(checked(key)?));
+        let read = |body: &[u8]| (self.dialect.read_object)(key, body);
+        let Some(form) = self.caller.call_read(call, read).await? else {
+            return Ok(None);
+        };
+        let value = form.value.as_deref().ok_or_else(|| no_value(key))?;
+        Ok(Some(StoredObject { version: form.version, value: decode(value)? }))
     }
 
     /// Writes an object if it is at the expected version; 0 = it must not exist.
@@ -141,40 +123,56 @@
         expected: StoreRevision,
         value: &T,
     ) -> Result<StoreRevision, StoreError> {
-        let body = encode(value)?;
-        let path = format!("/objects/{}?if_version={expected}", checked(key)?);
-        let mut call = PlatformCall::new(CallKind::Write, Method::Put, path);
-        call.body = Some(body);
-        let written: Option<VersionBody> = self.caller.call(call).await?;
-        let written = written.ok_or_else(|| StoreError::Malformed(NO_SUCH_CALL.to_owned()))?;
-        Ok(written.version)
+        let value = encode(value)?;
+        let form = (self.dialect.put)(checked(key)?, expected, &value);
+        let call = PlatformCall::new(CallKind::Write, form);
+        let written = self.caller.call_read(call, self.dialect.read_version).await?;
+        written.ok_or_else(|| match expected {
+            StoreRevision::ZERO => StoreError::Malformed(NO_SUCH_CALL.to_owned()),
+            // The object was deleted meanwhile.
+            _ => StoreError::Conflict { present: StoreRevision::ZERO },
+        })
     }
 
     /// Deletes an object if it is at the expected version; fails as [`Self::put`] does.
     pub async fn delete(&self, key: &str, expected: StoreRevision) -> Result<(), StoreError> {
-        let path = format!("/objects/{}?if_version={expected}", checked(key)?);
-        let call = PlatformCall::new(CallKind::Write, Method::Delete, path);
-        let deleted: Option<VersionBody> = self.caller.call(call).await?;
-        match deleted {
-            Some(_) => Ok(()),
+        let form = (self.dialect.delete)(checked(key)?, expected);
+        let call = PlatformCall::new(CallKind::Write, form);
+        match self.caller.call_read(call, self.dialect.read_deleted).await? {
+            Some(()) => Ok(()),
             None => Err(StoreError::Conflict { present: StoreRevision::ZERO }),
         }
     }
 
     /// Reads all objects under a prefix.
+    ///
+    /// A listing of several pages tells the first page's revision: a watch from there repeats what
+    /// changed while the others were read, and misses nothing.
     pub async fn list<T: DeserializeOwned>(
         &self,
         prefix: &str,
     ) -> Result<ObjectListing<T>, StoreError> {
-        let path = format!("/objects?prefix={}", checked(prefix)?);
-        let call = PlatformCall::new(CallKind::Read, Method::Get, path);
-        let listed: Option<ListBody<T>> = self.caller.call(call).await?;
-        let listed = listed.ok_or_else(|| StoreError::Malformed(NO_SUCH_CALL.to_owned()))?;
-        let stored =
-            |body: ObjectBody<T>| StoredObject { version: body.version, value: body.value };
-        let items =
-            listed.items.into_iter().map(|mut body| (std::mem::take(&mut body.key), stored(body)));
-        Ok(ObjectListing { revision: listed.revision, items: items.collect() })
+        let prefix = checked(prefix)?;
+        let mut items = Vec::new();
+        let mut first = None;
+        let mut after: Option<String> = None;
+        loop {
+            let form = (self.dialect.list)(prefix, after.as_deref());
+            let call = PlatformCall::new(CallKind::Read, form);
+            let read = |body: &[u8]| (self.dialect.read_page)(prefix, body);
+            let page = self.caller.call_read(call, read).await?;
+            let page = page.ok_or_else(|| StoreError::Malformed(NO_SUCH_CALL.to_owned()))?;
+            for item in page.items {
+                let value = item.value.as_deref().ok_or_else(|| no_value(&item.key))?;
+                let value = decode(value)?;
+                items.push((item.key, StoredObject { version: item.version, value }));
+            }
+            let revision = *first.get_or_insert(page.revision);
+            after = page.more_after;
+            if after.is_none() {
+                return Ok(ObjectListing { revision, items });
+            }
+        }
     }
 
     /// Waits for changes under a prefix after a revision: returns at once if there
@@ -190,17 +188,17 @@
         wait: Duration,
     ) -> Result<ObjectChanges<T>, StoreError> {
         let prefix = checked(prefix)?;
-        let path = format!("/watch?prefix={prefix}&after={after}&wait_ms={}", wait.as_millis());
-        let mut call = PlatformCall::new(CallKind::Watch, Method::Get, path);
+        let mut call =
+            PlatformCall::new(CallKind::Watch, (self.dialect.watch)(prefix, after, wait));
         call.wait = wait;
-        let watched: Option<WatchBody<T>> = self.caller.call(call).await?;
+        let read = |body: &[u8]| (self.dialect.read_changes)(prefix, body);
+        let watched = self.caller.call_read(call, read).await?;
         let watched = watched.ok_or_else(|| StoreError::Malformed(NO_SUCH_CALL.to_owned()))?;
-        let change = |body: ObjectBody<Option<T>>| ObjectChange {
-            key: body.key,
-            version: body.version,
-            value: body.value,
-        };
-        let changes = watched.changes.into_iter().map(change).collect();
+        let mut changes = Vec::with_capacity(watched.items.len());
+        for item in watched.items {
+            let value = item.value.as_deref().map(decode).transpose()?;
+            changes.push(ObjectChange { key: item.key, version: item.version, value });
+        }
         Ok(ObjectChanges { revision: watched.revision, changes })
     }
 
@@ -227,11 +225,19 @@
 
 /// A value as JSON. One that is over the platform's limit isn't sent: the
 /// platform may hang up in the middle of it, which would look like a lost answer.
-fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, StoreError> {
-    let body =
-        serde_json::to_vec(value).map_err(|error| StoreError::Malformed(error.to_string()))?;
-    if body.len() > LARGEST_VALUE {
+fn encode<T: Serialize>(value: &T) -> Result<Box<RawValue>, StoreError> {
+    let body = serde_json::value::to_raw_value(value)
+        .map_err(|error| StoreError::Malformed(error.to_string()))?;
+    if body.get().len() > LARGEST_VALUE {
         return Err(StoreError::TooLarge);
     }
     Ok(body)
 }
+
+fn decode<T: DeserializeOwned>(value: &RawValue) -> Result<T, StoreError> {
+    serde_json::from_str(value.get()).map_err(|error| StoreError::Malformed(error.to_string()))
+}
+
+fn no_value(key: &str) -> StoreError {
+    StoreError::Malformed(format!("`{key}` has no value"))
+}
--- a/crates/sagespool-settings/src/check/scalars.rs
+++ b/crates/sagespool-settings/src/check/scalars.rs
@@ -48,6 +48,17 @@
         Some(u32::try_from(number).expect("the range is one of u32"))
     }
 
+    pub fn fraction(self, range: RangeInclusive<f64>) -> Option<f64> {
+        match self.value.as_f64() {
+            Some(number) if range.contains(&number) => Some(number),
+            _ => self.fault(format!("a number from {} to {}", range.start(), range.end())),
+        }
+    }
+
+    pub fn seconds(self, range: RangeInclusive<f64>) -> Option<Duration> {
+        self.fraction(range).map(Duration::from_secs_f64)
+    }
+
     pub fn one_of<T: Copy>(self, words: &[(&str, T)]) -> Option<T> {
         let names: Vec<&str> = words.iter().map(|(name, _)| *name).collect();
         let allowed = format!("one of {}", quote_all(&names));
--- a/crates/sagespool-settings/src/process/common.rs
+++ b/crates/sagespool-settings/src/process/common.rs
@@ -197,11 +197,11 @@
     Some(PlatformSettings { object_api: object_api?, instance_list: instance_list?, token: token? })
 }
 
-fn read_peers(node: CheckNode) -> Option<Vec<SocketAddr>> {
+pub(crate) fn read_peers(node: CheckNode) -> Option<Vec<SocketAddr>> {
     node.list_of_unique(CheckNode::reached_address)
 }
 
-fn read_log(object: &ObjectNode) -> Option<LogSettings> {
+pub(crate) fn read_log(object: &ObjectNode) -> Option<LogSettings> {
     let words = LogLevel::ALL.map(|level| (level.as_str(), level));
     let level = object.or("level", LogLevel::Info, |node| node.one_of(&words));
     Some(LogSettings { level: level? })
--- /dev/null
+++ b/crates/sagespool-settings/src/process/gateway.rs
@@ -0,0 +1,129 @@
+//! What a gateway is told: an entry that forwards straight to upstreams.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use error_stack::{Report, ResultExt};
+use sagespool_log::LogLevel;
+use sagespool_types::{CentreName, InstanceName};
+
+use crate::check::{CheckNode, ObjectNode};
+use crate::document::check_text;
+use crate::process::common::{LogSettings, read_log, read_peers};
+use crate::{SettingsError, SettingsFaults};
+
+/// The settings of a gateway.
+#[derive(Debug, Clone, PartialEq)]
+pub struct GatewaySettings {
+    /// The instance's name. A later run under the same name replaces this one.
+    pub instance: InstanceName,
+    /// Its data centre.
+    pub centre: CentreName,
+    /// Where callers connect (HTTP).
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether this instance takes requests (HTTP).
+    pub readiness: SocketAddr,
+    /// Where metrics are served (HTTP); nowhere if it isn't given.
+    pub metrics: Option<SocketAddr>,
+    /// Where other gateways reach this one (UDP); alone if it isn't given.
+    pub link: Option<SocketAddr>,
+    /// Links of other gateways to begin with.
+    pub peers: Vec<SocketAddr>,
+    /// The platform's object API.
+    pub object_api: SocketAddr,
+    /// How long a graceful stop may take.
+    pub stop_limit: Duration,
+    /// What may be sent to a second upstream, over all gateways.
+    pub retries: RetrySettings,
+    /// The log.
+    pub log: LogSettings,
+}
+
+/// What all gateways together may send to a second upstream, for each service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetrySettings {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats beside them in a window.
+    pub slack: f64,
+    /// The length of the window.
+    pub window: Duration,
+}
+
+/// The word under `role` that tells a gateway's settings from the other roles'.
+const ROLES: [(&str, ()); 1] = [("gateway", ())];
+const LONGEST_STOP_S: f64 = 86_400.0;
+const LONGEST_WINDOW_S: f64 = 3_600.0;
+const MOST_SLACK: f64 = 1e9;
+const DEFAULT_STOP_S: f64 = 30.0;
+const DEFAULT_RETRIES: RetrySettings =
+    RetrySettings { ratio: 0.2, slack: 10.0, window: Duration::from_secs(10) };
+
+/// Whether a settings file is a gateway's. A text that isn't a document is nobody's: the other
+/// roles' check tells what is wrong with it.
+pub fn is_gateway(text: &str) -> bool {
+    let document: Result<serde_json::Value, _> = serde_json::from_str(text);
+    document.is_ok_and(|document| document["role"] == ROLES[0].0)
+}
+
+/// Checks the text of a gateway's settings file.
+///
+/// # Errors
+///
+/// Every fault at once: its path, what was found and what is allowed.
+pub fn check_gateway(text: &str) -> Result<GatewaySettings, SettingsFaults> {
+    check_text(text, read_gateway)
+}
+
+/// Reads and checks a gateway's settings file.
+///
+/// # Errors
+///
+/// If it can't be read, or has faults: all of them at once.
+pub fn load_gateway(path: &Path) -> Result<GatewaySettings, Report<SettingsError>> {
+    let text =
+        fs::read_to_string(path).change_context_lazy(|| SettingsError::Unreadable(path.into()))?;
+    check_gateway(&text).map_err(|faults| Report::new(SettingsError::Faulty(path.into(), faults)))
+}
+
+fn read_gateway(object: &ObjectNode) -> Option<GatewaySettings> {
+    let role = object.required("role", |node| node.one_of(&ROLES));
+    let instance = object.required("instance", CheckNode::parse);
+    let centre = object.required("centre", CheckNode::parse);
+    let callers = object.required("callers", CheckNode::listen_address);
+    let readiness = object.required("readiness", CheckNode::listen_address);
+    let metrics = object.optional("metrics", CheckNode::listen_address);
+    let link = object.optional("link", CheckNode::reached_address);
+    let peers = object.or("peers", Vec::new(), read_peers);
+    let object_api = object.required("object_api", CheckNode::reached_address);
+    let default_stop = Duration::from_secs_f64(DEFAULT_STOP_S);
+    let stop_limit =
+        object.or("stop_limit_s", default_stop, |node| node.seconds(0.1..=LONGEST_STOP_S));
+    let retries = object.or("retries", DEFAULT_RETRIES, |node| node.object(read_retries));
+    let default_log = LogSettings { level: LogLevel::Info };
+    let log = object.or("log", default_log, |node| node.object(read_log));
+    role?;
+    Some(GatewaySettings {
+        instance: instance?,
+        centre: centre?,
+        callers: callers?,
+        readiness: readiness?,
+        metrics: metrics?,
+        link: link?,
+        peers: peers?,
+        object_api: object_api?,
+        stop_limit: stop_limit?,
+        retries: retries?,
+        log: log?,
+    })
+}
+
+fn read_retries(object: &ObjectNode) -> Option<RetrySettings> {
+    let ratio = object.or("ratio", DEFAULT_RETRIES.ratio, |node| node.fraction(0.0..=100.0));
+    let slack = object.or("slack", DEFAULT_RETRIES.slack, |node| node.fraction(0.0..=MOST_SLACK));
+    let window =
+        object.or("window_s", DEFAULT_RETRIES.window, |node| node.seconds(0.1..=LONGEST_WINDOW_S));
+    Some(RetrySettings { ratio: ratio?, slack: slack?, window: window? })
+}
--- a/crates/sagespool-settings/src/process/mod.rs
+++ b/crates/sagespool-settings/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod common;
 mod entry;
 mod file;
+mod gateway;
 mod sidecar;
 
 pub use common::{
@@ -13,4 +14,5 @@
     BudgetChoice, EntrySettings, LedgerSettings, PolicySettings, QueueSettings, RoutingChoice,
 };
 pub use file::{SettingsError, check_files, load_process};
+pub use gateway::{GatewaySettings, RetrySettings, check_gateway, is_gateway, load_gateway};
 pub use sidecar::{AnswerSettings, SidecarSettings, UpstreamSettings};
