Lend tokens between gateways, relay the configuration, and know how many share

Gateways find each other by their settings' peers and by addresses in the store, speak over the product's QUIC link, and keep in touch with the product's membership. A purse that is short asks the others; what is lent counts as spent at the lender. A newer configuration is taken from a neighbour, since the store may turn one instance away and serve the others.

Ruled out: a second membership, or a home for each account (a hop, and nothing to pay with when it is away).

Grants are still too small for a cut of eight seconds.

--- a/crates/sagespool-entry/src/peers.rs
+++ b/crates/sagespool-entry/src/peers.rs
@@ -80,7 +80,9 @@
         | PeerRequest::Cancel(_)
         | PeerRequest::Seal(_)
         | PeerRequest::FindKey(_)
-        | PeerRequest::Order(_) => PeerReply::Unsupported("this process is an entry".into()),
+        | PeerRequest::Order(_)
+        | PeerRequest::Lend(_)
+        | PeerRequest::AskPlan(_) => PeerReply::Unsupported("this process is an entry".into()),
     }
 }
 
--- a/crates/sagespool-gateway/src/desk.rs
+++ b/crates/sagespool-gateway/src/desk.rs
@@ -14,6 +14,7 @@
 };
 use smol::{Task, Timer};
 
+use crate::peers::PeerBoard;
 use crate::refusal::Refusal;
 
 /// Writes to one book that are tried before a request is refused: other instances write too.
@@ -114,11 +115,19 @@
         accounts.entry(branch.clone()).or_insert_with(fresh).clone()
     }
 
-    /// Sets the most that a request can cost aside, out of what the store granted.
+    /// Gives a part of this instance's grant to another one.
+    pub(crate) fn lend(&self, branch: &BranchName, wanted: TokenCount) -> TokenCount {
+        let account = self.account(branch);
+        let lent = lock(&account.purse).lend(wanted);
+        lent
+    }
+
+    /// Sets the most that a request can cost aside, out of what the store granted or others lent.
     pub(crate) async fn reserve(
         self: &Arc<Self>,
         order: &BudgetOrder,
         deadline: ClockTime,
+        peers: &PeerBoard,
         instances: usize,
     ) -> Result<Reservation, Refusal> {
         let account = self.account(&order.branch);
@@ -130,22 +139,59 @@
         if account.is_short_of(order, now) {
             return Err(self.refuse(&account, order, Refusal::BudgetSpent, "known-short"));
         }
-        if self.store_is_away(now) {
-            return Err(self.refuse(&account, order, Refusal::BudgetUnreachable, "store-away"));
+        let asked = self.ask_store(&account, order, deadline, instances).await;
+        if matches!(asked, Ok(GrantOutcome::Granted)) {
+            return Ok(Reservation::new(account, order.amount));
         }
-        let limit = (deadline.since(now) / STORE_SHARE).min(LONGEST_STORE_WAIT);
-        match self.ask_in_time(&account, order, order.amount, instances, limit).await {
-            Ok(GrantOutcome::Granted) => Ok(Reservation::new(account, order.amount)),
-            Ok(GrantOutcome::Short(room)) => {
-                let shortage = Shortage { room, version: order.version, noted: ClockTime::now() };
-                *lock(&account.shortage) = Some(shortage);
-                Err(self.refuse(&account, order, Refusal::BudgetSpent, "book-short"))
+        let missing = order.amount.less(lock(&account.purse).free());
+        let loan = peers.borrow(&order.branch, missing).await;
+        let now = ClockTime::now();
+        let mut purse = lock(&account.purse);
+        purse.borrow(loan.lent);
+        if purse.reserve(order.amount, now) {
+            drop(purse);
+            log_event!(
+                info,
+                "budget-borrowed",
+                request = order.request,
+                branch = order.branch,
+                lent = loan.lent,
+            );
+            return Ok(Reservation::new(account, order.amount));
+        }
+        drop(purse);
+        let room = match asked {
+            Ok(GrantOutcome::Short(room)) if loan.complete => room + loan.lent,
+            Ok(_) => {
+                // Somebody who can't be asked may hold enough.
+                return Err(self.refuse(&account, order, Refusal::BudgetUnreachable, "peer-away"));
             }
             Err(error) => {
-                *lock(&self.store_failed) = Some(ClockTime::now());
-                Err(self.refuse(&account, order, Refusal::BudgetUnreachable, &error.to_string()))
+                let cause = error.to_string();
+                return Err(self.refuse(&account, order, Refusal::BudgetUnreachable, &cause));
             }
+        };
+        *lock(&account.shortage) = Some(Shortage { room, version: order.version, noted: now });
+        Err(self.refuse(&account, order, Refusal::BudgetSpent, "book-short"))
+    }
+
+    async fn ask_store(
+        &self,
+        account: &AccountDesk,
+        order: &BudgetOrder,
+        deadline: ClockTime,
+        instances: usize,
+    ) -> Result<GrantOutcome, StoreError> {
+        let now = ClockTime::now();
+        if self.store_is_away(now) {
+            return Err(StoreError::Unavailable);
+        }
+        let limit = (deadline.since(now) / STORE_SHARE).min(LONGEST_STORE_WAIT);
+        let asked = self.ask_in_time(account, order, order.amount, instances, limit).await;
+        if asked.is_err() {
+            *lock(&self.store_failed) = Some(ClockTime::now());
         }
+        asked
     }
 
     fn refuse(
--- a/crates/sagespool-gateway/src/follow.rs
+++ b/crates/sagespool-gateway/src/follow.rs
@@ -156,7 +156,7 @@
         Ok(plan) => {
             let (version, routes) = (plan.version, plan.routes.len());
             let branches = plan.branches.len();
-            let taken = state.take_plan(PlanIndex::new(plan));
+            let taken = state.take_plan(PlanIndex::new(plan), value.get());
             log_event!(
                 info,
                 "configuration-read",
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -151,7 +151,8 @@
         amount: tokens.most(),
         request: demand.request.clone(),
     };
-    state.desk.reserve(&order, deadline, state.instances()).await.map(Some)
+    let instances = state.instances();
+    state.desk.reserve(&order, deadline, &state.peers, instances).await.map(Some)
 }
 
 async fn read_body(index: &PlanIndex, body: Incoming, limit: Duration) -> Result<Bytes, Refusal> {
--- a/crates/sagespool-gateway/src/role.rs
+++ b/crates/sagespool-gateway/src/role.rs
@@ -16,6 +16,7 @@
 use crate::callers::accept;
 use crate::dialect::WireDialect;
 use crate::follow::{follow_plan, follow_upstreams, sweep};
+use crate::peers::run_peers;
 use crate::state::GatewayState;
 use crate::status::serve_status;
 
@@ -102,12 +103,15 @@
         let address = state.settings.callers;
         let callers = smol::net::TcpListener::try_from(callers)
             .change_context_lazy(|| GatewayError::Listen(address))?;
-        let tasks = vec![
+        let mut tasks = vec![
             smol::spawn(accept(state.clone(), callers)),
             smol::spawn(follow_plan(state.clone())),
             smol::spawn(follow_upstreams(state.clone())),
             smol::spawn(sweep(state.clone())),
         ];
+        if let Some(link) = state.settings.link {
+            tasks.push(smol::spawn(run_peers(state.clone(), link)));
+        }
         Ok(Self { state, _tasks: tasks })
     }
 
@@ -124,6 +128,7 @@
         let state = &self.state;
         let began = ClockTime::now();
         state.stopping.store(true, Ordering::Relaxed);
+        state.peers.announce_leaving();
         Timer::after(ROTATION_TIME.min(limit / 2)).await;
         state.closing_now.store(true, Ordering::Relaxed);
         state.closing.notify(usize::MAX);
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -1,7 +1,7 @@
 //! What all tasks of a gateway share.
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard};
 
 use event_listener::Event;
 use sagespool_forward::{
@@ -14,11 +14,12 @@
 use crate::desk::BudgetDesk;
 use crate::dialect::WireDialect;
 use crate::metrics::GatewayMetrics;
+use crate::peers::PeerBoard;
 use crate::pool::UpstreamPool;
 
-/// How many instances share the retry budget while none of them is known but this one: as many as
-/// the users' largest fleet has.
-const UNKNOWN_INSTANCES: usize = 32;
+/// How many instances share a budget of repeats or of tokens, before this one has heard of others:
+/// the users' smallest fleet has four.
+const LEAST_INSTANCES: usize = 4;
 
 /// The shared state.
 pub(crate) struct GatewayState {
@@ -37,13 +38,19 @@
     pub(crate) closing: Event,
     /// Callers' connections that are open.
     pub(crate) connections: AtomicUsize,
-    instances: AtomicUsize,
-    plan: RwLock<Option<Arc<PlanIndex>>>,
+    pub(crate) peers: PeerBoard,
+    plan: RwLock<Option<KnownPlan>>,
     roster: Mutex<UpstreamRoster>,
     board: Mutex<PlacementBoard>,
     retries: Mutex<RetryBudget>,
 }
 
+/// A configuration, and its text as the store has it, for other gateways.
+struct KnownPlan {
+    index: Arc<PlanIndex>,
+    document: Arc<str>,
+}
+
 impl GatewayState {
     pub(crate) fn new(
         settings: GatewaySettings,
@@ -52,6 +59,8 @@
         store: ObjectClient,
     ) -> Self {
         let desk = BudgetDesk::new(store.clone(), run, settings.instance.clone());
+        let address = settings.link.unwrap_or(settings.callers);
+        let peers = PeerBoard::new(&settings, run, address);
         let terms = RetryTerms {
             ratio: settings.retries.ratio,
             slack: settings.retries.slack,
@@ -69,7 +78,7 @@
             closing_now: AtomicBool::new(false),
             closing: Event::new(),
             connections: AtomicUsize::new(0),
-            instances: AtomicUsize::new(UNKNOWN_INSTANCES),
+            peers,
             plan: RwLock::default(),
             roster: Mutex::default(),
             board: Mutex::new(PlacementBoard::new(PlacementPolicy::default())),
@@ -77,24 +86,36 @@
         }
     }
 
+    fn known_plan(&self) -> RwLockReadGuard<'_, Option<KnownPlan>> {
+        self.plan.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn plan(&self) -> Option<Arc<PlanIndex>> {
-        self.plan.read().unwrap_or_else(PoisonError::into_inner).clone()
+        self.known_plan().as_ref().map(|known| known.index.clone())
+    }
+
+    /// The configuration in force as the store has it.
+    pub(crate) fn plan_document(&self) -> Option<String> {
+        self.known_plan().as_ref().map(|known| known.document.to_string())
     }
 
     /// The version of the configuration in force, 0 if there is none.
     pub(crate) fn plan_version(&self) -> ConfigVersion {
-        self.plan().map_or(ConfigVersion::ZERO, |index| index.plan().version)
+        self.known_plan().as_ref().map_or(ConfigVersion::ZERO, |known| known.index.plan().version)
     }
 
     /// Puts a configuration in force, unless a newer one is. It never goes back: word of an older
     /// version may arrive late.
-    pub(crate) fn take_plan(&self, index: PlanIndex) -> bool {
-        let mut plan = self.plan.write().unwrap_or_else(PoisonError::into_inner);
+    pub(crate) fn take_plan(&self, index: PlanIndex, document: &str) -> bool {
         let version = index.plan().version;
-        if plan.as_ref().is_some_and(|known| known.plan().version >= version) {
+        let fresh = KnownPlan { index: Arc::new(index), document: document.into() };
+        let mut plan = self.plan.write().unwrap_or_else(PoisonError::into_inner);
+        if plan.as_ref().is_some_and(|known| known.index.plan().version >= version) {
             return false;
         }
-        *plan = Some(Arc::new(index));
+        *plan = Some(fresh);
+        drop(plan);
+        self.peers.announce_plan(version);
         true
     }
 
@@ -112,11 +133,7 @@
 
     /// How many instances there are, this one among them.
     pub(crate) fn instances(&self) -> usize {
-        self.instances.load(Ordering::Relaxed)
-    }
-
-    pub(crate) fn set_instances(&self, count: usize) {
-        self.instances.store(count.max(1), Ordering::Relaxed);
+        self.peers.count().max(LEAST_INSTANCES)
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
--- a/crates/sagespool-messages/src/lib.rs
+++ b/crates/sagespool-messages/src/lib.rs
@@ -9,6 +9,7 @@
 mod claims;
 mod configuration;
 mod dispatch;
+mod gateways;
 mod members;
 mod operations;
 mod reserve;
@@ -24,6 +25,7 @@
     AttachRequest, CacheNews, CacheNote, CallTarget, CancelRequest, DispatchEnd, DispatchEvent,
     DispatchRequest, HeaderPair, PrefixDigest, ResumePoint, StopCause,
 };
+pub use gateways::{LendReply, LendRequest, PlanAsk, PlanReply};
 pub use members::{
     Heartbeat, LoadReport, MemberInfo, MemberRole, ServedUpstream, SuspectNote, UpstreamKind,
 };
--- a/crates/sagespool-messages/src/wire.rs
+++ b/crates/sagespool-messages/src/wire.rs
@@ -46,6 +46,10 @@
         AskConfiguration(ConfigAsk),
         /// Anyone to anyone; answered by [`PeerReply::Done`].
         NoticeConfiguration(ConfigNotice),
+        /// Gateway to gateway; answered by [`PeerReply::Lend`].
+        Lend(LendRequest),
+        /// Gateway to gateway; answered by [`PeerReply::Plan`].
+        AskPlan(PlanAsk),
     }
 }
 
@@ -76,5 +80,9 @@
         Unsupported(String),
         /// Objects that are newer than the asker's.
         Configuration(ConfigReply),
+        /// What a gateway lends.
+        Lend(LendReply),
+        /// A gateway's configuration.
+        Plan(PlanReply),
     }
 }
--- a/crates/sagespool-settings/src/process/gateway.rs
+++ b/crates/sagespool-settings/src/process/gateway.rs
@@ -7,7 +7,7 @@
 
 use error_stack::{Report, ResultExt};
 use sagespool_log::LogLevel;
-use sagespool_types::{CentreName, InstanceName};
+use sagespool_types::{CentreName, InstanceName, RegionName};
 
 use crate::check::{CheckNode, ObjectNode};
 use crate::document::check_text;
@@ -19,6 +19,8 @@
 pub struct GatewaySettings {
     /// The instance's name. A later run under the same name replaces this one.
     pub instance: InstanceName,
+    /// Its region.
+    pub region: RegionName,
     /// Its data centre.
     pub centre: CentreName,
     /// Where callers connect (HTTP).
@@ -91,6 +93,7 @@
 fn read_gateway(object: &ObjectNode) -> Option<GatewaySettings> {
     let role = object.required("role", |node| node.one_of(&ROLES));
     let instance = object.required("instance", CheckNode::parse);
+    let region = object.required("region", CheckNode::parse);
     let centre = object.required("centre", CheckNode::parse);
     let callers = object.required("callers", CheckNode::listen_address);
     let readiness = object.required("readiness", CheckNode::listen_address);
@@ -107,6 +110,7 @@
     role?;
     Some(GatewaySettings {
         instance: instance?,
+        region: region?,
         centre: centre?,
         callers: callers?,
         readiness: readiness?,
--- a/crates/sagespool-sidecar/src/role/peers.rs
+++ b/crates/sagespool-sidecar/src/role/peers.rs
@@ -65,7 +65,9 @@
         | PeerRequest::ReportCharges(_)
         | PeerRequest::Recall(_)
         | PeerRequest::ReportCrash(_)
-        | PeerRequest::Abandon(_) => PeerReply::Unsupported("this process is a sidecar".to_owned()),
+        | PeerRequest::Abandon(_)
+        | PeerRequest::Lend(_)
+        | PeerRequest::AskPlan(_) => PeerReply::Unsupported("this process is a sidecar".to_owned()),
     };
     responder.reply(reply).await;
 }
