Never ask for a smaller grant than the one that is spent from

Cause: a purse whose account went quiet asked for its supply anew, now a smaller one.

Ruled out: late writes of an earlier run, loans whose answer is lost, events counted short.

--- a/crates/sagespool-ledger/src/prepaid/purse.rs
+++ b/crates/sagespool-ledger/src/prepaid/purse.rs
@@ -93,6 +93,10 @@
 
     /// The grant to ask a book for, so that `missing` more can be reserved: that and a supply for
     /// the time ahead, as far as the book goes. Nothing if the book can't cover `missing`.
+    ///
+    /// Never less than the grant that this purse goes by, however large that is by now. A write
+    /// that lowers it may take effect without an answer; the purse would go on spending what the
+    /// book has given to others. [`lower_to`](Self::lower_to) comes first where a grant is to shrink.
     pub fn grant_to_ask(
         &self,
         book: &PrepaidBook,
@@ -111,7 +115,7 @@
         let spare = room.less(least).0 as f64;
         let fair = spare * terms.share / instances.max(1) as f64;
         let ahead = self.wanted_ahead(terms, now).min(fair);
-        Some(least + TokenCount(ahead as u64))
+        Some((least + TokenCount(ahead as u64)).max(self.granted))
     }
 
     /// Takes the grant that the store acknowledged.
