--- a/crates/sagespool-gateway/src/desk.rs
+++ b/crates/sagespool-gateway/src/desk.rs
@@ -90,12 +90,17 @@
 }
 
 impl BudgetDesk {
-    pub(crate) fn new(store: ObjectClient, run: IncarnationId, instance: InstanceName) -> Self {
+    pub(crate) fn new(
+        store: ObjectClient,
+        run: IncarnationId,
+        instance: InstanceName,
+        terms: GrantTerms,
+    ) -> Self {
         Self {
             store,
             run,
             instance,
-            terms: GrantTerms::default(),
+            terms,
             accounts: Mutex::default(),
             store_failed: Mutex::default(),
         }
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -7,8 +7,9 @@
 use sagespool_forward::{
     PlacementBoard, PlacementPolicy, PlanIndex, RetryBudget, RetryTerms, UpstreamRoster,
 };
+use sagespool_ledger::GrantTerms;
 use sagespool_platform::ObjectClient;
-use sagespool_settings::GatewaySettings;
+use sagespool_settings::{GatewaySettings, GrantSettings};
 use sagespool_types::{ConfigVersion, IncarnationId};
 
 use crate::desk::BudgetDesk;
@@ -58,7 +59,9 @@
         dialect: WireDialect,
         store: ObjectClient,
     ) -> Self {
-        let desk = BudgetDesk::new(store.clone(), run, settings.instance.clone());
+        let GrantSettings { ahead, share } = settings.grants;
+        let grants = GrantTerms { ahead, share };
+        let desk = BudgetDesk::new(store.clone(), run, settings.instance.clone(), grants);
         let address = settings.link.unwrap_or(settings.callers);
         let peers = PeerBoard::new(&settings, run, address);
         let terms = RetryTerms {
--- a/crates/sagespool-ledger/src/prepaid/purse.rs
+++ b/crates/sagespool-ledger/src/prepaid/purse.rs
@@ -17,13 +17,6 @@
     pub share: f64,
 }
 
-impl Default for GrantTerms {
-    fn default() -> Self {
-        // Outages and cuts on the users' platform last up to nine seconds.
-        Self { ahead: Duration::from_secs(10), share: 0.35 }
-    }
-}
-
 /// What this instance may spend of one account, and has spent.
 #[derive(Debug, Clone, Default)]
 pub struct PrepaidPurse {
--- a/crates/sagespool-ledger/tests/prepaid_partition.rs
+++ b/crates/sagespool-ledger/tests/prepaid_partition.rs
@@ -117,8 +117,7 @@
         book.close_earlier(instance.run, &instance.name);
         let present = book.granted(instance.run);
         let missing = TokenCount(missing);
-        let wanted =
-            instance.purse.grant_to_ask(&book, present, missing, PURSES, TERMS, self.now);
+        let wanted = instance.purse.grant_to_ask(&book, present, missing, PURSES, TERMS, self.now);
         let Some(wanted) = wanted else {
             return;
         };
@@ -197,10 +196,7 @@
             world.spent <= PREPAID
         })
     }
-    QuickCheck::new()
-        .tests(3_000)
-        .rng(Gen::new(400))
-        .quickcheck(holds as fn(Vec<Step>) -> bool);
+    QuickCheck::new().tests(3_000).rng(Gen::new(400)).quickcheck(holds as fn(Vec<Step>) -> bool);
 }
 
 /// An account is busy at one instance, then idle there. The instance asks for its supply anew, now
--- a/crates/sagespool-settings/src/process/gateway.rs
+++ b/crates/sagespool-settings/src/process/gateway.rs
@@ -39,6 +39,8 @@
     pub stop_limit: Duration,
     /// What may be sent to a second upstream, over all gateways.
     pub retries: RetrySettings,
+    /// How much of a budget an instance takes at a time.
+    pub grants: GrantSettings,
     /// The log.
     pub log: LogSettings,
 }
@@ -54,12 +56,25 @@
     pub window: Duration,
 }
 
+/// How much of a client account's budget an instance takes at a time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct GrantSettings {
+    /// The time that a supply lasts if the store is away. More serves callers through longer
+    /// outages; a killed instance gives up what it hadn't spent of it.
+    pub ahead: Duration,
+    /// The most that an instance takes ahead, of its even share of what is free.
+    pub share: f64,
+}
+
 /// The word under `role` that tells a gateway's settings from the other roles'.
 const ROLES: [(&str, ()); 1] = [("gateway", ())];
 const LONGEST_STOP_S: f64 = 86_400.0;
 const LONGEST_WINDOW_S: f64 = 3_600.0;
 const MOST_SLACK: f64 = 1e9;
 const DEFAULT_STOP_S: f64 = 30.0;
+/// Outages and cuts on the users' platform last up to nine seconds.
+const DEFAULT_GRANTS: GrantSettings = GrantSettings { ahead: Duration::from_secs(10), share: 0.35 };
+const LONGEST_AHEAD_S: f64 = 3_600.0;
 const DEFAULT_RETRIES: RetrySettings =
     RetrySettings { ratio: 0.2, slack: 10.0, window: Duration::from_secs(10) };
 
@@ -105,6 +120,7 @@
     let stop_limit =
         object.or("stop_limit_s", default_stop, |node| node.seconds(0.1..=LONGEST_STOP_S));
     let retries = object.or("retries", DEFAULT_RETRIES, |node| node.object(read_retries));
+    let grants = object.or("grants", DEFAULT_GRANTS, |node| node.object(read_grants));
     let default_log = LogSettings { level: LogLevel::Info };
     let log = object.or("log", default_log, |node| node.object(read_log));
     role?;
@@ -120,6 +136,7 @@
         object_api: object_api?,
         stop_limit: stop_limit?,
         retries: retries?,
+        grants: grants?,
         log: log?,
     })
 }
@@ -131,3 +148,10 @@
         object.or("window_s", DEFAULT_RETRIES.window, |node| node.seconds(0.1..=LONGEST_WINDOW_S));
     Some(RetrySettings { ratio: ratio?, slack: slack?, window: window? })
 }
+
+fn read_grants(object: &ObjectNode) -> Option<GrantSettings> {
+    let ahead =
+        object.or("ahead_s", DEFAULT_GRANTS.ahead, |node| node.seconds(0.0..=LONGEST_AHEAD_S));
+    let share = object.or("share", DEFAULT_GRANTS.share, |node| node.fraction(0.0..=1.0));
+    Some(GrantSettings { ahead: ahead?, share: share? })
+}
--- a/crates/sagespool-settings/src/process/mod.rs
+++ b/crates/sagespool-settings/src/process/mod.rs
@@ -14,5 +14,7 @@
     BudgetChoice, EntrySettings, LedgerSettings, PolicySettings, QueueSettings, RoutingChoice,
 };
 pub use file::{SettingsError, check_files, load_process};
-pub use gateway::{GatewaySettings, RetrySettings, check_gateway, is_gateway, load_gateway};
+pub use gateway::{
+    GatewaySettings, GrantSettings, RetrySettings, check_gateway, is_gateway, load_gateway,
+};
 pub use sidecar::{AnswerSettings, SidecarSettings, UpstreamSettings};
