Keep missing upstreams only after an outage that can have lapsed them

Ruled out: the pause between watches (0.4 s), silent watch connections (found within 2.9 s).

Tests: short_hiccup and removed_later failed before.

--- a/crates/sagespool-forward/src/roster.rs
+++ b/crates/sagespool-forward/src/roster.rs
@@ -49,18 +49,25 @@
 ///
 /// Entries lapse while the store is away, since upstreams can't renew them, and are back soon
 /// after it returns. Dropping them at the first look would leave nothing to send to, though all
-/// upstreams are well. So for a while after an outage a missing entry is kept.
+/// upstreams are well. So what is found missing when the store is back is kept for a while. What is
+/// removed later is gone at once: it leaves, and serves for a limited time only.
 #[derive(Debug, Default)]
 pub struct UpstreamRoster {
     entries: BTreeMap<UpstreamName, RosterEntry>,
-    /// Until when missing entries are kept.
-    lapse_until: Option<ClockTime>,
+    /// When the store came back after an outage in which entries may have lapsed.
+    returned: Option<ClockTime>,
     loaded: bool,
 }
 
 /// How long entries may take to come back after an outage: the platform promises about two
 /// seconds, and its word takes a moment to arrive.
 const LAPSE_GRACE: Duration = Duration::from_millis(2200);
+/// What lapsed during an outage is found missing by this time after it: the first listing or watch
+/// comes at once, and a second one in case the first was turned away.
+const LAPSE_FOUND: Duration = Duration::from_millis(800);
+/// An outage that shows for a shorter time lapses nothing. Entries last for several heartbeats, and
+/// an outage shows from the first call that fails, two or three seconds into it.
+const LEAST_OUTAGE: Duration = Duration::from_millis(500);
 
 impl UpstreamRoster {
     /// Whether the list was ever read.
@@ -68,13 +75,15 @@
         self.loaded
     }
 
-    /// Notes that the store was away until now.
-    pub fn store_returned(&mut self, now: ClockTime) {
-        self.lapse_until = Some(now.after(LAPSE_GRACE));
+    /// Notes that the store has answered again after calls had failed for so long.
+    pub fn store_returned(&mut self, outage: Duration, now: ClockTime) {
+        if outage >= LEAST_OUTAGE {
+            self.returned = Some(now);
+        }
     }
 
-    fn is_lapsing(&self, now: ClockTime) -> bool {
-        self.lapse_until.is_some_and(|until| now < until)
+    fn is_within(&self, span: Duration, now: ClockTime) -> bool {
+        self.returned.is_some_and(|returned| now.since(returned) < span)
     }
 
     /// Takes the whole list. Gives what became of each upstream that changed.
@@ -108,7 +117,7 @@
 
     /// Takes word that an entry was removed.
     pub fn remove(&mut self, name: &UpstreamName, now: ClockTime) -> (UpstreamName, RosterChange) {
-        let lapsing = self.is_lapsing(now);
+        let lapsing = self.is_within(LAPSE_FOUND, now);
         let Some(entry) = self.entries.get_mut(name) else {
             return (name.clone(), RosterChange::Unchanged);
         };
@@ -122,7 +131,7 @@
 
     /// Drops entries that lapsed and didn't come back in time.
     pub fn expire(&mut self, now: ClockTime) -> Vec<UpstreamName> {
-        if self.is_lapsing(now) {
+        if self.is_within(LAPSE_GRACE, now) {
             return Vec::new();
         }
         let lapsed = |(name, entry): (&UpstreamName, &RosterEntry)| {
--- /dev/null
+++ b/crates/sagespool-forward/tests/roster_lapse.rs
@@ -0,0 +1,92 @@
+//! Entries that disappear around an outage of the store.
+
+use std::time::Duration;
+
+use sagespool_forward::{RosterChange, UpstreamRecord, UpstreamRoster};
+use sagespool_types::{ClockTime, ServiceName, UpstreamName};
+
+const OUTAGE: Duration = Duration::from_secs(4);
+const HICCUP: Duration = Duration::from_millis(120);
+
+fn service() -> ServiceName {
+    "engines".parse().unwrap()
+}
+
+fn record(name: &str) -> UpstreamRecord {
+    UpstreamRecord {
+        name: name.parse().unwrap(),
+        service: service(),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        centre: "east".parse().unwrap(),
+        slots: 4,
+        leaving: false,
+    }
+}
+
+fn name(name: &str) -> UpstreamName {
+    name.parse().unwrap()
+}
+
+fn roster() -> UpstreamRoster {
+    let mut roster = UpstreamRoster::default();
+    roster.replace(vec![record("i-1"), record("i-2")], at(0));
+    roster
+}
+
+fn at(millis: u64) -> ClockTime {
+    ClockTime::from_millis(10_000 + millis)
+}
+
+fn ready(roster: &UpstreamRoster) -> usize {
+    roster.ready(&service()).count()
+}
+
+/// A watch is cut off and the next one answers at once; the store was well all the time. A second
+/// later an upstream leaves without a word before: its entry is removed. It must get no new work,
+/// for its own time to go on serving is two seconds from then.
+#[test]
+fn short_hiccup() {
+    let mut roster = roster();
+    roster.store_returned(HICCUP, at(0));
+    let (_, change) = roster.remove(&name("i-1"), at(1000));
+    assert_eq!(change, RosterChange::Gone);
+    assert_eq!(ready(&roster), 1);
+}
+
+/// The store is away for four seconds, no upstream can renew its entry, and all have lapsed when it
+/// is back. They are well, and write themselves again within two seconds; until then requests go to
+/// them as before.
+#[test]
+fn all_lapsed() {
+    let mut roster = roster();
+    roster.store_returned(OUTAGE, at(0));
+    roster.replace(Vec::new(), at(10));
+    assert_eq!(ready(&roster), 2);
+    assert!(roster.expire(at(1500)).is_empty());
+    roster.put(record("i-1"));
+    let gone = roster.expire(at(3000));
+    assert_eq!(gone, [name("i-2")]);
+    assert_eq!(ready(&roster), 1);
+}
+
+/// The store is back for a second when an upstream's entry is removed: that isn't a lapse any more,
+/// lapsed entries disappeared before the store came back.
+#[test]
+fn removed_later() {
+    let mut roster = roster();
+    roster.store_returned(OUTAGE, at(0));
+    let (_, change) = roster.remove(&name("i-1"), at(1200));
+    assert_eq!(change, RosterChange::Gone);
+}
+
+/// An upstream that said that it leaves is gone when its entry is, outage or not.
+#[test]
+fn leaving_one() {
+    let mut roster = roster();
+    let mut leaving = record("i-1");
+    leaving.leaving = true;
+    assert_eq!(roster.put(leaving).1, RosterChange::Leaving);
+    assert_eq!(ready(&roster), 1);
+    roster.store_returned(OUTAGE, at(0));
+    assert_eq!(roster.remove(&name("i-1"), at(10)).1, RosterChange::Gone);
+}
--- a/crates/sagespool-gateway/src/follow.rs
+++ b/crates/sagespool-gateway/src/follow.rs
@@ -31,7 +31,7 @@
     pause: Duration,
     on_listing: fn(&GatewayState, RawListing),
     on_change: fn(&GatewayState, RawChange),
-    on_return: fn(&GatewayState),
+    on_return: fn(&GatewayState, Duration),
 }
 
 /// Follows the configuration for ever.
@@ -50,7 +50,7 @@
                 take_plan(state, &change.key, &value);
             }
         },
-        on_return: |_| {},
+        on_return: |_, _| {},
     };
     follow(&state, followed).await;
 }
@@ -81,13 +81,13 @@
                 note_change(state, noted);
             }
         },
-        on_return: |state| state.roster().store_returned(ClockTime::now()),
+        on_return: |state, outage| state.roster().store_returned(outage, ClockTime::now()),
     };
     follow(&state, followed).await;
 }
 
 async fn follow(state: &GatewayState, followed: Followed) {
-    let mut lost = false;
+    let mut lost = None;
     loop {
         let listing = match state.store.list::<Box<RawValue>>(followed.prefix).await {
             Ok(listing) => listing,
@@ -135,16 +135,19 @@
     Timer::after(FAILURE_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
 }
 
-fn note_lost(lost: &mut bool, followed: &Followed, error: &StoreError) {
-    if !std::mem::replace(lost, true) {
+fn note_lost(lost: &mut Option<ClockTime>, followed: &Followed, error: &StoreError) {
+    if lost.is_none() {
+        *lost = Some(ClockTime::now());
         log_event!(warn, "store-lost", what = followed.what, error = error);
     }
 }
 
-fn note_found(state: &GatewayState, lost: &mut bool, followed: &Followed) {
-    if std::mem::replace(lost, false) {
-        log_event!(info, "store-regained", what = followed.what);
-        (followed.on_return)(state);
+fn note_found(state: &GatewayState, lost: &mut Option<ClockTime>, followed: &Followed) {
+    if let Some(since) = lost.take() {
+        let outage = ClockTime::now().since(since);
+        let away_ms = outage.as_millis();
+        log_event!(info, "store-regained", what = followed.what, away_ms = away_ms);
+        (followed.on_return)(state, outage);
     }
 }
 
