Keep missing upstreams only where most of a service is missing

Cause: an instance that was cut off from the store for eight seconds kept an upstream that had meanwhile left, 2.2 s from its own return on; the upstream serves for 2 s from its removal.

Ruled out: late watches (all other leavings known within 0.4 s of each other).

Test one_missing failed before.

--- a/crates/sagespool-forward/src/roster.rs
+++ b/crates/sagespool-forward/src/roster.rs
@@ -49,8 +49,9 @@
 ///
 /// Entries lapse while the store is away, since upstreams can't renew them, and are back soon
 /// after it returns. Dropping them at the first look would leave nothing to send to, though all
-/// upstreams are well. So what is found missing when the store is back is kept for a while. What is
-/// removed later is gone at once: it leaves, and serves for a limited time only.
+/// upstreams are well. So what is found missing when the store is back is kept for a while, if it is
+/// the larger part of a service. What is removed later, or alone, is gone at once: it leaves, and
+/// serves for a limited time only.
 #[derive(Debug, Default)]
 pub struct UpstreamRoster {
     entries: BTreeMap<UpstreamName, RosterEntry>,
@@ -97,6 +98,9 @@
         let missing: Vec<UpstreamName> =
             self.entries.keys().filter(|name| !listed.contains(name)).cloned().collect();
         let mut changes: Vec<_> = records.into_iter().map(|record| self.put(record)).collect();
+        for name in &missing {
+            self.mark_missing(name, now);
+        }
         changes.extend(missing.into_iter().map(|name| self.remove(&name, now)));
         changes.retain(|(_, change)| *change != RosterChange::Unchanged);
         changes
@@ -117,18 +121,31 @@
 
     /// Takes word that an entry was removed.
     pub fn remove(&mut self, name: &UpstreamName, now: ClockTime) -> (UpstreamName, RosterChange) {
-        let lapsing = self.is_within(LAPSE_FOUND, now);
-        let Some(entry) = self.entries.get_mut(name) else {
+        self.mark_missing(name, now);
+        let Some(entry) = self.entries.get(name) else {
             return (name.clone(), RosterChange::Unchanged);
         };
-        if lapsing && !entry.record.leaving {
-            entry.missing.get_or_insert(now);
+        let (leaving, service) = (entry.record.leaving, entry.record.service.clone());
+        if !leaving && self.is_within(LAPSE_FOUND, now) && self.is_mostly_missing(&service) {
             return (name.clone(), RosterChange::Missing);
         }
         self.entries.remove(name);
         (name.clone(), RosterChange::Gone)
     }
 
+    fn mark_missing(&mut self, name: &UpstreamName, now: ClockTime) {
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.missing.get_or_insert(now);
+        }
+    }
+
+    /// Whether less than half of a service's upstreams are still listed.
+    fn is_mostly_missing(&self, service: &ServiceName) -> bool {
+        let of_service = || self.entries.values().filter(|entry| entry.record.service == *service);
+        let listed = of_service().filter(|entry| entry.missing.is_none()).count();
+        listed * 2 < of_service().count()
+    }
+
     /// Drops entries that lapsed and didn't come back in time.
     pub fn expire(&mut self, now: ClockTime) -> Vec<UpstreamName> {
         if self.is_within(LAPSE_GRACE, now) {
--- a/crates/sagespool-forward/tests/roster_lapse.rs
+++ b/crates/sagespool-forward/tests/roster_lapse.rs
@@ -90,3 +90,17 @@
     roster.store_returned(OUTAGE, at(0));
     assert_eq!(roster.remove(&name("i-1"), at(10)).1, RosterChange::Gone);
 }
+
+/// One instance was cut off from the store for eight seconds, the upstreams weren't. Just then one
+/// of them left without a word before. The instance finds it missing among many that are still
+/// listed: it has gone, it didn't lapse, and its two seconds of further service are running out.
+#[test]
+fn one_missing() {
+    let mut roster = UpstreamRoster::default();
+    let all = ["i-1", "i-2", "i-3", "i-4"].map(record);
+    roster.replace(all.to_vec(), at(0));
+    roster.store_returned(OUTAGE, at(0));
+    let changes = roster.replace(all[1..].to_vec(), at(10));
+    assert_eq!(changes, [(name("i-1"), RosterChange::Gone)]);
+    assert_eq!(roster.remove(&name("i-2"), at(20)).1, RosterChange::Gone);
+}
