Carry store calls by way of relays beside upstreams

Cause: entries are cut off from the store all at once, for up to nine seconds; what they held in grants ran out, and nothing else could be granted. The machines beside upstreams aren't cut then.

A relay process there makes store calls for gateways over the link. A call goes that way only where the direct one surely did nothing, so lost writes stay as uncertain as before.

--- a/crates/sagespool-daemon/src/process.rs
+++ b/crates/sagespool-daemon/src/process.rs
@@ -8,10 +8,11 @@
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use sagespool_entry::EntryRole;
-use sagespool_gateway::GatewayRole;
+use sagespool_gateway::{GatewayRole, RelayRole, WireDialect};
 use sagespool_log::{log_event, start_log, start_log_queued};
 use sagespool_settings::{
-    GatewaySettings, ProcessSettings, RoleSettings, is_gateway, load_gateway, load_process,
+    DirectSettings, GatewaySettings, ProcessSettings, RoleSettings, is_direct, load_direct,
+    load_process,
 };
 use sagespool_sidecar::SidecarRole;
 
@@ -30,8 +31,8 @@
 
 /// Runs a process from its settings file until it is told to stop.
 pub fn run(path: &Path) -> ExitCode {
-    if file_is_gateway(path) {
-        return run_gateway(path);
+    if file_is_direct(path) {
+        return run_direct(path);
     }
     let settings = match load_process(path) {
         Ok(settings) => settings,
@@ -47,36 +48,58 @@
 }
 
 /// A file that can't be read is reported by whoever loads it.
-fn file_is_gateway(path: &Path) -> bool {
-    fs::read_to_string(path).is_ok_and(|text| is_gateway(&text))
+fn file_is_direct(path: &Path) -> bool {
+    fs::read_to_string(path).is_ok_and(|text| is_direct(&text))
 }
 
-fn run_gateway(path: &Path) -> ExitCode {
-    let settings = match load_gateway(path) {
+/// Runs a gateway or a relay.
+fn run_direct(path: &Path) -> ExitCode {
+    let settings = match load_direct(path) {
         Ok(settings) => settings,
         Err(report) => {
             eprintln!("{report:?}");
             return ExitCode::from(SETTINGS_FAULT);
         }
     };
-    if let Err(error) = start_log_queued(settings.log.level) {
+    let level = match &settings {
+        DirectSettings::Gateway(gateway) => gateway.log.level,
+        DirectSettings::Relay(relay) => relay.log.level,
+    };
+    if let Err(error) = start_log_queued(level) {
         eprintln!("can't start the log: {error}");
         return ExitCode::from(START_FAULT);
     }
-    futures_lite::future::block_on(serve_gateway(settings, path))
-}
-
-async fn serve_gateway(settings: GatewaySettings, path: &Path) -> ExitCode {
-    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
-    let mut signals = match signals {
+    let signals = match Signals::new([Signal::Term, Signal::Int, Signal::Hup]) {
         Ok(signals) => signals,
         Err(error) => {
             log_event!(error, "signals-unavailable", error = error);
             return ExitCode::from(START_FAULT);
         }
     };
+    let dialect = sagespool_adapter::wire_dialect();
+    futures_lite::future::block_on(async {
+        match settings {
+            DirectSettings::Gateway(gateway) => {
+                serve_gateway(*gateway, dialect, signals, path).await
+            }
+            DirectSettings::Relay(relay) => {
+                let _role = RelayRole::start(relay, dialect.store);
+                wait_for_stop(signals, |_| {}, path).await;
+                log_event!(info, "relay-stopped");
+                ExitCode::SUCCESS
+            }
+        }
+    })
+}
+
+async fn serve_gateway(
+    settings: GatewaySettings,
+    dialect: WireDialect,
+    signals: Signals,
+    path: &Path,
+) -> ExitCode {
     let stop_limit = settings.stop_limit;
-    let role = match GatewayRole::start(settings, sagespool_adapter::wire_dialect()) {
+    let role = match GatewayRole::start(settings, dialect) {
         Ok(role) => role,
         Err(report) => {
             let help = report.current_context().help();
@@ -84,20 +107,27 @@
             return ExitCode::from(START_FAULT);
         }
     };
-    while let Some(Ok(Signal::Hup)) = signals.next().await {
-        reload(&role, path);
-    }
+    let reload = |settings| match settings {
+        DirectSettings::Gateway(gateway) => role.reload(&gateway),
+        DirectSettings::Relay(_) => {
+            log_event!(error, "settings-kept", detail = "a gateway doesn't become a relay");
+        }
+    };
+    wait_for_stop(signals, reload, path).await;
     log_event!(info, "stop-asked", by = "signal", limit_ms = stop_limit.as_millis());
     let report = role.stop(stop_limit).await;
     if report.cut == 0 { ExitCode::SUCCESS } else { ExitCode::from(UNCLEAN_STOP) }
 }
 
-/// Reads the settings again. A file with faults changes nothing.
-fn reload(role: &GatewayRole, path: &Path) {
-    match load_gateway(path) {
-        Ok(settings) => role.reload(settings),
-        Err(report) => {
-            log_event!(error, "settings-kept", detail = format!("{report:?}"));
+/// Waits for a signal to stop. At a signal to reload the settings are read again; a file with
+/// faults changes nothing.
+async fn wait_for_stop(mut signals: Signals, reload: impl Fn(DirectSettings), path: &Path) {
+    while let Some(Ok(Signal::Hup)) = signals.next().await {
+        match load_direct(path) {
+            Ok(settings) => reload(settings),
+            Err(report) => {
+                log_event!(error, "settings-kept", detail = format!("{report:?}"));
+            }
         }
     }
 }
--- a/crates/sagespool-entry/src/peers.rs
+++ b/crates/sagespool-entry/src/peers.rs
@@ -82,7 +82,8 @@
         | PeerRequest::FindKey(_)
         | PeerRequest::Order(_)
         | PeerRequest::Lend(_)
-        | PeerRequest::AskPlan(_) => PeerReply::Unsupported("this process is an entry".into()),
+        | PeerRequest::AskPlan(_)
+        | PeerRequest::CallStore(_) => PeerReply::Unsupported("this process is an entry".into()),
     }
 }
 
--- a/crates/sagespool-gateway/src/desk.rs
+++ b/crates/sagespool-gateway/src/desk.rs
@@ -14,7 +14,8 @@
 };
 use smol::{Task, Timer};
 
-use crate::peers::PeerBoard;
+use crate::fleet::FleetBoard;
+use crate::peers::borrow;
 use crate::refusal::Refusal;
 
 /// Writes to one book that are tried before a request is refused: other instances write too.
@@ -132,7 +133,7 @@
         self: &Arc<Self>,
         order: &BudgetOrder,
         deadline: ClockTime,
-        peers: &PeerBoard,
+        fleet: &FleetBoard,
         instances: usize,
     ) -> Result<Reservation, Refusal> {
         let account = self.account(&order.branch);
@@ -149,7 +150,7 @@
             return Ok(Reservation::new(account, order.amount));
         }
         let missing = order.amount.less(lock(&account.purse).free());
-        let loan = peers.borrow(&order.branch, missing).await;
+        let loan = borrow(fleet, &order.branch, missing).await;
         let now = ClockTime::now();
         let mut purse = lock(&account.purse);
         purse.borrow(loan.lent);
--- /dev/null
+++ b/crates/sagespool-gateway/src/fleet.rs
@@ -0,0 +1,307 @@
+//! The other processes: finding them, staying in touch, calling the store by way of them.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use bon::Builder;
+use sagespool_link::{LinkEndpoint, LinkError, PeerHandler};
+use sagespool_log::log_event;
+use sagespool_membership::{MemberTable, MembershipPolicy, first_number};
+use sagespool_messages::{
+    Heartbeat, MemberInfo, MemberRole, PeerReply, PeerRequest, StoreCall, StoreCallReply,
+    StoreMethod,
+};
+use sagespool_platform::{
+    CallForm, CallMethod, ObjectClient, RawAnswer, RawFailure, StoreDetour, UpdateChoice,
+    update_object,
+};
+use sagespool_types::{
+    CentreName, ClockTime, ConfigVersion, IncarnationId, InstanceName, RegionName, WallTime,
+    derives,
+};
+use smol::Timer;
+
+use crate::identity::make_identity;
+
+/// The membership is asked this often what is due.
+const ROUND: Duration = Duration::from_millis(200);
+/// How often members of a small fleet hear from each other. The configuration's version travels
+/// with it, and must reach a gateway that the store turns away within seconds.
+const MESH_PERIOD: Duration = Duration::from_millis(1000);
+/// Without word for so long a member is taken to be away, which only means that it isn't asked.
+const SUSPECT_AFTER: Duration = Duration::from_millis(3000);
+const BEAT_LIMIT: Duration = Duration::from_millis(700);
+/// Between two readings of the members' addresses in the store; heartbeats tell of new ones.
+const LISTING_PERIOD: Duration = Duration::from_secs(15);
+const FAILURE_PAUSE: Duration = Duration::from_millis(400);
+const WRITE_LIMIT: Duration = Duration::from_secs(2);
+/// Where processes write their addresses.
+const ADDRESS_PREFIX: &str = "members/";
+const NO_LINK: &str = "the own link isn't open yet";
+/// Processes that are asked to make a call of the store, one after the other.
+const MOST_DETOURS: usize = 3;
+
+/// Who a process is in the fleet.
+#[derive(Debug, Clone, Builder)]
+pub(crate) struct OwnPlace {
+    pub(crate) instance: InstanceName,
+    pub(crate) region: RegionName,
+    pub(crate) centre: CentreName,
+    pub(crate) role: MemberRole,
+    /// Where its link is.
+    pub(crate) link: SocketAddr,
+    /// Links of others to begin with.
+    pub(crate) peers: Vec<SocketAddr>,
+}
+
+derives! { record;
+    /// Where a process's link is.
+    #[derive(Default)]
+    struct AddressRecord {
+        address: Option<SocketAddr>,
+        run: Option<IncarnationId>,
+    }
+}
+
+/// The other processes, as far as they are known.
+pub(crate) struct FleetBoard {
+    place: OwnPlace,
+    pub(crate) run: IncarnationId,
+    pub(crate) members: MemberTable,
+    link: OnceLock<LinkEndpoint>,
+}
+
+impl FleetBoard {
+    pub(crate) fn new(place: OwnPlace, run: IncarnationId) -> Self {
+        let own = MemberInfo {
+            instance: place.instance.clone(),
+            incarnation: run,
+            number: first_number(WallTime::now()),
+            role: place.role,
+            region: place.region.clone(),
+            centre: place.centre.clone(),
+            address: place.link,
+            leaving: false,
+            config: ConfigVersion::ZERO,
+            started_at: None,
+            serves: None,
+        };
+        let policy = MembershipPolicy::builder()
+            .mesh_period(MESH_PERIOD)
+            .suspect_after(SUSPECT_AFTER)
+            .build();
+        let members = MemberTable::new(own, policy, run.0);
+        members.seeds(&place.peers, ClockTime::now());
+        Self { place, run, members, link: OnceLock::new() }
+    }
+
+    /// How many members of a role there are, this process among them.
+    pub(crate) fn count(&self, role: MemberRole) -> usize {
+        self.members.members().iter().filter(|member| member.role == role).count()
+    }
+
+    /// Members of a role that are fit to be asked, in random order.
+    pub(crate) fn others(&self, role: MemberRole, now: ClockTime) -> Vec<MemberInfo> {
+        let mut others = self.members.live(role, now);
+        fastrand::shuffle(&mut others);
+        others
+    }
+
+    pub(crate) async fn ask(
+        &self,
+        address: SocketAddr,
+        request: &PeerRequest,
+        limit: Duration,
+    ) -> Result<PeerReply, LinkError> {
+        match self.link.get() {
+            Some(link) => link.ask(address, request, limit).await,
+            None => Err(LinkError::Unreachable { peer: address, detail: NO_LINK.to_owned() }),
+        }
+    }
+
+    /// The reply to a heartbeat.
+    pub(crate) fn answer_heartbeat(&self, beat: &Heartbeat) -> PeerReply {
+        PeerReply::Heartbeat(self.members.received(beat, ClockTime::now()))
+    }
+
+    /// Opens the link and stays in touch for ever. `heard` is told of each member that answers.
+    pub(crate) async fn run(
+        self: Arc<Self>,
+        store: ObjectClient,
+        handler: PeerHandler,
+        heard: impl Fn(&MemberInfo) + Clone + Send + 'static,
+    ) {
+        let Some(endpoint) = self.open_link(&store, handler).await else {
+            return;
+        };
+        log_event!(info, "link-open", address = endpoint.local_address());
+        if self.link.set(endpoint).is_err() {
+            log_event!(error, "link-opened-twice", address = self.place.link);
+            return;
+        }
+        smol::spawn(self.clone().follow_addresses(store)).detach();
+        loop {
+            for (address, beat) in self.members.due(ClockTime::now()) {
+                smol::spawn(self.clone().beat(address, beat, heard.clone())).detach();
+            }
+            Timer::after(ROUND).await;
+        }
+    }
+
+    async fn beat(
+        self: Arc<Self>,
+        address: SocketAddr,
+        beat: Heartbeat,
+        heard: impl Fn(&MemberInfo),
+    ) {
+        match self.ask(address, &PeerRequest::Heartbeat(beat), BEAT_LIMIT).await {
+            Ok(PeerReply::Heartbeat(reply)) => {
+                self.members.answered(address, &reply, ClockTime::now());
+                heard(&reply.from);
+            }
+            _ => self.members.unanswered(address, ClockTime::now()),
+        }
+    }
+
+    /// The link needs the fleet's authority, which is in the store: tries until it has it.
+    async fn open_link(&self, store: &ObjectClient, handler: PeerHandler) -> Option<LinkEndpoint> {
+        let mut told = false;
+        loop {
+            match make_identity(store, &self.place.instance).await {
+                Ok(identity) => {
+                    return match LinkEndpoint::start(self.place.link, identity, handler) {
+                        Ok(endpoint) => Some(endpoint),
+                        Err(report) => {
+                            log_event!(error, "link-closed", detail = format!("{report:?}"));
+                            None
+                        }
+                    };
+                }
+                Err(fault) => {
+                    if !std::mem::replace(&mut told, true) {
+                        log_event!(warn, "identity-missing", detail = fault);
+                    }
+                    pause_after_failure().await;
+                }
+            }
+        }
+    }
+
+    /// Writes this process's address to the store, and reads the others'.
+    async fn follow_addresses(self: Arc<Self>, store: ObjectClient) {
+        let own = self.place.link;
+        let key = format!("{ADDRESS_PREFIX}{}", self.place.instance);
+        let record = AddressRecord { address: Some(own), run: Some(self.run) };
+        let mut written = false;
+        loop {
+            written = written || write_address(&store, &key, &record).await;
+            match store.list::<AddressRecord>(ADDRESS_PREFIX).await {
+                Ok(listing) => {
+                    let listed = listing.items.into_iter();
+                    let addresses: Vec<SocketAddr> = listed
+                        .filter_map(|(_, object)| object.value.address)
+                        .filter(|address| *address != own)
+                        .collect();
+                    self.members.seeds(&addresses, ClockTime::now());
+                    Timer::after(LISTING_PERIOD.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
+                }
+                Err(error) => {
+                    log_event!(warn, "addresses-unread", error = error);
+                    pause_after_failure().await;
+                }
+            }
+        }
+    }
+
+    /// The way to the store by other members: those that stand beside upstreams first, which are
+    /// seldom cut off together with this process.
+    pub(crate) fn detour(self: &Arc<Self>) -> StoreDetour {
+        let board = self.clone();
+        StoreDetour::new(move |form, limit| {
+            let board = board.clone();
+            Box::pin(async move { board.call_store(form, limit).await })
+        })
+    }
+
+    async fn call_store(&self, form: CallForm, limit: Duration) -> Result<RawAnswer, RawFailure> {
+        let only_reads = form.method == CallMethod::Get;
+        let Some(request) = store_request(form, limit) else {
+            return Err(RawFailure::NotSent);
+        };
+        let mut failure = RawFailure::NotSent;
+        for other in self.detours(ClockTime::now()) {
+            let reply = self.ask(other.address, &request, limit).await;
+            failure = match reply {
+                Ok(PeerReply::StoreCall(StoreCallReply::Answered { status, body })) => {
+                    return Ok(RawAnswer { status, body });
+                }
+                Ok(PeerReply::StoreCall(StoreCallReply::NotSent))
+                | Ok(PeerReply::Unsupported(_)) => RawFailure::NotSent,
+                Err(error) if error.surely_not_sent() => RawFailure::NotSent,
+                _ => RawFailure::Lost,
+            };
+            if failure == RawFailure::Lost && !only_reads {
+                break;
+            }
+        }
+        Err(failure)
+    }
+
+    fn detours(&self, now: ClockTime) -> Vec<MemberInfo> {
+        let mut others = self.others(MemberRole::Sidecar, now);
+        others.sort_by_key(|other| other.centre != self.place.centre);
+        others.extend(self.others(MemberRole::Entry, now));
+        others.truncate(MOST_DETOURS);
+        others
+    }
+}
+
+fn store_request(form: CallForm, wait: Duration) -> Option<PeerRequest> {
+    let method = match form.method {
+        CallMethod::Get => StoreMethod::Get,
+        CallMethod::Post => StoreMethod::Post,
+        CallMethod::Put => StoreMethod::Put,
+        CallMethod::Delete => StoreMethod::Delete,
+        _ => return None,
+    };
+    let CallForm { path, body, .. } = form;
+    Some(PeerRequest::CallStore(StoreCall { method, path, body, wait }))
+}
+
+/// Makes a call of the store for another process.
+pub(crate) async fn answer_store_call(store: &ObjectClient, call: StoreCall) -> PeerReply {
+    let method = match call.method {
+        StoreMethod::Get => CallMethod::Get,
+        StoreMethod::Post => CallMethod::Post,
+        StoreMethod::Put => CallMethod::Put,
+        StoreMethod::Delete => CallMethod::Delete,
+    };
+    let form = CallForm { method, path: call.path, body: call.body };
+    PeerReply::StoreCall(match store.forward(form, call.wait).await {
+        Ok(RawAnswer { status, body }) => StoreCallReply::Answered { status, body },
+        Err(RawFailure::NotSent) => StoreCallReply::NotSent,
+        Err(RawFailure::Lost) => StoreCallReply::Lost,
+    })
+}
+
+async fn pause_after_failure() {
+    Timer::after(FAILURE_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
+}
+
+async fn write_address(store: &ObjectClient, key: &str, record: &AddressRecord) -> bool {
+    let apply = |present: &mut AddressRecord| {
+        if present == record {
+            return UpdateChoice::Keep;
+        }
+        *present = record.clone();
+        UpdateChoice::Write
+    };
+    match update_object(store, key, WRITE_LIMIT, apply).await {
+        Ok(_) => true,
+        Err(error) => {
+            log_event!(warn, "address-unwritten", error = error);
+            false
+        }
+    }
+}
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -21,8 +21,8 @@
 use crate::hop::strip_hop;
 use crate::metrics::Outcome;
 use crate::refusal::Refusal;
-use crate::relay::start_relay;
 use crate::state::GatewayState;
+use crate::stream::start_stream;
 
 /// Less than this isn't worth a send: the way to an upstream and back takes up to two milliseconds.
 const LEAST_TIME: Duration = Duration::from_millis(5);
@@ -152,7 +152,7 @@
         request: demand.request.clone(),
     };
     let instances = state.instances();
-    state.desk.reserve(&order, deadline, &state.peers, instances).await.map(Some)
+    state.desk.reserve(&order, deadline, &state.fleet, instances).await.map(Some)
 }
 
 async fn read_body(index: &PlanIndex, body: Incoming, limit: Duration) -> Result<Bytes, Refusal> {
@@ -195,7 +195,7 @@
     loop {
         let patience = send_patience(&flight, ClockTime::now());
         let result = match send_once(&mut flight, patience).await {
-            Ok(answer) if is_stream(&flight, &answer) => return start_relay(flight, answer),
+            Ok(answer) if is_stream(&flight, &answer) => return start_stream(flight, answer),
             Ok(answer) => collect(&mut flight, answer).await,
             Err(failure) => Err(failure),
         };
--- /dev/null
+++ b/crates/sagespool-gateway/src/relay_role.rs
@@ -0,0 +1,67 @@
+//! A relay: a small process beside an upstream that makes calls of the store for gateways.
+//!
+//! Gateways are the fleet's entries and get cut off from the store, all at once at times; the
+//! machines beside upstreams usually aren't. A relay holds no state and takes no decisions.
+
+use std::sync::Arc;
+
+use sagespool_link::{PeerCall, PeerHandler};
+use sagespool_log::log_event;
+use sagespool_messages::{MemberRole, PeerReply, PeerRequest};
+use sagespool_platform::{ObjectClient, ObjectOptions, StoreDialect};
+use sagespool_settings::RelaySettings;
+use sagespool_types::IncarnationId;
+use smol::Task;
+
+use crate::fleet::{FleetBoard, OwnPlace, answer_store_call};
+use crate::role::STORE_LIMIT;
+
+/// A relay that runs. Dropping it ends it; nothing is lost then.
+pub struct RelayRole {
+    _task: Task<()>,
+}
+
+impl RelayRole {
+    /// Starts a relay.
+    pub fn start(settings: RelaySettings, dialect: StoreDialect) -> Self {
+        let run = IncarnationId::random();
+        log_event!(
+            info,
+            "relay-starts",
+            instance = settings.instance,
+            run = run,
+            centre = settings.centre,
+            link = settings.link,
+        );
+        let options = ObjectOptions::builder()
+            .address(settings.object_api)
+            .call_limit(STORE_LIMIT)
+            .dialect(dialect);
+        let store = ObjectClient::new(options.build());
+        let place = OwnPlace::builder()
+            .instance(settings.instance)
+            .region(settings.region)
+            .centre(settings.centre)
+            .role(MemberRole::Sidecar)
+            .link(settings.link)
+            .peers(settings.peers)
+            .build();
+        let fleet = Arc::new(FleetBoard::new(place, run));
+        let handler = handler(fleet.clone(), store.clone());
+        Self { _task: smol::spawn(fleet.run(store, handler, |_| {})) }
+    }
+}
+
+fn handler(fleet: Arc<FleetBoard>, store: ObjectClient) -> PeerHandler {
+    Arc::new(move |call: PeerCall| {
+        let (fleet, store) = (fleet.clone(), store.clone());
+        Box::pin(async move {
+            let reply = match call.request {
+                PeerRequest::Heartbeat(beat) => fleet.answer_heartbeat(&beat),
+                PeerRequest::CallStore(call) => answer_store_call(&store, call).await,
+                _ => PeerReply::Unsupported("this process is a relay".to_owned()),
+            };
+            call.responder.reply(reply).await;
+        })
+    })
+}
--- a/crates/sagespool-gateway/src/role.rs
+++ b/crates/sagespool-gateway/src/role.rs
@@ -21,7 +21,7 @@
 use crate::status::serve_status;
 
 /// A call of the store takes 4 ms; a slow store takes a quarter of a second.
-const STORE_LIMIT: Duration = Duration::from_millis(900);
+pub(crate) const STORE_LIMIT: Duration = Duration::from_millis(500);
 /// The balancer asks once a second and takes an instance out after two refusals: until then new
 /// callers come, and they are served.
 const ROTATION_TIME: Duration = Duration::from_millis(2600);
@@ -109,16 +109,16 @@
             smol::spawn(follow_upstreams(state.clone())),
             smol::spawn(sweep(state.clone())),
         ];
-        if let Some(link) = state.settings.link {
-            tasks.push(smol::spawn(run_peers(state.clone(), link)));
+        if state.settings.link.is_some() {
+            tasks.push(smol::spawn(run_peers(state.clone())));
         }
         Ok(Self { state, _tasks: tasks })
     }
 
     /// Takes settings that were read again. What a running process can't change is said in the log
     /// and holds from its next start on.
-    pub fn reload(&self, settings: GatewaySettings) {
-        let changed = settings != self.state.settings;
+    pub fn reload(&self, settings: &GatewaySettings) {
+        let changed = *settings != self.state.settings;
         log_event!(info, "settings-read", changed = changed, in_force = "at the next start");
     }
 
@@ -128,7 +128,7 @@
         let state = &self.state;
         let began = ClockTime::now();
         state.stopping.store(true, Ordering::Relaxed);
-        state.peers.announce_leaving();
+        state.fleet.members.update_own(|own| own.leaving = true);
         Timer::after(ROTATION_TIME.min(limit / 2)).await;
         state.closing_now.store(true, Ordering::Relaxed);
         state.closing.notify(usize::MAX);
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -8,14 +8,16 @@
     PlacementBoard, PlacementPolicy, PlanIndex, RetryBudget, RetryTerms, UpstreamRoster,
 };
 use sagespool_ledger::GrantTerms;
+use sagespool_messages::MemberRole;
 use sagespool_platform::ObjectClient;
 use sagespool_settings::{GatewaySettings, GrantSettings};
 use sagespool_types::{ConfigVersion, IncarnationId};
 
 use crate::desk::BudgetDesk;
 use crate::dialect::WireDialect;
+use crate::fleet::{FleetBoard, OwnPlace};
 use crate::metrics::GatewayMetrics;
-use crate::peers::PeerBoard;
+
 use crate::pool::UpstreamPool;
 
 /// How many instances share a budget of repeats or of tokens, before this one has heard of others:
@@ -25,7 +27,6 @@
 /// The shared state.
 pub(crate) struct GatewayState {
     pub(crate) settings: GatewaySettings,
-    pub(crate) run: IncarnationId,
     pub(crate) dialect: WireDialect,
     pub(crate) store: ObjectClient,
     pub(crate) pool: UpstreamPool,
@@ -39,7 +40,7 @@
     pub(crate) closing: Event,
     /// Callers' connections that are open.
     pub(crate) connections: AtomicUsize,
-    pub(crate) peers: PeerBoard,
+    pub(crate) fleet: Arc<FleetBoard>,
     plan: RwLock<Option<KnownPlan>>,
     roster: Mutex<UpstreamRoster>,
     board: Mutex<PlacementBoard>,
@@ -62,8 +63,16 @@
         let GrantSettings { ahead, share } = settings.grants;
         let grants = GrantTerms { ahead, share };
         let desk = BudgetDesk::new(store.clone(), run, settings.instance.clone(), grants);
-        let address = settings.link.unwrap_or(settings.callers);
-        let peers = PeerBoard::new(&settings, run, address);
+        let place = OwnPlace::builder()
+            .instance(settings.instance.clone())
+            .region(settings.region.clone())
+            .centre(settings.centre.clone())
+            .role(MemberRole::Entry)
+            .link(settings.link.unwrap_or(settings.callers))
+            .peers(settings.peers.clone())
+            .build();
+        let fleet = Arc::new(FleetBoard::new(place, run));
+        store.set_detour(fleet.detour());
         let terms = RetryTerms {
             ratio: settings.retries.ratio,
             slack: settings.retries.slack,
@@ -71,7 +80,6 @@
         };
         Self {
             settings,
-            run,
             dialect,
             store,
             pool: UpstreamPool::default(),
@@ -81,7 +89,7 @@
             closing_now: AtomicBool::new(false),
             closing: Event::new(),
             connections: AtomicUsize::new(0),
-            peers,
+            fleet,
             plan: RwLock::default(),
             roster: Mutex::default(),
             board: Mutex::new(PlacementBoard::new(PlacementPolicy::default())),
@@ -118,7 +126,7 @@
         }
         *plan = Some(fresh);
         drop(plan);
-        self.peers.announce_plan(version);
+        self.fleet.members.update_own(|own| own.config = version);
         true
     }
 
@@ -136,7 +144,7 @@
 
     /// How many instances there are, this one among them.
     pub(crate) fn instances(&self) -> usize {
-        self.peers.count().max(LEAST_INSTANCES)
+        self.fleet.count(MemberRole::Entry).max(LEAST_INSTANCES)
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
--- a/crates/sagespool-gateway/src/relay.rs
+++ b/crates/sagespool-gateway/src/stream.rs
@@ -35,7 +35,7 @@
 }
 
 /// Answers with the head of a stream; a task of its own passes the events on.
-pub(crate) fn start_relay(mut flight: Flight, mut answer: OpenAnswer) -> Response<AnswerBody> {
+pub(crate) fn start_stream(mut flight: Flight, mut answer: OpenAnswer) -> Response<AnswerBody> {
     flight.may_have_run = true;
     let mut head = answer.head.clone();
     strip_hop(&mut head.headers);
--- a/crates/sagespool-messages/src/gateways.rs
+++ b/crates/sagespool-messages/src/gateways.rs
@@ -1,5 +1,7 @@
 //! What gateways ask each other.
 
+use std::time::Duration;
+
 use sagespool_types::{BranchName, ConfigVersion, IncarnationId, TokenCount, derives};
 
 derives! { record;
@@ -38,3 +40,48 @@
         pub document: Option<String>,
     }
 }
+
+derives! { value;
+    /// The method of a call of the store.
+    pub enum StoreMethod {
+        /// Reads, lists or watches.
+        Get,
+        /// Creates.
+        Post,
+        /// Replaces.
+        Put,
+        /// Deletes.
+        Delete,
+    }
+}
+
+derives! { record;
+    /// A call of the store that the receiver is asked to make, as the sender can't.
+    pub struct StoreCall {
+        /// The method.
+        pub method: StoreMethod,
+        /// Path and query.
+        pub path: String,
+        /// The body.
+        pub body: Option<Vec<u8>>,
+        /// How long the store may hold the call.
+        pub wait: Duration,
+    }
+}
+
+derives! { record;
+    /// What became of a [`StoreCall`].
+    pub enum StoreCallReply {
+        /// The store answered.
+        Answered {
+            /// The status.
+            status: u16,
+            /// The body; nothing if it broke off.
+            body: Option<Vec<u8>>,
+        },
+        /// The call surely didn't reach the store.
+        NotSent,
+        /// It may have.
+        Lost,
+    }
+}
--- a/crates/sagespool-messages/src/lib.rs
+++ b/crates/sagespool-messages/src/lib.rs
@@ -25,7 +25,9 @@
     AttachRequest, CacheNews, CacheNote, CallTarget, CancelRequest, DispatchEnd, DispatchEvent,
     DispatchRequest, HeaderPair, PrefixDigest, ResumePoint, StopCause,
 };
-pub use gateways::{LendReply, LendRequest, PlanAsk, PlanReply};
+pub use gateways::{
+    LendReply, LendRequest, PlanAsk, PlanReply, StoreCall, StoreCallReply, StoreMethod,
+};
 pub use members::{
     Heartbeat, LoadReport, MemberInfo, MemberRole, ServedUpstream, SuspectNote, UpstreamKind,
 };
--- a/crates/sagespool-messages/src/wire.rs
+++ b/crates/sagespool-messages/src/wire.rs
@@ -50,6 +50,8 @@
         Lend(LendRequest),
         /// Gateway to gateway; answered by [`PeerReply::Plan`].
         AskPlan(PlanAsk),
+        /// Gateway to gateway or relay; answered by [`PeerReply::StoreCall`].
+        CallStore(StoreCall),
     }
 }
 
@@ -84,5 +86,7 @@
         Lend(LendReply),
         /// A gateway's configuration.
         Plan(PlanReply),
+        /// What became of a call of the store.
+        StoreCall(StoreCallReply),
     }
 }
--- a/crates/sagespool-platform/src/caller.rs
+++ b/crates/sagespool-platform/src/caller.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use futures_lite::future::or;
-use sagespool_types::StoreRevision;
+use sagespool_types::{ClockTime, StoreRevision};
 use serde::de::DeserializeOwned;
 use smol::Timer;
 use trillium_client::{Client, Conn, KnownHeaderName, Version};
@@ -14,6 +14,7 @@
 use crate::StoreError;
 use crate::connector::{MarkedConnector, is_connect_failure};
 use crate::counters::{CallKind, CallMeter, StoreCounters};
+use crate::detour::{RawAnswer, RawFailure, StoreDetour, StoreWays};
 use crate::dialect::{CallForm, FormFault};
 
 /// Of a call's limit, connecting may take this share: the rest is for the call.
@@ -45,6 +46,7 @@
     seen_revision: AtomicU64,
     read_version: VersionReader,
     meter: CallMeter,
+    ways: StoreWays,
 }
 
 /// What to ask.
@@ -90,7 +92,9 @@
             .with_max_buffered_request_body(BODY_SENT_AT_ONCE);
         let seen_revision = AtomicU64::new(0);
         let meter = CallMeter::default();
-        let shared = CallerShared { client, address, token, seen_revision, read_version, meter };
+        let ways = StoreWays::default();
+        let shared =
+            CallerShared { client, address, token, seen_revision, read_version, meter, ways };
         Self { shared: Arc::new(shared), limit }
     }
 
@@ -124,7 +128,7 @@
     ) -> Result<Option<T>, StoreError> {
         let kind = call.kind;
         self.shared.meter.call(kind);
-        let result = match self.send(call).await {
+        let result = match self.reach(call).await {
             Ok(answer) => judge_answer(kind, answer, read, self.shared.read_version),
             Err(CallFailure::NotSent) => Err(StoreError::Unavailable),
             Err(CallFailure::Lost) => Err(lost(kind)),
@@ -135,6 +139,53 @@
         result
     }
 
+    /// Sets another way to the platform, for calls that surely did nothing on the direct one.
+    pub(crate) fn set_detour(&self, detour: StoreDetour) -> bool {
+        self.shared.ways.set_detour(detour)
+    }
+
+    /// Makes a call for another process, on the direct way only.
+    pub(crate) async fn forward(
+        &self,
+        form: CallForm,
+        wait: Duration,
+    ) -> Result<RawAnswer, RawFailure> {
+        let kind = CallKind::Read;
+        match self.send(PlatformCall { kind, form, wait }).await {
+            Ok(answer) => Ok(RawAnswer { status: answer.status, body: answer.body }),
+            Err(CallFailure::NotSent) => Err(RawFailure::NotSent),
+            Err(CallFailure::Lost) => Err(RawFailure::Lost),
+        }
+    }
+
+    /// Sends a call the direct way, or another one if that is closed.
+    async fn reach(&self, call: PlatformCall) -> Result<PlatformAnswer, CallFailure> {
+        let ways = &self.shared.ways;
+        let (kind, wait, form) = (call.kind, call.wait, call.form.clone());
+        let mut direct = Err(CallFailure::NotSent);
+        if ways.is_direct(kind, ClockTime::now()) {
+            direct = self.send(call).await;
+            if !did_nothing(kind, &direct) {
+                match &direct {
+                    Ok(_) => ways.direct_works(),
+                    Err(_) => ways.direct_failed(ClockTime::now()),
+                }
+                return direct;
+            }
+            ways.direct_failed(ClockTime::now());
+        }
+        let Some(detour) = ways.detour(form, self.limit.saturating_add(wait)) else {
+            return direct;
+        };
+        match detour.await {
+            Ok(RawAnswer { status, body }) => {
+                Ok(PlatformAnswer { status, retry_after: None, body })
+            }
+            Err(RawFailure::NotSent) => direct,
+            Err(RawFailure::Lost) => Err(CallFailure::Lost),
+        }
+    }
+
     async fn send(&self, call: PlatformCall) -> Result<PlatformAnswer, CallFailure> {
         let limit = self.limit.saturating_add(call.wait);
         let exchange = self.exchange(call);
@@ -187,6 +238,15 @@
     Ok(PlatformAnswer { status, retry_after, body })
 }
 
+/// Whether a call surely had no effect: it wasn't sent, was turned away, or only reads.
+fn did_nothing(kind: CallKind, sent: &Result<PlatformAnswer, CallFailure>) -> bool {
+    match sent {
+        Ok(answer) => matches!(answer.status, 429 | 503),
+        Err(CallFailure::NotSent) => true,
+        Err(CallFailure::Lost) => kind != CallKind::Write,
+    }
+}
+
 /// The error of a call whose answer didn't come. A read has no effect.
 fn lost(kind: CallKind) -> StoreError {
     match kind {
--- a/crates/sagespool-platform/src/lib.rs
+++ b/crates/sagespool-platform/src/lib.rs
@@ -29,6 +29,7 @@
 mod caller;
 mod connector;
 mod counters;
+mod detour;
 mod dialect;
 mod error;
 mod instances;
@@ -36,6 +37,7 @@
 mod update;
 
 pub use counters::StoreCounters;
+pub use detour::{RawAnswer, RawFailure, RawFuture, StoreDetour};
 pub use dialect::{CallForm, FormFault, ObjectForm, PageForm, StoreDialect};
 pub use error::StoreError;
 pub use instances::{InstanceClient, InstanceListing, ListedInstance, ListedState};
--- a/crates/sagespool-platform/src/objects.rs
+++ b/crates/sagespool-platform/src/objects.rs
@@ -11,7 +11,8 @@
 
 use crate::caller::{PlatformCall, PlatformCaller};
 use crate::counters::CallKind;
-use crate::dialect::StoreDialect;
+use crate::detour::{RawAnswer, RawFailure, StoreDetour};
+use crate::dialect::{CallForm, StoreDialect};
 use crate::{StoreCounters, StoreError};
 
 /// The platform's limit for a value, 1 MB; it may mean a little less by it.
@@ -202,6 +203,21 @@
         Ok(ObjectChanges { revision: watched.revision, changes })
     }
 
+    /// Sets another way to the platform, for calls that surely did nothing on the direct one.
+    /// False if there is one already.
+    pub fn set_detour(&self, detour: StoreDetour) -> bool {
+        self.caller.set_detour(detour)
+    }
+
+    /// Makes a call for another process that can't reach the platform, on the direct way only.
+    ///
+    /// # Errors
+    ///
+    /// [`RawFailure`] if there is no answer.
+    pub async fn forward(&self, form: CallForm, wait: Duration) -> Result<RawAnswer, RawFailure> {
+        self.caller.forward(form, wait).await
+    }
+
     /// The highest revision of the store that any answer carried.
     pub fn seen_revision(&self) -> StoreRevision {
         self.caller.seen_revision()
--- a/crates/sagespool-settings/src/process/gateway.rs
+++ b/crates/sagespool-settings/src/process/gateway.rs
@@ -45,6 +45,34 @@
     pub log: LogSettings,
 }
 
+/// The settings of a relay, which makes calls of the store for gateways.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RelaySettings {
+    /// The instance's name.
+    pub instance: InstanceName,
+    /// Its region.
+    pub region: RegionName,
+    /// Its data centre.
+    pub centre: CentreName,
+    /// Where gateways reach it (UDP).
+    pub link: SocketAddr,
+    /// Links of others to begin with.
+    pub peers: Vec<SocketAddr>,
+    /// The platform's object API.
+    pub object_api: SocketAddr,
+    /// The log.
+    pub log: LogSettings,
+}
+
+/// The settings of a process that serves requests without a sidecar of its own.
+#[derive(Debug, Clone, PartialEq)]
+pub enum DirectSettings {
+    /// Forwards requests straight to upstreams.
+    Gateway(Box<GatewaySettings>),
+    /// Makes calls of the store for gateways.
+    Relay(RelaySettings),
+}
+
 /// What all gateways together may send to a second upstream, for each service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetrySettings {
@@ -66,8 +94,17 @@
     pub share: f64,
 }
 
-/// The word under `role` that tells a gateway's settings from the other roles'.
-const ROLES: [(&str, ()); 1] = [("gateway", ())];
+/// The words under `role` that tell these settings from those of entries and sidecars.
+const ROLES: [(&str, DirectRole); 2] =
+    [("gateway", DirectRole::Gateway), ("relay", DirectRole::Relay)];
+
+#[derive(Debug, Clone, Copy)]
+enum DirectRole {
+    Gateway,
+    Relay,
+}
+
+const DEFAULT_LOG: LogSettings = LogSettings { level: LogLevel::Info };
 const LONGEST_STOP_S: f64 = 86_400.0;
 const LONGEST_WINDOW_S: f64 = 3_600.0;
 const MOST_SLACK: f64 = 1e9;
@@ -78,35 +115,62 @@
 const DEFAULT_RETRIES: RetrySettings =
     RetrySettings { ratio: 0.2, slack: 10.0, window: Duration::from_secs(10) };
 
-/// Whether a settings file is a gateway's. A text that isn't a document is nobody's: the other
-/// roles' check tells what is wrong with it.
-pub fn is_gateway(text: &str) -> bool {
+/// Whether a settings file is a gateway's or a relay's. A text that isn't a document is nobody's:
+/// the other roles' check tells what is wrong with it.
+pub fn is_direct(text: &str) -> bool {
     let document: Result<serde_json::Value, _> = serde_json::from_str(text);
-    document.is_ok_and(|document| document["role"] == ROLES[0].0)
+    document.is_ok_and(|document| ROLES.iter().any(|(word, _)| document["role"] == *word))
 }
 
-/// Checks the text of a gateway's settings file.
+/// Checks the text of a gateway's or a relay's settings file.
 ///
 /// # Errors
 ///
 /// Every fault at once: its path, what was found and what is allowed.
-pub fn check_gateway(text: &str) -> Result<GatewaySettings, SettingsFaults> {
-    check_text(text, read_gateway)
+pub fn check_direct(text: &str) -> Result<DirectSettings, SettingsFaults> {
+    check_text(text, read_direct)
 }
 
-/// Reads and checks a gateway's settings file.
+/// Reads and checks a gateway's or a relay's settings file.
 ///
 /// # Errors
 ///
 /// If it can't be read, or has faults: all of them at once.
-pub fn load_gateway(path: &Path) -> Result<GatewaySettings, Report<SettingsError>> {
+pub fn load_direct(path: &Path) -> Result<DirectSettings, Report<SettingsError>> {
     let text =
         fs::read_to_string(path).change_context_lazy(|| SettingsError::Unreadable(path.into()))?;
-    check_gateway(&text).map_err(|faults| Report::new(SettingsError::Faulty(path.into(), faults)))
+    check_direct(&text).map_err(|faults| Report::new(SettingsError::Faulty(path.into(), faults)))
+}
+
+fn read_direct(object: &ObjectNode) -> Option<DirectSettings> {
+    match object.required("role", |node| node.one_of(&ROLES))? {
+        DirectRole::Gateway => {
+            read_gateway(object).map(|gateway| DirectSettings::Gateway(Box::new(gateway)))
+        }
+        DirectRole::Relay => read_relay(object).map(DirectSettings::Relay),
+    }
+}
+
+fn read_relay(object: &ObjectNode) -> Option<RelaySettings> {
+    let instance = object.required("instance", CheckNode::parse);
+    let region = object.required("region", CheckNode::parse);
+    let centre = object.required("centre", CheckNode::parse);
+    let link = object.required("link", CheckNode::reached_address);
+    let peers = object.or("peers", Vec::new(), read_peers);
+    let object_api = object.required("object_api", CheckNode::reached_address);
+    let log = object.or("log", DEFAULT_LOG, |node| node.object(read_log));
+    Some(RelaySettings {
+        instance: instance?,
+        region: region?,
+        centre: centre?,
+        link: link?,
+        peers: peers?,
+        object_api: object_api?,
+        log: log?,
+    })
 }
 
 fn read_gateway(object: &ObjectNode) -> Option<GatewaySettings> {
-    let role = object.required("role", |node| node.one_of(&ROLES));
     let instance = object.required("instance", CheckNode::parse);
     let region = object.required("region", CheckNode::parse);
     let centre = object.required("centre", CheckNode::parse);
@@ -121,9 +185,7 @@
         object.or("stop_limit_s", default_stop, |node| node.seconds(0.1..=LONGEST_STOP_S));
     let retries = object.or("retries", DEFAULT_RETRIES, |node| node.object(read_retries));
     let grants = object.or("grants", DEFAULT_GRANTS, |node| node.object(read_grants));
-    let default_log = LogSettings { level: LogLevel::Info };
-    let log = object.or("log", default_log, |node| node.object(read_log));
-    role?;
+    let log = object.or("log", DEFAULT_LOG, |node| node.object(read_log));
     Some(GatewaySettings {
         instance: instance?,
         region: region?,
--- a/crates/sagespool-settings/src/process/mod.rs
+++ b/crates/sagespool-settings/src/process/mod.rs
@@ -15,6 +15,7 @@
 };
 pub use file::{SettingsError, check_files, load_process};
 pub use gateway::{
-    GatewaySettings, GrantSettings, RetrySettings, check_gateway, is_gateway, load_gateway,
+    DirectSettings, GatewaySettings, GrantSettings, RelaySettings, RetrySettings, check_direct,
+    is_direct, load_direct,
 };
 pub use sidecar::{AnswerSettings, SidecarSettings, UpstreamSettings};
--- a/crates/sagespool-sidecar/src/role/peers.rs
+++ b/crates/sagespool-sidecar/src/role/peers.rs
@@ -67,7 +67,10 @@
         | PeerRequest::ReportCrash(_)
         | PeerRequest::Abandon(_)
         | PeerRequest::Lend(_)
-        | PeerRequest::AskPlan(_) => PeerReply::Unsupported("this process is a sidecar".to_owned()),
+        | PeerRequest::AskPlan(_)
+        | PeerRequest::CallStore(_) => {
+            PeerReply::Unsupported("this process is a sidecar".to_owned())
+        }
     };
     responder.reply(reply).await;
 }
