Drop a replaced upstream at its first answer, and grant the last tenth only as needed

And supplies that lay idle in four purses, or were given up by killed ones, were up to 5 % of an account's total near its end.

A misdirected send doesn't count among a route's attempts: it didn't reach the upstream that it was meant for. It counts against the retry budget.

Test replaced_run.

--- a/crates/sagespool-forward/src/roster.rs
+++ b/crates/sagespool-forward/src/roster.rs
@@ -43,6 +43,8 @@
     record: UpstreamRecord,
     /// Since when it has been missing from the list.
     missing: Option<ClockTime>,
+    /// Another upstream answered at its address.
+    replaced: bool,
 }
 
 /// What this instance knows of the upstreams.
@@ -115,10 +117,19 @@
             _ if record.leaving => RosterChange::Leaving,
             _ => RosterChange::Joined,
         };
-        self.entries.insert(name.clone(), RosterEntry { record, missing: None });
+        let replaced = known.is_some_and(|known| known.replaced);
+        self.entries.insert(name.clone(), RosterEntry { record, missing: None, replaced });
         (name, change)
     }
 
+    /// Takes an upstream out that another one has replaced at its address. Its entry may stay on the
+    /// list for some time, which doesn't bring it back.
+    pub fn replaced(&mut self, name: &UpstreamName) {
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.replaced = true;
+        }
+    }
+
     /// Takes word that an entry was removed.
     pub fn remove(&mut self, name: &UpstreamName, now: ClockTime) -> (UpstreamName, RosterChange) {
         self.mark_missing(name, now);
@@ -166,7 +177,8 @@
         &'a self,
         service: &'a ServiceName,
     ) -> impl Iterator<Item = &'a UpstreamRecord> + 'a {
-        let records = self.entries.values().map(|entry| &entry.record);
+        let present = self.entries.values().filter(|entry| !entry.replaced);
+        let records = present.map(|entry| &entry.record);
         records.filter(move |record| !record.leaving && record.service == *service)
     }
 
--- a/crates/sagespool-forward/tests/roster_lapse.rs
+++ b/crates/sagespool-forward/tests/roster_lapse.rs
@@ -104,3 +104,19 @@
     assert_eq!(changes, [(name("i-1"), RosterChange::Gone)]);
     assert_eq!(roster.remove(&name("i-2"), at(20)).1, RosterChange::Gone);
 }
+
+/// An upstream's machine lost power; a new run of it has the address and answers that it isn't the
+/// one that is meant. The old entry stands on the list until it lapses, and is written there again
+/// by a late heartbeat. Nothing more is sent to it.
+#[test]
+fn replaced_run() {
+    let mut roster = roster();
+    roster.replaced(&name("i-1"));
+    assert_eq!(ready(&roster), 1);
+    let mut late = record("i-1");
+    late.slots = 5;
+    roster.put(late);
+    assert_eq!(ready(&roster), 1);
+    roster.put(record("i-3"));
+    assert_eq!(ready(&roster), 2);
+}
--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -37,6 +37,8 @@
     NotSent(&'static str),
     /// The upstream says that it hasn't run it.
     TurnedAway,
+    /// Another run has the upstream's address: the one that was meant is gone.
+    Misdirected,
     /// It may have run.
     Lost(&'static str),
     /// It may be running; there was no answer in the time that it was given.
@@ -46,7 +48,7 @@
 impl SendFailure {
     /// Whether the request surely hasn't run, so that it may be sent again and a refusal is true.
     pub(crate) fn surely_not_run(self) -> bool {
-        matches!(self, Self::NoUpstream | Self::NotSent(_) | Self::TurnedAway)
+        matches!(self, Self::NoUpstream | Self::NotSent(_) | Self::TurnedAway | Self::Misdirected)
     }
 
     pub(crate) fn as_str(self) -> &'static str {
@@ -54,6 +56,7 @@
             Self::NoUpstream => "no-upstream",
             Self::NotSent(detail) | Self::Lost(detail) => detail,
             Self::TurnedAway => "turned-away",
+            Self::Misdirected => "misdirected",
             Self::Silent => "silent",
         }
     }
@@ -117,6 +120,10 @@
             failure
         }
     };
+    if failure == SendFailure::Misdirected {
+        // It didn't reach the upstream that it was meant for.
+        flight.sends -= 1;
+    }
     if failure.surely_not_run() {
         flight.uncharge_prompt();
     } else {
@@ -247,8 +254,21 @@
         return Err(SendFailure::Lost("crossed"));
     }
     if marks.not_run {
-        let outcome = if marks.misdirected { SendOutcome::Broken } else { SendOutcome::Refused };
-        place.finish(outcome, now);
+        log_event!(
+            info,
+            "turned-away",
+            request = flight.request.demand.request,
+            upstream = place.ticket().upstream.name,
+            status = head.status.as_u16(),
+            load = marks.load.map_or_else(String::new, |load| load.to_string()),
+            own = flight.state.board().running(&place.ticket().upstream.name),
+        );
+        let name = place.ticket().upstream.name.clone();
+        place.finish(SendOutcome::Refused, now);
+        if marks.misdirected {
+            flight.state.forget_upstream(&name);
+            return Err(SendFailure::Misdirected);
+        }
         return Err(SendFailure::TurnedAway);
     }
     if head.status.is_success() && !marks.signed {
--- a/crates/sagespool-gateway/src/desk.rs
+++ b/crates/sagespool-gateway/src/desk.rs
@@ -417,6 +417,11 @@
         Self { account, amount, prompt: TokenCount::ZERO, answer: TokenCount::ZERO }
     }
 
+    /// What the account pays.
+    pub(crate) fn charged(&self) -> TokenCount {
+        (self.prompt + self.answer).min(self.amount)
+    }
+
     /// Sets what is charged for the prompt.
     pub(crate) fn set_prompt(&mut self, tokens: TokenCount) {
         self.prompt = tokens;
@@ -430,7 +435,6 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        let used = (self.prompt + self.answer).min(self.amount);
-        lock(&self.account.purse).settle(self.amount, used);
+        lock(&self.account.purse).settle(self.amount, self.charged());
     }
 }
--- a/crates/sagespool-gateway/src/fleet.rs
+++ b/crates/sagespool-gateway/src/fleet.rs
@@ -26,6 +26,11 @@
 
 /// The membership is asked this often what is due.
 const ROUND: Duration = Duration::from_millis(200);
+/// The largest fleet in which everyone hears from everyone. A connection to a peer takes up to a
+/// megabyte on each side, and the machines are small.
+const MESH_LIMIT: usize = 8;
+/// Time between two rounds in a larger fleet.
+const GOSSIP_PERIOD: Duration = Duration::from_millis(1500);
 /// How often members of a small fleet hear from each other. The configuration's version travels
 /// with it, and must reach a gateway that the store turns away within seconds.
 const MESH_PERIOD: Duration = Duration::from_millis(1000);
@@ -88,7 +93,9 @@
             serves: None,
         };
         let policy = MembershipPolicy::builder()
+            .mesh_limit(MESH_LIMIT)
             .mesh_period(MESH_PERIOD)
+            .gossip_period(GOSSIP_PERIOD)
             .suspect_after(SUSPECT_AFTER)
             .build();
         let members = MemberTable::new(own, policy, run.0);
--- a/crates/sagespool-gateway/src/flight.rs
+++ b/crates/sagespool-gateway/src/flight.rs
@@ -54,6 +54,11 @@
         self.request.route.repeat == RepeatRule::Idempotent
     }
 
+    fn note_charge(&mut self) {
+        let reservation = self.request.reservation.as_ref();
+        self.record.charged = reservation.map_or(TokenCount::ZERO, Reservation::charged);
+    }
+
     /// Charges the prompt: from the moment of sending an upstream may have read it, also if the
     /// caller goes away before anything comes back.
     pub(crate) fn charge_prompt(&mut self) {
@@ -61,6 +66,7 @@
         if let Some(reservation) = &mut self.request.reservation {
             reservation.set_prompt(prompt);
         }
+        self.note_charge();
     }
 
     /// Takes the charge of the prompt back, unless an upstream may have read it.
@@ -71,6 +77,7 @@
         if let Some(reservation) = &mut self.request.reservation {
             reservation.set_prompt(TokenCount::ZERO);
         }
+        self.note_charge();
     }
 
     /// Charges events that are passed on to the caller. An event may hold fewer tokens than most
@@ -83,6 +90,7 @@
         if let Some(reservation) = &mut self.request.reservation {
             reservation.add_answer(TokenCount(count * each));
         }
+        self.note_charge();
     }
 }
 
@@ -98,6 +106,8 @@
     pub(crate) upstream: Option<UpstreamName>,
     pub(crate) sends: u32,
     pub(crate) events: u64,
+    /// Tokens that its account pays for.
+    pub(crate) charged: TokenCount,
     /// What became of it.
     pub(crate) outcome: Option<Outcome>,
     pub(crate) status: u16,
@@ -116,6 +126,7 @@
             upstream: None,
             sends: 0,
             events: 0,
+            charged: TokenCount::ZERO,
             outcome: None,
             status: 0,
             detail: String::new(),
@@ -149,6 +160,7 @@
             upstream = upstream,
             sends = self.sends,
             events = self.events,
+            charged = self.charged,
             first_ms = first.since(self.began).as_millis(),
             total_ms = now.since(self.began).as_millis(),
             plan = self.state.plan_version(),
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -8,10 +8,11 @@
     PlacementBoard, PlacementPolicy, PlanIndex, RetryBudget, RetryTerms, UpstreamRoster,
 };
 use sagespool_ledger::GrantTerms;
+use sagespool_log::log_event;
 use sagespool_messages::MemberRole;
 use sagespool_platform::ObjectClient;
 use sagespool_settings::{GatewaySettings, GrantSettings};
-use sagespool_types::{ConfigVersion, IncarnationId};
+use sagespool_types::{ConfigVersion, IncarnationId, UpstreamName};
 
 use crate::desk::BudgetDesk;
 use crate::dialect::WireDialect;
@@ -134,6 +135,14 @@
         self.roster.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Drops an upstream whose address another one has: its name is one run, which has ended, though
+    /// the list may show it for some seconds more.
+    pub(crate) fn forget_upstream(&self, name: &UpstreamName) {
+        self.roster().replaced(name);
+        self.board().forget(name);
+        log_event!(info, "upstream-changed", upstream = name, change = "replaced");
+    }
+
     pub(crate) fn board(&self) -> MutexGuard<'_, PlacementBoard> {
         self.board.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/sagespool-ledger/src/prepaid/purse.rs
+++ b/crates/sagespool-ledger/src/prepaid/purse.rs
@@ -33,6 +33,9 @@
     rate_at: ClockTime,
 }
 
+/// Of a total, the last part is granted only as requests need it: supplies that lie idle there, or
+/// are given up by a killed instance, would turn requests away that the total covers.
+const END_SHARE: f64 = 0.1;
 /// The rate of use forgets half within this time.
 const RATE_HALF_LIFE: Duration = Duration::from_secs(4);
 
@@ -105,7 +108,8 @@
         if least > room {
             return None;
         }
-        let spare = room.less(least).0 as f64;
+        let reserve = book.prepaid.0 as f64 * END_SHARE;
+        let spare = (room.less(least).0 as f64 - reserve).max(0.0);
         let fair = spare * terms.share / instances.max(1) as f64;
         let ahead = self.wanted_ahead(terms, now).min(fair);
         Some((least + TokenCount(ahead as u64)).max(self.granted))
