--- a/crates/sagespool-forward/src/placement.rs
+++ b/crates/sagespool-forward/src/placement.rs
@@ -21,6 +21,9 @@
     /// a first event. The users' engines need 0.12 ms a request and step; a first event takes
     /// about ten steps beside other requests' prompts.
     pub crowding_ms: f64,
+    /// How often the reading of a shared part counts: it delays this request, and all that run
+    /// beside it, and takes the place of parts that others will ask for.
+    pub rereading: f64,
     /// What a prompt that an engine probably keeps for other instances counts for: this instance
     /// can't know, only that they send such prompts there.
     pub unseen_share: f64,
@@ -36,7 +39,8 @@
         Self {
             read_rate: 48.0,
             crowding_ms: 1.2,
-            unseen_share: 0.4,
+            rereading: 8.0,
+            unseen_share: 0.15,
             distance_ms: 1.5,
             plain_ms: 20.0,
         }
@@ -163,6 +167,7 @@
         let distance = if record.centre == *shape.centre { 0.0 } else { policy.distance_ms };
         // Ties are broken at random, so that instances don't move together.
         let jitter = fastrand::f64() * TIE_SPREAD_MS;
+        let mut rereading_ms = 0.0;
         let (expected_ms, unread) = match &load.cache {
             Some(cache) => {
                 let all: TokenCount = shape.parts.iter().map(|part| part.tokens).sum();
@@ -175,6 +180,7 @@
                 let own = last_tokens(shape.parts).0 as f64;
                 let shared = unread.0 as f64 - own.min(unread.0 as f64);
                 let reading = (own + shared * share) / policy.read_rate;
+                rereading_ms = shared * share / policy.read_rate * (policy.rereading - 1.0);
                 let queued = load.unread.0 as f64 / policy.read_rate;
                 (FIRST_EVENT_MS + queued + reading + running * policy.crowding_ms, unread)
             }
@@ -184,7 +190,8 @@
             }
         };
         let expected_ms = expected_ms * load.slowness;
-        UpstreamRating { cost_ms: expected_ms + distance + jitter, expected_ms, unread }
+        let cost_ms = expected_ms + rereading_ms + distance + jitter;
+        UpstreamRating { cost_ms, expected_ms, unread }
     }
 
     fn take(
