--- a/crates/sagespool-daemon/src/process.rs
+++ b/crates/sagespool-daemon/src/process.rs
@@ -9,7 +9,7 @@
 use futures_lite::StreamExt;
 use sagespool_entry::EntryRole;
 use sagespool_gateway::{GatewayRole, RelayRole, WireDialect};
-use sagespool_log::{log_event, start_log, start_log_queued};
+use sagespool_log::{finish_log, log_event, start_log, start_log_queued};
 use sagespool_settings::{
     DirectSettings, GatewaySettings, ProcessSettings, RoleSettings, is_direct, load_direct,
     load_process,
@@ -77,7 +77,7 @@
         }
     };
     let dialect = sagespool_adapter::wire_dialect();
-    futures_lite::future::block_on(async {
+    let code = futures_lite::future::block_on(async {
         match settings {
             DirectSettings::Gateway(gateway) => {
                 serve_gateway(*gateway, dialect, signals, path).await
@@ -89,7 +89,9 @@
                 ExitCode::SUCCESS
             }
         }
-    })
+    });
+    finish_log();
+    code
 }
 
 async fn serve_gateway(
--- a/crates/sagespool-gateway/src/flight.rs
+++ b/crates/sagespool-gateway/src/flight.rs
@@ -1,6 +1,7 @@
 //! One request on its way.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hyper::body::Bytes;
@@ -116,6 +117,7 @@
 
 impl FlightRecord {
     pub(crate) fn new(state: &Arc<GatewayState>, began: ClockTime) -> Self {
+        state.requests.fetch_add(1, Ordering::Relaxed);
         Self {
             state: state.clone(),
             request: String::new(),
@@ -143,6 +145,7 @@
 
 impl Drop for FlightRecord {
     fn drop(&mut self) {
+        self.state.requests.fetch_sub(1, Ordering::Relaxed);
         let now = ClockTime::now();
         let outcome = self.outcome.unwrap_or(Outcome::CallerGone);
         let none = String::new;
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -90,6 +90,9 @@
     record.branch = branch.map(|branch| branch.name.clone());
     let patience = demand.patience.unwrap_or(route.time_limit).min(route.time_limit);
     let deadline = began.after(patience.saturating_sub(ANSWER_WAY));
+    if state.ends_before(deadline) {
+        return Err(Refusal::Stopping);
+    }
     let body = read_body(&index, body, deadline.since(began)).await?;
     if deadline.since(ClockTime::now()) < LEAST_TIME {
         return Err(Refusal::TooLate);
--- a/crates/sagespool-gateway/src/refusal.rs
+++ b/crates/sagespool-gateway/src/refusal.rs
@@ -30,6 +30,8 @@
     BudgetSpent,
     /// The budget's state isn't known at the moment.
     BudgetUnreachable,
+    /// This instance stops before the request could end.
+    Stopping,
     /// No upstream of the service could take it; it hasn't run.
     NoUpstream,
     /// The upstreams turned it away; it hasn't run.
@@ -53,6 +55,7 @@
             Self::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
             Self::NoPlan
             | Self::BudgetUnreachable
+            | Self::Stopping
             | Self::NoUpstream
             | Self::Busy
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
@@ -73,6 +76,7 @@
             Self::BodyTooSlow => "body-too-slow",
             Self::BudgetSpent => "budget-spent",
             Self::BudgetUnreachable => "budget-unreachable",
+            Self::Stopping => "stopping",
             Self::NoUpstream => "no-upstream",
             Self::Busy => "busy",
             Self::TooLate => "too-late",
@@ -91,7 +95,8 @@
             Self::BudgetUnreachable | Self::NoUpstream => 400,
             // A request at an upstream lasts a few hundred milliseconds.
             Self::Busy => 200,
-            Self::TooLate | Self::BodyTooSlow => 0,
+            // Another instance takes it at once.
+            Self::Stopping | Self::TooLate | Self::BodyTooSlow => 0,
             _ => return None,
         };
         Some(Duration::from_millis(least_ms + fastrand::u64(0..=200)))
@@ -124,6 +129,7 @@
             Self::BudgetUnreachable => {
                 f.write_str("the budget can't be read at the moment; nothing ran")
             }
+            Self::Stopping => f.write_str("this instance is about to stop; nothing ran"),
             Self::NoUpstream => f.write_str("no upstream can be reached; nothing ran"),
             Self::Busy => f.write_str("the upstreams are full; nothing ran"),
             Self::TooLate => f.write_str("no time was left to send the request; nothing ran"),
--- a/crates/sagespool-gateway/src/role.rs
+++ b/crates/sagespool-gateway/src/role.rs
@@ -25,9 +25,11 @@
 /// The balancer asks once a second and takes an instance out after two refusals: until then new
 /// callers come, and they are served.
 const ROTATION_TIME: Duration = Duration::from_millis(2600);
-/// Of the time for a graceful stop, kept for ending the grants in the store.
+/// Of the time for a graceful stop, kept for ending the grants in the store and the last writes.
 const CLOSING_TIME: Duration = Duration::from_millis(1200);
 const STOP_POLL: Duration = Duration::from_millis(25);
+/// After the last request, connections have so long to hand their answers to the network.
+const FLUSH_TIME: Duration = Duration::from_millis(300);
 
 /// Why a gateway can't start.
 #[derive(Debug)]
@@ -58,13 +60,14 @@
 /// How a graceful stop went.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StopReport {
-    /// Callers' connections that were cut off at the limit.
+    /// Requests that were cut off at the limit.
     pub cut: usize,
 }
 
 /// A gateway that runs.
 pub struct GatewayRole {
     state: Arc<GatewayState>,
+    accepting: Task<()>,
     _tasks: Vec<Task<()>>,
 }
 
@@ -103,8 +106,8 @@
         let address = state.settings.callers;
         let callers = smol::net::TcpListener::try_from(callers)
             .change_context_lazy(|| GatewayError::Listen(address))?;
+        let accepting = smol::spawn(accept(state.clone(), callers));
         let mut tasks = vec![
-            smol::spawn(accept(state.clone(), callers)),
             smol::spawn(follow_plan(state.clone())),
             smol::spawn(follow_upstreams(state.clone())),
             smol::spawn(sweep(state.clone())),
@@ -112,7 +115,7 @@
         if state.settings.link.is_some() {
             tasks.push(smol::spawn(run_peers(state.clone())));
         }
-        Ok(Self { state, _tasks: tasks })
+        Ok(Self { state, accepting, _tasks: tasks })
     }
 
     /// Takes settings that were read again. What a running process can't change is said in the log
@@ -122,33 +125,36 @@
         log_event!(info, "settings-read", changed = changed, in_force = "at the next start");
     }
 
-    /// Stops gracefully: out of rotation first, while callers are still served; then connections
-    /// end one by one; last, unspent grants go back.
+    /// Stops gracefully: out of rotation first, while callers are still served. Then new requests are
+    /// served only if they end in time, and connections end one by one. Last, unspent grants go back.
     pub async fn stop(self, limit: Duration) -> StopReport {
-        let state = &self.state;
+        let Self { state, accepting, _tasks } = self;
         let began = ClockTime::now();
+        let last = began.after(limit.saturating_sub(CLOSING_TIME));
         state.stopping.store(true, Ordering::Relaxed);
         state.fleet.members.update_own(|own| own.leaving = true);
         Timer::after(ROTATION_TIME.min(limit / 2)).await;
-        state.closing_now.store(true, Ordering::Relaxed);
-        state.closing.notify(usize::MAX);
+        state.close_by(last);
+        let requests = || state.requests.load(Ordering::Relaxed);
+        wait_until(|| requests() == 0, last).await;
+        let cut = requests();
+        // Whoever connects from here on finds nobody, and knows that nothing has run.
+        drop(accepting);
         let open = || state.connections.load(Ordering::Relaxed);
-        let last = began.after(limit.saturating_sub(CLOSING_TIME));
-        while open() > 0 && ClockTime::now() < last {
-            Timer::after(STOP_POLL).await;
-        }
-        let cut = open();
+        wait_until(|| open() == 0, ClockTime::now().after(FLUSH_TIME)).await;
         state.desk.close_all(CLOSING_TIME / 2).await;
-        log_event!(
-            info,
-            "gateway-stopped",
-            cut = cut,
-            took_ms = ClockTime::now().since(began).as_millis(),
-        );
+        let took = ClockTime::now().since(began);
+        log_event!(info, "gateway-stopped", cut = cut, took_ms = took.as_millis());
         StopReport { cut }
     }
 }
 
+async fn wait_until(is_done: impl Fn() -> bool, last: ClockTime) {
+    while !is_done() && ClockTime::now() < last {
+        Timer::after(STOP_POLL).await;
+    }
+}
+
 fn listen(address: SocketAddr) -> Result<TcpListener, Report<GatewayError>> {
     TcpListener::bind(address).change_context(GatewayError::Listen(address))
 }
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -1,6 +1,6 @@
 //! What all tasks of a gateway share.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard};
 
 use event_listener::Event;
@@ -12,7 +12,7 @@
 use sagespool_messages::MemberRole;
 use sagespool_platform::ObjectClient;
 use sagespool_settings::{GatewaySettings, GrantSettings};
-use sagespool_types::{ConfigVersion, IncarnationId, UpstreamName};
+use sagespool_types::{ClockTime, ConfigVersion, IncarnationId, UpstreamName};
 
 use crate::desk::BudgetDesk;
 use crate::dialect::WireDialect;
@@ -35,10 +35,13 @@
     pub(crate) metrics: GatewayMetrics,
     /// A graceful stop has begun.
     pub(crate) stopping: AtomicBool,
-    /// Callers' connections are to end after the request that they carry.
-    pub(crate) closing_now: AtomicBool,
-    /// Told when `closing_now` is set.
+    /// By when every request must have ended, in microseconds; 0 until callers' connections are to
+    /// end after the request that they carry.
+    closing_by: AtomicU64,
+    /// Told when `closing_by` is set.
     pub(crate) closing: Event,
+    /// Requests under way.
+    pub(crate) requests: AtomicUsize,
     /// Callers' connections that are open.
     pub(crate) connections: AtomicUsize,
     pub(crate) fleet: Arc<FleetBoard>,
@@ -87,7 +90,8 @@
             desk: Arc::new(desk),
             metrics: GatewayMetrics::new(),
             stopping: AtomicBool::new(false),
-            closing_now: AtomicBool::new(false),
+            closing_by: AtomicU64::new(0),
+            requests: AtomicUsize::new(0),
             closing: Event::new(),
             connections: AtomicUsize::new(0),
             fleet,
@@ -161,7 +165,19 @@
     }
 
     pub(crate) fn is_closing(&self) -> bool {
-        self.closing_now.load(Ordering::Relaxed)
+        self.closing_by.load(Ordering::Relaxed) != 0
+    }
+
+    /// Lets callers' connections end; requests that come all the same must end by then.
+    pub(crate) fn close_by(&self, last: ClockTime) {
+        self.closing_by.store(last.0.max(1), Ordering::Relaxed);
+        self.closing.notify(usize::MAX);
+    }
+
+    /// Whether a request that may take until `deadline` would be cut off by the end of this process.
+    pub(crate) fn ends_before(&self, deadline: ClockTime) -> bool {
+        let closing = self.closing_by.load(Ordering::Relaxed);
+        closing != 0 && ClockTime(closing) < deadline
     }
 
     /// Whether this instance can serve requests: it knows the configuration and the upstreams, and
--- a/crates/sagespool-log/src/start.rs
+++ b/crates/sagespool-log/src/start.rs
@@ -1,10 +1,11 @@
 //! Where a process's log goes.
 
 use std::io::{self, BufWriter, Write};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::sync::{Arc, OnceLock};
 use std::thread;
+use std::time::Duration;
 
 use spdlog::sink::{Sink, StdStreamSink, WriteSink};
 use spdlog::terminal_style::StyleMode;
@@ -37,6 +38,19 @@
 /// Lines that may wait for the standard output: some seconds of a busy process.
 const WAITING_LINES: usize = 8192;
 
+/// The longest that the end of a process waits for its last lines.
+const FINISH_LIMIT: Duration = Duration::from_millis(500);
+
+/// What the thread that writes is told.
+enum WriterOrder {
+    /// Write a line.
+    Line(Vec<u8>),
+    /// Say when everything before is written.
+    Finish(SyncSender<()>),
+}
+
+static WRITER: OnceLock<SyncSender<WriterOrder>> = OnceLock::new();
+
 /// Sends the process's log to standard output through a bounded queue.
 ///
 /// Guards against a reader of the log that stops reading: with a full pipe, a process that writes
@@ -46,17 +60,31 @@
 /// # Errors
 /// If the thread that writes can't be started.
 pub fn start_log_queued(level: LogLevel) -> io::Result<()> {
-    let (sender, lines) = sync_channel(WAITING_LINES);
+    let (sender, orders) = sync_channel(WAITING_LINES);
     let dropped = Arc::new(AtomicU64::new(0));
-    let writer = QueueWriter { sender, dropped: dropped.clone(), line: Vec::new() };
-    thread::Builder::new().name("log".to_owned()).spawn(move || write_lines(&lines, &dropped))?;
+    let writer = QueueWriter { sender: sender.clone(), dropped: dropped.clone(), line: Vec::new() };
+    thread::Builder::new().name("log".to_owned()).spawn(move || write_lines(&orders, &dropped))?;
+    // A second start keeps the first one's queue for `finish_log`; both write to the same place.
+    let _ = WRITER.set(sender);
     start_log_to(level, writer);
     Ok(())
 }
 
+/// Waits, not for long, until the queued lines are written. For the end of a process.
+pub fn finish_log() {
+    let Some(writer) = WRITER.get() else {
+        return;
+    };
+    let (done, written) = sync_channel(1);
+    if writer.try_send(WriterOrder::Finish(done)).is_ok() {
+        // Without an answer nobody reads the log.
+        let _ = written.recv_timeout(FINISH_LIMIT);
+    }
+}
+
 /// Collects bytes up to a line's end, and queues whole lines.
 struct QueueWriter {
-    sender: SyncSender<Vec<u8>>,
+    sender: SyncSender<WriterOrder>,
     dropped: Arc<AtomicU64>,
     line: Vec<u8>,
 }
@@ -66,7 +94,7 @@
         self.line.extend_from_slice(bytes);
         if self.line.ends_with(b"\n") {
             let line = std::mem::take(&mut self.line);
-            if let Err(TrySendError::Full(_)) = self.sender.try_send(line) {
+            if let Err(TrySendError::Full(_)) = self.sender.try_send(WriterOrder::Line(line)) {
                 self.dropped.fetch_add(1, Ordering::Relaxed);
             }
         }
@@ -79,12 +107,16 @@
 }
 
 /// Writes lines until the process ends. What waits is written together, then flushed.
-fn write_lines(lines: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
+fn write_lines(orders: &Receiver<WriterOrder>, dropped: &AtomicU64) {
     let mut output = BufWriter::new(io::stdout());
-    while let Ok(first) = lines.recv() {
-        let mut result = output.write_all(&first);
-        for line in lines.try_iter() {
-            result = result.and_then(|()| output.write_all(&line));
+    while let Ok(first) = orders.recv() {
+        let mut finished = Vec::new();
+        let mut result = Ok(());
+        for order in std::iter::once(first).chain(orders.try_iter()) {
+            match order {
+                WriterOrder::Line(line) => result = result.and_then(|()| output.write_all(&line)),
+                WriterOrder::Finish(done) => finished.push(done),
+            }
         }
         let lost = dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
@@ -94,6 +126,10 @@
             // Nobody reads the log any more, and there is nowhere else to say so.
             return;
         }
+        for done in finished {
+            // Whoever asked may have stopped waiting.
+            let _ = done.try_send(());
+        }
     }
 }
 
