--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -46,6 +46,9 @@
 }
 
 impl SendFailure {
+    /// The connection ended before an answer began.
+    pub(crate) const BROKEN: Self = Self::Lost("broken");
+
     /// Whether the request surely hasn't run, so that it may be sent again and a refusal is true.
     pub(crate) fn surely_not_run(self) -> bool {
         matches!(self, Self::NoUpstream | Self::NotSent(_) | Self::TurnedAway | Self::Misdirected)
@@ -116,6 +119,9 @@
             Err(failure) => failure,
         },
         Err(failure) => {
+            if failure == SendFailure::BROKEN {
+                flight.report_crash(&upstream.name);
+            }
             place.finish(SendOutcome::Broken, now);
             failure
         }
@@ -202,11 +208,7 @@
         flight.record.sends = flight.sends;
         return SendFailure::NotSent("connection-closed");
     }
-    if error.error().is_parse() {
-        SendFailure::Lost("garbled")
-    } else {
-        SendFailure::Lost("broken")
-    }
+    if error.error().is_parse() { SendFailure::Lost("garbled") } else { SendFailure::BROKEN }
 }
 
 fn build_request(
--- a/crates/sagespool-gateway/src/lib.rs
+++ b/crates/sagespool-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod body;
 mod callers;
+mod crashes;
 mod desk;
 mod dialect;
 mod fleet;
--- a/crates/sagespool-gateway/src/peers.rs
+++ b/crates/sagespool-gateway/src/peers.rs
@@ -86,6 +86,10 @@
             let document = (state.plan_version() > ask.have).then(|| state.plan_document());
             PeerReply::Plan(PlanReply { document: document.flatten() })
         }
+        PeerRequest::ReportCrash(report) => {
+            state.crashes.record(&report, ClockTime::now());
+            PeerReply::Done
+        }
         PeerRequest::CallStore(call) => answer_store_call(&state.store, call).await,
         _ => PeerReply::Unsupported("this process is a gateway".to_owned()),
     }
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -16,6 +16,7 @@
 
 use crate::attempt::{OpenAnswer, SendFailure, send_once};
 use crate::body::AnswerBody;
+use crate::crashes::content_of;
 use crate::desk::{BudgetOrder, Reservation};
 use crate::flight::{AdmittedRequest, Flight, FlightRecord};
 use crate::hop::strip_hop;
@@ -94,6 +95,9 @@
         return Err(Refusal::Stopping);
     }
     let body = read_body(&index, body, deadline.since(began)).await?;
+    if state.crashes.stops(|| content_of(demand.key.as_deref(), head, &body)) {
+        return Err(Refusal::Stopped);
+    }
     if deadline.since(ClockTime::now()) < LEAST_TIME {
         return Err(Refusal::TooLate);
     }
@@ -309,6 +313,7 @@
     let mut head = answer.head;
     let outcome = if head.status.is_server_error() { Outcome::Failed } else { Outcome::Answered };
     strip_hop(&mut head.headers);
+    flight.clear_crashes();
     flight.record.first = Some(ClockTime::now());
     flight.record.conclude(outcome, head.status.as_u16(), "");
     Response::from_parts(head, AnswerBody::whole(answer.bytes))
--- a/crates/sagespool-gateway/src/refusal.rs
+++ b/crates/sagespool-gateway/src/refusal.rs
@@ -30,6 +30,8 @@
     BudgetSpent,
     /// The budget's state isn't known at the moment.
     BudgetUnreachable,
+    /// Its content took down the upstreams that ran it; it hasn't run now.
+    Stopped,
     /// This instance stops before the request could end.
     Stopping,
     /// No upstream of the service could take it; it hasn't run.
@@ -55,6 +57,7 @@
             Self::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
             Self::NoPlan
             | Self::BudgetUnreachable
+            | Self::Stopped
             | Self::Stopping
             | Self::NoUpstream
             | Self::Busy
@@ -76,6 +79,7 @@
             Self::BodyTooSlow => "body-too-slow",
             Self::BudgetSpent => "budget-spent",
             Self::BudgetUnreachable => "budget-unreachable",
+            Self::Stopped => "crashes-upstreams",
             Self::Stopping => "stopping",
             Self::NoUpstream => "no-upstream",
             Self::Busy => "busy",
@@ -129,6 +133,9 @@
             Self::BudgetUnreachable => {
                 f.write_str("the budget can't be read at the moment; nothing ran")
             }
+            Self::Stopped => {
+                f.write_str("this request takes down what runs it, and isn't run any more")
+            }
             Self::Stopping => f.write_str("this instance is about to stop; nothing ran"),
             Self::NoUpstream => f.write_str("no upstream can be reached; nothing ran"),
             Self::Busy => f.write_str("the upstreams are full; nothing ran"),
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -14,6 +14,7 @@
 use sagespool_settings::{GatewaySettings, GrantSettings};
 use sagespool_types::{ClockTime, ConfigVersion, IncarnationId, UpstreamName};
 
+use crate::crashes::CrashDesk;
 use crate::desk::BudgetDesk;
 use crate::dialect::WireDialect;
 use crate::fleet::{FleetBoard, OwnPlace};
@@ -32,6 +33,7 @@
     pub(crate) store: ObjectClient,
     pub(crate) pool: UpstreamPool,
     pub(crate) desk: Arc<BudgetDesk>,
+    pub(crate) crashes: CrashDesk,
     pub(crate) metrics: GatewayMetrics,
     /// A graceful stop has begun.
     pub(crate) stopping: AtomicBool,
@@ -88,6 +90,7 @@
             store,
             pool: UpstreamPool::default(),
             desk: Arc::new(desk),
+            crashes: CrashDesk::new(),
             metrics: GatewayMetrics::new(),
             stopping: AtomicBool::new(false),
             closing_by: AtomicU64::new(0),
--- a/crates/sagespool-gateway/src/stream.rs
+++ b/crates/sagespool-gateway/src/stream.rs
@@ -53,6 +53,7 @@
         let failure = match end {
             StreamEnd::Whole => {
                 flight.record.conclude(Outcome::Answered, flight.record.status, "");
+                flight.clear_crashes();
                 // Settled before the caller can know that the stream is complete.
                 drop(flight.request.reservation.take());
                 let _ = sender.send(BodyPiece::End).await;
