Try the direct way to the store when nobody else can be asked; borrow at an account's home first

Cause: after all processes were killed during an outage of the store, none found it again: reads went to other processes only, whose links open with the store's help.

Second change, for the calls of large fleets: a gateway whose purse is short asks the account's home, which asks the store for all; upstream watches pause longer in large fleets; relays don't list.

--- a/crates/sagespool-gateway/src/desk.rs
+++ b/crates/sagespool-gateway/src/desk.rs
@@ -15,7 +15,7 @@
 use smol::{Task, Timer};
 
 use crate::fleet::FleetBoard;
-use crate::peers::borrow;
+use crate::peers::{borrow, borrow_at_home};
 use crate::refusal::Refusal;
 
 /// Writes to one book that are tried before a request is refused: other instances write too.
@@ -121,6 +121,38 @@
         accounts.entry(branch.clone()).or_insert_with(fresh).clone()
     }
 
+    /// Asks the store for more if the purse holds less than an order, and a supply beside it.
+    pub(crate) async fn stock_up(self: &Arc<Self>, order: &BudgetOrder, instances: usize) {
+        let account = self.account(&order.branch);
+        let now = ClockTime::now();
+        let holds_enough = {
+            let mut purse = lock(&account.purse);
+            purse.note_demand(order.amount, now);
+            order.amount <= purse.free()
+        };
+        if holds_enough {
+            self.top_up_early(&account, order, instances, now);
+            return;
+        }
+        if account.is_short_of(order, now) || self.store_is_away(now) {
+            return;
+        }
+        let wanted = order.amount;
+        let asked = self.ask_in_time(&account, order, wanted, instances, LONGEST_STORE_WAIT);
+        match asked.await {
+            // What was reserved for the order is lent instead.
+            Ok(GrantOutcome::Granted) => lock(&account.purse).settle(wanted, TokenCount::ZERO),
+            Ok(GrantOutcome::Short(room)) => {
+                let shortage = Shortage { room, version: order.version, noted: ClockTime::now() };
+                *lock(&account.shortage) = Some(shortage);
+            }
+            Err(error) => {
+                *lock(&self.store_failed) = Some(ClockTime::now());
+                log_event!(warn, "top-up-failed", branch = account.branch, error = error);
+            }
+        }
+    }
+
     /// Gives a part of this instance's grant to another one.
     pub(crate) fn lend(&self, branch: &BranchName, wanted: TokenCount) -> TokenCount {
         let account = self.account(branch);
@@ -145,6 +177,14 @@
         if account.is_short_of(order, now) {
             return Err(self.refuse(&account, order, Refusal::BudgetSpent, "known-short"));
         }
+        let missing = order.amount.less(lock(&account.purse).free());
+        if let Some(lent) = borrow_at_home(fleet, &order.branch, missing).await {
+            let mut purse = lock(&account.purse);
+            purse.borrow(lent);
+            if purse.reserve(order.amount, ClockTime::now()) {
+                return Ok(Reservation::new(account.clone(), order.amount));
+            }
+        }
         let asked = self.ask_store(&account, order, deadline, instances).await;
         if matches!(asked, Ok(GrantOutcome::Granted)) {
             return Ok(Reservation::new(account, order.amount));
--- a/crates/sagespool-gateway/src/fleet.rs
+++ b/crates/sagespool-gateway/src/fleet.rs
@@ -38,7 +38,7 @@
 const SUSPECT_AFTER: Duration = Duration::from_millis(3000);
 const BEAT_LIMIT: Duration = Duration::from_millis(700);
 /// Between two readings of the members' addresses in the store; heartbeats tell of new ones.
-const LISTING_PERIOD: Duration = Duration::from_secs(15);
+const LISTING_PERIOD: Duration = Duration::from_secs(30);
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
 const WRITE_LIMIT: Duration = Duration::from_secs(2);
 /// Where processes write their addresses.
@@ -203,6 +203,10 @@
         let mut written = false;
         loop {
             written = written || write_address(&store, &key, &record).await;
+            // Gateways look for others; a relay is found.
+            if written && self.place.role == MemberRole::Sidecar {
+                return;
+            }
             match store.list::<AddressRecord>(ADDRESS_PREFIX).await {
                 Ok(listing) => {
                     let listed = listing.items.into_iter();
--- a/crates/sagespool-gateway/src/follow.rs
+++ b/crates/sagespool-gateway/src/follow.rs
@@ -21,6 +21,16 @@
 /// Between a failed call and the next: enough that a store that comes back isn't flooded.
 const FAILURE_PAUSE: Duration = Duration::from_millis(120);
 
+/// With more gateways than this, the pause grows with their number: all read the same changes, and
+/// the store's rates grow more slowly than fleets do.
+const PAUSE_INSTANCES: usize = 8;
+const LONGEST_UPSTREAM_PAUSE: Duration = Duration::from_millis(1100);
+
+fn upstream_pause(state: &GatewayState) -> Duration {
+    let factor = state.instances() as f64 / PAUSE_INSTANCES as f64;
+    UPSTREAM_PAUSE.mul_f64(factor.max(1.0)).min(LONGEST_UPSTREAM_PAUSE)
+}
+
 type RawListing = ObjectListing<Box<RawValue>>;
 type RawChange = ObjectChange<Box<RawValue>>;
 
@@ -28,7 +38,7 @@
 struct Followed {
     what: &'static str,
     prefix: &'static str,
-    pause: Duration,
+    pause: fn(&GatewayState) -> Duration,
     on_listing: fn(&GatewayState, RawListing),
     on_change: fn(&GatewayState, RawChange),
     on_return: fn(&GatewayState, Duration),
@@ -39,7 +49,7 @@
     let followed = Followed {
         what: "configuration",
         prefix: state.dialect.plan_prefix,
-        pause: Duration::ZERO,
+        pause: |_| Duration::ZERO,
         on_listing: |state, listing| {
             for (key, object) in listing.items {
                 take_plan(state, &key, &object.value);
@@ -60,7 +70,7 @@
     let followed = Followed {
         what: "upstreams",
         prefix: state.dialect.upstream_prefix,
-        pause: UPSTREAM_PAUSE,
+        pause: upstream_pause,
         on_listing: |state, listing| {
             let items = listing.items.iter();
             let records =
@@ -108,7 +118,7 @@
         );
         (followed.on_listing)(state, listing);
         loop {
-            Timer::after(followed.pause).await;
+            Timer::after((followed.pause)(state)).await;
             let watched = state.store.watch(followed.prefix, revision, WATCH_WAIT).await;
             match watched {
                 Ok(changes) => {
--- a/crates/sagespool-gateway/src/peers.rs
+++ b/crates/sagespool-gateway/src/peers.rs
@@ -12,11 +12,14 @@
 use sagespool_types::{BranchName, ClockTime, TokenCount};
 use serde_json::value::RawValue;
 
+use crate::desk::BudgetOrder;
 use crate::fleet::{FleetBoard, answer_store_call};
 use crate::state::GatewayState;
 
 /// A loan is a round trip of a millisecond or two.
 const LEND_LIMIT: Duration = Duration::from_millis(60);
+/// A home may have to ask the store first, which takes some milliseconds.
+const HOME_LIMIT: Duration = Duration::from_millis(150);
 const PLAN_LIMIT: Duration = Duration::from_millis(500);
 
 /// What became of asking others for a loan.
@@ -43,6 +46,7 @@
             branch: branch.clone(),
             wanted: wanted.less(lent),
             borrower: fleet.run,
+            as_home: false,
         });
         match fleet.ask(other.address, &request, LEND_LIMIT).await {
             Ok(PeerReply::Lend(reply)) => lent += reply.lent,
@@ -55,6 +59,33 @@
     LoanRound { lent, complete }
 }
 
+/// Asks an account's home for a part of what it holds. Nothing if this gateway is the home, or the
+/// home doesn't answer.
+///
+/// Without a home, each of many gateways takes its own small grants out of one book, and their
+/// writes cross: on the users' small site a request cost one write and a half. The home's grants
+/// serve all.
+pub(crate) async fn borrow_at_home(
+    fleet: &FleetBoard,
+    branch: &BranchName,
+    wanted: TokenCount,
+) -> Option<TokenCount> {
+    let home = fleet.members.home_of(branch, ClockTime::now())?;
+    if home.incarnation == fleet.run {
+        return None;
+    }
+    let request = PeerRequest::Lend(LendRequest {
+        branch: branch.clone(),
+        wanted,
+        borrower: fleet.run,
+        as_home: true,
+    });
+    match fleet.ask(home.address, &request, HOME_LIMIT).await {
+        Ok(PeerReply::Lend(reply)) => Some(reply.lent),
+        _ => None,
+    }
+}
+
 /// Stays in touch with the others for ever.
 pub(crate) async fn run_peers(state: Arc<GatewayState>) {
     let heard = {
@@ -81,7 +112,7 @@
             catch_up(state, &beat.from);
             state.fleet.answer_heartbeat(&beat)
         }
-        PeerRequest::Lend(request) => PeerReply::Lend(lend(state, &request)),
+        PeerRequest::Lend(request) => PeerReply::Lend(lend(state, &request).await),
         PeerRequest::AskPlan(ask) => {
             let document = (state.plan_version() > ask.have).then(|| state.plan_document());
             PeerReply::Plan(PlanReply { document: document.flatten() })
@@ -95,7 +126,10 @@
     }
 }
 
-fn lend(state: &GatewayState, request: &LendRequest) -> LendReply {
+async fn lend(state: &Arc<GatewayState>, request: &LendRequest) -> LendReply {
+    if request.as_home {
+        stock_up(state, request).await;
+    }
     let lent = state.desk.lend(&request.branch, request.wanted);
     if lent > TokenCount::ZERO {
         log_event!(
@@ -110,6 +144,25 @@
     LendReply { lent }
 }
 
+/// Asks the store for what another gateway wants, if this one holds too little.
+async fn stock_up(state: &GatewayState, request: &LendRequest) {
+    let Some(index) = state.plan() else {
+        return;
+    };
+    let branch = index.plan().branches.iter().find(|branch| branch.name == request.branch);
+    let Some(prepaid) = branch.and_then(|branch| branch.prepaid) else {
+        return;
+    };
+    let order = BudgetOrder {
+        branch: request.branch.clone(),
+        version: index.plan().version,
+        prepaid,
+        amount: request.wanted,
+        request: String::new(),
+    };
+    state.desk.stock_up(&order, state.instances()).await;
+}
+
 /// Takes a newer configuration from a gateway that has one: the store may turn this one away while
 /// it serves the others, and operators' changes hold here all the same.
 fn catch_up(state: &Arc<GatewayState>, from: &MemberInfo) {
--- a/crates/sagespool-ledger/src/prepaid/purse.rs
+++ b/crates/sagespool-ledger/src/prepaid/purse.rs
@@ -126,6 +126,11 @@
         self.granted = self.granted.min(granted);
     }
 
+    /// Counts what another instance wants from this one, so that supplies allow for it.
+    pub fn note_demand(&mut self, amount: TokenCount, now: ClockTime) {
+        self.note_use(amount, now);
+    }
+
     fn note_use(&mut self, amount: TokenCount, now: ClockTime) {
         let rate = self.rate_now(now);
         let decay = std::f64::consts::LN_2 / RATE_HALF_LIFE.as_secs_f64();
--- a/crates/sagespool-messages/src/gateways.rs
+++ b/crates/sagespool-messages/src/gateways.rs
@@ -13,6 +13,8 @@
         pub wanted: TokenCount,
         /// The run that asks.
         pub borrower: IncarnationId,
+        /// True if the receiver is asked as the account's home, and may ask the store first.
+        pub as_home: bool,
     }
 }
 
--- a/crates/sagespool-platform/src/caller.rs
+++ b/crates/sagespool-platform/src/caller.rs
@@ -161,31 +161,48 @@
     /// Sends a call the direct way, or another one if that is closed.
     async fn reach(&self, call: PlatformCall) -> Result<PlatformAnswer, CallFailure> {
         let ways = &self.shared.ways;
-        let (kind, wait, form) = (call.kind, call.wait, call.form.clone());
+        let (kind, limit) = (call.kind, self.limit.saturating_add(call.wait));
+        let form = call.form.clone();
+        let mut call = Some(call);
         let mut direct = Err(CallFailure::NotSent);
-        if ways.is_direct(kind, ClockTime::now()) {
-            direct = self.send(call).await;
+        if ways.is_direct(kind, ClockTime::now())
+            && let Some(call) = call.take()
+        {
+            direct = self.send_direct(call).await;
             if !did_nothing(kind, &direct) {
-                match &direct {
-                    Ok(_) => ways.direct_works(),
-                    Err(_) => ways.direct_failed(ClockTime::now()),
-                }
                 return direct;
             }
-            ways.direct_failed(ClockTime::now());
         }
-        let Some(detour) = ways.detour(form, self.limit.saturating_add(wait)) else {
-            return direct;
+        let other = match ways.detour(form, limit) {
+            Some(detour) => detour.await,
+            None => return direct,
         };
-        match detour.await {
+        match other {
             Ok(RawAnswer { status, body }) => {
                 Ok(PlatformAnswer { status, retry_after: None, body })
             }
-            Err(RawFailure::NotSent) => direct,
             Err(RawFailure::Lost) => Err(CallFailure::Lost),
+            // Nobody else can be asked either. The direct way may have opened meanwhile; without
+            // this try, processes that all start during an outage would wait for each other.
+            Err(RawFailure::NotSent) => match call {
+                Some(call) => self.send_direct(call).await,
+                None => direct,
+            },
         }
     }
 
+    /// Sends a call the direct way, and notes how that fares.
+    async fn send_direct(&self, call: PlatformCall) -> Result<PlatformAnswer, CallFailure> {
+        let kind = call.kind;
+        let sent = self.send(call).await;
+        let ways = &self.shared.ways;
+        match &sent {
+            Ok(_) if !did_nothing(kind, &sent) => ways.direct_works(),
+            _ => ways.direct_failed(ClockTime::now()),
+        }
+        sent
+    }
+
     async fn send(&self, call: PlatformCall) -> Result<PlatformAnswer, CallFailure> {
         let limit = self.limit.saturating_add(call.wait);
         let exchange = self.exchange(call);
