--- a/crates/sagespool-forward/src/placement.rs
+++ b/crates/sagespool-forward/src/placement.rs
@@ -98,6 +98,10 @@
     others_at: ClockTime,
     /// Observed against expected time; 1 is as expected.
     slowness: f64,
+    /// When its speed was observed last.
+    observed: ClockTime,
+    /// When it was chosen last.
+    chosen: ClockTime,
     cache: Option<PartCache>,
     health: UpstreamHealth,
 }
@@ -111,10 +115,16 @@
 
 /// Word of other instances' requests is half as good after this time: requests last about a second.
 const OTHERS_HALF_LIFE: Duration = Duration::from_millis(700);
-/// Weight of a new observation of an upstream's speed.
+/// Weight of a new observation of an upstream's speed beside fresh ones; old ones count for nothing.
 const SPEED_WEIGHT: f64 = 0.2;
 const SLOWEST: f64 = 12.0;
 const FASTEST: f64 = 0.3;
+/// A plain upstream that wasn't chosen for so long is due: what is known of it is old, and one that
+/// was slow or failed would never show that it is well again. At the users' rates every upstream is
+/// chosen several times a second.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(2);
+/// What the expected time of such an upstream counts for.
+const FORGOTTEN_SHARE: f64 = 0.4;
 /// Time between a request's arrival at an idle engine and its first event, beside reading.
 const FIRST_EVENT_MS: f64 = 20.0;
 /// Costs closer than this are as good as equal.
@@ -190,7 +200,9 @@
             }
         };
         let expected_ms = expected_ms * load.slowness;
-        let cost_ms = expected_ms + rereading_ms + distance + jitter;
+        let untried = load.cache.is_none() && now.since(load.chosen) > FORGOTTEN_AFTER;
+        let weight = if untried { FORGOTTEN_SHARE } else { 1.0 };
+        let cost_ms = expected_ms * weight + rereading_ms + distance + jitter;
         UpstreamRating { cost_ms, expected_ms, unread }
     }
 
@@ -203,6 +215,7 @@
     ) -> SendTicket {
         let load = self.load_of(&upstream.name, shape.engine);
         load.running += 1;
+        load.chosen = now;
         load.unread += rating.unread;
         if let Some(cache) = &mut load.cache {
             cache.note(shape.parts);
@@ -219,6 +232,8 @@
             others: 0.0,
             others_at: ClockTime::default(),
             slowness: 1.0,
+            observed: ClockTime::default(),
+            chosen: ClockTime::default(),
             cache: engine.map(|traits| PartCache::new(traits.memory)),
             health: UpstreamHealth::default(),
         };
@@ -237,7 +252,10 @@
         load.unread = load.unread.less(ticket.unread);
         let expected = ticket.expected.as_secs_f64().max(0.001);
         let ratio = now.since(ticket.sent).as_secs_f64() / expected * load.slowness;
-        let blended = load.slowness * (1.0 - SPEED_WEIGHT) + ratio * SPEED_WEIGHT;
+        let is_old = now.since(load.observed) > FORGOTTEN_AFTER;
+        let weight = if is_old { 1.0 } else { SPEED_WEIGHT };
+        load.observed = now;
+        let blended = load.slowness * (1.0 - weight) + ratio * weight;
         load.slowness = blended.clamp(FASTEST, SLOWEST);
     }
 
