Let an account's home take supplies for all instances; docs, settings checks, tests of a stop

Cause: with a home, grants were still cut to one instance's part of what is free, so the home of a large fleet asked the store for nearly every request.

--- a/crates/sagespool-cli/src/check.rs
+++ b/crates/sagespool-cli/src/check.rs
@@ -7,8 +7,8 @@
 use error_stack::{Report, ResultExt};
 use gumdrop::Options;
 use sagespool_settings::{
-    BranchObject, FleetConfiguration, FleetObject, SettingsError, SettingsFault, SettingsFaults,
-    load_process, read_branches, read_fleet,
+    BranchObject, DirectSettings, FleetConfiguration, FleetObject, SettingsError, SettingsFault,
+    SettingsFaults, is_direct, load_direct, load_process, read_branches, read_fleet,
 };
 use sagespool_types::ConfigVersion;
 use serde::Serialize;
@@ -77,11 +77,8 @@
 }
 
 fn check_settings(path: &Path) -> Result<FileReport, Report<CommandError>> {
-    let report = match load_process(path) {
-        Ok(settings) => {
-            let holds = format!("settings of {} `{}`", settings.role.kind(), settings.instance);
-            return Ok(new_report(path, holds, Vec::new()));
-        }
+    let report = match load_any(path) {
+        Ok(holds) => return Ok(new_report(path, holds, Vec::new())),
         Err(report) => report,
     };
     match report.current_context() {
@@ -94,6 +91,19 @@
     }
 }
 
+/// Loads a settings file of any role, and says in words what it holds.
+fn load_any(path: &Path) -> Result<String, Report<SettingsError>> {
+    let is_direct = fs::read_to_string(path).is_ok_and(|text| is_direct(&text));
+    if !is_direct {
+        let settings = load_process(path)?;
+        return Ok(format!("settings of {} `{}`", settings.role.kind(), settings.instance));
+    }
+    Ok(match load_direct(path)? {
+        DirectSettings::Gateway(gateway) => format!("settings of gateway `{}`", gateway.instance),
+        DirectSettings::Relay(relay) => format!("settings of relay `{}`", relay.instance),
+    })
+}
+
 /// The objects by themselves, then what one refers to in the other.
 fn check_configuration(
     options: &CheckOptions,
--- a/crates/sagespool-forward/tests/failing_upstreams.rs
+++ b/crates/sagespool-forward/tests/failing_upstreams.rs
@@ -1,5 +1,7 @@
 //! Upstreams that fail while they look well: who gets work, and when they are tried again.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
 use sagespool_forward::{PlacementBoard, PlacementPolicy, SendOutcome, UpstreamRecord, WorkShape};
 use sagespool_types::{CentreName, ClockTime};
 
--- a/crates/sagespool-forward/tests/retry_share.rs
+++ b/crates/sagespool-forward/tests/retry_share.rs
@@ -1,5 +1,7 @@
 //! Repeats of several instances that share one budget without a word between them.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
 use std::time::Duration;
 
 use sagespool_forward::{RetryBudget, RetryTerms};
--- a/crates/sagespool-forward/tests/roster_lapse.rs
+++ b/crates/sagespool-forward/tests/roster_lapse.rs
@@ -1,5 +1,7 @@
 //! Entries that disappear around an outage of the store.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
 use std::time::Duration;
 
 use sagespool_forward::{RosterChange, UpstreamRecord, UpstreamRoster};
--- a/crates/sagespool-forward/tests/shared_prompts.rs
+++ b/crates/sagespool-forward/tests/shared_prompts.rs
@@ -6,6 +6,8 @@
 //! own. Nine engines with memory for 384,564 tokens read 48.2 tokens in a millisecond, so a shared
 //! part that is read again holds an engine up for 276 ms. Four instances take the requests in turn.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
 use std::collections::{HashMap, HashSet};
 
 use sagespool_forward::{
--- a/crates/sagespool-gateway/src/desk.rs
+++ b/crates/sagespool-gateway/src/desk.rs
@@ -122,7 +122,7 @@
     }
 
     /// Asks the store for more if the purse holds less than an order, and a supply beside it.
-    pub(crate) async fn stock_up(self: &Arc<Self>, order: &BudgetOrder, instances: usize) {
+    pub(crate) async fn stock_up(self: &Arc<Self>, order: &BudgetOrder) {
         let account = self.account(&order.branch);
         let now = ClockTime::now();
         let holds_enough = {
@@ -131,14 +131,14 @@
             order.amount <= purse.free()
         };
         if holds_enough {
-            self.top_up_early(&account, order, instances, now);
+            self.top_up_early(&account, order, now);
             return;
         }
         if account.is_short_of(order, now) || self.store_is_away(now) {
             return;
         }
         let wanted = order.amount;
-        let asked = self.ask_in_time(&account, order, wanted, instances, LONGEST_STORE_WAIT);
+        let asked = self.ask_in_time(&account, order, wanted, 1, LONGEST_STORE_WAIT);
         match asked.await {
             // What was reserved for the order is lent instead.
             Ok(GrantOutcome::Granted) => lock(&account.purse).settle(wanted, TokenCount::ZERO),
@@ -156,8 +156,7 @@
     /// Gives a part of this instance's grant to another one.
     pub(crate) fn lend(&self, branch: &BranchName, wanted: TokenCount) -> TokenCount {
         let account = self.account(branch);
-        let lent = lock(&account.purse).lend(wanted);
-        lent
+        lock(&account.purse).lend(wanted)
     }
 
     /// Sets the most that a request can cost aside, out of what the store granted or others lent.
@@ -170,8 +169,13 @@
     ) -> Result<Reservation, Refusal> {
         let account = self.account(&order.branch);
         let now = ClockTime::now();
+        // An account's home takes supplies for all instances, the others only what they miss.
+        let is_home = fleet.is_home(&order.branch, now);
+        let instances = if is_home { 1 } else { instances };
         if lock(&account.purse).reserve(order.amount, now) {
-            self.top_up_early(&account, order, instances, now);
+            if is_home {
+                self.top_up_early(&account, order, now);
+            }
             return Ok(Reservation::new(account, order.amount));
         }
         if account.is_short_of(order, now) {
@@ -311,8 +315,8 @@
             book.close_earlier(self.run, &self.instance);
             let present = book.granted(self.run);
             let now = ClockTime::now();
-            let wanted = lock(&account.purse)
-                .grant_to_ask(&book, present, missing, instances, self.terms, now);
+            let terms = self.terms.of_one(instances);
+            let wanted = lock(&account.purse).grant_to_ask(&book, present, missing, terms, now);
             let Some(wanted) = wanted else {
                 if fresh {
                     let needed = lock(&account.purse).needed();
@@ -375,7 +379,6 @@
         self: &Arc<Self>,
         account: &Arc<AccountDesk>,
         order: &BudgetOrder,
-        instances: usize,
         now: ClockTime,
     ) {
         let low = lock(&account.purse).runs_low(self.terms, now);
@@ -387,8 +390,7 @@
         }
         let (desk, account, order) = (self.clone(), account.clone(), order.clone());
         smol::spawn(async move {
-            let asked =
-                desk.ask_in_time(&account, &order, TokenCount::ZERO, instances, LONGEST_STORE_WAIT);
+            let asked = desk.ask_in_time(&account, &order, TokenCount::ZERO, 1, LONGEST_STORE_WAIT);
             if let Err(error) = asked.await {
                 *lock(&desk.store_failed) = Some(ClockTime::now());
                 log_event!(warn, "top-up-failed", branch = account.branch, error = error);
--- a/crates/sagespool-gateway/src/fleet.rs
+++ b/crates/sagespool-gateway/src/fleet.rs
@@ -17,8 +17,8 @@
     update_object,
 };
 use sagespool_types::{
-    CentreName, ClockTime, ConfigVersion, IncarnationId, InstanceName, RegionName, WallTime,
-    derives,
+    BranchName, CentreName, ClockTime, ConfigVersion, IncarnationId, InstanceName, RegionName,
+    WallTime, derives,
 };
 use smol::Timer;
 
@@ -108,6 +108,12 @@
         self.members.members().iter().filter(|member| member.role == role).count()
     }
 
+    /// Whether this process is an account's home.
+    pub(crate) fn is_home(&self, branch: &BranchName, now: ClockTime) -> bool {
+        let home = self.members.home_of(branch, now);
+        home.is_none_or(|home| home.incarnation == self.run)
+    }
+
     /// Members of a role that are fit to be asked, in random order.
     pub(crate) fn others(&self, role: MemberRole, now: ClockTime) -> Vec<MemberInfo> {
         let mut others = self.members.live(role, now);
--- a/crates/sagespool-gateway/src/peers.rs
+++ b/crates/sagespool-gateway/src/peers.rs
@@ -160,7 +160,7 @@
         amount: request.wanted,
         request: String::new(),
     };
-    state.desk.stock_up(&order, state.instances()).await;
+    state.desk.stock_up(&order).await;
 }
 
 /// Takes a newer configuration from a gateway that has one: the store may turn this one away while
--- a/crates/sagespool-ledger/src/prepaid/purse.rs
+++ b/crates/sagespool-ledger/src/prepaid/purse.rs
@@ -12,11 +12,18 @@
     /// A grant covers the use of so long a time: the store may be away without a warning, and
     /// what isn't granted can't be spent then.
     pub ahead: Duration,
-    /// No instance takes more than this part of an instance's even share of what is free, so that
-    /// one restart never gives up much of a total.
+    /// No instance takes more than this part of what is free, so that one restart never gives up
+    /// much of a total.
     pub share: f64,
 }
 
+impl GrantTerms {
+    /// The terms of one of several instances: its part of what is free.
+    pub fn of_one(self, instances: usize) -> Self {
+        Self { share: self.share / instances.max(1) as f64, ..self }
+    }
+}
+
 /// What this instance may spend of one account, and has spent.
 #[derive(Debug, Clone, Default)]
 pub struct PrepaidPurse {
@@ -98,7 +105,6 @@
         book: &PrepaidBook,
         present: TokenCount,
         missing: TokenCount,
-        instances: usize,
         terms: GrantTerms,
         now: ClockTime,
     ) -> Option<TokenCount> {
@@ -110,7 +116,7 @@
         }
         let reserve = book.prepaid.0 as f64 * END_SHARE;
         let spare = (room.less(least).0 as f64 - reserve).max(0.0);
-        let fair = spare * terms.share / instances.max(1) as f64;
+        let fair = spare * terms.share;
         let ahead = self.wanted_ahead(terms, now).min(fair);
         Some((least + TokenCount(ahead as u64)).max(self.granted))
     }
--- a/crates/sagespool-ledger/tests/prepaid_partition.rs
+++ b/crates/sagespool-ledger/tests/prepaid_partition.rs
@@ -5,6 +5,8 @@
 //! lowered: the write took effect, its answer was lost, and the difference went to another
 //! instance meanwhile.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
 use std::time::Duration;
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -117,7 +119,8 @@
         book.close_earlier(instance.run, &instance.name);
         let present = book.granted(instance.run);
         let missing = TokenCount(missing);
-        let wanted = instance.purse.grant_to_ask(&book, present, missing, PURSES, TERMS, self.now);
+        let wanted =
+            instance.purse.grant_to_ask(&book, present, missing, TERMS.of_one(PURSES), self.now);
         let Some(wanted) = wanted else {
             return;
         };
--- /dev/null
+++ b/crates/sagespool-settings/tests/gateway_settings.rs
@@ -0,0 +1,54 @@
+//! Settings of gateways and relays.
+
+use std::time::Duration;
+
+use sagespool_settings::{DirectSettings, check_direct, is_direct};
+
+const GATEWAY: &str = include_str!("../../../examples/gateway.json");
+const RELAY: &str = include_str!("../../../examples/relay.json");
+const ENTRY: &str = include_str!("../../../examples/entry.json");
+
+#[test]
+fn example_gateway() {
+    assert!(is_direct(GATEWAY));
+    let Ok(DirectSettings::Gateway(gateway)) = check_direct(GATEWAY) else {
+        panic!("a gateway's settings");
+    };
+    assert_eq!(gateway.instance.as_str(), "gateway-1");
+    assert_eq!(gateway.stop_limit, Duration::from_secs(8));
+    assert_eq!(gateway.retries.window, Duration::from_secs(10));
+    assert_eq!(gateway.grants.ahead, Duration::from_secs(3));
+}
+
+#[test]
+fn example_relay() {
+    assert!(is_direct(RELAY));
+    assert!(matches!(check_direct(RELAY), Ok(DirectSettings::Relay(_))));
+}
+
+#[test]
+fn other_roles() {
+    assert!(!is_direct(ENTRY));
+    assert!(!is_direct("no document"));
+}
+
+#[test]
+fn every_fault() {
+    // What is replaced in the example, by what, and the fault that it makes.
+    let cases = [
+        ("\"centre\": \"east\",", "", "$.centre: found nothing"),
+        ("\"127.0.0.1:8301\"", "\"here\"", "$.callers: found \"here\""),
+        ("\"stop_limit_s\": 8", "\"stop_limit_s\": -1", "$.stop_limit_s: found -1"),
+        ("\"share\": 0.2", "\"share\": 1.5", "$.grants.share: found 1.5"),
+        ("\"ahead_s\": 3", "\"ahead_s\": \"long\"", "$.grants.ahead_s: found \"long\""),
+        ("\"slack\": 52", "\"slak\": 52", "did you mean `slack`?"),
+        ("\"level\": \"info\"", "\"level\": \"loud\"", "$.log.level: found \"loud\""),
+        ("\"peers\": [\"127.0.0.1:7302\"]", "\"peers\": 5", "$.peers: found"),
+    ];
+    for (from, to, expected) in cases {
+        let text = GATEWAY.replace(from, to);
+        assert_ne!(text, GATEWAY, "{from}");
+        let faults = check_direct(&text).expect_err(from).to_string();
+        assert!(faults.contains(expected), "{from}: {faults}");
+    }
+}
