--- a/crates/sagespool-gateway/src/metrics.rs
+++ b/crates/sagespool-gateway/src/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 use sagespool_types::BranchName;
@@ -75,6 +76,7 @@
     total: Family<BranchLabel, Histogram, fn() -> Histogram>,
     sends: Counter,
     connects: Counter,
+    members: Gauge,
 }
 
 impl GatewayMetrics {
@@ -90,7 +92,9 @@
         registry.register("sends", "Requests sent to upstreams", sends.clone());
         let connects = Counter::default();
         registry.register("connects", "Connections opened to upstreams", connects.clone());
-        Self { registry, requests, first, total, sends, connects }
+        let members = Gauge::default();
+        registry.register("members", "Gateways that are heard of, with this one", members.clone());
+        Self { registry, requests, first, total, sends, connects, members }
     }
 
     pub(crate) fn ended(&self, outcome: Outcome, route: &str) {
@@ -119,8 +123,9 @@
         }
     }
 
-    /// All metrics as text.
-    pub(crate) fn encode(&self) -> String {
+    /// All metrics as text, with the number of gateways at the moment.
+    pub(crate) fn encode(&self, members: usize) -> String {
+        self.members.set(members as i64);
         let mut text = String::new();
         encode(&mut text, &self.registry).expect("writing to a string doesn't fail");
         text
--- a/crates/sagespool-gateway/src/peers.rs
+++ b/crates/sagespool-gateway/src/peers.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_lite::future::poll_once;
 use sagespool_forward::PlanIndex;
-use sagespool_link::{PeerCall, PeerHandler};
+use sagespool_link::{PeerCall, PeerHandler, PeerResponder};
 use sagespool_log::log_event;
 use sagespool_messages::{
     LendReply, LendRequest, MemberInfo, MemberRole, PeerReply, PeerRequest, PlanAsk, PlanReply,
@@ -100,6 +101,10 @@
     Arc::new(move |call: PeerCall| {
         let state = state.clone();
         Box::pin(async move {
+            if let PeerRequest::Lend(request) = call.request {
+                lend(&state, &request, call.responder).await;
+                return;
+            }
             let reply = answer(&state, call.request).await;
             call.responder.reply(reply).await;
         })
@@ -112,7 +117,6 @@
             catch_up(state, &beat.from);
             state.fleet.answer_heartbeat(&beat)
         }
-        PeerRequest::Lend(request) => PeerReply::Lend(lend(state, &request).await),
         PeerRequest::AskPlan(ask) => {
             let document = (state.plan_version() > ask.have).then(|| state.plan_document());
             PeerReply::Plan(PlanReply { document: document.flatten() })
@@ -126,9 +130,16 @@
     }
 }
 
-async fn lend(state: &Arc<GatewayState>, request: &LendRequest) -> LendReply {
+/// Lends what is asked for. A home may have to ask the store first; if the asker has given up
+/// meanwhile nothing is lent, for what a lost answer carries is spent by nobody: in a cut from the
+/// store such answers took 8 in 100 of a small account's total.
+async fn lend(state: &GatewayState, request: &LendRequest, responder: PeerResponder) {
     if request.as_home {
+        let gone = responder.asker_gone();
         stock_up(state, request).await;
+        if poll_once(gone).await.is_some() {
+            return;
+        }
     }
     let lent = state.desk.lend(&request.branch, request.wanted);
     if lent > TokenCount::ZERO {
@@ -141,7 +152,7 @@
             lent = lent,
         );
     }
-    LendReply { lent }
+    responder.reply(PeerReply::Lend(LendReply { lent })).await;
 }
 
 /// Asks the store for what another gateway wants, if this one holds too little.
--- a/crates/sagespool-gateway/src/status.rs
+++ b/crates/sagespool-gateway/src/status.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use sagespool_http::http_server;
+use sagespool_messages::MemberRole;
 use trillium::{Conn, KnownHeaderName, Status};
 
 use crate::state::GatewayState;
@@ -29,7 +30,7 @@
         METRICS_PATH => conn
             .with_response_header(KnownHeaderName::ContentType, METRICS_TYPE)
             .with_status(Status::Ok)
-            .with_body(state.metrics.encode())
+            .with_body(state.metrics.encode(state.fleet.count(MemberRole::Entry)))
             .halt(),
         _ => conn.with_status(Status::NotFound).halt(),
     }
