Put one account's part of the budgets into a module of its own

No change of behaviour: purse, known book, shortage and reservation of an account stand by themselves, and reserving reads as its steps: purse, home, store, everyone.

--- a/crates/sagespool-gateway/src/desk.rs
+++ b/crates/sagespool-gateway/src/desk.rs
@@ -1,12 +1,15 @@
 //! Client accounts' budgets: what requests reserve, and the grants behind it.
 
+mod account;
+
+pub(crate) use self::account::Reservation;
+
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use async_lock::Mutex as TurnLock;
-use sagespool_ledger::{GrantTerms, PrepaidBook, PrepaidPurse, prepaid_key};
+use sagespool_ledger::{GrantTerms, PrepaidBook, prepaid_key};
 use sagespool_log::log_event;
 use sagespool_platform::{ObjectClient, StoreError, UpdateChoice, update_object};
 use sagespool_types::{
@@ -14,8 +17,9 @@
 };
 use smol::{Task, Timer};
 
+use self::account::{AccountDesk, KnownBook, lock};
 use crate::fleet::FleetBoard;
-use crate::peers::{borrow, borrow_at_home};
+use crate::peers::{LoanRound, borrow, borrow_at_home};
 use crate::refusal::Refusal;
 
 /// Writes to one book that are tried before a request is refused: other instances write too.
@@ -26,8 +30,6 @@
 /// After a failed call, requests that need the store are refused at once for so long. Each call
 /// that waits for nothing costs its request the time in which it could be answered elsewhere.
 const STORE_PAUSE: Duration = Duration::from_millis(250);
-/// A book that couldn't cover a request is taken to be no fuller for so long.
-const SHORT_LIFE: Duration = Duration::from_millis(300);
 const RETRY_PAUSE: Duration = Duration::from_millis(3);
 
 /// What a request asks of its account.
@@ -54,31 +56,6 @@
     store_failed: Mutex<Option<ClockTime>>,
 }
 
-/// One account's.
-struct AccountDesk {
-    branch: BranchName,
-    purse: Mutex<PrepaidPurse>,
-    /// The book as it was last read or written. Whoever holds the lock writes.
-    book: TurnLock<Option<KnownBook>>,
-    shortage: Mutex<Option<Shortage>>,
-    tops_up: AtomicBool,
-}
-
-#[derive(Clone)]
-struct KnownBook {
-    version: StoreRevision,
-    value: PrepaidBook,
-}
-
-/// A book that couldn't cover a request.
-#[derive(Clone, Copy)]
-struct Shortage {
-    /// What it could have covered.
-    room: TokenCount,
-    version: ConfigVersion,
-    noted: ClockTime,
-}
-
 /// What became of asking for a larger grant.
 enum GrantOutcome {
     Granted,
@@ -86,10 +63,6 @@
     Short(TokenCount),
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl BudgetDesk {
     pub(crate) fn new(
         store: ObjectClient,
@@ -109,15 +82,7 @@
 
     fn account(&self, branch: &BranchName) -> Arc<AccountDesk> {
         let mut accounts = lock(&self.accounts);
-        let fresh = || {
-            Arc::new(AccountDesk {
-                branch: branch.clone(),
-                purse: Mutex::default(),
-                book: TurnLock::new(None),
-                shortage: Mutex::default(),
-                tops_up: AtomicBool::new(false),
-            })
-        };
+        let fresh = || Arc::new(AccountDesk::new(branch));
         accounts.entry(branch.clone()).or_insert_with(fresh).clone()
     }
 
@@ -143,8 +108,7 @@
             // What was reserved for the order is lent instead.
             Ok(GrantOutcome::Granted) => lock(&account.purse).settle(wanted, TokenCount::ZERO),
             Ok(GrantOutcome::Short(room)) => {
-                let shortage = Shortage { room, version: order.version, noted: ClockTime::now() };
-                *lock(&account.shortage) = Some(shortage);
+                account.note_shortage(room, order.version, ClockTime::now());
             }
             Err(error) => {
                 *lock(&self.store_failed) = Some(ClockTime::now());
@@ -181,13 +145,8 @@
         if account.is_short_of(order, now) {
             return Err(self.refuse(&account, order, Refusal::BudgetSpent, "known-short"));
         }
-        let missing = order.amount.less(lock(&account.purse).free());
-        if let Some(lent) = borrow_at_home(fleet, &order.branch, missing).await {
-            let mut purse = lock(&account.purse);
-            purse.borrow(lent);
-            if purse.reserve(order.amount, ClockTime::now()) {
-                return Ok(Reservation::new(account.clone(), order.amount));
-            }
+        if self.reserve_at_home(&account, order, fleet).await {
+            return Ok(Reservation::new(account, order.amount));
         }
         let asked = self.ask_store(&account, order, deadline, instances).await;
         if matches!(asked, Ok(GrantOutcome::Granted)) {
@@ -195,11 +154,7 @@
         }
         let missing = order.amount.less(lock(&account.purse).free());
         let loan = borrow(fleet, &order.branch, missing).await;
-        let now = ClockTime::now();
-        let mut purse = lock(&account.purse);
-        purse.borrow(loan.lent);
-        if purse.reserve(order.amount, now) {
-            drop(purse);
+        if account.reserve_with(order, loan.lent) {
             log_event!(
                 info,
                 "budget-borrowed",
@@ -209,20 +164,43 @@
             );
             return Ok(Reservation::new(account, order.amount));
         }
-        drop(purse);
-        let room = match asked {
-            Ok(GrantOutcome::Short(room)) if loan.complete => room + loan.lent,
-            Ok(_) => {
-                // Somebody who can't be asked may hold enough.
-                return Err(self.refuse(&account, order, Refusal::BudgetUnreachable, "peer-away"));
+        Err(self.refuse_after(&account, order, asked, loan))
+    }
+
+    /// Reserves with a loan of the account's home; false if it has too little or can't be asked.
+    async fn reserve_at_home(
+        &self,
+        account: &AccountDesk,
+        order: &BudgetOrder,
+        fleet: &FleetBoard,
+    ) -> bool {
+        let missing = order.amount.less(lock(&account.purse).free());
+        match borrow_at_home(fleet, &order.branch, missing).await {
+            Some(lent) => account.reserve_with(order, lent),
+            None => false,
+        }
+    }
+
+    /// The refusal of a request that nobody could pay for. It says that the budget is spent only if
+    /// the store and every other gateway said that they have too little.
+    fn refuse_after(
+        &self,
+        account: &AccountDesk,
+        order: &BudgetOrder,
+        asked: Result<GrantOutcome, StoreError>,
+        loan: LoanRound,
+    ) -> Refusal {
+        match asked {
+            Ok(GrantOutcome::Short(room)) if loan.complete => {
+                account.note_shortage(room + loan.lent, order.version, ClockTime::now());
+                self.refuse(account, order, Refusal::BudgetSpent, "book-short")
             }
+            // Somebody who can't be asked may hold enough.
+            Ok(_) => self.refuse(account, order, Refusal::BudgetUnreachable, "peer-away"),
             Err(error) => {
-                let cause = error.to_string();
-                return Err(self.refuse(&account, order, Refusal::BudgetUnreachable, &cause));
+                self.refuse(account, order, Refusal::BudgetUnreachable, &error.to_string())
             }
-        };
-        *lock(&account.shortage) = Some(Shortage { room, version: order.version, noted: now });
-        Err(self.refuse(&account, order, Refusal::BudgetSpent, "book-short"))
+        }
     }
 
     async fn ask_store(
@@ -430,53 +408,3 @@
         }
     }
 }
-
-impl AccountDesk {
-    fn is_short_of(&self, order: &BudgetOrder, now: ClockTime) -> bool {
-        let Some(shortage) = *lock(&self.shortage) else {
-            return false;
-        };
-        shortage.version == order.version
-            && now.since(shortage.noted) < SHORT_LIFE
-            && order.amount > shortage.room
-    }
-
-    fn is_nearly_spent(&self, now: ClockTime) -> bool {
-        lock(&self.shortage).is_some_and(|shortage| now.since(shortage.noted) < SHORT_LIFE)
-    }
-}
-
-/// What a request has set aside. Dropping it settles: the rest is free at once.
-pub(crate) struct Reservation {
-    account: Arc<AccountDesk>,
-    amount: TokenCount,
-    prompt: TokenCount,
-    answer: TokenCount,
-}
-
-impl Reservation {
-    fn new(account: Arc<AccountDesk>, amount: TokenCount) -> Self {
-        Self { account, amount, prompt: TokenCount::ZERO, answer: TokenCount::ZERO }
-    }
-
-    /// What the account pays.
-    pub(crate) fn charged(&self) -> TokenCount {
-        (self.prompt + self.answer).min(self.amount)
-    }
-
-    /// Sets what is charged for the prompt.
-    pub(crate) fn set_prompt(&mut self, tokens: TokenCount) {
-        self.prompt = tokens;
-    }
-
-    /// Adds to what is charged for the answer.
-    pub(crate) fn add_answer(&mut self, tokens: TokenCount) {
-        self.answer += tokens;
-    }
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        lock(&self.account.purse).settle(self.amount, self.charged());
-    }
-}
--- /dev/null
+++ b/crates/sagespool-gateway/src/desk/account.rs
@@ -0,0 +1,115 @@
+//! One account at this instance: its purse, the book as it is known, and reservations.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_lock::Mutex as TurnLock;
+use sagespool_ledger::{PrepaidBook, PrepaidPurse};
+use sagespool_types::{BranchName, ClockTime, ConfigVersion, StoreRevision, TokenCount};
+
+use super::BudgetOrder;
+
+/// A book that couldn't cover a request is taken to be no fuller for so long.
+const SHORT_LIFE: Duration = Duration::from_millis(300);
+
+/// One account's.
+pub(crate) struct AccountDesk {
+    pub(super) branch: BranchName,
+    pub(super) purse: Mutex<PrepaidPurse>,
+    /// The book as it was last read or written. Whoever holds the lock writes.
+    pub(super) book: TurnLock<Option<KnownBook>>,
+    shortage: Mutex<Option<Shortage>>,
+    pub(super) tops_up: AtomicBool,
+}
+
+#[derive(Clone)]
+pub(super) struct KnownBook {
+    pub(super) version: StoreRevision,
+    pub(super) value: PrepaidBook,
+}
+
+/// A book that couldn't cover a request.
+#[derive(Clone, Copy)]
+struct Shortage {
+    /// What it could have covered.
+    room: TokenCount,
+    version: ConfigVersion,
+    noted: ClockTime,
+}
+
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl AccountDesk {
+    pub(super) fn new(branch: &BranchName) -> Self {
+        Self {
+            branch: branch.clone(),
+            purse: Mutex::default(),
+            book: TurnLock::new(None),
+            shortage: Mutex::default(),
+            tops_up: AtomicBool::new(false),
+        }
+    }
+
+    /// Takes a loan, and reserves what a request needs; false if that is too much even so.
+    pub(super) fn reserve_with(&self, order: &BudgetOrder, lent: TokenCount) -> bool {
+        let mut purse = lock(&self.purse);
+        purse.borrow(lent);
+        purse.reserve(order.amount, ClockTime::now())
+    }
+
+    /// Notes that nobody could cover more than this.
+    pub(super) fn note_shortage(&self, room: TokenCount, version: ConfigVersion, now: ClockTime) {
+        *lock(&self.shortage) = Some(Shortage { room, version, noted: now });
+    }
+
+    pub(super) fn is_short_of(&self, order: &BudgetOrder, now: ClockTime) -> bool {
+        let Some(shortage) = *lock(&self.shortage) else {
+            return false;
+        };
+        shortage.version == order.version
+            && now.since(shortage.noted) < SHORT_LIFE
+            && order.amount > shortage.room
+    }
+
+    pub(super) fn is_nearly_spent(&self, now: ClockTime) -> bool {
+        lock(&self.shortage).is_some_and(|shortage| now.since(shortage.noted) < SHORT_LIFE)
+    }
+}
+
+/// What a request has set aside. Dropping it settles: the rest is free at once.
+pub(crate) struct Reservation {
+    account: Arc<AccountDesk>,
+    amount: TokenCount,
+    prompt: TokenCount,
+    answer: TokenCount,
+}
+
+impl Reservation {
+    pub(super) fn new(account: Arc<AccountDesk>, amount: TokenCount) -> Self {
+        Self { account, amount, prompt: TokenCount::ZERO, answer: TokenCount::ZERO }
+    }
+
+    /// What the account pays.
+    pub(crate) fn charged(&self) -> TokenCount {
+        (self.prompt + self.answer).min(self.amount)
+    }
+
+    /// Sets what is charged for the prompt.
+    pub(crate) fn set_prompt(&mut self, tokens: TokenCount) {
+        self.prompt = tokens;
+    }
+
+    /// Adds to what is charged for the answer.
+    pub(crate) fn add_answer(&mut self, tokens: TokenCount) {
+        self.answer += tokens;
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        lock(&self.account.purse).settle(self.amount, self.charged());
+    }
+}
