Count members only where a decision needs them, and drop what nothing calls

Every request copied the list of members twice, for the number of instances and for its account's home, though only one that its purse can't pay for needs them. An unused reset of the event cutter and two unused lengths go; one name for counting a purse's demand in place of two; the policy of placement is copied, not cloned, for each candidate.

Behaviour is meant to be the same.

--- a/crates/sagespool-forward/src/events.rs
+++ b/crates/sagespool-forward/src/events.rs
@@ -43,11 +43,6 @@
     pub fn take_rest(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.rest)
     }
-
-    /// Forgets the beginning of an event whose upstream stopped.
-    pub fn drop_rest(&mut self) {
-        self.rest.clear();
-    }
 }
 
 /// The length of the first event with the empty line that ends it.
--- a/crates/sagespool-forward/src/placement.rs
+++ b/crates/sagespool-forward/src/placement.rs
@@ -13,7 +13,7 @@
 use health::UpstreamHealth;
 
 /// Figures of the choice.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PlacementPolicy {
     /// Prompt tokens that an engine reads in a millisecond. The users' engines read 48.2.
     pub read_rate: f64,
@@ -171,7 +171,7 @@
         is_home: bool,
         now: ClockTime,
     ) -> UpstreamRating {
-        let policy = self.policy.clone();
+        let policy = self.policy;
         let load = self.load_of(&record.name, shape.engine);
         let running = f64::from(load.running) + load.others_now(now);
         let distance = if record.centre == *shape.centre { 0.0 } else { policy.distance_ms };
--- a/crates/sagespool-forward/src/roster.rs
+++ b/crates/sagespool-forward/src/roster.rs
@@ -186,14 +186,4 @@
     pub fn get(&self, name: &UpstreamName) -> Option<&UpstreamRecord> {
         self.entries.get(name).map(|entry| &entry.record)
     }
-
-    /// How many upstreams there are.
-    pub fn len(&self) -> usize {
-        self.entries.len()
-    }
-
-    /// Whether there are none.
-    pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
-    }
 }
--- a/crates/sagespool-gateway/src/desk.rs
+++ b/crates/sagespool-gateway/src/desk.rs
@@ -129,15 +129,11 @@
         order: &BudgetOrder,
         deadline: ClockTime,
         fleet: &FleetBoard,
-        instances: usize,
     ) -> Result<Reservation, Refusal> {
         let account = self.account(&order.branch);
         let now = ClockTime::now();
-        // An account's home takes supplies for all instances, the others only what they miss.
-        let is_home = fleet.is_home(&order.branch, now);
-        let instances = if is_home { 1 } else { instances };
         if lock(&account.purse).reserve(order.amount, now) {
-            if is_home {
+            if self.runs_low(&account, now) && fleet.is_home(&order.branch, now) {
                 self.top_up_early(&account, order, now);
             }
             return Ok(Reservation::new(account, order.amount));
@@ -148,6 +144,9 @@
         if self.reserve_at_home(&account, order, fleet).await {
             return Ok(Reservation::new(account, order.amount));
         }
+        // An account's home takes supplies for all instances, the others only what they miss.
+        let is_home = fleet.is_home(&order.branch, now);
+        let instances = if is_home { 1 } else { fleet.instances() };
         let asked = self.ask_store(&account, order, deadline, instances).await;
         if matches!(asked, Ok(GrantOutcome::Granted)) {
             return Ok(Reservation::new(account, order.amount));
@@ -245,6 +244,10 @@
         refusal
     }
 
+    fn runs_low(&self, account: &AccountDesk, now: ClockTime) -> bool {
+        lock(&account.purse).runs_low(self.terms, now)
+    }
+
     fn store_is_away(&self, now: ClockTime) -> bool {
         lock(&self.store_failed).is_some_and(|failed| now.since(failed) < STORE_PAUSE)
     }
@@ -359,8 +362,7 @@
         order: &BudgetOrder,
         now: ClockTime,
     ) {
-        let low = lock(&account.purse).runs_low(self.terms, now);
-        if !low || account.is_nearly_spent(now) || self.store_is_away(now) {
+        if !self.runs_low(account, now) || account.is_nearly_spent(now) || self.store_is_away(now) {
             return;
         }
         if account.tops_up.swap(true, Ordering::Relaxed) {
--- a/crates/sagespool-gateway/src/fleet.rs
+++ b/crates/sagespool-gateway/src/fleet.rs
@@ -44,6 +44,9 @@
 /// Where processes write their addresses.
 const ADDRESS_PREFIX: &str = "members/";
 const NO_LINK: &str = "the own link isn't open yet";
+/// How many instances share a budget of repeats or of tokens, before this one has heard of others:
+/// the users' smallest fleet has four.
+const LEAST_INSTANCES: usize = 4;
 /// Processes that are asked to make a call of the store, one after the other.
 const MOST_DETOURS: usize = 3;
 
@@ -108,6 +111,11 @@
         self.members.members().iter().filter(|member| member.role == role).count()
     }
 
+    /// How many gateways share what is shared, this one among them.
+    pub(crate) fn instances(&self) -> usize {
+        self.count(MemberRole::Entry).max(LEAST_INSTANCES)
+    }
+
     /// Whether this process is an account's home.
     pub(crate) fn is_home(&self, branch: &BranchName, now: ClockTime) -> bool {
         let home = self.members.home_of(branch, now);
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -158,8 +158,7 @@
         amount: tokens.most(),
         request: demand.request.clone(),
     };
-    let instances = state.instances();
-    state.desk.reserve(&order, deadline, &state.fleet, instances).await.map(Some)
+    state.desk.reserve(&order, deadline, &state.fleet).await.map(Some)
 }
 
 async fn read_body(index: &PlanIndex, body: Incoming, limit: Duration) -> Result<Bytes, Refusal> {
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -22,10 +22,6 @@
 
 use crate::pool::UpstreamPool;
 
-/// How many instances share a budget of repeats or of tokens, before this one has heard of others:
-/// the users' smallest fleet has four.
-const LEAST_INSTANCES: usize = 4;
-
 /// The shared state.
 pub(crate) struct GatewayState {
     pub(crate) settings: GatewaySettings,
@@ -160,7 +156,7 @@
 
     /// How many instances there are, this one among them.
     pub(crate) fn instances(&self) -> usize {
-        self.fleet.count(MemberRole::Entry).max(LEAST_INSTANCES)
+        self.fleet.instances()
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
--- a/crates/sagespool-ledger/src/prepaid/purse.rs
+++ b/crates/sagespool-ledger/src/prepaid/purse.rs
@@ -54,7 +54,7 @@
 
     /// Sets an amount aside for a request; false if the purse doesn't hold it.
     pub fn reserve(&mut self, amount: TokenCount, now: ClockTime) -> bool {
-        self.note_use(amount, now);
+        self.note_demand(amount, now);
         if amount > self.free() {
             return false;
         }
@@ -132,12 +132,8 @@
         self.granted = self.granted.min(granted);
     }
 
-    /// Counts what another instance wants from this one, so that supplies allow for it.
+    /// Counts what a request, or another instance, wants from this one: supplies allow for it.
     pub fn note_demand(&mut self, amount: TokenCount, now: ClockTime) {
-        self.note_use(amount, now);
-    }
-
-    fn note_use(&mut self, amount: TokenCount, now: ClockTime) {
         let rate = self.rate_now(now);
         let decay = std::f64::consts::LN_2 / RATE_HALF_LIFE.as_secs_f64();
         self.rate = rate + amount.0 as f64 * decay;
