Gateways and relays can tell others another address of their link

Cause: a link behind an address translation, or behind a proxy in tests, was told to others by the address that it listens at. The product's own entries have had `advertise` for this. Conclusion: the same optional setting for gateways and relays; without it nothing changes.

--- a/crates/sagespool-gateway/src/fleet.rs
+++ b/crates/sagespool-gateway/src/fleet.rs
@@ -57,14 +57,23 @@
     pub(crate) region: RegionName,
     pub(crate) centre: CentreName,
     pub(crate) role: MemberRole,
-    /// Where its link is.
+    /// Where its link listens.
     pub(crate) link: SocketAddr,
+    /// Where others are told to reach it, if that differs.
+    pub(crate) advertise: Option<SocketAddr>,
     /// Links of others to begin with.
     pub(crate) peers: Vec<SocketAddr>,
 }
 
+impl OwnPlace {
+    /// Where others reach this process.
+    fn reached_at(&self) -> SocketAddr {
+        self.advertise.unwrap_or(self.link)
+    }
+}
+
 derives! { record;
-    /// Where a process's link is.
+    /// Where a process's link is reached.
     #[derive(Default)]
     struct AddressRecord {
         address: Option<SocketAddr>,
@@ -89,7 +98,7 @@
             role: place.role,
             region: place.region.clone(),
             centre: place.centre.clone(),
-            address: place.link,
+            address: place.reached_at(),
             leaving: false,
             config: ConfigVersion::ZERO,
             started_at: None,
@@ -211,7 +220,7 @@
 
     /// Writes this process's address to the store, and reads the others'.
     async fn follow_addresses(self: Arc<Self>, store: ObjectClient) {
-        let own = self.place.link;
+        let own = self.place.reached_at();
         let key = format!("{ADDRESS_PREFIX}{}", self.place.instance);
         let record = AddressRecord { address: Some(own), run: Some(self.run) };
         let mut written = false;
--- a/crates/sagespool-gateway/src/relay_role.rs
+++ b/crates/sagespool-gateway/src/relay_role.rs
@@ -44,6 +44,7 @@
             .centre(settings.centre)
             .role(MemberRole::Sidecar)
             .link(settings.link)
+            .maybe_advertise(settings.advertise)
             .peers(settings.peers)
             .build();
         let fleet = Arc::new(FleetBoard::new(place, run));
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -71,6 +71,7 @@
             .centre(settings.centre.clone())
             .role(MemberRole::Entry)
             .link(settings.link.unwrap_or(settings.callers))
+            .maybe_advertise(settings.advertise)
             .peers(settings.peers.clone())
             .build();
         let fleet = Arc::new(FleetBoard::new(place, run));
--- a/crates/sagespool-settings/src/process/gateway.rs
+++ b/crates/sagespool-settings/src/process/gateway.rs
@@ -31,6 +31,8 @@
     pub metrics: Option<SocketAddr>,
     /// Where other gateways reach this one (UDP); alone if it isn't given.
     pub link: Option<SocketAddr>,
+    /// The address of the link that others are told, if it differs from the one listened at.
+    pub advertise: Option<SocketAddr>,
     /// Links of other gateways to begin with.
     pub peers: Vec<SocketAddr>,
     /// The platform's object API.
@@ -56,6 +58,8 @@
     pub centre: CentreName,
     /// Where gateways reach it (UDP).
     pub link: SocketAddr,
+    /// The address of the link that others are told, if it differs from the one listened at.
+    pub advertise: Option<SocketAddr>,
     /// Links of others to begin with.
     pub peers: Vec<SocketAddr>,
     /// The platform's object API.
@@ -156,6 +160,7 @@
     let region = object.required("region", CheckNode::parse);
     let centre = object.required("centre", CheckNode::parse);
     let link = object.required("link", CheckNode::reached_address);
+    let advertise = object.optional("advertise", CheckNode::reached_address);
     let peers = object.or("peers", Vec::new(), read_peers);
     let object_api = object.required("object_api", CheckNode::reached_address);
     let log = object.or("log", DEFAULT_LOG, |node| node.object(read_log));
@@ -164,6 +169,7 @@
         region: region?,
         centre: centre?,
         link: link?,
+        advertise: advertise?,
         peers: peers?,
         object_api: object_api?,
         log: log?,
@@ -178,6 +184,7 @@
     let readiness = object.required("readiness", CheckNode::listen_address);
     let metrics = object.optional("metrics", CheckNode::listen_address);
     let link = object.optional("link", CheckNode::reached_address);
+    let advertise = object.optional("advertise", CheckNode::reached_address);
     let peers = object.or("peers", Vec::new(), read_peers);
     let object_api = object.required("object_api", CheckNode::reached_address);
     let default_stop = Duration::from_secs_f64(DEFAULT_STOP_S);
@@ -194,6 +201,7 @@
         readiness: readiness?,
         metrics: metrics?,
         link: link?,
+        advertise: advertise?,
         peers: peers?,
         object_api: object_api?,
         stop_limit: stop_limit?,
