Answer requests that outlast a graceful stop, in place of ending their connections

Cause: when the time for a graceful stop was over, the process ended, and with it the connections of requests that still waited at an upstream that said nothing. Their callers saw no answer, though the requests had run. Ruled out: the grants' closing and the flush of connections; both had time left. Now every request that is under way at the end of a stop is told that it may have run (502), streams end without the mark of a complete answer, and their upstreams are released.

--- a/crates/sagespool-gateway/src/flight.rs
+++ b/crates/sagespool-gateway/src/flight.rs
@@ -12,6 +12,7 @@
 
 use crate::desk::Reservation;
 use crate::metrics::Outcome;
+use crate::refusal::Refusal;
 use crate::state::GatewayState;
 
 /// A request that may be sent: its route is known, its account pays for it.
@@ -146,6 +147,12 @@
 impl Drop for FlightRecord {
     fn drop(&mut self) {
         self.state.requests.fetch_sub(1, Ordering::Relaxed);
+        if self.outcome.is_none() && self.state.is_over() {
+            // A stream that has begun keeps the status that its caller saw.
+            let status =
+                if self.status == 0 { Refusal::Ended.status().as_u16() } else { self.status };
+            self.conclude(Outcome::Cut, status, Refusal::Ended.reason());
+        }
         let now = ClockTime::now();
         let outcome = self.outcome.unwrap_or(Outcome::CallerGone);
         let none = String::new;
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -63,7 +63,19 @@
         last_event: None,
         record,
     };
-    run(flight).await
+    run_or_end(flight).await
+}
+
+/// Runs a request to its end, or to the end of this instance. A request that outlasts a graceful
+/// stop would see its connection end without a word, and its caller couldn't tell that from a
+/// broken network: it is told that the request may have run, and the upstream is released.
+async fn run_or_end(flight: Flight) -> Response<AnswerBody> {
+    let state = flight.state.clone();
+    let ended = async {
+        state.until_over().await;
+        Refusal::Ended.response()
+    };
+    or(run(flight), ended).await
 }
 
 fn refuse(mut record: FlightRecord, refusal: Refusal, detail: &str) -> Response<AnswerBody> {
--- a/crates/sagespool-gateway/src/refusal.rs
+++ b/crates/sagespool-gateway/src/refusal.rs
@@ -44,6 +44,8 @@
     Failed,
     /// The time ran out at the upstream; it may have run.
     TimedOut,
+    /// This instance stopped while it was under way; it may have run.
+    Ended,
 }
 
 impl Refusal {
@@ -62,7 +64,7 @@
             | Self::NoUpstream
             | Self::Busy
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
-            Self::Failed => StatusCode::BAD_GATEWAY,
+            Self::Failed | Self::Ended => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -86,6 +88,7 @@
             Self::TooLate => "too-late",
             Self::Failed => "failed",
             Self::TimedOut => "timed-out",
+            Self::Ended => "stopped",
         }
     }
 
@@ -142,6 +145,7 @@
             Self::TooLate => f.write_str("no time was left to send the request; nothing ran"),
             Self::Failed => f.write_str("the upstream failed; the request may have run"),
             Self::TimedOut => f.write_str("the upstream took too long; the request may have run"),
+            Self::Ended => f.write_str("this instance has stopped; the request may have run"),
         }
     }
 }
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -38,6 +38,10 @@
     closing_by: AtomicU64,
     /// Told when `closing_by` is set.
     pub(crate) closing: Event,
+    /// The time for the stop is over: whatever is still under way ends now.
+    over: AtomicBool,
+    /// Told when `over` is set.
+    over_told: Event,
     /// Requests under way.
     pub(crate) requests: AtomicUsize,
     /// Callers' connections that are open.
@@ -91,6 +95,8 @@
             metrics: GatewayMetrics::new(),
             stopping: AtomicBool::new(false),
             closing_by: AtomicU64::new(0),
+            over: AtomicBool::new(false),
+            over_told: Event::new(),
             requests: AtomicUsize::new(0),
             closing: Event::new(),
             connections: AtomicUsize::new(0),
@@ -180,6 +186,24 @@
         closing != 0 && ClockTime(closing) < deadline
     }
 
+    /// Ends whatever is still under way.
+    pub(crate) fn end_requests(&self) {
+        self.over.store(true, Ordering::SeqCst);
+        self.over_told.notify(usize::MAX);
+    }
+
+    pub(crate) fn is_over(&self) -> bool {
+        self.over.load(Ordering::SeqCst)
+    }
+
+    /// Waits until `end_requests`.
+    pub(crate) async fn until_over(&self) {
+        let told = self.over_told.listen();
+        if !self.is_over() {
+            told.await;
+        }
+    }
+
     /// Whether this instance can serve requests: it knows the configuration and the upstreams, and
     /// doesn't stop.
     pub(crate) fn is_ready(&self) -> bool {
--- a/crates/sagespool-gateway/src/stream.rs
+++ b/crates/sagespool-gateway/src/stream.rs
@@ -42,7 +42,10 @@
     answer.place.began(ClockTime::now());
     flight.record.status = head.status.as_u16();
     let (sender, pieces) = bounded(PIECES_AHEAD);
-    let relay = smol::spawn(relay_all(flight, answer, sender));
+    let state = flight.state.clone();
+    let relay = smol::spawn(async move {
+        or(relay_all(flight, answer, sender), state.until_over()).await;
+    });
     Response::from_parts(head, AnswerBody::stream(pieces, relay))
 }
 
