--- a/crates/sagespool-testkit/src/processes.rs
+++ b/crates/sagespool-testkit/src/processes.rs
@@ -128,6 +128,11 @@
         self.signal(Signal::CONT, "resume")
     }
 
+    /// Tells it to read its settings again (SIGHUP).
+    pub fn hang_up(&self) -> Result<(), Report<ProcessError>> {
+        self.signal(Signal::HUP, "reload")
+    }
+
     /// Whether it has ended, and how.
     pub fn ended(&self) -> Result<Option<ExitStatus>, Report<ProcessError>> {
         let ended = self.child().try_wait();
--- a/crates/sagespool-testkit/src/processes/ports.rs
+++ b/crates/sagespool-testkit/src/processes/ports.rs
@@ -2,31 +2,35 @@
 
 use std::collections::HashSet;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::{Ipv4Addr, TcpListener, UdpSocket};
+use std::ops::RangeInclusive;
 use std::sync::{LazyLock, Mutex};
 
-/// So often the system may offer a port that was handed out before.
-const MOST_OFFERS: usize = 100;
+/// Ports below those that the system gives to connections that go out (32,768 and up by default).
+/// A process that is down for a while would otherwise find its port taken by such a connection when
+/// it is started again.
+const OFFERED: RangeInclusive<u16> = 10_000..=32_000;
+/// So many ports may be held by others, or have been handed out before.
+const MOST_OFFERS: usize = 1_000;
 
-/// Ports are given back to the system before the process takes them, so the
-/// system may offer one again; none is handed out twice in one test process.
+/// None is handed out twice in one test process.
 static HANDED_OUT: LazyLock<Mutex<HashSet<u16>>> = LazyLock::new(Mutex::default);
 
-/// A TCP port on 127.0.0.1 that the system chose and nobody holds.
+/// A TCP port on 127.0.0.1 that nobody holds.
 pub fn free_tcp_port() -> io::Result<u16> {
-    new_port(|| TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr())
+    new_port(|port| TcpListener::bind((Ipv4Addr::LOCALHOST, port)).map(drop))
 }
 
-/// A UDP port on 127.0.0.1 that the system chose and nobody holds.
+/// A UDP port on 127.0.0.1 that nobody holds.
 pub fn free_udp_port() -> io::Result<u16> {
-    new_port(|| UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr())
+    new_port(|port| UdpSocket::bind((Ipv4Addr::LOCALHOST, port)).map(drop))
 }
 
-fn new_port(offer: impl Fn() -> io::Result<SocketAddr>) -> io::Result<u16> {
+fn new_port(try_out: impl Fn(u16) -> io::Result<()>) -> io::Result<u16> {
     for _ in 0..MOST_OFFERS {
-        let port = offer()?.port();
+        let port = fastrand::u16(OFFERED);
         let mut handed_out = HANDED_OUT.lock().expect("no holder of the ports' lock panics");
-        if handed_out.insert(port) {
+        if try_out(port).is_ok() && handed_out.insert(port) {
             return Ok(port);
         }
     }
