A stream that breaks off before its first event is answered 502, not by silence

Cause: the head of a stream was given to the library at once, which writes it together with what follows. If the upstream broke off in its first event, the connection ended with neither head nor words, though the request had run. Ruled out: faults of the gateways concerned (none was planned on them), and stops. Now the head waits for the first event, which is what callers wait for; without one the answer is 502. Test that failed first: attempt_faults stream_without_events.

--- a/crates/sagespool-gateway/src/body.rs
+++ b/crates/sagespool-gateway/src/body.rs
@@ -36,6 +36,8 @@
 pub(crate) enum AnswerBody {
     Whole(Option<Bytes>),
     Stream {
+        /// What came before the answer's head was passed on.
+        first: Option<BodyPiece>,
         pieces: Pin<Box<Receiver<BodyPiece>>>,
         /// Passes the answer on. It ends when the caller goes, because the body is dropped then.
         _relay: Task<()>,
@@ -47,8 +49,8 @@
         Self::Whole((!bytes.is_empty()).then_some(bytes))
     }
 
-    pub(crate) fn stream(pieces: Receiver<BodyPiece>, relay: Task<()>) -> Self {
-        Self::Stream { pieces: Box::pin(pieces), _relay: relay }
+    pub(crate) fn stream(first: BodyPiece, pieces: Receiver<BodyPiece>, relay: Task<()>) -> Self {
+        Self::Stream { first: Some(first), pieces: Box::pin(pieces), _relay: relay }
     }
 }
 
@@ -62,15 +64,18 @@
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerCut>>> {
         match &mut *self {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Stream { pieces, .. } => match pieces.as_mut().poll_next(context) {
-                Poll::Pending => Poll::Pending,
-                Poll::Ready(Some(BodyPiece::Data(bytes))) => {
-                    Poll::Ready(Some(Ok(Frame::data(bytes))))
-                }
-                Poll::Ready(Some(BodyPiece::End)) => Poll::Ready(None),
-                // The relay ended without saying that the answer is complete.
-                Poll::Ready(None) => Poll::Ready(Some(Err(AnswerCut))),
-            },
+            Self::Stream { first, pieces, .. } => {
+                let polled = match first.take() {
+                    Some(piece) => Poll::Ready(Some(piece)),
+                    None => pieces.as_mut().poll_next(context),
+                };
+                polled.map(|piece| match piece {
+                    Some(BodyPiece::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+                    Some(BodyPiece::End) => None,
+                    // The relay ended without saying that the answer is complete.
+                    None => Some(Err(AnswerCut)),
+                })
+            }
         }
     }
 
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -213,7 +213,7 @@
     loop {
         let patience = send_patience(&flight, ClockTime::now());
         let result = match send_once(&mut flight, patience).await {
-            Ok(answer) if is_stream(&flight, &answer) => return start_stream(flight, answer),
+            Ok(answer) if is_stream(&flight, &answer) => return start_stream(flight, answer).await,
             Ok(answer) => collect(&mut flight, answer).await,
             Err(failure) => Err(failure),
         };
--- a/crates/sagespool-gateway/src/stream.rs
+++ b/crates/sagespool-gateway/src/stream.rs
@@ -17,6 +17,7 @@
 use crate::hop::strip_hop;
 use crate::metrics::Outcome;
 use crate::pipeline::{may_send_again, says_close, send_patience};
+use crate::refusal::Refusal;
 
 /// Pieces on their way to the caller's connection. A caller that reads slowly holds its upstream
 /// up after these, in place of filling this process's memory.
@@ -34,8 +35,14 @@
     CallerGone,
 }
 
-/// Answers with the head of a stream; a task of its own passes the events on.
-pub(crate) fn start_stream(mut flight: Flight, mut answer: OpenAnswer) -> Response<AnswerBody> {
+/// Answers with a stream; a task of its own passes the events on.
+///
+/// The head waits for the first event: a stream that breaks off before it would reach the caller as a
+/// connection that ends without a word, since the library writes the head together with what follows.
+pub(crate) async fn start_stream(
+    mut flight: Flight,
+    mut answer: OpenAnswer,
+) -> Response<AnswerBody> {
     flight.may_have_run = true;
     let mut head = answer.head.clone();
     strip_hop(&mut head.headers);
@@ -46,7 +53,11 @@
     let relay = smol::spawn(async move {
         or(relay_all(flight, answer, sender), state.until_over()).await;
     });
-    Response::from_parts(head, AnswerBody::stream(pieces, relay))
+    match pieces.recv().await {
+        Ok(first) => Response::from_parts(head, AnswerBody::stream(first, pieces, relay)),
+        // The relay has given up, and has written why to the log.
+        Err(_) => Refusal::Failed.response(),
+    }
 }
 
 /// Passes on the events of one upstream after the other, until the stream is complete or given up.
@@ -64,7 +75,7 @@
             }
             StreamEnd::CallerGone => return,
             StreamEnd::TimeOver => {
-                flight.record.conclude(Outcome::Cut, flight.record.status, "timed-out");
+                conclude_cut(&mut flight, "timed-out");
                 return;
             }
             StreamEnd::Broken => SendFailure::Lost("stream-broken"),
@@ -72,13 +83,20 @@
         answer = match go_on(&mut flight, failure).await {
             Some(answer) => answer,
             None => {
-                flight.record.conclude(Outcome::Cut, flight.record.status, failure.as_str());
+                conclude_cut(&mut flight, failure.as_str());
                 return;
             }
         };
     }
 }
 
+/// Notes that a stream broke off. Before its first event the caller gets another answer.
+fn conclude_cut(flight: &mut Flight, detail: &str) {
+    let began = flight.record.events > 0;
+    let status = if began { flight.record.status } else { Refusal::Failed.status().as_u16() };
+    flight.record.conclude(Outcome::Cut, status, detail);
+}
+
 /// Sends the request to another upstream, to go on after the last event that was passed on.
 async fn go_on(flight: &mut Flight, mut failure: SendFailure) -> Option<OpenAnswer> {
     while flight.request.route.resumable && may_send_again(flight, failure, ClockTime::now()) {
