Write out what came before a break before the caller's connection is broken off

Cause: when a body fails, the HTTP library drops the connection with whatever it hasn't written. Ruled out: the relay losing events (they are in the body's channel), the kernel (it delivers what was written before the close). Now the body waits, for a second at most, until the connection has flushed past the break; connections count their flushes.

--- a/crates/sagespool-gateway/src/callers.rs
+++ b/crates/sagespool-gateway/src/callers.rs
@@ -16,6 +16,7 @@
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
+use crate::flush::{CountedStream, FlushCounter};
 use crate::pipeline::serve;
 use crate::state::GatewayState;
 
@@ -68,10 +69,15 @@
     let limits = plan.as_ref().map(|index| &index.plan().limits);
     let idle = limits.map_or(DEFAULT_IDLE, |limits| limits.idle_time);
     let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes.0 as usize);
+    let flushes = Arc::new(FlushCounter::default());
+    let stream = CountedStream::new(stream, flushes.clone());
     let shared = state.clone();
     let service = service_fn(move |request| {
-        let state = shared.clone();
-        async move { Ok::<_, Infallible>(serve(state, request).await) }
+        let (state, flushes) = (shared.clone(), flushes.clone());
+        async move {
+            let response = serve(state, request).await;
+            Ok::<_, Infallible>(response.map(|body| body.sent_over(&flushes)))
+        }
     });
     let mut builder = http1::Builder::new();
     // The library's limit for a header runs from the end of the request before, so it has to allow
--- a/crates/sagespool-gateway/src/lib.rs
+++ b/crates/sagespool-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod dialect;
 mod fleet;
 mod flight;
+mod flush;
 mod follow;
 mod hop;
 mod identity;
@@ -27,6 +28,8 @@
 mod status;
 mod stream;
 
+pub use body::{AnswerBody, AnswerCut, BodyPiece, StreamedBody};
 pub use dialect::{AnswerMarks, DemandFault, OnwardTerms, WireDialect};
+pub use flush::{CountedStream, FlushCounter};
 pub use relay_role::RelayRole;
 pub use role::{GatewayError, GatewayRole, StopReport};
