Upstreams that start again under their name, and entries that others have spoilt

A restarted upstream is told by the time of its start: its load, cache and failures begin anew, kept connections and requests counted in flight belong to the run before, and a repeat may go to it. An entry that can't be read takes its upstream out of use and cuts nothing off; all others hold, in a listing and in a watch.

--- a/crates/sagespool-forward/src/lib.rs
+++ b/crates/sagespool-forward/src/lib.rs
@@ -33,4 +33,4 @@
     ServicePlan,
 };
 pub use retry::{RetryBudget, RetryTerms};
-pub use roster::{RosterChange, UpstreamRecord, UpstreamRoster};
+pub use roster::{RosterChange, UpstreamRecord, UpstreamRoster, UpstreamRun};
--- a/crates/sagespool-forward/src/placement.rs
+++ b/crates/sagespool-forward/src/placement.rs
@@ -6,7 +6,7 @@
 use sagespool_types::{CentreName, ClockTime, TokenCount, UpstreamName};
 
 use crate::engine::{PartCache, chain_ids, mix};
-use crate::{EngineTraits, PromptPart, UpstreamRecord};
+use crate::{EngineTraits, PromptPart, UpstreamRecord, UpstreamRun};
 
 mod health;
 
@@ -70,6 +70,8 @@
     /// Tokens that the upstream probably has to read for it.
     pub unread: TokenCount,
     began: bool,
+    /// Of the load that it is counted in: an upstream that is forgotten and known anew has another.
+    load: u64,
 }
 
 /// How a request ended at an upstream.
@@ -89,6 +91,8 @@
 
 #[derive(Debug)]
 struct UpstreamLoad {
+    /// Tells this load from those of earlier runs of the upstream.
+    id: u64,
     /// Own requests in flight.
     running: u32,
     /// Tokens of own requests that the upstream has still to read.
@@ -111,6 +115,8 @@
 pub struct PlacementBoard {
     policy: PlacementPolicy,
     loads: HashMap<UpstreamName, UpstreamLoad>,
+    /// Loads so far.
+    counted: u64,
 }
 
 /// Word of other instances' requests is half as good after this time: requests last about a second.
@@ -133,7 +139,7 @@
 impl PlacementBoard {
     /// A board that knows nothing yet.
     pub fn new(policy: PlacementPolicy) -> Self {
-        Self { policy, loads: HashMap::new() }
+        Self { policy, loads: HashMap::new(), counted: 0 }
     }
 
     /// Chooses among candidates, and counts the request there. Nothing if there are none that
@@ -142,11 +148,11 @@
         &mut self,
         candidates: impl Iterator<Item = &'a UpstreamRecord>,
         shape: WorkShape<'_>,
-        tried: &[UpstreamName],
+        tried: &[UpstreamRun],
         now: ClockTime,
     ) -> Option<SendTicket> {
         let candidates: Vec<&UpstreamRecord> =
-            candidates.filter(|record| !tried.contains(&record.name)).collect();
+            candidates.filter(|record| !tried.contains(&record.run())).collect();
         let sound: Vec<&UpstreamRecord> =
             candidates.iter().copied().filter(|record| self.admits(&record.name, now)).collect();
         // With most upstreams ejected, the cause is more likely on this side: use them all.
@@ -221,12 +227,18 @@
             cache.note(shape.parts);
         }
         load.health.begin(now);
+        let load = load.id;
         let expected = Duration::from_secs_f64(rating.expected_ms / 1000.0);
-        SendTicket { upstream, sent: now, expected, unread: rating.unread, began: false }
+        SendTicket { upstream, sent: now, expected, unread: rating.unread, began: false, load }
     }
 
     fn load_of(&mut self, name: &UpstreamName, engine: Option<&EngineTraits>) -> &mut UpstreamLoad {
+        let counted = &mut self.counted;
         let fresh = || UpstreamLoad {
+            id: {
+                *counted += 1;
+                *counted
+            },
             running: 0,
             unread: TokenCount::ZERO,
             others: 0.0,
@@ -240,13 +252,20 @@
         self.loads.entry(name.clone()).or_insert_with(fresh)
     }
 
+    /// The load that a request is counted in. Nothing if the upstream was forgotten since: what its
+    /// earlier run still answers, or fails to, says nothing of the present one.
+    fn load_counting(&mut self, ticket: &SendTicket) -> Option<&mut UpstreamLoad> {
+        let load = self.loads.get_mut(&ticket.upstream.name)?;
+        (load.id == ticket.load).then_some(load)
+    }
+
     /// Notes that the first event, or the answer, of a request has come.
     pub fn began(&mut self, ticket: &mut SendTicket, now: ClockTime) {
         if ticket.began {
             return;
         }
         ticket.began = true;
-        let Some(load) = self.loads.get_mut(&ticket.upstream.name) else {
+        let Some(load) = self.load_counting(ticket) else {
             return;
         };
         load.unread = load.unread.less(ticket.unread);
@@ -264,7 +283,7 @@
         if outcome == SendOutcome::Answered {
             self.began(&mut ticket, now);
         }
-        let Some(load) = self.loads.get_mut(&ticket.upstream.name) else {
+        let Some(load) = self.load_counting(&ticket) else {
             return;
         };
         load.running = load.running.saturating_sub(1);
@@ -282,7 +301,7 @@
         }
     }
 
-    /// Forgets an upstream that is gone.
+    /// Forgets an upstream that is gone, or what its earlier run was like.
     pub fn forget(&mut self, name: &UpstreamName) {
         self.loads.remove(name);
     }
--- a/crates/sagespool-forward/src/roster.rs
+++ b/crates/sagespool-forward/src/roster.rs
@@ -4,13 +4,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use sagespool_types::{CentreName, ClockTime, ServiceName, UpstreamName};
+use sagespool_types::{CentreName, ClockTime, ServiceName, UpstreamBirth, UpstreamName};
 
 /// An upstream as the list of upstreams has it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct UpstreamRecord {
-    /// One run of it; after a restart it has another name.
+    /// What it is known by. It may start again under the same name.
     pub name: UpstreamName,
+    /// When its present run began, if it says so.
+    pub born: Option<UpstreamBirth>,
     /// The service that it belongs to.
     pub service: ServiceName,
     /// Where it takes calls.
@@ -23,11 +25,30 @@
     pub leaving: bool,
 }
 
+impl UpstreamRecord {
+    /// The run of the upstream that the entry speaks of.
+    pub fn run(&self) -> UpstreamRun {
+        UpstreamRun { name: self.name.clone(), born: self.born }
+    }
+}
+
+/// One run of an upstream: a request that a run may have begun can meet the next run of the same
+/// upstream as it can meet any other upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct UpstreamRun {
+    /// The upstream.
+    pub name: UpstreamName,
+    /// When the run began, if that is known.
+    pub born: Option<UpstreamBirth>,
+}
+
 /// What a change of the list did.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RosterChange {
     /// An upstream came, or is another than before.
     Joined,
+    /// An upstream has started again under its name: what was known of it is of its earlier run.
+    Restarted,
     /// An upstream leaves, and gets no new work.
     Leaving,
     /// An upstream is gone.
@@ -112,16 +133,27 @@
     pub fn put(&mut self, record: UpstreamRecord) -> (UpstreamName, RosterChange) {
         let name = record.name.clone();
         let known = self.entries.get(&name);
+        let restarted = known.is_some_and(|known| is_later_run(&known.record, &record));
         let change = match known {
             Some(known) if known.record == record => RosterChange::Unchanged,
+            _ if restarted => RosterChange::Restarted,
             _ if record.leaving => RosterChange::Leaving,
             _ => RosterChange::Joined,
         };
-        let replaced = known.is_some_and(|known| known.replaced);
+        // Whoever has the address now answered for the run before.
+        let replaced = !restarted && known.is_some_and(|known| known.replaced);
         self.entries.insert(name.clone(), RosterEntry { record, missing: None, replaced });
         (name, change)
     }
 
+    /// What an upstream's entry stands for that can't be read: another writer has written over it.
+    /// The upstream may be well and busy, so nothing of it is cut off, but the entry names nobody to
+    /// use. Nothing if the upstream wasn't known.
+    pub fn unreadable(&self, name: &UpstreamName) -> Option<UpstreamRecord> {
+        let known = self.entries.get(name)?;
+        Some(UpstreamRecord { leaving: true, ..known.record.clone() })
+    }
+
     /// Takes an upstream out that another one has replaced at its address. Its entry may stay on the
     /// list for some time, which doesn't bring it back.
     pub fn replaced(&mut self, name: &UpstreamName) {
@@ -187,3 +219,8 @@
         self.entries.get(name).map(|entry| &entry.record)
     }
 }
+
+/// Whether a new entry is of another run than the one that was known.
+fn is_later_run(known: &UpstreamRecord, record: &UpstreamRecord) -> bool {
+    matches!((known.born, record.born), (Some(known), Some(born)) if known != born)
+}
--- a/crates/sagespool-forward/tests/failing_upstreams.rs
+++ b/crates/sagespool-forward/tests/failing_upstreams.rs
@@ -12,6 +12,7 @@
 fn upstreams() -> Vec<UpstreamRecord> {
     let upstream = |name: &str| UpstreamRecord {
         name: name.parse().unwrap(),
+        born: None,
         service: "plain".parse().unwrap(),
         address: "127.0.0.1:9000".parse().unwrap(),
         centre: centre(),
--- a/crates/sagespool-forward/tests/roster_lapse.rs
+++ b/crates/sagespool-forward/tests/roster_lapse.rs
@@ -17,6 +17,7 @@
 fn record(name: &str) -> UpstreamRecord {
     UpstreamRecord {
         name: name.parse().unwrap(),
+        born: None,
         service: service(),
         address: "127.0.0.1:9000".parse().unwrap(),
         centre: "east".parse().unwrap(),
--- a/crates/sagespool-forward/tests/shared_prompts.rs
+++ b/crates/sagespool-forward/tests/shared_prompts.rs
@@ -34,6 +34,7 @@
 fn engines() -> Vec<UpstreamRecord> {
     let engine = |number: usize| UpstreamRecord {
         name: format!("engine-{number}").parse().unwrap(),
+        born: None,
         service: "engines".parse().unwrap(),
         address: "127.0.0.1:9000".parse().unwrap(),
         centre: centre(),
--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -109,7 +109,7 @@
     let now = ClockTime::now();
     let place = choose_place(flight, now).ok_or(SendFailure::NoUpstream)?;
     let upstream = place.ticket().upstream.clone();
-    flight.tried.push(upstream.name.clone());
+    flight.tried.push(upstream.run());
     flight.record.upstream = Some(upstream.name.clone());
     let result = exchange(flight, &place, patience).await;
     let now = ClockTime::now();
@@ -170,7 +170,7 @@
     patience: Duration,
 ) -> Result<(Response<Incoming>, UpstreamConnection), SendFailure> {
     let upstream = &place.ticket().upstream;
-    let kept = flight.state.pool.take(&upstream.name, ClockTime::now());
+    let kept = flight.state.pool.take(upstream, ClockTime::now());
     let mut connection = match kept {
         Some(connection) => connection,
         None => match connect(upstream).await {
--- a/crates/sagespool-gateway/src/flight.rs
+++ b/crates/sagespool-gateway/src/flight.rs
@@ -6,7 +6,7 @@
 
 use hyper::body::Bytes;
 use hyper::http::request::Parts;
-use sagespool_forward::{CallerDemand, ForwardRoute, PlanIndex, RepeatRule};
+use sagespool_forward::{CallerDemand, ForwardRoute, PlanIndex, RepeatRule, UpstreamRun};
 use sagespool_log::log_event;
 use sagespool_types::{BranchName, ClockTime, ServiceName, TokenCount, UpstreamName};
 
@@ -37,7 +37,7 @@
     /// Upstreams that it was sent to.
     pub(crate) sends: u32,
     /// Upstreams that it was sent to or that couldn't be reached.
-    pub(crate) tried: Vec<UpstreamName>,
+    pub(crate) tried: Vec<UpstreamRun>,
     /// True once an upstream may have run it.
     pub(crate) may_have_run: bool,
     /// The last event that was passed on to the caller.
--- a/crates/sagespool-gateway/src/follow.rs
+++ b/crates/sagespool-gateway/src/follow.rs
@@ -183,12 +183,17 @@
     }
 }
 
+/// Reads an upstream's entry. Other writers may spoil entries: one that can't be read takes its
+/// upstream out of use, and no other.
 fn read_upstream(state: &GatewayState, key: &str, value: &RawValue) -> Option<UpstreamRecord> {
     match (state.dialect.read_upstream)(key_name(key), value) {
         Ok(record) => Some(record),
         Err(detail) => {
-            log_event!(warn, "upstream-unreadable", key = key, detail = detail);
-            None
+            let name: Option<UpstreamName> = key_name(key).parse().ok();
+            let stands_for = name.and_then(|name| state.roster().unreadable(&name));
+            let known = stands_for.is_some();
+            log_event!(warn, "upstream-unreadable", key = key, known = known, detail = detail);
+            stands_for
         }
     }
 }
@@ -201,12 +206,13 @@
     let word = match change {
         RosterChange::Unchanged => return,
         RosterChange::Joined => "joined",
+        RosterChange::Restarted => "restarted",
         RosterChange::Leaving => "leaving",
         RosterChange::Missing => "missing",
         RosterChange::Gone => "gone",
     };
     log_event!(info, "upstream-changed", upstream = name, change = word);
-    if change == RosterChange::Gone {
+    if matches!(change, RosterChange::Gone | RosterChange::Restarted) {
         state.board().forget(&name);
     }
 }
--- a/crates/sagespool-gateway/src/pool.rs
+++ b/crates/sagespool-gateway/src/pool.rs
@@ -10,7 +10,7 @@
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{self, SendRequest};
-use sagespool_forward::UpstreamRecord;
+use sagespool_forward::{UpstreamRecord, UpstreamRun};
 use sagespool_types::{ClockTime, UpstreamName};
 use smol::net::TcpStream;
 use smol::{Task, Timer};
@@ -35,6 +35,8 @@
     pub(crate) sender: SendRequest<Full<Bytes>>,
     /// Requests that it has carried.
     pub(crate) carried: u32,
+    /// The run of the upstream that it was opened to.
+    run: UpstreamRun,
     idle_limit: Duration,
     idle_since: ClockTime,
     _driver: Task<()>,
@@ -49,8 +51,9 @@
     }
 }
 
-/// Idle connections, by upstream. An upstream's name is one run of it, so a connection is never
-/// used for another one that has the same address later.
+/// Idle connections, by upstream. Each is used for the run that it was opened to only: an upstream
+/// that lost power and started again under its name says nothing on connections from before, and a
+/// request sent on one would wait for its whole time.
 #[derive(Debug, Default)]
 pub(crate) struct UpstreamPool {
     idle: Mutex<HashMap<UpstreamName, Vec<UpstreamConnection>>>,
@@ -64,14 +67,15 @@
     /// A kept connection that is still good, the one used last.
     pub(crate) fn take(
         &self,
-        upstream: &UpstreamName,
+        upstream: &UpstreamRecord,
         now: ClockTime,
     ) -> Option<UpstreamConnection> {
         let mut idle = self.idle();
-        let kept = idle.get_mut(upstream)?;
+        let kept = idle.get_mut(&upstream.name)?;
+        let run = upstream.run();
         while let Some(connection) = kept.pop() {
             let fresh = now.since(connection.idle_since) < connection.idle_limit;
-            if fresh && connection.sender.is_ready() {
+            if fresh && connection.run == run && connection.sender.is_ready() {
                 return Some(connection);
             }
         }
@@ -129,6 +133,7 @@
     Ok(UpstreamConnection {
         sender,
         carried: 0,
+        run: upstream.run(),
         idle_limit: DEFAULT_IDLE,
         idle_since: ClockTime::default(),
         _driver: driver,
--- a/crates/sagespool-types/src/lib.rs
+++ b/crates/sagespool-types/src/lib.rs
@@ -36,4 +36,5 @@
 pub use refusal::{RefusalReason, RunState};
 pub use sizes::{
     BookNumber, ByteCount, ConfigVersion, RequestRate, StoreRevision, TokenCount, TokenRate,
+    UpstreamBirth,
 };
--- a/crates/sagespool-types/src/sizes.rs
+++ b/crates/sagespool-types/src/sizes.rs
@@ -14,6 +14,9 @@
     StoreRevision(u64), "a store revision";
     /// A version of the fleet's configuration: the store's revision of the object that holds it.
     ConfigVersion(u64), "a configuration version";
+    /// When a run of an upstream began, by the upstream's own clock, in milliseconds since 1970.
+    /// Two that differ are two runs; clocks step, so the larger one isn't always the later.
+    UpstreamBirth(u64), "the time of an upstream's start";
     /// One of the fixed number of books that the branches are spread over.
     BookNumber(u64), "a book number";
     /// Requests a second.
