Word of a spent book is good for longer each time it is confirmed; one time limit, one signal

Callers of a spent account go on asking, and each 300 ms an instance read the book again and asked all others for crumbs. Each reading that finds no more lets the next wait twice as long, 1.2 s at most; a new configuration ends what is known. Beside it, behaviour unchanged: the time limit that was written out six times is the link's within(), and a flag with its event is one OnceSignal in place of two pairs.

--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -3,16 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_lite::future::or;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use hyper::http::response::Parts;
 use hyper::{Request, Response};
 use sagespool_forward::{SendOutcome, SendTicket, WorkShape};
+use sagespool_link::within;
 use sagespool_log::log_event;
 use sagespool_types::ClockTime;
-use smol::Timer;
 
 use crate::dialect::OnwardTerms;
 use crate::flight::Flight;
@@ -185,12 +184,7 @@
     flight.record.sends = flight.sends;
     flight.charge_prompt();
     let sent = connection.sender.try_send_request(request);
-    let answered = async { Some(sent.await) };
-    let timer = async {
-        Timer::after(patience).await;
-        None
-    };
-    let response = match or(answered, timer).await {
+    let response = match within(patience, sent).await {
         None => return Err(SendFailure::Silent),
         Some(Ok(response)) => response,
         Some(Err(error)) => return Err(failed_send(flight, error)),
--- a/crates/sagespool-gateway/src/callers.rs
+++ b/crates/sagespool-gateway/src/callers.rs
@@ -86,10 +86,7 @@
     builder.max_buf_size(header_bytes.max(LEAST_BUFFER));
     let mut connection = pin!(builder.serve_connection(FuturesIo::new(stream), service));
     let asked = async {
-        let closing = state.closing.listen();
-        if !state.is_closing() {
-            closing.await;
-        }
+        state.closing.wait().await;
         true
     };
     let served = poll_fn(|context| match connection.as_mut().poll(context) {
--- a/crates/sagespool-gateway/src/desk.rs
+++ b/crates/sagespool-gateway/src/desk.rs
@@ -1,8 +1,10 @@
 //! Client accounts' budgets: what requests reserve, and the grants behind it.
 
 mod account;
+mod shortage;
 
 pub(crate) use self::account::Reservation;
+pub use self::shortage::KnownShortage;
 
 use std::collections::HashMap;
 use std::sync::atomic::Ordering;
@@ -10,6 +12,7 @@
 use std::time::Duration;
 
 use sagespool_ledger::{GrantTerms, PrepaidBook, prepaid_key};
+use sagespool_link::within;
 use sagespool_log::log_event;
 use sagespool_platform::{ObjectClient, StoreError, UpdateChoice, update_object};
 use sagespool_types::{
@@ -275,11 +278,7 @@
         limit: Duration,
     ) -> Result<GrantOutcome, StoreError> {
         let asked = self.ask(account, order, missing, instances);
-        let timer = async {
-            Timer::after(limit).await;
-            Err(StoreError::Unavailable)
-        };
-        futures_lite::future::or(asked, timer).await
+        within(limit, asked).await.unwrap_or(Err(StoreError::Unavailable))
     }
 
     /// Asks for a grant that covers `missing` more, and reserves it.
--- a/crates/sagespool-gateway/src/desk/account.rs
+++ b/crates/sagespool-gateway/src/desk/account.rs
@@ -2,16 +2,13 @@
 
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
 use async_lock::Mutex as TurnLock;
 use sagespool_ledger::{PrepaidBook, PrepaidPurse};
 use sagespool_types::{BranchName, ClockTime, ConfigVersion, StoreRevision, TokenCount};
 
 use super::BudgetOrder;
-
-/// A book that couldn't cover a request is taken to be no fuller for so long.
-const SHORT_LIFE: Duration = Duration::from_millis(300);
+use super::shortage::KnownShortage;
 
 /// One account's.
 pub(crate) struct AccountDesk {
@@ -19,7 +16,7 @@
     pub(super) purse: Mutex<PrepaidPurse>,
     /// The book as it was last read or written. Whoever holds the lock writes.
     pub(super) book: TurnLock<Option<KnownBook>>,
-    shortage: Mutex<Option<Shortage>>,
+    shortage: Mutex<Option<KnownShortage>>,
     pub(super) tops_up: AtomicBool,
 }
 
@@ -29,15 +26,6 @@
     pub(super) value: PrepaidBook,
 }
 
-/// A book that couldn't cover a request.
-#[derive(Clone, Copy)]
-struct Shortage {
-    /// What it could have covered.
-    room: TokenCount,
-    version: ConfigVersion,
-    noted: ClockTime,
-}
-
 pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -62,20 +50,18 @@
 
     /// Notes that nobody could cover more than this.
     pub(super) fn note_shortage(&self, room: TokenCount, version: ConfigVersion, now: ClockTime) {
-        *lock(&self.shortage) = Some(Shortage { room, version, noted: now });
+        let mut shortage = lock(&self.shortage);
+        *shortage = Some(KnownShortage::noted(*shortage, room, version, now));
     }
 
     /// What could be covered, if that is known to be too little for an order.
     pub(super) fn shortage_of(&self, order: &BudgetOrder, now: ClockTime) -> Option<TokenCount> {
         let shortage = (*lock(&self.shortage))?;
-        let holds = shortage.version == order.version
-            && now.since(shortage.noted) < SHORT_LIFE
-            && order.amount > shortage.room;
-        holds.then_some(shortage.room)
+        shortage.covers_less_than(order.amount, order.version, now).then_some(shortage.room())
     }
 
     pub(super) fn is_nearly_spent(&self, now: ClockTime) -> bool {
-        lock(&self.shortage).is_some_and(|shortage| now.since(shortage.noted) < SHORT_LIFE)
+        lock(&self.shortage).is_some_and(|shortage| shortage.is_fresh(now))
     }
 }
 
--- a/crates/sagespool-gateway/src/flight.rs
+++ b/crates/sagespool-gateway/src/flight.rs
@@ -147,7 +147,7 @@
 impl Drop for FlightRecord {
     fn drop(&mut self) {
         self.state.requests.fetch_sub(1, Ordering::Relaxed);
-        if self.outcome.is_none() && self.state.is_over() {
+        if self.outcome.is_none() && self.state.over.is_given() {
             // A stream that has begun keeps the status that its caller saw.
             let status =
                 if self.status == 0 { Refusal::Ended.status().as_u16() } else { self.status };
--- a/crates/sagespool-gateway/src/lib.rs
+++ b/crates/sagespool-gateway/src/lib.rs
@@ -24,11 +24,13 @@
 mod refusal;
 mod relay_role;
 mod role;
+mod signal;
 mod state;
 mod status;
 mod stream;
 
 pub use body::{AnswerBody, AnswerCut, BodyPiece, StreamedBody};
+pub use desk::KnownShortage;
 pub use dialect::{AnswerMarks, DemandFault, OnwardTerms, WireDialect};
 pub use flush::{CountedStream, FlushCounter};
 pub use relay_role::RelayRole;
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -11,8 +11,8 @@
 use hyper::http::response::Parts as ResponseParts;
 use hyper::{Request, Response};
 use sagespool_forward::{BranchPlan, CallerDemand, PlanIndex, SendOutcome};
+use sagespool_link::within;
 use sagespool_types::ClockTime;
-use smol::Timer;
 
 use crate::attempt::{OpenAnswer, SendFailure, send_once};
 use crate::body::AnswerBody;
@@ -72,7 +72,7 @@
 async fn run_or_end(flight: Flight) -> Response<AnswerBody> {
     let state = flight.state.clone();
     let ended = async {
-        state.until_over().await;
+        state.over.wait().await;
         Refusal::Ended.response()
     };
     or(run(flight), ended).await
@@ -179,11 +179,7 @@
         let collected = Limited::new(body, most).collect().await;
         collected.map(|whole| whole.to_bytes()).map_err(|error| body_fault(&*error))
     };
-    let timer = async {
-        Timer::after(limit).await;
-        Err(Refusal::BodyTooSlow)
-    };
-    or(collected, timer).await
+    within(limit, collected).await.unwrap_or(Err(Refusal::BodyTooSlow))
 }
 
 fn body_fault(error: &(dyn std::error::Error + Send + Sync + 'static)) -> Refusal {
@@ -291,11 +287,7 @@
         let collected = Limited::new(body, LONGEST_WHOLE).collect().await;
         collected.map(|whole| whole.to_bytes()).map_err(|_| SendFailure::Lost("answer-broken"))
     };
-    let timer = async {
-        Timer::after(left).await;
-        Err(SendFailure::Silent)
-    };
-    let collected = or(collected, timer).await;
+    let collected = within(left, collected).await.unwrap_or(Err(SendFailure::Silent));
     let now = ClockTime::now();
     let bytes = match collected {
         Ok(bytes) => bytes,
--- a/crates/sagespool-gateway/src/pool.rs
+++ b/crates/sagespool-gateway/src/pool.rs
@@ -6,14 +6,14 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use futures_lite::future::or;
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{self, SendRequest};
 use sagespool_forward::{UpstreamRecord, UpstreamRun};
+use sagespool_link::within;
 use sagespool_types::{ClockTime, UpstreamName};
+use smol::Task;
 use smol::net::TcpStream;
-use smol::{Task, Timer};
 use smol_hyper::rt::FuturesIo;
 
 /// How long connecting may take: the round trip within a region is a millisecond or two, and the
@@ -119,11 +119,8 @@
 /// # Errors
 /// If the upstream can't be reached in time. Nothing was sent then.
 pub(crate) async fn connect(upstream: &UpstreamRecord) -> io::Result<UpstreamConnection> {
-    let timer = async {
-        Timer::after(CONNECT_LIMIT).await;
-        Err(io::ErrorKind::TimedOut.into())
-    };
-    let stream = or(open_stream(upstream.address), timer).await?;
+    let opened = within(CONNECT_LIMIT, open_stream(upstream.address)).await;
+    let stream = opened.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))?;
     let (sender, driver) =
         http1::handshake(FuturesIo::new(stream)).await.map_err(io::Error::other)?;
     // What ends the connection shows at the request that it carries.
--- a/crates/sagespool-gateway/src/role.rs
+++ b/crates/sagespool-gateway/src/role.rs
@@ -138,7 +138,7 @@
         let requests = || state.requests.load(Ordering::Relaxed);
         wait_until(|| requests() == 0, last).await;
         let cut = requests();
-        state.end_requests();
+        state.over.give();
         // Whoever connects from here on finds nobody, and knows that nothing has run.
         drop(accepting);
         let open = || state.connections.load(Ordering::Relaxed);
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -3,7 +3,6 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard};
 
-use event_listener::Event;
 use sagespool_forward::{
     PlacementBoard, PlacementPolicy, PlanIndex, RetryBudget, RetryTerms, UpstreamRoster,
 };
@@ -21,6 +20,7 @@
 use crate::metrics::GatewayMetrics;
 
 use crate::pool::UpstreamPool;
+use crate::signal::OnceSignal;
 
 /// The shared state.
 pub(crate) struct GatewayState {
@@ -33,15 +33,12 @@
     pub(crate) metrics: GatewayMetrics,
     /// A graceful stop has begun.
     pub(crate) stopping: AtomicBool,
-    /// By when every request must have ended, in microseconds; 0 until callers' connections are to
-    /// end after the request that they carry.
+    /// By when every request must have ended, in microseconds, once `closing` is given.
     closing_by: AtomicU64,
-    /// Told when `closing_by` is set.
-    pub(crate) closing: Event,
+    /// Callers' connections are to end after the request that they carry.
+    pub(crate) closing: OnceSignal,
     /// The time for the stop is over: whatever is still under way ends now.
-    over: AtomicBool,
-    /// Told when `over` is set.
-    over_told: Event,
+    pub(crate) over: OnceSignal,
     /// Requests under way.
     pub(crate) requests: AtomicUsize,
     /// Callers' connections that are open.
@@ -95,10 +92,9 @@
             metrics: GatewayMetrics::new(),
             stopping: AtomicBool::new(false),
             closing_by: AtomicU64::new(0),
-            over: AtomicBool::new(false),
-            over_told: Event::new(),
             requests: AtomicUsize::new(0),
-            closing: Event::new(),
+            closing: OnceSignal::default(),
+            over: OnceSignal::default(),
             connections: AtomicUsize::new(0),
             fleet,
             plan: RwLock::default(),
@@ -170,38 +166,15 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
-    pub(crate) fn is_closing(&self) -> bool {
-        self.closing_by.load(Ordering::Relaxed) != 0
-    }
-
     /// Lets callers' connections end; requests that come all the same must end by then.
     pub(crate) fn close_by(&self, last: ClockTime) {
-        self.closing_by.store(last.0.max(1), Ordering::Relaxed);
-        self.closing.notify(usize::MAX);
+        self.closing_by.store(last.0, Ordering::SeqCst);
+        self.closing.give();
     }
 
     /// Whether a request that may take until `deadline` would be cut off by the end of this process.
     pub(crate) fn ends_before(&self, deadline: ClockTime) -> bool {
-        let closing = self.closing_by.load(Ordering::Relaxed);
-        closing != 0 && ClockTime(closing) < deadline
-    }
-
-    /// Ends whatever is still under way.
-    pub(crate) fn end_requests(&self) {
-        self.over.store(true, Ordering::SeqCst);
-        self.over_told.notify(usize::MAX);
-    }
-
-    pub(crate) fn is_over(&self) -> bool {
-        self.over.load(Ordering::SeqCst)
-    }
-
-    /// Waits until `end_requests`.
-    pub(crate) async fn until_over(&self) {
-        let told = self.over_told.listen();
-        if !self.is_over() {
-            told.await;
-        }
+        self.closing.is_given() && ClockTime(self.closing_by.load(Ordering::SeqCst)) < deadline
     }
 
     /// Whether this instance can serve requests: it knows the configuration and the upstreams, and
--- a/crates/sagespool-gateway/src/stream.rs
+++ b/crates/sagespool-gateway/src/stream.rs
@@ -8,8 +8,8 @@
 use hyper::Response;
 use hyper::body::{Bytes, Incoming};
 use sagespool_forward::{EventCutter, SendOutcome};
+use sagespool_link::within;
 use sagespool_types::ClockTime;
-use smol::Timer;
 
 use crate::attempt::{OpenAnswer, SendFailure, send_once};
 use crate::body::{AnswerBody, BodyPiece};
@@ -51,7 +51,7 @@
     let (sender, pieces) = bounded(PIECES_AHEAD);
     let state = flight.state.clone();
     let relay = smol::spawn(async move {
-        or(relay_all(flight, answer, sender), state.until_over()).await;
+        or(relay_all(flight, answer, sender), state.over.wait()).await;
     });
     match pieces.recv().await {
         Ok(first) => Response::from_parts(head, AnswerBody::stream(first, pieces, relay)),
@@ -192,11 +192,5 @@
 
 /// What a step brings before the request's time is over.
 async fn in_time<T>(flight: &Flight, step: impl Future<Output = T>) -> Option<T> {
-    let left = flight.time_left(ClockTime::now());
-    let step = async { Some(step.await) };
-    let timer = async {
-        Timer::after(left).await;
-        None
-    };
-    or(step, timer).await
+    within(flight.time_left(ClockTime::now()), step).await
 }
--- a/crates/sagespool-link/src/lib.rs
+++ b/crates/sagespool-link/src/lib.rs
@@ -67,3 +67,4 @@
 pub use exchange::EventStream;
 pub use identity::{IdentityError, LinkIdentity};
 pub use server::{EventSender, PeerCall, PeerHandler, PeerResponder};
+pub use time::within;
--- a/crates/sagespool-report/examples/day_report.rs
+++ b/crates/sagespool-report/examples/day_report.rs
@@ -2,7 +2,7 @@
 //! `day_report FILE...`, or standard input.
 
 use std::fs::File;
-use std::io::{self, BufRead, BufReader};
+use std::io::{self, BufRead, BufReader, Write};
 
 use sagespool_report::{AccountReport, LogLine, LossReport};
 
@@ -32,6 +32,5 @@
             File::open(&file).map_err(|error| io::Error::other(format!("{file}: {error}")))?;
         read(BufReader::new(source), &mut accounts, &mut losses)?;
     }
-    println!("{accounts}\n{losses}");
-    Ok(())
+    writeln!(io::stdout(), "{accounts}\n{losses}")
 }
