Leave silent upstreams out, and try ejected ones with requests that can go elsewhere

Cause: a request that may run once and waits at an upstream that went dark ends when its caller leaves, which told nothing of the upstream: it got new ones until repeatable requests failed there twice, and each try after an ejection could cost a request.

--- a/crates/sagespool-forward/src/placement.rs
+++ b/crates/sagespool-forward/src/placement.rs
@@ -9,8 +9,10 @@
 use crate::{EngineTraits, PromptPart, UpstreamRecord, UpstreamRun};
 
 mod health;
+mod silence;
 
 use health::UpstreamHealth;
+use silence::SilenceWatch;
 
 /// Figures of the choice.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -56,6 +58,8 @@
     pub engine: Option<&'a EngineTraits>,
     /// The data centre that it is sent from.
     pub centre: &'a CentreName,
+    /// Whether it may go to another upstream if this one fails.
+    pub repeatable: bool,
 }
 
 /// A request's place at an upstream, from the choice to the end.
@@ -108,6 +112,7 @@
     chosen: ClockTime,
     cache: Option<PartCache>,
     health: UpstreamHealth,
+    silence: SilenceWatch,
 }
 
 /// What this instance knows of each upstream's load, and the choice made from it.
@@ -154,7 +159,7 @@
         let candidates: Vec<&UpstreamRecord> =
             candidates.filter(|record| !tried.contains(&record.run())).collect();
         let sound: Vec<&UpstreamRecord> =
-            candidates.iter().copied().filter(|record| self.admits(&record.name, now)).collect();
+            candidates.iter().copied().filter(|record| self.admits(record, shape, now)).collect();
         // With most upstreams ejected, the cause is more likely on this side: use them all.
         let usable = if sound.len() * 2 >= candidates.len() { sound } else { candidates };
         let home = shared_chain(shape.parts).and_then(|chain| first_by_rank(&usable, chain));
@@ -166,8 +171,10 @@
         Some(self.take(record.clone(), rating, shape, now))
     }
 
-    fn admits(&self, name: &UpstreamName, now: ClockTime) -> bool {
-        self.loads.get(name).is_none_or(|load| load.health.admits(now))
+    fn admits(&self, record: &UpstreamRecord, shape: WorkShape<'_>, now: ClockTime) -> bool {
+        self.loads.get(&record.name).is_none_or(|load| {
+            load.health.admits(shape.repeatable, now) && !load.silence.is_silent(now)
+        })
     }
 
     fn rate(
@@ -227,8 +234,9 @@
             cache.note(shape.parts);
         }
         load.health.begin(now);
-        let load = load.id;
         let expected = Duration::from_secs_f64(rating.expected_ms / 1000.0);
+        load.silence.sent(expected, now);
+        let load = load.id;
         SendTicket { upstream, sent: now, expected, unread: rating.unread, began: false, load }
     }
 
@@ -248,6 +256,7 @@
             chosen: ClockTime::default(),
             cache: engine.map(|traits| PartCache::new(traits.memory)),
             health: UpstreamHealth::default(),
+            silence: SilenceWatch::default(),
         };
         self.loads.entry(name.clone()).or_insert_with(fresh)
     }
@@ -269,6 +278,7 @@
             return;
         };
         load.unread = load.unread.less(ticket.unread);
+        load.silence.heard(now);
         let expected = ticket.expected.as_secs_f64().max(0.001);
         let ratio = now.since(ticket.sent).as_secs_f64() / expected * load.slowness;
         let is_old = now.since(load.observed) > FORGOTTEN_AFTER;
@@ -290,9 +300,30 @@
         if !ticket.began {
             load.unread = load.unread.less(ticket.unread);
         }
+        let gave_up_waiting = outcome == SendOutcome::Cancelled && !ticket.began;
+        let outcome = match gave_up_waiting && load.silence.is_silent(now) {
+            true => SendOutcome::Broken,
+            false => outcome,
+        };
+        match outcome {
+            SendOutcome::Answered | SendOutcome::Refused | SendOutcome::Failed => {
+                load.silence.heard(now);
+            }
+            SendOutcome::Broken | SendOutcome::Cancelled => {}
+        }
+        if load.running == 0 {
+            load.silence.idle();
+        }
         load.health.end(outcome, now);
     }
 
+    /// Notes that a further event of a stream has come.
+    pub fn heard(&mut self, ticket: &SendTicket, now: ClockTime) {
+        if let Some(load) = self.load_counting(ticket) {
+            load.silence.heard(now);
+        }
+    }
+
     /// Notes an upstream's own word of its load: all requests that it runs or keeps waiting.
     pub fn note_load(&mut self, name: &UpstreamName, requests: u32, now: ClockTime) {
         if let Some(load) = self.loads.get_mut(name) {
--- a/crates/sagespool-forward/src/placement/health.rs
+++ b/crates/sagespool-forward/src/placement/health.rs
@@ -17,6 +17,9 @@
 const MEMORY: f64 = 0.9;
 const FIRST_EJECTION: Duration = Duration::from_millis(500);
 const LONGEST_EJECTION: Duration = Duration::from_secs(4);
+/// How much later than others a request that can't be repeated may try an ejected upstream. Where
+/// callers send repeatable ones at all, one comes by within this time.
+const UNREPEATABLE_DELAY: Duration = Duration::from_secs(2);
 
 /// Whether an upstream gets work.
 ///
@@ -35,8 +38,14 @@
 }
 
 impl UpstreamHealth {
-    pub(super) fn admits(&self, now: ClockTime) -> bool {
-        self.ejected_until.is_none_or(|until| now >= until && !self.trying)
+    /// Whether a request may go there. One that can't be repeated is lost if the upstream is still
+    /// down, so others try it first; where there are none it is tried all the same, later.
+    pub(super) fn admits(&self, repeatable: bool, now: ClockTime) -> bool {
+        let Some(until) = self.ejected_until else {
+            return true;
+        };
+        let due = if repeatable { until } else { until.after(UNREPEATABLE_DELAY) };
+        now >= due && !self.trying
     }
 
     pub(super) fn begin(&mut self, now: ClockTime) {
--- a/crates/sagespool-forward/tests/failing_upstreams.rs
+++ b/crates/sagespool-forward/tests/failing_upstreams.rs
@@ -26,7 +26,7 @@
 fn play(board: &mut PlacementBoard, from_ms: u64, count: u64, bad: SendOutcome) -> u64 {
     let upstreams = upstreams();
     let centre = centre();
-    let shape = WorkShape { parts: &[], engine: None, centre: &centre };
+    let shape = WorkShape { parts: &[], engine: None, centre: &centre, repeatable: true };
     let mut hits = 0;
     for step in 0..count {
         let now = ClockTime::from_millis(from_ms + step * 20);
@@ -65,7 +65,7 @@
     let mut board = PlacementBoard::new(PlacementPolicy::default());
     let upstreams = upstreams();
     let centre = centre();
-    let shape = WorkShape { parts: &[], engine: None, centre: &centre };
+    let shape = WorkShape { parts: &[], engine: None, centre: &centre, repeatable: true };
     for step in 0..200 {
         let now = ClockTime::from_millis(1_000 + step * 20);
         let ticket = board.choose(upstreams.iter(), shape, &[], now);
--- a/crates/sagespool-forward/tests/restarted_upstreams.rs
+++ b/crates/sagespool-forward/tests/restarted_upstreams.rs
@@ -36,7 +36,7 @@
     tried: &[UpstreamRun],
 ) -> Option<SendTicket> {
     let centre = centre();
-    let shape = WorkShape { parts: &[], engine: None, centre: &centre };
+    let shape = WorkShape { parts: &[], engine: None, centre: &centre, repeatable: true };
     board.choose(std::iter::once(record), shape, tried, at(10))
 }
 
--- a/crates/sagespool-forward/tests/shared_prompts.rs
+++ b/crates/sagespool-forward/tests/shared_prompts.rs
@@ -104,7 +104,7 @@
     let traits = traits();
     let centre = centre();
     let outcome = play(|boards, request, parts, now| {
-        let shape = WorkShape { parts, engine: Some(&traits), centre: &centre };
+        let shape = WorkShape { parts, engine: Some(&traits), centre: &centre, repeatable: true };
         let board = &mut boards[(request % INSTANCES as u64) as usize];
         board.choose(engines.iter(), shape, &[], now).unwrap()
     });
@@ -121,7 +121,7 @@
     let traits = traits();
     let centre = centre();
     let outcome = play(|boards, request, parts, now| {
-        let shape = WorkShape { parts, engine: Some(&traits), centre: &centre };
+        let shape = WorkShape { parts, engine: Some(&traits), centre: &centre, repeatable: true };
         let only = &engines[request as usize % ENGINES];
         let board = &mut boards[(request % INSTANCES as u64) as usize];
         board.choose(std::iter::once(only), shape, &[], now).unwrap()
--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -83,6 +83,13 @@
         }
     }
 
+    /// Notes that a further event has come.
+    pub(crate) fn heard(&self, now: ClockTime) {
+        if let Some(ticket) = &self.ticket {
+            self.state.board().heard(ticket, now);
+        }
+    }
+
     /// Gives the place up, with what became of the request.
     pub(crate) fn finish(mut self, outcome: SendOutcome, now: ClockTime) {
         if let Some(ticket) = self.ticket.take() {
@@ -155,8 +162,12 @@
         .index
         .service(&flight.request.service)
         .and_then(|service| service.engine.as_ref());
-    let shape =
-        WorkShape { parts: &flight.request.demand.parts, engine, centre: &state.settings.centre };
+    let shape = WorkShape {
+        parts: &flight.request.demand.parts,
+        engine,
+        centre: &state.settings.centre,
+        repeatable: flight.may_repeat(),
+    };
     let roster = state.roster();
     let ready = roster.ready(&flight.request.service);
     let ticket = state.board().choose(ready, shape, &flight.tried, now)?;
--- a/crates/sagespool-gateway/src/flight.rs
+++ b/crates/sagespool-gateway/src/flight.rs
@@ -56,6 +56,11 @@
         self.request.route.repeat == RepeatRule::Idempotent
     }
 
+    /// Whether it may go to one more upstream if the next one fails.
+    pub(crate) fn may_repeat(&self) -> bool {
+        self.is_idempotent() && self.sends + 1 < self.request.route.attempts
+    }
+
     fn note_charge(&mut self) {
         let reservation = self.request.reservation.as_ref();
         self.record.charged = reservation.map_or(TokenCount::ZERO, Reservation::charged);
--- a/crates/sagespool-gateway/src/stream.rs
+++ b/crates/sagespool-gateway/src/stream.rs
@@ -11,7 +11,7 @@
 use sagespool_link::within;
 use sagespool_types::ClockTime;
 
-use crate::attempt::{OpenAnswer, SendFailure, send_once};
+use crate::attempt::{OpenAnswer, SendFailure, SendPlace, send_once};
 use crate::body::{AnswerBody, BodyPiece};
 use crate::flight::Flight;
 use crate::hop::strip_hop;
@@ -122,7 +122,7 @@
     sender: &Sender<BodyPiece>,
 ) -> StreamEnd {
     let OpenAnswer { head, mut body, connection, place } = answer;
-    let end = relay_body(flight, &mut body, sender).await;
+    let end = relay_body(flight, &mut body, &place, sender).await;
     let now = ClockTime::now();
     match end {
         StreamEnd::Whole => {
@@ -140,6 +140,7 @@
 async fn relay_body(
     flight: &mut Flight,
     body: &mut Incoming,
+    place: &SendPlace,
     sender: &Sender<BodyPiece>,
 ) -> StreamEnd {
     let mut cutter = EventCutter::default();
@@ -156,6 +157,7 @@
                 Err(_) => continue,
             },
         };
+        place.heard(ClockTime::now());
         let whole = cutter.push(&bytes);
         if whole.count == 0 {
             continue;
