--- a/crates/sagespool-gateway/src/desk.rs
+++ b/crates/sagespool-gateway/src/desk.rs
@@ -310,7 +310,11 @@
             let present = book.granted(self.run);
             let now = ClockTime::now();
             let terms = self.terms.of_one(instances);
-            let wanted = lock(&account.purse).grant_to_ask(&book, present, missing, terms, now);
+            let wanted = {
+                let mut purse = lock(&account.purse);
+                purse.see_book(&book);
+                purse.grant_to_ask(&book, present, missing, terms, now)
+            };
             let Some(wanted) = wanted else {
                 if fresh {
                     let needed = lock(&account.purse).needed();
@@ -321,6 +325,8 @@
                 continue;
             };
             book.set_granted(self.run, &self.instance, wanted);
+            let supply = lock(&account.purse).supply_under(wanted, missing);
+            book.note_supply(self.run, supply);
             *known = None;
             match self.store.put(&key, read.version, &book).await {
                 Ok(version) => {
@@ -363,6 +369,7 @@
             book_free = book.free(),
             prepaid = book.prepaid,
             closed = book.closed,
+            given_up = book.given_up,
             holders = book.holders.len(),
             revision = version,
         );
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -64,7 +64,7 @@
         store: ObjectClient,
     ) -> Self {
         let GrantSettings { ahead, share, idle } = settings.grants;
-        let grants = GrantTerms { ahead, share, idle };
+        let grants = GrantTerms { ahead, share, idle, instances: 1 };
         let desk = BudgetDesk::new(store.clone(), run, settings.instance.clone(), grants);
         let place = OwnPlace::builder()
             .instance(settings.instance.clone())
--- a/crates/sagespool-ledger/src/prepaid/book.rs
+++ b/crates/sagespool-ledger/src/prepaid/book.rs
@@ -13,6 +13,9 @@
         pub instance: InstanceName,
         /// The most that it spends, over its whole life.
         pub granted: TokenCount,
+        /// What of it was for the time ahead when it was granted.
+        #[serde(default)]
+        pub supply: TokenCount,
     }
 }
 
@@ -26,11 +29,19 @@
         pub prepaid: TokenCount,
         /// Grants of runs that have ended, counted as spent.
         pub closed: TokenCount,
+        /// What of those was probably never spent. An estimate for the size of supplies; it decides
+        /// nothing else.
+        #[serde(default)]
+        pub given_up: TokenCount,
         /// The runs that may spend.
         pub holders: BTreeMap<IncarnationId, HolderRecord>,
     }
 }
 
+/// What a run that is killed hasn't spent of its supply, on average: supplies are filled up again when
+/// half of them is spent.
+const UNSPENT_SHARE: f64 = 0.75;
+
 /// The key of an account's book in the store.
 pub fn prepaid_key(branch: &BranchName) -> String {
     format!("prepaid/{branch}")
@@ -64,23 +75,28 @@
         instance: &InstanceName,
         granted: TokenCount,
     ) {
-        let record = HolderRecord { instance: instance.clone(), granted };
+        let supply = self.holders.get(&run).map_or(TokenCount::ZERO, |holder| holder.supply);
+        let record = HolderRecord { instance: instance.clone(), granted, supply };
         self.holders.insert(run, record);
     }
 
+    /// Notes what of a run's grant is for the time ahead.
+    pub fn note_supply(&mut self, run: IncarnationId, supply: TokenCount) {
+        if let Some(holder) = self.holders.get_mut(&run) {
+            holder.supply = supply;
+        }
+    }
+
     /// Closes the grants of earlier runs of an instance. What they hadn't spent is given up:
     /// whether they had isn't known.
     pub fn close_earlier(&mut self, run: IncarnationId, instance: &InstanceName) {
         let earlier =
             |id: &IncarnationId, holder: &HolderRecord| *id != run && holder.instance == *instance;
-        let ended: TokenCount = self
-            .holders
-            .iter()
-            .filter(|(id, holder)| earlier(id, holder))
-            .map(|(_, holder)| holder.granted)
-            .sum();
-        self.closed += ended;
-        self.holders.retain(|id, holder| !earlier(id, holder));
+        let ended = self.holders.extract_if(.., |id, holder| earlier(id, holder));
+        for (_, holder) in ended {
+            self.closed += holder.granted;
+            self.given_up += TokenCount((holder.supply.0 as f64 * UNSPENT_SHARE) as u64);
+        }
     }
 
     /// Ends a run that says itself what it has spent.
--- a/crates/sagespool-ledger/src/prepaid/purse.rs
+++ b/crates/sagespool-ledger/src/prepaid/purse.rs
@@ -15,21 +15,35 @@
     /// No instance takes more than this part of what is free, so that one restart never gives up
     /// much of a total.
     pub share: f64,
-    /// The most that a supply may be of a total.
+    /// The part of a total that may be given up: no supply is larger than what is left of it.
     ///
     /// Guards against totals that can't be used up: what a killed run held is given up, and so is
     /// what all runs held when all are killed at once. Callers count on 97 in 100 of a total. Once
     /// more than the rest is given up, every later request of the account is refused though
     /// callers can show that it would fit. With supplies for three seconds alone, a kill gave up
-    /// as much as a tenth of a total in the first half of it.
+    /// as much as a tenth of a total in the first half of it. A supply that stays within what may
+    /// be lost bridges outages of the store as long as no kill has used that up.
     pub idle: f64,
+    /// How many instances take supplies of an account beside each other.
+    pub instances: usize,
 }
 
 impl GrantTerms {
     /// The terms of one of several instances: its part of what is free.
     pub fn of_one(self, instances: usize) -> Self {
-        let instances = instances.max(1) as f64;
-        Self { share: self.share / instances, idle: self.idle / instances, ..self }
+        Self { instances: instances.max(1), ..self }
+    }
+
+    /// One instance's part of what all may take.
+    fn part_of(self, all: f64) -> f64 {
+        all / self.instances as f64
+    }
+
+    /// The largest supply under which no more is given up than may be.
+    fn largest_supply(self, total: TokenCount, given_up: TokenCount) -> f64 {
+        let losable = total.0 as f64 * self.idle;
+        let left = (losable - given_up.0 as f64).max(losable * LEAST_LEFT);
+        self.part_of(left)
     }
 }
 
@@ -44,6 +58,8 @@
     lent: TokenCount,
     used: TokenCount,
     reserved: TokenCount,
+    /// What killed runs had given up of the total when the book was seen last.
+    given_up: TokenCount,
     /// Tokens a second, over the last seconds.
     rate: f64,
     rate_at: ClockTime,
@@ -56,6 +72,9 @@
 /// where requests are a thousandth of a total. With a share of 0.2 a kill gives up a hundredth of a
 /// total, of the three that may be left over.
 const END_SPARE: f64 = 0.5;
+/// Of what may be given up, so much is risked even after all of it has been: with less, each request
+/// would wait for a write of its own.
+const LEAST_LEFT: f64 = 0.2;
 /// The rate of use forgets half within this time.
 const RATE_HALF_LIFE: Duration = Duration::from_secs(4);
 
@@ -100,13 +119,30 @@
 
     /// Whether a larger grant should be asked for before the purse is empty.
     pub fn runs_low(&self, terms: GrantTerms, total: TokenCount, now: ClockTime) -> bool {
-        (self.free().0 as f64) < self.wanted_ahead(terms, total, now) / 2.0
+        let wanted = self.wanted_ahead(terms, total, self.given_up, now);
+        (self.free().0 as f64) < wanted / 2.0
     }
 
     /// The supply that is aimed at.
-    fn wanted_ahead(&self, terms: GrantTerms, total: TokenCount, now: ClockTime) -> f64 {
+    fn wanted_ahead(
+        &self,
+        terms: GrantTerms,
+        total: TokenCount,
+        given_up: TokenCount,
+        now: ClockTime,
+    ) -> f64 {
         let lasting = self.rate_now(now) * terms.ahead.as_secs_f64();
-        lasting.min(total.0 as f64 * terms.idle)
+        lasting.min(terms.largest_supply(total, given_up))
+    }
+
+    /// Takes note of what the book says of losses.
+    pub fn see_book(&mut self, book: &PrepaidBook) {
+        self.given_up = book.given_up;
+    }
+
+    /// What a grant holds beyond what is spent, promised, or missing.
+    pub fn supply_under(&self, granted: TokenCount, missing: TokenCount) -> TokenCount {
+        granted.less(self.needed() + missing)
     }
 
     /// The grant to ask a book for, so that `missing` more can be reserved: that and a supply for
@@ -131,8 +167,8 @@
         }
         let left = room.less(least).0 as f64;
         let spare = (left - book.prepaid.0 as f64 * END_SHARE).max(left * END_SPARE);
-        let fair = spare * terms.share;
-        let ahead = self.wanted_ahead(terms, book.prepaid, now).min(fair);
+        let fair = terms.part_of(spare * terms.share);
+        let ahead = self.wanted_ahead(terms, book.prepaid, book.given_up, now).min(fair);
         Some((least + TokenCount(ahead as u64)).max(self.granted))
     }
 
--- a/crates/sagespool-settings/src/process/gateway.rs
+++ b/crates/sagespool-settings/src/process/gateway.rs
@@ -96,8 +96,8 @@
     pub ahead: Duration,
     /// The most that an instance takes ahead, of its even share of what is free.
     pub share: f64,
-    /// The most that it takes ahead, of an account's total. A kill of all instances gives up as
-    /// much of each account.
+    /// The most that may lie idle in supplies, of an account's total. A kill of all instances gives
+    /// up as much of each account at most, and later supplies are smaller by what was given up.
     pub idle: f64,
 }
 
@@ -119,9 +119,9 @@
 /// Outages and cuts on the users' platform last up to nine seconds.
 const DEFAULT_GRANTS: GrantSettings =
     GrantSettings { ahead: Duration::from_secs(10), share: 0.35, idle: DEFAULT_IDLE };
-/// Callers count on 97 in 100 of a total, so a fleet can be killed once without anybody seeing it,
-/// and a hundredth stays for what runs were charged whose answers got lost.
-const DEFAULT_IDLE: f64 = 0.02;
+/// Callers count on 97 in 100 of a total. A kill finds supplies three quarters full on average, so
+/// that a fleet that is killed once gives up three hundredths.
+const DEFAULT_IDLE: f64 = 0.04;
 const LONGEST_AHEAD_S: f64 = 3_600.0;
 const DEFAULT_RETRIES: RetrySettings =
     RetrySettings { ratio: 0.2, slack: 10.0, window: Duration::from_secs(10) };
