--- a/crates/sagespool-forward/src/placement.rs
+++ b/crates/sagespool-forward/src/placement.rs
@@ -5,14 +5,14 @@
 
 use sagespool_types::{CentreName, ClockTime, TokenCount, UpstreamName};
 
-use crate::engine::{PartCache, chain_ids, mix};
+use crate::engine::{chain_ids, mix};
 use crate::{EngineTraits, PromptPart, UpstreamRecord, UpstreamRun};
 
 mod health;
+mod load;
 mod silence;
 
-use health::UpstreamHealth;
-use silence::SilenceWatch;
+use load::UpstreamLoad;
 
 /// Figures of the choice.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -93,28 +93,6 @@
     Cancelled,
 }
 
-#[derive(Debug)]
-struct UpstreamLoad {
-    /// Tells this load from those of earlier runs of the upstream.
-    id: u64,
-    /// Own requests in flight.
-    running: u32,
-    /// Tokens of own requests that the upstream has still to read.
-    unread: TokenCount,
-    /// Requests of others, as its newest answer told.
-    others: f64,
-    others_at: ClockTime,
-    /// Observed against expected time; 1 is as expected.
-    slowness: f64,
-    /// When its speed was observed last.
-    observed: ClockTime,
-    /// When it was chosen last.
-    chosen: ClockTime,
-    cache: Option<PartCache>,
-    health: UpstreamHealth,
-    silence: SilenceWatch,
-}
-
 /// What this instance knows of each upstream's load, and the choice made from it.
 #[derive(Debug)]
 pub struct PlacementBoard {
@@ -124,8 +102,6 @@
     counted: u64,
 }
 
-/// Word of other instances' requests is half as good after this time: requests last about a second.
-const OTHERS_HALF_LIFE: Duration = Duration::from_millis(700);
 /// Weight of a new observation of an upstream's speed beside fresh ones; old ones count for nothing.
 const SPEED_WEIGHT: f64 = 0.2;
 const SLOWEST: f64 = 12.0;
@@ -242,23 +218,10 @@
 
     fn load_of(&mut self, name: &UpstreamName, engine: Option<&EngineTraits>) -> &mut UpstreamLoad {
         let counted = &mut self.counted;
-        let fresh = || UpstreamLoad {
-            id: {
-                *counted += 1;
-                *counted
-            },
-            running: 0,
-            unread: TokenCount::ZERO,
-            others: 0.0,
-            others_at: ClockTime::default(),
-            slowness: 1.0,
-            observed: ClockTime::default(),
-            chosen: ClockTime::default(),
-            cache: engine.map(|traits| PartCache::new(traits.memory)),
-            health: UpstreamHealth::default(),
-            silence: SilenceWatch::default(),
-        };
-        self.loads.entry(name.clone()).or_insert_with(fresh)
+        self.loads.entry(name.clone()).or_insert_with(|| {
+            *counted += 1;
+            UpstreamLoad::new(*counted, engine)
+        })
     }
 
     /// The load that a request is counted in. Nothing if the upstream was forgotten since: what its
@@ -343,13 +306,6 @@
     }
 }
 
-impl UpstreamLoad {
-    fn others_now(&self, now: ClockTime) -> f64 {
-        let age = now.since(self.others_at).as_secs_f64() / OTHERS_HALF_LIFE.as_secs_f64();
-        self.others * 0.5f64.powf(age)
-    }
-}
-
 struct UpstreamRating {
     cost_ms: f64,
     expected_ms: f64,
--- a/crates/sagespool-gateway/src/desk.rs
+++ b/crates/sagespool-gateway/src/desk.rs
@@ -1,6 +1,7 @@
 //! Client accounts' budgets: what requests reserve, and the grants behind it.
 
 mod account;
+mod grants;
 mod shortage;
 
 pub(crate) use self::account::Reservation;
@@ -11,29 +12,25 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use sagespool_ledger::{GrantTerms, PrepaidBook, prepaid_key};
-use sagespool_link::within;
+use sagespool_ledger::GrantTerms;
 use sagespool_log::log_event;
-use sagespool_platform::{ObjectClient, StoreError, UpdateChoice, update_object};
+use sagespool_platform::{ObjectClient, StoreError};
 use sagespool_types::{
-    BranchName, ClockTime, ConfigVersion, IncarnationId, InstanceName, StoreRevision, TokenCount,
+    BranchName, ClockTime, ConfigVersion, IncarnationId, InstanceName, TokenCount,
 };
-use smol::{Task, Timer};
 
-use self::account::{AccountDesk, KnownBook, lock};
+use self::account::{AccountDesk, lock};
+use self::grants::GrantOutcome;
 use crate::fleet::FleetBoard;
 use crate::peers::{LoanRound, borrow, borrow_at_home};
 use crate::refusal::Refusal;
 
-/// Writes to one book that are tried before a request is refused: other instances write too.
-const MOST_TRIES: u32 = 8;
 /// The share of a request's time that waiting for the store may take.
 const STORE_SHARE: u32 = 4;
 const LONGEST_STORE_WAIT: Duration = Duration::from_millis(800);
 /// After a failed call, requests that need the store are refused at once for so long. Each call
 /// that waits for nothing costs its request the time in which it could be answered elsewhere.
 const STORE_PAUSE: Duration = Duration::from_millis(250);
-const RETRY_PAUSE: Duration = Duration::from_millis(3);
 
 /// What a request asks of its account.
 #[derive(Debug, Clone)]
@@ -59,13 +56,6 @@
     store_failed: Mutex<Option<ClockTime>>,
 }
 
-/// What became of asking for a larger grant.
-enum GrantOutcome {
-    Granted,
-    /// The book can cover this much and no more.
-    Short(TokenCount),
-}
-
 impl BudgetDesk {
     pub(crate) fn new(
         store: ObjectClient,
@@ -269,112 +259,6 @@
         lock(&self.store_failed).is_some_and(|failed| now.since(failed) < STORE_PAUSE)
     }
 
-    async fn ask_in_time(
-        &self,
-        account: &AccountDesk,
-        order: &BudgetOrder,
-        missing: TokenCount,
-        instances: usize,
-        limit: Duration,
-    ) -> Result<GrantOutcome, StoreError> {
-        let asked = self.ask(account, order, missing, instances);
-        within(limit, asked).await.unwrap_or(Err(StoreError::Unavailable))
-    }
-
-    /// Asks for a grant that covers `missing` more, and reserves it.
-    async fn ask(
-        &self,
-        account: &AccountDesk,
-        order: &BudgetOrder,
-        missing: TokenCount,
-        instances: usize,
-    ) -> Result<GrantOutcome, StoreError> {
-        // Requests of one account wait for each other's writes: one grant serves them all.
-        let mut known = account.book.lock().await;
-        let key = prepaid_key(&account.branch);
-        for tries in 0..MOST_TRIES {
-            if missing > TokenCount::ZERO && lock(&account.purse).reserve(missing, ClockTime::now())
-            {
-                return Ok(GrantOutcome::Granted);
-            }
-            let fresh = known.is_none();
-            if fresh {
-                *known = Some(self.read_book(&key).await?);
-            }
-            let Some(read) = known.clone() else {
-                continue;
-            };
-            let mut book = read.value;
-            book.take_total(order.version, order.prepaid);
-            book.close_earlier(self.run, &self.instance);
-            let present = book.granted(self.run);
-            let now = ClockTime::now();
-            let terms = self.terms.of_one(instances);
-            let wanted = {
-                let mut purse = lock(&account.purse);
-                purse.see_book(&book);
-                purse.grant_to_ask(&book, present, missing, terms, now)
-            };
-            let Some(wanted) = wanted else {
-                if fresh {
-                    let needed = lock(&account.purse).needed();
-                    return Ok(GrantOutcome::Short((book.free() + present).less(needed)));
-                }
-                // What was known may be old: others give back.
-                *known = None;
-                continue;
-            };
-            book.set_granted(self.run, &self.instance, wanted);
-            let supply = lock(&account.purse).supply_under(wanted, missing);
-            book.note_supply(self.run, supply);
-            *known = None;
-            match self.store.put(&key, read.version, &book).await {
-                Ok(version) => {
-                    lock(&account.purse).acknowledged(wanted);
-                    self.log_grant(account, &book, wanted, version);
-                    *known = Some(KnownBook { version, value: book });
-                    if missing == TokenCount::ZERO {
-                        return Ok(GrantOutcome::Granted);
-                    }
-                }
-                Err(StoreError::Conflict { .. } | StoreError::Uncertain) => {
-                    Timer::after(RETRY_PAUSE.mul_f64(fastrand::f64() * f64::from(tries + 1))).await;
-                }
-                Err(error) => return Err(error),
-            }
-        }
-        Err(StoreError::Unavailable)
-    }
-
-    async fn read_book(&self, key: &str) -> Result<KnownBook, StoreError> {
-        let found = self.store.get::<PrepaidBook>(key).await?;
-        Ok(match found {
-            Some(object) => KnownBook { version: object.version, value: object.value },
-            None => KnownBook { version: StoreRevision::ZERO, value: PrepaidBook::default() },
-        })
-    }
-
-    fn log_grant(
-        &self,
-        account: &AccountDesk,
-        book: &PrepaidBook,
-        granted: TokenCount,
-        version: StoreRevision,
-    ) {
-        log_event!(
-            info,
-            "grant-acknowledged",
-            branch = account.branch,
-            granted = granted,
-            book_free = book.free(),
-            prepaid = book.prepaid,
-            closed = book.closed,
-            given_up = book.given_up,
-            holders = book.holders.len(),
-            revision = version,
-        );
-    }
-
     /// Asks for more before the purse is empty, so that requests seldom wait for the store.
     fn top_up_early(
         self: &Arc<Self>,
@@ -400,34 +284,4 @@
         })
         .detach();
     }
-
-    /// Ends this run's grants in the books, with what was really spent. For a graceful stop.
-    pub(crate) async fn close_all(self: &Arc<Self>, limit: Duration) {
-        let accounts: Vec<Arc<AccountDesk>> = lock(&self.accounts).values().cloned().collect();
-        let closing = accounts.into_iter().map(|account| {
-            let desk = self.clone();
-            smol::spawn(async move { desk.close(&account, limit).await })
-        });
-        let closing: Vec<Task<()>> = closing.collect();
-        for task in closing {
-            task.await;
-        }
-    }
-
-    async fn close(&self, account: &AccountDesk, limit: Duration) {
-        let spent = lock(&account.purse).needed();
-        lock(&account.purse).lower_to(spent);
-        let key = prepaid_key(&account.branch);
-        let close = |book: &mut PrepaidBook| {
-            if !book.holders.contains_key(&self.run) {
-                return UpdateChoice::Keep;
-            }
-            book.close(self.run, spent);
-            UpdateChoice::Write
-        };
-        match update_object(&self.store, &key, limit, close).await {
-            Ok(_) => log_event!(info, "grant-closed", branch = account.branch, spent = spent),
-            Err(error) => log_event!(warn, "grant-left", branch = account.branch, error = error),
-        }
-    }
 }
