--- a/crates/sagespool-testkit/src/fleet/running.rs
+++ b/crates/sagespool-testkit/src/fleet/running.rs
@@ -337,15 +337,21 @@
                 }
                 let member = &self.members[place];
                 let url = format!("http://{}/readyz", member.http);
-                let answer = client.get(url.as_str()).await;
-                let ready = answer
-                    .is_ok_and(|conn| conn.status().is_some_and(|status| status.is_success()));
-                if ready {
-                    break;
-                }
+                let asked = Instant::now();
+                let answer = match client.get(url.as_str()).await {
+                    Ok(conn) if conn.status().is_some_and(|status| status.is_success()) => break,
+                    Ok(mut conn) => {
+                        let status = conn.status();
+                        let body = conn.response_body().read_string().await;
+                        format!("{status:?} {body:?}")
+                    }
+                    Err(error) => error.to_string(),
+                };
                 if started.elapsed() > READY_LIMIT {
                     let doing = format!("waiting for {} to be ready", member.instance);
-                    return Err(Report::new(FleetFault::new(doing)).attach(member.log_end()));
+                    let answer = format!("the last answer, after {:?}: {answer}", asked.elapsed());
+                    let fault = Report::new(FleetFault::new(doing)).attach(answer);
+                    return Err(fault.attach(member.log_end()));
                 }
                 smol::Timer::after(READY_STEP).await;
             }
