The sidecar's calls use the link's time limit in place of a twin of it

Left over from when the gateway's copies were joined; behaviour unchanged. Two missing doc comments beside it. Clippy on the workspace, tests of sagespool-sidecar and sagespool-forward green.

--- a/crates/sagespool-forward/src/placement/load.rs
+++ b/crates/sagespool-forward/src/placement/load.rs
@@ -12,6 +12,7 @@
 /// Word of other instances' requests is half as good after this time: requests last about a second.
 const OTHERS_HALF_LIFE: Duration = Duration::from_millis(700);
 
+/// One upstream's load: what this instance sent there, and what it was told of others'.
 #[derive(Debug)]
 pub(super) struct UpstreamLoad {
     /// Tells this load from those of earlier runs of the upstream.
--- a/crates/sagespool-gateway/src/desk/grants.rs
+++ b/crates/sagespool-gateway/src/desk/grants.rs
@@ -24,7 +24,9 @@
     /// The book can cover this much and no more.
     Short(TokenCount),
 }
+
 impl BudgetDesk {
+    /// As [`ask`](Self::ask), within a limit.
     pub(super) async fn ask_in_time(
         &self,
         account: &AccountDesk,
--- a/crates/sagespool-sidecar/src/upstream/control.rs
+++ b/crates/sagespool-sidecar/src/upstream/control.rs
@@ -4,12 +4,11 @@
 use std::num::ParseIntError;
 use std::time::Duration;
 
-use futures_lite::FutureExt;
+use sagespool_link::within;
 use sagespool_messages::{CacheNote, PrefixDigest};
 use sagespool_types::{AttemptNumber, FenceNumber, ModelName, RequestId};
 use serde::Deserialize;
 use serde_json::{Value, json};
-use smol::Timer;
 use trillium_client::KnownHeaderName;
 use trillium_http::{Error, Status};
 
@@ -104,7 +103,7 @@
     /// How the upstream answers now.
     pub async fn health(&self) -> UpstreamHealth {
         let conn = self.client.get(self.control_url("/healthz"));
-        let answer = within(PROBE_LIMIT, async { Some(conn.await) });
+        let answer = within(PROBE_LIMIT, async { conn.await });
         match answer.await {
             Some(Ok(conn)) if conn.status() == Some(Status::Ok) => UpstreamHealth::Well,
             Some(Err(Error::Io(error))) if error.kind() == io::ErrorKind::ConnectionRefused => {
@@ -122,7 +121,7 @@
             let body = conn.response_body().read_bytes().await.ok()?;
             is_report.then_some(body)
         });
-        serde_json::from_slice(&body.await?).ok()
+        serde_json::from_slice(&body.await.flatten()?).ok()
     }
 
     /// Changes of an engine's prompt cache after a number; waits for one for so long. None if the
@@ -135,7 +134,7 @@
             let body = conn.response_body().read_bytes().await.ok()?;
             is_feed.then_some(body)
         });
-        serde_json::from_slice(&body.await?).ok()
+        serde_json::from_slice(&body.await.flatten()?).ok()
     }
 
     /// Tells an engine to give a request up. Dropping the stream alone would
@@ -144,7 +143,7 @@
         let url = self.control_url(&format!("/v1/requests/{request}/cancel"));
         let conn = self.client.post(url).with_request_header("x-attempt", attempt.to_string());
         let answer = within(PROBE_LIMIT, async { conn.await.ok() });
-        answer.await.is_some()
+        answer.await.flatten().is_some()
     }
 
     /// Gives an engine an order, in the engine's own form.
@@ -161,7 +160,7 @@
             let body = conn.response_body().read_bytes().await.ok()?;
             Some((conn.status()?, body))
         });
-        match answer.await {
+        match answer.await.flatten() {
             Some((Status::Ok, _)) => OrderOutcome::Done,
             Some((Status::Conflict, body)) => {
                 OrderOutcome::Stale { newest: newest_of(&body, fence) }
@@ -188,12 +187,3 @@
     }
     serde_json::from_slice::<StaleBody>(body).map_or(fence.next(), |body| body.newest)
 }
-
-/// The result, if it came within the limit.
-async fn within<T>(limit: Duration, work: impl Future<Output = Option<T>>) -> Option<T> {
-    let late = async {
-        Timer::after(limit).await;
-        None
-    };
-    work.or(late).await
-}
