The load tool keeps the processes' logs (--logs DIR)

A false refusal or an upstream without work was found by the load tool's judgement, and the logs that tell why were deleted with the run's directory.

--- a/crates/sagespool-testkit/examples/load.rs
+++ b/crates/sagespool-testkit/examples/load.rs
@@ -6,6 +6,7 @@
 //!     --policy sagespool --against round-robin,least-reported-load,two-choices
 //! ```
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -44,6 +45,8 @@
     deployment: String,
     #[options(no_short, meta = "LEVEL", help = "level of the processes' logs", default = "info")]
     log_level: String,
+    #[options(no_short, meta = "DIR", help = "keep the processes' logs here")]
+    logs: Option<PathBuf>,
     #[options(help = "print the report on one line only")]
     json: bool,
 }
@@ -110,6 +113,7 @@
         .budget(budget)
         .deployment(options.deployment.clone())
         .log_level(options.log_level.clone())
+        .maybe_logs(options.logs.clone())
         .binaries(binaries.clone())
         .build()
 }
--- a/crates/sagespool-testkit/src/fleet/running.rs
+++ b/crates/sagespool-testkit/src/fleet/running.rs
@@ -320,6 +320,20 @@
         self.directory.path()
     }
 
+    /// Copies every process's log to a directory, which is made if it isn't there.
+    ///
+    /// # Errors
+    /// If the directory can't be made or a log can't be written to it.
+    pub fn keep_logs(&self, target: &Path) -> Result<(), Report<FleetFault>> {
+        let fault = || FleetFault::new(format!("keeping logs in {}", target.display()));
+        std::fs::create_dir_all(target).change_context_lazy(fault)?;
+        for member in self.members.iter().filter(|member| member.log.exists()) {
+            let kept = target.join(format!("{}.log", member.instance));
+            std::fs::copy(&member.log, kept).change_context_lazy(fault)?;
+        }
+        Ok(())
+    }
+
     /// Waits until every entry that runs can serve callers.
     ///
     /// # Errors
--- a/crates/sagespool-testkit/src/load/scenario.rs
+++ b/crates/sagespool-testkit/src/load/scenario.rs
@@ -3,7 +3,7 @@
 mod table;
 mod traffic;
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -69,6 +69,8 @@
     /// The least important level of the processes' logs.
     #[builder(into, default = "info")]
     pub log_level: String,
+    /// Where the processes' logs are kept once they have ended; nowhere if none is given.
+    pub logs: Option<PathBuf>,
 }
 
 impl ScenarioOptions {
@@ -228,6 +230,9 @@
     }
     let deposits = deposits.lock().await.clone();
     conclude(&mut report, &mut fleet, &outcome.records, &deposits);
+    if let Some(logs) = &options.logs {
+        fleet.keep_logs(logs)?;
+    }
     let judged = AnswerInput {
         records: &outcome.records,
         samples: &outcome.answers,
