Log what a refusal for budget was decided on, and what a home gave back

A request refused with budget-exhausted showed only its own amount and what was missing. Whether other holders were asked, what they gave back and what the book said couldn't be told apart: budget-short and grant-recalled say it, one line for a round that left its request short, and one for each recall.

--- a/crates/sagespool-entry/src/home/recall.rs
+++ b/crates/sagespool-entry/src/home/recall.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use sagespool_ledger::{ShortNotice, book_of};
+use sagespool_log::log_event;
 use sagespool_messages::{PeerReply, PeerRequest, RecallReply, RecallRequest};
 use sagespool_types::{BranchName, ClockTime, GrantId, IncarnationId, TokenCount};
 
@@ -15,6 +16,8 @@
 /// What a round of recalls brought.
 #[derive(Default)]
 pub(super) struct RecallSum {
+    /// What the others gave back to the book.
+    pub(super) returned: TokenCount,
     /// What the others have reserved for running requests.
     pub(super) running: TokenCount,
     /// What those that didn't answer may hold.
@@ -68,7 +71,10 @@
     }
     for (held, reply) in asked {
         match reply.await {
-            Some(reply) => sum.running += reply.running,
+            Some(reply) => {
+                sum.returned += reply.returned;
+                sum.running += reply.running;
+            }
             None => sum.unanswered += held,
         }
     }
@@ -92,5 +98,14 @@
     let written = write_book(state, book_of(&request.branch), WriteCause::Recall).await;
     let running = state.ledger.may_return(&request.branch);
     let returned = if written.is_ok() { returned } else { TokenCount::ZERO };
+    log_event!(
+        info,
+        "grant-recalled",
+        branch = request.branch,
+        wanted = request.wanted,
+        returned = returned,
+        running = running,
+        written = written.is_ok()
+    );
     RecallReply { returned, running }
 }
--- a/crates/sagespool-entry/src/home/rounds.rs
+++ b/crates/sagespool-entry/src/home/rounds.rs
@@ -10,7 +10,7 @@
 use sagespool_types::{BranchName, ClockTime, TokenCount};
 
 use super::books::{WriteCause, write_book};
-use super::recall::{recall_others, to_ask};
+use super::recall::{RecallSum, recall_others, to_ask};
 use crate::state::EntryState;
 
 /// A store that doesn't answer for so long isn't waited for in a round.
@@ -87,9 +87,35 @@
         state.ledger.urgent(&order.branch, order.amount, ClockTime::now());
         result.store_away = !ask_book(state, order).await;
     }
+    log_short(state, order, &recalled, &result);
     result
 }
 
+/// Says what a round that left its request short was decided on.
+fn log_short(
+    state: &EntryState,
+    order: &ReserveRequest,
+    recalled: &RecallSum,
+    result: &RoundResult,
+) {
+    let Err(short) = state.ledger.covers(order) else { return };
+    let others: TokenCount = short.others.iter().map(|(_, _, rest)| *rest).sum();
+    log_event!(
+        info,
+        "budget-short",
+        request = order.request,
+        branch = order.branch,
+        amount = order.amount,
+        missing = short.missing,
+        free = short.book_free.unwrap_or_default(),
+        others = others,
+        returned = recalled.returned,
+        running = result.others_running,
+        unanswered = result.unanswered,
+        store_away = result.store_away
+    );
+}
+
 /// Asks the store for more, on the book as it is now: a top-up may just have come. False if the
 /// store can't be reached.
 async fn ask_book(state: &EntryState, order: &ReserveRequest) -> bool {
