A home that gave tokens back takes none until the book shows it

Callers were refused 2 tokens with budget-exhausted while their branch had 9, after an entry's death. Cause: two entries stood in for the dead home. The write by which one gave its rest back to the other took it again at once, for the need of a request that it had refused within the last two seconds. The logs showed grant-recalled returned=9 written=true, and 4 ms later budget-short free=0 others=9. Mend: BranchPurse::has_given_back keeps a purse from taking until an observed book has the lowered amounts, whatever becomes of the write in between (conflict, lost answer).

--- a/crates/sagespool-ledger/src/purse.rs
+++ b/crates/sagespool-ledger/src/purse.rs
@@ -120,6 +120,8 @@
     pub(crate) view: BookView,
     pub(crate) held_back: Vec<HeldBack>,
     need: WaitingNeed,
+    /// True from when something was given back until the book shows it.
+    has_given_back: bool,
     demand: f64,
     demand_at: ClockTime,
     /// Spent under grants that are closed, for the static split.
@@ -268,7 +270,10 @@
         let AskMoment { base, seen, now, leaving } = asking;
         let mut changed = self.apply_held(account);
         changed |= self.awaits_write(base);
-        if leaving {
+        // What is given back is taken by nobody here before the book has shown it to the home that
+        // asked: else the same write takes it again, for a request that waits or was just refused, and
+        // the other home refuses its own for a budget that isn't spent.
+        if leaving || self.has_given_back {
             return changed;
         }
         let raisable = self.raisable(account, policy);
@@ -444,6 +449,7 @@
             }
             given += grant.give_back(wanted.less(given));
         }
+        self.has_given_back |= given > TokenCount::ZERO;
         given
     }
 
@@ -520,6 +526,8 @@
             need.took(grant.observe(record));
             true
         });
+        let is_awaited = |grant: &HeldGrant| !grant.closing && grant.amount < grant.stored_amount;
+        self.has_given_back &= self.grants.iter().any(is_awaited);
     }
 
     /// The held grant of that id.
