A mesh knows its members as soon as all agree

Callers got 503 'the fleet's members aren't known yet' for ten seconds after a start of everything or of one entry. Cause: a view counted as complete after a window of 5 s without discoveries, and the first window of a process holds the discovery of everybody. Mend: all listed addresses are members, and all say at two rounds that they see the same; where a listed address doesn't answer, the windows decide as before, since an unknown holder of grants must not be taken for gone. Entries log members-settled with their age.

--- a/crates/sagespool-entry/src/heartbeats.rs
+++ b/crates/sagespool-entry/src/heartbeats.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
+use sagespool_log::log_event;
 use sagespool_membership::ListedAddress;
 use sagespool_messages::{MemberRole, PeerReply, PeerRequest};
 use sagespool_platform::ListedState;
@@ -19,8 +20,10 @@
 
 /// Sends heartbeats as they fall due and keeps the routing table on the members' newest word.
 pub(crate) async fn run_heartbeats(state: Arc<EntryState>) {
+    let mut was_settled = false;
     loop {
         let now = ClockTime::now();
+        was_settled = note_settled(&state, was_settled, now);
         for (address, beat) in state.members.due(now) {
             let state = Arc::clone(&state);
             smol::spawn(async move {
@@ -42,6 +45,24 @@
     }
 }
 
+/// Says when the view of the fleet becomes complete, and when it is no longer: callers are refused as
+/// `not-ready` until the first.
+fn note_settled(state: &EntryState, was_settled: bool, now: ClockTime) -> bool {
+    let is_settled = state.members.is_settled();
+    if is_settled != was_settled {
+        let members = state.members.members().len();
+        let running_ms = now.since(state.started).as_millis();
+        log_event!(
+            info,
+            "members-settled",
+            settled = is_settled,
+            members = members,
+            running_ms = running_ms
+        );
+    }
+    is_settled
+}
+
 /// Brings what the members say of their upstreams to the routing table.
 pub(crate) fn refresh_upstreams(state: &EntryState) {
     let now = ClockTime::now();
--- a/crates/sagespool-membership/src/exchange.rs
+++ b/crates/sagespool-membership/src/exchange.rs
@@ -109,6 +109,9 @@
             }
         }
         self.contact(sender, called, now);
+        if let Some(record) = self.records.get_mut(&sender) {
+            record.digest = Some(beat.view_digest);
+        }
         for note in &beat.suspects {
             correction.others.extend(self.accuse(note, now));
         }
--- a/crates/sagespool-membership/src/record.rs
+++ b/crates/sagespool-membership/src/record.rs
@@ -47,6 +47,8 @@
     pub(crate) direct: Option<ClockTime>,
     /// When it last called this process by itself.
     pub(crate) called: Option<ClockTime>,
+    /// The digest of its view when it last spoke to this process.
+    pub(crate) digest: Option<u64>,
     /// Calls to it in a row that were not answered.
     pub(crate) missed: u32,
     /// When it last was, or became, unfit to be given work.
@@ -65,6 +67,7 @@
             heard: now,
             direct: None,
             called: None,
+            digest: None,
             missed: 0,
             unfit: None,
             refuted: None,
--- a/crates/sagespool-membership/src/seeds.rs
+++ b/crates/sagespool-membership/src/seeds.rs
@@ -74,6 +74,11 @@
         }
     }
 
+    /// True if every address is one that `known` says is a member's.
+    pub(crate) fn are_all(&self, known: impl Fn(&SocketAddr) -> bool) -> bool {
+        self.seeds.keys().all(known)
+    }
+
     /// True if no address is known.
     pub(crate) fn is_empty(&self) -> bool {
         self.seeds.is_empty()
