The first guess of a service's speed counts only until it was measured

Mend: ServiceSpeed::first_token is the measured mean once there is one. Ruled out: the order, leaving, ejection.

--- a/crates/sagespool-routing/src/choose.rs
+++ b/crates/sagespool-routing/src/choose.rs
@@ -231,7 +231,7 @@
         let busy_gain = prefix_gain * BUSY_GAIN * busy;
         ChoiceScale {
             outlook,
-            first_token: self.speed.first_token(&self.policy, now),
+            first_token: self.speed.first_token(&self.policy),
             run_time: self.speed.run_time(&self.policy, now),
             prefix_gain,
             busy_gain,
--- a/crates/sagespool-routing/src/service.rs
+++ b/crates/sagespool-routing/src/service.rs
@@ -212,7 +212,7 @@
     /// given up without a first token long after one was due counts as that late a token.
     fn cancelled(&mut self, place: usize, attempt: &RunningAttempt, now: ClockTime) {
         let took = now.since(attempt.started);
-        let first_token = self.speed.first_token(&self.policy, now);
+        let first_token = self.speed.first_token(&self.policy);
         let upstream = &mut self.upstreams[place];
         upstream.ejection.undecided();
         let is_overdue = took.as_secs_f64() > STALL * first_token;
@@ -246,7 +246,7 @@
 
     /// Without a first token for much longer than expected, `wait` seconds of queueing included.
     pub(crate) fn is_stalled(&self, upstream: &UpstreamState, wait: f64, now: ClockTime) -> bool {
-        let first_token = self.speed.first_token(&self.policy, now);
+        let first_token = self.speed.first_token(&self.policy);
         let expected = first_token * upstream.speed.slowness(&self.policy, now) + wait;
         upstream.stalled_for(now).as_secs_f64() > STALL * expected
     }
--- a/crates/sagespool-routing/src/smooth.rs
+++ b/crates/sagespool-routing/src/smooth.rs
@@ -38,6 +38,11 @@
         (self.mean * weight + prior * PRIOR_WEIGHT) / (weight + PRIOR_WEIGHT)
     }
 
+    /// The value as it was last measured, however long ago; the guess only until it was measured at all.
+    pub(crate) fn measured(&self, guess: f64) -> f64 {
+        if self.weight == 0.0 { guess } else { self.mean }
+    }
+
     fn weight_at(&self, half_life: Duration, now: ClockTime) -> f64 {
         if self.weight == 0.0 {
             return 0.0;
--- a/crates/sagespool-routing/src/speed.rs
+++ b/crates/sagespool-routing/src/speed.rs
@@ -58,8 +58,12 @@
 
 impl ServiceSpeed {
     /// Seconds to the first token where nothing waits and nothing is cached.
-    pub(crate) fn first_token(&self, policy: &RoutingPolicy, now: ClockTime) -> f64 {
-        self.uncached.value(policy.first_token.as_secs_f64(), policy.half_life, now)
+    ///
+    /// The guess counts for nothing once there is a measurement. Mixed in, it holds up the mean of a quick
+    /// service with few requests (11 ms for answers of 6): each measured upstream then looks quicker than
+    /// the service, one without measurements doesn't, and an upstream that was restarted gets no work.
+    pub(crate) fn first_token(&self, policy: &RoutingPolicy) -> f64 {
+        self.uncached.measured(policy.first_token.as_secs_f64())
     }
 
     /// Seconds that a cached prefix saves, where it is really cached.
@@ -68,7 +72,7 @@
     /// the gain looks small, small gains spread the prefixes further, and it stays that way. So
     /// only the quick ones tell the gain, and that there are any tells that it is real.
     pub(crate) fn prefix_gain(&self, policy: &RoutingPolicy, now: ClockTime) -> f64 {
-        let uncached = self.first_token(policy, now);
+        let uncached = self.first_token(policy);
         let guess = (uncached - policy.prefix_gain.as_secs_f64()).max(0.0);
         let cached = self.cached.value(guess, policy.half_life, now);
         let hits = self.hits.value(1.0, policy.half_life, now);
@@ -109,7 +113,7 @@
         now: ClockTime,
     ) {
         let seconds = latency.as_secs_f64();
-        let expected = service.first_token(policy, now);
+        let expected = service.first_token(policy);
         let ordinary = seconds.min(expected * MOST_OUTLYING);
         let ratio = seconds / expected.max(1e-6);
         if is_cached {
@@ -134,7 +138,7 @@
         policy: &RoutingPolicy,
         now: ClockTime,
     ) {
-        let expected = service.first_token(policy, now);
+        let expected = service.first_token(policy);
         self.add(waited.as_secs_f64() / expected.max(1e-6), policy, now);
     }
 
@@ -150,7 +154,7 @@
         let to_first = answer.first_token.unwrap_or(answer.took).as_secs_f64();
         let after = (answer.took.as_secs_f64() - to_first).max(0.0);
         // Waiting in the upstream's queue holds no place in it.
-        let held = to_first.min(service.first_token(policy, now) * slowness) + after;
+        let held = to_first.min(service.first_token(policy) * slowness) + after;
         let ordinary = held.min(service.run_time(policy, now) * LONGEST_RUN);
         service.run.add(ordinary, policy.half_life, now);
         if answer.tokens < ENOUGH_TOKENS {
