--- a/crates/sagespool-gateway/tests/cut_answers.rs
+++ b/crates/sagespool-gateway/tests/cut_answers.rs
@@ -3,10 +3,13 @@
 #![allow(clippy::unwrap_used, reason = "helpers of tests")]
 
 use std::convert::Infallible;
+use std::future::poll_fn;
+use std::pin::Pin;
 use std::sync::Arc;
 
 use async_channel::{Receiver, bounded};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use hyper::body::Body;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -82,3 +85,21 @@
     }
     assert!(!answer.ends_with("0\r\n\r\n"), "a broken answer must not look whole");
 }
+
+/// A caller stops reading at the end of a stream that then breaks off. The gateway waits for what came before
+/// the break to be written, and must not wait for ever: the connection would stay open for as long as the
+/// caller likes, and a stop of the gateway would wait for it.
+#[test]
+fn unread_before_break() {
+    let events = [event(1, 8), event(2, 8)];
+    let never_flushed = Arc::new(FlushCounter::default());
+    let mut body = broken_answer(&events).sent_over(&never_flushed);
+    smol::block_on(async {
+        let mut frame = async || poll_fn(|context| Pin::new(&mut body).poll_frame(context)).await;
+        for event in &events {
+            let data = frame().await.unwrap().unwrap().into_data().unwrap();
+            assert_eq!(data, event.as_bytes());
+        }
+        assert!(frame().await.unwrap().is_err(), "the break is passed on without a flush as well");
+    });
+}
--- a/crates/sagespool-testkit/src/processes.rs
+++ b/crates/sagespool-testkit/src/processes.rs
@@ -80,6 +80,16 @@
         program: &Path,
         arguments: &[Argument],
         log: &Path,
+    ) -> Result<Self, Report<ProcessError>> {
+        Self::start_with(program, arguments, log, &[])
+    }
+
+    /// Starts a program with variables of its environment beside those of this process.
+    pub fn start_with<Argument: AsRef<OsStr>>(
+        program: &Path,
+        arguments: &[Argument],
+        log: &Path,
+        variables: &[(&str, String)],
     ) -> Result<Self, Report<ProcessError>> {
         let failed = || ProcessError::NotStarted(program.to_owned());
         let output = File::options().create(true).append(true).open(log);
@@ -87,6 +97,7 @@
         let errors = output.try_clone().change_context_lazy(failed)?;
         let child = Command::new(program)
             .args(arguments)
+            .envs(variables.iter().map(|(name, value)| (name, value)))
             .stdin(Stdio::null())
             .stdout(output)
             .stderr(errors)
