A test that fails: a caller that went dark keeps its connection and its answer in the gateway

Seen while the mend of broken streams was tried with a caller that doesn't read: the connection of an answer of 16 MB was still open after 60 s, when the run was ended. Doesn't build before the mend, which names the limit.

--- a/crates/sagespool-gateway/tests/cut_answers.rs
+++ b/crates/sagespool-gateway/tests/cut_answers.rs
@@ -6,6 +6,7 @@
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_channel::{Receiver, bounded};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
@@ -20,6 +21,8 @@
 const QUESTION: &[u8] = b"GET /stream HTTP/1.1\r\nHost: stand.example\r\n\r\n";
 /// More than the connection takes before its peer reads.
 const LARGE_EVENT: usize = 1 << 20;
+/// Any time will do: the caller never reads.
+const UNREAD_LIMIT: Duration = Duration::from_millis(100);
 
 fn event(id: u64, length: usize) -> String {
     format!("id: {id}\ndata: {}\n\n", "x".repeat(length))
@@ -103,3 +106,26 @@
         assert!(frame().await.unwrap().is_err(), "the break is passed on without a flush as well");
     });
 }
+
+/// A caller's machine goes dark in the middle of a long answer, and its connection stays open in the gateway with
+/// all that the answer holds, until the system gives the connection up after a quarter of an hour. The
+/// library writes only as the caller reads, and looks for no break before that.
+#[test]
+fn dark_caller() {
+    let events: Vec<String> = (1..=16).map(|id| event(id, LARGE_EVENT)).collect();
+    smol::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut caller = TcpStream::connect(address).await.unwrap();
+        let (stream, _) = listener.accept().await.unwrap();
+        caller.write_all(QUESTION).await.unwrap();
+        let flushes = Arc::new(FlushCounter::default());
+        let stream = CountedStream::new(stream, flushes.clone()).unread_for(UNREAD_LIMIT);
+        let service = service_fn(move |_: Request<hyper::body::Incoming>| {
+            let body = broken_answer(&events).sent_over(&flushes);
+            async move { Ok::<_, Infallible>(Response::new(body)) }
+        });
+        let served = http1::Builder::new().serve_connection(FuturesIo::new(stream), service).await;
+        assert!(served.is_err(), "the connection of a caller that doesn't read is closed");
+    });
+}
