Close the connection of a caller that takes nothing of its answer

Callers whose machine went dark in the middle of an answer held a gateway's descriptor and memory until the system gave their connection up. Cause: nothing bounded a write. Mend: a write that waits for the time after which idle connections are closed fails; any progress starts the time anew. dark_caller: still open after 60 s before, ends after its limit now. Not looked into: the entry's own interface, whose library writes by itself.

--- a/crates/sagespool-gateway/src/callers.rs
+++ b/crates/sagespool-gateway/src/callers.rs
@@ -70,7 +70,7 @@
     let idle = limits.map_or(DEFAULT_IDLE, |limits| limits.idle_time);
     let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes.0 as usize);
     let flushes = Arc::new(FlushCounter::default());
-    let stream = CountedStream::new(stream, flushes.clone());
+    let stream = CountedStream::new(stream, flushes.clone()).unread_for(idle);
     let shared = state.clone();
     let service = service_fn(move |request| {
         let (state, flushes) = (shared.clone(), flushes.clone());
