Entries log which upstreams they may give work to, and since when

An upstream without work couldn't be told apart from one that its entries thought of as drained, leaving or gone: upstream-changed says it, one line for each change of an upstream's word.

--- a/crates/sagespool-entry/src/heartbeats.rs
+++ b/crates/sagespool-entry/src/heartbeats.rs
@@ -1,14 +1,14 @@
 //! Heartbeats with other processes, and the instance list as their seed.
 
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 use sagespool_log::log_event;
 use sagespool_membership::ListedAddress;
-use sagespool_messages::{MemberRole, PeerReply, PeerRequest};
+use sagespool_messages::{MemberInfo, MemberRole, PeerReply, PeerRequest};
 use sagespool_platform::ListedState;
-use sagespool_types::{ClockTime, IncarnationId};
+use sagespool_types::{ClockTime, IncarnationId, UpstreamName};
 
 use crate::run::refresh_limits;
 use crate::state::EntryState;
@@ -71,18 +71,47 @@
     for member in &live {
         state.upstreams.observe(member, now);
     }
-    let mut known = state.known_sidecars.lock().unwrap_or_else(PoisonError::into_inner);
-    let present: HashSet<IncarnationId> = live.iter().map(|member| member.incarnation).collect();
-    for gone in known.difference(&present) {
-        state.upstreams.remove(*gone);
-    }
-    *known = present;
-    drop(known);
+    note_uses(state, &live);
     let entries = state.members.live(MemberRole::Entry, now).len();
     state.upstreams.set_entries(entries as u32);
     state.limits.set_entries(entries as u32);
 }
 
+/// Whether an upstream may be given work, as its sidecar last said.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct UpstreamUse {
+    upstream: UpstreamName,
+    takes_work: bool,
+}
+
+/// Takes sidecars that are gone out of the routing table, and says which upstreams may be given work, or
+/// may no longer, since it was last looked.
+fn note_uses(state: &EntryState, live: &[MemberInfo]) {
+    let present: HashMap<IncarnationId, UpstreamUse> = live.iter().filter_map(use_of).collect();
+    let mut known = state.known_sidecars.lock().unwrap_or_else(PoisonError::into_inner);
+    for (sidecar, last) in known.iter().filter(|(sidecar, _)| !present.contains_key(sidecar)) {
+        state.upstreams.remove(*sidecar);
+        log_use(*sidecar, &last.upstream, "gone");
+    }
+    for (sidecar, now) in &present {
+        if known.get(sidecar) != Some(now) {
+            let change = if now.takes_work { "takes-work" } else { "takes-none" };
+            log_use(*sidecar, &now.upstream, change);
+        }
+    }
+    *known = present;
+}
+
+fn use_of(member: &MemberInfo) -> Option<(IncarnationId, UpstreamUse)> {
+    let served = member.serves.as_ref()?;
+    let takes_work = served.healthy && !member.leaving;
+    Some((member.incarnation, UpstreamUse { upstream: served.upstream.clone(), takes_work }))
+}
+
+fn log_use(sidecar: IncarnationId, upstream: &UpstreamName, change: &str) {
+    log_event!(info, "upstream-changed", upstream = upstream, sidecar = sidecar, change = change);
+}
+
 /// Follows the platform's instance list.
 pub(crate) async fn run_instance_watch(state: Arc<EntryState>) {
     let mut after = None;
--- a/crates/sagespool-entry/src/state.rs
+++ b/crates/sagespool-entry/src/state.rs
@@ -1,6 +1,6 @@
 //! What all tasks of an entry share.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::Duration;
@@ -24,6 +24,7 @@
 };
 use sagespool_types::{ClockTime, ConfigVersion, IncarnationId, RequestId, ServiceName, WallTime};
 
+use crate::heartbeats::UpstreamUse;
 use crate::home::{BookWriter, BudgetRounds, ClaimWriter, WitnessBoard};
 use crate::operator::OperatorDesk;
 use crate::run::QueueWord;
@@ -139,7 +140,7 @@
     pub(crate) queue: AdmissionQueue,
     waiters: Mutex<HashMap<RequestId, Sender<QueueWord>>>,
     /// Sidecars that the routing table knows.
-    pub(crate) known_sidecars: Mutex<HashSet<IncarnationId>>,
+    pub(crate) known_sidecars: Mutex<HashMap<IncarnationId, UpstreamUse>>,
     pub(crate) link: OnceLock<LinkEndpoint>,
     pub(crate) in_flight: AtomicU32,
     abandoned: Mutex<HashMap<RequestId, ClockTime>>,
