Sidecars log when their upstream stops answering and when it answers again

A sidecar that isn't ready, or whose upstream gets no work, said nothing after sidecar-ready: whether its looks at the upstream went unanswered couldn't be told. upstream-health says it, a line for each change.

--- a/crates/sagespool-sidecar/src/load_watch.rs
+++ b/crates/sagespool-sidecar/src/load_watch.rs
@@ -1,5 +1,6 @@
 //! What the sidecar knows of its upstream's load and health.
 
+use std::fmt;
 use std::sync::Mutex;
 
 use sagespool_messages::{LoadReport, ServedUpstream, UpstreamKind};
@@ -45,6 +46,16 @@
     Refusing,
 }
 
+impl fmt::Display for UpstreamHealth {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Well => "well",
+            Self::Silent => "silent",
+            Self::Refusing => "refusing",
+        })
+    }
+}
+
 /// One look at the upstream.
 #[derive(Debug, Clone, PartialEq)]
 pub struct UpstreamSample {
--- a/crates/sagespool-sidecar/src/role/upstream_tasks.rs
+++ b/crates/sagespool-sidecar/src/role/upstream_tasks.rs
@@ -71,10 +71,24 @@
 /// Looks at the upstream and tells the members when it changed.
 pub(super) async fn watch_load(state: Arc<SidecarState>) {
     let dispatcher = &state.dispatcher;
+    let mut was_healthy = false;
     loop {
         let health = dispatcher.upstream().health().await;
         let load = dispatcher.upstream().load().await;
         dispatcher.load().observe(UpstreamSample { health, load });
+        let is_healthy = dispatcher.load().is_healthy();
+        if is_healthy != was_healthy {
+            let upstream = &state.settings.upstream.name;
+            let change = if is_healthy { "regained" } else { "lost" };
+            log_event!(
+                info,
+                "upstream-health",
+                upstream = upstream,
+                change = change,
+                seen = health
+            );
+            was_healthy = is_healthy;
+        }
         if let Some(served) = dispatcher.load().news() {
             state.members.update_own(|own| own.serves = Some(served));
         }
