--- a/crates/sagespool-testkit/src/fleet.rs
+++ b/crates/sagespool-testkit/src/fleet.rs
@@ -6,6 +6,7 @@
 mod life;
 mod member;
 mod options;
+mod readiness;
 mod running;
 mod settings_file;
 
