The engine that holds an answer in a test keeps its waker

By itself at a load of 8 it failed 32 times of 150, each with the same detail. Cause: the stand-in's body waited without keeping a waker, and the executor drops such a task, with its connection, once the socket's own waker is used up. The check is unchanged; 300 plays at the same load: 0 failed. Ruled out: the sidecar, which told the break rightly.

--- a/crates/sagespool-sidecar/tests/bench/mod.rs
+++ b/crates/sagespool-sidecar/tests/bench/mod.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use sagespool_messages::{
@@ -250,7 +250,7 @@
     }
     notes.lock().unwrap().push(format!("run {attempt}"));
     let token = b"data: {\"index\":0,\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n";
-    let body = smol::io::Cursor::new(token).chain(NeverRead);
+    let body = smol::io::Cursor::new(token).chain(NeverRead::default());
     conn.with_status(200)
         .with_response_header("content-type", "text/event-stream")
         .with_body(trillium::Body::new_streaming(body, None))
@@ -258,14 +258,20 @@
 }
 
 /// Never has anything to read, and never ends.
-struct NeverRead;
+///
+/// It keeps the waker that it is asked with. The executor drops a task that waits and whose waker
+/// nobody has: the engine then closed its connection in the middle of the answer, and the sidecar
+/// saw it break before the test could supersede the attempt.
+#[derive(Default)]
+struct NeverRead(Option<Waker>);
 
 impl AsyncRead for NeverRead {
     fn poll_read(
-        self: Pin<&mut Self>,
-        _: &mut Context<'_>,
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
         _: &mut [u8],
     ) -> Poll<std::io::Result<usize>> {
+        self.0 = Some(context.waker().clone());
         Poll::Pending
     }
 }
