One question for readiness in the test kit; no copies of names at each heartbeat

The fleet's start asked /readyz with a limit, as the balancer and the graceful stops did already, each in its own words: ask_ready serves all three, with the limits that they had. note_uses built a map with a copy of every upstream's name at each heartbeat; a name is copied now when its upstream's use changes. Behaviour unchanged.

--- a/crates/sagespool-entry/src/heartbeats.rs
+++ b/crates/sagespool-entry/src/heartbeats.rs
@@ -1,6 +1,6 @@
 //! Heartbeats with other processes, and the instance list as their seed.
 
-use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
@@ -78,7 +78,7 @@
 }
 
 /// Whether an upstream may be given work, as its sidecar last said.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub(crate) struct UpstreamUse {
     upstream: UpstreamName,
     /// Healthy, not drained and not leaving.
@@ -88,25 +88,28 @@
 /// Takes sidecars that are gone out of the routing table, and says which upstreams may be given
 /// work, or may no longer, since it was last looked.
 fn note_uses(state: &EntryState, live: &[MemberInfo]) {
-    let present: HashMap<IncarnationId, UpstreamUse> = live.iter().filter_map(use_of).collect();
+    let present: HashSet<IncarnationId> = live.iter().map(|member| member.incarnation).collect();
     let mut known = state.known_sidecars.lock().unwrap_or_else(PoisonError::into_inner);
-    for (sidecar, last) in known.iter().filter(|(sidecar, _)| !present.contains_key(sidecar)) {
-        state.upstreams.remove(*sidecar);
-        log_use(*sidecar, &last.upstream, "gone");
-    }
-    for (sidecar, newest) in &present {
-        if known.get(sidecar) != Some(newest) {
-            let change = if newest.takes_work { "takes-work" } else { "takes-none" };
-            log_use(*sidecar, &newest.upstream, change);
+    known.retain(|sidecar, last| {
+        let is_present = present.contains(sidecar);
+        if !is_present {
+            state.upstreams.remove(*sidecar);
+            log_use(*sidecar, &last.upstream, "gone");
+        }
+        is_present
+    });
+    for member in live {
+        let Some(served) = &member.serves else { continue };
+        let takes_work = served.healthy && !member.leaving;
+        let last = known.get(&member.incarnation);
+        if last.is_some_and(|last| last.takes_work == takes_work) {
+            continue;
         }
+        let change = if takes_work { "takes-work" } else { "takes-none" };
+        log_use(member.incarnation, &served.upstream, change);
+        let newest = UpstreamUse { upstream: served.upstream.clone(), takes_work };
+        known.insert(member.incarnation, newest);
     }
-    *known = present;
-}
-
-fn use_of(member: &MemberInfo) -> Option<(IncarnationId, UpstreamUse)> {
-    let served = member.serves.as_ref()?;
-    let takes_work = served.healthy && !member.leaving;
-    Some((member.incarnation, UpstreamUse { upstream: served.upstream.clone(), takes_work }))
 }
 
 fn log_use(sidecar: IncarnationId, upstream: &UpstreamName, change: &str) {
--- a/crates/sagespool-testkit/src/fleet.rs
+++ b/crates/sagespool-testkit/src/fleet.rs
@@ -16,4 +16,5 @@
 pub use life::{LifeEvent, LifeKind};
 pub use member::FleetMember;
 pub use options::{EngineTuning, FleetFault, FleetOptions};
+pub(crate) use readiness::ask_ready;
 pub use running::{RunningFleet, top_up};
--- a/crates/sagespool-testkit/src/fleet/readiness.rs
+++ b/crates/sagespool-testkit/src/fleet/readiness.rs
@@ -1,5 +1,6 @@
 //! Waiting until the processes of a fleet that was started are ready.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use error_stack::Report;
@@ -58,9 +59,8 @@
             member.moves += 1;
             self.move_member(member.place)?;
         }
-        let url = format!("http://{}/readyz", self.members[member.place].http);
         let asked = Instant::now();
-        let answer = ask_ready(client, &url).await;
+        let answer = ask_ready(client, self.members[member.place].http, ASK_LIMIT).await;
         member.took = asked.elapsed();
         member.answer = answer.err();
         Ok(member.answer.is_none())
@@ -92,10 +92,18 @@
     }
 }
 
-/// Asks for readiness once; what is said instead if it isn't there.
-async fn ask_ready(client: &Client, url: &str) -> Result<(), String> {
+/// Asks a process once whether it is ready.
+///
+/// # Errors
+/// What is said in place of that, or that nothing was within the limit.
+pub(crate) async fn ask_ready(
+    client: &Client,
+    address: SocketAddr,
+    limit: Duration,
+) -> Result<(), String> {
     let asked = async {
-        let mut conn = client.get(url).await.map_err(|error| error.to_string())?;
+        let url = format!("http://{address}/readyz");
+        let mut conn = client.get(url.as_str()).await.map_err(|error| error.to_string())?;
         let status = conn.status();
         if status.is_some_and(|status| status.is_success()) {
             return Ok(());
@@ -104,8 +112,8 @@
         Err(format!("{status:?} {body:?}"))
     };
     let late = async {
-        smol::Timer::after(ASK_LIMIT).await;
-        Err(format!("no answer within {ASK_LIMIT:?}"))
+        smol::Timer::after(limit).await;
+        Err(format!("no answer within {limit:?}"))
     };
     futures_lite::future::or(asked, late).await
 }
--- a/crates/sagespool-testkit/src/load/balancer.rs
+++ b/crates/sagespool-testkit/src/load/balancer.rs
@@ -6,9 +6,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use futures_lite::future::or;
 use trillium_client::Client;
 
+use crate::fleet::ask_ready;
+
 const PROBE_PERIOD: Duration = Duration::from_millis(200);
 /// An entry that takes longer to answer its probe counts as not ready.
 const PROBE_LIMIT: Duration = Duration::from_millis(1000);
@@ -48,15 +49,8 @@
     async fn probe_one(&self, place: usize) {
         let entry = &self.entries[place];
         let client = Client::new(trillium_smol::ClientConfig::default()).without_keepalive();
-        let asked = async {
-            let answer = client.get(format!("http://{}/readyz", entry.address).as_str()).await;
-            answer.is_ok_and(|conn| conn.status().is_some_and(|status| status.is_success()))
-        };
-        let late = async {
-            smol::Timer::after(PROBE_LIMIT).await;
-            false
-        };
-        entry.ready.store(or(asked, late).await, Ordering::Relaxed);
+        let is_ready = ask_ready(&client, entry.address, PROBE_LIMIT).await.is_ok();
+        entry.ready.store(is_ready, Ordering::Relaxed);
     }
 
     /// The entry at a place, or the next one that is ready; the one at the place if none is.
--- a/crates/sagespool-testkit/src/load/faults/graceful.rs
+++ b/crates/sagespool-testkit/src/load/faults/graceful.rs
@@ -3,12 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use futures_lite::future::or;
 use sagespool_types::ClockTime;
 use trillium_client::Client;
 
 use super::stage::FaultStage;
-use crate::fleet::LifeKind;
+use crate::fleet::{LifeKind, ask_ready};
 
 const LOOK_PERIOD: Duration = Duration::from_millis(20);
 /// Beyond the time that settings give a stop: for what it hands back.
@@ -85,13 +84,5 @@
 
 async fn is_ready(address: SocketAddr) -> bool {
     let client = Client::new(trillium_smol::ClientConfig::default()).without_keepalive();
-    let asked = async {
-        let answer = client.get(format!("http://{address}/readyz").as_str()).await;
-        answer.is_ok_and(|conn| conn.status().is_some_and(|status| status.is_success()))
-    };
-    let late = async {
-        smol::Timer::after(PROBE_LIMIT).await;
-        false
-    };
-    or(asked, late).await
+    ask_ready(&client, address, PROBE_LIMIT).await.is_ok()
 }
