Calls of the store counted by cause; given up at once while no way is open

After two rounds in which everybody was turned away, a call ends at once as not done for 0.15 s, doubling to 1 s; a watch goes on trying, and word of others that the store answers them opens the ways again. Calls are counted by kind and subject, those made for others apart.

Test: nobody_served (detour_ways), 200 calls of the detour before, under 20 after.

--- a/crates/sagespool-platform/src/caller.rs
+++ b/crates/sagespool-platform/src/caller.rs
@@ -11,11 +11,11 @@
 use smol::Timer;
 use trillium_client::{Client, Conn, KnownHeaderName, Version};
 
-use crate::StoreError;
 use crate::connector::{MarkedConnector, is_connect_failure};
-use crate::counters::{CallKind, CallMeter, StoreCounters};
+use crate::counters::{CallCause, CallKind, CallMeter, StoreCounters};
 use crate::detour::{RawAnswer, RawFailure, StoreDetour, StoreWays};
 use crate::dialect::{CallForm, FormFault};
+use crate::{CallMethod, StoreError};
 
 /// Of a call's limit, connecting may take this share: the rest is for the call.
 const CONNECT_SHARE: u32 = 2;
@@ -51,17 +51,20 @@
 
 /// What to ask.
 #[derive(Debug)]
-pub(crate) struct PlatformCall {
+pub(crate) struct PlatformCall<'a> {
     pub(crate) kind: CallKind,
     pub(crate) form: CallForm,
+    /// The kind of object that it is for.
+    pub(crate) subject: &'a str,
     /// How long the platform itself may wait.
     pub(crate) wait: Duration,
 }
 
-impl PlatformCall {
-    /// A call at which the platform itself doesn't wait.
-    pub(crate) fn new(kind: CallKind, form: CallForm) -> Self {
-        Self { kind, form, wait: Duration::ZERO }
+impl<'a> PlatformCall<'a> {
+    /// A call at which the platform itself doesn't wait, for an object's key or a prefix.
+    pub(crate) fn new(kind: CallKind, form: CallForm, key: &'a str) -> Self {
+        let subject = key.split_once('/').map_or(key, |(subject, _)| subject);
+        Self { kind, form, subject, wait: Duration::ZERO }
     }
 }
 
@@ -107,6 +110,10 @@
         StoreRevision(self.shared.seen_revision.load(Ordering::Relaxed))
     }
 
+    pub(crate) fn causes(&self) -> Vec<(CallCause, u64)> {
+        self.shared.meter.causes()
+    }
+
     pub(crate) fn counters(&self) -> StoreCounters {
         self.shared.meter.counters()
     }
@@ -114,7 +121,7 @@
     /// Makes a call and reads its answer as JSON, nothing if there is no such object.
     pub(crate) async fn call<T: DeserializeOwned>(
         &self,
-        call: PlatformCall,
+        call: PlatformCall<'_>,
     ) -> Result<Option<T>, StoreError> {
         let read = |body: &[u8]| serde_json::from_slice(body).map_err(|error| error.to_string());
         self.call_read(call, read).await
@@ -123,7 +130,7 @@
     /// Makes a call and reads its answer, nothing if there is no such object.
     pub(crate) async fn call_read<T>(
         &self,
-        call: PlatformCall,
+        call: PlatformCall<'_>,
         read: impl FnOnce(&[u8]) -> Result<T, FormFault>,
     ) -> Result<Option<T>, StoreError> {
         let kind = call.kind;
@@ -150,8 +157,14 @@
         form: CallForm,
         wait: Duration,
     ) -> Result<RawAnswer, RawFailure> {
-        let kind = CallKind::Read;
-        match self.send(PlatformCall { kind, form, wait }).await {
+        let kind = match form.method {
+            CallMethod::Get if wait.is_zero() => CallKind::Read,
+            CallMethod::Get => CallKind::Watch,
+            _ => CallKind::Write,
+        };
+        let subject = format!("forwarded-{}", path_subject(&form.path));
+        let call = PlatformCall { kind, form, subject: &subject, wait };
+        match self.send(call).await {
             Ok(answer) => Ok(RawAnswer { status: answer.status, body: answer.body }),
             Err(CallFailure::NotSent) => Err(RawFailure::NotSent),
             Err(CallFailure::Lost) => Err(RawFailure::Lost),
@@ -159,9 +172,13 @@
     }
 
     /// Sends a call the direct way, or another one if that is closed.
-    async fn reach(&self, call: PlatformCall) -> Result<PlatformAnswer, CallFailure> {
+    async fn reach(&self, call: PlatformCall<'_>) -> Result<PlatformAnswer, CallFailure> {
         let ways = &self.shared.ways;
         let (kind, limit) = (call.kind, self.limit.saturating_add(call.wait));
+        let all_closed = ways.all_closed(ClockTime::now());
+        if all_closed && kind != CallKind::Watch {
+            return Err(CallFailure::NotSent);
+        }
         let form = call.form.clone();
         let mut call = Some(call);
         let mut direct = Err(CallFailure::NotSent);
@@ -173,11 +190,11 @@
                 return direct;
             }
         }
-        let other = match ways.detour(form, limit) {
-            Some(detour) => detour.await,
-            None => return direct,
+        let detour = if all_closed { None } else { ways.detour(form, limit) };
+        let Some(detour) = detour else {
+            return direct;
         };
-        match other {
+        let other = match detour.await {
             Ok(RawAnswer { status, body }) => {
                 Ok(PlatformAnswer { status, retry_after: None, body })
             }
@@ -188,11 +205,23 @@
                 Some(call) => self.send_direct(call).await,
                 None => direct,
             },
+        };
+        match &other {
+            Ok(answer) if !is_turned_away(answer) => ways.some_way_works(),
+            // A lost answer says nothing of the platform: this process may be too busy to take it.
+            Err(CallFailure::Lost) => {}
+            _ => ways.all_failed(ClockTime::now()),
         }
+        other
+    }
+
+    /// Notes word of others that the platform answers them.
+    pub(crate) fn heard_of(&self) {
+        self.shared.ways.some_way_works();
     }
 
     /// Sends a call the direct way, and notes how that fares.
-    async fn send_direct(&self, call: PlatformCall) -> Result<PlatformAnswer, CallFailure> {
+    async fn send_direct(&self, call: PlatformCall<'_>) -> Result<PlatformAnswer, CallFailure> {
         let kind = call.kind;
         let sent = self.send(call).await;
         let ways = &self.shared.ways;
@@ -203,7 +232,8 @@
         sent
     }
 
-    async fn send(&self, call: PlatformCall) -> Result<PlatformAnswer, CallFailure> {
+    async fn send(&self, call: PlatformCall<'_>) -> Result<PlatformAnswer, CallFailure> {
+        self.shared.meter.sent(call.kind, call.subject);
         let limit = self.limit.saturating_add(call.wait);
         let exchange = self.exchange(call);
         let timer = async {
@@ -213,7 +243,7 @@
         or(exchange, timer).await
     }
 
-    async fn exchange(&self, call: PlatformCall) -> Result<PlatformAnswer, CallFailure> {
+    async fn exchange(&self, call: PlatformCall<'_>) -> Result<PlatformAnswer, CallFailure> {
         let form = call.form;
         let url = format!("http://{}{}", self.shared.address, form.path);
         let mut conn = self.shared.client.build_conn(form.method, url);
@@ -244,6 +274,12 @@
     }
 }
 
+/// The kind of object that a path is about: its second part, in all dialects.
+fn path_subject(path: &str) -> &str {
+    let bare = path.split('?').next().unwrap_or_default();
+    bare.trim_start_matches('/').split('/').nth(1).unwrap_or_default()
+}
+
 fn header_number(conn: &Conn, name: &'static str) -> Option<u64> {
     conn.response_headers().get_str(name)?.parse().ok()
 }
@@ -255,10 +291,14 @@
     Ok(PlatformAnswer { status, retry_after, body })
 }
 
+fn is_turned_away(answer: &PlatformAnswer) -> bool {
+    matches!(answer.status, 429 | 503)
+}
+
 /// Whether a call surely had no effect: it wasn't sent, was turned away, or only reads.
 fn did_nothing(kind: CallKind, sent: &Result<PlatformAnswer, CallFailure>) -> bool {
     match sent {
-        Ok(answer) => matches!(answer.status, 429 | 503),
+        Ok(answer) => is_turned_away(answer),
         Err(CallFailure::NotSent) => true,
         Err(CallFailure::Lost) => kind != CallKind::Write,
     }
--- a/crates/sagespool-platform/src/counters.rs
+++ b/crates/sagespool-platform/src/counters.rs
@@ -1,6 +1,8 @@
 //! How many calls went to the platform.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
 
 use crate::StoreError;
 
@@ -22,13 +24,37 @@
 }
 
 /// What a call counts as.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum CallKind {
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CallKind {
+    /// A get or a list.
     Read,
+    /// A put or a delete.
     Write,
+    /// A watch.
     Watch,
 }
 
+impl CallKind {
+    /// The word that metrics use.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Read => "read",
+            Self::Write => "write",
+            Self::Watch => "watch",
+        }
+    }
+}
+
+/// Calls that went out, by their cause.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallCause {
+    /// What kind of call.
+    pub kind: CallKind,
+    /// The kind of object that it was for, as the store names it, after `forwarded-` for calls that are
+    /// made for other processes.
+    pub subject: String,
+}
+
 /// The counters while they count.
 #[derive(Debug, Default)]
 pub(crate) struct CallMeter {
@@ -38,9 +64,22 @@
     conflicts: AtomicU64,
     rate_limited: AtomicU64,
     failures: AtomicU64,
+    causes: Mutex<BTreeMap<CallCause, u64>>,
 }
 
 impl CallMeter {
+    /// Counts a call that goes out.
+    pub(crate) fn sent(&self, kind: CallKind, subject: &str) {
+        let cause = CallCause { kind, subject: subject.to_owned() };
+        let mut causes = self.causes.lock().unwrap_or_else(PoisonError::into_inner);
+        *causes.entry(cause).or_default() += 1;
+    }
+
+    pub(crate) fn causes(&self) -> Vec<(CallCause, u64)> {
+        let causes = self.causes.lock().unwrap_or_else(PoisonError::into_inner);
+        causes.iter().map(|(cause, count)| (cause.clone(), *count)).collect()
+    }
+
     pub(crate) fn call(&self, kind: CallKind) {
         let counter = match kind {
             CallKind::Read => &self.reads,
--- a/crates/sagespool-platform/src/detour.rs
+++ b/crates/sagespool-platform/src/detour.rs
@@ -6,7 +6,7 @@
 
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -18,6 +18,12 @@
 /// After a failure, the direct way is tried again at the earliest after this time, and only by a
 /// watch: nobody's request waits for it.
 const DIRECT_PAUSE: Duration = Duration::from_millis(800);
+/// The first failure of all ways closes none: it may be a single one's.
+const FAILURES_TO_CLOSE: u32 = 2;
+/// After all ways failed, nothing is tried for so long; twice as long after each further time.
+const ALL_PAUSE: Duration = Duration::from_millis(150);
+const LONGEST_ALL_PAUSE: Duration = Duration::from_millis(1000);
+const MOST_DOUBLINGS: u32 = 8;
 
 /// The platform's answer as another process got it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -67,6 +73,10 @@
     detour: OnceLock<StoreDetour>,
     /// When the direct way last failed, in microseconds; 0 while it is open.
     direct_failed: AtomicU64,
+    /// When the direct way and the detour last failed together, in microseconds; 0 while one works.
+    all_failed: AtomicU64,
+    /// How often they did so in a row.
+    failures: AtomicU32,
 }
 
 impl StoreWays {
@@ -90,6 +100,32 @@
 
     pub(crate) fn direct_works(&self) {
         self.shared.direct_failed.store(0, Ordering::Relaxed);
+        self.some_way_works();
+    }
+
+    /// Whether no way is open: neither this process nor those that it asked got an answer.
+    ///
+    /// Guards against a store that is down for everybody: each call would be tried here and at
+    /// several others, all of them turned away, by every process of the fleet. What can't be done
+    /// is told at once instead. A watch goes on trying the direct way, and opens it again.
+    pub(crate) fn all_closed(&self, now: ClockTime) -> bool {
+        let failed = self.shared.all_failed.load(Ordering::Relaxed);
+        let failures = self.shared.failures.load(Ordering::Relaxed);
+        let Some(doublings) = failures.checked_sub(FAILURES_TO_CLOSE) else {
+            return false;
+        };
+        let pause = ALL_PAUSE * 2u32.saturating_pow(doublings.min(MOST_DOUBLINGS));
+        failed != 0 && now.since(ClockTime(failed)) < pause.min(LONGEST_ALL_PAUSE)
+    }
+
+    pub(crate) fn all_failed(&self, now: ClockTime) {
+        self.shared.all_failed.store(now.0.max(1), Ordering::Relaxed);
+        self.shared.failures.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn some_way_works(&self) {
+        self.shared.all_failed.store(0, Ordering::Relaxed);
+        self.shared.failures.store(0, Ordering::Relaxed);
     }
 
     /// Sends a call by way of another process; nothing if there is no such way.
--- a/crates/sagespool-platform/src/instances.rs
+++ b/crates/sagespool-platform/src/instances.rs
@@ -83,8 +83,11 @@
         after: Option<StoreRevision>,
         wait: Duration,
     ) -> Result<InstanceListing, StoreError> {
-        let mut call =
-            PlatformCall::new(CallKind::Read, CallForm::bare(Method::Get, "/instances".to_owned()));
+        let mut call = PlatformCall::new(
+            CallKind::Read,
+            CallForm::bare(Method::Get, "/instances".to_owned()),
+            "instances",
+        );
         if let Some(after) = after {
             call.kind = CallKind::Watch;
             call.form.path = format!("/instances?after={after}&wait_ms={}", wait.as_millis());
--- a/crates/sagespool-platform/src/lib.rs
+++ b/crates/sagespool-platform/src/lib.rs
@@ -36,7 +36,7 @@
 mod objects;
 mod update;
 
-pub use counters::StoreCounters;
+pub use counters::{CallCause, CallKind, StoreCounters};
 pub use detour::{RawAnswer, RawFailure, RawFuture, StoreDetour};
 pub use dialect::{CallForm, FormFault, ObjectForm, PageForm, StoreDialect};
 pub use error::StoreError;
--- a/crates/sagespool-platform/src/objects.rs
+++ b/crates/sagespool-platform/src/objects.rs
@@ -10,7 +10,7 @@
 use serde_json::value::RawValue;
 
 use crate::caller::{PlatformCall, PlatformCaller};
-use crate::counters::CallKind;
+use crate::counters::{CallCause, CallKind};
 use crate::detour::{RawAnswer, RawFailure, StoreDetour};
 use crate::dialect::{CallForm, StoreDialect};
 use crate::{StoreCounters, StoreError};
@@ -102,7 +102,7 @@
         &self,
         key: &str,
     ) -> Result<Option<StoredObject<T>>, StoreError> {
-        let call = PlatformCall::new(CallKind::Read, (self.dialect.get)(checked(key)?));
+        let call = PlatformCall::new(CallKind::Read, (self.dialect.get)(checked(key)?), key);
         let read = |body: &[u8]| (self.dialect.read_object)(key, body);
         let Some(form) = self.caller.call_read(call, read).await? else {
             return Ok(None);
@@ -126,7 +126,7 @@
     ) -> Result<StoreRevision, StoreError> {
         let value = encode(value)?;
         let form = (self.dialect.put)(checked(key)?, expected, &value);
-        let call = PlatformCall::new(CallKind::Write, form);
+        let call = PlatformCall::new(CallKind::Write, form, key);
         let written = self.caller.call_read(call, self.dialect.read_version).await?;
         written.ok_or_else(|| match expected {
             StoreRevision::ZERO => StoreError::Malformed(NO_SUCH_CALL.to_owned()),
@@ -138,7 +138,7 @@
     /// Deletes an object if it is at the expected version; fails as [`Self::put`] does.
     pub async fn delete(&self, key: &str, expected: StoreRevision) -> Result<(), StoreError> {
         let form = (self.dialect.delete)(checked(key)?, expected);
-        let call = PlatformCall::new(CallKind::Write, form);
+        let call = PlatformCall::new(CallKind::Write, form, key);
         match self.caller.call_read(call, self.dialect.read_deleted).await? {
             Some(()) => Ok(()),
             None => Err(StoreError::Conflict { present: StoreRevision::ZERO }),
@@ -159,7 +159,7 @@
         let mut after: Option<String> = None;
         loop {
             let form = (self.dialect.list)(prefix, after.as_deref());
-            let call = PlatformCall::new(CallKind::Read, form);
+            let call = PlatformCall::new(CallKind::Read, form, prefix);
             let read = |body: &[u8]| (self.dialect.read_page)(prefix, body);
             let page = self.caller.call_read(call, read).await?;
             let page = page.ok_or_else(|| StoreError::Malformed(NO_SUCH_CALL.to_owned()))?;
@@ -190,7 +190,7 @@
     ) -> Result<ObjectChanges<T>, StoreError> {
         let prefix = checked(prefix)?;
         let mut call =
-            PlatformCall::new(CallKind::Watch, (self.dialect.watch)(prefix, after, wait));
+            PlatformCall::new(CallKind::Watch, (self.dialect.watch)(prefix, after, wait), prefix);
         call.wait = wait;
         let read = |body: &[u8]| (self.dialect.read_changes)(prefix, body);
         let watched = self.caller.call_read(call, read).await?;
@@ -209,6 +209,12 @@
         self.caller.set_detour(detour)
     }
 
+    /// Notes word of another process that the platform answers it: calls that were given up at once,
+    /// since no way was open, are tried again.
+    pub fn heard_of(&self) {
+        self.caller.heard_of();
+    }
+
     /// Makes a call for another process that can't reach the platform, on the direct way only.
     ///
     /// # Errors
@@ -223,6 +229,11 @@
         self.caller.seen_revision()
     }
 
+    /// Calls that went out on the direct way, by their cause.
+    pub fn causes(&self) -> Vec<(CallCause, u64)> {
+        self.caller.causes()
+    }
+
     /// Calls so far.
     pub fn counters(&self) -> StoreCounters {
         self.caller.counters()
--- a/crates/sagespool-platform/tests/detour_ways.rs
+++ b/crates/sagespool-platform/tests/detour_ways.rs
@@ -81,3 +81,27 @@
         assert_eq!(calls.load(Ordering::Relaxed), 1);
     });
 }
+
+/// The store is down for everybody. Each process of a fleet would try it for every request, directly
+/// and by way of several others, which try it in turn: the calls are many times those of a quiet day.
+/// After two rounds in vain a call is given up at once, and nobody is asked.
+#[test]
+fn nobody_served() {
+    smol::block_on(async {
+        let (stand, client) = start();
+        client.put("books/1", ABSENT, &1).await.unwrap();
+        let (detour, calls) = detour(Ok(RawAnswer { status: 503, body: None }));
+        assert!(client.set_detour(detour));
+        stand.set_faults(StoreFaults::builder().outage(true).build());
+        for _ in 0..200 {
+            assert_eq!(client.get::<u8>("books/1").await, Err(StoreError::Unavailable));
+        }
+        assert!(calls.load(Ordering::Relaxed) < 20, "{}", calls.load(Ordering::Relaxed));
+        // Word of others that it is back opens the ways again.
+        stand.set_faults(StoreFaults::builder().build());
+        client.heard_of();
+        let before = calls.load(Ordering::Relaxed);
+        let _ = client.get::<u8>("books/1").await;
+        assert_eq!(calls.load(Ordering::Relaxed), before + 1);
+    });
+}
