Loans ahead for busy borrowers, holders asked in place of everybody, steady detours

Now only those that the book named are asked while the store is away; everybody, eight at a time, where the book itself says that it is short, since only then 402 is true. One round at a time an account. Calls by way of others go to the same few relays, whose connections are open. The rate of use allows for what a decaying sum hasn't seen in the first seconds, so that supplies before an early outage last as long as later ones. A relay's word that the store gave it no answer counts as word that the store is down.

--- a/crates/sagespool-gateway/src/desk.rs
+++ b/crates/sagespool-gateway/src/desk.rs
@@ -22,7 +22,7 @@
 use self::account::{AccountDesk, lock};
 use self::grants::GrantOutcome;
 use crate::fleet::FleetBoard;
-use crate::peers::{LoanRound, borrow, borrow_at_home};
+use crate::peers::{Lenders, LoanRound, borrow, borrow_at_home};
 use crate::refusal::Refusal;
 
 /// The share of a request's time that waiting for the store may take.
@@ -155,8 +155,21 @@
         if matches!(asked, Ok(GrantOutcome::Granted)) {
             return Ok(Reservation::new(account, order.amount));
         }
+        // The book's word that it is short is the whole fleet's only with everybody's beside it.
+        let asks_all = matches!(asked, Ok(GrantOutcome::Short(_)));
+        let turn = account.round.lock().await;
+        let now = ClockTime::now();
+        if lock(&account.purse).reserve(order.amount, now) {
+            drop(turn);
+            return Ok(Reservation::new(account, order.amount));
+        }
+        if account.shortage_of(order, now).is_some() {
+            return Err(self.refuse(&account, order, Refusal::BudgetSpent, "known-short"));
+        }
         let missing = order.amount.less(lock(&account.purse).free());
-        let loan = borrow(fleet, order, missing).await;
+        let lenders = if asks_all { Lenders::All } else { Lenders::Only(account.holders()) };
+        let loan = borrow(fleet, order, missing, lenders).await;
+        drop(turn);
         if account.reserve_with(order, loan.lent) {
             log_event!(
                 info,
@@ -178,11 +191,23 @@
         order: &BudgetOrder,
         fleet: &FleetBoard,
     ) -> Option<GrantOutcome> {
-        let missing = order.amount.less(lock(&account.purse).free());
-        let reply = borrow_at_home(fleet, order, missing).await?;
+        let (missing, ahead) = {
+            let purse = lock(&account.purse);
+            let ahead = purse.loan_ahead(self.terms, order.prepaid, order.amount, ClockTime::now());
+            (order.amount.less(purse.free()), ahead)
+        };
+        let mut reply = borrow_at_home(fleet, order, missing + ahead).await?;
         if account.reserve_with(order, reply.lent) {
             return Some(GrantOutcome::Granted);
         }
+        if ahead > TokenCount::ZERO {
+            // Near the end of a total it may cover the request, if not the time ahead.
+            let missing = order.amount.less(lock(&account.purse).free());
+            reply = borrow_at_home(fleet, order, missing).await?;
+            if account.reserve_with(order, reply.lent) {
+                return Some(GrantOutcome::Granted);
+            }
+        }
         let own = lock(&account.purse).free();
         reply.room.map(|room| GrantOutcome::Short(room + own))
     }
--- a/crates/sagespool-gateway/src/desk/account.rs
+++ b/crates/sagespool-gateway/src/desk/account.rs
@@ -5,7 +5,9 @@
 
 use async_lock::Mutex as TurnLock;
 use sagespool_ledger::{PrepaidBook, PrepaidPurse};
-use sagespool_types::{BranchName, ClockTime, ConfigVersion, StoreRevision, TokenCount};
+use sagespool_types::{
+    BranchName, ClockTime, ConfigVersion, IncarnationId, StoreRevision, TokenCount,
+};
 
 use super::BudgetOrder;
 use super::shortage::KnownShortage;
@@ -17,6 +19,11 @@
     /// The book as it was last read or written. Whoever holds the lock writes.
     pub(super) book: TurnLock<Option<KnownBook>>,
     shortage: Mutex<Option<KnownShortage>>,
+    /// The runs that the book named when it was seen last: they may hold something.
+    holders: Mutex<Vec<IncarnationId>>,
+    /// Whoever holds it asks others for loans. Requests of one account wait for each other's round,
+    /// which may serve them too.
+    pub(super) round: TurnLock<()>,
     pub(super) tops_up: AtomicBool,
 }
 
@@ -37,6 +44,8 @@
             purse: Mutex::default(),
             book: TurnLock::new(None),
             shortage: Mutex::default(),
+            holders: Mutex::default(),
+            round: TurnLock::new(()),
             tops_up: AtomicBool::new(false),
         }
     }
@@ -48,6 +57,16 @@
         purse.reserve(order.amount, ClockTime::now())
     }
 
+    /// Notes the runs that a book names.
+    pub(super) fn see_holders(&self, book: &PrepaidBook) {
+        *lock(&self.holders) = book.holders.keys().copied().collect();
+    }
+
+    /// The runs that may hold something of this account.
+    pub(super) fn holders(&self) -> Vec<IncarnationId> {
+        lock(&self.holders).clone()
+    }
+
     /// Notes that nobody could cover more than this.
     pub(super) fn note_shortage(&self, room: TokenCount, version: ConfigVersion, now: ClockTime) {
         let mut shortage = lock(&self.shortage);
--- a/crates/sagespool-gateway/src/desk/grants.rs
+++ b/crates/sagespool-gateway/src/desk/grants.rs
@@ -65,6 +65,7 @@
             let mut book = read.value;
             book.take_total(order.version, order.prepaid);
             book.close_earlier(self.run, &self.instance);
+            account.see_holders(&book);
             let present = book.granted(self.run);
             let now = ClockTime::now();
             let terms = self.terms.of_one(instances);
--- a/crates/sagespool-gateway/src/fleet.rs
+++ b/crates/sagespool-gateway/src/fleet.rs
@@ -272,10 +272,11 @@
                 }
                 Ok(PeerReply::StoreCall(StoreCallReply::NotSent))
                 | Ok(PeerReply::Unsupported(_)) => RawFailure::NotSent,
+                Ok(PeerReply::StoreCall(StoreCallReply::Lost)) => RawFailure::Unanswered,
                 Err(error) if error.surely_not_sent() => RawFailure::NotSent,
                 _ => RawFailure::Lost,
             };
-            if failure == RawFailure::Lost && !only_reads {
+            if failure != RawFailure::NotSent && !only_reads {
                 break;
             }
         }
@@ -283,9 +284,14 @@
     }
 
     fn detours(&self, now: ClockTime) -> Vec<MemberInfo> {
-        let mut others = self.others(MemberRole::Sidecar, now);
-        others.sort_by_key(|other| other.centre != self.place.centre);
-        others.extend(self.others(MemberRole::Entry, now));
+        // The same few each time: their connections are open already, and a new one is dear. Each
+        // process has others, so that none is everybody's.
+        let preference = |other: &MemberInfo| other.incarnation.0 ^ self.run.0;
+        let mut others = self.members.live(MemberRole::Sidecar, now);
+        others.sort_by_key(|other| (other.centre != self.place.centre, preference(other)));
+        let mut entries = self.members.live(MemberRole::Entry, now);
+        entries.sort_by_key(preference);
+        others.extend(entries);
         others.truncate(MOST_DETOURS);
         others
     }
@@ -315,7 +321,7 @@
     PeerReply::StoreCall(match store.forward(form, call.wait).await {
         Ok(RawAnswer { status, body }) => StoreCallReply::Answered { status, body },
         Err(RawFailure::NotSent) => StoreCallReply::NotSent,
-        Err(RawFailure::Lost) => StoreCallReply::Lost,
+        Err(RawFailure::Lost | RawFailure::Unanswered) => StoreCallReply::Lost,
     })
 }
 
--- a/crates/sagespool-gateway/src/peers.rs
+++ b/crates/sagespool-gateway/src/peers.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use futures_lite::future::poll_once;
+use futures_util::future::join_all;
 use sagespool_forward::PlanIndex;
 use sagespool_link::{PeerCall, PeerHandler, PeerResponder};
 use sagespool_log::log_event;
 use sagespool_messages::{
     LendReply, LendRequest, MemberInfo, MemberRole, PeerReply, PeerRequest, PlanAsk, PlanReply,
 };
-use sagespool_types::{ClockTime, TokenCount};
+use sagespool_types::{ClockTime, IncarnationId, TokenCount};
 use serde_json::value::RawValue;
 
 use crate::desk::BudgetOrder;
@@ -32,21 +33,47 @@
     pub(crate) complete: bool,
 }
 
-/// Asks one gateway after the other for a loan, until there is enough.
+/// Who is asked for a loan.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Lenders {
+    /// Every gateway: only then is it known that nobody has enough.
+    All,
+    /// The runs that the account's book named.
+    Only(Vec<IncarnationId>),
+}
+
+/// Gateways that are asked beside each other. Each may lend all that is wanted, and what is too
+/// much lies idle here.
+const ASKED_AT_ONCE: usize = 8;
+
+/// Asks other gateways for a loan, until there is enough.
+///
+/// While the store is away only those are asked that the book named: with each request asking each
+/// of seventy gateways in turn, a busy one spent its processor on questions, and its callers waited
+/// for seconds.
 pub(crate) async fn borrow(
     fleet: &FleetBoard,
     order: &BudgetOrder,
     wanted: TokenCount,
+    lenders: Lenders,
 ) -> LoanRound {
-    let others = fleet.others(MemberRole::Entry, ClockTime::now());
+    let mut others = fleet.others(MemberRole::Entry, ClockTime::now());
     // Whoever isn't fit to be asked may hold something.
     let mut complete = others.len() + 1 >= fleet.count(MemberRole::Entry);
+    if let Lenders::Only(runs) = lenders {
+        complete = false;
+        others.retain(|other| runs.contains(&other.incarnation));
+    }
     let mut lent = TokenCount::ZERO;
-    for other in others {
+    for some in others.chunks(ASKED_AT_ONCE) {
         let request = lend_request(fleet, order, wanted.less(lent), false);
-        match fleet.ask(other.address, &request, LEND_LIMIT).await {
-            Ok(PeerReply::Lend(reply)) => lent += reply.lent,
-            _ => complete = false,
+        let asking: Vec<_> =
+            some.iter().map(|other| fleet.ask(other.address, &request, LEND_LIMIT)).collect();
+        for answer in join_all(asking).await {
+            match answer {
+                Ok(PeerReply::Lend(reply)) => lent += reply.lent,
+                _ => complete = false,
+            }
         }
         if lent >= wanted {
             break;
--- a/crates/sagespool-ledger/src/prepaid/purse.rs
+++ b/crates/sagespool-ledger/src/prepaid/purse.rs
@@ -63,6 +63,8 @@
     /// Tokens a second, over the last seconds.
     rate: f64,
     rate_at: ClockTime,
+    /// When the first use was seen.
+    rate_since: Option<ClockTime>,
 }
 
 /// Of a total, the last part is granted sparingly: supplies that lie idle there, or are given up by a
@@ -77,6 +79,16 @@
 const LEAST_LEFT: f64 = 0.2;
 /// The rate of use forgets half within this time.
 const RATE_HALF_LIFE: Duration = Duration::from_secs(4);
+/// A rate over less than this says little: one request isn't a habit.
+const LEAST_RATE_SPAN: Duration = Duration::from_secs(1);
+/// A loan to an instance that uses much of an account covers its use for so long beside what it
+/// misses: with a loan for each request, both instances do little else.
+const LOAN_AHEAD: Duration = Duration::from_millis(1000);
+/// Instances that use less than so many requests' worth in that time borrow what they miss alone. Many
+/// such hold an account's rests together.
+const LEAST_LOAN_REQUESTS: f64 = 2.0;
+/// Of the largest supply, a loan ahead is this part at most.
+const LOAN_PART: f64 = 0.25;
 
 impl PrepaidPurse {
     /// What can be spent beside what is reserved.
@@ -123,6 +135,22 @@
         (self.free().0 as f64) < wanted / 2.0
     }
 
+    /// What to borrow for the time ahead, beside what a request of some amount misses.
+    pub fn loan_ahead(
+        &self,
+        terms: GrantTerms,
+        total: TokenCount,
+        amount: TokenCount,
+        now: ClockTime,
+    ) -> TokenCount {
+        let lasting = self.rate_now(now) * LOAN_AHEAD.as_secs_f64();
+        if lasting < amount.0 as f64 * LEAST_LOAN_REQUESTS {
+            return TokenCount::ZERO;
+        }
+        let most = terms.largest_supply(total, self.given_up) * LOAN_PART;
+        TokenCount(lasting.min(most) as u64)
+    }
+
     /// The supply that is aimed at.
     fn wanted_ahead(
         &self,
@@ -185,13 +213,23 @@
 
     /// Counts what a request, or another instance, wants from this one: supplies allow for it.
     pub fn note_demand(&mut self, amount: TokenCount, now: ClockTime) {
-        let rate = self.rate_now(now);
+        let rate = self.decayed_rate(now);
         let decay = std::f64::consts::LN_2 / RATE_HALF_LIFE.as_secs_f64();
         self.rate = rate + amount.0 as f64 * decay;
         self.rate_at = now;
+        self.rate_since.get_or_insert(now);
     }
 
+    /// The rate of use. The decaying sum has seen only a part of it until some half-lives have passed
+    /// since the first use; a supply that allowed for that part alone would end in the first second
+    /// of an early outage.
     fn rate_now(&self, now: ClockTime) -> f64 {
+        let span = self.rate_since.map_or(Duration::ZERO, |since| now.since(since));
+        let half_lives = span.max(LEAST_RATE_SPAN).as_secs_f64() / RATE_HALF_LIFE.as_secs_f64();
+        self.decayed_rate(now) / (1.0 - 0.5f64.powf(half_lives))
+    }
+
+    fn decayed_rate(&self, now: ClockTime) -> f64 {
         let age = now.since(self.rate_at).as_secs_f64() / RATE_HALF_LIFE.as_secs_f64();
         self.rate * 0.5f64.powf(age)
     }
--- a/crates/sagespool-platform/src/caller.rs
+++ b/crates/sagespool-platform/src/caller.rs
@@ -194,11 +194,15 @@
         let Some(detour) = detour else {
             return direct;
         };
-        let other = match detour.await {
+        let detoured = detour.await;
+        // What is lost between processes says nothing of the platform: this one may be too busy to
+        // take the answer.
+        let tells = !matches!(detoured, Err(RawFailure::Lost));
+        let other = match detoured {
             Ok(RawAnswer { status, body }) => {
                 Ok(PlatformAnswer { status, retry_after: None, body })
             }
-            Err(RawFailure::Lost) => Err(CallFailure::Lost),
+            Err(RawFailure::Lost | RawFailure::Unanswered) => Err(CallFailure::Lost),
             // Nobody else can be asked either. The direct way may have opened meanwhile; without
             // this try, processes that all start during an outage would wait for each other.
             Err(RawFailure::NotSent) => match call {
@@ -208,9 +212,8 @@
         };
         match &other {
             Ok(answer) if !is_turned_away(answer) => ways.some_way_works(),
-            // A lost answer says nothing of the platform: this process may be too busy to take it.
-            Err(CallFailure::Lost) => {}
-            _ => ways.all_failed(ClockTime::now()),
+            _ if tells => ways.all_failed(ClockTime::now()),
+            _ => {}
         }
         other
     }
--- a/crates/sagespool-platform/src/detour.rs
+++ b/crates/sagespool-platform/src/detour.rs
@@ -41,6 +41,8 @@
     NotSent,
     /// It may have.
     Lost,
+    /// It may have, and a process that was asked says that the platform gave it no answer.
+    Unanswered,
 }
 
 /// The answer of a call, to come.
