Loans that come late are kept; what a crowded instance lacks is told

A lender counts a loan as spent when it answers. A busy borrower saw the answer after its request had gone on, or its caller had left, and the loan was nobody's. Refused requests say whether processor time or memory was short (detail, turn_ms); connections closed unread are told five times a second at most. Lending and borrowing stand apart (desk/loans.rs).

--- a/crates/sagespool-gateway/src/callers.rs
+++ b/crates/sagespool-gateway/src/callers.rs
@@ -62,12 +62,18 @@
 }
 
 fn note_unread(state: &GatewayState, peer: SocketAddr) {
-    let reading = state.intake.reading(ClockTime::now());
+    let now = ClockTime::now();
     state.metrics.closed_unread();
+    let Some(count) = state.intake.note_unread(now) else {
+        return;
+    };
+    let reading = state.intake.reading(now);
     log_event!(
         warn,
-        "connection-closed-unread",
-        peer = peer,
+        "connections-closed-unread",
+        count = count,
+        last_peer = peer,
+        turn_ms = reading.turn.as_millis(),
         open = reading.connections,
         held_bytes = reading.held,
         held_limit = reading.limit,
--- a/crates/sagespool-gateway/src/desk.rs
+++ b/crates/sagespool-gateway/src/desk.rs
@@ -2,6 +2,7 @@
 
 mod account;
 mod grants;
+mod loans;
 mod shortage;
 
 pub(crate) use self::account::Reservation;
@@ -21,8 +22,8 @@
 
 use self::account::{AccountDesk, lock};
 use self::grants::GrantOutcome;
+use self::loans::{Lenders, LoanRound, borrow, borrow_at_home};
 use crate::fleet::FleetBoard;
-use crate::peers::{Lenders, LoanRound, borrow, borrow_at_home};
 use crate::refusal::Refusal;
 
 /// The share of a request's time that waiting for the store may take.
@@ -130,7 +131,7 @@
         self: &Arc<Self>,
         order: &BudgetOrder,
         deadline: ClockTime,
-        fleet: &FleetBoard,
+        fleet: &Arc<FleetBoard>,
     ) -> Result<Reservation, Refusal> {
         let account = self.account(&order.branch);
         let now = ClockTime::now();
@@ -168,7 +169,7 @@
         }
         let missing = order.amount.less(lock(&account.purse).free());
         let lenders = if asks_all { Lenders::All } else { Lenders::Only(account.holders()) };
-        let loan = borrow(fleet, order, missing, lenders).await;
+        let loan = borrow(fleet, &account, order, missing, lenders).await;
         drop(turn);
         if account.reserve_with(order, loan.lent) {
             log_event!(
@@ -187,23 +188,23 @@
     /// like the book's own; nothing if the home can't be asked, or lends too little for now.
     async fn reserve_at_home(
         &self,
-        account: &AccountDesk,
+        account: &Arc<AccountDesk>,
         order: &BudgetOrder,
-        fleet: &FleetBoard,
+        fleet: &Arc<FleetBoard>,
     ) -> Option<GrantOutcome> {
         let (missing, ahead) = {
             let purse = lock(&account.purse);
             let ahead = purse.loan_ahead(self.terms, order.prepaid, order.amount, ClockTime::now());
             (order.amount.less(purse.free()), ahead)
         };
-        let mut reply = borrow_at_home(fleet, order, missing + ahead).await?;
+        let mut reply = borrow_at_home(fleet, account, order, missing + ahead).await?;
         if account.reserve_with(order, reply.lent) {
             return Some(GrantOutcome::Granted);
         }
         if ahead > TokenCount::ZERO {
             // Near the end of a total it may cover the request, if not the time ahead.
             let missing = order.amount.less(lock(&account.purse).free());
-            reply = borrow_at_home(fleet, order, missing).await?;
+            reply = borrow_at_home(fleet, account, order, missing).await?;
             if account.reserve_with(order, reply.lent) {
                 return Some(GrantOutcome::Granted);
             }
--- a/crates/sagespool-gateway/src/flight.rs
+++ b/crates/sagespool-gateway/src/flight.rs
@@ -122,6 +122,8 @@
     pub(crate) outcome: Option<Outcome>,
     pub(crate) status: u16,
     pub(crate) detail: String,
+    /// How long a ready task waited for the processor when it came.
+    pub(crate) turn: Duration,
 }
 
 impl FlightRecord {
@@ -141,6 +143,7 @@
             outcome: None,
             status: 0,
             detail: String::new(),
+            turn: Duration::ZERO,
         }
     }
 
@@ -181,6 +184,7 @@
             charged = self.charged,
             first_ms = first.since(self.began).as_millis(),
             total_ms = now.since(self.began).as_millis(),
+            turn_ms = self.turn.as_millis(),
             plan = self.state.plan_version(),
             detail = self.detail,
         );
--- a/crates/sagespool-gateway/src/intake.rs
+++ b/crates/sagespool-gateway/src/intake.rs
@@ -35,10 +35,21 @@
 /// With a wait for each turn that is longer than this, connections aren't even taken: reading a
 /// request to turn it away costs more than the processor has.
 const SWAMPED_TURN: Duration = Duration::from_millis(120);
+/// Between two lines that tell of connections that were closed unread.
+const UNREAD_LINE_PERIOD: Duration = Duration::from_millis(200);
 /// Requests stop this much earlier than connections, so that a connection that is still taken can
 /// be told why its request isn't.
 const REQUEST_SHARE: f64 = 0.85;
 
+/// What an instance has too little of to take a request in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ShortResource {
+    /// Ready tasks wait too long for their turn.
+    Processor,
+    /// What callers hold is at its bound.
+    Memory,
+}
+
 /// The bounds and what is used of them.
 pub(crate) struct CallerIntake {
     board: Mutex<AdmissionBoard>,
@@ -47,6 +58,14 @@
     /// Bytes that connections, requests and their answers are counted with.
     held: AtomicU64,
     connections: AtomicUsize,
+    unread: Mutex<UnreadCount>,
+}
+
+/// Connections that were closed unread, between two lines of the log.
+#[derive(Debug, Default)]
+struct UnreadCount {
+    count: u64,
+    told: Option<ClockTime>,
 }
 
 impl CallerIntake {
@@ -62,6 +81,7 @@
             connection_limit: descriptors.saturating_sub(OWN_DESCRIPTORS) / 2,
             held: AtomicU64::new(0),
             connections: AtomicUsize::new(0),
+            unread: Mutex::default(),
         }
     }
 
@@ -103,6 +123,24 @@
         Some(ConnectionPass { intake: self.clone(), _memory: memory })
     }
 
+    /// How long a task that is ready waits for its turn.
+    pub(crate) fn turn(&self, now: ClockTime) -> Duration {
+        self.board().turn(now)
+    }
+
+    /// Counts a connection that was closed unread. Gives how many there were since the last time that
+    /// the log was told, if it is to be told again: a line for each would take the processor from
+    /// those who are served.
+    pub(crate) fn note_unread(&self, now: ClockTime) -> Option<u64> {
+        let mut unread = self.unread.lock().unwrap_or_else(PoisonError::into_inner);
+        unread.count += 1;
+        if unread.told.is_some_and(|told| now.since(told) < UNREAD_LINE_PERIOD) {
+            return None;
+        }
+        unread.told = Some(now);
+        Some(std::mem::take(&mut unread.count))
+    }
+
     /// Whether connections are to end with the answer that they carry.
     pub(crate) fn is_tight(&self) -> bool {
         self.held.load(Ordering::Relaxed) as f64 > self.memory_limit as f64 * TIGHT_SHARE
@@ -122,10 +160,11 @@
         let mut board = self.board();
         board.note_turn(now.since(asked), now);
         if !board.admits(request, now) {
-            return Err(Refusal::Crowded);
+            return Err(Refusal::Crowded(ShortResource::Processor));
         }
         let bytes = REQUEST_BYTES + body.0.saturating_mul(BODY_COPIES);
-        let memory = self.take_memory(bytes, self.request_limit()).ok_or(Refusal::Crowded)?;
+        let memory = self.take_memory(bytes, self.request_limit());
+        let memory = memory.ok_or(Refusal::Crowded(ShortResource::Memory))?;
         if let Some(branch) = request.branch {
             board.begin(branch);
         }
@@ -225,7 +264,7 @@
         let bytes = (bytes as u64).saturating_mul(BODY_COPIES);
         match self.memory.grow(bytes, self.intake.request_limit()) {
             true => Ok(()),
-            false => Err(Refusal::Crowded),
+            false => Err(Refusal::Crowded(ShortResource::Memory)),
         }
     }
 }
--- a/crates/sagespool-gateway/src/peers.rs
+++ b/crates/sagespool-gateway/src/peers.rs
@@ -4,122 +4,21 @@
 use std::time::Duration;
 
 use futures_lite::future::poll_once;
-use futures_util::future::join_all;
 use sagespool_forward::PlanIndex;
 use sagespool_link::{PeerCall, PeerHandler, PeerResponder};
 use sagespool_log::log_event;
 use sagespool_messages::{
-    LendReply, LendRequest, MemberInfo, MemberRole, PeerReply, PeerRequest, PlanAsk, PlanReply,
+    LendReply, LendRequest, MemberInfo, PeerReply, PeerRequest, PlanAsk, PlanReply,
 };
-use sagespool_types::{ClockTime, IncarnationId, TokenCount};
+use sagespool_types::{ClockTime, TokenCount};
 use serde_json::value::RawValue;
 
 use crate::desk::BudgetOrder;
-use crate::fleet::{FleetBoard, answer_store_call};
+use crate::fleet::answer_store_call;
 use crate::state::GatewayState;
 
-/// A loan is a round trip of a millisecond or two.
-const LEND_LIMIT: Duration = Duration::from_millis(60);
-/// A home may have to ask the store first, which takes some milliseconds.
-const HOME_LIMIT: Duration = Duration::from_millis(150);
 const PLAN_LIMIT: Duration = Duration::from_millis(500);
 
-/// What became of asking others for a loan.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct LoanRound {
-    /// What they lent.
-    pub(crate) lent: TokenCount,
-    /// True if everyone who is known answered.
-    pub(crate) complete: bool,
-}
-
-/// Who is asked for a loan.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum Lenders {
-    /// Every gateway: only then is it known that nobody has enough.
-    All,
-    /// The runs that the account's book named.
-    Only(Vec<IncarnationId>),
-}
-
-/// Gateways that are asked beside each other. Each may lend all that is wanted, and what is too
-/// much lies idle here.
-const ASKED_AT_ONCE: usize = 8;
-
-/// Asks other gateways for a loan, until there is enough.
-///
-/// While the store is away only those are asked that the book named: with each request asking each
-/// of seventy gateways in turn, a busy one spent its processor on questions, and its callers waited
-/// for seconds.
-pub(crate) async fn borrow(
-    fleet: &FleetBoard,
-    order: &BudgetOrder,
-    wanted: TokenCount,
-    lenders: Lenders,
-) -> LoanRound {
-    let mut others = fleet.others(MemberRole::Entry, ClockTime::now());
-    // Whoever isn't fit to be asked may hold something.
-    let mut complete = others.len() + 1 >= fleet.count(MemberRole::Entry);
-    if let Lenders::Only(runs) = lenders {
-        complete = false;
-        others.retain(|other| runs.contains(&other.incarnation));
-    }
-    let mut lent = TokenCount::ZERO;
-    for some in others.chunks(ASKED_AT_ONCE) {
-        let request = lend_request(fleet, order, wanted.less(lent), false);
-        let asking: Vec<_> =
-            some.iter().map(|other| fleet.ask(other.address, &request, LEND_LIMIT)).collect();
-        for answer in join_all(asking).await {
-            match answer {
-                Ok(PeerReply::Lend(reply)) => lent += reply.lent,
-                _ => complete = false,
-            }
-        }
-        if lent >= wanted {
-            break;
-        }
-    }
-    LoanRound { lent, complete }
-}
-
-/// Asks an account's home for a part of what it holds. Nothing if this gateway is the home, or the
-/// home doesn't answer.
-///
-/// Without a home, each of many gateways takes its own small grants out of one book, and their
-/// writes cross: on the users' small site a request cost one write and a half. The home's grants
-/// serve all, and its word that the book is spent saves the others from reading it: with 31
-/// gateways such readings were a third of all calls of the store.
-pub(crate) async fn borrow_at_home(
-    fleet: &FleetBoard,
-    order: &BudgetOrder,
-    wanted: TokenCount,
-) -> Option<LendReply> {
-    let home = fleet.members.home_of(&order.branch, ClockTime::now())?;
-    if home.incarnation == fleet.run {
-        return None;
-    }
-    let request = lend_request(fleet, order, wanted, true);
-    match fleet.ask(home.address, &request, HOME_LIMIT).await {
-        Ok(PeerReply::Lend(reply)) => Some(reply),
-        _ => None,
-    }
-}
-
-fn lend_request(
-    fleet: &FleetBoard,
-    order: &BudgetOrder,
-    wanted: TokenCount,
-    as_home: bool,
-) -> PeerRequest {
-    PeerRequest::Lend(LendRequest {
-        branch: order.branch.clone(),
-        wanted,
-        version: order.version,
-        borrower: fleet.run,
-        as_home,
-    })
-}
-
 /// Stays in touch with the others for ever.
 pub(crate) async fn run_peers(state: Arc<GatewayState>) {
     let heard = {
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -117,7 +117,9 @@
         latency_target: route.latency_target,
         time_left: deadline.since(began),
     };
-    let mut pass = match state.intake.admit(arrived, declared_length(&body)).await {
+    let taken = state.intake.admit(arrived, declared_length(&body)).await;
+    record.turn = state.intake.turn(ClockTime::now());
+    let mut pass = match taken {
         Ok(pass) => pass,
         Err(refusal) => {
             discard(body);
--- a/crates/sagespool-gateway/src/refusal.rs
+++ b/crates/sagespool-gateway/src/refusal.rs
@@ -8,6 +8,7 @@
 
 use crate::body::AnswerBody;
 use crate::dialect::DemandFault;
+use crate::intake::ShortResource;
 
 /// Why a request isn't answered by an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,7 +34,7 @@
     /// Its content took down the upstreams that ran it; it hasn't run now.
     Stopped,
     /// This instance has no processor time or memory left for it; it hasn't run.
-    Crowded,
+    Crowded(ShortResource),
     /// This instance stops before the request could end.
     Stopping,
     /// No upstream of the service could take it; it hasn't run.
@@ -62,7 +63,7 @@
             Self::NoPlan
             | Self::BudgetUnreachable
             | Self::Stopped
-            | Self::Crowded
+            | Self::Crowded(_)
             | Self::Stopping
             | Self::NoUpstream
             | Self::Busy
@@ -85,7 +86,8 @@
             Self::BudgetSpent => "budget-spent",
             Self::BudgetUnreachable => "budget-unreachable",
             Self::Stopped => "crashes-upstreams",
-            Self::Crowded => "crowded",
+            Self::Crowded(ShortResource::Processor) => "crowded-processor",
+            Self::Crowded(ShortResource::Memory) => "crowded-memory",
             Self::Stopping => "stopping",
             Self::NoUpstream => "no-upstream",
             Self::Busy => "busy",
@@ -107,7 +109,7 @@
             // A request at an upstream lasts a few hundred milliseconds.
             Self::Busy => 200,
             // Another instance takes it at once.
-            Self::Crowded | Self::Stopping | Self::TooLate | Self::BodyTooSlow => 0,
+            Self::Crowded(_) | Self::Stopping | Self::TooLate | Self::BodyTooSlow => 0,
             _ => return None,
         };
         Some(Duration::from_millis(least_ms + fastrand::u64(0..=200)))
@@ -117,7 +119,7 @@
     pub(crate) fn response(self) -> Response<AnswerBody> {
         let mut response = Response::new(AnswerBody::whole(format!("{self}\n").into()));
         *response.status_mut() = self.status();
-        if self == Self::Crowded {
+        if matches!(self, Self::Crowded(_)) {
             // Its room is for others; the caller comes back elsewhere.
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
@@ -147,7 +149,9 @@
             Self::Stopped => {
                 f.write_str("this request takes down what runs it, and isn't run any more")
             }
-            Self::Crowded => f.write_str("this instance is busy, others may not be; nothing ran"),
+            Self::Crowded(_) => {
+                f.write_str("this instance is busy, others may not be; nothing ran")
+            }
             Self::Stopping => f.write_str("this instance is about to stop; nothing ran"),
             Self::NoUpstream => f.write_str("no upstream can be reached; nothing ran"),
             Self::Busy => f.write_str("the upstreams are full; nothing ran"),
