--- a/crates/sagespool-forward/src/admission.rs
+++ b/crates/sagespool-forward/src/admission.rs
@@ -15,6 +15,8 @@
 const LEAST_SHARE: f64 = 0.4;
 /// Weight of a new observation of the wait.
 const NEW_WEIGHT: f64 = 0.25;
+/// What is longer is no wait for the processor: the process, or its machine, stood still.
+const LONGEST_SEEN: Duration = Duration::from_millis(500);
 /// An observation that is older says nothing any more: a burst may be over.
 const LONGEST_BELIEF: Duration = Duration::from_millis(500);
 
@@ -51,9 +53,10 @@
 impl AdmissionBoard {
     /// Notes how long a task that was ready has just waited for its turn.
     pub fn note_turn(&mut self, waited: Duration, now: ClockTime) {
-        let is_old = now.since(self.observed) > LONGEST_BELIEF;
-        let weight = if is_old { 1.0 } else { NEW_WEIGHT };
-        self.turn_s = self.turn_s * (1.0 - weight) + waited.as_secs_f64() * weight;
+        // A single late turn, after a pause or a freeze, is no load: it takes several to count.
+        let before = self.turn(now).as_secs_f64();
+        let seen = waited.min(LONGEST_SEEN).as_secs_f64();
+        self.turn_s = before * (1.0 - NEW_WEIGHT) + seen * NEW_WEIGHT;
         self.observed = now;
     }
 
--- a/crates/sagespool-forward/tests/crowded_instances.rs
+++ b/crates/sagespool-forward/tests/crowded_instances.rs
@@ -279,6 +279,25 @@
     rows
 }
 
+/// A request now and then, each of which meets one late turn: a handshake, or the end of a freeze. The
+/// instance has room for it.
+#[test]
+fn single_hiccups() {
+    let branch: BranchName = "branch-1".parse().unwrap();
+    let mut board = AdmissionBoard::default();
+    for round in 1..20 {
+        let now = ClockTime::from_millis(round * 700);
+        board.note_turn(Duration::from_millis(40), now);
+        let request = ArrivedRequest {
+            branch: Some(&branch),
+            rank: 2,
+            latency_target: Duration::from_millis(300),
+            time_left: Duration::from_millis(3_000),
+        };
+        assert!(board.admits(request, now), "round {round}");
+    }
+}
+
 /// Of the shortest latency target, so much may pass until a refusal is told: its caller can still be
 /// answered in time elsewhere.
 const TOLD_MS: f64 = 100.0;
--- a/crates/sagespool-gateway/src/follow.rs
+++ b/crates/sagespool-gateway/src/follow.rs
@@ -1,17 +1,17 @@
 //! Following the configuration and the list of upstreams in the store.
 
-use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
 
 use sagespool_forward::{ANSWER_TIME, FeedObject, PlanIndex, RosterChange, UpstreamRecord};
 use sagespool_log::log_event;
-use sagespool_messages::{FollowReply, FollowedKind, FollowedObject, MemberInfo};
+use sagespool_messages::{FollowReply, FollowedKind, FollowedObject};
 use sagespool_platform::{ObjectChange, ObjectListing, StoreError, StoredObject};
-use sagespool_types::{ClockTime, IncarnationId, StoreRevision, UpstreamName};
+use sagespool_types::{ClockTime, StoreRevision, UpstreamName};
 use serde_json::value::RawValue;
 use smol::Timer;
 
+use crate::contact::StoreContact;
 use crate::feeds::unsuspended_now;
 use crate::state::GatewayState;
 
@@ -21,12 +21,6 @@
 /// Between the answer of a watch of upstreams and the next one. They write all the time, and each
 /// answer is a call: a few changes are taken together. Leaving upstreams go on for two seconds.
 const UPSTREAM_PAUSE: Duration = Duration::from_millis(400);
-/// Between a failed call and the next: enough that a store that comes back isn't flooded. Each
-/// further failure doubles it.
-const FAILURE_PAUSE: Duration = Duration::from_millis(120);
-const LONGEST_FAILURE_PAUSE: Duration = Duration::from_millis(900);
-const MOST_DOUBLINGS: u32 = 8;
-
 /// With more gateways than this, the pause grows with their number: all read the same changes, and
 /// the store's rates grow more slowly than fleets do.
 const PAUSE_INSTANCES: usize = 8;
@@ -41,15 +35,15 @@
 type RawChange = ObjectChange<Box<RawValue>>;
 
 /// One thing that is followed.
-struct Followed {
-    what: &'static str,
-    kind: FollowedKind,
+pub(crate) struct Followed {
+    pub(crate) what: &'static str,
+    pub(crate) kind: FollowedKind,
     prefix: &'static str,
     pause: fn(&GatewayState) -> Duration,
     on_listing: fn(&GatewayState, RawListing),
     /// Tells whether the change matters.
     on_change: fn(&GatewayState, RawChange) -> bool,
-    on_return: fn(&GatewayState, Duration),
+    pub(crate) on_return: fn(&GatewayState, Duration),
 }
 
 /// Follows the configuration for ever.
@@ -245,60 +239,6 @@
     Some(RawChange { key: object.key, version: object.revision, value })
 }
 
-/// How the store fares, as far as one that follows it can tell.
-#[derive(Default)]
-struct StoreContact {
-    /// Since when it has been lost.
-    lost: Option<ClockTime>,
-    /// Calls that failed in a row.
-    failures: u32,
-    /// The neighbour that is asked in its place.
-    neighbour: Option<IncarnationId>,
-}
-
-impl StoreContact {
-    /// Notes whom changes are learnt from.
-    fn go_by(&mut self, followed: &Followed, neighbour: Option<&MemberInfo>) {
-        let id = neighbour.map(|member| member.incarnation);
-        if std::mem::replace(&mut self.neighbour, id) == id {
-            return;
-        }
-        let from =
-            neighbour.map_or_else(|| "store".to_owned(), |member| member.instance.to_string());
-        log_event!(info, "followed-by-way-of", what = followed.what, from = from);
-    }
-
-    fn lose(&mut self, state: &GatewayState, followed: &Followed, error: &dyn Display) {
-        state.feeds.slot(followed.kind).note_store(true);
-        if self.lost.is_none() {
-            self.lost = Some(ClockTime::now());
-            log_event!(warn, "store-lost", what = followed.what, error = error);
-        }
-    }
-
-    fn succeed(&mut self, state: &GatewayState, followed: &Followed) {
-        self.failures = 0;
-        state.feeds.slot(followed.kind).note_store(false);
-        if let Some(since) = self.lost.take() {
-            let outage = ClockTime::now().since(since);
-            let away_ms = outage.as_millis();
-            log_event!(info, "store-regained", what = followed.what, away_ms = away_ms);
-            (followed.on_return)(state, outage);
-        }
-    }
-
-    /// Notes a call that failed, and waits before the next one.
-    ///
-    /// Guards against a store that is down or turns callers away: all instances would call it again
-    /// at once, many times a second, and the first thing that it meets when it comes back is that.
-    async fn fail(&mut self, state: &GatewayState, followed: &Followed, error: &StoreError) {
-        self.lose(state, followed, error);
-        let pause = FAILURE_PAUSE * 2u32.saturating_pow(self.failures.min(MOST_DOUBLINGS));
-        self.failures += 1;
-        Timer::after(pause.min(LONGEST_FAILURE_PAUSE).mul_f64(0.5 + fastrand::f64())).await;
-    }
-}
-
 fn take_plan(state: &GatewayState, key: &str, value: &RawValue) {
     if key != state.dialect.plan_key {
         return;
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -3,10 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::BytesMut;
 use futures_lite::future::or;
 use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body, Bytes, Incoming};
+use hyper::body::{Bytes, Incoming};
 use hyper::header::{CONNECTION, HOST};
 use hyper::http::request::Parts as RequestParts;
 use hyper::http::response::Parts as ResponseParts;
@@ -21,9 +20,9 @@
 use crate::desk::{BudgetOrder, Reservation};
 use crate::flight::{AdmittedRequest, Flight, FlightRecord};
 use crate::hop::strip_hop;
-use crate::intake::RequestPass;
 use crate::metrics::Outcome;
 use crate::refusal::Refusal;
+use crate::request_body::{declared_length, discard, read_body};
 use crate::state::GatewayState;
 use crate::stream::start_stream;
 
@@ -34,8 +33,6 @@
 /// An answer that isn't a stream is collected whole before it is passed on, up to this length: a
 /// broken one can then be told from a whole one, and asked for again.
 const LONGEST_WHOLE: usize = 16 << 20;
-/// How long the rest of a refused request's body may take to arrive.
-const DISCARD_LIMIT: Duration = Duration::from_secs(1);
 /// The share of the latency target after which an idempotent request goes to another upstream.
 const PATIENCE_SHARE: f64 = 0.6;
 /// With a stream, the first event may wait for long prompts beside it: a second reading of its own
@@ -193,60 +190,6 @@
     state.desk.reserve(&order, deadline, &state.fleet).await.map(Some)
 }
 
-/// Takes in what is still to come of a refused request's body, and forgets it. A connection that is
-/// closed with bytes unread is reset, which would take the refusal away from its caller.
-fn discard(mut body: Incoming) {
-    if body.is_end_stream() {
-        return;
-    }
-    let rest = async move { while let Some(Ok(_)) = body.frame().await {} };
-    smol::spawn(within(DISCARD_LIMIT, rest)).detach();
-}
-
-/// The length that a request says its body has; nothing for one that is sent in pieces, which is
-/// counted when it is there.
-fn declared_length(body: &Incoming) -> ByteCount {
-    ByteCount(body.size_hint().exact().unwrap_or(0))
-}
-
-async fn read_body(
-    index: &PlanIndex,
-    body: Incoming,
-    pass: &mut RequestPass,
-    limit: Duration,
-) -> Result<Bytes, Refusal> {
-    let most = usize::try_from(index.plan().limits.body_bytes.0).unwrap_or(usize::MAX);
-    let collected = within(limit, collect_body(body, pass, most)).await;
-    collected.unwrap_or(Err(Refusal::BodyTooSlow))
-}
-
-async fn collect_body(
-    mut body: Incoming,
-    pass: &mut RequestPass,
-    most: usize,
-) -> Result<Bytes, Refusal> {
-    let declared = body.size_hint().exact();
-    if declared.is_some_and(|length| length > most as u64) {
-        return Err(Refusal::BodyTooLarge);
-    }
-    let mut whole = BytesMut::with_capacity(declared.unwrap_or(0) as usize);
-    while let Some(frame) = body.frame().await {
-        // A broken connection: the answer reaches nobody.
-        let frame = frame.map_err(|_| Refusal::BodyTooSlow)?;
-        let Ok(bytes) = frame.into_data() else {
-            continue;
-        };
-        if whole.len() + bytes.len() > most {
-            return Err(Refusal::BodyTooLarge);
-        }
-        if declared.is_none() {
-            pass.count_body(bytes.len())?;
-        }
-        whole.extend_from_slice(&bytes);
-    }
-    Ok(whole.freeze())
-}
-
 /// A whole answer of an upstream.
 struct WholeAnswer {
     head: ResponseParts,
--- /dev/null
+++ b/crates/sagespool-gateway/src/request_body.rs
@@ -0,0 +1,71 @@
+//! Bodies of callers' requests: read, counted, or forgotten.
+
+use std::time::Duration;
+
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Bytes, Incoming};
+use sagespool_forward::PlanIndex;
+use sagespool_link::within;
+use sagespool_types::ByteCount;
+
+use crate::intake::RequestPass;
+use crate::refusal::Refusal;
+
+/// How long the rest of a refused request's body may take to arrive.
+const DISCARD_LIMIT: Duration = Duration::from_secs(1);
+
+/// Takes in what is still to come of a refused request's body, and forgets it. A connection that is
+/// closed with bytes unread is reset, which would take the refusal away from its caller.
+pub(crate) fn discard(mut body: Incoming) {
+    if body.is_end_stream() {
+        return;
+    }
+    let rest = async move { while let Some(Ok(_)) = body.frame().await {} };
+    smol::spawn(within(DISCARD_LIMIT, rest)).detach();
+}
+
+/// The length that a request says its body has; nothing for one that is sent in pieces, which is
+/// counted when it is there.
+pub(crate) fn declared_length(body: &Incoming) -> ByteCount {
+    ByteCount(body.size_hint().exact().unwrap_or(0))
+}
+
+/// Takes in a request's body within a time.
+pub(crate) async fn read_body(
+    index: &PlanIndex,
+    body: Incoming,
+    pass: &mut RequestPass,
+    limit: Duration,
+) -> Result<Bytes, Refusal> {
+    let most = usize::try_from(index.plan().limits.body_bytes.0).unwrap_or(usize::MAX);
+    let collected = within(limit, collect_body(body, pass, most)).await;
+    collected.unwrap_or(Err(Refusal::BodyTooSlow))
+}
+
+async fn collect_body(
+    mut body: Incoming,
+    pass: &mut RequestPass,
+    most: usize,
+) -> Result<Bytes, Refusal> {
+    let declared = body.size_hint().exact();
+    if declared.is_some_and(|length| length > most as u64) {
+        return Err(Refusal::BodyTooLarge);
+    }
+    let mut whole = BytesMut::with_capacity(declared.unwrap_or(0) as usize);
+    while let Some(frame) = body.frame().await {
+        // A broken connection: the answer reaches nobody.
+        let frame = frame.map_err(|_| Refusal::BodyTooSlow)?;
+        let Ok(bytes) = frame.into_data() else {
+            continue;
+        };
+        if whole.len() + bytes.len() > most {
+            return Err(Refusal::BodyTooLarge);
+        }
+        if declared.is_none() {
+            pass.count_body(bytes.len())?;
+        }
+        whole.extend_from_slice(&bytes);
+    }
+    Ok(whole.freeze())
+}
