A round of loans in vain stands for the requests that waited for it

Found in a last reading, by design: rounds of one account run one after the other, and while the store is away and a holder is dark each lasts until the dark one is given up.

--- a/crates/sagespool-gateway/src/desk.rs
+++ b/crates/sagespool-gateway/src/desk.rs
@@ -6,7 +6,7 @@
 mod shortage;
 
 pub(crate) use self::account::Reservation;
-pub use self::shortage::KnownShortage;
+pub use self::shortage::{FailedRound, KnownShortage};
 
 use std::collections::HashMap;
 use std::sync::atomic::Ordering;
@@ -158,20 +158,27 @@
         }
         // The book's word that it is short is the whole fleet's only with everybody's beside it.
         let asks_all = matches!(asked, Ok(GrantOutcome::Short(_)));
-        let turn = account.round.lock().await;
+        let mut failed = account.round.lock().await;
         let now = ClockTime::now();
         if lock(&account.purse).reserve(order.amount, now) {
-            drop(turn);
+            drop(failed);
             return Ok(Reservation::new(account, order.amount));
         }
         if account.shortage_of(order, now).is_some() {
             return Err(self.refuse(&account, order, Refusal::BudgetSpent, "known-short"));
         }
+        if failed.is_some_and(|failed| failed.stands_for(order.amount, now)) {
+            return Err(self.refuse(&account, order, Refusal::BudgetUnreachable, "peers-away"));
+        }
         let missing = order.amount.less(lock(&account.purse).free());
         let lenders = if asks_all { Lenders::All } else { Lenders::Only(account.holders()) };
         let loan = borrow(fleet, &account, order, missing, lenders).await;
-        drop(turn);
-        if account.reserve_with(order, loan.lent) {
+        let reserved = account.reserve_with(order, loan.lent);
+        let everybody_told = asks_all && loan.complete;
+        let in_vain = !reserved && !everybody_told;
+        *failed = in_vain.then(|| FailedRound::noted(order.amount, ClockTime::now()));
+        drop(failed);
+        if reserved {
             log_event!(
                 info,
                 "budget-borrowed",
--- a/crates/sagespool-gateway/src/desk/account.rs
+++ b/crates/sagespool-gateway/src/desk/account.rs
@@ -10,7 +10,7 @@
 };
 
 use super::BudgetOrder;
-use super::shortage::KnownShortage;
+use super::shortage::{FailedRound, KnownShortage};
 
 /// One account's.
 pub(crate) struct AccountDesk {
@@ -23,7 +23,7 @@
     holders: Mutex<Vec<IncarnationId>>,
     /// Whoever holds it asks others for loans. Requests of one account wait for each other's round,
     /// which may serve them too.
-    pub(super) round: TurnLock<()>,
+    pub(super) round: TurnLock<Option<FailedRound>>,
     pub(super) tops_up: AtomicBool,
 }
 
@@ -45,7 +45,7 @@
             book: TurnLock::new(None),
             shortage: Mutex::default(),
             holders: Mutex::default(),
-            round: TurnLock::new(()),
+            round: TurnLock::new(None),
             tops_up: AtomicBool::new(false),
         }
     }
--- a/crates/sagespool-gateway/src/desk/shortage.rs
+++ b/crates/sagespool-gateway/src/desk/shortage.rs
@@ -59,3 +59,30 @@
         self.version == version && self.is_fresh(now) && amount > self.room
     }
 }
+
+/// How long word that nobody could be asked stands for the requests that waited for it.
+const FAILED_LIFE: Duration = Duration::from_millis(200);
+
+/// A round of questions that brought too little, while not everybody could be asked.
+///
+/// Requests of an account wait for each other's rounds. While the store is away and a holder doesn't
+/// answer, each round lasts until it gives that up; with a round for each of fifty requests a second
+/// the wait would grow by seconds each second, and all would be refused at their deadline.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FailedRound {
+    /// What was asked for in vain.
+    amount: TokenCount,
+    noted: ClockTime,
+}
+
+impl FailedRound {
+    /// Notes a round that has just ended.
+    pub fn noted(amount: TokenCount, now: ClockTime) -> Self {
+        Self { amount, noted: now }
+    }
+
+    /// Whether a request needn't ask again.
+    pub fn stands_for(&self, amount: TokenCount, now: ClockTime) -> bool {
+        amount >= self.amount && now.since(self.noted) < FAILED_LIFE
+    }
+}
--- a/crates/sagespool-gateway/src/lib.rs
+++ b/crates/sagespool-gateway/src/lib.rs
@@ -35,7 +35,7 @@
 mod stream;
 
 pub use body::{AnswerBody, AnswerCut, BodyPiece, StreamedBody};
-pub use desk::KnownShortage;
+pub use desk::{FailedRound, KnownShortage};
 pub use dialect::{AnswerMarks, DemandFault, OnwardTerms, WireDialect};
 pub use flush::{CountedStream, FlushCounter};
 pub use relay_role::RelayRole;
