Loans ahead only for callers bound to one instance

With two requests a second each of four gateways borrowed ahead of each large account, and a kill gave those rests up beside the home's supply. From ten a second on, an account's callers are bound to one instance.

--- a/crates/sagespool-ledger/src/prepaid/purse.rs
+++ b/crates/sagespool-ledger/src/prepaid/purse.rs
@@ -86,7 +86,7 @@
 const LOAN_AHEAD: Duration = Duration::from_millis(1000);
 /// Instances that use less than so many requests' worth in that time borrow what they miss alone. Many
 /// such hold an account's rests together.
-const LEAST_LOAN_REQUESTS: f64 = 2.0;
+const LEAST_LOAN_REQUESTS: f64 = 10.0;
 /// Of the largest supply, a loan ahead is this part at most.
 const LOAN_PART: f64 = 0.25;
 
