Rests of loans go to the account's home when an instance stops; loans ahead share what may lie idle

The book knows grants only, and a loan ahead was a second of the borrower's use, up to a hundredth of the total at each of 25 borrowers.

Change: an instance that stops hands what is left of its loans to the account's home, once, counted as spent before it leaves.

--- a/crates/sagespool-entry/src/peers.rs
+++ b/crates/sagespool-entry/src/peers.rs
@@ -82,6 +82,7 @@
         | PeerRequest::FindKey(_)
         | PeerRequest::Order(_)
         | PeerRequest::Lend(_)
+        | PeerRequest::ReturnRest(_)
         | PeerRequest::AskPlan(_)
         | PeerRequest::CallStore(_)
         | PeerRequest::Follow(_) => PeerReply::Unsupported("this process is an entry".into()),
--- a/crates/sagespool-gateway/src/desk.rs
+++ b/crates/sagespool-gateway/src/desk.rs
@@ -3,6 +3,7 @@
 mod account;
 mod grants;
 mod loans;
+mod rests;
 mod shortage;
 
 pub(crate) use self::account::Reservation;
@@ -22,7 +23,7 @@
 
 use self::account::{AccountDesk, lock};
 use self::grants::GrantOutcome;
-use self::loans::{Lenders, LoanRound, borrow, borrow_at_home};
+use self::loans::{Lenders, LoanRound, LoanSize, borrow, borrow_at_home};
 use crate::fleet::FleetBoard;
 use crate::refusal::Refusal;
 
@@ -126,6 +127,18 @@
         lock(&account.purse).lend(wanted)
     }
 
+    /// How much of a loan for the time ahead another instance gets from this one as the home.
+    pub(crate) fn ahead_to_lend(
+        &self,
+        branch: &BranchName,
+        prepaid: TokenCount,
+        ahead: TokenCount,
+        now: ClockTime,
+    ) -> TokenCount {
+        let account = self.account(branch);
+        lock(&account.purse).ahead_to_lend(self.terms, prepaid, ahead, now)
+    }
+
     /// Sets the most that a request can cost aside, out of what the store granted or others lent.
     pub(crate) async fn reserve(
         self: &Arc<Self>,
@@ -204,14 +217,16 @@
             let ahead = purse.loan_ahead(self.terms, order.prepaid, order.amount, ClockTime::now());
             (order.amount.less(purse.free()), ahead)
         };
-        let mut reply = borrow_at_home(fleet, account, order, missing + ahead).await?;
+        let size = LoanSize { missing, ahead };
+        let mut reply = borrow_at_home(fleet, account, order, size).await?;
         if account.reserve_with(order, reply.lent) {
             return Some(GrantOutcome::Granted);
         }
         if ahead > TokenCount::ZERO {
             // Near the end of a total it may cover the request, if not the time ahead.
             let missing = order.amount.less(lock(&account.purse).free());
-            reply = borrow_at_home(fleet, account, order, missing).await?;
+            let size = LoanSize { missing, ahead: TokenCount::ZERO };
+            reply = borrow_at_home(fleet, account, order, size).await?;
             if account.reserve_with(order, reply.lent) {
                 return Some(GrantOutcome::Granted);
             }
--- a/crates/sagespool-gateway/src/desk/loans.rs
+++ b/crates/sagespool-gateway/src/desk/loans.rs
@@ -32,6 +32,15 @@
     pub(super) complete: bool,
 }
 
+/// How much is asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct LoanSize {
+    /// What a request misses.
+    pub(super) missing: TokenCount,
+    /// For the requests of the time ahead; a home may lend less.
+    pub(super) ahead: TokenCount,
+}
+
 /// Who is asked for a loan.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Lenders {
@@ -62,7 +71,8 @@
     }
     let mut lent = TokenCount::ZERO;
     for some in others.chunks(ASKED_AT_ONCE) {
-        let request = lend_request(fleet, order, wanted.less(lent), false);
+        let missing = LoanSize { missing: wanted.less(lent), ahead: TokenCount::ZERO };
+        let request = lend_request(fleet, order, missing, false);
         let ask = |other| ask_for_loan(fleet, account, other, request.clone(), LEND_LIMIT);
         for answer in join_all(some.iter().map(ask)).await {
             match answer {
@@ -88,25 +98,26 @@
     fleet: &Arc<FleetBoard>,
     account: &Arc<AccountDesk>,
     order: &BudgetOrder,
-    wanted: TokenCount,
+    size: LoanSize,
 ) -> Option<LendReply> {
     let home = fleet.members.home_of(&order.branch, ClockTime::now())?;
     if home.incarnation == fleet.run {
         return None;
     }
-    let request = lend_request(fleet, order, wanted, true);
+    let request = lend_request(fleet, order, size, true);
     ask_for_loan(fleet, account, &home, request, HOME_LIMIT).await
 }
 
 fn lend_request(
     fleet: &FleetBoard,
     order: &BudgetOrder,
-    wanted: TokenCount,
+    size: LoanSize,
     as_home: bool,
 ) -> PeerRequest {
     PeerRequest::Lend(LendRequest {
         branch: order.branch.clone(),
-        wanted,
+        wanted: size.missing + size.ahead,
+        ahead: size.ahead,
         version: order.version,
         borrower: fleet.run,
         as_home,
--- /dev/null
+++ b/crates/sagespool-gateway/src/desk/rests.rs
@@ -0,0 +1,63 @@
+//! What is left of loans at an instance that stops.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sagespool_log::log_event;
+use sagespool_messages::{BudgetRest, MemberInfo, MemberRole, PeerReply, PeerRequest};
+use sagespool_types::{BranchName, ClockTime, TokenCount};
+use smol::Task;
+
+use super::BudgetDesk;
+use super::account::{AccountDesk, lock};
+use crate::fleet::FleetBoard;
+
+impl BudgetDesk {
+    /// Hands what is left of loans to the accounts' homes. For a graceful stop: the books know nothing of
+    /// loans, and what stays here is lost to the accounts.
+    pub(crate) async fn return_rests(self: &Arc<Self>, fleet: &Arc<FleetBoard>, limit: Duration) {
+        let accounts: Vec<Arc<AccountDesk>> = lock(&self.accounts).values().cloned().collect();
+        let returning = accounts.into_iter().filter_map(|account| {
+            let amount = lock(&account.purse).take_surplus();
+            if amount == TokenCount::ZERO {
+                return None;
+            }
+            let rest = BudgetRest { branch: account.branch.clone(), amount };
+            let fleet = fleet.clone();
+            Some(smol::spawn(async move { return_rest(&fleet, rest, limit).await }))
+        });
+        let returning: Vec<Task<()>> = returning.collect();
+        for task in returning {
+            task.await;
+        }
+    }
+
+    /// Takes what an instance that stops had left.
+    pub(crate) fn take_rest(&self, rest: &BudgetRest) {
+        let account = self.account(&rest.branch);
+        lock(&account.purse).borrow(rest.amount);
+        log_event!(info, "rest-taken", branch = rest.branch, amount = rest.amount);
+    }
+}
+
+async fn return_rest(fleet: &FleetBoard, rest: BudgetRest, limit: Duration) {
+    let (branch, amount) = (rest.branch.clone(), rest.amount);
+    let Some(heir) = heir_of(fleet, &branch, ClockTime::now()) else {
+        log_event!(warn, "rest-lost", branch = branch, amount = amount, cause = "nobody is left");
+        return;
+    };
+    // Asked once: an answer that was lost doesn't tell whether the rest was taken.
+    match fleet.ask(heir.address, &PeerRequest::ReturnRest(rest), limit).await {
+        Ok(PeerReply::Done) => {
+            log_event!(info, "rest-returned", branch = branch, amount = amount, to = heir.instance);
+        }
+        _ => log_event!(warn, "rest-lost", branch = branch, amount = amount, to = heir.instance),
+    }
+}
+
+/// Who takes an account's rest: its home, or anybody who stays.
+fn heir_of(fleet: &FleetBoard, branch: &BranchName, now: ClockTime) -> Option<MemberInfo> {
+    let stays = |member: &MemberInfo| member.incarnation != fleet.run && !member.leaving;
+    let home = fleet.members.home_of(branch, now).filter(stays);
+    home.or_else(|| fleet.others(MemberRole::Entry, now).into_iter().find(stays))
+}
--- a/crates/sagespool-gateway/src/peers.rs
+++ b/crates/sagespool-gateway/src/peers.rs
@@ -57,6 +57,10 @@
             state.crashes.record(&report, ClockTime::now());
             PeerReply::Done
         }
+        PeerRequest::ReturnRest(rest) => {
+            state.desk.take_rest(&rest);
+            PeerReply::Done
+        }
         PeerRequest::Follow(ask) => PeerReply::Follow(state.feeds.answer(ask).await),
         PeerRequest::CallStore(call) => answer_store_call(&state.store, call).await,
         _ => PeerReply::Unsupported("this process is a gateway".to_owned()),
@@ -68,14 +72,19 @@
 /// store such answers took 8 in 100 of a small account's total.
 async fn lend(state: &GatewayState, request: &LendRequest, responder: PeerResponder) {
     let mut shortage = None;
+    let mut wanted = request.wanted;
     if request.as_home {
         let gone = responder.asker_gone();
-        shortage = stock_up(state, request).await;
+        if let Some(order) = lending_order(state, request) {
+            wanted = order.amount;
+            shortage = state.desk.stock_up(&order).await;
+            shortage = shortage.filter(|_| order.version >= request.version);
+        }
         if poll_once(gone).await.is_some() {
             return;
         }
     }
-    let lent = state.desk.lend(&request.branch, request.wanted);
+    let lent = state.desk.lend(&request.branch, wanted);
     let room = shortage.map(|room| room.less(lent));
     if lent > TokenCount::ZERO {
         log_event!(
@@ -84,27 +93,27 @@
             branch = request.branch,
             to = request.borrower,
             wanted = request.wanted,
+            ahead = request.ahead,
             lent = lent,
         );
     }
     responder.reply(PeerReply::Lend(LendReply { lent, room })).await;
 }
 
-/// Asks the store for what another gateway wants, if this one holds too little. Tells what there is
-/// if even the book can't cover it.
-async fn stock_up(state: &GatewayState, request: &LendRequest) -> Option<TokenCount> {
+/// What a home is to hold for a borrower: what it misses, and its share of what is lent ahead.
+fn lending_order(state: &GatewayState, request: &LendRequest) -> Option<BudgetOrder> {
     let index = state.plan()?;
     let branch = index.plan().branches.iter().find(|branch| branch.name == request.branch);
     let prepaid = branch.and_then(|branch| branch.prepaid)?;
-    let order = BudgetOrder {
+    let missing = request.wanted.less(request.ahead);
+    let ahead = state.desk.ahead_to_lend(&request.branch, prepaid, request.ahead, ClockTime::now());
+    Some(BudgetOrder {
         branch: request.branch.clone(),
         version: index.plan().version,
         prepaid,
-        amount: request.wanted,
+        amount: missing + ahead,
         request: String::new(),
-    };
-    let shortage = state.desk.stock_up(&order).await;
-    shortage.filter(|_| order.version >= request.version)
+    })
 }
 
 /// Takes a newer configuration from a gateway that has one: the store may turn this one away while
--- a/crates/sagespool-gateway/src/role.rs
+++ b/crates/sagespool-gateway/src/role.rs
@@ -28,6 +28,8 @@
 const ROTATION_TIME: Duration = Duration::from_millis(2600);
 /// Of the time for a graceful stop, kept for ending the grants in the store and the last writes.
 const CLOSING_TIME: Duration = Duration::from_millis(1200);
+/// How long another instance may take to confirm what is left of loans.
+const RETURN_TIME: Duration = Duration::from_millis(300);
 /// Connections that wait to be taken.
 const ACCEPT_QUEUE: i32 = 1024;
 const STOP_POLL: Duration = Duration::from_millis(25);
@@ -147,6 +149,7 @@
         drop(accepting);
         let open = || state.intake.connections();
         wait_until(|| open() == 0, ClockTime::now().after(FLUSH_TIME)).await;
+        state.desk.return_rests(&state.fleet, RETURN_TIME).await;
         state.desk.close_all(CLOSING_TIME / 2).await;
         let took = ClockTime::now().since(began);
         log_event!(info, "gateway-stopped", cut = cut, took_ms = took.as_millis());
--- a/crates/sagespool-ledger/src/prepaid/purse.rs
+++ b/crates/sagespool-ledger/src/prepaid/purse.rs
@@ -151,6 +151,31 @@
         TokenCount(lasting.min(most) as u64)
     }
 
+    /// What a home gives of a loan for the time ahead. It is asked by many borrowers, whose loans lie
+    /// idle together: each gets its share of what may, by its part of the account's use.
+    ///
+    /// Guards against totals that can't be used up: what a borrower holds is lost when it is killed,
+    /// and with a loan for a whole second at each of many, single kills lost 4 in 100 of a total.
+    pub fn ahead_to_lend(
+        &self,
+        terms: GrantTerms,
+        total: TokenCount,
+        ahead: TokenCount,
+        now: ClockTime,
+    ) -> TokenCount {
+        let asked_by_all = self.rate_now(now) * LOAN_AHEAD.as_secs_f64();
+        let most = terms.largest_supply(total, self.given_up) * LOAN_PART;
+        let share = (most / asked_by_all.max(1.0)).min(1.0);
+        TokenCount((ahead.0 as f64 * share) as u64)
+    }
+
+    /// Takes out what is left of loans beyond all that was spent or promised, for another instance. The
+    /// book doesn't know of it: what it has for this instance ends with its grant alone.
+    pub fn take_surplus(&mut self) -> TokenCount {
+        let surplus = self.borrowed.less(self.lent + self.used + self.reserved);
+        self.lend(surplus)
+    }
+
     /// The supply that is aimed at.
     fn wanted_ahead(
         &self,
--- a/crates/sagespool-messages/src/gateways.rs
+++ b/crates/sagespool-messages/src/gateways.rs
@@ -18,6 +18,8 @@
         pub version: ConfigVersion,
         /// The run that asks.
         pub borrower: IncarnationId,
+        /// The part of `wanted` that is for the time ahead, and may be less.
+        pub ahead: TokenCount,
         /// True if the receiver is asked as the account's home, and may ask the store first.
         pub as_home: bool,
     }
@@ -34,6 +36,17 @@
     }
 }
 
+derives! { record;
+    /// What is left of an account at an instance that stops. It counts as spent there from then on, also
+    /// if the message gets lost.
+    pub struct BudgetRest {
+        /// The account.
+        pub branch: BranchName,
+        /// What the receiver may spend.
+        pub amount: TokenCount,
+    }
+}
+
 derives! { value;
     /// A question for the configuration that the receiver has in force.
     pub struct PlanAsk {
--- a/crates/sagespool-messages/src/lib.rs
+++ b/crates/sagespool-messages/src/lib.rs
@@ -26,8 +26,8 @@
     DispatchRequest, HeaderPair, PrefixDigest, ResumePoint, StopCause,
 };
 pub use gateways::{
-    FollowAsk, FollowReply, FollowedKind, FollowedObject, LendReply, LendRequest, PlanAsk,
-    PlanReply, StoreCall, StoreCallReply, StoreMethod,
+    BudgetRest, FollowAsk, FollowReply, FollowedKind, FollowedObject, LendReply, LendRequest,
+    PlanAsk, PlanReply, StoreCall, StoreCallReply, StoreMethod,
 };
 pub use members::{
     Heartbeat, LoadReport, MemberInfo, MemberRole, ServedUpstream, SuspectNote, UpstreamKind,
--- a/crates/sagespool-messages/src/wire.rs
+++ b/crates/sagespool-messages/src/wire.rs
@@ -48,6 +48,8 @@
         NoticeConfiguration(ConfigNotice),
         /// Gateway to gateway; answered by [`PeerReply::Lend`].
         Lend(LendRequest),
+        /// Gateway that stops to another one; answered by [`PeerReply::Done`].
+        ReturnRest(BudgetRest),
         /// Gateway to gateway; answered by [`PeerReply::Plan`].
         AskPlan(PlanAsk),
         /// Gateway to gateway or relay; answered by [`PeerReply::StoreCall`].
--- a/crates/sagespool-sidecar/src/role/peers.rs
+++ b/crates/sagespool-sidecar/src/role/peers.rs
@@ -67,6 +67,7 @@
         | PeerRequest::ReportCrash(_)
         | PeerRequest::Abandon(_)
         | PeerRequest::Lend(_)
+        | PeerRequest::ReturnRest(_)
         | PeerRequest::AskPlan(_)
         | PeerRequest::CallStore(_)
         | PeerRequest::Follow(_) => PeerReply::Unsupported("this process is a sidecar".to_owned()),
