Evacuated data centres, cold upstreams and home regions are kept; who has an address now

Change: - Evacuations are followed like the configuration, over followers and relays, on their own times; a data centre that is evacuated gets no new work, a service without any other is refused at once. Settings: in_force.evacuations_ms, only where the sheet has it. - A cold upstream (by its entry, its answers, or a data centre just taken back) gets work from six instances alone, chosen by rendezvous over the names of all that were ever listed or heard of in a minute, two requests in any second each, counted when they leave.

After a kill of all, senders that knew nobody yet refused 344 requests; the listing of addresses names all instances at once.

Ruled out: unknown restarts (all gateways had word of a cold upstream 20 ms after its start).

--- a/crates/sagespool-forward/src/engine.rs
+++ b/crates/sagespool-forward/src/engine.rs
@@ -81,6 +81,11 @@
     })
 }
 
+/// A number that stands for a name in rendezvous hashing.
+pub(crate) fn hash_text(text: &str) -> u64 {
+    text.bytes().fold(0u64, |hash, byte| mix(hash ^ u64::from(byte)))
+}
+
 /// Spreads the bits of a number evenly (the finalizer of SplitMix64).
 pub(crate) fn mix(value: u64) -> u64 {
     let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/crates/sagespool-forward/src/lib.rs
+++ b/crates/sagespool-forward/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`PlanIndex`] finds the route and the account of a request. [`UpstreamRoster`] holds the
 //! upstreams that may get work, [`PlacementBoard`] chooses among them, [`RetryBudget`] says
 //! whether a request may be sent once more, [`AdmissionBoard`] turns requests away that a busy
-//! instance can't answer in time, and [`EventCutter`] splits streams into whole events.
+//! instance can't answer in time, [`WarmupGuard`] spares upstreams that are cold, and [`EventCutter`] splits streams into whole events.
 //!
 //! ```
 //! use sagespool_forward::EventCutter;
@@ -25,6 +25,7 @@
 mod plan;
 mod retry;
 mod roster;
+mod warmup;
 
 pub use admission::{AdmissionBoard, ArrivedRequest};
 pub use demand::{CallerDemand, PromptPart, TokenDemand};
@@ -34,8 +35,9 @@
 pub use index::{PlanIndex, RouteMatch};
 pub use placement::{PlacementBoard, PlacementPolicy, SendOutcome, SendTicket, WorkShape};
 pub use plan::{
-    BranchPlan, CallerLimits, EngineTraits, ForwardPlan, ForwardRoute, RepeatRule, RouteTarget,
-    ServicePlan,
+    BranchPlan, CallerLimits, EngineTraits, ForwardPlan, ForwardRoute, HomeRegions, RepeatRule,
+    RouteTarget, ServicePlan,
 };
 pub use retry::{RetryBudget, RetryTerms};
 pub use roster::{RosterChange, UpstreamRecord, UpstreamRoster, UpstreamRun};
+pub use warmup::{SenderPanel, WarmupGuard, WarmupTerms, WarmupTraits};
--- a/crates/sagespool-forward/src/placement.rs
+++ b/crates/sagespool-forward/src/placement.rs
@@ -5,7 +5,7 @@
 
 use sagespool_types::{CentreName, ClockTime, TokenCount, UpstreamName};
 
-use crate::engine::{chain_ids, mix};
+use crate::engine::{chain_ids, hash_text, mix};
 use crate::{EngineTraits, PromptPart, UpstreamRecord, UpstreamRun};
 
 mod health;
@@ -325,10 +325,6 @@
 /// The upstream that all instances prefer for a shared prompt, by rendezvous hashing: without a
 /// word between them they send it to the same one, and it is read there once.
 fn first_by_rank(records: &[&UpstreamRecord], chain: u64) -> Option<UpstreamName> {
-    let rank = |record: &&&UpstreamRecord| {
-        let name =
-            record.name.as_str().bytes().fold(0u64, |hash, byte| mix(hash ^ u64::from(byte)));
-        mix(chain ^ name)
-    };
+    let rank = |record: &&&UpstreamRecord| mix(chain ^ hash_text(record.name.as_str()));
     records.iter().max_by_key(rank).map(|record| record.name.clone())
 }
--- a/crates/sagespool-forward/src/plan.rs
+++ b/crates/sagespool-forward/src/plan.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-use sagespool_types::{BranchName, ByteCount, ConfigVersion, ServiceName, TokenCount, derives};
+use sagespool_types::{
+    BranchName, ByteCount, ConfigVersion, RegionName, ServiceName, TokenCount, derives,
+};
+
+use crate::WarmupTraits;
 
 derives! { record;
     /// Everything that forwarding is told by operators, in full.
@@ -57,6 +61,21 @@
         pub open: bool,
         /// The services that its requests are spread over.
         pub targets: Vec<RouteTarget>,
+        /// Where its requests may run.
+        pub homes: HomeRegions,
+    }
+}
+
+derives! { record;
+    /// The regions that requests must not leave. If there are none, they may go anywhere.
+    #[derive(Default)]
+    pub struct HomeRegions(pub Vec<RegionName>);
+}
+
+impl HomeRegions {
+    /// Whether a request may run in a region. An unknown region is nobody's home.
+    pub fn allow(&self, region: Option<&RegionName>) -> bool {
+        self.0.is_empty() || region.is_some_and(|region| self.0.contains(region))
     }
 }
 
@@ -79,6 +98,8 @@
         pub most_connections: u32,
         /// What its upstreams are like if they are model engines.
         pub engine: Option<EngineTraits>,
+        /// What its upstreams bear while they are cold; nothing if they never are.
+        pub warmup: Option<WarmupTraits>,
     }
 }
 
@@ -119,5 +140,7 @@
         pub priority: Option<u8>,
         /// All tokens that it may use; no limit if there is none.
         pub prepaid: Option<TokenCount>,
+        /// Where its requests may run.
+        pub homes: HomeRegions,
     }
 }
--- a/crates/sagespool-forward/src/roster.rs
+++ b/crates/sagespool-forward/src/roster.rs
@@ -1,6 +1,6 @@
 //! The upstreams that may get work.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -23,6 +23,8 @@
     pub slots: u32,
     /// True if it wants no new work.
     pub leaving: bool,
+    /// How much longer it is cold, as of the moment at which it wrote its entry.
+    pub cold_left: Duration,
 }
 
 impl UpstreamRecord {
@@ -66,6 +68,8 @@
     missing: Option<ClockTime>,
     /// Another upstream answered at its address.
     replaced: bool,
+    /// The upstream that came to its address later.
+    successor: Option<UpstreamName>,
 }
 
 /// What this instance knows of the upstreams.
@@ -78,6 +82,8 @@
 #[derive(Debug, Default)]
 pub struct UpstreamRoster {
     entries: BTreeMap<UpstreamName, RosterEntry>,
+    /// Data centres whose upstreams get no new work, whatever they say themselves.
+    evacuated: BTreeSet<CentreName>,
     /// When the store came back after an outage in which entries may have lapsed.
     returned: Option<ClockTime>,
     loaded: bool,
@@ -120,7 +126,11 @@
         let listed: Vec<UpstreamName> = records.iter().map(|record| record.name.clone()).collect();
         let missing: Vec<UpstreamName> =
             self.entries.keys().filter(|name| !listed.contains(name)).cloned().collect();
-        let mut changes: Vec<_> = records.into_iter().map(|record| self.put(record)).collect();
+        // Of two that are both new, either may be the later one.
+        let known = self.by_address();
+        let mut changes: Vec<_> =
+            records.into_iter().map(|record| self.put_after(record, &known)).collect();
+        self.prefer_cold();
         for name in &missing {
             self.mark_missing(name, now);
         }
@@ -129,9 +139,44 @@
         changes
     }
 
+    fn by_address(&self) -> BTreeMap<SocketAddr, UpstreamName> {
+        let sound = self.entries.iter().filter(|(_, entry)| !entry.replaced);
+        sound.map(|(name, entry)| (entry.record.address, name.clone())).collect()
+    }
+
+    /// Of two upstreams that were listed at one address together, the cold one has just started.
+    fn prefer_cold(&mut self) {
+        let cold = self.entries.values().filter(|entry| !entry.record.cold_left.is_zero());
+        let cold: BTreeMap<SocketAddr, UpstreamName> =
+            cold.map(|entry| (entry.record.address, entry.record.name.clone())).collect();
+        for entry in self.entries.values_mut().filter(|entry| entry.record.cold_left.is_zero()) {
+            if let Some(successor) = cold.get(&entry.record.address) {
+                entry.successor.get_or_insert_with(|| successor.clone());
+            }
+        }
+    }
+
     /// Takes an entry that is new or has changed.
     pub fn put(&mut self, record: UpstreamRecord) -> (UpstreamName, RosterChange) {
+        if self.entries.contains_key(&record.name) {
+            return self.put_after(record, &BTreeMap::new());
+        }
+        let known = self.by_address();
+        self.put_after(record, &known)
+    }
+
+    /// Takes an entry. An upstream that comes to the address of a known one succeeds it.
+    fn put_after(
+        &mut self,
+        record: UpstreamRecord,
+        known: &BTreeMap<SocketAddr, UpstreamName>,
+    ) -> (UpstreamName, RosterChange) {
         let name = record.name.clone();
+        let is_new = !self.entries.contains_key(&name);
+        let former = known.get(&record.address).filter(|former| is_new && **former != name);
+        if let Some(entry) = former.and_then(|former| self.entries.get_mut(former)) {
+            entry.successor = Some(name.clone());
+        }
         let known = self.entries.get(&name);
         let restarted = known.is_some_and(|known| is_later_run(&known.record, &record));
         let change = match known {
@@ -142,7 +187,9 @@
         };
         // Whoever has the address now answered for the run before.
         let replaced = !restarted && known.is_some_and(|known| known.replaced);
-        self.entries.insert(name.clone(), RosterEntry { record, missing: None, replaced });
+        let successor = known.filter(|_| !restarted).and_then(|known| known.successor.clone());
+        let entry = RosterEntry { record, missing: None, replaced, successor };
+        self.entries.insert(name.clone(), entry);
         (name, change)
     }
 
@@ -209,11 +256,57 @@
         &'a self,
         service: &'a ServiceName,
     ) -> impl Iterator<Item = &'a UpstreamRecord> + 'a {
-        let present = self.entries.values().filter(|entry| !entry.replaced);
+        self.of_service(service).filter(|record| !self.evacuated.contains(&record.centre))
+    }
+
+    /// Upstreams of a service that would get new work if no data centre were evacuated.
+    fn of_service<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a UpstreamRecord> + 'a {
+        let present = self.entries.values().filter(|entry| !self.is_succeeded(entry));
         let records = present.map(|entry| &entry.record);
         records.filter(move |record| !record.leaving && record.service == *service)
     }
 
+    /// Whether another upstream has the address of this one. The entry of an upstream that crashed
+    /// stays for seconds while the next one at its address is listed beside it, and each request that
+    /// is sent to the former comes back unserved. A successor that was itself sent away in vain is no
+    /// proof: another writer may have spoilt its entry.
+    fn is_succeeded(&self, entry: &RosterEntry) -> bool {
+        let successor = entry.successor.as_ref().and_then(|name| self.entries.get(name));
+        let answers = |successor: &RosterEntry| {
+            !successor.replaced && successor.record.address == entry.record.address
+        };
+        entry.replaced || successor.is_some_and(answers)
+    }
+
+    /// Whether nothing but evacuations keeps a service from getting work.
+    pub fn is_evacuated(&self, service: &ServiceName) -> bool {
+        let mut records = self.of_service(service).peekable();
+        records.peek().is_some() && records.all(|record| self.evacuated.contains(&record.centre))
+    }
+
+    /// Gives a data centre's upstreams no new work from now on. False if it was so before.
+    pub fn evacuate(&mut self, centre: CentreName) -> bool {
+        self.evacuated.insert(centre)
+    }
+
+    /// Lets a data centre's upstreams have work again. Gives these upstreams; nothing if the data
+    /// centre wasn't evacuated.
+    pub fn readmit(&mut self, centre: &CentreName) -> Option<Vec<UpstreamRecord>> {
+        if !self.evacuated.remove(centre) {
+            return None;
+        }
+        let records = self.entries.values().map(|entry| &entry.record);
+        Some(records.filter(|record| record.centre == *centre).cloned().collect())
+    }
+
+    /// The data centres that are evacuated.
+    pub fn evacuated(&self) -> impl Iterator<Item = &CentreName> {
+        self.evacuated.iter()
+    }
+
     /// An upstream, if it is still on the list.
     pub fn get(&self, name: &UpstreamName) -> Option<&UpstreamRecord> {
         self.entries.get(name).map(|entry| &entry.record)
--- a/crates/sagespool-forward/tests/failing_upstreams.rs
+++ b/crates/sagespool-forward/tests/failing_upstreams.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests")]
 
+use std::time::Duration;
+
 use sagespool_forward::{PlacementBoard, PlacementPolicy, SendOutcome, UpstreamRecord, WorkShape};
 use sagespool_types::{CentreName, ClockTime};
 
@@ -18,6 +20,7 @@
         centre: centre(),
         slots: 6,
         leaving: false,
+        cold_left: Duration::ZERO,
     };
     ["i-1", "i-2", "i-3", "i-4"].map(upstream).to_vec()
 }
--- a/crates/sagespool-forward/tests/restarted_upstreams.rs
+++ b/crates/sagespool-forward/tests/restarted_upstreams.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests")]
 
+use std::time::Duration;
+
 use sagespool_forward::{
     PlacementBoard, PlacementPolicy, RosterChange, SendOutcome, SendTicket, UpstreamRecord,
     UpstreamRoster, UpstreamRun, WorkShape,
@@ -23,6 +25,7 @@
         centre: centre(),
         slots: 6,
         leaving: false,
+        cold_left: Duration::ZERO,
     }
 }
 
--- a/crates/sagespool-forward/tests/roster_lapse.rs
+++ b/crates/sagespool-forward/tests/roster_lapse.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests")]
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use sagespool_forward::{RosterChange, UpstreamRecord, UpstreamRoster};
@@ -15,14 +16,16 @@
 }
 
 fn record(name: &str) -> UpstreamRecord {
+    let host = name.bytes().last().unwrap();
     UpstreamRecord {
         name: name.parse().unwrap(),
         born: None,
         service: service(),
-        address: "127.0.0.1:9000".parse().unwrap(),
+        address: SocketAddr::from(([127, 0, 0, host], 9000)),
         centre: "east".parse().unwrap(),
         slots: 4,
         leaving: false,
+        cold_left: Duration::ZERO,
     }
 }
 
--- a/crates/sagespool-forward/tests/shared_prompts.rs
+++ b/crates/sagespool-forward/tests/shared_prompts.rs
@@ -9,6 +9,7 @@
 #![allow(clippy::unwrap_used, reason = "helpers of tests")]
 
 use std::collections::{HashMap, HashSet};
+use std::time::Duration;
 
 use sagespool_forward::{
     EngineTraits, PlacementBoard, PlacementPolicy, PromptPart, SendOutcome, SendTicket,
@@ -40,6 +41,7 @@
         centre: centre(),
         slots: 64,
         leaving: false,
+        cold_left: Duration::ZERO,
     };
     (0..ENGINES).map(engine).collect()
 }
--- a/crates/sagespool-forward/tests/silent_upstreams.rs
+++ b/crates/sagespool-forward/tests/silent_upstreams.rs
@@ -29,6 +29,7 @@
         centre: "east".parse().unwrap(),
         slots: 64,
         leaving: false,
+        cold_left: Duration::ZERO,
     };
     ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6"].map(upstream).to_vec()
 }
--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -30,8 +30,8 @@
 /// Why a send brought no answer that can be passed on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum SendFailure {
-    /// There is no upstream that wasn't tried.
-    NoUpstream,
+    /// There is no upstream that may be sent to.
+    NoUpstream(ShortCause),
     /// Nothing of the request left this process.
     NotSent(&'static str),
     /// The upstream says that it hasn't run it.
@@ -44,18 +44,37 @@
     Silent,
 }
 
+/// Why a service has no upstream for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ShortCause {
+    /// None that wasn't tried is known.
+    None,
+    /// The data centres of all are evacuated.
+    Evacuated,
+    /// None is in a region where the request may run.
+    AwayFromHome,
+    /// All are cold, and get their work from other instances.
+    Cold,
+}
+
 impl SendFailure {
     /// The connection ended before an answer began.
     pub(crate) const BROKEN: Self = Self::Lost("broken");
 
     /// Whether the request surely hasn't run, so that it may be sent again and a refusal is true.
     pub(crate) fn surely_not_run(self) -> bool {
-        matches!(self, Self::NoUpstream | Self::NotSent(_) | Self::TurnedAway | Self::Misdirected)
+        matches!(
+            self,
+            Self::NoUpstream(_) | Self::NotSent(_) | Self::TurnedAway | Self::Misdirected
+        )
     }
 
     pub(crate) fn as_str(self) -> &'static str {
         match self {
-            Self::NoUpstream => "no-upstream",
+            Self::NoUpstream(ShortCause::None) => "no-upstream",
+            Self::NoUpstream(ShortCause::Evacuated) => "evacuated",
+            Self::NoUpstream(ShortCause::AwayFromHome) => "away-from-home",
+            Self::NoUpstream(ShortCause::Cold) => "all-cold",
             Self::NotSent(detail) | Self::Lost(detail) => detail,
             Self::TurnedAway => "turned-away",
             Self::Misdirected => "misdirected",
@@ -113,7 +132,7 @@
     patience: Duration,
 ) -> Result<OpenAnswer, SendFailure> {
     let now = ClockTime::now();
-    let place = choose_place(flight, now).ok_or(SendFailure::NoUpstream)?;
+    let place = choose_place(flight, now).map_err(SendFailure::NoUpstream)?;
     let upstream = place.ticket().upstream.clone();
     flight.tried.push(upstream.run());
     flight.record.upstream = Some(upstream.name.clone());
@@ -155,23 +174,40 @@
     Err(failure)
 }
 
-fn choose_place(flight: &Flight, now: ClockTime) -> Option<SendPlace> {
+/// Finds the upstream that is expected to answer first, among those that may be sent to.
+fn choose_place(flight: &Flight, now: ClockTime) -> Result<SendPlace, ShortCause> {
     let state = &flight.state;
-    let engine = flight
-        .request
-        .index
-        .service(&flight.request.service)
-        .and_then(|service| service.engine.as_ref());
+    let service = flight.request.index.service(&flight.request.service);
     let shape = WorkShape {
         parts: &flight.request.demand.parts,
-        engine,
+        engine: service.and_then(|service| service.engine.as_ref()),
         centre: &state.settings.centre,
         repeatable: flight.may_repeat(),
     };
+    let warmup = service.and_then(|service| service.warmup.as_ref());
+    // Held until the send is counted, so that no other request takes the same share.
+    let mut guard = state.warmup();
+    let senders = state.senders();
     let roster = state.roster();
-    let ready = roster.ready(&flight.request.service);
-    let ticket = state.board().choose(ready, shape, &flight.tried, now)?;
-    Some(SendPlace { state: state.clone(), ticket: Some(ticket) })
+    let mut short = match roster.is_evacuated(&flight.request.service) {
+        true => ShortCause::Evacuated,
+        false => ShortCause::None,
+    };
+    let ready = roster.ready(&flight.request.service).filter(|record| {
+        if !flight.may_run_in(&record.centre) {
+            short = ShortCause::AwayFromHome;
+            return false;
+        }
+        let admitted =
+            warmup.is_none_or(|traits| guard.admits(&record.name, traits, &senders, now));
+        if !admitted {
+            short = ShortCause::Cold;
+        }
+        admitted
+    });
+    let ticket = state.board().choose(ready, shape, &flight.tried, now).ok_or(short)?;
+    guard.count_send(&ticket.upstream.name, now);
+    Ok(SendPlace { state: state.clone(), ticket: Some(ticket) })
 }
 
 async fn exchange(
@@ -190,7 +226,9 @@
     };
     flight.state.metrics.sent(connection.carried == 0);
     connection.carried += 1;
-    let request = build_request(flight, place, ClockTime::now());
+    let now = ClockTime::now();
+    flight.state.warmup().note_left(&upstream.name, place.ticket().sent, now);
+    let request = build_request(flight, place, now);
     flight.sends += 1;
     flight.record.sends = flight.sends;
     flight.charge_prompt();
@@ -252,6 +290,9 @@
     if let Some(load) = marks.load {
         flight.state.board().note_load(&place.ticket().upstream.name, load, now);
     }
+    if let Some(left) = marks.cold_left {
+        flight.state.note_cold(&place.ticket().upstream.name, left, now);
+    }
     // An upstream may send a second answer, which the connection's next request would get. The
     // request that was sent on it may be running, and its own answer can't be found any more.
     let crossed =
--- a/crates/sagespool-gateway/src/dialect.rs
+++ b/crates/sagespool-gateway/src/dialect.rs
@@ -21,6 +21,8 @@
     pub plan_key: &'static str,
     /// The prefix under which upstreams list themselves.
     pub upstream_prefix: &'static str,
+    /// The prefix under which operators name the data centres that are evacuated.
+    pub evacuation_prefix: &'static str,
     /// The path at which the balancer asks whether this instance takes requests.
     pub readiness_path: &'static str,
     /// Reads a configuration.
@@ -87,4 +89,6 @@
     pub signed: bool,
     /// Requests that the upstream runs or keeps waiting.
     pub load: Option<u32>,
+    /// How much longer the upstream is cold, if it says that it is.
+    pub cold_left: Option<Duration>,
 }
--- a/crates/sagespool-gateway/src/feeds.rs
+++ b/crates/sagespool-gateway/src/feeds.rs
@@ -14,6 +14,7 @@
     FollowAsk, FollowReply, FollowedKind, FollowedObject, MemberInfo, MemberRole, PeerReply,
     PeerRequest,
 };
+use sagespool_settings::InForceSettings;
 use sagespool_types::{CentreName, ClockTime, IncarnationId, StoreRevision};
 
 use crate::fleet::FleetBoard;
@@ -77,6 +78,11 @@
         }
     }
 
+    /// Whether there is a copy at all.
+    pub(crate) fn is_loaded(&self) -> bool {
+        self.age().is_some()
+    }
+
     /// Notes whether the store answers.
     pub(crate) fn note_store(&self, lost: bool) {
         self.state().store_lost = lost;
@@ -117,19 +123,32 @@
 /// All that is followed, and from whom.
 #[derive(Debug)]
 pub(crate) struct FeedDesk {
-    pub(crate) terms: Option<FeedTerms>,
+    terms: Option<FeedTerms>,
+    evacuation_terms: Option<FeedTerms>,
     sources: Mutex<FeedSources>,
     configuration: FeedSlot,
     upstreams: FeedSlot,
+    evacuations: FeedSlot,
 }
 
 impl FeedDesk {
-    pub(crate) fn new(terms: Option<FeedTerms>) -> Self {
+    pub(crate) fn new(in_force: Option<InForceSettings>) -> Self {
+        let evacuations = in_force.and_then(|times| times.evacuations);
         Self {
-            terms,
+            terms: in_force.and_then(|times| FeedTerms::within(times.changes)),
+            evacuation_terms: evacuations.and_then(FeedTerms::within),
             sources: Mutex::default(),
             configuration: FeedSlot::default(),
             upstreams: FeedSlot::default(),
+            evacuations: FeedSlot::default(),
+        }
+    }
+
+    /// The terms under which a kind is learnt from neighbours; nothing if the store is always asked.
+    pub(crate) fn terms(&self, kind: FollowedKind) -> Option<FeedTerms> {
+        match kind {
+            FollowedKind::Configuration | FollowedKind::Upstreams => self.terms,
+            FollowedKind::Evacuations => self.evacuation_terms,
         }
     }
 
@@ -137,6 +156,7 @@
         match kind {
             FollowedKind::Configuration => &self.configuration,
             FollowedKind::Upstreams => &self.upstreams,
+            FollowedKind::Evacuations => &self.evacuations,
         }
     }
 
@@ -152,7 +172,7 @@
         kind: FollowedKind,
         now: ClockTime,
     ) -> Option<MemberInfo> {
-        let terms = self.terms?;
+        let terms = self.terms(kind)?;
         let own_age = self.slot(kind).age();
         let mut others = fleet.others(MemberRole::Entry, now);
         others.retain(|other| other.centre == *centre && !other.leaving);
@@ -174,7 +194,7 @@
         neighbour: &MemberInfo,
         kind: FollowedKind,
     ) -> Option<FollowReply> {
-        let terms = self.terms?;
+        let terms = self.terms(kind)?;
         let after = self.slot(kind).revision();
         let request = PeerRequest::Follow(FollowAsk { kind, after, wait: terms.ask_wait });
         let limit = terms.ask_wait + ANSWER_TIME;
@@ -203,7 +223,7 @@
 
     /// Answers a neighbour.
     pub(crate) async fn answer(&self, ask: FollowAsk) -> FollowReply {
-        let longest = self.terms.map_or(ANSWER_TIME, |terms| terms.ask_wait);
+        let longest = self.terms(ask.kind).map_or(ANSWER_TIME, |terms| terms.ask_wait);
         let ask = FollowAsk { wait: ask.wait.min(longest), ..ask };
         self.slot(ask.kind).answer(ask).await
     }
--- a/crates/sagespool-gateway/src/fleet.rs
+++ b/crates/sagespool-gateway/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The other processes: finding them, staying in touch, calling the store by way of them.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use bon::Builder;
@@ -13,8 +13,8 @@
     StoreMethod,
 };
 use sagespool_platform::{
-    CallForm, CallMethod, ObjectClient, RawAnswer, RawFailure, StoreDetour, UpdateChoice,
-    update_object,
+    CallForm, CallMethod, ObjectClient, ObjectListing, RawAnswer, RawFailure, StoreDetour,
+    UpdateChoice, update_object,
 };
 use sagespool_types::{
     BranchName, CentreName, ClockTime, ConfigVersion, IncarnationId, InstanceName, RegionName,
@@ -78,6 +78,9 @@
     struct AddressRecord {
         address: Option<SocketAddr>,
         run: Option<IncarnationId>,
+        /// What the process is; nothing in records of earlier versions.
+        #[serde(default)]
+        role: Option<MemberRole>,
     }
 }
 
@@ -87,6 +90,8 @@
     pub(crate) run: IncarnationId,
     pub(crate) members: MemberTable,
     link: OnceLock<LinkEndpoint>,
+    /// The gateways whose addresses stood in the store when they were read last.
+    listed: Mutex<Option<Vec<InstanceName>>>,
 }
 
 impl FleetBoard {
@@ -112,7 +117,7 @@
             .build();
         let members = MemberTable::new(own, policy, run.0);
         members.seeds(&place.peers, ClockTime::now());
-        Self { place, run, members, link: OnceLock::new() }
+        Self { place, run, members, link: OnceLock::new(), listed: Mutex::default() }
     }
 
     /// How many members of a role there are, this process among them.
@@ -222,7 +227,8 @@
     async fn follow_addresses(self: Arc<Self>, store: ObjectClient) {
         let own = self.place.reached_at();
         let key = format!("{ADDRESS_PREFIX}{}", self.place.instance);
-        let record = AddressRecord { address: Some(own), run: Some(self.run) };
+        let role = Some(self.place.role);
+        let record = AddressRecord { address: Some(own), run: Some(self.run), role };
         let mut written = false;
         loop {
             written = written || write_address(&store, &key, &record).await;
@@ -232,6 +238,7 @@
             }
             match store.list::<AddressRecord>(ADDRESS_PREFIX).await {
                 Ok(listing) => {
+                    self.note_listed(&listing);
                     let listed = listing.items.into_iter();
                     let addresses: Vec<SocketAddr> = listed
                         .filter_map(|(_, object)| object.value.address)
@@ -248,6 +255,23 @@
         }
     }
 
+    fn note_listed(&self, listing: &ObjectListing<AddressRecord>) {
+        let items = listing.items.iter();
+        let gateways = items.filter(|(_, object)| object.value.role == Some(MemberRole::Entry));
+        let name = |key: &str| key.strip_prefix(ADDRESS_PREFIX)?.parse().ok();
+        let names = gateways.filter_map(|(key, _)| name(key)).collect();
+        *self.listed() = Some(names);
+    }
+
+    fn listed(&self) -> MutexGuard<'_, Option<Vec<InstanceName>>> {
+        self.listed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The gateways that the store listed since this was asked last; nothing if it didn't.
+    pub(crate) fn listed_gateways(&self) -> Option<Vec<InstanceName>> {
+        self.listed().take()
+    }
+
     /// The way to the store by other members: those that stand beside upstreams first, which are
     /// seldom cut off together with this process.
     pub(crate) fn detour(self: &Arc<Self>) -> StoreDetour {
--- a/crates/sagespool-gateway/src/flight.rs
+++ b/crates/sagespool-gateway/src/flight.rs
@@ -6,9 +6,11 @@
 
 use hyper::body::Bytes;
 use hyper::http::request::Parts;
-use sagespool_forward::{CallerDemand, ForwardRoute, PlanIndex, RepeatRule, UpstreamRun};
+use sagespool_forward::{
+    CallerDemand, ForwardRoute, HomeRegions, PlanIndex, RepeatRule, UpstreamRun,
+};
 use sagespool_log::log_event;
-use sagespool_types::{BranchName, ClockTime, ServiceName, TokenCount, UpstreamName};
+use sagespool_types::{BranchName, CentreName, ClockTime, ServiceName, TokenCount, UpstreamName};
 
 use crate::desk::Reservation;
 use crate::intake::RequestPass;
@@ -22,6 +24,8 @@
     pub(crate) route: ForwardRoute,
     pub(crate) service: ServiceName,
     pub(crate) branch: Option<BranchName>,
+    /// Where its account lets it run.
+    pub(crate) branch_homes: HomeRegions,
     pub(crate) priority: u8,
     pub(crate) demand: CallerDemand,
     pub(crate) body: Bytes,
@@ -64,6 +68,12 @@
         self.is_idempotent() && self.sends + 1 < self.request.route.attempts
     }
 
+    /// Whether both its route and its account let it run in a data centre.
+    pub(crate) fn may_run_in(&self, centre: &CentreName) -> bool {
+        let region = self.state.region_of(centre);
+        self.request.route.homes.allow(region) && self.request.branch_homes.allow(region)
+    }
+
     fn note_charge(&mut self) {
         let reservation = self.request.reservation.as_ref();
         self.record.charged = reservation.map_or(TokenCount::ZERO, Reservation::charged);
--- a/crates/sagespool-gateway/src/follow.rs
+++ b/crates/sagespool-gateway/src/follow.rs
@@ -7,7 +7,7 @@
 use sagespool_log::log_event;
 use sagespool_messages::{FollowReply, FollowedKind, FollowedObject};
 use sagespool_platform::{ObjectChange, ObjectListing, StoreError, StoredObject};
-use sagespool_types::{ClockTime, StoreRevision, UpstreamName};
+use sagespool_types::{CentreName, ClockTime, StoreRevision, UpstreamName};
 use serde_json::value::RawValue;
 use smol::Timer;
 
@@ -69,6 +69,46 @@
     follow(&state, followed).await;
 }
 
+/// Follows the evacuations of data centres for ever.
+pub(crate) async fn follow_evacuations(state: Arc<GatewayState>) {
+    let followed = Followed {
+        what: "evacuations",
+        kind: FollowedKind::Evacuations,
+        prefix: state.dialect.evacuation_prefix,
+        pause: |_| Duration::ZERO,
+        on_listing: |state, listing| {
+            let listed: Vec<CentreName> =
+                listing.items.iter().filter_map(|(key, _)| read_centre(key)).collect();
+            let ended: Vec<CentreName> = state.roster().evacuated().cloned().collect();
+            for centre in ended.iter().filter(|centre| !listed.contains(centre)) {
+                state.readmit(centre, ClockTime::now());
+            }
+            listed.into_iter().for_each(|centre| state.evacuate(centre));
+        },
+        on_change: |state, change| {
+            let Some(centre) = read_centre(&change.key) else {
+                return false;
+            };
+            match change.value {
+                Some(_) => state.evacuate(centre),
+                None => state.readmit(&centre, ClockTime::now()),
+            }
+            true
+        },
+        on_return: |_, _| {},
+    };
+    follow(&state, followed).await;
+}
+
+/// The data centre that an evacuation's key names.
+fn read_centre(key: &str) -> Option<CentreName> {
+    let centre = key_name(key).parse().ok();
+    if centre.is_none() {
+        log_event!(warn, "evacuation-unreadable", key = key);
+    }
+    centre
+}
+
 /// Follows the list of upstreams for ever.
 pub(crate) async fn follow_upstreams(state: Arc<GatewayState>) {
     let followed = Followed {
@@ -80,16 +120,20 @@
             let items = listing.items.iter();
             let records =
                 items.filter_map(|(key, object)| read_upstream(state, key, &object.value));
-            let records = records.collect();
-            let changes = state.roster().replace(records, ClockTime::now());
+            let records: Vec<UpstreamRecord> = records.collect();
+            let now = ClockTime::now();
+            records.iter().for_each(|record| state.note_cold(&record.name, record.cold_left, now));
+            let changes = state.roster().replace(records, now);
             changes.into_iter().for_each(|change| note_change(state, change));
         },
         on_change: |state, change| {
             let now = ClockTime::now();
             let name = key_name(&change.key);
             let noted = match &change.value {
-                Some(value) => read_upstream(state, &change.key, value)
-                    .map(|record| state.roster().put(record)),
+                Some(value) => read_upstream(state, &change.key, value).map(|record| {
+                    state.note_cold(&record.name, record.cold_left, now);
+                    state.roster().put(record)
+                }),
                 None => name.parse().ok().map(|name| state.roster().remove(&name, now)),
             };
             let matters =
@@ -193,7 +237,7 @@
     Timer::after((followed.pause)(state)).await;
     let slot = state.feeds.slot(followed.kind);
     let revision = slot.revision();
-    let wait = state.feeds.terms.map_or(WATCH_WAIT, |terms| terms.watch_wait);
+    let wait = state.feeds.terms(followed.kind).map_or(WATCH_WAIT, |terms| terms.watch_wait);
     match state.store.watch(followed.prefix, revision, wait).await {
         Ok(changes) => {
             let read = unsuspended_now();
@@ -309,5 +353,7 @@
         }
         let is_listed = |name: &UpstreamName| state.roster().get(name).is_some();
         state.pool.sweep(is_listed, now);
+        state.warmup().sweep(now);
+        state.observe_senders(now);
     }
 }
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -14,7 +14,7 @@
 use sagespool_link::within;
 use sagespool_types::{ByteCount, ClockTime};
 
-use crate::attempt::{OpenAnswer, SendFailure, send_once};
+use crate::attempt::{OpenAnswer, SendFailure, ShortCause, send_once};
 use crate::body::AnswerBody;
 use crate::crashes::content_of;
 use crate::desk::{BudgetOrder, Reservation};
@@ -134,10 +134,12 @@
         Some(branch) => reserve(state, &index, branch, &demand, deadline).await?,
         None => None,
     };
+    let branch_homes = branch.map(|branch| branch.homes.clone()).unwrap_or_default();
     let branch = branch.map(|branch| branch.name.clone());
     Ok(AdmittedRequest {
         priority: rank.min(LAST_RANK),
         branch,
+        branch_homes,
         route,
         service,
         demand,
@@ -249,7 +251,7 @@
 
 /// Whether a request whose send failed may go to another upstream.
 pub(crate) fn may_send_again(flight: &Flight, failure: SendFailure, now: ClockTime) -> bool {
-    if failure == SendFailure::NoUpstream || flight.time_left(now) < LEAST_TIME {
+    if matches!(failure, SendFailure::NoUpstream(_)) || flight.time_left(now) < LEAST_TIME {
         return false;
     }
     if !failure.surely_not_run() && !flight.is_idempotent() {
@@ -272,6 +274,7 @@
         SendFailure::Silent => Refusal::TimedOut,
         _ if flight.may_have_run => Refusal::Failed,
         SendFailure::TurnedAway => Refusal::Busy,
+        SendFailure::NoUpstream(ShortCause::Evacuated) => Refusal::Evacuated,
         _ => Refusal::NoUpstream,
     };
     refuse(flight.record, refusal, failure.as_str())
--- a/crates/sagespool-gateway/src/refusal.rs
+++ b/crates/sagespool-gateway/src/refusal.rs
@@ -39,6 +39,8 @@
     Stopping,
     /// No upstream of the service could take it; it hasn't run.
     NoUpstream,
+    /// The data centres of all the service's upstreams are evacuated; it hasn't run.
+    Evacuated,
     /// The upstreams turned it away; it hasn't run.
     Busy,
     /// No time was left to send it; it hasn't run.
@@ -66,6 +68,7 @@
             | Self::Crowded(_)
             | Self::Stopping
             | Self::NoUpstream
+            | Self::Evacuated
             | Self::Busy
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Self::Failed | Self::Ended => StatusCode::BAD_GATEWAY,
@@ -90,6 +93,7 @@
             Self::Crowded(ShortResource::Memory) => "crowded-memory",
             Self::Stopping => "stopping",
             Self::NoUpstream => "no-upstream",
+            Self::Evacuated => "evacuated",
             Self::Busy => "busy",
             Self::TooLate => "too-late",
             Self::Failed => "failed",
@@ -106,6 +110,8 @@
             Self::NoPlan => 300,
             // One round of the store, or of an upstream's restart.
             Self::BudgetUnreachable | Self::NoUpstream => 400,
+            // Operators take seconds or minutes to take an evacuation back.
+            Self::Evacuated => 2000,
             // A request at an upstream lasts a few hundred milliseconds.
             Self::Busy => 200,
             // Another instance takes it at once.
@@ -154,6 +160,9 @@
             }
             Self::Stopping => f.write_str("this instance is about to stop; nothing ran"),
             Self::NoUpstream => f.write_str("no upstream can be reached; nothing ran"),
+            Self::Evacuated => {
+                f.write_str("the service's data centres take no work at present; nothing ran")
+            }
             Self::Busy => f.write_str("the upstreams are full; nothing ran"),
             Self::TooLate => f.write_str("no time was left to send the request; nothing ran"),
             Self::Failed => f.write_str("the upstream failed; the request may have run"),
--- a/crates/sagespool-gateway/src/role.rs
+++ b/crates/sagespool-gateway/src/role.rs
@@ -16,7 +16,7 @@
 use crate::callers::accept;
 use crate::calls::tell_calls;
 use crate::dialect::WireDialect;
-use crate::follow::{follow_plan, follow_upstreams, sweep};
+use crate::follow::{follow_evacuations, follow_plan, follow_upstreams, sweep};
 use crate::peers::run_peers;
 use crate::state::GatewayState;
 use crate::status::serve_status;
@@ -118,6 +118,9 @@
             smol::spawn(sweep(state.clone())),
             smol::spawn(tell_calls(state.store.clone())),
         ];
+        if state.follows_evacuations() {
+            tasks.push(smol::spawn(follow_evacuations(state.clone())));
+        }
         if state.settings.link.is_some() {
             tasks.push(smol::spawn(run_peers(state.clone())));
         }
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -2,16 +2,20 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard};
+use std::time::Duration;
 
 use sagespool_forward::{
-    FeedTerms, PlacementBoard, PlacementPolicy, PlanIndex, RetryBudget, RetryTerms, UpstreamRoster,
+    PlacementBoard, PlacementPolicy, PlanIndex, RetryBudget, RetryTerms, SenderPanel,
+    UpstreamRoster, WarmupGuard, WarmupTerms, WarmupTraits,
 };
 use sagespool_ledger::GrantTerms;
 use sagespool_log::log_event;
-use sagespool_messages::MemberRole;
+use sagespool_messages::{FollowedKind, MemberRole};
 use sagespool_platform::ObjectClient;
 use sagespool_settings::{GatewaySettings, GrantSettings};
-use sagespool_types::{ClockTime, ConfigVersion, IncarnationId, UpstreamName};
+use sagespool_types::{
+    CentreName, ClockTime, ConfigVersion, IncarnationId, RegionName, ServiceName, UpstreamName,
+};
 
 use crate::crashes::CrashDesk;
 use crate::desk::BudgetDesk;
@@ -50,6 +54,8 @@
     roster: Mutex<UpstreamRoster>,
     board: Mutex<PlacementBoard>,
     retries: Mutex<RetryBudget>,
+    warmup: Mutex<WarmupGuard>,
+    senders: Mutex<SenderPanel>,
 }
 
 /// A configuration, and its text as the store has it, for other gateways.
@@ -84,7 +90,10 @@
             slack: settings.retries.slack,
             window: settings.retries.window,
         };
-        let feed_terms = settings.in_force.and_then(FeedTerms::within);
+        let warmup_terms =
+            WarmupTerms { overage: settings.warmup.overage, slack: settings.warmup.slack };
+        let senders = SenderPanel::new(settings.instance.clone());
+        let feeds = FeedDesk::new(settings.in_force);
         let intake = Arc::new(CallerIntake::new(settings.limits));
         Self {
             intake,
@@ -100,12 +109,14 @@
             requests: AtomicUsize::new(0),
             closing: OnceSignal::default(),
             over: OnceSignal::default(),
-            feeds: FeedDesk::new(feed_terms),
+            feeds,
             fleet,
             plan: RwLock::default(),
             roster: Mutex::default(),
             board: Mutex::new(PlacementBoard::new(PlacementPolicy::default())),
             retries: Mutex::new(RetryBudget::new(terms)),
+            warmup: Mutex::new(WarmupGuard::new(warmup_terms)),
+            senders: Mutex::new(senders),
         }
     }
 
@@ -162,6 +173,64 @@
         self.retries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn warmup(&self) -> MutexGuard<'_, WarmupGuard> {
+        self.warmup.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn senders(&self) -> MutexGuard<'_, SenderPanel> {
+        self.senders.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes which instances may be senders to cold upstreams.
+    pub(crate) fn observe_senders(&self, now: ClockTime) {
+        let members = self.fleet.members.members().into_iter();
+        let gateways = members.filter(|member| member.role == MemberRole::Entry);
+        let heard = gateways.map(|member| member.instance);
+        match self.fleet.listed_gateways() {
+            Some(listed) => self.senders().observe_listed(heard.chain(listed), now),
+            None => self.senders().observe(heard, now),
+        }
+    }
+
+    /// Notes that an upstream is cold for so long; nothing if that is zero.
+    pub(crate) fn note_cold(&self, name: &UpstreamName, left: Duration, now: ClockTime) {
+        if !left.is_zero() && self.warmup().note_cold(name, left, now) {
+            log_event!(info, "upstream-cold", upstream = name, left_ms = left.as_millis());
+        }
+    }
+
+    /// What cold upstreams of a service bear; nothing if it has none.
+    fn warmup_traits(&self, service: &ServiceName) -> Option<WarmupTraits> {
+        self.plan()?.service(service)?.warmup.clone()
+    }
+
+    /// Gives the upstreams of a data centre no new work.
+    pub(crate) fn evacuate(&self, centre: CentreName) {
+        if self.roster().evacuate(centre.clone()) {
+            log_event!(info, "centre-evacuated", centre = centre);
+        }
+    }
+
+    /// Gives the upstreams of a data centre work again. They may have turned cold meanwhile, and their
+    /// entries may say so only later.
+    pub(crate) fn readmit(&self, centre: &CentreName, now: ClockTime) {
+        let Some(records) = self.roster().readmit(centre) else {
+            return;
+        };
+        log_event!(info, "centre-readmitted", centre = centre, upstreams = records.len());
+        for record in records {
+            if let Some(traits) = self.warmup_traits(&record.service) {
+                self.note_cold(&record.name, traits.span, now);
+            }
+        }
+    }
+
+    /// The region of a data centre, if it is known.
+    pub(crate) fn region_of(&self, centre: &CentreName) -> Option<&RegionName> {
+        let own = (*centre == self.settings.centre).then_some(&self.settings.region);
+        self.settings.regions.get(centre).or(own)
+    }
+
     /// How many instances there are, this one among them.
     pub(crate) fn instances(&self) -> usize {
         self.fleet.instances()
@@ -182,9 +251,19 @@
         self.closing.is_given() && ClockTime(self.closing_by.load(Ordering::SeqCst)) < deadline
     }
 
-    /// Whether this instance can serve requests: it knows the configuration and the upstreams, and
-    /// doesn't stop.
+    /// Whether this instance can serve requests: it knows the configuration, the upstreams and where
+    /// nothing may be sent, and doesn't stop.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.plan().is_some() && self.roster().is_loaded()
+        let follows = self.follows_evacuations();
+        let knows_evacuations = !follows || self.feeds.slot(FollowedKind::Evacuations).is_loaded();
+        !self.is_stopping()
+            && self.plan().is_some()
+            && self.roster().is_loaded()
+            && knows_evacuations
+    }
+
+    /// Whether operators may evacuate data centres.
+    pub(crate) fn follows_evacuations(&self) -> bool {
+        self.settings.in_force.is_some_and(|times| times.evacuations.is_some())
     }
 }
--- a/crates/sagespool-messages/src/gateways.rs
+++ b/crates/sagespool-messages/src/gateways.rs
@@ -115,6 +115,8 @@
         Configuration,
         /// The list of upstreams.
         Upstreams,
+        /// Data centres whose upstreams get no new work.
+        Evacuations,
     }
 }
 
@@ -124,6 +126,7 @@
         match self {
             Self::Configuration => "configuration",
             Self::Upstreams => "upstreams",
+            Self::Evacuations => "evacuations",
         }
     }
 }
--- a/crates/sagespool-settings/src/lib.rs
+++ b/crates/sagespool-settings/src/lib.rs
@@ -28,10 +28,10 @@
 pub use fault::{SettingsFault, SettingsFaults};
 pub use process::{
     AnswerSettings, BudgetChoice, DirectSettings, EntrySettings, GatewaySettings, GrantSettings,
-    HttpSettings, LedgerSettings, LimitSettings, LinkSettings, LogSettings, PlatformSettings,
-    PolicySettings, ProcessSettings, QueueSettings, RelaySettings, RetrySettings, RoleSettings,
-    RoutingChoice, SettingsError, SidecarSettings, UpstreamSettings, check_direct, check_files,
-    check_process, is_direct, load_direct, load_process,
+    HttpSettings, InForceSettings, LedgerSettings, LimitSettings, LinkSettings, LogSettings,
+    PlatformSettings, PolicySettings, ProcessSettings, QueueSettings, RelaySettings, RetrySettings,
+    RoleSettings, RoutingChoice, SettingsError, SidecarSettings, UpstreamSettings, WarmupSettings,
+    check_direct, check_files, check_process, is_direct, load_direct, load_process,
 };
 pub use sagespool_log::LogLevel;
 pub use secret::SecretText;
--- a/crates/sagespool-settings/src/process/gateway.rs
+++ b/crates/sagespool-settings/src/process/gateway.rs
@@ -1,5 +1,6 @@
 //! What a gateway is told: an entry that forwards straight to upstreams.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -37,9 +38,13 @@
     pub peers: Vec<SocketAddr>,
     /// The platform's object API.
     pub object_api: SocketAddr,
-    /// Within this time a change in the store is in force here. Where it is given, instances of a
+    /// Within which time a change in the store is in force here. Where it is given, instances of a
     /// data centre follow the store for each other, as far as the time allows.
-    pub in_force: Option<Duration>,
+    pub in_force: Option<InForceSettings>,
+    /// The regions of the data centres.
+    pub regions: BTreeMap<CentreName, RegionName>,
+    /// What all gateways together may send to a cold upstream.
+    pub warmup: WarmupSettings,
     /// How long a graceful stop may take.
     pub stop_limit: Duration,
     /// What may be sent to a second upstream, over all gateways.
@@ -93,6 +98,24 @@
     pub window: Duration,
 }
 
+/// Within which time changes are in force at each gateway.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct InForceSettings {
+    /// Changes of the configuration and of the list of upstreams.
+    pub changes: Duration,
+    /// Evacuations of data centres; they aren't followed if it isn't given.
+    pub evacuations: Option<Duration>,
+}
+
+/// What all gateways together may send to a cold upstream in a second.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WarmupSettings {
+    /// Factor on what the upstream's service says of it.
+    pub overage: f64,
+    /// Requests beside that.
+    pub slack: f64,
+}
+
 /// How much of a client account's budget an instance takes at a time.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct GrantSettings {
@@ -145,6 +168,9 @@
 const LEAST_DESCRIPTORS: u32 = 512;
 const MOST_DESCRIPTORS: u32 = 1 << 30;
 const LONGEST_AHEAD_S: f64 = 3_600.0;
+const DEFAULT_WARMUP: WarmupSettings = WarmupSettings { overage: 1.0, slack: 0.0 };
+const MOST_OVERAGE: f64 = 100.0;
+const CENTRE_NAMES: &str = "the name of a data centre before its region";
 const DEFAULT_RETRIES: RetrySettings =
     RetrySettings { ratio: 0.2, slack: 10.0, window: Duration::from_secs(10) };
 
@@ -220,6 +246,8 @@
     let stop_limit =
         object.or("stop_limit_s", default_stop, |node| node.seconds(0.1..=LONGEST_STOP_S));
     let in_force = object.optional("in_force", |node| node.object(read_in_force));
+    let regions = object.or("regions", BTreeMap::new(), read_regions);
+    let warmup = object.or("warmup", DEFAULT_WARMUP, |node| node.object(read_warmup));
     let retries = object.or("retries", DEFAULT_RETRIES, |node| node.object(read_retries));
     let grants = object.or("grants", DEFAULT_GRANTS, |node| node.object(read_grants));
     let limits = object.or("limits", LimitSettings::default(), |node| node.object(read_limits));
@@ -236,6 +264,8 @@
         peers: peers?,
         object_api: object_api?,
         in_force: in_force?,
+        regions: regions?,
+        warmup: warmup?,
         stop_limit: stop_limit?,
         retries: retries?,
         grants: grants?,
@@ -260,12 +290,34 @@
     Some(GrantSettings { ahead: ahead?, share: share?, idle: idle? })
 }
 
-/// The shorter of the two times: both are followed in one way.
-fn read_in_force(object: &ObjectNode) -> Option<Duration> {
-    let read = |node: CheckNode| node.millis(100..=LONGEST_IN_FORCE_MS);
-    let configuration = object.required("configuration_ms", read);
-    let upstreams = object.required("upstreams_ms", read);
-    Some(configuration?.min(upstreams?))
+/// The configuration and the upstreams are followed in one way, within the shorter of their times.
+fn read_in_force(object: &ObjectNode) -> Option<InForceSettings> {
+    let configuration = object.required("configuration_ms", read_in_force_time);
+    let upstreams = object.required("upstreams_ms", read_in_force_time);
+    let evacuations = object.optional("evacuations_ms", read_in_force_time);
+    Some(InForceSettings { changes: configuration?.min(upstreams?), evacuations: evacuations? })
+}
+
+fn read_in_force_time(node: CheckNode) -> Option<Duration> {
+    node.millis(100..=LONGEST_IN_FORCE_MS)
+}
+
+/// The region of each data centre, by the data centre's name.
+fn read_regions(node: CheckNode) -> Option<BTreeMap<CentreName, RegionName>> {
+    let entries = node.entries(|name, region| {
+        let Ok(centre) = name.parse::<CentreName>() else {
+            return region.fault(CENTRE_NAMES);
+        };
+        Some((centre, region.parse()?))
+    });
+    entries.map(|entries| entries.into_iter().collect())
+}
+
+fn read_warmup(object: &ObjectNode) -> Option<WarmupSettings> {
+    let overage =
+        object.or("overage", DEFAULT_WARMUP.overage, |node| node.fraction(0.0..=MOST_OVERAGE));
+    let slack = object.or("slack", DEFAULT_WARMUP.slack, |node| node.fraction(0.0..=MOST_SLACK));
+    Some(WarmupSettings { overage: overage?, slack: slack? })
 }
 
 fn read_limits(object: &ObjectNode) -> Option<LimitSettings> {
--- a/crates/sagespool-settings/src/process/mod.rs
+++ b/crates/sagespool-settings/src/process/mod.rs
@@ -15,7 +15,7 @@
 };
 pub use file::{SettingsError, check_files, load_process};
 pub use gateway::{
-    DirectSettings, GatewaySettings, GrantSettings, LimitSettings, RelaySettings, RetrySettings,
-    check_direct, is_direct, load_direct,
+    DirectSettings, GatewaySettings, GrantSettings, InForceSettings, LimitSettings, RelaySettings,
+    RetrySettings, WarmupSettings, check_direct, is_direct, load_direct,
 };
 pub use sidecar::{AnswerSettings, SidecarSettings, UpstreamSettings};
--- a/crates/sagespool-settings/tests/gateway_settings.rs
+++ b/crates/sagespool-settings/tests/gateway_settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sagespool_settings::{DirectSettings, check_direct, is_direct};
+use sagespool_settings::{DirectSettings, WarmupSettings, check_direct, is_direct};
 use sagespool_types::ByteCount;
 
 const GATEWAY: &str = include_str!("../../../examples/gateway.json");
@@ -19,7 +19,11 @@
     assert_eq!(gateway.stop_limit, Duration::from_secs(8));
     assert_eq!(gateway.retries.window, Duration::from_secs(10));
     assert_eq!(gateway.grants.ahead, Duration::from_secs(3));
-    assert_eq!(gateway.in_force, Some(Duration::from_secs(4)));
+    let in_force = gateway.in_force.expect("times in which changes are in force");
+    assert_eq!(in_force.changes, Duration::from_secs(4));
+    assert_eq!(in_force.evacuations, Some(Duration::from_secs(5)));
+    assert_eq!(gateway.regions.len(), 2);
+    assert_eq!(gateway.warmup, WarmupSettings { overage: 1.5, slack: 5.0 });
     assert_eq!(gateway.limits.memory, Some(ByteCount(110 << 20)));
     assert_eq!(gateway.limits.descriptors, Some(4100));
 }
@@ -50,6 +54,10 @@
         ("\"memory_mb\": 110", "\"memory_mb\": 4", "$.limits.memory_mb: found 4"),
         ("\"descriptors\": 4100", "\"descriptors\": -1", "$.limits.descriptors: found -1"),
         ("\"upstreams_ms\": 4000", "\"upstreams_ms\": 0", "$.in_force.upstreams_ms: found 0"),
+        ("\"evacuations_ms\": 5000", "\"evacuations_ms\": 1", "$.in_force.evacuations_ms: found 1"),
+        ("\"west\": \"local\"", "\"west\": 7", "$.regions.west: found 7"),
+        ("\"east\": \"local\"", "\"\": \"local\"", "the name of a data centre"),
+        ("\"overage\": 1.5", "\"overage\": -1", "$.warmup.overage: found -1"),
         ("\"level\": \"info\"", "\"level\": \"loud\"", "$.log.level: found \"loud\""),
         ("\"peers\": [\"127.0.0.1:7302\"]", "\"peers\": 5", "$.peers: found"),
     ];
