--- a/crates/sagespool-gateway/src/metrics.rs
+++ b/crates/sagespool-gateway/src/metrics.rs
@@ -93,6 +93,17 @@
     open: Gauge,
     turn: Gauge<f64, AtomicU64>,
     calls: Family<CallLabels, Gauge>,
+    evacuated: Gauge,
+    cold: Gauge,
+}
+
+/// What is kept from upstreams at the moment.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SparedReading {
+    /// Data centres that are evacuated.
+    pub(crate) evacuated: usize,
+    /// Upstreams that are taken to be cold.
+    pub(crate) cold: usize,
 }
 
 impl GatewayMetrics {
@@ -128,6 +139,11 @@
         registry.register("turn_seconds", help, turn.clone());
         let calls = Family::default();
         registry.register("store_calls", "Calls of the store, by cause", calls.clone());
+        let evacuated = Gauge::default();
+        let help = "Data centres whose upstreams get no new work";
+        registry.register("evacuated_centres", help, evacuated.clone());
+        let cold = Gauge::default();
+        registry.register("cold_upstreams", "Upstreams that are taken to be cold", cold.clone());
         Self {
             registry,
             requests,
@@ -142,6 +158,8 @@
             open,
             turn,
             calls,
+            evacuated,
+            cold,
         }
     }
 
@@ -183,8 +201,16 @@
         self.closed_unread.inc();
     }
 
-    /// All metrics as text, with the number of gateways and what callers use at the moment.
-    pub(crate) fn encode(&self, members: usize, intake: IntakeReading) -> String {
+    /// All metrics as text, with the number of gateways, what callers use and which upstreams are spared
+    /// at the moment.
+    pub(crate) fn encode(
+        &self,
+        members: usize,
+        intake: IntakeReading,
+        spared: SparedReading,
+    ) -> String {
+        self.evacuated.set(spared.evacuated as i64);
+        self.cold.set(spared.cold as i64);
         self.members.set(members as i64);
         self.held.set(intake.held.0 as i64);
         self.held_limit.set(i64::try_from(intake.limit.0).unwrap_or(i64::MAX));
--- a/crates/sagespool-gateway/src/status.rs
+++ b/crates/sagespool-gateway/src/status.rs
@@ -9,6 +9,7 @@
 use sagespool_types::ClockTime;
 use trillium::{Conn, KnownHeaderName, Status};
 
+use crate::metrics::SparedReading;
 use crate::state::GatewayState;
 
 const METRICS_PATH: &str = "/metrics";
@@ -39,8 +40,13 @@
 
 fn metrics_text(state: &GatewayState) -> String {
     state.metrics.take_calls(state.store.causes());
-    let intake = state.intake.reading(ClockTime::now());
-    state.metrics.encode(state.fleet.count(MemberRole::Entry), intake)
+    let now = ClockTime::now();
+    let intake = state.intake.reading(now);
+    let spared = SparedReading {
+        evacuated: state.roster().evacuated().count(),
+        cold: state.warmup().count(now),
+    };
+    state.metrics.encode(state.fleet.count(MemberRole::Entry), intake, spared)
 }
 
 fn respond_readiness(state: &GatewayState, conn: Conn) -> Conn {
