--- a/crates/sagespool-gateway/src/desk.rs
+++ b/crates/sagespool-gateway/src/desk.rs
@@ -10,7 +10,7 @@
 pub use self::shortage::{FailedRound, KnownShortage};
 
 use std::collections::HashMap;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -53,6 +53,8 @@
     run: IncarnationId,
     instance: InstanceName,
     terms: GrantTerms,
+    /// Instances at which accounts have their homes, this one among them.
+    homes: AtomicUsize,
     accounts: Mutex<HashMap<BranchName, Arc<AccountDesk>>>,
     /// When the last call failed.
     store_failed: Mutex<Option<ClockTime>>,
@@ -70,11 +72,22 @@
             run,
             instance,
             terms,
+            homes: AtomicUsize::new(1),
             accounts: Mutex::default(),
             store_failed: Mutex::default(),
         }
     }
 
+    /// Notes how many instances there are.
+    pub(crate) fn note_homes(&self, homes: usize) {
+        self.homes.store(homes, Ordering::Relaxed);
+    }
+
+    /// The terms of supplies in a fleet of the present size.
+    fn supply_terms(&self) -> GrantTerms {
+        self.terms.in_fleet(self.homes.load(Ordering::Relaxed))
+    }
+
     fn account(&self, branch: &BranchName) -> Arc<AccountDesk> {
         let mut accounts = lock(&self.accounts);
         let fresh = || Arc::new(AccountDesk::new(branch));
@@ -300,7 +313,7 @@
     }
 
     fn runs_low(&self, account: &AccountDesk, order: &BudgetOrder, now: ClockTime) -> bool {
-        lock(&account.purse).runs_low(self.terms, order.prepaid, now)
+        lock(&account.purse).runs_low(self.supply_terms(), order.prepaid, now)
     }
 
     fn store_is_away(&self, now: ClockTime) -> bool {
--- a/crates/sagespool-gateway/src/desk/grants.rs
+++ b/crates/sagespool-gateway/src/desk/grants.rs
@@ -68,7 +68,7 @@
             account.see_holders(&book);
             let present = book.granted(self.run);
             let now = ClockTime::now();
-            let terms = self.terms.of_one(instances);
+            let terms = self.supply_terms().of_one(instances);
             let wanted = {
                 let mut purse = lock(&account.purse);
                 purse.see_book(&book);
--- a/crates/sagespool-gateway/src/follow.rs
+++ b/crates/sagespool-gateway/src/follow.rs
@@ -355,5 +355,6 @@
         state.pool.sweep(is_listed, now);
         state.warmup().sweep(now);
         state.observe_senders(now);
+        state.desk.note_homes(state.instances());
     }
 }
--- a/crates/sagespool-ledger/src/prepaid/purse.rs
+++ b/crates/sagespool-ledger/src/prepaid/purse.rs
@@ -34,6 +34,14 @@
         Self { instances: instances.max(1), ..self }
     }
 
+    /// The terms in a fleet in which accounts have their homes at so many instances. A supply lies with its
+    /// account's home: the more homes there are, the fewer accounts lose theirs when an instance is
+    /// killed, and the longer may supplies bridge outages of the store, which all accounts meet at once.
+    pub fn in_fleet(self, homes: usize) -> Self {
+        let factor = (homes as f64 / HOMES_FOR_IDLE).clamp(1.0, MOST_IDLE_FACTOR);
+        Self { idle: (self.idle * factor).min(1.0), ..self }
+    }
+
     /// One instance's part of what all may take.
     fn part_of(self, all: f64) -> f64 {
         all / self.instances as f64
@@ -67,6 +75,10 @@
     rate_since: Option<ClockTime>,
 }
 
+/// With so many homes, a supply may be as large as the terms say; with more, larger in proportion.
+const HOMES_FOR_IDLE: f64 = 10.0;
+/// All may be killed at once: supplies grow no further than this.
+const MOST_IDLE_FACTOR: f64 = 3.0;
 /// Of a total, the last part is granted sparingly: supplies that lie idle there, or are given up by a
 /// killed instance, would turn requests away that the total covers.
 const END_SHARE: f64 = 0.1;
--- a/crates/sagespool-ledger/tests/supply_sizes.rs
+++ b/crates/sagespool-ledger/tests/supply_sizes.rs
@@ -149,3 +149,15 @@
     assert!(book.given_up <= TokenCount(TOTAL * 8 / 100), "{}", book.given_up);
     assert!(book.free() < REQUEST);
 }
+
+/// Guards against supplies that end in the first second of an outage in a large fleet, where a single kill
+/// takes few accounts' supplies, and against large ones in a fleet of a few homes.
+#[test]
+fn fleet_sizes() {
+    let idle = |homes| BOUNDED.in_fleet(homes).idle;
+    assert!((idle(4) - BOUNDED.idle).abs() < 1e-9);
+    assert!(idle(26) > BOUNDED.idle * 2.0);
+    assert!(idle(26) < idle(30));
+    assert!((idle(300) - BOUNDED.idle * 3.0).abs() < 1e-9);
+    assert!((GrantTerms { idle: 0.9, ..BOUNDED }.in_fleet(300).idle - 1.0).abs() < 1e-9);
+}
