--- a/crates/sagespool-ledger/src/prepaid/purse.rs
+++ b/crates/sagespool-ledger/src/prepaid/purse.rs
@@ -39,7 +39,7 @@
     /// killed, and the longer may supplies bridge outages of the store, which all accounts meet at once.
     pub fn in_fleet(self, homes: usize) -> Self {
         let factor = (homes as f64 / HOMES_FOR_IDLE).clamp(1.0, MOST_IDLE_FACTOR);
-        Self { idle: (self.idle * factor).min(1.0), ..self }
+        Self { ahead: self.ahead.mul_f64(factor), idle: (self.idle * factor).min(1.0), ..self }
     }
 
     /// One instance's part of what all may take.
--- a/crates/sagespool-ledger/tests/supply_sizes.rs
+++ b/crates/sagespool-ledger/tests/supply_sizes.rs
@@ -155,7 +155,8 @@
 #[test]
 fn fleet_sizes() {
     let idle = |homes| BOUNDED.in_fleet(homes).idle;
-    assert!((idle(4) - BOUNDED.idle).abs() < 1e-9);
+    assert_eq!(BOUNDED.in_fleet(4), BOUNDED);
+    assert!(BOUNDED.in_fleet(26).ahead > BOUNDED.ahead * 2);
     assert!(idle(26) > BOUNDED.idle * 2.0);
     assert!(idle(26) < idle(30));
     assert!((idle(300) - BOUNDED.idle * 3.0).abs() < 1e-9);
