Evacuations are followed in a module of their own; metrics take one lock at a time

The page of metrics held the roster's lock while it took that of cold upstreams, the choice of an upstream takes them the other way round: with several threads both could wait for each other. Found by reading.

--- /dev/null
+++ b/crates/sagespool-gateway/src/evacuations.rs
@@ -0,0 +1,51 @@
+//! Following which data centres operators keep free of work.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sagespool_log::log_event;
+use sagespool_messages::FollowedKind;
+use sagespool_types::{CentreName, ClockTime};
+
+use crate::follow::{Followed, follow, key_name};
+use crate::state::GatewayState;
+
+/// Follows the evacuations of data centres for ever.
+pub(crate) async fn follow_evacuations(state: Arc<GatewayState>) {
+    let followed = Followed {
+        what: "evacuations",
+        kind: FollowedKind::Evacuations,
+        prefix: state.dialect.evacuation_prefix,
+        pause: |_| Duration::ZERO,
+        on_listing: |state, listing| {
+            let listed: Vec<CentreName> =
+                listing.items.iter().filter_map(|(key, _)| read_centre(key)).collect();
+            let ended: Vec<CentreName> = state.roster().evacuated().cloned().collect();
+            for centre in ended.iter().filter(|centre| !listed.contains(centre)) {
+                state.readmit(centre, ClockTime::now());
+            }
+            listed.into_iter().for_each(|centre| state.evacuate(centre));
+        },
+        on_change: |state, change| {
+            let Some(centre) = read_centre(&change.key) else {
+                return false;
+            };
+            match change.value {
+                Some(_) => state.evacuate(centre),
+                None => state.readmit(&centre, ClockTime::now()),
+            }
+            true
+        },
+        on_return: |_, _| {},
+    };
+    follow(&state, followed).await;
+}
+
+/// The data centre that an evacuation's key names.
+fn read_centre(key: &str) -> Option<CentreName> {
+    let centre = key_name(key).parse().ok();
+    if centre.is_none() {
+        log_event!(warn, "evacuation-unreadable", key = key);
+    }
+    centre
+}
--- a/crates/sagespool-gateway/src/follow.rs
+++ b/crates/sagespool-gateway/src/follow.rs
@@ -7,7 +7,7 @@
 use sagespool_log::log_event;
 use sagespool_messages::{FollowReply, FollowedKind, FollowedObject};
 use sagespool_platform::{ObjectChange, ObjectListing, StoreError, StoredObject};
-use sagespool_types::{CentreName, ClockTime, StoreRevision, UpstreamName};
+use sagespool_types::{ClockTime, StoreRevision, UpstreamName};
 use serde_json::value::RawValue;
 use smol::Timer;
 
@@ -31,18 +31,18 @@
     UPSTREAM_PAUSE.mul_f64(factor.max(1.0)).min(LONGEST_UPSTREAM_PAUSE)
 }
 
-type RawListing = ObjectListing<Box<RawValue>>;
-type RawChange = ObjectChange<Box<RawValue>>;
+pub(crate) type RawListing = ObjectListing<Box<RawValue>>;
+pub(crate) type RawChange = ObjectChange<Box<RawValue>>;
 
 /// One thing that is followed.
 pub(crate) struct Followed {
     pub(crate) what: &'static str,
     pub(crate) kind: FollowedKind,
-    prefix: &'static str,
-    pause: fn(&GatewayState) -> Duration,
-    on_listing: fn(&GatewayState, RawListing),
+    pub(crate) prefix: &'static str,
+    pub(crate) pause: fn(&GatewayState) -> Duration,
+    pub(crate) on_listing: fn(&GatewayState, RawListing),
     /// Tells whether the change matters.
-    on_change: fn(&GatewayState, RawChange) -> bool,
+    pub(crate) on_change: fn(&GatewayState, RawChange) -> bool,
     pub(crate) on_return: fn(&GatewayState, Duration),
 }
 
@@ -69,46 +69,6 @@
     follow(&state, followed).await;
 }
 
-/// Follows the evacuations of data centres for ever.
-pub(crate) async fn follow_evacuations(state: Arc<GatewayState>) {
-    let followed = Followed {
-        what: "evacuations",
-        kind: FollowedKind::Evacuations,
-        prefix: state.dialect.evacuation_prefix,
-        pause: |_| Duration::ZERO,
-        on_listing: |state, listing| {
-            let listed: Vec<CentreName> =
-                listing.items.iter().filter_map(|(key, _)| read_centre(key)).collect();
-            let ended: Vec<CentreName> = state.roster().evacuated().cloned().collect();
-            for centre in ended.iter().filter(|centre| !listed.contains(centre)) {
-                state.readmit(centre, ClockTime::now());
-            }
-            listed.into_iter().for_each(|centre| state.evacuate(centre));
-        },
-        on_change: |state, change| {
-            let Some(centre) = read_centre(&change.key) else {
-                return false;
-            };
-            match change.value {
-                Some(_) => state.evacuate(centre),
-                None => state.readmit(&centre, ClockTime::now()),
-            }
-            true
-        },
-        on_return: |_, _| {},
-    };
-    follow(&state, followed).await;
-}
-
-/// The data centre that an evacuation's key names.
-fn read_centre(key: &str) -> Option<CentreName> {
-    let centre = key_name(key).parse().ok();
-    if centre.is_none() {
-        log_event!(warn, "evacuation-unreadable", key = key);
-    }
-    centre
-}
-
 /// Follows the list of upstreams for ever.
 pub(crate) async fn follow_upstreams(state: Arc<GatewayState>) {
     let followed = Followed {
@@ -151,7 +111,8 @@
 /// Why following has to begin anew with a listing.
 struct HistoryGone;
 
-async fn follow(state: &GatewayState, followed: Followed) {
+/// Follows one thing for ever.
+pub(crate) async fn follow(state: &GatewayState, followed: Followed) {
     let mut contact = StoreContact::default();
     loop {
         let listing = match state.store.list::<Box<RawValue>>(followed.prefix).await {
@@ -320,7 +281,8 @@
     }
 }
 
-fn key_name(key: &str) -> &str {
+/// The name in a key, after its kind.
+pub(crate) fn key_name(key: &str) -> &str {
     key.rsplit_once('/').map_or(key, |(_, name)| name)
 }
 
--- a/crates/sagespool-gateway/src/lib.rs
+++ b/crates/sagespool-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod crashes;
 mod desk;
 mod dialect;
+mod evacuations;
 mod feeds;
 mod fleet;
 mod flight;
--- a/crates/sagespool-gateway/src/status.rs
+++ b/crates/sagespool-gateway/src/status.rs
@@ -42,10 +42,10 @@
     state.metrics.take_calls(state.store.causes());
     let now = ClockTime::now();
     let intake = state.intake.reading(now);
-    let spared = SparedReading {
-        evacuated: state.roster().evacuated().count(),
-        cold: state.warmup().count(now),
-    };
+    // One lock at a time: the choice of an upstream takes them in another order.
+    let evacuated = state.roster().evacuated().count();
+    let cold = state.warmup().count(now);
+    let spared = SparedReading { evacuated, cold };
     state.metrics.encode(state.fleet.count(MemberRole::Entry), intake, spared)
 }
 
