Limits that upstreams name are read, logged and counted

The logs of the incident couldn't tell whether the word arrived, with which value, and when. Each change of it is now a line (upstream-limit, upstream-limit-ended, upstream-mark-unreadable, at most one a second), and a gauge tells how many upstreams name one. No decision rests on it yet.

The guard that spares cold upstreams takes the note, so that both kinds of sparing will count the same sends; the panel of senders has a file of its own. What an upstream asked is forgotten when another run of it begins, not when its entry lapses.

--- a/crates/sagespool-forward/src/lib.rs
+++ b/crates/sagespool-forward/src/lib.rs
@@ -4,7 +4,8 @@
 //! [`PlanIndex`] finds the route and the account of a request. [`UpstreamRoster`] holds the
 //! upstreams that may get work, [`PlacementBoard`] chooses among them, [`RetryBudget`] says
 //! whether a request may be sent once more, [`AdmissionBoard`] turns requests away that a busy
-//! instance can't answer in time, [`WarmupGuard`] spares upstreams that are cold, and [`EventCutter`] splits streams into whole events.
+//! instance can't answer in time, [`SendGuard`] spares upstreams that are cold or name a limit, and
+//! [`EventCutter`] splits streams into whole events.
 //!
 //! ```
 //! use sagespool_forward::EventCutter;
@@ -20,18 +21,20 @@
 mod engine;
 mod events;
 mod feed;
+mod guard;
 mod index;
 mod placement;
 mod plan;
 mod retry;
 mod roster;
-mod warmup;
+mod senders;
 
 pub use admission::{AdmissionBoard, ArrivedRequest};
 pub use demand::{CallerDemand, PromptPart, TokenDemand};
 pub use engine::PartCache;
 pub use events::{EventCutter, WholeEvents};
 pub use feed::{ANSWER_TIME, FeedObject, FeedPage, FeedSource, FeedSources, FeedTerms, ObjectFeed};
+pub use guard::{LimitChange, SendGuard, WarmupTerms, WarmupTraits};
 pub use index::{PlanIndex, RouteMatch};
 pub use placement::{PlacementBoard, PlacementPolicy, SendOutcome, SendTicket, WorkShape};
 pub use plan::{
@@ -40,4 +43,4 @@
 };
 pub use retry::{RetryBudget, RetryTerms};
 pub use roster::{RosterChange, UpstreamRecord, UpstreamRoster, UpstreamRun};
-pub use warmup::{SenderPanel, WarmupGuard, WarmupTerms, WarmupTraits};
+pub use senders::SenderPanel;
--- a/crates/sagespool-forward/tests/cold_upstreams.rs
+++ b/crates/sagespool-forward/tests/cold_upstreams.rs
@@ -8,7 +8,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use sagespool_forward::{SenderPanel, WarmupGuard, WarmupTerms, WarmupTraits};
+use sagespool_forward::{SendGuard, SenderPanel, WarmupTerms, WarmupTraits};
 use sagespool_types::{ClockTime, InstanceName, UpstreamName};
 
 const TERMS: WarmupTerms = WarmupTerms { overage: 1.5, slack: 5.0 };
@@ -34,7 +34,7 @@
 
 struct Sender {
     panel: SenderPanel,
-    guard: WarmupGuard,
+    guard: SendGuard,
 }
 
 /// Instances that know all that were listed, and perhaps newcomers that the others don't know.
@@ -48,7 +48,7 @@
                 true => panel.observe_listed(old(), now),
                 false => panel.observe_listed(all(), now),
             }
-            Sender { panel, guard: WarmupGuard::new(TERMS) }
+            Sender { panel, guard: SendGuard::new(TERMS) }
         })
         .collect()
 }
@@ -68,7 +68,7 @@
     let mut now = ClockTime::from_millis(1_000);
     let mut senders = fleet(instances, newcomers, now);
     for sender in &mut senders {
-        sender.guard = WarmupGuard::new(terms);
+        sender.guard = SendGuard::new(terms);
         sender.guard.note_cold(&name, traits.span, now);
     }
     let end = now.after(traits.span);
@@ -78,7 +78,7 @@
     let mut seen = ColdSecond::default();
     while now < end {
         for (number, sender) in senders.iter_mut().enumerate() {
-            if random.f64() < 0.3 && sender.guard.admits(&name, &traits, &sender.panel, now) {
+            if random.f64() < 0.3 && sender.guard.admits(&name, Some(&traits), &sender.panel, now) {
                 sender.guard.count_send(&name, now);
                 let pause = if random.bool() { 0 } else { random.u64(0..300) };
                 opening.push((number, now, now.after(Duration::from_millis(pause))));
@@ -167,7 +167,7 @@
 #[test]
 fn late_word() {
     let now = ClockTime::from_millis(1_000);
-    let mut guard = WarmupGuard::new(TERMS);
+    let mut guard = SendGuard::new(TERMS);
     let name = upstream(1);
     assert!(guard.note_cold(&name, Duration::from_secs(3), now));
     assert!(!guard.note_cold(&name, Duration::from_secs(1), now));
@@ -175,8 +175,8 @@
     let warm = now.after(Duration::from_secs(3));
     assert!(!guard.is_cold(&name, warm));
     let panel = SenderPanel::new(instance(1));
-    assert!(guard.admits(&name, &traits(), &panel, warm));
+    assert!(guard.admits(&name, Some(&traits()), &panel, warm));
     // It may turn cold again at any moment.
     assert!(guard.note_cold(&name, Duration::from_secs(3), warm));
-    assert!(!guard.admits(&name, &traits(), &panel, warm));
+    assert!(!guard.admits(&name, Some(&traits()), &panel, warm));
 }
--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -186,7 +186,7 @@
     };
     let warmup = service.and_then(|service| service.warmup.as_ref());
     // Held until the send is counted, so that no other request takes the same share.
-    let mut guard = state.warmup();
+    let mut guard = state.guard();
     let senders = state.senders();
     let roster = state.roster();
     let mut short = match roster.is_evacuated(&flight.request.service) {
@@ -198,8 +198,7 @@
             short = ShortCause::AwayFromHome;
             return false;
         }
-        let admitted =
-            warmup.is_none_or(|traits| guard.admits(&record.name, traits, &senders, now));
+        let admitted = guard.admits(&record.name, warmup, &senders, now);
         if !admitted {
             short = ShortCause::Cold;
         }
@@ -227,7 +226,7 @@
     flight.state.metrics.sent(connection.carried == 0);
     connection.carried += 1;
     let now = ClockTime::now();
-    flight.state.warmup().note_left(&upstream.name, place.ticket().sent, now);
+    flight.state.guard().note_left(&upstream.name, place.ticket().sent, now);
     let request = build_request(flight, place, now);
     flight.sends += 1;
     flight.record.sends = flight.sends;
@@ -301,6 +300,13 @@
         place.finish(SendOutcome::Broken, now);
         return Err(SendFailure::Lost("crossed"));
     }
+    if !marks.misdirected {
+        let ticket = place.ticket();
+        flight.state.note_limit(&ticket.upstream.name, marks.rate_limit, ticket.sent, now);
+        if let Some(mark) = marks.unreadable {
+            flight.state.note_unreadable(&ticket.upstream.name, mark, now);
+        }
+    }
     if marks.not_run {
         log_event!(
             info,
--- a/crates/sagespool-gateway/src/dialect.rs
+++ b/crates/sagespool-gateway/src/dialect.rs
@@ -7,7 +7,7 @@
 use hyper::header::HeaderMap;
 use sagespool_forward::{CallerDemand, ForwardPlan, UpstreamRecord};
 use sagespool_platform::StoreDialect;
-use sagespool_types::{BranchName, UpstreamName};
+use sagespool_types::{BranchName, SendRate, UpstreamName};
 use serde_json::value::RawValue;
 
 /// The translations that a gateway is given.
@@ -77,7 +77,7 @@
 }
 
 /// What an upstream's answer says beside its content.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct AnswerMarks {
     /// The request that it answers, if it says so.
     pub request: Option<String>,
@@ -91,4 +91,8 @@
     pub load: Option<u32>,
     /// How much longer the upstream is cold, if it says that it is.
     pub cold_left: Option<Duration>,
+    /// What the upstream takes from all instances together, if it names a limit.
+    pub rate_limit: Option<SendRate>,
+    /// The first mark that can't be read, by its wire name. The others stand all the same.
+    pub unreadable: Option<&'static str>,
 }
--- a/crates/sagespool-gateway/src/follow.rs
+++ b/crates/sagespool-gateway/src/follow.rs
@@ -299,6 +299,10 @@
     if matches!(change, RosterChange::Gone | RosterChange::Restarted) {
         state.board().forget(&name);
     }
+    // An entry may lapse and come back: what its upstream asked holds until another run of it begins.
+    if change == RosterChange::Restarted {
+        state.guard().forget(&name);
+    }
 }
 
 /// How often idle connections and lapsed entries are looked at.
@@ -315,7 +319,7 @@
         }
         let is_listed = |name: &UpstreamName| state.roster().get(name).is_some();
         state.pool.sweep(is_listed, now);
-        state.warmup().sweep(now);
+        state.guard().sweep(is_listed, now);
         state.observe_senders(now);
         state.desk.note_homes(state.instances());
     }
--- a/crates/sagespool-gateway/src/metrics.rs
+++ b/crates/sagespool-gateway/src/metrics.rs
@@ -95,6 +95,7 @@
     calls: Family<CallLabels, Gauge>,
     evacuated: Gauge,
     cold: Gauge,
+    limited: Gauge,
 }
 
 /// What is kept from upstreams at the moment.
@@ -104,6 +105,8 @@
     pub(crate) evacuated: usize,
     /// Upstreams that are taken to be cold.
     pub(crate) cold: usize,
+    /// Upstreams that name a limit.
+    pub(crate) limited: usize,
 }
 
 impl GatewayMetrics {
@@ -144,6 +147,8 @@
         registry.register("evacuated_centres", help, evacuated.clone());
         let cold = Gauge::default();
         registry.register("cold_upstreams", "Upstreams that are taken to be cold", cold.clone());
+        let limited = Gauge::default();
+        registry.register("limited_upstreams", "Upstreams that name a limit", limited.clone());
         Self {
             registry,
             requests,
@@ -160,6 +165,7 @@
             calls,
             evacuated,
             cold,
+            limited,
         }
     }
 
@@ -211,6 +217,7 @@
     ) -> String {
         self.evacuated.set(spared.evacuated as i64);
         self.cold.set(spared.cold as i64);
+        self.limited.set(spared.limited as i64);
         self.members.set(members as i64);
         self.held.set(intake.held.0 as i64);
         self.held_limit.set(i64::try_from(intake.limit.0).unwrap_or(i64::MAX));
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use sagespool_forward::{
-    PlacementBoard, PlacementPolicy, PlanIndex, RetryBudget, RetryTerms, SenderPanel,
-    UpstreamRoster, WarmupGuard, WarmupTerms, WarmupTraits,
+    LimitChange, PlacementBoard, PlacementPolicy, PlanIndex, RetryBudget, RetryTerms, SendGuard,
+    SenderPanel, UpstreamRoster, WarmupTerms, WarmupTraits,
 };
 use sagespool_ledger::GrantTerms;
 use sagespool_log::log_event;
@@ -14,7 +14,8 @@
 use sagespool_platform::ObjectClient;
 use sagespool_settings::{GatewaySettings, GrantSettings};
 use sagespool_types::{
-    CentreName, ClockTime, ConfigVersion, IncarnationId, RegionName, ServiceName, UpstreamName,
+    CentreName, ClockTime, ConfigVersion, IncarnationId, RegionName, SendRate, ServiceName,
+    UpstreamName,
 };
 
 use crate::crashes::CrashDesk;
@@ -27,6 +28,10 @@
 use crate::pool::UpstreamPool;
 use crate::signal::OnceSignal;
 
+/// The least time between two log lines on marks that can't be read: a broken upstream sends one with
+/// each answer.
+const UNREADABLE_PAUSE: Duration = Duration::from_secs(1);
+
 /// The shared state.
 pub(crate) struct GatewayState {
     pub(crate) settings: GatewaySettings,
@@ -54,8 +59,10 @@
     roster: Mutex<UpstreamRoster>,
     board: Mutex<PlacementBoard>,
     retries: Mutex<RetryBudget>,
-    warmup: Mutex<WarmupGuard>,
+    guard: Mutex<SendGuard>,
     senders: Mutex<SenderPanel>,
+    /// When a mark that can't be read was last noted.
+    unreadable: Mutex<Option<ClockTime>>,
 }
 
 /// A configuration, and its text as the store has it, for other gateways.
@@ -115,8 +122,9 @@
             roster: Mutex::default(),
             board: Mutex::new(PlacementBoard::new(PlacementPolicy::default())),
             retries: Mutex::new(RetryBudget::new(terms)),
-            warmup: Mutex::new(WarmupGuard::new(warmup_terms)),
+            guard: Mutex::new(SendGuard::new(warmup_terms)),
             senders: Mutex::new(senders),
+            unreadable: Mutex::default(),
         }
     }
 
@@ -162,6 +170,7 @@
     pub(crate) fn forget_upstream(&self, name: &UpstreamName) {
         self.roster().replaced(name);
         self.board().forget(name);
+        self.guard().forget(name);
         log_event!(info, "upstream-changed", upstream = name, change = "replaced");
     }
 
@@ -173,8 +182,8 @@
         self.retries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(crate) fn warmup(&self) -> MutexGuard<'_, WarmupGuard> {
-        self.warmup.lock().unwrap_or_else(PoisonError::into_inner)
+    pub(crate) fn guard(&self) -> MutexGuard<'_, SendGuard> {
+        self.guard.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(crate) fn senders(&self) -> MutexGuard<'_, SenderPanel> {
@@ -194,11 +203,39 @@
 
     /// Notes that an upstream is cold for so long; nothing if that is zero.
     pub(crate) fn note_cold(&self, name: &UpstreamName, left: Duration, now: ClockTime) {
-        if !left.is_zero() && self.warmup().note_cold(name, left, now) {
+        if !left.is_zero() && self.guard().note_cold(name, left, now) {
             log_event!(info, "upstream-cold", upstream = name, left_ms = left.as_millis());
         }
     }
 
+    /// Takes what the answer to a request whose place was chosen then says of its upstream's limit.
+    pub(crate) fn note_limit(
+        &self,
+        name: &UpstreamName,
+        named: Option<SendRate>,
+        chosen: ClockTime,
+        now: ClockTime,
+    ) {
+        let change = self.guard().note_limit(name, named, chosen, now);
+        match change {
+            LimitChange::Unchanged => {}
+            LimitChange::Named(rate) => {
+                log_event!(info, "upstream-limit", upstream = name, per_second = rate);
+            }
+            LimitChange::Ended => log_event!(info, "upstream-limit-ended", upstream = name),
+        }
+    }
+
+    /// Notes that a mark of an upstream's answer can't be read, in a line a second at most.
+    pub(crate) fn note_unreadable(&self, name: &UpstreamName, mark: &str, now: ClockTime) {
+        let mut noted = self.unreadable.lock().unwrap_or_else(PoisonError::into_inner);
+        if noted.is_some_and(|noted| now.since(noted) < UNREADABLE_PAUSE) {
+            return;
+        }
+        *noted = Some(now);
+        log_event!(warn, "upstream-mark-unreadable", upstream = name, mark = mark);
+    }
+
     /// What cold upstreams of a service bear; nothing if it has none.
     fn warmup_traits(&self, service: &ServiceName) -> Option<WarmupTraits> {
         self.plan()?.service(service)?.warmup.clone()
--- a/crates/sagespool-gateway/src/status.rs
+++ b/crates/sagespool-gateway/src/status.rs
@@ -44,8 +44,10 @@
     let intake = state.intake.reading(now);
     // One lock at a time: the choice of an upstream takes them in another order.
     let evacuated = state.roster().evacuated().count();
-    let cold = state.warmup().count(now);
-    let spared = SparedReading { evacuated, cold };
+    let guard = state.guard();
+    let (cold, limited) = (guard.cold_count(now), guard.limited_count());
+    drop(guard);
+    let spared = SparedReading { evacuated, cold, limited };
     state.metrics.encode(state.fleet.count(MemberRole::Entry), intake, spared)
 }
 
--- a/crates/sagespool-types/src/lib.rs
+++ b/crates/sagespool-types/src/lib.rs
@@ -19,6 +19,7 @@
 mod fault;
 mod ids;
 mod names;
+mod rates;
 mod refusal;
 mod sizes;
 
@@ -33,6 +34,7 @@
     BranchName, CentreName, ClassName, InstanceName, ModelName, RegionName, ServiceName,
     UpstreamName,
 };
+pub use rates::SendRate;
 pub use refusal::{RefusalReason, RunState};
 pub use sizes::{
     BookNumber, ByteCount, ConfigVersion, RequestRate, StoreRevision, TokenCount, TokenRate,
