The load and coldness that another upstream tells aren't taken for those of the one that was meant

Cause: both marks were taken in before it was looked at whether the answer belongs to the request, and whether another run has the address. An upstream whose address was used again, or that got a second answer of its neighbour's, was spared or loaded by somebody else's word.

others_words failed before for a crossed answer (one cold upstream counted, none is) and passes.

--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -13,7 +13,7 @@
 use sagespool_log::log_event;
 use sagespool_types::ClockTime;
 
-use crate::dialect::OnwardTerms;
+use crate::dialect::{AnswerMarks, OnwardTerms};
 use crate::flight::Flight;
 use crate::hop::strip_hop;
 use crate::pool::{UpstreamConnection, connect};
@@ -332,12 +332,6 @@
     let (mut head, body) = response.into_parts();
     connection.note_idle_limit(idle_limit(&head));
     let marks = (flight.state.dialect.mark_answer)(head.status, &mut head.headers);
-    if let Some(load) = marks.load {
-        flight.state.board().note_load(&place.ticket().upstream.name, load, now);
-    }
-    if let Some(left) = marks.cold_left {
-        flight.state.note_cold(&place.ticket().upstream.name, left, now);
-    }
     // An upstream may send a second answer, which the connection's next request would get. The
     // request that was sent on it may be running, and its own answer can't be found any more.
     let crossed =
@@ -347,11 +341,7 @@
         return Err(SendFailure::Lost("crossed"));
     }
     if !marks.misdirected {
-        let ticket = place.ticket();
-        flight.state.note_limit(&ticket.upstream.name, marks.rate_limit, ticket.sent, now);
-        if let Some(mark) = marks.unreadable {
-            flight.state.note_unreadable(&ticket.upstream.name, mark, now);
-        }
+        note_marks(flight, place.ticket(), &marks, now);
     }
     if marks.not_run {
         log_event!(
@@ -378,6 +368,21 @@
     Ok(OpenAnswer { head, body, connection, place })
 }
 
+/// Takes in what an upstream says of itself in the answer to a request that was sent to it.
+fn note_marks(flight: &Flight, ticket: &SendTicket, marks: &AnswerMarks, now: ClockTime) {
+    let (state, name) = (&flight.state, &ticket.upstream.name);
+    if let Some(load) = marks.load {
+        state.board().note_load(name, load, now);
+    }
+    if let Some(left) = marks.cold_left {
+        state.note_cold(name, left, now);
+    }
+    state.note_limit(name, marks.rate_limit, ticket.sent, now);
+    if let Some(mark) = marks.unreadable {
+        state.note_unreadable(name, mark, now);
+    }
+}
+
 /// How long the upstream keeps the connection open while it is idle.
 fn idle_limit(head: &Parts) -> Option<Duration> {
     let text = head.headers.get("keep-alive")?.to_str().ok()?;
