What answers say of leaving and of rest is read and logged

The logs of both incidents couldn't tell whether the words arrived. Each is now a line (upstream-says-leaving, upstream-asks-rest); no decision rests on them yet. What can't be read counts as not said, and is noted by the line that limits have.

--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -378,6 +378,12 @@
         state.note_cold(name, left, now);
     }
     state.note_limit(name, marks.rate_limit, ticket.sent, now);
+    if marks.leaving {
+        log_event!(info, "upstream-says-leaving", upstream = name);
+    }
+    if let Some(rest) = marks.rest {
+        log_event!(info, "upstream-asks-rest", upstream = name, rest_ms = rest.as_millis());
+    }
     if let Some(mark) = marks.unreadable {
         state.note_unreadable(name, mark, now);
     }
--- a/crates/sagespool-gateway/src/dialect.rs
+++ b/crates/sagespool-gateway/src/dialect.rs
@@ -93,6 +93,10 @@
     pub cold_left: Option<Duration>,
     /// What the upstream takes from all instances together, if it names a limit.
     pub rate_limit: Option<SendRate>,
+    /// The upstream leaves, and wants no new work.
+    pub leaving: bool,
+    /// How long the upstream wants nothing from this instance, if it asks for rest.
+    pub rest: Option<Duration>,
     /// The first mark that can't be read, by its wire name. The others stand all the same.
     pub unreadable: Option<&'static str>,
 }
