An upstream that says in an answer that it leaves gets no new work from there on

Cause: the word was read by nothing; only an entry of the store, which was away, made an upstream leave. Class: a word that no decision hears.

Change: the roster keeps which runs have said so. An entry that is removed, comes back or still says ready changes nothing; the next run under the name, told by the time of its start, gets work. A late answer of an earlier run doesn't make the present one leave, nor take its word back. Kept for ten minutes after an upstream was last listed.

--- a/crates/sagespool-forward/src/roster.rs
+++ b/crates/sagespool-forward/src/roster.rs
@@ -72,6 +72,10 @@
     successor: Option<UpstreamName>,
 }
 
+/// How long it is remembered that an upstream leaves which isn't listed: longer than its leaving takes,
+/// and than outages of the store in which its entry lapses and comes back.
+const LEAVING_KEPT: Duration = Duration::from_secs(600);
+
 /// What this instance knows of the upstreams.
 ///
 /// Entries lapse while the store is away, since upstreams can't renew them, and are back soon
@@ -84,6 +88,9 @@
     entries: BTreeMap<UpstreamName, RosterEntry>,
     /// Data centres whose upstreams get no new work, whatever they say themselves.
     evacuated: BTreeSet<CentreName>,
+    /// Runs of upstreams that have said in their answers that they leave, and when they said it last.
+    /// Entries come and go, and may be older than the answers.
+    said_leaving: BTreeMap<UpstreamName, BTreeMap<Option<UpstreamBirth>, ClockTime>>,
     /// When the store came back after an outage in which entries may have lapsed.
     returned: Option<ClockTime>,
     loaded: bool,
@@ -178,7 +185,7 @@
             entry.successor = Some(name.clone());
         }
         let known = self.entries.get(&name);
-        let restarted = known.is_some_and(|known| is_later_run(&known.record, &record));
+        let restarted = known.is_some_and(|known| is_later_run(known.record.born, record.born));
         let change = match known {
             Some(known) if known.record == record => RosterChange::Unchanged,
             _ if restarted => RosterChange::Restarted,
@@ -209,13 +216,26 @@
         }
     }
 
+    /// Takes a run's own word, in an answer, that it leaves. True if that is news.
+    pub fn says_leaving(&mut self, run: &UpstreamRun, now: ClockTime) -> bool {
+        let said = self.said_leaving.entry(run.name.clone()).or_default();
+        said.insert(run.born, now).is_none()
+    }
+
+    /// Whether an upstream's present run leaves, by its entry or by its own word.
+    fn is_leaving(&self, record: &UpstreamRecord) -> bool {
+        let said = self.said_leaving.get(&record.name);
+        let mut runs = said.into_iter().flat_map(BTreeMap::keys);
+        record.leaving || runs.any(|born| !is_later_run(*born, record.born))
+    }
+
     /// Takes word that an entry was removed.
     pub fn remove(&mut self, name: &UpstreamName, now: ClockTime) -> (UpstreamName, RosterChange) {
         self.mark_missing(name, now);
         let Some(entry) = self.entries.get(name) else {
             return (name.clone(), RosterChange::Unchanged);
         };
-        let (leaving, service) = (entry.record.leaving, entry.record.service.clone());
+        let (leaving, service) = (self.is_leaving(&entry.record), entry.record.service.clone());
         if !leaving && self.is_within(LAPSE_FOUND, now) && self.is_mostly_missing(&service) {
             return (name.clone(), RosterChange::Missing);
         }
@@ -238,6 +258,7 @@
 
     /// Drops entries that lapsed and didn't come back in time.
     pub fn expire(&mut self, now: ClockTime) -> Vec<UpstreamName> {
+        self.forget_leavers(now);
         if self.is_within(LAPSE_GRACE, now) {
             return Vec::new();
         }
@@ -251,6 +272,14 @@
         gone
     }
 
+    fn forget_leavers(&mut self, now: ClockTime) {
+        let entries = &self.entries;
+        self.said_leaving.retain(|name, runs| {
+            runs.retain(|_, heard| entries.contains_key(name) || now.since(*heard) < LEAVING_KEPT);
+            !runs.is_empty()
+        });
+    }
+
     /// The upstreams of a service that may get new work.
     pub fn ready<'a>(
         &'a self,
@@ -266,7 +295,7 @@
     ) -> impl Iterator<Item = &'a UpstreamRecord> + 'a {
         let present = self.entries.values().filter(|entry| !self.is_succeeded(entry));
         let records = present.map(|entry| &entry.record);
-        records.filter(move |record| !record.leaving && record.service == *service)
+        records.filter(move |record| record.service == *service && !self.is_leaving(record))
     }
 
     /// Whether another upstream has the address of this one. The entry of an upstream that crashed
@@ -313,7 +342,7 @@
     }
 }
 
-/// Whether a new entry is of another run than the one that was known.
-fn is_later_run(known: &UpstreamRecord, record: &UpstreamRecord) -> bool {
-    matches!((known.born, record.born), (Some(known), Some(born)) if known != born)
+/// Whether an entry's run is another one than the one that was known.
+fn is_later_run(known: Option<UpstreamBirth>, born: Option<UpstreamBirth>) -> bool {
+    matches!((known, born), (Some(known), Some(born)) if known != born)
 }
--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -378,7 +378,7 @@
         state.note_cold(name, left, now);
     }
     state.note_limit(name, marks.rate_limit, ticket.sent, now);
-    if marks.leaving {
+    if marks.leaving && state.roster().says_leaving(&ticket.upstream.run(), now) {
         log_event!(info, "upstream-says-leaving", upstream = name);
     }
     if let Some(rest) = marks.rest {
