An upstream that asks for rest gets nothing from this instance until it is over

An upstream that turns away gets more than any other: it tells a load of 0, and own requests there end in a millisecond.

Cause: the time in its 503 was read by nothing. Class: a word that no decision hears. Refuted: repeats of one request (sends=1 in the lines), rests of one instance taken for another's (each of the four goes on by itself).

A request that waits for a connection meanwhile is held back. With all upstreams resting, a request is refused at once with the time until the first takes work again.

--- a/crates/sagespool-forward/src/guard.rs
+++ b/crates/sagespool-forward/src/guard.rs
@@ -1,5 +1,5 @@
 //! How much work upstreams get that take little: those that are cold, shortly after a start or whenever
-//! they say so, and those that name a limit.
+//! they say so, those that name a limit, and those that have asked this instance for rest.
 //!
 //! A cold upstream takes a few requests a second from all instances together and crashes above that.
 //! Instances can't agree on a share in time, some may be cut off from the others, so few of them send
@@ -80,6 +80,9 @@
     SenderTurns { senders, pause: each.interval(LONGEST_PAUSE) }
 }
 
+/// The longest rest that is granted: an upstream that asks for more would get nothing ever again.
+const LONGEST_REST: Duration = Duration::from_secs(600);
+
 /// How long the limit of an upstream is kept that isn't listed: its entry may have lapsed while the store
 /// was away.
 const KEPT_UNLISTED: Duration = Duration::from_secs(60);
@@ -110,6 +113,7 @@
 struct GuardedUpstream {
     cold_until: ClockTime,
     limit: Option<NamedLimit>,
+    rest: Option<AskedRest>,
     sends: VecDeque<GuardedSend>,
 }
 
@@ -135,6 +139,14 @@
     }
 }
 
+/// A time in which an upstream wants nothing from this instance.
+#[derive(Debug, Clone, Copy)]
+struct AskedRest {
+    /// Since when it has rested without a break.
+    since: ClockTime,
+    until: ClockTime,
+}
+
 /// What an answer changed in what is known of its upstream's limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum LimitChange {
@@ -194,6 +206,17 @@
         Some(newest.after(turns.pause.max(unheard)).since(now))
     }
 
+    /// How long the upstream still wants nothing.
+    fn rest_left(&self, now: ClockTime) -> Duration {
+        self.rest.map_or(Duration::ZERO, |rest| rest.until.since(now))
+    }
+
+    /// How long until this instance may send one more request; nothing if that is for others to do.
+    fn pause(&self, name: &UpstreamName, panel: &SenderPanel, now: ClockTime) -> Option<Duration> {
+        let limited = self.limit_pause(name, panel, now)?;
+        Some(limited.max(self.rest_left(now)))
+    }
+
     fn newest_left(&self) -> Option<ClockTime> {
         self.sends.iter().map(|send| send.left).max()
     }
@@ -257,6 +280,22 @@
         LimitChange::Ended
     }
 
+    /// Notes that an upstream wants nothing from this instance for so long. A shorter time doesn't take
+    /// back a longer one. True if it didn't rest before.
+    pub fn note_rest(&mut self, name: &UpstreamName, rest: Duration, now: ClockTime) -> bool {
+        if rest.is_zero() {
+            return false;
+        }
+        let until = now.after(rest.min(LONGEST_REST));
+        let guarded = self.upstreams.entry(name.clone()).or_default();
+        let before = guarded.rest.filter(|before| now < before.until);
+        guarded.rest = Some(AskedRest {
+            since: before.map_or(now, |before| before.since),
+            until: before.map_or(until, |before| before.until.max(until)),
+        });
+        before.is_none()
+    }
+
     /// Whether this instance may send one more request there now.
     pub fn admits(
         &self,
@@ -271,18 +310,22 @@
         let traits = traits.filter(|_| guarded.is_cold(now));
         let bears_cold = traits
             .is_none_or(|traits| guarded.cold_admits(name, divide(traits, self.terms), panel, now));
-        bears_cold && guarded.limit_pause(name, panel, now) == Some(Duration::ZERO)
+        bears_cold && guarded.pause(name, panel, now) == Some(Duration::ZERO)
     }
 
     /// Whether a request whose place was chosen then must not leave any more: the upstream has named a
-    /// limit since, as it may while the request waits for a connection.
-    pub fn holds_back(&self, name: &UpstreamName, chosen: ClockTime) -> bool {
-        let limit = self.upstreams.get(name).and_then(|guarded| guarded.limit);
-        limit.is_some_and(|limit| limit.since > chosen)
+    /// limit or asked for rest since, as it may while the request waits for a connection.
+    pub fn holds_back(&self, name: &UpstreamName, chosen: ClockTime, now: ClockTime) -> bool {
+        let Some(guarded) = self.upstreams.get(name) else {
+            return false;
+        };
+        let limited = guarded.limit.is_some_and(|limit| limit.since > chosen);
+        let rests = guarded.rest.is_some_and(|rest| rest.since > chosen && now < rest.until);
+        limited || rests
     }
 
-    /// How long until an upstream that names a limit takes a request again, from this instance or else
-    /// from another one. Nothing if it names none.
+    /// How long until an upstream that names a limit or rests takes a request again, from this instance
+    /// or else from another one. Nothing if it does neither.
     pub fn next_turn(
         &self,
         name: &UpstreamName,
@@ -290,9 +333,10 @@
         now: ClockTime,
     ) -> Option<Duration> {
         let guarded = self.upstreams.get(name)?;
-        let limit = guarded.limit?;
-        let own = guarded.limit_pause(name, panel, now);
-        Some(own.unwrap_or_else(|| limit.rate.interval(LONGEST_PAUSE)))
+        let rests = !guarded.rest_left(now).is_zero();
+        let others = guarded.limit.map(|limit| limit.rate.interval(LONGEST_PAUSE));
+        let is_spared = rests || others.is_some();
+        is_spared.then(|| guarded.pause(name, panel, now).or(others).unwrap_or_default())
     }
 
     /// Counts a request whose place is chosen now.
@@ -322,7 +366,7 @@
             let told = guarded.limit.map(|limit| limit.told);
             let is_limited =
                 told.is_some_and(|told| now.since(told) < KEPT_UNLISTED || is_listed(name));
-            guarded.is_cold(now) || is_limited
+            guarded.is_cold(now) || is_limited || !guarded.rest_left(now).is_zero()
         });
         for guarded in self.upstreams.values_mut() {
             let newest = guarded.newest_left();
@@ -337,6 +381,11 @@
         self.upstreams.values().filter(|guarded| guarded.is_cold(now)).count()
     }
 
+    /// How many upstreams want nothing from this instance.
+    pub fn resting_count(&self, now: ClockTime) -> usize {
+        self.upstreams.values().filter(|guarded| !guarded.rest_left(now).is_zero()).count()
+    }
+
     /// How many upstreams name a limit.
     pub fn limited_count(&self) -> usize {
         self.upstreams.values().filter(|guarded| guarded.limit.is_some()).count()
--- a/crates/sagespool-forward/src/lib.rs
+++ b/crates/sagespool-forward/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`PlanIndex`] finds the route and the account of a request. [`UpstreamRoster`] holds the
 //! upstreams that may get work, [`PlacementBoard`] chooses among them, [`RetryBudget`] says
 //! whether a request may be sent once more, [`AdmissionBoard`] turns requests away that a busy
-//! instance can't answer in time, [`SendGuard`] spares upstreams that are cold or name a limit, and
+//! instance can't answer in time, [`SendGuard`] spares upstreams that are cold, name a limit or rest, and
 //! [`EventCutter`] splits streams into whole events.
 //!
 //! ```
--- a/crates/sagespool-forward/tests/named_limits.rs
+++ b/crates/sagespool-forward/tests/named_limits.rs
@@ -149,7 +149,7 @@
         match travel.stage {
             TravelStage::Opening => {
                 let guard = &mut self.senders[sender].guard;
-                if guard.holds_back(&self.name, chosen) {
+                if guard.holds_back(&self.name, chosen, self.now) {
                     return;
                 }
                 guard.note_left(&self.name, chosen, self.now);
@@ -295,8 +295,8 @@
     assert_eq!(guard.note_limit(&name, None, first, told), LimitChange::Unchanged);
     let named = guard.note_limit(&name, Some(rate(1.0)), first, told);
     assert_eq!(named, LimitChange::Named(rate(1.0)));
-    assert!(guard.holds_back(&name, second));
-    assert!(!guard.holds_back(&name, third));
+    assert!(guard.holds_back(&name, second, told));
+    assert!(!guard.holds_back(&name, third, third));
     let later = third.after(Duration::from_millis(100));
     assert_eq!(guard.note_limit(&name, None, second, later), LimitChange::Unchanged);
     assert_eq!(guard.note_limit(&name, Some(rate(1.0)), third, later), LimitChange::Unchanged);
--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -57,7 +57,7 @@
     AwayFromHome,
     /// All are cold, and get their work from other instances.
     Cold,
-    /// All that could take it name limits; the first takes a request again after so long.
+    /// All that could take it name limits or rest; the first takes a request again after so long.
     Limited(Duration),
 }
 
@@ -279,7 +279,7 @@
 /// Notes that a request leaves now; false if it must not any more.
 fn leaves(state: &GatewayState, ticket: &SendTicket, now: ClockTime) -> bool {
     let mut guard = state.guard();
-    if guard.holds_back(&ticket.upstream.name, ticket.sent) {
+    if guard.holds_back(&ticket.upstream.name, ticket.sent, now) {
         return false;
     }
     guard.note_left(&ticket.upstream.name, ticket.sent, now);
@@ -382,7 +382,7 @@
         log_event!(info, "upstream-says-leaving", upstream = name);
     }
     if let Some(rest) = marks.rest {
-        log_event!(info, "upstream-asks-rest", upstream = name, rest_ms = rest.as_millis());
+        state.note_rest(name, rest, now);
     }
     if let Some(mark) = marks.unreadable {
         state.note_unreadable(name, mark, now);
--- a/crates/sagespool-gateway/src/metrics.rs
+++ b/crates/sagespool-gateway/src/metrics.rs
@@ -96,6 +96,7 @@
     evacuated: Gauge,
     cold: Gauge,
     limited: Gauge,
+    resting: Gauge,
 }
 
 /// What is kept from upstreams at the moment.
@@ -107,6 +108,8 @@
     pub(crate) cold: usize,
     /// Upstreams that name a limit.
     pub(crate) limited: usize,
+    /// Upstreams that want nothing from this instance.
+    pub(crate) resting: usize,
 }
 
 impl GatewayMetrics {
@@ -149,6 +152,9 @@
         registry.register("cold_upstreams", "Upstreams that are taken to be cold", cold.clone());
         let limited = Gauge::default();
         registry.register("limited_upstreams", "Upstreams that name a limit", limited.clone());
+        let resting = Gauge::default();
+        let help = "Upstreams that want nothing from this instance for now";
+        registry.register("resting_upstreams", help, resting.clone());
         Self {
             registry,
             requests,
@@ -166,6 +172,7 @@
             evacuated,
             cold,
             limited,
+            resting,
         }
     }
 
@@ -218,6 +225,7 @@
         self.evacuated.set(spared.evacuated as i64);
         self.cold.set(spared.cold as i64);
         self.limited.set(spared.limited as i64);
+        self.resting.set(spared.resting as i64);
         self.members.set(members as i64);
         self.held.set(intake.held.0 as i64);
         self.held_limit.set(i64::try_from(intake.limit.0).unwrap_or(i64::MAX));
--- a/crates/sagespool-gateway/src/refusal.rs
+++ b/crates/sagespool-gateway/src/refusal.rs
@@ -44,7 +44,7 @@
     NoUpstream,
     /// The data centres of all the service's upstreams are evacuated; it hasn't run.
     Evacuated,
-    /// The service's upstreams name limits that are used up for so long; it hasn't run.
+    /// The service's upstreams name limits or rest, the first for so long; it hasn't run.
     Limited(Duration),
     /// The upstreams turned it away; it hasn't run.
     Busy,
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -230,6 +230,13 @@
         }
     }
 
+    /// Notes that an upstream wants nothing from this instance for so long.
+    pub(crate) fn note_rest(&self, name: &UpstreamName, rest: Duration, now: ClockTime) {
+        if self.guard().note_rest(name, rest, now) {
+            log_event!(info, "upstream-rests", upstream = name, rest_ms = rest.as_millis());
+        }
+    }
+
     /// Notes that a mark of an upstream's answer can't be read, in a line a second at most.
     pub(crate) fn note_unreadable(&self, name: &UpstreamName, mark: &str, now: ClockTime) {
         let mut noted = self.unreadable.lock().unwrap_or_else(PoisonError::into_inner);
