Instances tell each other when a limit has ended

Callers' cost of the limits' mend: an instance that has no turn at a limited upstream refuses, or sends elsewhere, until its own trial, 20 s after the last word and 8 s more for each instance before it. With all upstreams of a small service limited for a while, most instances of a large fleet would have gone on refusing for minutes after the end.

Change: an instance that holds a limit of which no answer told for 1.5 s asks two others once a second. Ages of words are taken so that a limit counts as newer and its end as older than it may be. No bound rests on it: the model plays half of its worlds without.

--- a/crates/sagespool-entry/src/peers.rs
+++ b/crates/sagespool-entry/src/peers.rs
@@ -85,7 +85,8 @@
         | PeerRequest::ReturnRest(_)
         | PeerRequest::AskPlan(_)
         | PeerRequest::CallStore(_)
-        | PeerRequest::Follow(_) => PeerReply::Unsupported("this process is an entry".into()),
+        | PeerRequest::Follow(_)
+        | PeerRequest::AskLimits(_) => PeerReply::Unsupported("this process is an entry".into()),
     }
 }
 
--- a/crates/sagespool-forward/src/guard.rs
+++ b/crates/sagespool-forward/src/guard.rs
@@ -7,8 +7,8 @@
 //! one of an upstream's senders.
 //!
 //! A named limit is divided in the same way, with a pause between two requests of each sender. Only an
-//! answer tells of its end, so the other instances try the upstream, one after the other, once they have
-//! heard nothing of the limit for long.
+//! answer tells of its end: the other instances ask each other, and try the upstream, one after the
+//! other, once they have heard nothing of the limit for long.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -56,6 +56,11 @@
 /// The longest pause of a sender, for upstreams that name a limit of nothing: somebody has to learn when
 /// they take work again.
 const LONGEST_PAUSE: Duration = Duration::from_secs(30);
+/// Others are asked about a limit of which no answer has told for so long, about so many at once.
+const UNHEARD_AFTER: Duration = Duration::from_millis(1500);
+const MOST_ASKED: usize = 32;
+/// How long it is remembered for others that a limit has ended.
+const END_KEPT: Duration = Duration::from_secs(60);
 /// An instance that isn't a sender, and hears nothing more of a limit for so long, tries the upstream. It
 /// has no other way to learn of the limit's end.
 const TRIAL_AFTER: Duration = Duration::from_secs(20);
@@ -113,6 +118,8 @@
 struct GuardedUpstream {
     cold_until: ClockTime,
     limit: Option<NamedLimit>,
+    /// When the newest request left, or was about to, whose answer named no limit any more.
+    limit_ended: Option<ClockTime>,
     rest: Option<AskedRest>,
     sends: VecDeque<GuardedSend>,
 }
@@ -147,6 +154,15 @@
     until: ClockTime,
 }
 
+/// What is known of an upstream's limit, and as of when.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitNotice {
+    /// The limit; nothing if it names none any more.
+    pub rate: Option<SendRate>,
+    /// When that was so.
+    pub at: ClockTime,
+}
+
 /// What an answer changed in what is known of its upstream's limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum LimitChange {
@@ -277,9 +293,45 @@
             return LimitChange::Unchanged;
         }
         guarded.limit = None;
+        guarded.limit_ended = Some(chosen);
         LimitChange::Ended
     }
 
+    /// The limited upstreams of which no answer has told for a while.
+    pub fn unheard(&self, now: ClockTime) -> Vec<UpstreamName> {
+        let is_unheard = |guarded: &GuardedUpstream| {
+            guarded.limit.is_some_and(|limit| now.since(limit.told) > UNHEARD_AFTER)
+        };
+        let names = self.upstreams.iter().filter(|(_, guarded)| is_unheard(guarded));
+        names.map(|(name, _)| name.clone()).take(MOST_ASKED).collect()
+    }
+
+    /// What this instance knows of an upstream's limit; nothing if it never named one.
+    pub fn word_on(&self, name: &UpstreamName) -> Option<LimitNotice> {
+        let guarded = self.upstreams.get(name)?;
+        match guarded.limit {
+            Some(limit) => Some(LimitNotice { rate: Some(limit.rate), at: limit.told }),
+            None => guarded.limit_ended.map(|at| LimitNotice { rate: None, at }),
+        }
+    }
+
+    /// Takes another instance's word on an upstream whose limit is known here, if it is newer.
+    pub fn take_word(&mut self, name: &UpstreamName, word: LimitNotice) -> LimitChange {
+        let Some(guarded) = self.upstreams.get_mut(name) else {
+            return LimitChange::Unchanged;
+        };
+        let Some(limit) = guarded.limit.filter(|limit| limit.told < word.at) else {
+            return LimitChange::Unchanged;
+        };
+        let Some(rate) = word.rate else {
+            guarded.limit = None;
+            guarded.limit_ended = Some(word.at);
+            return LimitChange::Ended;
+        };
+        guarded.limit = Some(NamedLimit { rate, told: word.at, ..limit });
+        if limit.rate == rate { LimitChange::Unchanged } else { LimitChange::Named(rate) }
+    }
+
     /// Notes that an upstream wants nothing from this instance for so long. A shorter time doesn't take
     /// back a longer one. True if it didn't rest before.
     pub fn note_rest(&mut self, name: &UpstreamName, rest: Duration, now: ClockTime) -> bool {
@@ -366,7 +418,8 @@
             let told = guarded.limit.map(|limit| limit.told);
             let is_limited =
                 told.is_some_and(|told| now.since(told) < KEPT_UNLISTED || is_listed(name));
-            guarded.is_cold(now) || is_limited || !guarded.rest_left(now).is_zero()
+            let is_news = guarded.limit_ended.is_some_and(|at| now.since(at) < END_KEPT);
+            guarded.is_cold(now) || is_limited || is_news || !guarded.rest_left(now).is_zero()
         });
         for guarded in self.upstreams.values_mut() {
             let newest = guarded.newest_left();
--- a/crates/sagespool-forward/src/lib.rs
+++ b/crates/sagespool-forward/src/lib.rs
@@ -34,7 +34,7 @@
 pub use engine::PartCache;
 pub use events::{EventCutter, WholeEvents};
 pub use feed::{ANSWER_TIME, FeedObject, FeedPage, FeedSource, FeedSources, FeedTerms, ObjectFeed};
-pub use guard::{LimitChange, SendGuard, WarmupTerms, WarmupTraits};
+pub use guard::{LimitChange, LimitNotice, SendGuard, WarmupTerms, WarmupTraits};
 pub use index::{PlanIndex, RouteMatch};
 pub use placement::{PlacementBoard, PlacementPolicy, SendOutcome, SendTicket, WorkShape};
 pub use plan::{
--- a/crates/sagespool-forward/tests/named_limits.rs
+++ b/crates/sagespool-forward/tests/named_limits.rs
@@ -74,6 +74,8 @@
     /// Arrivals that count.
     counted: VecDeque<ClockTime>,
     arrived: usize,
+    /// Instances tell each other what they know.
+    talks: bool,
     /// How long answers take at most, and how many get lost.
     slowest_ms: u64,
     lost: f64,
@@ -97,6 +99,7 @@
             before: VecDeque::new(),
             counted: VecDeque::new(),
             arrived: 0,
+            talks: false,
             slowest_ms: 40,
             lost: 0.0,
         }
@@ -121,6 +124,9 @@
     fn step(&mut self) {
         self.now = self.now.after(Duration::from_millis(STEP_MS));
         self.send();
+        if self.talks {
+            self.talk();
+        }
         let now = self.now;
         for travel in self.travels.extract_if(.., |travel| travel.due <= now).collect::<Vec<_>>() {
             self.advance(travel);
@@ -128,6 +134,21 @@
         self.check();
     }
 
+    /// Each instance asks another one, about once a second.
+    fn talk(&mut self) {
+        for number in 0..self.senders.len() {
+            if self.random.u64(0..1_000) >= STEP_MS {
+                continue;
+            }
+            let asked = self.random.usize(0..self.senders.len());
+            for name in self.senders[number].guard.unheard(self.now) {
+                if let Some(word) = self.senders[asked].guard.word_on(&name) {
+                    self.senders[number].guard.take_word(&name, word);
+                }
+            }
+        }
+    }
+
     fn send(&mut self) {
         for (number, sender) in self.senders.iter_mut().enumerate() {
             if self.random.f64() >= sender.demand {
@@ -220,6 +241,7 @@
 fn play(seed: u64, instances: usize) {
     let newcomers = usize::from(seed.is_multiple_of(3));
     let mut world = LimitWorld::new(seed, instances, newcomers);
+    world.talks = world.random.bool();
     world.slowest_ms = [40, 400, 1_500][world.random.usize(0..3)];
     world.lost = [0.0, 0.1, 0.5][world.random.usize(0..3)];
     for sender in &mut world.senders {
@@ -285,6 +307,19 @@
     }
 }
 
+/// Guards against a fleet in which most instances refuse requests long after a limit has ended.
+#[test]
+fn end_spreads() {
+    let mut world = LimitWorld::new(13, 68, 0);
+    world.talks = true;
+    world.name_rate(Some(1.0));
+    world.run_for(Duration::from_secs(6));
+    world.name_rate(None);
+    world.run_for(Duration::from_secs(20));
+    let limited = world.senders.iter().filter(|sender| sender.guard.limited_count() > 0);
+    assert_eq!(limited.count(), 0);
+}
+
 /// Guards against the answer to an earlier request that takes a limit back, and against a request that
 /// leaves though a limit was named while it waited.
 #[test]
--- a/crates/sagespool-gateway/src/lib.rs
+++ b/crates/sagespool-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod hop;
 mod identity;
 mod intake;
+mod limits;
 mod metrics;
 mod peers;
 mod pipeline;
--- /dev/null
+++ b/crates/sagespool-gateway/src/limits.rs
@@ -0,0 +1,65 @@
+//! What gateways tell each other of the limits that upstreams name.
+//!
+//! Few instances send to a limited upstream, and only its answers tell of the limit's end: the others ask.
+//! That no limit is passed doesn't rest on it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sagespool_forward::LimitNotice;
+use sagespool_messages::{LimitAsk, LimitReply, LimitWord, MemberRole, PeerReply, PeerRequest};
+use sagespool_types::{ClockTime, SendRate};
+use smol::Timer;
+
+use crate::state::GatewayState;
+
+const ASK_PERIOD: Duration = Duration::from_secs(1);
+/// Gateways that are asked each time, chosen by chance: word spreads among hundreds within some seconds.
+const ASKED_GATEWAYS: usize = 2;
+const ASK_LIMIT: Duration = Duration::from_millis(500);
+
+/// Asks others about limits of which nothing was heard lately, for ever.
+pub(crate) async fn follow_limits(state: Arc<GatewayState>) {
+    loop {
+        Timer::after(ASK_PERIOD.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
+        let now = ClockTime::now();
+        let upstreams = state.guard().unheard(now);
+        if upstreams.is_empty() {
+            continue;
+        }
+        let request = PeerRequest::AskLimits(LimitAsk { upstreams });
+        for other in state.fleet.others(MemberRole::Entry, now).into_iter().take(ASKED_GATEWAYS) {
+            let asked = ClockTime::now();
+            let reply = state.fleet.ask(other.address, &request, ASK_LIMIT).await;
+            if let Ok(PeerReply::Limits(reply)) = reply {
+                take_words(&state, reply, asked, ClockTime::now());
+            }
+        }
+    }
+}
+
+/// Takes the words of a reply. Its ages are as of some moment between the question and now: a limit is
+/// taken to be as new as it may be, and its end as old.
+fn take_words(state: &GatewayState, reply: LimitReply, asked: ClockTime, now: ClockTime) {
+    for LimitWord { upstream, per_second, age } in reply.words {
+        let notice = match per_second.map(SendRate::new) {
+            Some(None) => continue,
+            Some(rate) => LimitNotice { rate, at: now.before(age) },
+            None => LimitNotice { rate: None, at: asked.before(age) },
+        };
+        let change = state.guard().take_word(&upstream, notice);
+        state.log_limit(&upstream, change, "gateway");
+    }
+}
+
+/// What this gateway knows of upstreams' limits.
+pub(crate) fn answer_limits(state: &GatewayState, ask: &LimitAsk, now: ClockTime) -> LimitReply {
+    let guard = state.guard();
+    let known = ask.upstreams.iter().filter_map(|name| Some((name, guard.word_on(name)?)));
+    let words = known.map(|(name, notice)| LimitWord {
+        upstream: name.clone(),
+        per_second: notice.rate.map(SendRate::per_second),
+        age: now.since(notice.at),
+    });
+    LimitReply { words: words.collect() }
+}
--- a/crates/sagespool-gateway/src/peers.rs
+++ b/crates/sagespool-gateway/src/peers.rs
@@ -15,6 +15,7 @@
 
 use crate::desk::BudgetOrder;
 use crate::fleet::answer_store_call;
+use crate::limits::answer_limits;
 use crate::state::GatewayState;
 
 const PLAN_LIMIT: Duration = Duration::from_millis(500);
@@ -62,6 +63,9 @@
             PeerReply::Done
         }
         PeerRequest::Follow(ask) => PeerReply::Follow(state.feeds.answer(ask).await),
+        PeerRequest::AskLimits(ask) => {
+            PeerReply::Limits(answer_limits(state, &ask, ClockTime::now()))
+        }
         PeerRequest::CallStore(call) => answer_store_call(&state.store, call).await,
         _ => PeerReply::Unsupported("this process is a gateway".to_owned()),
     }
--- a/crates/sagespool-gateway/src/role.rs
+++ b/crates/sagespool-gateway/src/role.rs
@@ -18,6 +18,7 @@
 use crate::dialect::WireDialect;
 use crate::evacuations::follow_evacuations;
 use crate::follow::{follow_plan, follow_upstreams, sweep};
+use crate::limits::follow_limits;
 use crate::peers::run_peers;
 use crate::state::GatewayState;
 use crate::status::serve_status;
@@ -124,6 +125,7 @@
         }
         if state.settings.link.is_some() {
             tasks.push(smol::spawn(run_peers(state.clone())));
+            tasks.push(smol::spawn(follow_limits(state.clone())));
         }
         Ok(Self { state, accepting, _tasks: tasks })
     }
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -221,12 +221,23 @@
         now: ClockTime,
     ) {
         let change = self.guard().note_limit(name, named, chosen, now);
+        self.log_limit(name, change, "answer");
+    }
+
+    /// Writes what has changed of an upstream's limit, and who told it.
+    pub(crate) fn log_limit(&self, name: &UpstreamName, change: LimitChange, told_by: &str) {
         match change {
             LimitChange::Unchanged => {}
-            LimitChange::Named(rate) => {
-                log_event!(info, "upstream-limit", upstream = name, per_second = rate);
+            LimitChange::Named(rate) => log_event!(
+                info,
+                "upstream-limit",
+                upstream = name,
+                per_second = rate,
+                told_by = told_by,
+            ),
+            LimitChange::Ended => {
+                log_event!(info, "upstream-limit-ended", upstream = name, told_by = told_by);
             }
-            LimitChange::Ended => log_event!(info, "upstream-limit-ended", upstream = name),
         }
     }
 
--- a/crates/sagespool-messages/src/gateways.rs
+++ b/crates/sagespool-messages/src/gateways.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use sagespool_types::{
-    BranchName, ConfigVersion, IncarnationId, StoreRevision, TokenCount, derives,
+    BranchName, ConfigVersion, IncarnationId, StoreRevision, TokenCount, UpstreamName, derives,
 };
 
 derives! { record;
@@ -170,3 +170,31 @@
         pub objects: Vec<FollowedObject>,
     }
 }
+
+derives! { record;
+    /// A question for what is known of the limits that upstreams name.
+    pub struct LimitAsk {
+        /// The upstreams.
+        pub upstreams: Vec<UpstreamName>,
+    }
+}
+
+derives! { record;
+    /// What a gateway knows of an upstream's limit, from an answer to itself or to another one.
+    pub struct LimitWord {
+        /// The upstream.
+        pub upstream: UpstreamName,
+        /// Requests a second that it names; nothing if it names no limit any more.
+        pub per_second: Option<f64>,
+        /// How long ago that was so.
+        pub age: Duration,
+    }
+}
+
+derives! { record;
+    /// The answer to a [`LimitAsk`], without upstreams of whose limits nothing is known.
+    pub struct LimitReply {
+        /// One word an upstream.
+        pub words: Vec<LimitWord>,
+    }
+}
--- a/crates/sagespool-messages/src/lib.rs
+++ b/crates/sagespool-messages/src/lib.rs
@@ -27,7 +27,7 @@
 };
 pub use gateways::{
     BudgetRest, FollowAsk, FollowReply, FollowedKind, FollowedObject, LendReply, LendRequest,
-    PlanAsk, PlanReply, StoreCall, StoreCallReply, StoreMethod,
+    LimitAsk, LimitReply, LimitWord, PlanAsk, PlanReply, StoreCall, StoreCallReply, StoreMethod,
 };
 pub use members::{
     Heartbeat, LoadReport, MemberInfo, MemberRole, ServedUpstream, SuspectNote, UpstreamKind,
--- a/crates/sagespool-messages/src/wire.rs
+++ b/crates/sagespool-messages/src/wire.rs
@@ -56,6 +56,8 @@
         CallStore(StoreCall),
         /// Gateway to gateway; answered by [`PeerReply::Follow`].
         Follow(FollowAsk),
+        /// Gateway to gateway; answered by [`PeerReply::Limits`].
+        AskLimits(LimitAsk),
     }
 }
 
@@ -94,5 +96,7 @@
         StoreCall(StoreCallReply),
         /// What has changed in the store.
         Follow(FollowReply),
+        /// What a gateway knows of upstreams' limits.
+        Limits(LimitReply),
     }
 }
--- a/crates/sagespool-sidecar/src/role/peers.rs
+++ b/crates/sagespool-sidecar/src/role/peers.rs
@@ -70,7 +70,10 @@
         | PeerRequest::ReturnRest(_)
         | PeerRequest::AskPlan(_)
         | PeerRequest::CallStore(_)
-        | PeerRequest::Follow(_) => PeerReply::Unsupported("this process is a sidecar".to_owned()),
+        | PeerRequest::Follow(_)
+        | PeerRequest::AskLimits(_) => {
+            PeerReply::Unsupported("this process is a sidecar".to_owned())
+        }
     };
     responder.reply(reply).await;
 }
--- a/crates/sagespool-types/src/clock.rs
+++ b/crates/sagespool-types/src/clock.rs
@@ -38,6 +38,11 @@
         Self(self.0.saturating_add(duration.as_micros() as u64))
     }
 
+    /// This time and a duration earlier; the start where that is before it.
+    pub fn before(self, duration: Duration) -> Self {
+        Self(self.0.saturating_sub(u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)))
+    }
+
     /// How long ago an earlier time was; zero where it is later.
     pub fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
