The guard's divisions in modules of their own; a request that leaves late counts from when it left

A request whose connection took longer than expected, on a machine short of processor, was counted from the time at which it should have left, and the sender's next one followed too soon. shares.rs divides what cold upstreams bear, turns.rs a named limit; guard.rs had 466 lines.

--- a/crates/sagespool-forward/src/guard.rs
+++ b/crates/sagespool-forward/src/guard.rs
@@ -13,78 +13,25 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use sagespool_types::{ClockTime, SendRate, UpstreamName, derives};
+use sagespool_types::{ClockTime, SendRate, UpstreamName};
 
 use crate::senders::SenderPanel;
 
-derives! { record;
-    /// What a service's upstreams bear while they are cold.
-    pub struct WarmupTraits {
-        /// How long an upstream stays cold after a start.
-        pub span: Duration,
-        /// Requests that a cold one takes in a second.
-        pub per_second: f64,
-    }
-}
+mod shares;
+mod turns;
 
-/// What all instances together may send to a cold upstream in a second: its own figure times
-/// `overage`, and `slack` beside.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct WarmupTerms {
-    /// Factor on what a cold upstream takes.
-    pub overage: f64,
-    /// Requests beside that.
-    pub slack: f64,
-}
+use shares::{SHARED_SECOND, SenderShares};
+pub use shares::{WarmupTerms, WarmupTraits};
+use turns::{LONGEST_PAUSE, NamedLimit};
 
-/// Instances that send to one cold upstream.
-const MOST_SENDERS: usize = 6;
-/// An instance that hasn't heard of a newcomer yet may take itself for a sender in its place. With so
-/// many senders too many the limit still holds.
-const SPARE_SENDERS: usize = 1;
-/// The span for which the limit holds, wherever it begins.
-const LIMITED_SPAN: Duration = Duration::from_secs(1);
 /// A request may leave this much later than its place was chosen, if a connection is opened first.
 const LONGEST_OPENING: Duration = Duration::from_millis(300);
 
-/// The span over which a named limit is shared out: each sender gets its turn within it.
-const SHARED_SPAN: Duration = Duration::from_secs(4);
-/// Senders of an upstream that takes next to nothing, and of any other by how much more than the
-/// requests that it takes in a second.
-const FEWEST_SENDERS: usize = 1;
-const EXTRA_SENDERS: usize = 4;
-/// The longest pause of a sender, for upstreams that name a limit of nothing: somebody has to learn when
-/// they take work again.
-const LONGEST_PAUSE: Duration = Duration::from_secs(30);
 /// Others are asked about a limit of which no answer has told for so long, about so many at once.
 const UNHEARD_AFTER: Duration = Duration::from_millis(1500);
 const MOST_ASKED: usize = 32;
 /// How long it is remembered for others that a limit has ended.
 const END_KEPT: Duration = Duration::from_secs(60);
-/// An instance that isn't a sender, and hears nothing more of a limit for so long, tries the upstream. It
-/// has no other way to learn of the limit's end.
-const TRIAL_AFTER: Duration = Duration::from_secs(20);
-/// How much later the next instance in order does so.
-const TRIAL_STEP: Duration = Duration::from_secs(8);
-
-/// How a named limit is divided among instances that send in turn.
-#[derive(Debug, Clone, Copy, PartialEq)]
-struct SenderTurns {
-    senders: usize,
-    /// The least time between two requests of one sender.
-    pause: Duration,
-}
-
-/// Divides a limit among a fleet of so many instances. An instance that takes itself for a sender
-/// beside the others, as a newcomer may, is allowed for: senders are few against what upstreams bear.
-fn take_turns(rate: SendRate, instances: usize) -> SenderTurns {
-    let in_span = (rate.per_second() * SHARED_SPAN.as_secs_f64()) as usize;
-    let most = (rate.per_second() as usize).saturating_add(EXTRA_SENDERS);
-    let senders = in_span.min(most).clamp(FEWEST_SENDERS, instances.max(FEWEST_SENDERS));
-    let each = SendRate::new(rate.per_second() / senders as f64).unwrap_or(rate);
-    SenderTurns { senders, pause: each.interval(LONGEST_PAUSE) }
-}
-
 /// The longest rest that is granted: an upstream that asks for more would get nothing ever again.
 const LONGEST_REST: Duration = Duration::from_secs(600);
 
@@ -92,21 +39,6 @@
 /// was away.
 const KEPT_UNLISTED: Duration = Duration::from_secs(60);
 
-/// How the limit of a cold upstream is divided.
-#[derive(Debug, Clone, Copy, PartialEq)]
-struct SenderShares {
-    senders: usize,
-    /// Requests of each sender in a second.
-    each: usize,
-}
-
-fn divide(traits: &WarmupTraits, terms: WarmupTerms) -> SenderShares {
-    let limit = (traits.per_second * terms.overage + terms.slack) as usize;
-    let each = (limit / (MOST_SENDERS + SPARE_SENDERS)).max(1);
-    let senders = (limit / each).saturating_sub(SPARE_SENDERS).min(MOST_SENDERS);
-    SenderShares { senders, each }
-}
-
 /// The upstreams that are to be spared, as far as this instance knows, and what it sent to them.
 #[derive(Debug)]
 pub struct SendGuard {
@@ -124,28 +56,6 @@
     sends: VecDeque<GuardedSend>,
 }
 
-/// A limit that an upstream names in its answers.
-#[derive(Debug, Clone, Copy)]
-struct NamedLimit {
-    rate: SendRate,
-    /// Since when answers have named limits without a break.
-    since: ClockTime,
-    /// When an answer named it last.
-    told: ClockTime,
-}
-
-impl NamedLimit {
-    fn turns(&self, panel: &SenderPanel) -> SenderTurns {
-        take_turns(self.rate, panel.size())
-    }
-
-    /// Instances that may try the upstream because nothing was heard of its limit for long.
-    fn triers(&self, now: ClockTime) -> usize {
-        let overdue = now.since(self.told).checked_sub(TRIAL_AFTER);
-        overdue.map_or(0, |overdue| (overdue.as_secs() / TRIAL_STEP.as_secs()) as usize)
-    }
-}
-
 /// A time in which an upstream wants nothing from this instance.
 #[derive(Debug, Clone, Copy)]
 struct AskedRest {
@@ -177,8 +87,9 @@
 #[derive(Debug)]
 struct GuardedSend {
     chosen: ClockTime,
-    /// When the request left, or the latest time at which it may.
+    /// When the request left, or is expected to at the latest.
     left: ClockTime,
+    has_left: bool,
 }
 
 impl GuardedUpstream {
@@ -193,12 +104,10 @@
         panel: &SenderPanel,
         now: ClockTime,
     ) -> bool {
-        let recent = self.sends.iter().filter(|send| now.since(send.left) < LIMITED_SPAN).count();
+        let recent = self.sends.iter().filter(|send| now.since(send.left) < SHARED_SECOND).count();
         recent < shares.each && panel.is_sender(name, shares.senders)
     }
-}
 
-impl GuardedUpstream {
     /// How long until this instance may send one more request within the named limit; nothing if that
     /// is for others to do.
     fn limit_pause(
@@ -210,7 +119,7 @@
         let Some(limit) = self.limit else {
             return Some(Duration::ZERO);
         };
-        let turns = limit.turns(panel);
+        let turns = limit.turns(panel.size());
         if !panel.is_sender(name, turns.senders + limit.triers(now)) {
             return None;
         }
@@ -277,7 +186,7 @@
         let before = guarded.limit.replace(NamedLimit { rate, since, told: now });
         if before.is_none() {
             // The request that brought the word has had the first turn.
-            guarded.sends.push_back(GuardedSend { chosen, left: now });
+            guarded.sends.push_back(GuardedSend { chosen, left: now, has_left: true });
         }
         match before.is_some_and(|before| before.rate == rate) {
             true => LimitChange::Unchanged,
@@ -360,8 +269,9 @@
             return true;
         };
         let traits = traits.filter(|_| guarded.is_cold(now));
-        let bears_cold = traits
-            .is_none_or(|traits| guarded.cold_admits(name, divide(traits, self.terms), panel, now));
+        let bears_cold = traits.is_none_or(|traits| {
+            guarded.cold_admits(name, SenderShares::of(traits, self.terms), panel, now)
+        });
         bears_cold && guarded.pause(name, panel, now) == Some(Duration::ZERO)
     }
 
@@ -394,7 +304,8 @@
     /// Counts a request whose place is chosen now.
     pub fn count_send(&mut self, name: &UpstreamName, now: ClockTime) {
         if let Some(guarded) = self.upstreams.get_mut(name) {
-            guarded.sends.push_back(GuardedSend { chosen: now, left: now.after(LONGEST_OPENING) });
+            let left = now.after(LONGEST_OPENING);
+            guarded.sends.push_back(GuardedSend { chosen: now, left, has_left: false });
         }
     }
 
@@ -402,8 +313,9 @@
     pub fn note_left(&mut self, name: &UpstreamName, chosen: ClockTime, now: ClockTime) {
         let sends = self.upstreams.get_mut(name).map(|guarded| &mut guarded.sends);
         let mut sends = sends.into_iter().flatten();
-        if let Some(send) = sends.find(|send| send.chosen == chosen && send.left > now) {
+        if let Some(send) = sends.find(|send| send.chosen == chosen && !send.has_left) {
             send.left = now;
+            send.has_left = true;
         }
     }
 
@@ -425,7 +337,7 @@
             let newest = guarded.newest_left();
             guarded
                 .sends
-                .retain(|send| now.since(send.left) < LIMITED_SPAN || Some(send.left) == newest);
+                .retain(|send| now.since(send.left) < SHARED_SECOND || Some(send.left) == newest);
         }
     }
 
