--- a/crates/sagespool-forward/tests/failing_upstreams.rs
+++ b/crates/sagespool-forward/tests/failing_upstreams.rs
@@ -75,3 +75,19 @@
         board.finish(ticket.unwrap(), SendOutcome::Broken, now);
     }
 }
+
+/// Guards against upstreams that never get a request, since another one answers within a millisecond.
+#[test]
+fn untried_upstreams() {
+    let mut board = PlacementBoard::new(PlacementPolicy::default());
+    let (upstreams, centre) = (upstreams(), centre());
+    let shape = WorkShape { parts: &[], engine: None, centre: &centre, repeatable: true };
+    let mut chosen = std::collections::BTreeSet::new();
+    for step in 0..1_000 {
+        let now = ClockTime::from_millis(1_000 + step * 20);
+        let ticket = board.choose(upstreams.iter(), shape, &[], now).unwrap();
+        chosen.insert(ticket.upstream.name.clone());
+        board.finish(ticket, SendOutcome::Answered, now.after(Duration::from_millis(1)));
+    }
+    assert_eq!(chosen.len(), upstreams.len(), "within 20 s");
+}
