--- a/crates/sagespool-gateway/src/refusal.rs
+++ b/crates/sagespool-gateway/src/refusal.rs
@@ -113,7 +113,8 @@
     /// were refused together don't come back together.
     fn retry_after(self) -> Option<Duration> {
         let least_ms = match self {
-            Self::Limited(turn) => return Some(spread(turn)),
+            // Many are refused while an upstream takes one: the longer its pause, the wider apart.
+            Self::Limited(turn) => return Some(spread(turn, LEAST_SPREAD.max(turn / 2))),
             // An instance that starts has its configuration within half a second.
             Self::NoPlan => 300,
             // One round of the store, or of an upstream's restart.
@@ -126,7 +127,7 @@
             Self::Crowded(_) | Self::Stopping | Self::TooLate | Self::BodyTooSlow => 0,
             _ => return None,
         };
-        Some(spread(Duration::from_millis(least_ms)))
+        Some(spread(Duration::from_millis(least_ms), LEAST_SPREAD))
     }
 
     /// The answer to the caller.
@@ -146,9 +147,8 @@
     }
 }
 
-/// A pause that is longer by chance, the more the longer it is.
-fn spread(least: Duration) -> Duration {
-    let most = LEAST_SPREAD.max(least / 2);
+/// A pause that is longer by chance, by so much at most.
+fn spread(least: Duration, most: Duration) -> Duration {
     least + most.mul_f64(fastrand::f64())
 }
 
