Placement: an untried plain upstream costs less than any tried one

Change: one that was never chosen costs 0.3 x 0.4 of the initial response time, below the least of any other. Those that were tried keep the factor on their own time, so that a slow one isn't visited each two seconds at the fast one's expense. Ruled out: the cap for all that are due, which would do just that.

--- a/crates/sagespool-forward/src/placement.rs
+++ b/crates/sagespool-forward/src/placement.rs
@@ -111,11 +111,13 @@
 const MAX_SLOWNESS: f64 = 12.0;
 const MIN_SLOWNESS: f64 = 0.3;
 /// A plain upstream that wasn't chosen for this long is due for a request. Its state is stale, and
-/// a slow or failed one would never be seen to recover. At the rates of the target fleet every
-/// upstream is chosen several times per second.
+/// a slow or failed one would never be seen to recover.
 const STALE_AFTER: Duration = Duration::from_secs(2);
 /// Factor on the expected time of such an upstream.
 const STALE_COST_FACTOR: f64 = 0.4;
+/// Factor on the initial response time of an upstream that was never tried. Less than the lowest
+/// expected time of any other, so that a fast upstream doesn't keep all requests to itself.
+const UNTRIED_COST_FACTOR: f64 = MIN_SLOWNESS * STALE_COST_FACTOR;
 /// Time from a request's arrival at an idle engine to its first event, excluding prefill.
 const FIRST_EVENT_BASE_MS: f64 = 20.0;
 /// Random cost that decides between nearly equal upstreams.
@@ -200,8 +202,12 @@
         };
         let expected_ms = expected_ms * load.slowness;
         let is_stale = load.cache.is_none() && now.since(load.last_chosen_at) > STALE_AFTER;
-        let weight = if is_stale { STALE_COST_FACTOR } else { 1.0 };
-        let cost_ms = expected_ms * weight + reprefill_ms + distance_ms + jitter;
+        let response_ms = match is_stale {
+            true if load.is_untried() => policy.initial_response_ms * UNTRIED_COST_FACTOR,
+            true => expected_ms * STALE_COST_FACTOR,
+            false => expected_ms,
+        };
+        let cost_ms = response_ms + reprefill_ms + distance_ms + jitter;
         CostEstimate { cost_ms, expected_ms, uncached_tokens }
     }
 
--- a/crates/sagespool-forward/src/placement/load.rs
+++ b/crates/sagespool-forward/src/placement/load.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Whether the upstream has been chosen at all.
+    pub(super) fn is_untried(&self) -> bool {
+        self.last_chosen_at == ClockTime::default()
+    }
+
     /// Estimated requests of other instances, decayed by the age of the report.
     pub(super) fn other_requests_now(&self, now: ClockTime) -> f64 {
         let age = now.since(self.reported_at).as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64();
