Gateway: check at the moment of a send that its upstream is still eligible

Cause: an upstream was chosen, then a connection to it was opened (up to 300 ms on a busy machine), and the request went out by what was known at the choice. Change: the registry is asked again once the connection is open; if the run left, restarted, was replaced or evacuated meanwhile, nothing is written and another upstream is chosen. Test: dispatch_checks (the question didn't exist before).

--- a/crates/sagespool-forward/src/registry.rs
+++ b/crates/sagespool-forward/src/registry.rs
@@ -310,6 +310,18 @@
         records.filter(move |record| record.service == *service && !self.is_leaving(record))
     }
 
+    /// Whether a run is still eligible for new requests.
+    pub fn is_ready(&self, run: &UpstreamRun) -> bool {
+        let Some(entry) = self.entries.get(&run.name) else {
+            return false;
+        };
+        let record = &entry.record;
+        !is_other_run(run.born, record.born)
+            && !self.is_superseded(entry)
+            && !self.is_leaving(record)
+            && !self.evacuated.contains(&record.centre)
+    }
+
     /// Whether another upstream owns this one's address. The entry of a crashed upstream stays
     /// listed for seconds beside its successor's, and each request sent to it comes back unserved.
     /// A successor that was itself marked as replaced is no proof, since another writer may have
--- a/crates/sagespool-forward/tests/leaving_responses.rs
+++ b/crates/sagespool-forward/tests/leaving_responses.rs
@@ -83,3 +83,32 @@
         registry.ready(&service()).count() == expected
     }
 }
+
+/// Guards against sending to an upstream that left, restarted, was replaced or was evacuated while
+/// a connection to it was being opened.
+#[test]
+fn dispatch_checks() {
+    let now = ClockTime::from_millis(1_000);
+    let fresh = || {
+        let mut registry = UpstreamRegistry::default();
+        registry.put(record(0, 1));
+        registry
+    };
+    let run = record(0, 1).run();
+    assert!(fresh().is_ready(&run));
+    let unknown_start = UpstreamRun { born: None, ..run.clone() };
+    assert!(fresh().is_ready(&unknown_start));
+    let changes: [fn(&mut UpstreamRegistry, ClockTime); 6] = [
+        |registry, _| drop(registry.put(UpstreamRecord { leaving: true, ..record(0, 1) })),
+        |registry, now| drop(registry.note_leaving(&record(0, 1).run(), now)),
+        |registry, now| drop(registry.remove(&record(0, 1).name, now)),
+        |registry, _| drop(registry.put(record(0, 2))),
+        |registry, _| registry.mark_replaced(&record(0, 1).name),
+        |registry, _| drop(registry.evacuate(record(0, 1).centre)),
+    ];
+    for (number, change) in changes.into_iter().enumerate() {
+        let mut registry = fresh();
+        change(&mut registry, now);
+        assert!(!registry.is_ready(&run), "change {number}");
+    }
+}
--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -34,7 +34,8 @@
     NoUpstream(UnavailableCause),
     /// No byte of the request was written.
     NotSent(&'static str),
-    /// Nothing was written: the upstream named a limit or started a backoff after it was chosen.
+    /// Nothing was written: after it was chosen, the upstream became ineligible, named a limit or
+    /// started a backoff.
     DispatchBlocked,
     /// The upstream rejected the request without running it.
     Rejected,
@@ -282,7 +283,13 @@
 }
 
 /// Records that a request is being sent; false if the upstream no longer allows it.
+///
+/// Guards against requests to an upstream that has left: connecting takes up to 300 ms, and the news
+/// of its leaving may arrive meanwhile.
 fn confirm_dispatch(state: &GatewayState, attempt: &PlacedAttempt, now: ClockTime) -> bool {
+    if !state.upstreams().is_ready(&attempt.upstream.run()) {
+        return false;
+    }
     let mut throttle = state.throttle();
     if throttle.blocks_dispatch(&attempt.upstream.name, attempt.chosen_at, now) {
         return false;
