--- a/crates/sagespool-entry/src/state.rs
+++ b/crates/sagespool-entry/src/state.rs
@@ -22,7 +22,9 @@
 use sagespool_settings::{
     BudgetStrategy, EntrySettings, FleetConfiguration, ProcessSettings, RoutingStrategy,
 };
-use sagespool_types::{ClockTime, ConfigVersion, IncarnationId, RequestId, ServiceName, WallTime};
+use sagespool_types::{
+    ClockTime, ConfigVersion, IncarnationId, InstanceCapacity, RequestId, ServiceName, WallTime,
+};
 
 use crate::heartbeats::UpstreamAvailability;
 use crate::home::{BookWriter, BudgetAcquisitions, ClaimWriter, SealTargetRegistry};
@@ -64,6 +66,7 @@
         config: ConfigVersion::ZERO,
         started_at: None,
         serves: None,
+        capacity: InstanceCapacity::default(),
     }
 }
 
--- a/crates/sagespool-forward/src/feed.rs
+++ b/crates/sagespool-forward/src/feed.rs
@@ -7,10 +7,8 @@
 
 use sagespool_types::{ClockTime, IncarnationId, StoreRevision};
 
-use crate::prefix_cache::mix;
+use crate::feed_tree::{FeedPeer, FeedTree};
 
-/// Instances of a data centre that watch the store on behalf of the others.
-const STORE_FOLLOWERS: usize = 2;
 /// A neighbour that didn't reply, or replied with stale state, is not queried again for this long.
 const AVOID_PERIOD: Duration = Duration::from_millis(1500);
 /// Limit on the removals that a feed keeps.
@@ -53,17 +51,18 @@
 }
 
 impl ChangeFeed {
-    /// Replaces the copy by a full listing.
+    /// Replaces the copy by a full listing. Without the time at which it was valid, the copy has no
+    /// age until the next change or confirmation.
     pub fn apply_listing(
         &mut self,
         revision: StoreRevision,
         objects: Vec<FeedObject>,
-        valid_at: ClockTime,
+        valid_at: Option<ClockTime>,
     ) {
         self.history_start = revision;
         self.revision = revision;
         self.objects = objects.into_iter().map(|object| (object.key.clone(), object)).collect();
-        self.valid_at = Some(valid_at);
+        self.valid_at = valid_at;
     }
 
     /// Applies a change that is relevant to readers. Other changes are left out, so that an
@@ -88,7 +87,7 @@
         self.revision
     }
 
-    /// Age of the copy; None before the first listing.
+    /// Age of the copy; None while the time of its listing is unknown.
     pub fn age(&self, now: ClockTime) -> Option<Duration> {
         self.valid_at.map(|at| now.since(at))
     }
@@ -155,17 +154,25 @@
     }
 }
 
-/// Where an instance queries changes next.
+/// Where an instance queries changes next, and how long the source may hold the query.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FeedSource {
     /// The store.
-    Store,
-    /// A neighbour that follows the store.
-    Neighbour(IncarnationId),
+    Store {
+        /// How long it may hold the watch.
+        wait: Duration,
+    },
+    /// A neighbour.
+    Neighbour {
+        /// Its run.
+        id: IncarnationId,
+        /// How long it may hold the query.
+        wait: Duration,
+    },
 }
 
-/// Selects the source of changes: the followers, on which all instances agree without
-/// communication, or the store if the followers are unreliable.
+/// Selects the source of changes: the neighbours that [`FeedTree`] assigns, or the store if they
+/// are unreliable.
 #[derive(Debug, Default)]
 pub struct FeedSourceSelector {
     avoided: Vec<(IncarnationId, ClockTime)>,
@@ -173,37 +180,29 @@
 
 impl FeedSourceSelector {
     /// Chooses among the reachable instances of the own data centre. `own_age` is the age of this
-    /// instance's own copy.
+    /// instance's own copy, None before it was first confirmed.
     ///
     /// A neighbour that stalls costs the time of one query. A copy that has reached the maximum age
-    /// leaves no time for a second one, so the store is queried.
+    /// leaves no time for a second one, so the store is queried. A starting instance has time: it
+    /// isn't ready yet.
     pub fn choose(
         &mut self,
-        own: IncarnationId,
-        neighbours: &[IncarnationId],
+        own: FeedPeer,
+        neighbours: &[FeedPeer],
         own_age: Option<Duration>,
         timing: FeedTiming,
         now: ClockTime,
     ) -> FeedSource {
-        if own_age.is_none_or(|age| age > timing.max_age) {
-            return FeedSource::Store;
+        let tree = FeedTree::new(own, neighbours);
+        let store = FeedSource::Store { wait: tree.watch_wait(timing) };
+        if own_age.is_some_and(|age| age > timing.max_age) {
+            return store;
         }
         self.avoided.retain(|(_, until)| *until > now);
-        let mut ranked: Vec<IncarnationId> = neighbours.to_vec();
-        ranked.push(own);
-        ranked.sort_by_key(|instance| mix(raw_id(*instance)));
-        ranked.truncate(STORE_FOLLOWERS);
-        if ranked.contains(&own) {
-            return FeedSource::Store;
-        }
         let is_avoided =
             |instance: &IncarnationId| self.avoided.iter().any(|(avoided, _)| avoided == instance);
-        // Spreads readers over the followers.
-        if raw_id(own) % 2 == 1 {
-            ranked.reverse();
-        }
-        let follower = ranked.into_iter().find(|instance| !is_avoided(instance));
-        follower.map_or(FeedSource::Store, FeedSource::Neighbour)
+        let neighbour = tree.sources().into_iter().find(|instance| !is_avoided(instance));
+        neighbour.map_or(store, |id| FeedSource::Neighbour { id, wait: tree.poll_wait(timing) })
     }
 
     /// Notes that a neighbour didn't reply, or replied with nothing usable.
@@ -211,7 +210,3 @@
         self.avoided.push((instance, now.after(AVOID_PERIOD)));
     }
 }
-
-fn raw_id(instance: IncarnationId) -> u64 {
-    instance.0
-}
--- a/crates/sagespool-forward/src/lib.rs
+++ b/crates/sagespool-forward/src/lib.rs
@@ -19,6 +19,7 @@
 mod admission;
 mod events;
 mod feed;
+mod feed_tree;
 mod index;
 mod placement;
 mod plan;
@@ -34,6 +35,7 @@
 pub use feed::{
     ChangeFeed, FeedObject, FeedPage, FeedSource, FeedSourceSelector, FeedTiming, REPLY_TIMEOUT,
 };
+pub use feed_tree::{FeedPeer, FeedTree};
 pub use index::{PlanIndex, RouteMatch};
 pub use placement::{LoadBalancer, PlacedAttempt, PlacementPolicy, RequestProfile, SendOutcome};
 pub use plan::{
--- a/crates/sagespool-forward/src/registry.rs
+++ b/crates/sagespool-forward/src/registry.rs
@@ -93,7 +93,6 @@
     leaving_runs: BTreeMap<UpstreamName, BTreeMap<Option<UpstreamStartTime>, ClockTime>>,
     /// When the store recovered from an outage in which entries may have lapsed.
     recovered_at: Option<ClockTime>,
-    loaded: bool,
 }
 
 /// Time for entries to reappear after an outage. The platform promises about two seconds, and the
@@ -107,11 +106,6 @@
 const MIN_OUTAGE: Duration = Duration::from_millis(500);
 
 impl UpstreamRegistry {
-    /// Whether the list has been read at least once.
-    pub fn is_loaded(&self) -> bool {
-        self.loaded
-    }
-
     /// Notes that the store has recovered after calls had failed for `outage`.
     pub fn store_returned(&mut self, outage: Duration, now: ClockTime) {
         if outage >= MIN_OUTAGE {
@@ -129,7 +123,6 @@
         records: Vec<UpstreamRecord>,
         now: ClockTime,
     ) -> Vec<(UpstreamName, UpstreamChange)> {
-        self.loaded = true;
         let listed: Vec<UpstreamName> = records.iter().map(|record| record.name.clone()).collect();
         let missing: Vec<UpstreamName> =
             self.entries.keys().filter(|name| !listed.contains(name)).cloned().collect();
--- a/crates/sagespool-forward/tests/change_feed.rs
+++ b/crates/sagespool-forward/tests/change_feed.rs
@@ -12,9 +12,9 @@
 use std::time::Duration;
 
 use sagespool_forward::{
-    ChangeFeed, FeedObject, FeedSource, FeedSourceSelector, FeedTiming, REPLY_TIMEOUT,
+    ChangeFeed, FeedObject, FeedPeer, FeedSource, FeedSourceSelector, FeedTiming, REPLY_TIMEOUT,
 };
-use sagespool_types::{ClockTime, IncarnationId, StoreRevision};
+use sagespool_types::{ClockTime, IncarnationId, InstanceCapacity, StoreRevision};
 
 const IN_FORCE: Duration = Duration::from_millis(4000);
 const STEP_MS: u64 = 10;
@@ -30,15 +30,34 @@
     }
 }
 
+fn peer(id: IncarnationId) -> FeedPeer {
+    FeedPeer { id, capacity: InstanceCapacity::default() }
+}
+
+/// The neighbour that is chosen, None for the store.
+fn choose(
+    sources: &mut FeedSourceSelector,
+    own: IncarnationId,
+    others: &[IncarnationId],
+    own_age: Duration,
+    now: ClockTime,
+) -> Option<IncarnationId> {
+    let timing = FeedTiming::within(IN_FORCE).unwrap();
+    let others: Vec<FeedPeer> = others.iter().copied().map(peer).collect();
+    match sources.choose(peer(own), &others, Some(own_age), timing, now) {
+        FeedSource::Store { .. } => None,
+        FeedSource::Neighbour { id, .. } => Some(id),
+    }
+}
+
 /// The choice of an instance whose own copy is fresh.
 fn choose_fresh(
     sources: &mut FeedSourceSelector,
     own: IncarnationId,
     others: &[IncarnationId],
     now: ClockTime,
-) -> FeedSource {
-    let timing = FeedTiming::within(IN_FORCE).unwrap();
-    sources.choose(own, others, Some(Duration::ZERO), timing, now)
+) -> Option<IncarnationId> {
+    choose(sources, own, others, Duration::ZERO, now)
 }
 
 fn keys(feed: &ChangeFeed, after: u64) -> Vec<(String, bool)> {
@@ -53,7 +72,7 @@
     feed.apply_listing(
         StoreRevision(10),
         vec![object("a", 3, Some("1")), object("b", 9, Some("1"))],
-        ClockTime(100),
+        Some(ClockTime(100)),
     );
     feed.apply_change(object("b", 12, None));
     feed.advance(StoreRevision(20), ClockTime(300));
@@ -72,7 +91,7 @@
 #[test]
 fn late_replies() {
     let mut feed = ChangeFeed::default();
-    feed.apply_listing(StoreRevision(10), Vec::new(), ClockTime(300));
+    feed.apply_listing(StoreRevision(10), Vec::new(), Some(ClockTime(300)));
     // A lagging neighbour's state doesn't revert newer state.
     feed.advance(StoreRevision(7), ClockTime(200));
     assert_eq!(feed.revision(), StoreRevision(10));
@@ -88,8 +107,8 @@
         let others: Vec<IncarnationId> = ids.iter().copied().filter(|id| id != own).collect();
         let mut sources = FeedSourceSelector::default();
         match choose_fresh(&mut sources, *own, &others, ClockTime(1)) {
-            FeedSource::Store => followers += 1,
-            FeedSource::Neighbour(id) => queried.push(id),
+            None => followers += 1,
+            Some(id) => queried.push(id),
         }
     }
     queried.sort_unstable();
@@ -104,22 +123,18 @@
     let others: Vec<IncarnationId> = (1..=40).map(IncarnationId).collect();
     let mut sources = FeedSourceSelector::default();
     let now = ClockTime::from_millis(1_000);
-    let own = (100..200).map(IncarnationId).find(|own| {
-        choose_fresh(&mut FeedSourceSelector::default(), *own, &others, now) != FeedSource::Store
-    });
+    let own = (100..200)
+        .map(IncarnationId)
+        .find(|own| choose_fresh(&mut FeedSourceSelector::default(), *own, &others, now).is_some());
     let own = own.unwrap();
-    let FeedSource::Neighbour(first) = choose_fresh(&mut sources, own, &others, now) else {
-        panic!("no neighbour chosen");
-    };
+    let first = choose_fresh(&mut sources, own, &others, now).unwrap();
     sources.avoid(first, now);
-    let FeedSource::Neighbour(second) = choose_fresh(&mut sources, own, &others, now) else {
-        panic!("no second neighbour chosen");
-    };
+    let second = choose_fresh(&mut sources, own, &others, now).unwrap();
     assert_ne!(first, second);
     sources.avoid(second, now);
-    assert_eq!(choose_fresh(&mut sources, own, &others, now), FeedSource::Store);
+    assert_eq!(choose_fresh(&mut sources, own, &others, now), None);
     let later = now.after(Duration::from_secs(3));
-    assert_eq!(choose_fresh(&mut sources, own, &others, later), FeedSource::Neighbour(first));
+    assert_eq!(choose_fresh(&mut sources, own, &others, later), Some(first));
 }
 
 #[test]
@@ -222,9 +237,9 @@
         let at = ClockTime::from_millis(now);
         let Some((id, since)) = self.query else {
             let age = at.since(self.valid_at);
-            match self.sources.choose(self.own, &ids, Some(age), timing, at) {
-                FeedSource::Neighbour(id) => self.query = Some((id, now)),
-                FeedSource::Store => {
+            match choose(&mut self.sources, self.own, &ids, age, at) {
+                Some(id) => self.query = Some((id, now)),
+                None => {
                     self.calls += 1;
                     self.valid_at = at;
                     let newest = store.iter().filter(|(at, _)| *at <= now).map(|(_, new)| *new);
@@ -264,8 +279,7 @@
     // Of three instances, two are followers; the third queries them.
     let others = |own: &IncarnationId| three.into_iter().filter(|id| id != own).collect::<Vec<_>>();
     let is_reader = |own: &IncarnationId| {
-        choose_fresh(&mut FeedSourceSelector::default(), *own, &others(own), ClockTime(1))
-            != FeedSource::Store
+        choose_fresh(&mut FeedSourceSelector::default(), *own, &others(own), ClockTime(1)).is_some()
     };
     let own = three.into_iter().find(is_reader).unwrap();
     let ids = others(&own);
@@ -286,7 +300,7 @@
         })
         .collect();
     for (_, follower) in &mut followers {
-        follower.feed.apply_listing(StoreRevision(1), Vec::new(), ClockTime::from_millis(0));
+        follower.feed.apply_listing(StoreRevision(1), Vec::new(), Some(ClockTime::from_millis(0)));
     }
     let mut store: Vec<(u64, u64)> =
         (2..12).map(|new| (random.u64(1_000..SIMULATED_MS), new)).collect();
--- a/crates/sagespool-forward/tests/leaving_responses.rs
+++ b/crates/sagespool-forward/tests/leaving_responses.rs
@@ -99,12 +99,22 @@
     let unknown_start = UpstreamRun { born: None, ..run.clone() };
     assert!(fresh().is_ready(&unknown_start));
     let changes: [fn(&mut UpstreamRegistry, ClockTime); 6] = [
-        |registry, _| drop(registry.put(UpstreamRecord { leaving: true, ..record(0, 1) })),
-        |registry, now| drop(registry.note_leaving(&record(0, 1).run(), now)),
-        |registry, now| drop(registry.remove(&record(0, 1).name, now)),
-        |registry, _| drop(registry.put(record(0, 2))),
+        |registry, _| {
+            registry.put(UpstreamRecord { leaving: true, ..record(0, 1) });
+        },
+        |registry, now| {
+            registry.note_leaving(&record(0, 1).run(), now);
+        },
+        |registry, now| {
+            registry.remove(&record(0, 1).name, now);
+        },
+        |registry, _| {
+            registry.put(record(0, 2));
+        },
         |registry, _| registry.mark_replaced(&record(0, 1).name),
-        |registry, _| drop(registry.evacuate(record(0, 1).centre)),
+        |registry, _| {
+            registry.evacuate(record(0, 1).centre);
+        },
     ];
     for (number, change) in changes.into_iter().enumerate() {
         let mut registry = fresh();
--- a/crates/sagespool-gateway/src/feeds.rs
+++ b/crates/sagespool-gateway/src/feeds.rs
@@ -6,7 +6,8 @@
 use event_listener::Event;
 use rustix::time::{ClockId, clock_gettime};
 use sagespool_forward::{
-    ChangeFeed, FeedObject, FeedPage, FeedSource, FeedSourceSelector, FeedTiming, REPLY_TIMEOUT,
+    ChangeFeed, FeedObject, FeedPage, FeedPeer, FeedSource, FeedSourceSelector, FeedTiming,
+    REPLY_TIMEOUT,
 };
 use sagespool_link::within;
 use sagespool_log::log_event;
@@ -14,7 +15,7 @@
     ChangedObject, FeedKind, FeedQuery, FeedReply, MemberInfo, MemberRole, PeerReply, PeerRequest,
 };
 use sagespool_settings::PropagationSettings;
-use sagespool_types::{CentreName, ClockTime, IncarnationId, StoreRevision};
+use sagespool_types::{ClockTime, StoreRevision};
 
 use crate::fleet::FleetClient;
 
@@ -47,12 +48,13 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Replaces the copy by a full listing of the store that was current at `valid_at`.
+    /// Replaces the copy by a full listing of the store that was current at `valid_at`, or at an
+    /// unknown time.
     pub(crate) fn apply_listing(
         &self,
         revision: StoreRevision,
         objects: Vec<FeedObject>,
-        valid_at: ClockTime,
+        valid_at: Option<ClockTime>,
     ) {
         self.state().feed.apply_listing(revision, objects, valid_at);
         self.changed.notify(usize::MAX);
@@ -65,8 +67,10 @@
         revision: StoreRevision,
         valid_at: ClockTime,
     ) {
-        let has_changes = !changes.is_empty();
         let mut state = self.state();
+        // Neighbours that start together with this process wait for its first confirmed copy.
+        let is_first = state.feed.age(valid_at).is_none();
+        let has_changes = !changes.is_empty() || is_first;
         for change in changes {
             state.feed.apply_change(change);
         }
@@ -77,7 +81,7 @@
         }
     }
 
-    /// Whether a listing has been received.
+    /// Whether the copy has been complete at a known time.
     pub(crate) fn is_loaded(&self) -> bool {
         self.age().is_some()
     }
@@ -120,6 +124,19 @@
     ChangedObject { key: object.key, revision: object.revision, value }
 }
 
+/// Where to request changes next.
+#[derive(Debug)]
+pub(crate) struct ChangeSource {
+    /// The neighbour to query; `None` for the store.
+    pub(crate) neighbour: Option<MemberInfo>,
+    /// How long the source may hold the request while it has no changes.
+    pub(crate) wait: Duration,
+}
+
+fn feed_peer(member: &MemberInfo) -> FeedPeer {
+    FeedPeer { id: member.incarnation, capacity: member.capacity }
+}
+
 /// The copies of all followed prefixes, and the choice of their sources.
 #[derive(Debug)]
 pub(crate) struct FeedRegistry {
@@ -164,27 +181,31 @@
         self.source_selector.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The neighbour to request changes from; `None` for the store.
-    pub(crate) fn neighbour(
+    /// Where to request changes next; `None` if it is always the store.
+    pub(crate) fn source(
         &self,
         fleet: &FleetClient,
-        centre: &CentreName,
         kind: FeedKind,
         now: ClockTime,
-    ) -> Option<MemberInfo> {
+    ) -> Option<ChangeSource> {
         let timing = self.timing(kind)?;
         let own_age = self.replica(kind).age();
-        let mut others = fleet.others(MemberRole::Entry, now);
-        others.retain(|other| other.centre == *centre && !other.leaving);
-        let ids: Vec<IncarnationId> = others.iter().map(|other| other.incarnation).collect();
-        match self.source_selector().choose(fleet.run, &ids, own_age, timing, now) {
-            FeedSource::Store => None,
-            FeedSource::Neighbour(id) => others.into_iter().find(|other| other.incarnation == id),
+        let local = &fleet.local;
+        let mut others = fleet.members.live_in(&local.centre, MemberRole::Entry, now);
+        others.retain(|other| !other.leaving);
+        let peers: Vec<FeedPeer> = others.iter().map(feed_peer).collect();
+        let own = FeedPeer { id: fleet.run, capacity: local.capacity };
+        match self.source_selector().choose(own, &peers, own_age, timing, now) {
+            FeedSource::Store { wait } => Some(ChangeSource { neighbour: None, wait }),
+            FeedSource::Neighbour { id, wait } => {
+                let neighbour = others.into_iter().find(|other| other.incarnation == id);
+                Some(ChangeSource { neighbour, wait })
+            }
         }
     }
 
-    /// Requests changes from a neighbour. `None` if it didn't reply or its copy is too old; it is
-    /// then avoided for a while.
+    /// Requests changes from a neighbour, which may hold the request for `wait`. `None` if it didn't
+    /// reply or its copy is too old; it is then avoided for a while.
     ///
     /// Guards against a neighbour that is partitioned, frozen or slow: its copy is stale, and
     /// changes that the store has accepted wouldn't take effect here.
@@ -193,11 +214,12 @@
         fleet: &FleetClient,
         neighbour: &MemberInfo,
         kind: FeedKind,
+        wait: Duration,
     ) -> Option<FeedReply> {
         let timing = self.timing(kind)?;
         let after = self.replica(kind).revision();
-        let request = PeerRequest::Follow(FeedQuery { kind, after, wait: timing.poll_wait });
-        let limit = timing.poll_wait + REPLY_TIMEOUT;
+        let request = PeerRequest::Follow(FeedQuery { kind, after, wait });
+        let limit = wait + REPLY_TIMEOUT;
         let reply = match fleet.call(neighbour.address, &request, limit).await {
             Ok(PeerReply::Follow(reply)) => Some(reply),
             _ => None,
--- a/crates/sagespool-gateway/src/fleet.rs
+++ b/crates/sagespool-gateway/src/fleet.rs
@@ -15,15 +15,15 @@
     StoreMethod,
 };
 use sagespool_platform::{
-    CallMethod, ObjectClient, ObjectListing, RawFailure, RawRequest, RawResponse, StoreFallback,
-    UpdateChoice, update_object,
+    CallMethod, ObjectClient, RawFailure, RawRequest, RawResponse, StoreFallback,
 };
 use sagespool_types::{
-    BranchName, CentreName, ClockTime, ConfigVersion, IncarnationId, InstanceName, RegionName,
-    WallTime, derives,
+    BranchName, CentreName, ClockTime, ConfigVersion, IncarnationId, InstanceCapacity,
+    InstanceName, RegionName, WallTime,
 };
 use smol::Timer;
 
+use crate::addresses::follow_addresses;
 use crate::identity::create_identity;
 
 /// Interval of the checks which heartbeats are due.
@@ -40,12 +40,7 @@
 /// are sent to it.
 const SUSPECT_AFTER: Duration = Duration::from_millis(3000);
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(700);
-/// Interval of reading the members' addresses from the store. Heartbeats carry new ones sooner.
-const LISTING_PERIOD: Duration = Duration::from_secs(30);
 const RETRY_BACKOFF: Duration = Duration::from_millis(400);
-const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
-/// The store prefix of processes' addresses.
-const ADDRESS_PREFIX: &str = "members/";
 const NO_LINK: &str = "this process's link isn't open yet";
 /// Number of processes tried, one after the other, to forward a call of the store.
 const MAX_FALLBACK_MEMBERS: usize = 3;
@@ -63,30 +58,21 @@
     pub(crate) advertise: Option<SocketAddr>,
     /// Link addresses of seed peers.
     pub(crate) peers: Vec<SocketAddr>,
+    /// The work that this instance can carry.
+    #[builder(default)]
+    pub(crate) capacity: InstanceCapacity,
 }
 
 impl LocalMember {
     /// The address that others connect to.
-    fn public_address(&self) -> SocketAddr {
+    pub(crate) fn public_address(&self) -> SocketAddr {
         self.advertise.unwrap_or(self.link)
     }
 }
 
-derives! { record;
-    /// The stored link address of a process.
-    #[derive(Default)]
-    struct AddressRecord {
-        address: Option<SocketAddr>,
-        run: Option<IncarnationId>,
-        /// `None` in records of earlier versions.
-        #[serde(default)]
-        role: Option<MemberRole>,
-    }
-}
-
 /// The known members of the fleet, and the link to them.
 pub(crate) struct FleetClient {
-    local: LocalMember,
+    pub(crate) local: LocalMember,
     pub(crate) run: IncarnationId,
     pub(crate) members: MemberTable,
     link: OnceLock<LinkEndpoint>,
@@ -108,6 +94,7 @@
             config: ConfigVersion::ZERO,
             started_at: None,
             serves: None,
+            capacity: local.capacity,
         };
         let policy = MembershipPolicy::builder()
             .mesh_limit(MESH_LIMIT)
@@ -176,7 +163,7 @@
             log_event!(error, "link-opened-twice", address = self.local.link);
             return;
         }
-        smol::spawn(self.clone().follow_addresses(store)).detach();
+        smol::spawn(follow_addresses(self.clone(), store)).detach();
         loop {
             for (address, heartbeat) in self.members.due_heartbeats(ClockTime::now()) {
                 smol::spawn(self.clone().send_heartbeat(address, heartbeat, on_reply.clone()))
@@ -226,50 +213,15 @@
         }
     }
 
-    /// Writes this process's address to the store, and reads the other addresses periodically.
-    async fn follow_addresses(self: Arc<Self>, store: ObjectClient) {
-        let own = self.local.public_address();
-        let key = format!("{ADDRESS_PREFIX}{}", self.local.instance);
-        let role = Some(self.local.role);
-        let record = AddressRecord { address: Some(own), run: Some(self.run), role };
-        let mut written = false;
-        loop {
-            written = written || write_address(&store, &key, &record).await;
-            // Relays needn't discover others: gateways connect to them.
-            if written && self.local.role == MemberRole::Sidecar {
-                return;
-            }
-            match store.list::<AddressRecord>(ADDRESS_PREFIX).await {
-                Ok(listing) => {
-                    self.note_listed(&listing);
-                    let listed = listing.items.into_iter();
-                    let addresses: Vec<SocketAddr> = listed
-                        .filter_map(|(_, object)| object.value.address)
-                        .filter(|address| *address != own)
-                        .collect();
-                    self.members.add_seeds(&addresses, ClockTime::now());
-                    Timer::after(LISTING_PERIOD.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
-                }
-                Err(error) => {
-                    log_event!(warn, "addresses-unread", error = error);
-                    pause_after_failure().await;
-                }
-            }
-        }
-    }
-
-    fn note_listed(&self, listing: &ObjectListing<AddressRecord>) {
-        let items = listing.items.iter();
-        let gateways = items.filter(|(_, object)| object.value.role == Some(MemberRole::Entry));
-        let name = |key: &str| key.strip_prefix(ADDRESS_PREFIX)?.parse().ok();
-        let names = gateways.filter_map(|(key, _)| name(key)).collect();
-        *self.listed() = Some(names);
-    }
-
     fn listed(&self) -> MutexGuard<'_, Option<Vec<InstanceName>>> {
         self.listed.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Keeps the gateways in a listing of the store until they are taken.
+    pub(crate) fn note_listed(&self, gateways: Vec<InstanceName>) {
+        *self.listed() = Some(gateways);
+    }
+
     /// Takes the gateways in the store's listing; `None` if there was no listing since the last
     /// call.
     pub(crate) fn listed_gateways(&self) -> Option<Vec<InstanceName>> {
@@ -357,23 +309,6 @@
     })
 }
 
-async fn pause_after_failure() {
+pub(crate) async fn pause_after_failure() {
     Timer::after(RETRY_BACKOFF.mul_f64(0.5 + fastrand::f64())).await;
 }
-
-async fn write_address(store: &ObjectClient, key: &str, record: &AddressRecord) -> bool {
-    let apply = |present: &mut AddressRecord| {
-        if present == record {
-            return UpdateChoice::Keep;
-        }
-        *present = record.clone();
-        UpdateChoice::Write
-    };
-    match update_object(store, key, WRITE_TIMEOUT, apply).await {
-        Ok(_) => true,
-        Err(error) => {
-            log_event!(warn, "address-unwritten", error = error);
-            false
-        }
-    }
-}
--- a/crates/sagespool-gateway/src/follow.rs
+++ b/crates/sagespool-gateway/src/follow.rs
@@ -11,7 +11,7 @@
 use serde_json::value::RawValue;
 use smol::Timer;
 
-use crate::feeds::boot_time_now;
+use crate::feeds::{ChangeSource, boot_time_now};
 use crate::state::GatewayState;
 use crate::store_health::StoreHealth;
 
@@ -26,6 +26,12 @@
 const UNSCALED_INSTANCES: usize = 8;
 const MAX_UPSTREAM_PAUSE: Duration = Duration::from_millis(1100);
 
+/// Time in which a starting gateway hears of another one.
+const NEIGHBOUR_TIMEOUT: Duration = Duration::from_millis(1500);
+const NEIGHBOUR_POLL: Duration = Duration::from_millis(50);
+/// Time for the members to become known after the first one.
+const NEIGHBOUR_SPREAD: Duration = Duration::from_millis(500);
+
 fn upstream_pause(state: &GatewayState) -> Duration {
     let factor = state.instances() as f64 / UNSCALED_INSTANCES as f64;
     UPSTREAM_PAUSE.mul_f64(factor.max(1.0)).min(MAX_UPSTREAM_PAUSE)
@@ -115,15 +121,21 @@
 /// Follows one prefix until cancelled.
 pub(crate) async fn follow(state: &GatewayState, followed: FollowedPrefix) {
     let mut health = StoreHealth::default();
+    // The first listing may be old: the next watch, or a neighbour, returns what has changed since.
+    let mut may_be_stale = true;
     loop {
-        let listing = match state.store.list::<Box<RawValue>>(followed.prefix).await {
+        let result = match may_be_stale {
+            true => state.store.list_stale::<Box<RawValue>>(followed.prefix).await,
+            false => state.store.list::<Box<RawValue>>(followed.prefix).await,
+        };
+        let listing = match result {
             Ok(listing) => listing,
             Err(error) => {
                 health.back_off(state, &followed, &error).await;
                 continue;
             }
         };
-        let read = boot_time_now();
+        let read = (!may_be_stale).then(boot_time_now);
         health.mark_reachable(state, &followed);
         log_event!(
             info,
@@ -131,31 +143,59 @@
             what = followed.name,
             entries = listing.items.len(),
             revision = listing.revision,
+            may_be_stale = may_be_stale,
         );
         let objects = listing.items.iter().map(listed_object);
         state.feeds.replica(followed.kind).apply_listing(listing.revision, objects.collect(), read);
         (followed.on_listing)(state, listing);
+        if may_be_stale {
+            wait_for_neighbours(state, &followed).await;
+        }
+        may_be_stale = false;
         while follow_changes(state, &followed, &mut health).await.is_ok() {}
     }
 }
 
+/// Waits until the neighbours of a starting gateway are probably known, if it may follow them.
+///
+/// Without it, each gateway of a fleet that starts would take itself for a follower of the store.
+async fn wait_for_neighbours(state: &GatewayState, followed: &FollowedPrefix) {
+    if state.feeds.timing(followed.kind).is_none() || state.settings.link.is_none() {
+        return;
+    }
+    let end = ClockTime::now().after(NEIGHBOUR_TIMEOUT);
+    while state.fleet.members.is_alone() && ClockTime::now() < end {
+        Timer::after(NEIGHBOUR_POLL).await;
+    }
+    if ClockTime::now() < end {
+        Timer::after(NEIGHBOUR_SPREAD).await;
+    }
+}
+
 /// Receives the next changes, from a neighbour that follows the store or from the store itself.
 async fn follow_changes(
     state: &GatewayState,
     followed: &FollowedPrefix,
     health: &mut StoreHealth,
 ) -> Result<(), HistoryGone> {
-    let centre = &state.settings.centre;
-    let now = ClockTime::now();
-    if let Some(neighbour) = state.feeds.neighbour(&state.fleet, centre, followed.kind, now) {
+    let source = state.feeds.source(&state.fleet, followed.kind, ClockTime::now());
+    let Some(ChangeSource { neighbour, wait }) = source else {
+        return watch_store(state, followed, health, WATCH_WAIT).await;
+    };
+    if let Some(neighbour) = neighbour {
         health.set_source(followed, Some(&neighbour));
-        if let Some(reply) = state.feeds.query(&state.fleet, &neighbour, followed.kind).await {
+        let reply = state.feeds.query(&state.fleet, &neighbour, followed.kind, wait).await;
+        if let Some(reply) = reply {
             apply_reply(state, followed, health, reply);
             return Ok(());
         }
+        if !state.feeds.replica(followed.kind).is_loaded() {
+            // A starting gateway queries its other neighbours first.
+            return Ok(());
+        }
     }
     health.set_source(followed, None);
-    watch_store(state, followed, health).await
+    watch_store(state, followed, health, wait).await
 }
 
 /// Applies a neighbour's reply.
@@ -187,7 +227,7 @@
     });
     let listing = ObjectListing { revision: reply.revision, items: items.collect() };
     let objects = listing.items.iter().map(listed_object);
-    replica.apply_listing(reply.revision, objects.collect(), valid_at);
+    replica.apply_listing(reply.revision, objects.collect(), Some(valid_at));
     (followed.on_listing)(state, listing);
 }
 
@@ -195,11 +235,18 @@
     state: &GatewayState,
     followed: &FollowedPrefix,
     health: &mut StoreHealth,
+    wait: Duration,
 ) -> Result<(), HistoryGone> {
-    Timer::after((followed.pause)(state)).await;
     let replica = state.feeds.replica(followed.kind);
+    // The first watch after a stale listing only brings it up to date.
+    let wait = match replica.is_loaded() {
+        true => {
+            Timer::after((followed.pause)(state)).await;
+            wait
+        }
+        false => Duration::ZERO,
+    };
     let revision = replica.revision();
-    let wait = state.feeds.timing(followed.kind).map_or(WATCH_WAIT, |timing| timing.watch_wait);
     match state.store.watch(followed.prefix, revision, wait).await {
         Ok(changes) => {
             let read = boot_time_now();
@@ -323,6 +370,6 @@
         state.pool.sweep(is_listed, now);
         state.throttle().sweep(is_listed, now);
         state.observe_senders(now);
-        state.budgets.note_homes(state.instances());
+        state.budgets.note_homes(state.fleet.members.home_count());
     }
 }
--- a/crates/sagespool-gateway/src/identity.rs
+++ b/crates/sagespool-gateway/src/identity.rs
@@ -61,9 +61,12 @@
     store: &ObjectClient,
     instance: &InstanceName,
 ) -> Result<LinkIdentity, CertificateError> {
-    let authority = match read_authority(store).await? {
+    let authority = match read_cached_authority(store).await? {
         Some(authority) => authority,
-        None => create_authority(store).await?,
+        None => match read_authority(store).await? {
+            Some(authority) => authority,
+            None => create_authority(store).await?,
+        },
     };
     let key = KeyPair::from_pem(&authority.key)?;
     let issuer = Issuer::new(authority_params()?, key);
@@ -75,6 +78,14 @@
     Ok(identity.with_max_concurrent_requests(MAX_CONCURRENT_REQUESTS))
 }
 
+/// Reads the authority by a cheap read, which may not find one that was created just now.
+async fn read_cached_authority(
+    store: &ObjectClient,
+) -> Result<Option<AuthorityRecord>, CertificateError> {
+    let found = store.get_stale::<AuthorityRecord>(AUTHORITY_KEY).await;
+    Ok(found.map_err(CertificateError::Store)?.map(|object| object.value))
+}
+
 async fn read_authority(store: &ObjectClient) -> Result<Option<AuthorityRecord>, CertificateError> {
     let found =
         store.get::<AuthorityRecord>(AUTHORITY_KEY).await.map_err(CertificateError::Store)?;
--- a/crates/sagespool-gateway/src/lib.rs
+++ b/crates/sagespool-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! does the I/O. The wire formats of callers, upstreams and the store are supplied as a
 //! [`WireDialect`].
 
+mod addresses;
 mod admission;
 mod attempt;
 mod body;
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -87,6 +87,7 @@
             .link(settings.link.unwrap_or(settings.callers))
             .maybe_advertise(settings.advertise)
             .peers(settings.peers.clone())
+            .capacity(settings.limits.capacity())
             .build();
         let fleet = Arc::new(FleetClient::new(local, run));
         store.set_fallback(fleet.store_fallback());
@@ -313,12 +314,11 @@
     /// Whether this instance can serve requests: the configuration, the upstreams and the
     /// evacuations are loaded, and no stop has begun.
     pub(crate) fn is_ready(&self) -> bool {
-        let follows = self.follows_evacuations();
-        let knows_evacuations = !follows || self.feeds.replica(FeedKind::Evacuations).is_loaded();
+        let is_loaded = |kind| self.feeds.replica(kind).is_loaded();
         !self.is_stopping()
             && self.plan().is_some()
-            && self.upstreams().is_loaded()
-            && knows_evacuations
+            && is_loaded(FeedKind::Upstreams)
+            && (!self.follows_evacuations() || is_loaded(FeedKind::Evacuations))
     }
 
     /// Whether operators may evacuate data centres.
--- a/crates/sagespool-membership/src/digest.rs
+++ b/crates/sagespool-membership/src/digest.rs
@@ -25,6 +25,7 @@
     info.address.hash(&mut hasher);
     info.leaving.hash(&mut hasher);
     info.started_at.hash(&mut hasher);
+    info.capacity.hash(&mut hasher);
     if let Some(served) = &info.serves {
         served.upstream.hash(&mut hasher);
         served.models.hash(&mut hasher);
--- a/crates/sagespool-membership/src/home.rs
+++ b/crates/sagespool-membership/src/home.rs
@@ -1,8 +1,21 @@
 //! Rendezvous hashing: which entry is home of a branch.
 
-use sagespool_types::{BranchName, IncarnationId, InstanceName};
+use sagespool_types::{BranchName, IncarnationId, InstanceCapacity, InstanceName};
 use twox_hash::XxHash3_64;
 
+/// Homes are the strongest entries, but at least so many that the loss of one concerns few branches.
+const MIN_HOMES: usize = 30;
+
+/// The capacity that an entry needs as home, of the capacities of all eligible entries.
+///
+/// A home is called by every other entry. In a fleet of hundreds, most of them small, each small home
+/// was called once in minutes by each of them over a connection that had to be opened, and a busy
+/// branch's home couldn't answer in time.
+pub(crate) fn home_capacity(mut capacities: Vec<InstanceCapacity>) -> InstanceCapacity {
+    capacities.sort_unstable_by(|left, right| right.cmp(left));
+    capacities.get(MIN_HOMES - 1).copied().unwrap_or_default()
+}
+
 /// An entry that is eligible as home, with the hash of its instance's name.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct HomeCandidate {
@@ -16,14 +29,14 @@
     XxHash3_64::oneshot(instance.as_str().as_bytes())
 }
 
-/// The first `limit` candidates by weight for a branch, the home first.
+/// The first `limit` candidates by weight for a subject, such as a branch, the home first.
 pub(crate) fn home_order(
     candidates: &[HomeCandidate],
-    branch: &BranchName,
+    subject: &str,
     limit: usize,
 ) -> Vec<IncarnationId> {
-    let branch_hash = XxHash3_64::oneshot(branch.as_str().as_bytes());
-    let mut weighed: Vec<_> = candidates.iter().map(|home| weigh(home, branch_hash)).collect();
+    let subject_hash = XxHash3_64::oneshot(subject.as_bytes());
+    let mut weighed: Vec<_> = candidates.iter().map(|home| weigh(home, subject_hash)).collect();
     if limit < weighed.len() && limit > 0 {
         weighed.select_nth_unstable_by(limit - 1, |left, right| right.cmp(left));
         weighed.truncate(limit);
@@ -38,8 +51,8 @@
     weight(left, branch_hash) > weight(right, branch_hash)
 }
 
-fn weigh(home: &HomeCandidate, branch_hash: u64) -> (u64, IncarnationId) {
-    (weight(home.name_hash, branch_hash), home.incarnation)
+fn weigh(home: &HomeCandidate, subject_hash: u64) -> (u64, IncarnationId) {
+    (weight(home.name_hash, subject_hash), home.incarnation)
 }
 
 /// A name's weight in the rendezvous order of a subject.
--- a/crates/sagespool-membership/src/home_since.rs
+++ b/crates/sagespool-membership/src/home_since.rs
@@ -23,7 +23,7 @@
     }
 
     pub(crate) fn home_since(&mut self, branch: &BranchName, now: ClockTime) -> Option<ClockTime> {
-        let home = home_order(self.homes(), branch, 1).pop()?;
+        let home = home_order(self.homes(), branch.as_str(), 1).pop()?;
         if home != self.own.incarnation {
             return None;
         }
--- a/crates/sagespool-membership/src/table.rs
+++ b/crates/sagespool-membership/src/table.rs
@@ -5,7 +5,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use sagespool_messages::{Heartbeat, MemberInfo, MemberRole};
-use sagespool_types::{BranchName, ClockTime, IncarnationId};
+use sagespool_types::{BranchName, CentreName, ClockTime, IncarnationId};
 
 use crate::home::home_order;
 use crate::policy::MembershipPolicy;
@@ -115,6 +115,11 @@
         self.view().rounds.watched = members;
     }
 
+    /// Whether no other member is known that isn't gone.
+    pub fn is_alone(&self) -> bool {
+        self.view().present.is_empty()
+    }
+
     /// All members that aren't gone, this process included.
     pub fn members(&self) -> Vec<MemberInfo> {
         let view = self.view();
@@ -123,15 +128,38 @@
         others.chain([&view.own]).map(|info| view.effective_info(info)).collect()
     }
 
+    /// The number of entries that branches' homes are chosen from.
+    pub fn home_count(&self) -> usize {
+        self.view().homes().len()
+    }
+
     /// Members of a role that are fit for work: not suspected, and reachable from here. Leaving
     /// members are included and marked; this process is not.
     pub fn live(&self, role: MemberRole, now: ClockTime) -> Vec<MemberInfo> {
+        self.live_where(|info| info.role == role, now)
+    }
+
+    /// Members of a role in one data centre, otherwise like [`Self::live`].
+    pub fn live_in(
+        &self,
+        centre: &CentreName,
+        role: MemberRole,
+        now: ClockTime,
+    ) -> Vec<MemberInfo> {
+        self.live_where(|info| info.role == role && info.centre == *centre, now)
+    }
+
+    fn live_where(
+        &self,
+        is_wanted: impl Fn(&MemberInfo) -> bool,
+        now: ClockTime,
+    ) -> Vec<MemberInfo> {
         let mut view = self.view();
         view.advance(now);
         let limit = view.policy.missed_call_limit;
         let others = view.present.iter().filter_map(|incarnation| view.records.get(incarnation));
         others
-            .filter(|record| record.info.role == role && record.is_usable(limit))
+            .filter(|record| is_wanted(&record.info) && record.is_usable(limit))
             .map(|record| view.effective_info(&record.info))
             .collect()
     }
@@ -173,9 +201,14 @@
 
     /// The first `limit` entries in a branch's rendezvous order, the home first.
     pub fn homes_of(&self, branch: &BranchName, limit: usize, now: ClockTime) -> Vec<MemberInfo> {
+        self.homes_of_subject(branch.as_str(), limit, now)
+    }
+
+    /// The first `limit` entries in the rendezvous order of anything that has a name.
+    pub fn homes_of_subject(&self, subject: &str, limit: usize, now: ClockTime) -> Vec<MemberInfo> {
         let mut view = self.view();
         view.advance(now);
-        let order = home_order(view.homes(), branch, limit);
+        let order = home_order(view.homes(), subject, limit);
         let own = view.own.incarnation;
         let info_of = |incarnation| match incarnation == own {
             true => Some(&view.own),
--- a/crates/sagespool-membership/src/view.rs
+++ b/crates/sagespool-membership/src/view.rs
@@ -8,7 +8,7 @@
 use sagespool_types::{ClockTime, IncarnationId, InstanceName};
 
 use crate::digest::{ViewDigest, descriptions_match};
-use crate::home::{HomeCandidate, hash_of};
+use crate::home::{HomeCandidate, hash_of, home_capacity};
 use crate::policy::MembershipPolicy;
 use crate::record::MemberRecord;
 use crate::rounds::RoundState;
@@ -169,10 +169,15 @@
             .filter_map(|incarnation| self.records.get(incarnation))
             .filter(|record| record.is_usable(self.policy.missed_call_limit))
             .map(|record| &record.info);
-        others
+        let eligible: Vec<&MemberInfo> = others
             .chain([&self.own])
             .filter(|info| info.role == MemberRole::Entry && info.region == self.own.region)
             .filter(|info| !info.leaving && !self.listed_leaving.contains(&info.instance))
+            .collect();
+        let required = home_capacity(eligible.iter().map(|info| info.capacity).collect());
+        eligible
+            .into_iter()
+            .filter(|info| info.capacity >= required)
             .map(|info| HomeCandidate {
                 incarnation: info.incarnation,
                 name_hash: hash_of(&info.instance),
--- a/crates/sagespool-membership/tests/config_watch.rs
+++ b/crates/sagespool-membership/tests/config_watch.rs
@@ -5,7 +5,7 @@
 use quickcheck::quickcheck;
 use sagespool_membership::{WatchPolicy, WatchRank, watch_order};
 use sagespool_messages::{MemberInfo, MemberRole};
-use sagespool_types::{ConfigVersion, IncarnationId};
+use sagespool_types::{ConfigVersion, IncarnationId, InstanceCapacity};
 
 fn member(number: u8, role: MemberRole, centre: &str, leaving: bool) -> MemberInfo {
     MemberInfo {
@@ -20,6 +20,7 @@
         config: ConfigVersion::ZERO,
         started_at: None,
         serves: None,
+        capacity: InstanceCapacity::default(),
     }
 }
 
--- a/crates/sagespool-membership/tests/fleet/mod.rs
+++ b/crates/sagespool-membership/tests/fleet/mod.rs
@@ -7,7 +7,7 @@
 
 use sagespool_membership::{ListedMember, MemberTable, MembershipPolicy};
 use sagespool_messages::{Heartbeat, MemberInfo, MemberRole};
-use sagespool_types::{ClockTime, ConfigVersion, IncarnationId, StoreRevision};
+use sagespool_types::{ClockTime, ConfigVersion, IncarnationId, InstanceCapacity, StoreRevision};
 
 pub const TICK: Duration = Duration::from_millis(100);
 
@@ -36,6 +36,7 @@
         config: ConfigVersion(1),
         started_at: Some(StoreRevision(run)),
         serves,
+        capacity: InstanceCapacity::default(),
     }
 }
 
--- a/crates/sagespool-membership/tests/rendezvous_home.rs
+++ b/crates/sagespool-membership/tests/rendezvous_home.rs
@@ -7,7 +7,7 @@
 use fleet::{Fleet, address, info};
 use sagespool_membership::MembershipPolicy;
 use sagespool_messages::{MemberInfo, MemberRole};
-use sagespool_types::{BranchName, ClockTime, InstanceName};
+use sagespool_types::{BranchName, ClockTime, InstanceCapacity, InstanceName};
 
 fn branches(count: u32) -> Vec<BranchName> {
     let name = |number| format!("branch-{number}").parse().expect("a valid name");
@@ -135,3 +135,25 @@
 fn index(info: &MemberInfo) -> u16 {
     (info.incarnation.0 % 1_000_000) as u16
 }
+
+/// Guards against homes that can't answer: in a fleet of many small machines, each is home of as many
+/// branches as a large one. With too few large ones, the loss of one would concern many branches.
+#[test]
+fn strong_homes() {
+    for (strong, only_strong) in [(34, true), (29, false)] {
+        let mut fleet = Fleet::start(0, 0, MembershipPolicy::default());
+        for index in 0..61 {
+            let mut entry = info(index, 1, MemberRole::Entry);
+            entry.capacity = InstanceCapacity(if index < strong { 10 } else { 5 });
+            fleet.join(entry);
+        }
+        fleet.run_until(200, Fleet::is_complete).expect("the fleet assembles");
+        let is_strong = |home: &InstanceName| {
+            (0..strong).any(|index| home.as_str() == format!("entry-{index}"))
+        };
+        let homes = homes(&fleet, 5);
+        assert_eq!(homes.values().all(is_strong), only_strong, "{strong} strong entries");
+        let expected = if only_strong { usize::from(strong) } else { 61 };
+        assert_eq!(fleet.at(5).home_count(), expected);
+    }
+}
--- a/crates/sagespool-messages/examples/message_sizes.rs
+++ b/crates/sagespool-messages/examples/message_sizes.rs
@@ -12,8 +12,8 @@
     ReserveReply, ReserveRequest, ReservedCharge, ServedUpstream, UpstreamKind,
 };
 use sagespool_types::{
-    AttemptNumber, ChargeId, ConfigVersion, ContentDigest, GrantId, IncarnationId, KeyDigest,
-    RequestId, SequenceNumber, StoreRevision, TokenCount,
+    AttemptNumber, ChargeId, ConfigVersion, ContentDigest, GrantId, IncarnationId,
+    InstanceCapacity, KeyDigest, RequestId, SequenceNumber, StoreRevision, TokenCount,
 };
 use serde::Serialize;
 
@@ -102,6 +102,7 @@
             healthy: true,
             load: LoadReport::default(),
         }),
+        capacity: InstanceCapacity(9),
     }
 }
 
--- a/crates/sagespool-messages/src/members.rs
+++ b/crates/sagespool-messages/src/members.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use sagespool_types::{
-    CentreName, ConfigVersion, IncarnationId, InstanceName, ModelName, RegionName, ServiceName,
-    StoreRevision, UpstreamName, derives,
+    CentreName, ConfigVersion, IncarnationId, InstanceCapacity, InstanceName, ModelName,
+    RegionName, ServiceName, StoreRevision, UpstreamName, derives,
 };
 
 derives! { value;
@@ -101,6 +101,8 @@
         pub started_at: Option<StoreRevision>,
         /// The upstream of a sidecar; `None` for an entry.
         pub serves: Option<ServedUpstream>,
+        /// The work that its instance can carry.
+        pub capacity: InstanceCapacity,
     }
 }
 
--- a/crates/sagespool-operations/tests/answer_text.rs
+++ b/crates/sagespool-operations/tests/answer_text.rs
@@ -10,7 +10,7 @@
     SpendAnswer, SpendRow, StoreBasis, TokenRange, config_rollout, render_answer,
 };
 use sagespool_types::{
-    CommandId, ConfigVersion, IncarnationId, StoreRevision, TokenCount, WallTime,
+    CommandId, ConfigVersion, IncarnationId, InstanceCapacity, StoreRevision, TokenCount, WallTime,
 };
 
 fn label(instance: &str, role: MemberRole) -> MemberLabel {
@@ -175,6 +175,7 @@
         config: ConfigVersion(config),
         started_at: None,
         serves: None,
+        capacity: InstanceCapacity::default(),
     };
     let members = [
         member("entry-1", MemberRole::Entry, 9),
--- a/crates/sagespool-operations/tests/spend_bounds.rs
+++ b/crates/sagespool-operations/tests/spend_bounds.rs
@@ -15,7 +15,7 @@
 use sagespool_operations::{HolderUsage, SpendEstimate, TokenRange};
 use sagespool_types::{
     AttemptNumber, BranchName, ChargeId, ClockTime, CommandId, ConfigVersion, ContentDigest,
-    GrantId, IncarnationId, RequestId, StoreRevision, TokenCount, WallTime,
+    GrantId, IncarnationId, InstanceCapacity, RequestId, StoreRevision, TokenCount, WallTime,
 };
 
 fn branch() -> BranchName {
@@ -35,6 +35,7 @@
         config: ConfigVersion(0),
         started_at: None,
         serves: None,
+        capacity: InstanceCapacity::default(),
     };
     StatusReply {
         at: WallTime(0),
--- a/crates/sagespool-platform/src/caller.rs
+++ b/crates/sagespool-platform/src/caller.rs
@@ -316,7 +316,7 @@
 fn lost_response_error(kind: CallKind) -> StoreError {
     match kind {
         CallKind::Write => StoreError::Uncertain,
-        CallKind::Read | CallKind::Watch => StoreError::Unavailable,
+        CallKind::Read | CallKind::StaleRead | CallKind::Watch => StoreError::Unavailable,
     }
 }
 
@@ -353,7 +353,7 @@
     let body = body.ok_or_else(|| lost_response_error(kind))?;
     read(&body).map_err(|error| match kind {
         CallKind::Write => StoreError::Uncertain,
-        CallKind::Read | CallKind::Watch => StoreError::Malformed(error),
+        CallKind::Read | CallKind::StaleRead | CallKind::Watch => StoreError::Malformed(error),
     })
 }
 
--- a/crates/sagespool-platform/src/counters.rs
+++ b/crates/sagespool-platform/src/counters.rs
@@ -28,6 +28,8 @@
 pub enum CallKind {
     /// A get or a list call.
     Read,
+    /// A get or a list call that may return an older state, which platforms bill at a fraction.
+    StaleRead,
     /// A put or a delete call.
     Write,
     /// A call that waits for changes.
@@ -39,6 +41,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Read => "read",
+            Self::StaleRead => "stale-read",
             Self::Write => "write",
             Self::Watch => "watch",
         }
@@ -83,7 +86,7 @@
     /// Counts a call, whether or not it is sent.
     pub(crate) fn count_call(&self, kind: CallKind) {
         let counter = match kind {
-            CallKind::Read => &self.reads,
+            CallKind::Read | CallKind::StaleRead => &self.reads,
             CallKind::Write => &self.writes,
             CallKind::Watch => &self.watches,
         };
--- a/crates/sagespool-platform/src/dialect.rs
+++ b/crates/sagespool-platform/src/dialect.rs
@@ -63,6 +63,9 @@
     pub list: fn(prefix: &str, after: Option<&str>) -> RawRequest,
     /// Request that waits for changes under a prefix after a revision.
     pub watch: fn(prefix: &str, after: StoreRevision, wait: Duration) -> RawRequest,
+    /// Changes a request to get or list so that the store may respond with an older state. Unchanged
+    /// if the store has no such reads.
+    pub allow_stale: fn(RawRequest) -> RawRequest,
     /// Request to write an object that is at the expected version; 0 if it must not exist.
     pub put: fn(key: &str, expected: StoreRevision, value: &RawValue) -> RawRequest,
     /// Request to delete an object that is at the expected version.
@@ -130,6 +133,7 @@
                 RawRequest::without_body(Method::Get, format!("/objects?prefix={prefix}"))
             },
             watch: native_watch,
+            allow_stale: |request| request,
             put: native_put,
             delete: |key, expected| {
                 let path = format!("/objects/{key}?if_version={expected}");
--- a/crates/sagespool-platform/src/objects.rs
+++ b/crates/sagespool-platform/src/objects.rs
@@ -102,7 +102,25 @@
         &self,
         key: &str,
     ) -> Result<Option<StoredObject<T>>, StoreError> {
-        let call = PlatformCall::new(CallKind::Read, (self.dialect.get)(valid_key(key)?), key);
+        self.get_as(CallKind::Read, key).await
+    }
+
+    /// Reads an object in a state that may be seconds old. Cheaper than [`Self::get`]; for objects
+    /// that never change once they exist.
+    pub async fn get_stale<T: DeserializeOwned>(
+        &self,
+        key: &str,
+    ) -> Result<Option<StoredObject<T>>, StoreError> {
+        self.get_as(CallKind::StaleRead, key).await
+    }
+
+    async fn get_as<T: DeserializeOwned>(
+        &self,
+        kind: CallKind,
+        key: &str,
+    ) -> Result<Option<StoredObject<T>>, StoreError> {
+        let request = self.read_request(kind, (self.dialect.get)(valid_key(key)?));
+        let call = PlatformCall::new(kind, request, key);
         let read = |body: &[u8]| (self.dialect.read_object)(key, body);
         let Some(object) = self.caller.call_read(call, read).await? else {
             return Ok(None);
@@ -111,6 +129,13 @@
         Ok(Some(StoredObject { version: object.version, value: decode(value)? }))
     }
 
+    fn read_request(&self, kind: CallKind, request: RawRequest) -> RawRequest {
+        match kind {
+            CallKind::StaleRead => (self.dialect.allow_stale)(request),
+            _ => request,
+        }
+    }
+
     /// Writes an object if it is at the expected version, 0 if it must not exist. Returns its new
     /// version.
     ///
@@ -156,14 +181,31 @@
     pub async fn list<T: DeserializeOwned>(
         &self,
         prefix: &str,
+    ) -> Result<ObjectListing<T>, StoreError> {
+        self.list_as(CallKind::Read, prefix).await
+    }
+
+    /// Reads all objects under a prefix in a state that may be seconds old, like [`Self::list`]. A
+    /// watch from its revision returns what has changed since.
+    pub async fn list_stale<T: DeserializeOwned>(
+        &self,
+        prefix: &str,
+    ) -> Result<ObjectListing<T>, StoreError> {
+        self.list_as(CallKind::StaleRead, prefix).await
+    }
+
+    async fn list_as<T: DeserializeOwned>(
+        &self,
+        kind: CallKind,
+        prefix: &str,
     ) -> Result<ObjectListing<T>, StoreError> {
         let prefix = valid_key(prefix)?;
         let mut items = Vec::new();
         let mut first = None;
         let mut after: Option<String> = None;
         loop {
-            let request = (self.dialect.list)(prefix, after.as_deref());
-            let call = PlatformCall::new(CallKind::Read, request, prefix);
+            let request = self.read_request(kind, (self.dialect.list)(prefix, after.as_deref()));
+            let call = PlatformCall::new(kind, request, prefix);
             let read = |body: &[u8]| (self.dialect.read_page)(prefix, body);
             let page = self.caller.call_read(call, read).await?;
             let page = page.ok_or_else(|| StoreError::Malformed(NO_SUCH_ENDPOINT.to_owned()))?;
--- a/crates/sagespool-routing/examples/policy_compare/model.rs
+++ b/crates/sagespool-routing/examples/policy_compare/model.rs
@@ -9,7 +9,9 @@
     AdmissionQueue, AttemptOutcome, AttemptResult, OfferOutcome, PlacementQuery, PolicyKind,
     QueueTicket, RoutingPolicy, UpstreamPlacement, UpstreamTable,
 };
-use sagespool_types::{ClockTime, ConfigVersion, IncarnationId, RequestId, TokenCount};
+use sagespool_types::{
+    ClockTime, ConfigVersion, IncarnationId, InstanceCapacity, RequestId, TokenCount,
+};
 
 use crate::scenario::{PREFILL, PREFILL_CACHED, Scenario, TOKEN};
 
@@ -457,6 +459,7 @@
             config: ConfigVersion(1),
             started_at: None,
             serves: Some(served),
+            capacity: InstanceCapacity::default(),
         }
     }
 }
--- a/crates/sagespool-routing/examples/routing_bench.rs
+++ b/crates/sagespool-routing/examples/routing_bench.rs
@@ -13,8 +13,8 @@
     PolicyKind, QueuePolicy, QueueTicket, RequestLimits, RoutingPolicy, UpstreamTable,
 };
 use sagespool_types::{
-    BranchName, ClockTime, ConfigVersion, IncarnationId, ParseError, RequestId, ServiceName,
-    TokenCount,
+    BranchName, ClockTime, ConfigVersion, IncarnationId, InstanceCapacity, ParseError, RequestId,
+    ServiceName, TokenCount,
 };
 
 const UPSTREAMS: [u64; 4] = [10, 100, 1_000, 7_700];
@@ -55,6 +55,7 @@
         config: ConfigVersion(1),
         started_at: None,
         serves: Some(served),
+        capacity: InstanceCapacity::default(),
     }
 }
 
--- a/crates/sagespool-routing/tests/support/mod.rs
+++ b/crates/sagespool-routing/tests/support/mod.rs
@@ -9,7 +9,9 @@
     AttemptOutcome, AttemptResult, PlacementQuery, PolicyKind, RoutingPolicy, UpstreamPlacement,
     UpstreamTable,
 };
-use sagespool_types::{ClockTime, ConfigVersion, IncarnationId, ParseError, TokenCount};
+use sagespool_types::{
+    ClockTime, ConfigVersion, IncarnationId, InstanceCapacity, ParseError, TokenCount,
+};
 
 pub const CAPACITY: u32 = 8;
 
@@ -45,6 +47,7 @@
         config: ConfigVersion(1),
         started_at: None,
         serves: Some(served),
+        capacity: InstanceCapacity::default(),
     }
 }
 
--- a/crates/sagespool-settings/src/process/gateway.rs
+++ b/crates/sagespool-settings/src/process/gateway.rs
@@ -8,7 +8,7 @@
 
 use error_stack::{Report, ResultExt};
 use sagespool_log::LogLevel;
-use sagespool_types::{ByteCount, CentreName, InstanceName, RegionName};
+use sagespool_types::{ByteCount, CentreName, InstanceCapacity, InstanceName, RegionName};
 
 use crate::check::{ObjectNode, ValueNode};
 use crate::document::check_text;
@@ -136,6 +136,20 @@
     pub memory: Option<ByteCount>,
     /// Open file descriptors.
     pub descriptors: Option<u32>,
+    /// The share of a core, or the number of cores.
+    pub processor: Option<f64>,
+    /// The rate of the machine's link in Mbit/s.
+    pub link_mbps: Option<f64>,
+}
+
+impl ResourceSettings {
+    /// The work that the instance can carry, by what limits it most: a core as a whole counts like a
+    /// link of 1,000 Mbit/s. 0 if neither is set.
+    pub fn capacity(&self) -> InstanceCapacity {
+        let cores = self.processor.map(|cores| cores * MBPS_PER_CORE);
+        let scarcer = [cores, self.link_mbps].into_iter().flatten().reduce(f64::min);
+        InstanceCapacity(scarcer.map_or(0, |amount| amount.max(1.0).log2() as u32 + 1))
+    }
 }
 
 /// The values of `role` for a gateway and a relay.
@@ -166,6 +180,12 @@
 const MAX_MEMORY_MB: u64 = 1 << 24;
 /// Covers the process's own files, the link, the store, and a connection on either side.
 const MIN_DESCRIPTORS: u32 = 512;
+/// The link rate that a core can fill with requests and changes.
+const MBPS_PER_CORE: f64 = 1000.0;
+const MIN_PROCESSOR: f64 = 0.001;
+const MAX_PROCESSOR: f64 = 4096.0;
+const MIN_LINK_MBPS: f64 = 0.01;
+const MAX_LINK_MBPS: f64 = 1e7;
 const MAX_DESCRIPTORS: u32 = 1 << 30;
 const MAX_GRANT_AHEAD_S: f64 = 3_600.0;
 const DEFAULT_WARMUP: WarmupSettings = WarmupSettings { overage: 1.0, slack: 0.0 };
@@ -330,5 +350,9 @@
     let descriptors = object
         .optional("descriptors", |node| node.number_u32(MIN_DESCRIPTORS..=MAX_DESCRIPTORS))?;
     let memory = memory.map(|megabytes| ByteCount(megabytes * BYTES_PER_MB));
-    Some(ResourceSettings { memory, descriptors })
+    let processor =
+        object.optional("processor", |node| node.float(MIN_PROCESSOR..=MAX_PROCESSOR))?;
+    let link_mbps =
+        object.optional("link_mbps", |node| node.float(MIN_LINK_MBPS..=MAX_LINK_MBPS))?;
+    Some(ResourceSettings { memory, descriptors, processor, link_mbps })
 }
--- a/crates/sagespool-settings/tests/gateway_settings.rs
+++ b/crates/sagespool-settings/tests/gateway_settings.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use sagespool_settings::{
-    GatewayOrRelaySettings, WarmupSettings, is_gateway_or_relay, parse_gateway_or_relay,
+    GatewayOrRelaySettings, ResourceSettings, WarmupSettings, is_gateway_or_relay,
+    parse_gateway_or_relay,
 };
-use sagespool_types::ByteCount;
+use sagespool_types::{ByteCount, InstanceCapacity};
 
 const GATEWAY: &str = include_str!("../../../examples/gateway.json");
 const RELAY: &str = include_str!("../../../examples/relay.json");
@@ -28,6 +29,20 @@
     assert_eq!(gateway.warmup, WarmupSettings { overage: 1.5, slack: 5.0 });
     assert_eq!(gateway.limits.memory, Some(ByteCount(110 << 20)));
     assert_eq!(gateway.limits.descriptors, Some(4100));
+    assert_eq!(gateway.limits.capacity(), InstanceCapacity(8));
+}
+
+/// Guards against a machine that is taken for strong because one of its two limits is.
+#[test]
+fn scarcer_limit() {
+    let capacity = |processor, link_mbps| {
+        ResourceSettings { processor, link_mbps, ..ResourceSettings::default() }.capacity()
+    };
+    assert_eq!(capacity(None, None), InstanceCapacity(0));
+    assert_eq!(capacity(Some(1.0), Some(20.0)), capacity(None, Some(20.0)));
+    assert_eq!(capacity(Some(0.09), Some(1000.0)), capacity(Some(0.09), None));
+    assert!(capacity(Some(0.09), Some(20.0)) < capacity(Some(0.5), Some(200.0)));
+    assert!(capacity(Some(0.002), Some(0.02)) > InstanceCapacity(0));
 }
 
 #[test]
@@ -55,6 +70,8 @@
         ("\"slack\": 52", "\"slak\": 52", "did you mean `slack`?"),
         ("\"memory_mb\": 110", "\"memory_mb\": 4", "$.limits.memory_mb: found 4"),
         ("\"descriptors\": 4100", "\"descriptors\": -1", "$.limits.descriptors: found -1"),
+        ("\"processor\": 0.19", "\"processor\": 0", "$.limits.processor: found 0"),
+        ("\"link_mbps\": 1000", "\"link_mbps\": -1", "$.limits.link_mbps: found -1"),
         ("\"upstreams_ms\": 4000", "\"upstreams_ms\": 0", "$.in_force.upstreams_ms: found 0"),
         ("\"evacuations_ms\": 5000", "\"evacuations_ms\": 1", "$.in_force.evacuations_ms: found 1"),
         ("\"west\": \"local\"", "\"west\": 7", "$.regions.west: found 7"),
--- a/crates/sagespool-sidecar/src/role/state.rs
+++ b/crates/sagespool-sidecar/src/role/state.rs
@@ -13,7 +13,7 @@
 use sagespool_metrics::FleetMetrics;
 use sagespool_platform::{InstanceClient, ObjectClient, ObjectOptions};
 use sagespool_settings::{ProcessSettings, SidecarSettings};
-use sagespool_types::{ClockTime, ConfigVersion, IncarnationId, WallTime};
+use sagespool_types::{ClockTime, ConfigVersion, IncarnationId, InstanceCapacity, WallTime};
 
 use crate::in_flight::InFlightCounter;
 use crate::{Dispatcher, DispatcherOptions};
@@ -123,5 +123,6 @@
         config: ConfigVersion::ZERO,
         started_at: None,
         serves: None,
+        capacity: InstanceCapacity::default(),
     }
 }
--- a/crates/sagespool-sidecar/tests/harness/fleet.rs
+++ b/crates/sagespool-sidecar/tests/harness/fleet.rs
@@ -21,7 +21,7 @@
     FakeEngine, FakeInstanceList, FakeObjectStore, InstanceEntry, InstanceListOptions,
     InstanceState, ObjectStoreOptions, StoreFaults,
 };
-use sagespool_types::{ByteCount, ConfigVersion, IncarnationId};
+use sagespool_types::{ByteCount, ConfigVersion, IncarnationId, InstanceCapacity};
 use tempfile::TempDir;
 
 use super::{GRANT, upstream_at};
@@ -155,6 +155,7 @@
             config: ConfigVersion::ZERO,
             started_at: None,
             serves: None,
+            capacity: InstanceCapacity::default(),
         };
         let (others, suspects, slices) = (vec![], vec![], vec![]);
         let heartbeat = Heartbeat { from, others, view_digest: 0, suspects, slices };
--- a/crates/sagespool-types/src/sizes.rs
+++ b/crates/sagespool-types/src/sizes.rs
@@ -22,6 +22,9 @@
     /// The number of one of the books that the branches are distributed over; the number of books
     /// is fixed.
     BookNumber(u64), "a book number";
+    /// The work that an instance can carry, in steps of two: an instance of the next step carries
+    /// twice as much. 0 if it is unknown.
+    InstanceCapacity(u32), "an instance's capacity";
     /// A rate in requests per second.
     RequestRate(u64), "a number of requests per second";
     /// A rate in tokens per second.
