Budgets: the home gathers an account's free tokens, and loans return to it

The free tokens lay in small parts at hundreds of instances: each request borrows its maximum cost and uses less, and a pair of account and gateway meets once in four minutes.

Change: an instance returns the unused part of loans to the home once the account was idle there for a second. Free tokens are then in the record, at the home, at other runs with a grant in the record, or at borrowers for future requests (pairs of ten requests a second and more), which the home remembers for five seconds. A home that is short asks just these, and its answer is the proof; others don't ask again. A return that certainly didn't arrive is kept and tried again after five seconds; one that may have arrived counts as spent, as before.

Ruled out: a hint that the account is scarce in the home's reply, after which leftovers are returned (those of the first nine tenths stay where they are); asking all, but in larger groups (grows with the fleet all the same).

--- a/crates/sagespool-gateway/src/budget.rs
+++ b/crates/sagespool-gateway/src/budget.rs
@@ -3,6 +3,7 @@
 //! Each account has a record in the store (`PrepaidRecord`) with its total and all grants.
 
 mod account;
+mod gather;
 mod grants;
 mod loan_returns;
 mod loans;
@@ -18,14 +19,16 @@
 
 use sagespool_ledger::GrantPolicy;
 use sagespool_log::log_event;
+use sagespool_messages::LendRequest;
 use sagespool_platform::{ObjectClient, StoreError};
 use sagespool_types::{
     BranchName, ClockTime, ConfigVersion, IncarnationId, InstanceName, TokenCount,
 };
 
 use self::account::{AccountState, lock};
+use self::gather::{GatherOutcome, gather};
 use self::grants::GrantOutcome;
-use self::loans::{Lenders, LoanAmount, LoanOutcome, borrow, borrow_at_home};
+use self::loans::{LoanAmount, borrow_at_home};
 use crate::fleet::FleetClient;
 use crate::refusal::Refusal;
 
@@ -96,11 +99,12 @@
     }
 
     /// Raises this instance's grant until its free part covers a request, and tops it up early if it
-    /// runs low. If the record can't cover the request either, returns how much the free part and
-    /// the record cover together.
+    /// runs low. If the record can't cover the request, borrows from the runs that hold the rest;
+    /// if they can't either, returns how much all of them cover together. For an account's home.
     pub(crate) async fn ensure_covered(
         self: &Arc<Self>,
         budget: &BudgetRequest,
+        fleet: &Arc<FleetClient>,
     ) -> Option<TokenCount> {
         let account = self.account(&budget.branch);
         let now = ClockTime::now();
@@ -128,8 +132,14 @@
                 None
             }
             Ok(GrantOutcome::Short(room)) => {
-                account.note_shortage(room, budget.version, ClockTime::now());
-                Some(room)
+                match gather(&account, budget, fleet, AccountState::cover_with_loan, true).await {
+                    GatherOutcome::KnownShort(room) => Some(room),
+                    GatherOutcome::Short(lent) => {
+                        account.note_shortage(room + lent, budget.version, ClockTime::now());
+                        Some(room + lent)
+                    }
+                    GatherOutcome::Covered(_) | GatherOutcome::Unknown => None,
+                }
             }
             Err(error) => {
                 *lock(&self.store_failed) = Some(ClockTime::now());
@@ -140,9 +150,13 @@
     }
 
     /// Lends a part of this instance's grant to another instance; returns the amount lent.
-    pub(crate) fn lend(&self, branch: &BranchName, wanted: TokenCount) -> TokenCount {
-        let account = self.account(branch);
-        lock(&account.balance).lend(wanted)
+    pub(crate) fn lend(&self, request: &LendRequest, wanted: TokenCount) -> TokenCount {
+        let account = self.account(&request.branch);
+        let lent = lock(&account.balance).lend(wanted);
+        if request.ahead > TokenCount::ZERO && lent > TokenCount::ZERO {
+            account.note_ahead_borrower(request.borrower, ClockTime::now());
+        }
+        lent
     }
 
     /// How much this instance, as the account's home, lends a borrower for future requests.
@@ -177,7 +191,12 @@
             return Err(self.refuse(&account, budget, Refusal::BudgetSpent, "known-short"));
         }
         let grant = match self.reserve_at_home(&account, budget, fleet).await {
-            Some(outcome) => Ok(outcome),
+            // The home has queried all runs that may have free tokens.
+            Some(GrantOutcome::Short(room)) => {
+                account.note_shortage(room, budget.version, ClockTime::now());
+                return Err(self.refuse(&account, budget, Refusal::BudgetSpent, "home-short"));
+            }
+            Some(GrantOutcome::Granted) => Ok(GrantOutcome::Granted),
             None => {
                 // An account's home requests grants for all instances, others for this request
                 // only.
@@ -189,40 +208,38 @@
         if matches!(grant, Ok(GrantOutcome::Granted)) {
             return Ok(Reservation::new(account, budget.amount));
         }
-        // Too few free tokens in the record don't mean that the budget is spent: other instances
-        // may have free grants, so all of them are queried.
-        let query_all = matches!(grant, Ok(GrantOutcome::Short(_)));
-        let mut failed = account.round.lock().await;
-        let now = ClockTime::now();
-        if lock(&account.balance).reserve(budget.amount, now) {
-            drop(failed);
-            return Ok(Reservation::new(account, budget.amount));
-        }
-        if account.shortage_of(budget, now).is_some() {
-            return Err(self.refuse(&account, budget, Refusal::BudgetSpent, "known-short"));
-        }
-        if failed.is_some_and(|failed| failed.applies_to(budget.amount, now)) {
-            return Err(self.refuse(&account, budget, Refusal::BudgetUnreachable, "peers-away"));
-        }
-        let missing = budget.amount.saturating_sub(lock(&account.balance).free());
-        let lenders = if query_all { Lenders::All } else { Lenders::Only(account.holders()) };
-        let loan = borrow(fleet, &account, budget, missing, lenders).await;
-        let reserved = account.reserve_with_loan(budget, loan.lent);
-        let all_replied = query_all && loan.complete;
-        let is_failed = !reserved && !all_replied;
-        *failed = is_failed.then(|| FailedLoanRound::new(budget.amount, ClockTime::now()));
-        drop(failed);
-        if reserved {
-            log_event!(
-                info,
-                "budget-borrowed",
-                request = budget.request_id,
-                branch = budget.branch,
-                lent = loan.lent,
-            );
-            return Ok(Reservation::new(account, budget.amount));
+        // Too few free tokens in the record don't mean that the budget is spent: the runs with a
+        // grant in it may have free ones.
+        let knows_record = grant.is_ok();
+        let gathered =
+            gather(&account, budget, fleet, AccountState::reserve_with_loan, knows_record).await;
+        match (gathered, grant) {
+            (GatherOutcome::Covered(lent), _) => {
+                log_event!(
+                    info,
+                    "budget-borrowed",
+                    request = budget.request_id,
+                    branch = budget.branch,
+                    lent = lent,
+                );
+                Ok(Reservation::new(account, budget.amount))
+            }
+            (GatherOutcome::KnownShort(_), _) => {
+                Err(self.refuse(&account, budget, Refusal::BudgetSpent, "known-short"))
+            }
+            (GatherOutcome::Short(lent), Ok(GrantOutcome::Short(room))) => {
+                account.note_shortage(room + lent, budget.version, ClockTime::now());
+                Err(self.refuse(&account, budget, Refusal::BudgetSpent, "book-short"))
+            }
+            // A run that didn't reply may have enough.
+            (_, Ok(_)) => {
+                Err(self.refuse(&account, budget, Refusal::BudgetUnreachable, "peer-away"))
+            }
+            (_, Err(error)) => {
+                let cause = error.to_string();
+                Err(self.refuse(&account, budget, Refusal::BudgetUnreachable, &cause))
+            }
         }
-        Err(self.refuse_after(&account, budget, grant, loan))
     }
 
     /// Reserves with a loan from the account's home. A shortage that the home reports counts like
@@ -258,28 +275,6 @@
         reply.room.map(|room| GrantOutcome::Short(room + own))
     }
 
-    /// The refusal of a request that no grant or loan covers. It is `BudgetSpent` only if the
-    /// record and every other gateway reported too little.
-    fn refuse_after(
-        &self,
-        account: &AccountState,
-        budget: &BudgetRequest,
-        grant: Result<GrantOutcome, StoreError>,
-        loan: LoanOutcome,
-    ) -> Refusal {
-        match grant {
-            Ok(GrantOutcome::Short(room)) if loan.complete => {
-                account.note_shortage(room + loan.lent, budget.version, ClockTime::now());
-                self.refuse(account, budget, Refusal::BudgetSpent, "book-short")
-            }
-            // An instance that didn't reply may have enough.
-            Ok(_) => self.refuse(account, budget, Refusal::BudgetUnreachable, "peer-away"),
-            Err(error) => {
-                self.refuse(account, budget, Refusal::BudgetUnreachable, &error.to_string())
-            }
-        }
-    }
-
     async fn request_from_store(
         &self,
         account: &AccountState,
--- a/crates/sagespool-gateway/src/budget/account.rs
+++ b/crates/sagespool-gateway/src/budget/account.rs
@@ -1,7 +1,9 @@
 //! The state of one account at this instance: free tokens, the cached record, and reservations.
 
+use std::collections::HashMap;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use async_lock::Mutex as TurnLock;
 use sagespool_ledger::{PrepaidBalance, PrepaidRecord};
@@ -12,6 +14,13 @@
 use super::BudgetRequest;
 use super::shortage::{CachedShortage, FailedLoanRound};
 
+/// A loan for future requests is spent or returned within this time: it covers the use of a second.
+const AHEAD_LOAN_LIFETIME: Duration = Duration::from_secs(5);
+/// The unused part of loans is returned this long after the account's last request here.
+const IDLE_LOAN_TIME: Duration = Duration::from_secs(1);
+/// Time between two attempts to return loans to a home that can't be reached.
+const RETURN_RETRY_INTERVAL: Duration = Duration::from_secs(5);
+
 /// The state of one account at this instance.
 pub(crate) struct AccountState {
     pub(super) branch: BranchName,
@@ -22,10 +31,14 @@
     shortage: Mutex<Option<CachedShortage>>,
     /// The runs with a grant in the record when it was last read.
     holders: Mutex<Vec<IncarnationId>>,
+    /// The runs that were lent tokens for future requests, and when they last were.
+    ahead_borrowers: Mutex<HashMap<IncarnationId, ClockTime>>,
     /// Held while other instances are queried for loans: requests of one account wait for the round
     /// in progress, whose loans may cover them too. Holds the last round if it failed.
     pub(super) round: TurnLock<Option<FailedLoanRound>>,
     pub(super) topping_up: AtomicBool,
+    /// When a return of loans last failed.
+    return_failed: Mutex<Option<ClockTime>>,
 }
 
 #[derive(Clone)]
@@ -46,8 +59,10 @@
             record: TurnLock::new(None),
             shortage: Mutex::default(),
             holders: Mutex::default(),
+            ahead_borrowers: Mutex::default(),
             round: TurnLock::new(None),
             topping_up: AtomicBool::new(false),
+            return_failed: Mutex::default(),
         }
     }
 
@@ -64,9 +79,48 @@
         *lock(&self.holders) = record.holders.keys().copied().collect();
     }
 
-    /// The runs that may have a grant of this account.
-    pub(super) fn holders(&self) -> Vec<IncarnationId> {
-        lock(&self.holders).clone()
+    /// Adds a loan; false if the free tokens still don't cover a request.
+    pub(super) fn cover_with_loan(&self, budget: &BudgetRequest, lent: TokenCount) -> bool {
+        let mut balance = lock(&self.balance);
+        balance.borrow(lent);
+        budget.amount <= balance.free()
+    }
+
+    /// Notes that a run was lent tokens for future requests.
+    pub(super) fn note_ahead_borrower(&self, run: IncarnationId, now: ClockTime) {
+        lock(&self.ahead_borrowers).insert(run, now);
+    }
+
+    /// The runs that may have free tokens of this account: the holders of grants, and the recent
+    /// borrowers of tokens for future requests.
+    pub(super) fn lenders(&self, now: ClockTime) -> Vec<IncarnationId> {
+        let mut borrowers = lock(&self.ahead_borrowers);
+        borrowers.retain(|_, lent_at| now.since(*lent_at) < AHEAD_LOAN_LIFETIME);
+        let holders = lock(&self.holders);
+        let others = borrowers.keys().filter(|run| !holders.contains(run));
+        holders.iter().chain(others).copied().collect()
+    }
+
+    /// Adds tokens that another run has returned.
+    pub(super) fn accept_returned(&self, amount: TokenCount) {
+        lock(&self.balance).borrow(amount);
+        let mut shortage = lock(&self.shortage);
+        *shortage = shortage.map(|shortage| shortage.widened(amount));
+    }
+
+    /// Takes back tokens whose return didn't reach another run.
+    pub(super) fn keep_unreturned(&self, amount: TokenCount, now: ClockTime) {
+        lock(&self.balance).borrow(amount);
+        *lock(&self.return_failed) = Some(now);
+    }
+
+    /// Whether the account is idle here, loans of it are unused, and their return may be tried.
+    pub(super) fn has_idle_surplus(&self, now: ClockTime) -> bool {
+        let may_try = lock(&self.return_failed)
+            .is_none_or(|failed_at| now.since(failed_at) >= RETURN_RETRY_INTERVAL);
+        let balance = lock(&self.balance);
+        let is_idle = balance.idle_time(now).is_some_and(|idle| idle >= IDLE_LOAN_TIME);
+        may_try && is_idle && balance.surplus() > TokenCount::ZERO
     }
 
     /// Stores the finding that the record and all instances together cover no more than `room`.
--- a/crates/sagespool-gateway/src/budget/loans.rs
+++ b/crates/sagespool-gateway/src/budget/loans.rs
@@ -26,7 +26,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct LoanOutcome {
     pub(super) lent: TokenCount,
-    /// True if every known gateway replied.
+    /// True if every run that may have free tokens replied.
     pub(super) complete: bool,
 }
 
@@ -39,34 +39,25 @@
     pub(super) ahead: TokenCount,
 }
 
-/// The gateways to query for a loan.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) enum Lenders {
-    /// Every gateway. Required to conclude that the budget is spent.
-    All,
-    /// The runs with a grant in the account's record.
-    Only(Vec<IncarnationId>),
-}
-
-/// Borrows from other gateways until the wanted amount is reached.
-///
-/// While the store is unreachable, only the holders in the last known record are queried. With each
-/// request querying all of 70 gateways in turn, a busy gateway spent its CPU time on these queries
-/// and its callers waited for seconds.
+/// Borrows from other runs until the wanted amount is reached.
 pub(super) async fn borrow(
     fleet: &Arc<FleetClient>,
     account: &Arc<AccountState>,
     budget: &BudgetRequest,
     wanted: TokenCount,
-    lenders: Lenders,
+    lenders: &[IncarnationId],
 ) -> LoanOutcome {
-    let mut others = fleet.others(MemberRole::Entry, ClockTime::now());
-    // A suspected or unreachable member isn't queried but may have a grant.
-    let mut complete = others.len() + 1 >= fleet.count(MemberRole::Entry);
-    if let Lenders::Only(runs) = lenders {
-        complete = false;
-        others.retain(|other| runs.contains(&other.incarnation));
-    }
+    let now = ClockTime::now();
+    let mut others = fleet.others(MemberRole::Entry, now);
+    others.retain(|other| lenders.contains(&other.incarnation));
+    // A suspected or unreachable run isn't queried but may have free tokens. An ended run has none.
+    let is_away = |run: &&IncarnationId| {
+        **run != fleet.run
+            && fleet.members.find(**run).is_some()
+            && !fleet.members.is_gone(**run, now)
+            && !others.iter().any(|other| other.incarnation == **run)
+    };
+    let mut complete = !lenders.iter().any(|run| is_away(&run));
     let mut lent = TokenCount::ZERO;
     for batch in others.chunks(CONCURRENT_QUERIES) {
         let missing = LoanAmount { missing: wanted.saturating_sub(lent), ahead: TokenCount::ZERO };
--- a/crates/sagespool-gateway/src/budget/shortage.rs
+++ b/crates/sagespool-gateway/src/budget/shortage.rs
@@ -39,6 +39,11 @@
         Self { room, version, noted_at: now, ttl }
     }
 
+    /// The finding after tokens were returned.
+    pub fn widened(self, amount: TokenCount) -> Self {
+        Self { room: self.room + amount, ..self }
+    }
+
     /// The amount that could have been covered.
     pub fn room(&self) -> TokenCount {
         self.room
--- a/crates/sagespool-gateway/src/follow.rs
+++ b/crates/sagespool-gateway/src/follow.rs
@@ -370,6 +370,7 @@
         state.pool.sweep(is_listed, now);
         state.throttle().sweep(is_listed, now);
         state.observe_senders(now);
+        state.budgets.return_idle_loans(&state.fleet, now);
         state.budgets.note_homes(state.fleet.members.home_count());
     }
 }
--- a/crates/sagespool-gateway/src/peers.rs
+++ b/crates/sagespool-gateway/src/peers.rs
@@ -81,14 +81,14 @@
         let gone = responder.requester_gone();
         if let Some(budget) = budget_for_loan(state, request) {
             wanted = budget.amount;
-            shortage = state.budgets.ensure_covered(&budget).await;
+            shortage = state.budgets.ensure_covered(&budget, &state.fleet).await;
             shortage = shortage.filter(|_| budget.version >= request.version);
         }
         if poll_once(gone).await.is_some() {
             return;
         }
     }
-    let lent = state.budgets.lend(&request.branch, wanted);
+    let lent = state.budgets.lend(request, wanted);
     let room = shortage.map(|room| room.saturating_sub(lent));
     if lent > TokenCount::ZERO {
         log_event!(
--- a/crates/sagespool-ledger/src/prepaid/balance.rs
+++ b/crates/sagespool-ledger/src/prepaid/balance.rs
@@ -182,13 +182,23 @@
         TokenCount((ahead.0 as f64 * share) as u64)
     }
 
+    /// Time since the last request of the account; `None` while one is in flight.
+    pub fn idle_time(&self, now: ClockTime) -> Option<Duration> {
+        (self.reserved == TokenCount::ZERO).then(|| now.since(self.rate_at))
+    }
+
     /// Removes the unused part of loans from other instances, to be lent to another instance. The
     /// store's record doesn't include loans; its entry for this instance ends only with the grant.
     pub fn take_surplus(&mut self) -> TokenCount {
-        let surplus = self.borrowed.saturating_sub(self.lent + self.used + self.reserved);
+        let surplus = self.surplus();
         self.lend(surplus)
     }
 
+    /// The unused part of loans from other instances.
+    pub fn surplus(&self) -> TokenCount {
+        self.borrowed.saturating_sub(self.lent + self.used + self.reserved)
+    }
+
     /// The intended size of the supply.
     fn intended_supply(
         &self,
