Crash reports go to two collectors; only a quarantine is sent to all gateways

An engine that goes dark breaks twenty requests and more at once, a data centre's thousands. Change: reports go to the first two homes in the rendezvous order of the request's content. A content that has succeeded at a gateway isn't stopped there by crashes from before, as ever. Ruled out: gossip in heartbeats (their size is bounded by a datagram, and a rumour of each broken request would push out the members' own news).

--- a/crates/sagespool-claims/src/crash.rs
+++ b/crates/sagespool-claims/src/crash.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bon::Builder;
-use sagespool_messages::CrashReport;
+use sagespool_messages::{CrashReport, QuarantineNotice};
 use sagespool_types::{ClockTime, ContentDigest, UpstreamName};
 
 use crate::quarantine::{CrashNote, QuarantineRecord};
@@ -152,6 +152,13 @@
         if record.stopped { CrashVerdict::Stopped } else { CrashVerdict::Suspected }
     }
 
+    /// Stops a content by the reports of its crashes, whenever they arrive. False if too few of them
+    /// count here, because a run has succeeded since.
+    pub fn stop(&self, notice: &QuarantineNotice, now: ClockTime) -> bool {
+        let crashes = notice.reports.iter().map(CrashNote::of).collect();
+        self.state().apply_stopped(notice.content, &crashes, &self.policy, now)
+    }
+
     /// True if a content must not run anywhere.
     pub fn is_stopped(&self, content: ContentDigest) -> bool {
         self.state().records.get(&content).is_some_and(|record| record.stopped)
--- a/crates/sagespool-entry/src/peers.rs
+++ b/crates/sagespool-entry/src/peers.rs
@@ -96,7 +96,8 @@
         | PeerRequest::AskPlan(_)
         | PeerRequest::CallStore(_)
         | PeerRequest::Follow(_)
-        | PeerRequest::AskLimits(_) => PeerReply::Unsupported("this process is an entry".into()),
+        | PeerRequest::AskLimits(_)
+        | PeerRequest::Quarantine(_) => PeerReply::Unsupported("this process is an entry".into()),
     }
 }
 
--- a/crates/sagespool-gateway/src/peers.rs
+++ b/crates/sagespool-gateway/src/peers.rs
@@ -14,6 +14,7 @@
 use serde_json::value::RawValue;
 
 use crate::budget::BudgetRequest;
+use crate::crashes::record_report;
 use crate::fleet::handle_store_call;
 use crate::limits::limits_reply;
 use crate::state::GatewayState;
@@ -55,7 +56,11 @@
             PeerReply::Plan(PlanReply { document: document.flatten() })
         }
         PeerRequest::ReportCrash(report) => {
-            state.crashes.record(&report, ClockTime::now());
+            record_report(state, &report, ClockTime::now());
+            PeerReply::Done
+        }
+        PeerRequest::Quarantine(notice) => {
+            state.crashes.apply_notice(&notice, ClockTime::now());
             PeerReply::Done
         }
         PeerRequest::ReturnRest(unspent) => {
--- a/crates/sagespool-messages/src/claims.rs
+++ b/crates/sagespool-messages/src/claims.rs
@@ -106,3 +106,13 @@
         pub attempt: AttemptNumber,
     }
 }
+
+derives! { record;
+    /// The reports by which a collector of them has quarantined a content.
+    pub struct QuarantineNotice {
+        /// Digest of the request's target and body.
+        pub content: ContentDigest,
+        /// One report of each crash.
+        pub reports: Vec<CrashReport>,
+    }
+}
--- a/crates/sagespool-messages/src/lib.rs
+++ b/crates/sagespool-messages/src/lib.rs
@@ -16,7 +16,9 @@
 mod wire;
 
 pub use charges::{ChargeRecord, ChargeReport, ChargesDurable, SealReply, SealRequest, SealScope};
-pub use claims::{ClaimReply, ClaimRequest, CrashReport, KeyReply, KeyRequest, KeyState};
+pub use claims::{
+    ClaimReply, ClaimRequest, CrashReport, KeyReply, KeyRequest, KeyState, QuarantineNotice,
+};
 pub use configuration::{
     CONFIGURATION_PREFIX, ConfigNotice, ConfigObject, ConfigQuery, ConfigReply, ConfigScope,
     FLEET_OBJECT_KEY, LastStoreContact,
--- a/crates/sagespool-messages/src/wire.rs
+++ b/crates/sagespool-messages/src/wire.rs
@@ -30,7 +30,7 @@
         FindKey(KeyRequest),
         /// Home to another holder; answered by [`PeerReply::Recall`].
         Recall(RecallRequest),
-        /// Entry to every entry; answered by [`PeerReply::Done`].
+        /// Entry to every entry, gateway to a content's collectors; answered by [`PeerReply::Done`].
         ReportCrash(CrashReport),
         /// Entry to sidecar, for an operator; answered by [`PeerReply::Order`].
         Order(OrderRequest),
@@ -58,6 +58,8 @@
         Follow(FeedQuery),
         /// Gateway to gateway; answered by [`PeerReply::Limits`].
         AskLimits(RateLimitQuery),
+        /// Gateway to every gateway; answered by [`PeerReply::Done`].
+        Quarantine(QuarantineNotice),
     }
 }
 
--- a/crates/sagespool-sidecar/src/role/peers.rs
+++ b/crates/sagespool-sidecar/src/role/peers.rs
@@ -79,7 +79,8 @@
         | PeerRequest::AskPlan(_)
         | PeerRequest::CallStore(_)
         | PeerRequest::Follow(_)
-        | PeerRequest::AskLimits(_) => {
+        | PeerRequest::AskLimits(_)
+        | PeerRequest::Quarantine(_) => {
             PeerReply::Unsupported("this process is a sidecar".to_owned())
         }
     };
