Gossip: all neighbours but one are of the own data centre

Change: with sixteen other members or more in the own data centre, one neighbour is chosen from all members and the others from it. Smaller data centres choose as before: theirs may be cut off from a few links. Ruled out: a longer gossip period of relays (their seeds are contacted in rounds too, so that a relay whose first contact fails would join after seconds).

--- a/crates/sagespool-membership/src/rounds.rs
+++ b/crates/sagespool-membership/src/rounds.rs
@@ -25,6 +25,10 @@
 /// Consecutive rounds with equal views after which the view counts as complete. After a single
 /// round the equal views may be those of the first few processes to start.
 const AGREED_ROUNDS: u32 = 2;
+/// With at least this many other members in the own data centre, all neighbours but one are among
+/// them: links between data centres are billed by the byte, and one of them each is enough for news
+/// to reach all. A smaller data centre may be cut off as a whole from a few links.
+const MIN_LOCAL_MEMBERS: usize = 16;
 /// A window settles the view if it discovered at most one member in this many.
 const SETTLED_DISCOVERY_DIVISOR: usize = 20;
 
@@ -239,6 +243,9 @@
         if self.is_mesh() {
             return;
         }
+        if self.rounds.neighbours.len() >= self.policy.fanout && now < self.rounds.next_neighbour {
+            return;
+        }
         if now >= self.rounds.next_neighbour {
             self.rounds.next_neighbour =
                 now.after(self.policy.neighbour_lifetime / self.policy.fanout.max(1) as u32);
@@ -246,18 +253,34 @@
                 self.rounds.neighbours.remove(0);
             }
         }
+        let local = self.local_members();
+        let prefers_local = local.len() >= MIN_LOCAL_MEMBERS;
         for _ in 0..2 * self.policy.fanout {
             if self.rounds.neighbours.len() >= self.policy.fanout {
                 break;
             }
-            let index = self.rng.usize(..self.present.len());
-            let Some(chosen) = self.present.iter().nth(index).copied() else { break };
+            let has_remote = self.rounds.neighbours.iter().any(|chosen| !local.contains(chosen));
+            let chosen = match prefers_local && has_remote {
+                true => local.get(self.rng.usize(..local.len())).copied(),
+                false => self.present.iter().nth(self.rng.usize(..self.present.len())).copied(),
+            };
+            let Some(chosen) = chosen else { break };
             if !self.rounds.neighbours.contains(&chosen) {
                 self.rounds.neighbours.push(chosen);
             }
         }
     }
 
+    /// The other members of the own data centre.
+    fn local_members(&self) -> Vec<IncarnationId> {
+        let present = self.present.iter();
+        let is_local = |incarnation: &&IncarnationId| {
+            let record = self.records.get(incarnation);
+            record.is_some_and(|record| record.info.centre == self.own.centre)
+        };
+        present.filter(is_local).copied().collect()
+    }
+
     /// The next watched members in turn; none in a mesh, where all are called anyway.
     fn next_watched(&mut self) -> Vec<SocketAddr> {
         let watched = &self.rounds.watched;
--- a/crates/sagespool-membership/tests/fleet/mod.rs
+++ b/crates/sagespool-membership/tests/fleet/mod.rs
@@ -51,6 +51,8 @@
     pub cut: BTreeSet<(SocketAddr, SocketAddr)>,
     pub now: ClockTime,
     pub exchanges: u64,
+    /// Exchanges between members of different data centres.
+    pub remote_exchanges: u64,
     /// Bytes of all heartbeats and replies; counted only if `size_of` is set.
     pub bytes: u64,
     pub size_of: Option<fn(&Heartbeat) -> usize>,
@@ -66,6 +68,7 @@
             cut: BTreeSet::new(),
             now: ClockTime::from_millis(1000),
             exchanges: 0,
+            remote_exchanges: 0,
             bytes: 0,
             size_of: None,
             policy,
@@ -101,6 +104,8 @@
 
     fn deliver(&mut self, from: SocketAddr, to: SocketAddr, heartbeat: &Heartbeat) {
         self.exchanges += 1;
+        let centre = |address| self.tables.get(&address).map(|table| table.own().centre);
+        self.remote_exchanges += u64::from(centre(from) != centre(to));
         self.count(heartbeat);
         let open = !self.cut.contains(&(from, to)) && !self.paused.contains(&to);
         let peer = self.tables.get(&to).filter(|_| open);
