Start: the fleet's authority is created by its seeds

Cause: on a first start each process that found no authority by the cheap read read it again and many tried to create it (21 reads and 3 writes by 67 gateways of one data centre). Change: processes that are no seeds wait for it by cheap reads, up to 1.6 s in the mean, then do as before, so a fleet whose seeds are all down starts too.

--- a/crates/sagespool-gateway/src/fleet.rs
+++ b/crates/sagespool-gateway/src/fleet.rs
@@ -68,6 +68,11 @@
     pub(crate) fn public_address(&self) -> SocketAddr {
         self.advertise.unwrap_or(self.link)
     }
+
+    /// Whether other processes contact this one first. True if there are no seeds.
+    fn is_seed(&self) -> bool {
+        self.peers.is_empty() || self.peers.contains(&self.public_address())
+    }
 }
 
 /// The known members of the fleet, and the link to them.
@@ -193,7 +198,7 @@
     async fn open_link(&self, store: &ObjectClient, handler: PeerHandler) -> Option<LinkEndpoint> {
         let mut logged = false;
         loop {
-            match create_identity(store, &self.local.instance).await {
+            match create_identity(store, &self.local.instance, self.local.is_seed()).await {
                 Ok(identity) => {
                     return match LinkEndpoint::start(self.local.link, identity, handler) {
                         Ok(endpoint) => Some(endpoint),
--- a/crates/sagespool-gateway/src/identity.rs
+++ b/crates/sagespool-gateway/src/identity.rs
@@ -5,6 +5,7 @@
 //! The first gateway creates it; each run signs its own certificate with it.
 
 use std::fmt;
+use std::time::Duration;
 
 use rcgen::{
     BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
@@ -13,6 +14,7 @@
 use sagespool_link::LinkIdentity;
 use sagespool_platform::{ObjectClient, StoreError};
 use sagespool_types::{InstanceName, StoreRevision, derives};
+use smol::Timer;
 
 const AUTHORITY_KEY: &str = "fleet/authority";
 const AUTHORITY_TITLE: &str = "sagespool fleet authority";
@@ -21,6 +23,9 @@
 /// 12,000, the first gateways of a fleet of 87 processes used 75 MB once all had connected; with
 /// 128, 16 MB.
 const MAX_CONCURRENT_REQUESTS: u32 = 128;
+/// Cheap reads of the authority before a process that is no seed creates one itself.
+const MAX_CACHED_READS: u32 = 4;
+const CACHED_READ_PAUSE: Duration = Duration::from_millis(400);
 /// Peers are addressed by IP address, so any fixed name will do.
 const SERVER_NAME: &str = "sagespool";
 
@@ -56,17 +61,17 @@
     }
 }
 
-/// Creates an identity signed by the fleet's authority, and the authority too if there is none.
+/// Creates an identity signed by the fleet's authority. If there is none, one of the fleet's seeds
+/// creates it; the others do so only if none appears in time.
 pub(crate) async fn create_identity(
     store: &ObjectClient,
     instance: &InstanceName,
+    is_seed: bool,
 ) -> Result<LinkIdentity, CertificateError> {
-    let authority = match read_cached_authority(store).await? {
+    let waited_for = if is_seed { None } else { wait_for_authority(store).await? };
+    let authority = match waited_for {
         Some(authority) => authority,
-        None => match read_authority(store).await? {
-            Some(authority) => authority,
-            None => create_authority(store).await?,
-        },
+        None => find_or_create_authority(store).await?,
     };
     let key = KeyPair::from_pem(&authority.key)?;
     let issuer = Issuer::new(authority_params()?, key);
@@ -78,7 +83,32 @@
     Ok(identity.with_max_concurrent_requests(MAX_CONCURRENT_REQUESTS))
 }
 
-/// Reads the authority by a cheap read, which may not find one that was created just now.
+/// Reads the authority by cheap reads, which may miss one that was created just now, until it is
+/// found. `None` if there is none in time.
+///
+/// Without the wait, each process of a fleet that starts for the first time reads it again, and many
+/// try to create it.
+async fn wait_for_authority(
+    store: &ObjectClient,
+) -> Result<Option<AuthorityRecord>, CertificateError> {
+    for _ in 0..MAX_CACHED_READS {
+        if let Some(authority) = read_cached_authority(store).await? {
+            return Ok(Some(authority));
+        }
+        Timer::after(CACHED_READ_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
+    }
+    Ok(None)
+}
+
+async fn find_or_create_authority(
+    store: &ObjectClient,
+) -> Result<AuthorityRecord, CertificateError> {
+    match read_authority(store).await? {
+        Some(authority) => Ok(authority),
+        None => create_authority(store).await,
+    }
+}
+
 async fn read_cached_authority(
     store: &ObjectClient,
 ) -> Result<Option<AuthorityRecord>, CertificateError> {
