Configuration: a peer's newer version is fetched only if it isn't on its way

Change: where neighbours replicate the store, the fetch waits for the time of one query, and one fetch a version is planned at a time. Elsewhere nothing changes.

--- a/crates/sagespool-gateway/src/peers.rs
+++ b/crates/sagespool-gateway/src/peers.rs
@@ -8,10 +8,11 @@
 use sagespool_link::{PeerCall, PeerHandler, PeerResponder};
 use sagespool_log::log_event;
 use sagespool_messages::{
-    LendReply, LendRequest, MemberInfo, PeerReply, PeerRequest, PlanQuery, PlanReply,
+    FeedKind, LendReply, LendRequest, MemberInfo, PeerReply, PeerRequest, PlanQuery, PlanReply,
 };
 use sagespool_types::{ClockTime, TokenCount};
 use serde_json::value::RawValue;
+use smol::Timer;
 
 use crate::budget::BudgetRequest;
 use crate::crashes::record_report;
@@ -129,12 +130,30 @@
 
 /// Fetches a newer configuration from a gateway that has one. The store may reject this gateway
 /// while it serves others, and operators' changes must still take effect here.
+///
+/// Where neighbours replicate the store, the configuration is usually on its way already: it is
+/// fetched only if it hasn't arrived in the time of one query. Each change crossed the links between
+/// data centres once for a quarter of the gateways.
 fn fetch_newer_plan(state: &Arc<GatewayState>, from: &MemberInfo) {
     if from.config <= state.plan_version() {
         return;
     }
     let (state, from) = (state.clone(), from.clone());
-    smol::spawn(async move { fetch_plan(&state, &from).await }).detach();
+    let Some(timing) = state.feeds.timing(FeedKind::Configuration) else {
+        smol::spawn(async move { fetch_plan(&state, &from).await }).detach();
+        return;
+    };
+    if state.is_plan_awaited(from.config) {
+        return;
+    }
+    smol::spawn(async move {
+        Timer::after(timing.poll_wait).await;
+        if from.config > state.plan_version() {
+            fetch_plan(&state, &from).await;
+        }
+        state.end_plan_wait(from.config);
+    })
+    .detach();
 }
 
 async fn fetch_plan(state: &GatewayState, from: &MemberInfo) {
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -54,6 +54,8 @@
     pub(crate) feeds: FeedRegistry,
     pub(crate) fleet: Arc<FleetClient>,
     plan: RwLock<Option<LoadedPlan>>,
+    /// The newest version of the configuration that is to be fetched from a peer, 0 if there is none.
+    awaited_plan: AtomicU64,
     upstreams: Mutex<UpstreamRegistry>,
     balancer: Mutex<LoadBalancer>,
     retries: Mutex<RetryBudget>,
@@ -122,6 +124,7 @@
             feeds,
             fleet,
             plan: RwLock::default(),
+            awaited_plan: AtomicU64::new(0),
             upstreams: Mutex::default(),
             balancer: Mutex::new(LoadBalancer::new(PlacementPolicy::default())),
             retries: Mutex::new(RetryBudget::new(retry_policy)),
@@ -151,6 +154,19 @@
             .map_or(ConfigVersion::ZERO, |loaded| loaded.index.plan().version)
     }
 
+    /// Whether a fetch of this version of the configuration, or a newer one, is planned already.
+    /// Otherwise one is from now on.
+    pub(crate) fn is_plan_awaited(&self, version: ConfigVersion) -> bool {
+        self.awaited_plan.fetch_max(version.0, Ordering::Relaxed) >= version.0
+    }
+
+    /// Ends the wait for a version of the configuration, so that it may be fetched again.
+    pub(crate) fn end_plan_wait(&self, version: ConfigVersion) {
+        let (ended, relaxed) = (version.0, Ordering::Relaxed);
+        // Fails if a newer version is awaited.
+        let _ = self.awaited_plan.compare_exchange(ended, 0, relaxed, relaxed);
+    }
+
     /// Applies a configuration and returns true, unless the current one is at least as new. Older
     /// versions may arrive late and must not replace newer ones.
     pub(crate) fn apply_plan(&self, index: PlanIndex, document: &str) -> bool {
