First start: older state of the store isn't served by, and restarts don't wait

Cause: a gateway served callers by its first listing, which may be seconds old since starts use cheap reads. The load balancer sends callers to all gateways of a data centre while fewer than half of them are ready. Change: requests are refused (503, come back in 0.3 s) until the list of upstreams is confirmed by a watch or a neighbour. Cheap reads and the wait for neighbours are used only on the fleet's first start (setting first_start); a gateway that restarts reads the present state at once, as before. Also: a removed object that comes with the revision of its last write gets that of the watch, as an unreadable one does; neighbours that have read further would miss the removal.

--- a/crates/sagespool-gateway/src/follow.rs
+++ b/crates/sagespool-gateway/src/follow.rs
@@ -7,7 +7,7 @@
 use sagespool_log::log_event;
 use sagespool_messages::{ChangedObject, FeedKind, FeedReply};
 use sagespool_platform::{ObjectChange, ObjectListing, StoreError, StoredObject};
-use sagespool_types::{ClockTime, StoreRevision, UpstreamName};
+use sagespool_types::{ClockTime, UpstreamName};
 use serde_json::value::RawValue;
 use smol::Timer;
 
@@ -121,8 +121,9 @@
 /// Follows one prefix until cancelled.
 pub(crate) async fn follow(state: &GatewayState, followed: FollowedPrefix) {
     let mut health = StoreHealth::default();
-    // The first listing may be old: the next watch, or a neighbour, returns what has changed since.
-    let mut may_be_stale = true;
+    // On a fleet's first start the first listing may be old: the next watch, or a neighbour, returns
+    // what has changed since. A gateway that restarts among others serves sooner without the detour.
+    let mut may_be_stale = state.settings.first_start;
     loop {
         let result = match may_be_stale {
             true => state.store.list_stale::<Box<RawValue>>(followed.prefix).await,
@@ -254,8 +255,9 @@
             let latest = changes.revision;
             let relevant = changes.changes.into_iter().filter_map(|mut change| {
                 // An object that another writer stored in a wrong format has no revision of its
-                // own.
-                if change.version == StoreRevision::ZERO {
+                // own, and a removed one may have that of its last write. Neighbours that have
+                // read further would miss the change.
+                if change.version <= revision {
                     change.version = latest;
                 }
                 apply(state, followed, change)
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -92,7 +92,7 @@
     started_at: ClockTime,
     log: &mut RequestLog,
 ) -> Result<AdmittedRequest, Refusal> {
-    let index = state.plan().ok_or(Refusal::NoPlan)?;
+    let index = state.plan().filter(|_| state.knows_upstreams()).ok_or(Refusal::NoPlan)?;
     let attributes =
         (state.dialect.read_caller_headers)(&head.headers).map_err(Refusal::BadHeader)?;
     log.request.clone_from(&attributes.request);
--- a/crates/sagespool-gateway/src/refusal.rs
+++ b/crates/sagespool-gateway/src/refusal.rs
@@ -16,7 +16,7 @@
 /// Why a request gets no upstream's response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Refusal {
-    /// No configuration is loaded yet.
+    /// The configuration or the upstreams aren't loaded yet.
     NoPlan,
     /// The request headers are invalid.
     BadHeader(CallerHeaderError),
@@ -157,7 +157,7 @@
 impl fmt::Display for Refusal {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::NoPlan => f.write_str("this instance has no configuration yet"),
+            Self::NoPlan => f.write_str("this instance has just started; nothing ran"),
             Self::BadHeader(fault) => fault.fmt(f),
             Self::NoHost => f.write_str("the request names no host"),
             Self::UnknownRoute => f.write_str("no route of this host begins the path"),
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -327,13 +327,20 @@
         self.closing.is_set() && ClockTime(self.closing_by.load(Ordering::SeqCst)) < deadline
     }
 
-    /// Whether this instance can serve requests: the configuration, the upstreams and the
-    /// evacuations are loaded, and no stop has begun.
+    /// Whether this instance can serve requests: its copies of the store are confirmed, and no stop
+    /// has begun.
     pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.plan().is_some() && self.knows_upstreams()
+    }
+
+    /// Whether the upstreams and the evacuations are known as of a known time.
+    ///
+    /// Guards against requests by an old listing: while too few gateways are ready, the load balancer
+    /// sends callers to all of them. After a kill of all machines a gateway tried 72 upstreams that
+    /// had all been replaced.
+    pub(crate) fn knows_upstreams(&self) -> bool {
         let is_loaded = |kind| self.feeds.replica(kind).is_loaded();
-        !self.is_stopping()
-            && self.plan().is_some()
-            && is_loaded(FeedKind::Upstreams)
+        is_loaded(FeedKind::Upstreams)
             && (!self.follows_evacuations() || is_loaded(FeedKind::Evacuations))
     }
 
--- a/crates/sagespool-settings/src/process/gateway.rs
+++ b/crates/sagespool-settings/src/process/gateway.rs
@@ -45,6 +45,9 @@
     pub regions: BTreeMap<CentreName, RegionName>,
     /// Limits on what all gateways together send to a cold upstream.
     pub warmup: WarmupSettings,
+    /// Whether the whole fleet starts for the first time. Its gateways then have time to read the
+    /// store at a lower price, and to get the rest from each other.
+    pub first_start: bool,
     /// How long a graceful stop may take.
     pub stop_limit: Duration,
     /// Limits on retries at a second upstream, over all gateways.
@@ -266,6 +269,7 @@
     let default_stop = Duration::from_secs_f64(DEFAULT_STOP_S);
     let stop_limit =
         object.or_default("stop_limit_s", default_stop, |node| node.seconds(0.1..=MAX_STOP_S));
+    let first_start = object.or_default("first_start", false, ValueNode::boolean);
     let in_force = object.optional("in_force", |node| node.object(read_propagation));
     let regions = object.or_default("regions", BTreeMap::new(), read_regions);
     let warmup = object.or_default("warmup", DEFAULT_WARMUP, |node| node.object(read_warmup));
@@ -288,6 +292,7 @@
         in_force: in_force?,
         regions: regions?,
         warmup: warmup?,
+        first_start: first_start?,
         stop_limit: stop_limit?,
         retries: retries?,
         grants: grants?,
--- a/crates/sagespool-settings/tests/gateway_settings.rs
+++ b/crates/sagespool-settings/tests/gateway_settings.rs
@@ -70,6 +70,7 @@
         ("\"slack\": 52", "\"slak\": 52", "did you mean `slack`?"),
         ("\"memory_mb\": 110", "\"memory_mb\": 4", "$.limits.memory_mb: found 4"),
         ("\"descriptors\": 4100", "\"descriptors\": -1", "$.limits.descriptors: found -1"),
+        ("\"first_start\": false", "\"first_start\": 1", "$.first_start: found 1"),
         ("\"processor\": 0.19", "\"processor\": 0", "$.limits.processor: found 0"),
         ("\"link_mbps\": 1000", "\"link_mbps\": -1", "$.limits.link_mbps: found -1"),
         ("\"upstreams_ms\": 4000", "\"upstreams_ms\": 0", "$.in_force.upstreams_ms: found 0"),
