Log each broken response with its content

The incident's logs couldn't tell whether a request's contents differ from retry to retry, whether its crashes are reported, or whether a success clears them: a broken stream names no content, and cleared reports leave no line. response-broken names request, content, upstream, cause and events; crashes-cleared says which request cleared a content.

--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -176,6 +176,7 @@
         }
         Err(failure) => {
             if failure == SendFailure::BROKEN {
+                context.log_break(&upstream.name, failure.as_str());
                 context.report_crash(&upstream.name);
             }
             let outcome = match failure {
--- a/crates/sagespool-gateway/src/crashes.rs
+++ b/crates/sagespool-gateway/src/crashes.rs
@@ -91,6 +91,19 @@
         content_of(self.request.attributes.key.as_deref(), &self.head, &self.request.body)
     }
 
+    /// Logs a response that broke, with the content by which reports of it are found.
+    pub(crate) fn log_break(&self, upstream: &UpstreamName, cause: &str) {
+        log_event!(
+            warn,
+            "response-broken",
+            request = self.request.attributes.request,
+            content = self.content(),
+            upstream = upstream,
+            cause = cause,
+            events = self.log.events,
+        );
+    }
+
     /// Records that an upstream's connection broke before the response began, and reports it to the
     /// content's collectors.
     pub(crate) fn report_crash(&self, upstream: &UpstreamName) {
@@ -106,8 +119,20 @@
 
     /// Clears earlier crashes of this content after a complete response.
     pub(crate) fn clear_crashes(&self) {
-        if self.state.crashes.has_reports() {
-            self.state.crashes.tracker.record_success(self.content());
+        if !self.state.crashes.has_reports() {
+            return;
+        }
+        let content = self.content();
+        if self.state.crashes.tracker.is_suspect(content) {
+            let stopped = self.state.crashes.tracker.record_success(content);
+            let request = &self.request.attributes.request;
+            log_event!(
+                info,
+                "crashes-cleared",
+                request = request,
+                content = content,
+                stopped = stopped
+            );
         }
     }
 }
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -304,6 +304,9 @@
     let bytes = match collected {
         Ok(bytes) => bytes,
         Err(failure) => {
+            if let SendFailure::Lost(cause) = failure {
+                context.log_break(&placement.attempt().upstream.name, cause);
+            }
             placement.finish(SendOutcome::Broken, now);
             return Err(failure);
         }
--- a/crates/sagespool-gateway/src/stream.rs
+++ b/crates/sagespool-gateway/src/stream.rs
@@ -136,7 +136,10 @@
             }
             placement.finish(SendOutcome::Answered, now);
         }
-        StreamEnd::Broken => placement.finish(SendOutcome::Broken, now),
+        StreamEnd::Broken => {
+            context.log_break(&placement.attempt().upstream.name, "stream-broken");
+            placement.finish(SendOutcome::Broken, now);
+        }
         StreamEnd::TimeOver | StreamEnd::CallerGone => {
             placement.finish(SendOutcome::Cancelled, now)
         }
