Crashes: a response that breaks after its head is reported too

Cause: report_crash was called only if the connection broke before the response head. An upstream sends the head of a stream as soon as it admits the request, so a crash while it runs breaks the body: relay_one and read_response released the slot and reported nothing.

Evidence: each of the 16 crashes in the incident's logs has one request-ended of the same account and route with status=502 outcome=cut events=0 detail=stream-broken; no crash-reported line has any of their contents, and none has two upstreams. Ruled out as the cause here: differing contents and lost reports, as no report was made at all.

Change: report_break for every break, wherever the response was. This is the class: evidence was taken from one branch of the failure handling only.

--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -176,8 +176,7 @@
         }
         Err(failure) => {
             if failure == SendFailure::BROKEN {
-                context.log_break(&upstream.name, failure.as_str());
-                context.report_crash(&upstream.name);
+                context.report_break(&upstream.name, failure.as_str());
             }
             let outcome = match failure {
                 SendFailure::DispatchBlocked => SendOutcome::Cancelled,
--- a/crates/sagespool-gateway/src/crashes.rs
+++ b/crates/sagespool-gateway/src/crashes.rs
@@ -1,8 +1,8 @@
 //! Quarantine of requests that crash upstreams.
 //!
 //! A request may crash every upstream that runs it, and its caller may retry it at any gateway.
-//! Each gateway reports connections that broke before the response began to two collectors, chosen
-//! by the request's content. When a content has done so at several upstreams, they send its reports
+//! Each gateway reports connections that broke before the response was complete to two collectors,
+//! chosen by the request's content. When a content has done so at several upstreams, they send its reports
 //! to all gateways, which refuse it.
 
 use std::sync::Arc;
@@ -91,28 +91,24 @@
         content_of(self.request.attributes.key.as_deref(), &self.head, &self.request.body)
     }
 
-    /// Logs a response that broke, with the content by which reports of it are found.
-    pub(crate) fn log_break(&self, upstream: &UpstreamName, cause: &str) {
+    /// Records that an upstream's connection broke before the response was complete, and reports it
+    /// to the content's collectors.
+    pub(crate) fn report_break(&self, upstream: &UpstreamName, cause: &str) {
+        let report = CrashReport {
+            content: self.content(),
+            crash: RequestId::random(),
+            upstream: upstream.clone(),
+            attempt: AttemptNumber(self.sends),
+        };
         log_event!(
             warn,
             "response-broken",
             request = self.request.attributes.request,
-            content = self.content(),
+            content = report.content,
             upstream = upstream,
             cause = cause,
             events = self.log.events,
         );
-    }
-
-    /// Records that an upstream's connection broke before the response began, and reports it to the
-    /// content's collectors.
-    pub(crate) fn report_crash(&self, upstream: &UpstreamName) {
-        let report = CrashReport {
-            content: self.content(),
-            crash: RequestId::random(),
-            upstream: upstream.clone(),
-            attempt: AttemptNumber(self.sends),
-        };
         record_report(&self.state, &report, ClockTime::now());
         smol::spawn(send_to_collectors(self.state.clone(), report)).detach();
     }
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -305,7 +305,7 @@
         Ok(bytes) => bytes,
         Err(failure) => {
             if let SendFailure::Lost(cause) = failure {
-                context.log_break(&placement.attempt().upstream.name, cause);
+                context.report_break(&placement.attempt().upstream.name, cause);
             }
             placement.finish(SendOutcome::Broken, now);
             return Err(failure);
--- a/crates/sagespool-gateway/src/stream.rs
+++ b/crates/sagespool-gateway/src/stream.rs
@@ -137,7 +137,7 @@
             placement.finish(SendOutcome::Answered, now);
         }
         StreamEnd::Broken => {
-            context.log_break(&placement.attempt().upstream.name, "stream-broken");
+            context.report_break(&placement.attempt().upstream.name, "stream-broken");
             placement.finish(SendOutcome::Broken, now);
         }
         StreamEnd::TimeOver | StreamEnd::CallerGone => {
