Crashes: the quarantine is asked again when a request is sent

What callers saw: upstreams ended after their request had been quarantined.

Cause: is_quarantined was asked once, at admission. A request that then waited for its budget, for a connection, or for its first attempt's timeout was sent up to its deadline later (8 s).

Change: the moment at which a request is written to a connection is where the quarantine counts, beside the check that its upstream is still eligible. The connection goes back to the pool. A request that hasn't run is refused as quarantined, another one gets 502 as before.

--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -37,6 +37,8 @@
     /// Nothing was written: after it was chosen, the upstream became ineligible, named a limit or
     /// started a backoff.
     DispatchBlocked,
+    /// Nothing was written: the content has been quarantined since the request was admitted.
+    Quarantined,
     /// The upstream rejected the request without running it.
     Rejected,
     /// Another run has the upstream's address; the intended run has ended.
@@ -91,6 +93,7 @@
             Self::NoUpstream(_)
                 | Self::NotSent(_)
                 | Self::DispatchBlocked
+                | Self::Quarantined
                 | Self::Rejected
                 | Self::Misdirected
         )
@@ -105,6 +108,7 @@
             Self::NoUpstream(UnavailableCause::Limited(_)) => "all-limited",
             Self::NotSent(detail) | Self::Lost(detail) => detail,
             Self::DispatchBlocked => "held-back",
+            Self::Quarantined => "quarantined",
             Self::Rejected => "turned-away",
             Self::Misdirected => "misdirected",
             Self::TimedOut => "silent",
@@ -179,7 +183,7 @@
                 context.report_break(&upstream.name, failure.as_str());
             }
             let outcome = match failure {
-                SendFailure::DispatchBlocked => SendOutcome::Cancelled,
+                SendFailure::DispatchBlocked | SendFailure::Quarantined => SendOutcome::Cancelled,
                 _ => SendOutcome::Broken,
             };
             placement.finish(outcome, now);
@@ -263,6 +267,10 @@
         },
     };
     let now = ClockTime::now();
+    if context.is_quarantined() {
+        context.state.pool.keep(&upstream.name, connection, now);
+        return Err(SendFailure::Quarantined);
+    }
     if !confirm_dispatch(&context.state, placement.attempt(), now) {
         context.state.pool.keep(&upstream.name, connection, now);
         return Err(SendFailure::DispatchBlocked);
--- a/crates/sagespool-gateway/src/crashes.rs
+++ b/crates/sagespool-gateway/src/crashes.rs
@@ -91,6 +91,11 @@
         content_of(self.request.attributes.key.as_deref(), &self.head, &self.request.body)
     }
 
+    /// Whether its content has been quarantined, perhaps since it was admitted.
+    pub(crate) fn is_quarantined(&self) -> bool {
+        self.state.crashes.is_quarantined(|| self.content())
+    }
+
     /// Records that an upstream's connection broke before the response was complete, and reports it
     /// to the content's collectors.
     pub(crate) fn report_break(&self, upstream: &UpstreamName, cause: &str) {
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -256,7 +256,8 @@
 
 /// Whether a request whose last attempt failed may be sent to another upstream.
 pub(crate) fn may_retry(context: &RequestContext, failure: SendFailure, now: ClockTime) -> bool {
-    if matches!(failure, SendFailure::NoUpstream(_)) || context.time_left(now) < MIN_TIME_LEFT {
+    let is_final = matches!(failure, SendFailure::NoUpstream(_) | SendFailure::Quarantined);
+    if is_final || context.time_left(now) < MIN_TIME_LEFT {
         return false;
     }
     if !failure.did_not_run() && !context.is_idempotent() {
@@ -278,6 +279,7 @@
     let refusal = match failure {
         SendFailure::TimedOut => Refusal::TimedOut,
         _ if context.may_have_run => Refusal::Failed,
+        SendFailure::Quarantined => Refusal::Quarantined,
         SendFailure::Rejected => Refusal::UpstreamsBusy,
         SendFailure::NoUpstream(UnavailableCause::Evacuated) => Refusal::Evacuated,
         SendFailure::NoUpstream(UnavailableCause::Limited(delay)) => Refusal::Limited(delay),
