Crashes: reports count by their evidence, and a success withdraws them everywhere

What callers saw: a harmless request whose responses were lost now and then was refused by all gateways but the one that had served it.

Cause: each broken connection counted as a crash, the collectors added them up for an hour, and a success cleared them at its own gateway only. A complete 5xx cleared them too. With breaks after the head counted, there are more of them.

Evidence: lost_responses_are_harmless (every other response lost): refused at the second gateway before.

Change: - After a break the gateway opens a connection to the upstream. Refused: its process has ended, the report has the weight of a crash, unless most upstreams refuse (then it's this gateway's network). Accepted: the weight is the logarithm of how often responses of other contents break here; the connection takes the broken one's place in the pool. - An upstream counts once for a content unless it crashed again. A suspect content runs on an upstream where it hasn't broken, if there is one. - A success withdraws all of its content's reports at the collectors. - A gateway sends its collectors all reports that it knows and learns theirs, so that neither a lost collector nor differing views of the fleet lose the count; a failed call is repeated once. - A failed attempt waits for the verdict, 50 ms at most, so that neither the retry nor the caller's next request is ahead of it.

--- a/crates/sagespool-claims/src/crash.rs
+++ b/crates/sagespool-claims/src/crash.rs
@@ -5,19 +5,24 @@
 use std::time::Duration;
 
 use bon::Builder;
-use sagespool_messages::{CrashReport, QuarantineNotice};
-use sagespool_types::{ClockTime, ContentDigest, UpstreamName};
+use sagespool_messages::{ContentCrashes, CrashReport};
+use sagespool_types::{ClockTime, ContentDigest, CrashWeight, UpstreamName};
 
 use crate::quarantine::{CrashNote, QuarantineRecord};
 
+/// Maximum number of notes of one content that are remembered as cleared. They only have to outlive
+/// reports on their way.
+const MAX_CLEARED_NOTES: usize = 64;
+
 /// When a content is stopped. A content is a request's target and body.
 #[derive(Debug, Clone, PartialEq, Builder)]
 pub struct CrashPolicy {
-    /// Number of crashes with the content in flight that stop it.
+    /// Number of crashes with the content in flight that stop it. Reports count by their weight.
     #[builder(default = 2)]
     pub stop_at: usize,
     /// Reports of one upstream by different requests within this time count as one crash,
-    /// because several callers may send the same content at once.
+    /// because several callers may send the same content at once. Later ones count if they have
+    /// their full weight: the upstream has crashed, so it has been started again since.
     #[builder(default = Duration::from_secs(2))]
     pub crash_window: Duration,
     /// Time for which a content stays suspected after a crash with it in flight.
@@ -28,6 +33,12 @@
     pub max_suspects: usize,
 }
 
+impl CrashPolicy {
+    fn stop_weight(&self) -> CrashWeight {
+        CrashWeight::of_crashes(self.stop_at)
+    }
+}
+
 impl Default for CrashPolicy {
     fn default() -> Self {
         Self::builder().build()
@@ -48,6 +59,18 @@
     AlreadyStopped,
 }
 
+impl CrashVerdict {
+    /// The name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Repeated => "repeated",
+            Self::Suspected => "suspected",
+            Self::Stopped => "stopped",
+            Self::AlreadyStopped => "already-stopped",
+        }
+    }
+}
+
 /// A suspected or stopped content, for operators.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SuspectContent {
@@ -77,12 +100,29 @@
         self.crashes.iter().map(|(note, _)| note.clone()).collect()
     }
 
-    /// True if a report is of a crash that another request has reported before.
-    fn is_known_crash(&self, note: &CrashNote, window: Duration, now: ClockTime) -> bool {
-        self.crashes.iter().any(|(known, at)| {
-            let other_request = known.request != note.request;
-            other_request && known.upstream == note.upstream && now.since(*at) < window
-        })
+    /// The crash that another request has reported before, if a report is of the same one.
+    fn find_known_crash(
+        &mut self,
+        note: &CrashNote,
+        window: Duration,
+        now: ClockTime,
+    ) -> Option<&mut CrashNote> {
+        let known = self.crashes.iter_mut().find(|(known, at)| {
+            let is_recent = now.since(*at) < window || note.weight < CrashWeight::FULL;
+            known.request != note.request && known.upstream == note.upstream && is_recent
+        });
+        known.map(|(known, _)| known)
+    }
+
+    fn weight(&self) -> CrashWeight {
+        self.crashes.iter().map(|(note, _)| note.weight).sum()
+    }
+
+    /// Removes notes that no longer count.
+    fn remove_cleared(&mut self, cleared: &BTreeSet<CrashNote>, policy: &CrashPolicy) {
+        self.notes.retain(|note| !cleared.contains(note));
+        self.crashes.retain(|(note, _)| !cleared.contains(note));
+        self.stopped &= self.weight() >= policy.stop_weight();
     }
 }
 
@@ -141,22 +181,57 @@
             return CrashVerdict::Repeated;
         }
         record.last_report_at = now;
-        if record.is_known_crash(&note, self.policy.crash_window, now) {
-            return CrashVerdict::Repeated;
+        match record.find_known_crash(&note, self.policy.crash_window, now) {
+            Some(known) if known.weight >= note.weight => return CrashVerdict::Repeated,
+            Some(known) => *known = note,
+            None => record.crashes.push((note, now)),
         }
-        record.crashes.push((note, now));
         if record.stopped {
             return CrashVerdict::AlreadyStopped;
         }
-        record.stopped = record.crashes.len() >= self.policy.stop_at;
+        record.stopped = record.weight() >= self.policy.stop_weight();
         if record.stopped { CrashVerdict::Stopped } else { CrashVerdict::Suspected }
     }
 
     /// Stops a content by the reports of its crashes, whenever they arrive. False if too few of them
     /// count here, because a run has succeeded since.
-    pub fn stop(&self, notice: &QuarantineNotice, now: ClockTime) -> bool {
-        let crashes = notice.reports.iter().map(CrashNote::of).collect();
-        self.state().apply_stopped(notice.content, &crashes, &self.policy, now)
+    pub fn stop(&self, stopped: &ContentCrashes, now: ClockTime) -> bool {
+        let crashes = stopped.reports.iter().map(CrashNote::of).collect();
+        self.state().apply_stopped(stopped.content, &crashes, &self.policy, now)
+    }
+
+    /// Makes crashes no longer count, since a run of their content has succeeded elsewhere. True if
+    /// the content was stopped by them.
+    pub fn withdraw(&self, withdrawn: &ContentCrashes) -> bool {
+        let notes: BTreeSet<CrashNote> = withdrawn.reports.iter().map(CrashNote::of).collect();
+        let mut state = self.state();
+        state.add_cleared(withdrawn.content, &notes);
+        let Some(record) = state.records.get_mut(&withdrawn.content) else { return false };
+        let was_stopped = record.stopped;
+        record.remove_cleared(&notes, &self.policy);
+        let is_stopped = record.stopped;
+        if record.crashes.is_empty() {
+            state.records.remove(&withdrawn.content);
+        }
+        was_stopped && !is_stopped
+    }
+
+    /// What is known of a content's crashes.
+    pub fn crashes_of(&self, content: ContentDigest) -> ContentCrashes {
+        let state = self.state();
+        let crashes = state.records.get(&content).into_iter().flat_map(|record| &record.crashes);
+        let reports = crashes.map(|(note, _)| note.to_report(content)).collect();
+        ContentCrashes { content, reports }
+    }
+
+    /// The number of suspected and stopped contents.
+    pub fn count(&self) -> usize {
+        self.state().records.len()
+    }
+
+    /// The number of stopped contents.
+    pub fn count_stopped(&self) -> usize {
+        self.state().records.values().filter(|record| record.stopped).count()
     }
 
     /// True if a content must not run anywhere.
@@ -216,7 +291,7 @@
     fn clear(&self, content: ContentDigest) -> bool {
         let mut state = self.state();
         let Some(record) = state.records.remove(&content) else { return false };
-        state.cleared.entry(content).or_default().extend(record.notes);
+        state.add_cleared(content, &record.notes);
         record.stopped
     }
 
@@ -257,6 +332,16 @@
 }
 
 impl CrashState {
+    fn add_cleared(&mut self, content: ContentDigest, notes: &BTreeSet<CrashNote>) {
+        let cleared = self.cleared.entry(content).or_default();
+        cleared.extend(notes.iter().cloned());
+        while cleared.len() > MAX_CLEARED_NOTES {
+            let superfluous = cleared.iter().find(|note| !notes.contains(note)).cloned();
+            let Some(superfluous) = superfluous else { break };
+            cleared.remove(&superfluous);
+        }
+    }
+
     fn evict(&mut self, policy: &CrashPolicy, now: ClockTime) {
         let keep = |record: &CrashRecord| {
             record.stopped || now.since(record.last_report_at) < policy.suspicion_duration
@@ -283,12 +368,17 @@
     ) -> bool {
         let cleared = self.cleared.get(&content);
         let counts = |note: &&CrashNote| cleared.is_none_or(|notes| !notes.contains(note));
-        if crashes.iter().filter(counts).count() < policy.stop_at {
+        let weight: CrashWeight = crashes.iter().filter(counts).map(|note| note.weight).sum();
+        if weight < policy.stop_weight() {
             return false;
         }
         let record = self.records.entry(content).or_default();
         record.notes.extend(crashes.iter().cloned());
-        record.crashes.extend(crashes.iter().map(|note| (note.clone(), now)));
+        for note in crashes {
+            if !record.crashes.iter().any(|(known, _)| known == note) {
+                record.crashes.push((note.clone(), now));
+            }
+        }
         record.stopped = true;
         record.stored = true;
         record.last_report_at = now;
@@ -296,8 +386,8 @@
     }
 
     fn apply_lifted(&mut self, content: ContentDigest, crashes: &BTreeSet<CrashNote>) {
+        self.add_cleared(content, crashes);
         let cleared = self.cleared.entry(content).or_default();
-        cleared.extend(crashes.iter().cloned());
         let counts = |record: &CrashRecord| !record.notes.is_subset(cleared);
         if !self.records.get(&content).is_some_and(counts) {
             self.records.remove(&content);
--- a/crates/sagespool-claims/src/lib.rs
+++ b/crates/sagespool-claims/src/lib.rs
@@ -42,6 +42,7 @@
 
 mod aged;
 mod batch;
+mod break_rate;
 mod crash;
 mod entry;
 mod key_lookup;
@@ -53,6 +54,7 @@
 
 pub use aged::{AgedClaims, FingerprintSet};
 pub use batch::{BatchPolicy, ClaimBatch, ClaimResult, ClaimVerdict};
+pub use break_rate::BreakRate;
 pub use crash::{CrashPolicy, CrashTracker, CrashVerdict, SuspectContent};
 pub use entry::{ClaimEntry, ClaimIntent, FencedClaim};
 pub use key_lookup::{KeyLookup, LookupOutcome};
--- a/crates/sagespool-claims/src/quarantine.rs
+++ b/crates/sagespool-claims/src/quarantine.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use sagespool_messages::CrashReport;
-use sagespool_types::{AttemptNumber, ContentDigest, RequestId, UpstreamName, WallTime, derives};
+use sagespool_types::{
+    AttemptNumber, ContentDigest, CrashWeight, RequestId, UpstreamName, WallTime, derives,
+};
 
 /// The store's key of the record.
 pub const QUARANTINE_KEY: &str = "quarantine";
@@ -21,13 +23,37 @@
         pub attempt: AttemptNumber,
         /// The upstream that crashed.
         pub upstream: UpstreamName,
+        /// How much it counts.
+        #[serde(default = "full_weight")]
+        pub weight: CrashWeight,
     }
 }
 
+/// The weight of a note that was stored without one.
+fn full_weight() -> CrashWeight {
+    CrashWeight::FULL
+}
+
 impl CrashNote {
     /// The note of a received report.
     pub fn of(report: &CrashReport) -> Self {
-        Self { request: report.crash, attempt: report.attempt, upstream: report.upstream.clone() }
+        Self {
+            request: report.crash,
+            attempt: report.attempt,
+            upstream: report.upstream.clone(),
+            weight: report.weight,
+        }
+    }
+
+    /// The report of a note of a content's crash.
+    pub fn to_report(&self, content: ContentDigest) -> CrashReport {
+        CrashReport {
+            content,
+            crash: self.request,
+            upstream: self.upstream.clone(),
+            attempt: self.attempt,
+            weight: self.weight,
+        }
     }
 }
 
--- a/crates/sagespool-claims/tests/crash_tracker.rs
+++ b/crates/sagespool-claims/tests/crash_tracker.rs
@@ -4,7 +4,7 @@
 
 use sagespool_claims::{CrashTracker, CrashVerdict, QuarantineRecord, StopOutcome};
 use sagespool_messages::CrashReport;
-use sagespool_types::{AttemptNumber, ClockTime, ContentDigest, RequestId, WallTime};
+use sagespool_types::{AttemptNumber, ClockTime, ContentDigest, CrashWeight, RequestId, WallTime};
 
 const CRASHING: ContentDigest = ContentDigest(66);
 const WALL: WallTime = WallTime(1_700_000_000_000);
@@ -15,6 +15,7 @@
         crash: RequestId(request),
         upstream: format!("core-{upstream}").parse().expect("a valid name"),
         attempt: AttemptNumber(1),
+        weight: CrashWeight::FULL,
     }
 }
 
--- a/crates/sagespool-daemon/tests/doubt_releases.rs
+++ b/crates/sagespool-daemon/tests/doubt_releases.rs
@@ -9,8 +9,8 @@
 use sagespool_ledger::GrantRecord;
 use sagespool_operations::{AnswerBody, OutcomeState};
 use sagespool_types::{
-    AttemptNumber, BranchName, ContentDigest, GrantId, IncarnationId, RequestId, StoreRevision,
-    TokenCount, WallTime,
+    AttemptNumber, BranchName, ContentDigest, CrashWeight, GrantId, IncarnationId, RequestId,
+    StoreRevision, TokenCount, WallTime,
 };
 
 /// Tokens are in doubt because a sidecar was lost. They count as spent, the answer to `spend` lists
@@ -60,6 +60,7 @@
             request: RequestId(number),
             attempt: AttemptNumber(1),
             upstream: "engines-1".parse().unwrap(),
+            weight: CrashWeight::FULL,
         };
         record.stop(content, &[note(1), note(2)].into(), WallTime(5));
         harness.fleet.objects.put(QUARANTINE_KEY, StoreRevision::ZERO, &record).await.unwrap();
--- a/crates/sagespool-entry/src/peers.rs
+++ b/crates/sagespool-entry/src/peers.rs
@@ -97,7 +97,11 @@
         | PeerRequest::CallStore(_)
         | PeerRequest::Follow(_)
         | PeerRequest::AskLimits(_)
-        | PeerRequest::Quarantine(_) => PeerReply::Unsupported("this process is an entry".into()),
+        | PeerRequest::Quarantine(_)
+        | PeerRequest::ReportCrashes(_)
+        | PeerRequest::WithdrawCrashes(_) => {
+            PeerReply::Unsupported("this process is an entry".into())
+        }
     }
 }
 
--- a/crates/sagespool-entry/src/run/next_step.rs
+++ b/crates/sagespool-entry/src/run/next_step.rs
@@ -5,7 +5,7 @@
 use sagespool_log::log_event;
 use sagespool_messages::{ChargeRecord, CrashReport, DispatchEnd, RefusalNotice};
 use sagespool_routing::{AttemptOutcome, AttemptResult, UpstreamPlacement};
-use sagespool_types::{ClockTime, RefusalReason, RequestId, RunState, TokenCount};
+use sagespool_types::{ClockTime, CrashWeight, RefusalReason, RequestId, RunState, TokenCount};
 
 use super::attempt::{AttemptEnd, AttemptRun, DispatchOutcome};
 
@@ -197,6 +197,7 @@
             crash: RequestId(self.spec.request.0 ^ u128::from(self.attempt.0)),
             upstream: placement.upstream.clone(),
             attempt: self.attempt,
+            weight: CrashWeight::FULL,
         };
         crate::home::broadcast_crash(self.state, &report).await;
     }
--- a/crates/sagespool-forward/src/registry.rs
+++ b/crates/sagespool-forward/src/registry.rs
@@ -352,6 +352,11 @@
         self.evacuated.iter()
     }
 
+    /// The number of listed upstreams.
+    pub fn count(&self) -> usize {
+        self.entries.len()
+    }
+
     /// An upstream's record, if it is still kept.
     pub fn get(&self, name: &UpstreamName) -> Option<&UpstreamRecord> {
         self.entries.get(name).map(|entry| &entry.record)
--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -11,7 +11,7 @@
 use sagespool_forward::{PlacedAttempt, RequestProfile, SendOutcome};
 use sagespool_link::within;
 use sagespool_log::log_event;
-use sagespool_types::ClockTime;
+use sagespool_types::{ClockTime, UpstreamName};
 
 use crate::context::RequestContext;
 use crate::dialect::{ResponseMetadata, UpstreamRequestTerms};
@@ -165,7 +165,13 @@
     timeout: Duration,
 ) -> Result<OpenResponse, SendFailure> {
     let now = ClockTime::now();
-    let placement = choose_upstream(context, now).map_err(SendFailure::NoUpstream)?;
+    let suspect_upstreams = context.suspect_upstreams();
+    let placement = match choose_upstream(context, &suspect_upstreams, now) {
+        // The upstreams on which the content broke are better than none.
+        Err(_) if !suspect_upstreams.is_empty() => choose_upstream(context, &[], now),
+        placement => placement,
+    };
+    let placement = placement.map_err(SendFailure::NoUpstream)?;
     let upstream = placement.attempt().upstream.clone();
     context.tried.push(upstream.run());
     context.log.upstream = Some(upstream.name.clone());
@@ -179,14 +185,14 @@
             }
         }
         Err(failure) => {
-            if failure == SendFailure::BROKEN {
-                context.report_break(&upstream.name, failure.as_str());
-            }
             let outcome = match failure {
                 SendFailure::DispatchBlocked | SendFailure::Quarantined => SendOutcome::Cancelled,
                 _ => SendOutcome::Broken,
             };
             placement.finish(outcome, now);
+            if failure == SendFailure::BROKEN {
+                context.report_break(&upstream, failure.as_str(), now).await;
+            }
             failure
         }
     };
@@ -213,9 +219,10 @@
     Err(failure)
 }
 
-/// Chooses the eligible upstream with the lowest expected latency.
+/// Chooses the eligible upstream with the lowest expected latency, without the avoided ones.
 fn choose_upstream(
     context: &RequestContext,
+    avoided: &[UpstreamName],
     now: ClockTime,
 ) -> Result<PlacementGuard, UnavailableCause> {
     let state = &context.state;
@@ -236,6 +243,9 @@
         false => UnavailableCause::None,
     };
     let ready = upstreams.ready(&context.request.service).filter(|record| {
+        if avoided.contains(&record.name) {
+            return false;
+        }
         if !context.may_run_in(&record.centre) {
             cause = UnavailableCause::AwayFromHome;
             return false;
@@ -275,6 +285,7 @@
         context.state.pool.keep(&upstream.name, connection, now);
         return Err(SendFailure::DispatchBlocked);
     }
+    context.state.crashes.note_send(now);
     context.state.metrics.record_send(connection.requests_sent == 0);
     connection.requests_sent += 1;
     let request = build_request(context, placement, now);
--- a/crates/sagespool-gateway/src/context.rs
+++ b/crates/sagespool-gateway/src/context.rs
@@ -1,7 +1,7 @@
 //! The state of one request in the pipeline.
 
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use hyper::body::Bytes;
@@ -10,7 +10,9 @@
     AllowedRegions, ForwardRoute, PlanIndex, RepeatRule, RequestAttributes, UpstreamRun,
 };
 use sagespool_log::log_event;
-use sagespool_types::{BranchName, CentreName, ClockTime, ServiceName, TokenCount, UpstreamName};
+use sagespool_types::{
+    BranchName, CentreName, ClockTime, ContentDigest, ServiceName, TokenCount, UpstreamName,
+};
 
 use crate::admission::RequestPermit;
 use crate::budget::Reservation;
@@ -49,6 +51,8 @@
     pub(crate) may_have_run: bool,
     /// The ID of the last event forwarded to the caller.
     pub(crate) last_event: Option<u64>,
+    /// The digest that identifies equal requests, once it is needed.
+    pub(crate) content: OnceLock<ContentDigest>,
     pub(crate) log: RequestLog,
 }
 
--- a/crates/sagespool-gateway/src/crashes.rs
+++ b/crates/sagespool-gateway/src/crashes.rs
@@ -1,27 +1,48 @@
 //! Quarantine of requests that crash upstreams.
 //!
 //! A request may crash every upstream that runs it, and its caller may retry it at any gateway.
-//! Each gateway reports connections that broke before the response was complete to two collectors,
-//! chosen by the request's content. When a content has done so at several upstreams, they send its reports
-//! to all gateways, which refuse it.
+//! Each gateway reports responses that broke to two collectors, chosen by the request's content, with
+//! the weight of the [evidence]. When a content's reports reach the weight of three crashes, all
+//! gateways refuse it. A run that succeeds withdraws the reports of its content.
+
+mod evidence;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use async_channel::{Sender, bounded};
 use futures_util::future::join_all;
-use sagespool_claims::{CrashNote, CrashPolicy, CrashTracker, CrashVerdict};
+use sagespool_claims::{CrashPolicy, CrashTracker, CrashVerdict};
+use sagespool_forward::UpstreamRecord;
+use sagespool_link::within;
 use sagespool_log::log_event;
-use sagespool_messages::{CrashReport, MemberInfo, MemberRole, PeerRequest, QuarantineNotice};
-use sagespool_types::{AttemptNumber, ClockTime, ContentDigest, RequestId, UpstreamName};
+use sagespool_messages::{
+    ContentCrashes, CrashReport, MemberInfo, MemberRole, PeerReply, PeerRequest,
+};
+use sagespool_types::{
+    AttemptNumber, ClockTime, ContentDigest, CrashWeight, RequestId, UpstreamName,
+};
+use smol::Timer;
 
 use crate::context::RequestContext;
 use crate::state::GatewayState;
+use evidence::{BreakEvidence, examine};
 
 /// Crashes until a content is refused. A lost response looks like a crash, and the caller's retry
 /// may lose its response too, so two aren't sufficient evidence.
 const CRASHES_TO_QUARANTINE: usize = 3;
+/// Maximum number of contents kept: 2,000 of about 500 bytes are 1 MB.
+const MAX_SUSPECTS: usize = 2000;
+/// Lighter reports aren't sent: where that many responses break, those of one content at several
+/// gateways say nothing.
+const MIN_REPORTED_WEIGHT: CrashWeight = CrashWeight(250);
+/// Longest time for which a failed attempt waits for the examination of its upstream, so that neither
+/// a retry nor its caller's next request is ahead of the verdict.
+const EXAMINATION_WAIT: Duration = Duration::from_millis(50);
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+const REPORT_TRIES: usize = 2;
+const RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Gateways that collect the reports of a content.
 const COLLECTORS: usize = 2;
 /// Gateways to which the reports of a quarantined content are sent at the same time.
@@ -30,65 +51,101 @@
 /// Crash reports of this gateway and of others, by request content.
 pub(crate) struct CrashReports {
     tracker: CrashTracker,
-    /// Number of reports. While it is zero, requests' contents aren't hashed.
-    reports: AtomicUsize,
+    evidence: BreakEvidence,
+    /// Number of contents with a report or a break under examination. While it is zero, requests'
+    /// contents aren't hashed.
+    watched: AtomicUsize,
 }
 
 impl CrashReports {
     pub(crate) fn new() -> Self {
-        let policy = CrashPolicy::builder().stop_at(CRASHES_TO_QUARANTINE).build();
-        Self { tracker: CrashTracker::with_policy(policy), reports: AtomicUsize::new(0) }
+        let policy = CrashPolicy::builder().stop_at(CRASHES_TO_QUARANTINE);
+        let tracker = CrashTracker::with_policy(policy.max_suspects(MAX_SUSPECTS).build());
+        Self { tracker, evidence: BreakEvidence::default(), watched: AtomicUsize::new(0) }
     }
 
-    fn has_reports(&self) -> bool {
-        self.reports.load(Ordering::Relaxed) > 0
+    fn is_watching(&self) -> bool {
+        self.watched.load(Ordering::Relaxed) > 0
     }
 
     /// Whether a content is refused.
     pub(crate) fn is_quarantined(&self, content: impl FnOnce() -> ContentDigest) -> bool {
-        self.has_reports() && self.tracker.is_stopped(content())
+        self.is_watching() && self.tracker.is_stopped(content())
+    }
+
+    /// The number of contents that are refused.
+    pub(crate) fn count_quarantined(&self) -> usize {
+        self.tracker.count_stopped()
+    }
+
+    /// Counts a request sent to an upstream.
+    pub(crate) fn note_send(&self, now: ClockTime) {
+        self.evidence.note_send(now);
+    }
+
+    fn refresh_watched(&self) {
+        let count = self.tracker.count() + self.evidence.count();
+        self.watched.store(count, Ordering::Relaxed);
     }
 
     /// Records a report of this gateway or another one. True if it quarantines the content.
     fn record(&self, report: &CrashReport, now: ClockTime) -> bool {
-        self.reports.fetch_add(1, Ordering::Relaxed);
         let verdict = self.tracker.record(report, now);
+        self.refresh_watched();
         log_event!(
             info,
             "crash-reported",
             content = report.content,
             upstream = report.upstream,
-            stopped = matches!(verdict, CrashVerdict::Stopped | CrashVerdict::AlreadyStopped),
+            weight = report.weight,
+            verdict = verdict.as_str(),
         );
         verdict == CrashVerdict::Stopped
     }
 
-    /// Quarantines a content by a collector's notice.
-    pub(crate) fn apply_notice(&self, notice: &QuarantineNotice, now: ClockTime) {
-        self.reports.fetch_add(1, Ordering::Relaxed);
+    /// Records all reports that another gateway knows. True if they quarantine the content.
+    fn merge(&self, known: &ContentCrashes, now: ClockTime) -> bool {
+        let before = self.tracker.crashes_of(known.content);
+        let fresh = known.reports.iter().filter(|report| !before.reports.contains(report));
+        let verdicts: Vec<bool> = fresh.map(|report| self.record(report, now)).collect();
+        verdicts.contains(&true)
+    }
+
+    /// Quarantines a content by another gateway's notice.
+    pub(crate) fn apply_notice(&self, notice: &ContentCrashes, now: ClockTime) {
         let stopped = self.tracker.stop(notice, now);
+        self.refresh_watched();
         log_event!(info, "content-quarantined", content = notice.content, stopped = stopped);
     }
 
-    /// The notice of a quarantined content.
-    fn notice_of(&self, content: ContentDigest) -> QuarantineNotice {
-        let suspects = self.tracker.list();
-        let suspect = suspects.into_iter().find(|suspect| suspect.content == content);
-        let notes = suspect.into_iter().flat_map(|suspect| suspect.crashes);
-        let report = |note: CrashNote| CrashReport {
-            content,
-            crash: note.request,
-            upstream: note.upstream,
-            attempt: note.attempt,
-        };
-        QuarantineNotice { content, reports: notes.map(report).collect() }
+    /// Withdraws reports, since a run of their content has succeeded at another gateway.
+    pub(crate) fn withdraw(&self, withdrawn: &ContentCrashes) {
+        let lifted = self.tracker.withdraw(withdrawn);
+        self.refresh_watched();
+        log_event!(
+            info,
+            "crashes-withdrawn",
+            content = withdrawn.content,
+            reports = withdrawn.reports.len(),
+            lifted = lifted,
+        );
     }
 }
 
+/// A response that broke before it was complete.
+struct BrokenResponse {
+    content: ContentDigest,
+    upstream: UpstreamRecord,
+    attempt: AttemptNumber,
+    broke_at: ClockTime,
+}
+
 impl RequestContext {
     /// Identifies equal requests across all gateways.
     pub(crate) fn content(&self) -> ContentDigest {
-        content_of(self.request.attributes.key.as_deref(), &self.head, &self.request.body)
+        *self.content.get_or_init(|| {
+            content_of(self.request.attributes.key.as_deref(), &self.head, &self.request.body)
+        })
     }
 
     /// Whether its content has been quarantined, perhaps since it was admitted.
@@ -96,45 +153,70 @@
         self.state.crashes.is_quarantined(|| self.content())
     }
 
-    /// Records that an upstream's connection broke before the response was complete, and reports it
-    /// to the content's collectors.
-    pub(crate) fn report_break(&self, upstream: &UpstreamName, cause: &str) {
-        let report = CrashReport {
+    /// The upstreams on which its content broke. Another break on one of them says nothing about the
+    /// content that isn't known, and a success elsewhere clears it.
+    pub(crate) fn suspect_upstreams(&self) -> Vec<UpstreamName> {
+        if !self.state.crashes.is_watching() {
+            return Vec::new();
+        }
+        let known = self.state.crashes.tracker.crashes_of(self.content());
+        known.reports.into_iter().map(|report| report.upstream).collect()
+    }
+
+    /// Records that an upstream's connection broke before the response was complete. If it may be the
+    /// content's fault, it is reported to the content's collectors. Returns when it is recorded here,
+    /// or after [`EXAMINATION_WAIT`].
+    pub(crate) async fn report_break(
+        &self,
+        upstream: &UpstreamRecord,
+        cause: &str,
+        now: ClockTime,
+    ) {
+        let broken = BrokenResponse {
             content: self.content(),
-            crash: RequestId::random(),
             upstream: upstream.clone(),
             attempt: AttemptNumber(self.sends),
+            broke_at: now,
         };
         log_event!(
             warn,
             "response-broken",
             request = self.request.attributes.request,
-            content = report.content,
-            upstream = upstream,
+            content = broken.content,
+            upstream = upstream.name,
             cause = cause,
             events = self.log.events,
         );
-        record_report(&self.state, &report, ClockTime::now());
-        smol::spawn(send_to_collectors(self.state.clone(), report)).detach();
+        self.state.crashes.evidence.begin(broken.content);
+        self.state.crashes.refresh_watched();
+        let (recorded, wait) = bounded(1);
+        smol::spawn(report_broken(self.state.clone(), broken, recorded)).detach();
+        let _ = within(EXAMINATION_WAIT, wait.recv()).await;
     }
 
-    /// Clears earlier crashes of this content after a complete response.
-    pub(crate) fn clear_crashes(&self) {
-        if !self.state.crashes.has_reports() {
+    /// Withdraws the reports of this content after a run that succeeded.
+    pub(crate) fn clear_crashes(&self, now: ClockTime) {
+        let crashes = &self.state.crashes;
+        if !crashes.is_watching() {
             return;
         }
         let content = self.content();
-        if self.state.crashes.tracker.is_suspect(content) {
-            let stopped = self.state.crashes.tracker.record_success(content);
-            let request = &self.request.attributes.request;
-            log_event!(
-                info,
-                "crashes-cleared",
-                request = request,
-                content = content,
-                stopped = stopped
-            );
+        crashes.evidence.note_success(content, now);
+        let known = crashes.tracker.crashes_of(content);
+        if known.reports.is_empty() {
+            return;
         }
+        let stopped = crashes.tracker.record_success(content);
+        crashes.refresh_watched();
+        log_event!(
+            info,
+            "crashes-cleared",
+            request = self.request.attributes.request,
+            content = content,
+            reports = known.reports.len(),
+            stopped = stopped,
+        );
+        smol::spawn(send_withdrawal(self.state.clone(), known)).detach();
     }
 }
 
@@ -148,47 +230,102 @@
     ContentDigest::of(&target, body)
 }
 
-/// Records a report. If it quarantines the content and this gateway is one of its collectors, all
-/// other gateways get the content's reports.
+/// Weighs a broken response and reports it; drops `recorded` once it counts here.
+async fn report_broken(state: Arc<GatewayState>, broken: BrokenResponse, recorded: Sender<()>) {
+    let BrokenResponse { content, upstream, attempt, broke_at } = broken;
+    let finding = examine(&state, &upstream).await;
+    let now = ClockTime::now();
+    let succeeded = state.crashes.evidence.end(content, broke_at);
+    let known = state.upstreams().count();
+    let weight = state.crashes.evidence.weigh(content, &upstream.name, finding, known, now);
+    state.crashes.refresh_watched();
+    state.metrics.count_break(finding.as_str());
+    log_event!(
+        info,
+        "break-examined",
+        content = content,
+        upstream = upstream.name,
+        finding = finding.as_str(),
+        weight = weight,
+        succeeded = succeeded,
+    );
+    if succeeded {
+        return;
+    }
+    let crash = RequestId::random();
+    let report = CrashReport { content, crash, upstream: upstream.name, attempt, weight };
+    if state.crashes.record(&report, now) {
+        smol::spawn(announce(state.clone(), content)).detach();
+    }
+    drop(recorded);
+    if weight >= MIN_REPORTED_WEIGHT {
+        send_reports(&state, content).await;
+    }
+}
+
+/// Records the reports that another gateway knows, and returns all that are known here. If they
+/// quarantine the content, all other gateways get them.
 ///
 /// Guards against a crash of upstreams that keeps every gateway busy. With each report sent to all
 /// others, an upstream that failed with twenty requests in flight cost a fleet of 384 gateways 7,660
 /// calls, most of them over new connections.
-pub(crate) fn record_report(state: &Arc<GatewayState>, report: &CrashReport, now: ClockTime) {
-    if !state.crashes.record(report, now) {
-        return;
-    }
-    let collectors = collectors(state, report.content, now);
-    if collectors.iter().any(|collector| collector.incarnation == state.fleet.run) {
-        smol::spawn(announce(state.clone(), report.content)).detach();
+pub(crate) fn record_reports(state: &Arc<GatewayState>, known: &ContentCrashes) -> ContentCrashes {
+    if state.crashes.merge(known, ClockTime::now()) {
+        smol::spawn(announce(state.clone(), known.content)).detach();
     }
+    state.crashes.tracker.crashes_of(known.content)
 }
 
 fn collectors(state: &GatewayState, content: ContentDigest, now: ClockTime) -> Vec<MemberInfo> {
-    state.fleet.members.homes_of_subject(&content.to_string(), COLLECTORS, now)
+    let mut found = state.fleet.members.homes_of_subject(&content.to_string(), COLLECTORS, now);
+    found.retain(|collector| collector.incarnation != state.fleet.run);
+    found
 }
 
-async fn send_to_collectors(state: Arc<GatewayState>, report: CrashReport) {
-    let collectors = collectors(&state, report.content, ClockTime::now());
-    let request = PeerRequest::ReportCrash(report);
-    for collector in collectors {
-        if collector.incarnation != state.fleet.run {
-            send_report(&state, &collector, &request).await;
+/// Sends all known reports of a content to its collectors. They may have lost earlier ones, and each
+/// gateway that reports brings those of the other collector along.
+async fn send_reports(state: &Arc<GatewayState>, content: ContentDigest) {
+    for collector in collectors(state, content, ClockTime::now()) {
+        let request = PeerRequest::ReportCrashes(state.crashes.tracker.crashes_of(content));
+        if let Some(PeerReply::Crashes(known)) = send(state, &collector, &request).await {
+            state.crashes.merge(&known, ClockTime::now());
         }
     }
 }
 
+async fn send_withdrawal(state: Arc<GatewayState>, withdrawn: ContentCrashes) {
+    let collectors = collectors(&state, withdrawn.content, ClockTime::now());
+    let request = PeerRequest::WithdrawCrashes(withdrawn);
+    for collector in collectors {
+        send(&state, &collector, &request).await;
+    }
+}
+
 /// Sends the reports of a quarantined content to all other gateways.
 async fn announce(state: Arc<GatewayState>, content: ContentDigest) {
-    let request = PeerRequest::Quarantine(state.crashes.notice_of(content));
+    let request = PeerRequest::Quarantine(state.crashes.tracker.crashes_of(content));
     let others = state.fleet.others(MemberRole::Entry, ClockTime::now());
     for group in others.chunks(CONCURRENT_SENDS) {
-        join_all(group.iter().map(|other| send_report(&state, other, &request))).await;
+        join_all(group.iter().map(|other| send(&state, other, &request))).await;
     }
 }
 
-async fn send_report(state: &GatewayState, recipient: &MemberInfo, request: &PeerRequest) {
-    if let Err(error) = state.fleet.call(recipient.address, request, REPORT_TIMEOUT).await {
-        log_event!(warn, "crash-report-failed", to = recipient.instance, error = error);
+/// Sends a message; `None` and a log line if it fails again and again.
+async fn send(
+    state: &GatewayState,
+    recipient: &MemberInfo,
+    request: &PeerRequest,
+) -> Option<PeerReply> {
+    let mut failure = String::new();
+    for number in 0..REPORT_TRIES {
+        if number > 0 {
+            Timer::after(RETRY_DELAY).await;
+        }
+        match state.fleet.call(recipient.address, request, REPORT_TIMEOUT).await {
+            Ok(reply) => return Some(reply),
+            Err(error) => failure = error.to_string(),
+        }
     }
+    log_event!(warn, "crash-report-failed", to = recipient.instance, error = failure);
+    None
 }
--- /dev/null
+++ b/crates/sagespool-gateway/src/crashes/evidence.rs
@@ -0,0 +1,141 @@
+//! What a broken response says about its request.
+//!
+//! A crash, a lost response and a fault of the network break a connection alike. After a break the
+//! gateway looks whether the upstream still accepts connections, and weighs breaks of upstreams that
+//! do by how common they are.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io::ErrorKind;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use sagespool_claims::BreakRate;
+use sagespool_forward::UpstreamRecord;
+use sagespool_types::{ClockTime, ContentDigest, CrashWeight, UpstreamName};
+
+use crate::pool::connect;
+use crate::state::GatewayState;
+
+/// Refused connections within this time are compared with the number of upstreams.
+const REFUSAL_WINDOW: Duration = Duration::from_secs(2);
+
+/// Whether an upstream still accepts connections after a response broke.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum UpstreamFinding {
+    /// A new connection was accepted.
+    Accepts,
+    /// New connections are refused: its process has ended.
+    Refuses,
+    /// No reply: it can't be reached from here, or is very slow.
+    Unknown,
+}
+
+impl UpstreamFinding {
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Self::Accepts => "accepts",
+            Self::Refuses => "refuses",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Looks whether an upstream still accepts connections. A connection that is opened for this goes to
+/// the pool in place of the broken one.
+pub(super) async fn examine(state: &GatewayState, upstream: &UpstreamRecord) -> UpstreamFinding {
+    match connect(upstream).await {
+        Ok(connection) => {
+            state.pool.keep(&upstream.name, connection, ClockTime::now());
+            UpstreamFinding::Accepts
+        }
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => UpstreamFinding::Refuses,
+        Err(_) => UpstreamFinding::Unknown,
+    }
+}
+
+/// Contents with a break under examination, and when a run of them last succeeded meanwhile.
+type ExaminedContents = BTreeMap<ContentDigest, ExaminedContent>;
+
+#[derive(Debug, Default)]
+struct ExaminedContent {
+    breaks: usize,
+    succeeded_at: Option<ClockTime>,
+}
+
+/// The recent breaks and refused connections of this gateway.
+#[derive(Debug, Default)]
+pub(super) struct BreakEvidence {
+    rate: Mutex<BreakRate>,
+    refusals: Mutex<VecDeque<(ClockTime, UpstreamName)>>,
+    examined: Mutex<ExaminedContents>,
+}
+
+impl BreakEvidence {
+    fn rate(&self) -> MutexGuard<'_, BreakRate> {
+        self.rate.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn examined(&self) -> MutexGuard<'_, ExaminedContents> {
+        self.examined.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn note_send(&self, now: ClockTime) {
+        self.rate().note_send(now);
+    }
+
+    /// The number of contents under examination.
+    pub(super) fn count(&self) -> usize {
+        self.examined().len()
+    }
+
+    /// Starts the examination of a break.
+    pub(super) fn begin(&self, content: ContentDigest) {
+        self.examined().entry(content).or_default().breaks += 1;
+    }
+
+    /// Records a run that succeeded.
+    pub(super) fn note_success(&self, content: ContentDigest, now: ClockTime) {
+        if let Some(examined) = self.examined().get_mut(&content) {
+            examined.succeeded_at = Some(now);
+        }
+    }
+
+    /// Ends the examination of a break. True if a run of the content has succeeded since the break.
+    pub(super) fn end(&self, content: ContentDigest, broke_at: ClockTime) -> bool {
+        let mut examined = self.examined();
+        let Some(entry) = examined.get_mut(&content) else { return false };
+        let succeeded = entry.succeeded_at.is_some_and(|at| at >= broke_at);
+        entry.breaks -= 1;
+        if entry.breaks == 0 {
+            examined.remove(&content);
+        }
+        succeeded
+    }
+
+    /// How much a break counts as a crash, with `known` upstreams in all.
+    pub(super) fn weigh(
+        &self,
+        content: ContentDigest,
+        upstream: &UpstreamName,
+        finding: UpstreamFinding,
+        known: usize,
+        now: ClockTime,
+    ) -> CrashWeight {
+        if finding == UpstreamFinding::Refuses && !self.refused_by_most(upstream, known, now) {
+            return CrashWeight::FULL;
+        }
+        let mut rate = self.rate();
+        rate.note_break(content, now);
+        rate.weight_of(content, now)
+    }
+
+    /// Records a refused connection. True if most upstreams have refused one lately: then this
+    /// gateway's network is at fault, not they.
+    fn refused_by_most(&self, upstream: &UpstreamName, known: usize, now: ClockTime) -> bool {
+        let mut refusals = self.refusals.lock().unwrap_or_else(PoisonError::into_inner);
+        refusals.retain(|(at, name)| now.since(*at) < REFUSAL_WINDOW && name != upstream);
+        refusals.push_back((now, upstream.clone()));
+        let refused: BTreeSet<&UpstreamName> = refusals.iter().map(|(_, name)| name).collect();
+        refused.len() > 1 && 2 * refused.len() > known
+    }
+}
--- a/crates/sagespool-gateway/src/metrics.rs
+++ b/crates/sagespool-gateway/src/metrics.rs
@@ -66,6 +66,11 @@
     subject: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct BreakLabel {
+    upstream: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct BranchLabel {
     branch: String,
@@ -97,6 +102,8 @@
     cold: Gauge,
     limited: Gauge,
     in_backoff: Gauge,
+    breaks: Family<BreakLabel, Counter>,
+    quarantined: Gauge,
 }
 
 /// The current restrictions on sending to upstreams.
@@ -110,6 +117,8 @@
     pub(crate) limited: usize,
     /// Upstreams in backoff for this instance.
     pub(crate) in_backoff: usize,
+    /// Contents that are refused since they crash upstreams.
+    pub(crate) quarantined: usize,
 }
 
 impl GatewayMetrics {
@@ -155,6 +164,12 @@
         let in_backoff = Gauge::default();
         let help = "Upstreams that want nothing from this instance for now";
         registry.register("resting_upstreams", help, in_backoff.clone());
+        let breaks = Family::default();
+        let help = "Broken responses, by whether their upstream accepts connections afterwards";
+        registry.register("broken_responses", help, breaks.clone());
+        let quarantined = Gauge::default();
+        let help = "Contents that are refused since they crash upstreams";
+        registry.register("quarantined_contents", help, quarantined.clone());
         Self {
             registry,
             requests,
@@ -173,6 +188,8 @@
             cold,
             limited,
             in_backoff,
+            breaks,
+            quarantined,
         }
     }
 
@@ -210,6 +227,11 @@
         }
     }
 
+    /// Counts a broken response by whether its upstream accepts connections afterwards.
+    pub(crate) fn count_break(&self, upstream: &'static str) {
+        self.breaks.get_or_create(&BreakLabel { upstream }).inc();
+    }
+
     pub(crate) fn closed_unread(&self) {
         self.closed_unread.inc();
     }
@@ -225,6 +247,7 @@
         self.cold.set(restrictions.cold as i64);
         self.limited.set(restrictions.limited as i64);
         self.in_backoff.set(restrictions.in_backoff as i64);
+        self.quarantined.set(restrictions.quarantined as i64);
         self.members.set(members as i64);
         self.held.set(usage.held.0 as i64);
         self.held_limit.set(i64::try_from(usage.limit.0).unwrap_or(i64::MAX));
--- a/crates/sagespool-gateway/src/peers.rs
+++ b/crates/sagespool-gateway/src/peers.rs
@@ -15,7 +15,7 @@
 use smol::Timer;
 
 use crate::budget::BudgetRequest;
-use crate::crashes::record_report;
+use crate::crashes::record_reports;
 use crate::fleet::handle_store_call;
 use crate::limits::limits_reply;
 use crate::state::GatewayState;
@@ -56,8 +56,9 @@
             let document = (state.plan_version() > query.have).then(|| state.plan_document());
             PeerReply::Plan(PlanReply { document: document.flatten() })
         }
-        PeerRequest::ReportCrash(report) => {
-            record_report(state, &report, ClockTime::now());
+        PeerRequest::ReportCrashes(known) => PeerReply::Crashes(record_reports(state, &known)),
+        PeerRequest::WithdrawCrashes(withdrawn) => {
+            state.crashes.withdraw(&withdrawn);
             PeerReply::Done
         }
         PeerRequest::Quarantine(notice) => {
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -1,6 +1,6 @@
 //! The request pipeline: admit, reserve, attempt, respond, settle.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use futures_lite::future::or;
@@ -62,6 +62,7 @@
         tried: Vec::new(),
         may_have_run: false,
         last_event: None,
+        content: OnceLock::new(),
         log,
     };
     run_until_stop(context).await
@@ -306,10 +307,11 @@
     let bytes = match collected {
         Ok(bytes) => bytes,
         Err(failure) => {
+            let upstream = placement.attempt().upstream.clone();
+            placement.finish(SendOutcome::Broken, now);
             if let SendFailure::Lost(cause) = failure {
-                context.report_break(&placement.attempt().upstream.name, cause);
+                context.report_break(&upstream, cause, now).await;
             }
-            placement.finish(SendOutcome::Broken, now);
             return Err(failure);
         }
     };
@@ -333,8 +335,12 @@
     let mut head = response.head;
     let outcome = if head.status.is_server_error() { Outcome::Failed } else { Outcome::Answered };
     strip_hop_by_hop(&mut head.headers);
-    context.clear_crashes();
-    context.log.first = Some(ClockTime::now());
+    let now = ClockTime::now();
+    // A response of 5xx doesn't show that the request is harmless.
+    if outcome == Outcome::Answered {
+        context.clear_crashes(now);
+    }
+    context.log.first = Some(now);
     context.log.conclude(outcome, head.status.as_u16(), "");
     let held = context.state.limiter.hold(ByteCount(response.bytes.len() as u64));
     Response::from_parts(head, ResponseBody::counted(response.bytes, held))
--- a/crates/sagespool-gateway/src/status.rs
+++ b/crates/sagespool-gateway/src/status.rs
@@ -48,7 +48,8 @@
     let (cold, limited) = (throttle.cold_count(now), throttle.limited_count());
     let in_backoff = throttle.backoff_count(now);
     drop(throttle);
-    let restrictions = RestrictionCounts { evacuated, cold, limited, in_backoff };
+    let quarantined = state.crashes.count_quarantined();
+    let restrictions = RestrictionCounts { evacuated, cold, limited, in_backoff, quarantined };
     state.metrics.encode(state.fleet.count(MemberRole::Entry), usage, restrictions)
 }
 
--- a/crates/sagespool-gateway/src/stream.rs
+++ b/crates/sagespool-gateway/src/stream.rs
@@ -72,7 +72,7 @@
         let failure = match end {
             StreamEnd::Whole => {
                 context.log.conclude(Outcome::Answered, context.log.status, "");
-                context.clear_crashes();
+                context.clear_crashes(ClockTime::now());
                 // Settle the charge before the caller receives the end of the stream.
                 drop(context.request.reservation.take());
                 let _ = sender.send(BodyChunk::End).await;
@@ -137,8 +137,9 @@
             placement.finish(SendOutcome::Answered, now);
         }
         StreamEnd::Broken => {
-            context.report_break(&placement.attempt().upstream.name, "stream-broken");
+            let upstream = placement.attempt().upstream.clone();
             placement.finish(SendOutcome::Broken, now);
+            context.report_break(&upstream, "stream-broken", now).await;
         }
         StreamEnd::TimeOver | StreamEnd::CallerGone => {
             placement.finish(SendOutcome::Cancelled, now)
--- a/crates/sagespool-messages/src/claims.rs
+++ b/crates/sagespool-messages/src/claims.rs
@@ -1,8 +1,8 @@
 //! Claims on callers' keys before a non-idempotent run, and the state of a key.
 
 use sagespool_types::{
-    AttemptNumber, BranchName, ChargeId, ContentDigest, IncarnationId, KeyDigest, RequestId,
-    ServiceName, UpstreamName, derives,
+    AttemptNumber, BranchName, ChargeId, ContentDigest, CrashWeight, IncarnationId, KeyDigest,
+    RequestId, ServiceName, UpstreamName, derives,
 };
 
 use crate::RefusalNotice;
@@ -104,12 +104,14 @@
         pub upstream: UpstreamName,
         /// The attempt that was in flight.
         pub attempt: AttemptNumber,
+        /// How much it counts.
+        pub weight: CrashWeight,
     }
 }
 
 derives! { record;
-    /// The reports by which a collector of them has quarantined a content.
-    pub struct QuarantineNotice {
+    /// What a process knows of the crashes with a content in flight.
+    pub struct ContentCrashes {
         /// Digest of the request's target and body.
         pub content: ContentDigest,
         /// One report of each crash.
--- a/crates/sagespool-messages/src/lib.rs
+++ b/crates/sagespool-messages/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use charges::{ChargeRecord, ChargeReport, ChargesDurable, SealReply, SealRequest, SealScope};
 pub use claims::{
-    ClaimReply, ClaimRequest, CrashReport, KeyReply, KeyRequest, KeyState, QuarantineNotice,
+    ClaimReply, ClaimRequest, ContentCrashes, CrashReport, KeyReply, KeyRequest, KeyState,
 };
 pub use configuration::{
     CONFIGURATION_PREFIX, ConfigNotice, ConfigObject, ConfigQuery, ConfigReply, ConfigScope,
--- a/crates/sagespool-messages/src/wire.rs
+++ b/crates/sagespool-messages/src/wire.rs
@@ -30,7 +30,7 @@
         FindKey(KeyRequest),
         /// Home to another holder; answered by [`PeerReply::Recall`].
         Recall(RecallRequest),
-        /// Entry to every entry, gateway to a content's collectors; answered by [`PeerReply::Done`].
+        /// Entry to every entry; answered by [`PeerReply::Done`].
         ReportCrash(CrashReport),
         /// Entry to sidecar, for an operator; answered by [`PeerReply::Order`].
         Order(OrderRequest),
@@ -59,7 +59,13 @@
         /// Gateway to gateway; answered by [`PeerReply::Limits`].
         AskLimits(RateLimitQuery),
         /// Gateway to every gateway; answered by [`PeerReply::Done`].
-        Quarantine(QuarantineNotice),
+        Quarantine(ContentCrashes),
+        /// Gateway to a content's collectors, with all crashes that it knows; answered by
+        /// [`PeerReply::Crashes`].
+        ReportCrashes(ContentCrashes),
+        /// Gateway to a content's collectors after a run that succeeded: these crashes no longer
+        /// count; answered by [`PeerReply::Done`].
+        WithdrawCrashes(ContentCrashes),
     }
 }
 
@@ -100,5 +106,7 @@
         Follow(FeedReply),
         /// Rate limits that upstreams have named to the receiver.
         Limits(RateLimitReply),
+        /// All crashes of a content that the receiver knows.
+        Crashes(ContentCrashes),
     }
 }
--- a/crates/sagespool-sidecar/src/role/peers.rs
+++ b/crates/sagespool-sidecar/src/role/peers.rs
@@ -80,7 +80,9 @@
         | PeerRequest::CallStore(_)
         | PeerRequest::Follow(_)
         | PeerRequest::AskLimits(_)
-        | PeerRequest::Quarantine(_) => {
+        | PeerRequest::Quarantine(_)
+        | PeerRequest::ReportCrashes(_)
+        | PeerRequest::WithdrawCrashes(_) => {
             PeerReply::Unsupported("this process is a sidecar".to_owned())
         }
     };
--- a/crates/sagespool-types/src/lib.rs
+++ b/crates/sagespool-types/src/lib.rs
@@ -37,6 +37,6 @@
 pub use rates::SendRate;
 pub use refusal::{RefusalReason, RunState};
 pub use sizes::{
-    BookNumber, ByteCount, ConfigVersion, InstanceCapacity, RequestRate, StoreRevision, TokenCount,
-    TokenRate, UpstreamStartTime,
+    BookNumber, ByteCount, ConfigVersion, CrashWeight, InstanceCapacity, RequestRate,
+    StoreRevision, TokenCount, TokenRate, UpstreamStartTime,
 };
--- a/crates/sagespool-types/src/sizes.rs
+++ b/crates/sagespool-types/src/sizes.rs
@@ -25,12 +25,30 @@
     /// The work that an instance can carry, in steps of two: an instance of the next step carries
     /// twice as much. 0 if it is unknown.
     InstanceCapacity(u32), "an instance's capacity";
+    /// How much a broken response counts as evidence that its request crashes upstreams, in
+    /// thousandths of a crash.
+    CrashWeight(u32), "a crash weight in thousandths";
     /// A rate in requests per second.
     RequestRate(u64), "a number of requests per second";
     /// A rate in tokens per second.
     TokenRate(u64), "a number of tokens per second";
 }
 
+impl CrashWeight {
+    /// The weight of a crash.
+    pub const FULL: Self = Self(1000);
+
+    /// A part of the weight, between none and all of it.
+    pub fn scaled(self, factor: f64) -> Self {
+        Self((f64::from(self.0) * factor.clamp(0.0, 1.0)) as u32)
+    }
+
+    /// The weight of a number of crashes, saturating.
+    pub fn of_crashes(count: usize) -> Self {
+        Self(Self::FULL.0.saturating_mul(u32::try_from(count).unwrap_or(u32::MAX)))
+    }
+}
+
 macro_rules! impl_saturating_sums {
     ($($name:ident)*) => {$(
         impl $name {
@@ -65,4 +83,4 @@
     )*};
 }
 
-impl_saturating_sums! { TokenCount ByteCount StoreRevision ConfigVersion BookNumber RequestRate TokenRate }
+impl_saturating_sums! { TokenCount ByteCount StoreRevision ConfigVersion BookNumber RequestRate TokenRate CrashWeight }
