Crashes: a quarantine is an object of the store, and gateways follow it

What callers saw: a gateway that starts runs what the others refuse (3 more runs on a fleet's restart); a notice that fails is lost; there is no way back.

Cause: the quarantine lived in the memory of those gateways that a broadcast had reached once.

Evidence: quarantine_known_at_start, quarantine_without_store.

Change: the gateway that stops a content creates an object quarantine/CONTENT (tried again each second); all gateways follow the kind as they follow evacuations, in a large fleet by the tree, and are ready only with it. No message goes to all any more, unless the store can't be written. A gateway that regains the store asks at once. Deleting the object lifts the quarantine: by an operator, by a run that succeeded, after an hour; at most 500 are kept. A poll is held 10 s (2 s for the configuration), a neighbour's 5 s: about a call in 10 s for each gateway that asks the store itself.

--- a/crates/sagespool-claims/src/crash.rs
+++ b/crates/sagespool-claims/src/crash.rs
@@ -193,11 +193,21 @@
         if record.stopped { CrashVerdict::Stopped } else { CrashVerdict::Suspected }
     }
 
-    /// Stops a content by the reports of its crashes, whenever they arrive. False if too few of them
-    /// count here, because a run has succeeded since.
+    /// Stops a content that another process has stopped, and saves, by the reports of its crashes,
+    /// whenever they arrive. False if too few of them count here, because a run has succeeded since.
+    ///
+    /// A content that was stopped here stays unsaved: two processes that stop it at the same time and
+    /// tell each other must not both rely on the other one to save it.
     pub fn stop(&self, stopped: &ContentCrashes, now: ClockTime) -> bool {
         let crashes = stopped.reports.iter().map(CrashNote::of).collect();
-        self.state().apply_stopped(stopped.content, &crashes, &self.policy, now)
+        let mut state = self.state();
+        let is_unsaved = |record: &CrashRecord| record.stopped && !record.stored;
+        let was_unsaved = state.records.get(&stopped.content).is_some_and(is_unsaved);
+        let agreed = state.apply_stopped(stopped.content, &crashes, &self.policy, now);
+        if let Some(record) = state.records.get_mut(&stopped.content) {
+            record.stored &= !was_unsaved;
+        }
+        agreed
     }
 
     /// Makes crashes no longer count, since a run of their content has succeeded elsewhere. True if
@@ -318,6 +328,13 @@
         unsaved.map(|(content, record)| (*content, record.distinct_crashes())).collect()
     }
 
+    /// Records that the store has a stopped content.
+    pub fn mark_stored(&self, content: ContentDigest) {
+        if let Some(record) = self.state().records.get_mut(&content) {
+            record.stored = true;
+        }
+    }
+
     /// All suspected or stopped contents.
     pub fn list(&self) -> Vec<SuspectContent> {
         let state = self.state();
--- a/crates/sagespool-gateway/src/crashes.rs
+++ b/crates/sagespool-gateway/src/crashes.rs
@@ -2,10 +2,12 @@
 //!
 //! A request may crash every upstream that runs it, and its caller may retry it at any gateway.
 //! Each gateway reports responses that broke to two collectors, chosen by the request's content, with
-//! the weight of the [evidence]. When a content's reports reach the weight of three crashes, all
-//! gateways refuse it. A run that succeeds withdraws the reports of its content.
+//! the weight of the [evidence]. When a content's reports reach the weight of three crashes, it is
+//! [stored] as quarantined, and all gateways refuse it. A run that succeeds withdraws the reports of
+//! its content and lifts its quarantine.
 
 mod evidence;
+mod stored;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -28,6 +30,9 @@
 use crate::context::RequestContext;
 use crate::state::GatewayState;
 use evidence::{BreakEvidence, examine};
+use stored::StoredQuarantine;
+
+pub(crate) use stored::{follow_quarantine, save_quarantine};
 
 /// Crashes until a content is refused. A lost response looks like a crash, and the caller's retry
 /// may lose its response too, so two aren't sufficient evidence.
@@ -52,6 +57,7 @@
 pub(crate) struct CrashReports {
     tracker: CrashTracker,
     evidence: BreakEvidence,
+    stored: StoredQuarantine,
     /// Number of contents with a report or a break under examination. While it is zero, requests'
     /// contents aren't hashed.
     watched: AtomicUsize,
@@ -61,7 +67,12 @@
     pub(crate) fn new() -> Self {
         let policy = CrashPolicy::builder().stop_at(CRASHES_TO_QUARANTINE);
         let tracker = CrashTracker::with_policy(policy.max_suspects(MAX_SUSPECTS).build());
-        Self { tracker, evidence: BreakEvidence::default(), watched: AtomicUsize::new(0) }
+        Self {
+            tracker,
+            evidence: BreakEvidence::default(),
+            stored: StoredQuarantine::default(),
+            watched: AtomicUsize::new(0),
+        }
     }
 
     fn is_watching(&self) -> bool {
@@ -111,17 +122,24 @@
         verdicts.contains(&true)
     }
 
-    /// Quarantines a content by another gateway's notice.
-    pub(crate) fn apply_notice(&self, notice: &ContentCrashes, now: ClockTime) {
-        let stopped = self.tracker.stop(notice, now);
+    /// Quarantines a content that another gateway has quarantined. False if a run of it has succeeded
+    /// here since its crashes; it is then lifted for all.
+    pub(crate) fn apply_quarantine(&self, stopped: &ContentCrashes, now: ClockTime) -> bool {
+        let agreed = self.tracker.stop(stopped, now);
         self.refresh_watched();
-        log_event!(info, "content-quarantined", content = notice.content, stopped = stopped);
+        if !agreed {
+            self.stored.request_lift(stopped.content);
+        }
+        agreed
     }
 
     /// Withdraws reports, since a run of their content has succeeded at another gateway.
     pub(crate) fn withdraw(&self, withdrawn: &ContentCrashes) {
         let lifted = self.tracker.withdraw(withdrawn);
         self.refresh_watched();
+        if lifted {
+            self.stored.request_lift(withdrawn.content);
+        }
         log_event!(
             info,
             "crashes-withdrawn",
@@ -208,6 +226,9 @@
         }
         let stopped = crashes.tracker.record_success(content);
         crashes.refresh_watched();
+        if stopped {
+            crashes.stored.request_lift(content);
+        }
         log_event!(
             info,
             "crashes-cleared",
@@ -255,7 +276,7 @@
     let crash = RequestId::random();
     let report = CrashReport { content, crash, upstream: upstream.name, attempt, weight };
     if state.crashes.record(&report, now) {
-        smol::spawn(announce(state.clone(), content)).detach();
+        state.crashes.stored.request_save();
     }
     drop(recorded);
     if weight >= MIN_REPORTED_WEIGHT {
@@ -264,14 +285,18 @@
 }
 
 /// Records the reports that another gateway knows, and returns all that are known here. If they
-/// quarantine the content, all other gateways get them.
+/// quarantine the content, it is written to the store.
 ///
 /// Guards against a crash of upstreams that keeps every gateway busy. With each report sent to all
 /// others, an upstream that failed with twenty requests in flight cost a fleet of 384 gateways 7,660
 /// calls, most of them over new connections.
-pub(crate) fn record_reports(state: &Arc<GatewayState>, known: &ContentCrashes) -> ContentCrashes {
-    if state.crashes.merge(known, ClockTime::now()) {
-        smol::spawn(announce(state.clone(), known.content)).detach();
+pub(crate) fn record_reports(
+    state: &GatewayState,
+    known: &ContentCrashes,
+    now: ClockTime,
+) -> ContentCrashes {
+    if state.crashes.merge(known, now) {
+        state.crashes.stored.request_save();
     }
     state.crashes.tracker.crashes_of(known.content)
 }
@@ -301,7 +326,7 @@
     }
 }
 
-/// Sends the reports of a quarantined content to all other gateways.
+/// Sends the reports of a quarantined content to all other gateways, while the store doesn't.
 async fn announce(state: Arc<GatewayState>, content: ContentDigest) {
     let request = PeerRequest::Quarantine(state.crashes.tracker.crashes_of(content));
     let others = state.fleet.others(MemberRole::Entry, ClockTime::now());
--- /dev/null
+++ b/crates/sagespool-gateway/src/crashes/stored.rs
@@ -0,0 +1,224 @@
+//! Quarantined contents in the store, from which all gateways learn them, also after a restart.
+//!
+//! The gateway that quarantines a content creates an object for it. Deleting the object, by an
+//! operator or after a run that succeeded, lifts the quarantine.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use event_listener::Event;
+use sagespool_claims::{CrashNote, QuarantineEntry};
+use sagespool_link::within;
+use sagespool_log::log_event;
+use sagespool_messages::{ContentCrashes, FeedKind};
+use sagespool_platform::StoreError;
+use sagespool_types::{ClockTime, ContentDigest, StoreRevision, WallTime};
+use serde_json::value::RawValue;
+
+use super::announce;
+use crate::follow::{FollowedPrefix, follow, key_name};
+use crate::state::GatewayState;
+
+/// Wait time of a long poll of the store. Changes end it at once; a lost connection shows earlier at
+/// the feed of upstreams, which then interrupts this one.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Time between two tries to write to the store.
+const SAVE_PERIOD: Duration = Duration::from_secs(1);
+/// Time after which a quarantine ends. Its content is then quarantined again by its next crashes.
+const QUARANTINE_DURATION: Duration = Duration::from_secs(3600);
+/// Maximum number of objects in the store; the oldest is deleted first.
+const MAX_STORED: usize = 500;
+
+/// Quarantined contents in the store, and changes of them that wait to be written.
+#[derive(Debug, Default)]
+pub(super) struct StoredQuarantine {
+    state: Mutex<StoredState>,
+    changed: Event,
+}
+
+#[derive(Debug, Default)]
+struct StoredState {
+    /// The time at which each stored content was quarantined, by its writer's wall clock.
+    stored: BTreeMap<ContentDigest, WallTime>,
+    /// Contents to be removed from the store.
+    lifted: BTreeSet<ContentDigest>,
+    /// Contents that other gateways have been sent, because the store wasn't reachable.
+    announced: BTreeSet<ContentDigest>,
+}
+
+impl StoredQuarantine {
+    fn state(&self) -> MutexGuard<'_, StoredState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Writes new quarantines as soon as possible.
+    pub(super) fn request_save(&self) {
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Removes a content from the store as soon as possible.
+    pub(super) fn request_lift(&self, content: ContentDigest) {
+        self.state().lifted.insert(content);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// The contents to remove: those that were lifted, those whose time is over, and the oldest of
+    /// too many.
+    fn due_lifts(
+        &self,
+        is_own: impl Fn(ContentDigest) -> bool,
+        now: WallTime,
+    ) -> Vec<ContentDigest> {
+        let state = self.state();
+        let is_over =
+            |at: &WallTime| now.0.saturating_sub(at.0) >= QUARANTINE_DURATION.as_millis() as u64;
+        let expired =
+            state.stored.iter().filter(|(_, at)| is_over(at)).map(|(content, _)| *content);
+        let mut due: BTreeSet<ContentDigest> = expired.filter(|content| is_own(*content)).collect();
+        due.extend(&state.lifted);
+        if state.stored.len() > MAX_STORED {
+            let oldest = state.stored.iter().min_by_key(|(_, at)| **at);
+            due.extend(oldest.map(|(content, _)| *content));
+        }
+        due.into_iter().collect()
+    }
+}
+
+/// Follows the quarantined contents in the store until cancelled.
+pub(crate) async fn follow_quarantine(state: Arc<GatewayState>) {
+    let followed = FollowedPrefix {
+        name: "quarantine",
+        kind: FeedKind::Quarantine,
+        prefix: state.dialect.quarantine_prefix,
+        pause: |_| Duration::ZERO,
+        wait: WATCH_WAIT,
+        on_listing: |state, listing| {
+            let items = listing.items.iter();
+            let listed: BTreeMap<ContentDigest, QuarantineEntry> =
+                items.filter_map(|(key, object)| read_entry(key, &object.value)).collect();
+            let previous: Vec<_> = state.crashes.stored.state().stored.keys().copied().collect();
+            let removed = previous.into_iter().filter(|content| !listed.contains_key(content));
+            removed.for_each(|content| apply_removed(state, content));
+            let now = ClockTime::now();
+            listed
+                .into_iter()
+                .for_each(|(content, entry)| apply_stored(state, content, &entry, now));
+        },
+        on_change: |state, change| {
+            match &change.value {
+                Some(value) => {
+                    if let Some((content, entry)) = read_entry(&change.key, value) {
+                        apply_stored(state, content, &entry, ClockTime::now());
+                    }
+                }
+                None => {
+                    if let Ok(content) = key_name(&change.key).parse() {
+                        apply_removed(state, content);
+                    }
+                }
+            }
+            true
+        },
+        on_recovery: |_, _| {},
+    };
+    follow(&state, followed).await;
+}
+
+/// Reads an object; `None` and a log line if it is malformed.
+fn read_entry(key: &str, value: &RawValue) -> Option<(ContentDigest, QuarantineEntry)> {
+    let content = key_name(key).parse().ok();
+    let entry = serde_json::from_str(value.get()).ok();
+    let read = content.zip(entry);
+    if read.is_none() {
+        log_event!(warn, "quarantine-unreadable", key = key);
+    }
+    read
+}
+
+fn apply_stored(
+    state: &GatewayState,
+    content: ContentDigest,
+    entry: &QuarantineEntry,
+    now: ClockTime,
+) {
+    let reports = entry.crashes.iter().map(|note| note.to_report(content)).collect();
+    let is_new = state.crashes.stored.state().stored.insert(content, entry.at).is_none();
+    let agreed = state.crashes.apply_quarantine(&ContentCrashes { content, reports }, now);
+    state.crashes.tracker.mark_stored(content);
+    if is_new {
+        log_event!(info, "quarantine-read", content = content, agreed = agreed);
+    }
+}
+
+fn apply_removed(state: &GatewayState, content: ContentDigest) {
+    let mut stored = state.crashes.stored.state();
+    stored.stored.remove(&content);
+    stored.lifted.remove(&content);
+    stored.announced.remove(&content);
+    drop(stored);
+    let lifted = state.crashes.tracker.lift(content);
+    state.crashes.refresh_watched();
+    log_event!(info, "quarantine-lifted", content = content, stopped = lifted);
+}
+
+/// Writes changes of the quarantine to the store until cancelled.
+pub(crate) async fn save_quarantine(state: Arc<GatewayState>) {
+    loop {
+        let changed = state.crashes.stored.changed.listen();
+        for (content, crashes) in state.crashes.tracker.unsaved() {
+            save(&state, content, crashes).await;
+        }
+        let is_own = |content| is_first_collector(&state, content);
+        for content in state.crashes.stored.due_lifts(is_own, WallTime::now()) {
+            remove(&state, content).await;
+        }
+        let _ = within(SAVE_PERIOD, changed).await;
+    }
+}
+
+fn is_first_collector(state: &GatewayState, content: ContentDigest) -> bool {
+    let subject = content.to_string();
+    let homes = state.fleet.members.homes_of_subject(&subject, 1, ClockTime::now());
+    homes.first().is_none_or(|home| home.incarnation == state.fleet.run)
+}
+
+/// Creates the object of a quarantined content. Other gateways are told directly if it fails.
+async fn save(state: &Arc<GatewayState>, content: ContentDigest, crashes: BTreeSet<CrashNote>) {
+    let entry = QuarantineEntry { crashes, at: WallTime::now(), lifted: false };
+    let key = quarantine_key(state, content);
+    match state.store.put(&key, StoreRevision::ZERO, &entry).await {
+        Ok(_) | Err(StoreError::Conflict { .. }) => {
+            state.crashes.tracker.mark_stored(content);
+            log_event!(info, "quarantine-stored", content = content);
+        }
+        Err(error) => {
+            log_event!(warn, "quarantine-not-stored", content = content, error = error);
+            if state.crashes.stored.state().announced.insert(content) {
+                smol::spawn(announce(state.clone(), content)).detach();
+            }
+        }
+    }
+}
+
+/// Deletes the object of a content, if it exists. Its removal is applied as for all gateways.
+async fn remove(state: &GatewayState, content: ContentDigest) {
+    let key = quarantine_key(state, content);
+    let result = match state.store.get::<QuarantineEntry>(&key).await {
+        Ok(Some(object)) => state.store.delete(&key, object.version).await,
+        Ok(None) => Ok(()),
+        Err(error) => Err(error),
+    };
+    match result {
+        Ok(()) => {
+            state.crashes.stored.state().lifted.remove(&content);
+        }
+        Err(error) => {
+            log_event!(warn, "quarantine-not-removed", content = content, error = error);
+        }
+    }
+}
+
+fn quarantine_key(state: &GatewayState, content: ContentDigest) -> String {
+    format!("{}{content}", state.dialect.quarantine_prefix)
+}
--- a/crates/sagespool-gateway/src/dialect.rs
+++ b/crates/sagespool-gateway/src/dialect.rs
@@ -23,6 +23,8 @@
     pub upstream_prefix: &'static str,
     /// The store prefix where operators list evacuated data centres.
     pub evacuation_prefix: &'static str,
+    /// The store prefix of quarantined contents.
+    pub quarantine_prefix: &'static str,
     /// The path of the load balancer's readiness check.
     pub readiness_path: &'static str,
     /// Parses a configuration.
--- a/crates/sagespool-gateway/src/evacuations.rs
+++ b/crates/sagespool-gateway/src/evacuations.rs
@@ -7,7 +7,7 @@
 use sagespool_messages::FeedKind;
 use sagespool_types::{CentreName, ClockTime};
 
-use crate::follow::{FollowedPrefix, follow, key_name};
+use crate::follow::{FollowedPrefix, WATCH_WAIT, follow, key_name};
 use crate::state::GatewayState;
 
 /// Follows the evacuations until cancelled.
@@ -17,6 +17,7 @@
         kind: FeedKind::Evacuations,
         prefix: state.dialect.evacuation_prefix,
         pause: |_| Duration::ZERO,
+        wait: WATCH_WAIT,
         on_listing: |state, listing| {
             let listed: Vec<CentreName> =
                 listing.items.iter().filter_map(|(key, _)| read_centre(key)).collect();
--- a/crates/sagespool-gateway/src/feeds.rs
+++ b/crates/sagespool-gateway/src/feeds.rs
@@ -19,6 +19,13 @@
 
 use crate::fleet::FleetClient;
 
+/// The timing of the quarantined contents, which change rarely. A change ends each wait at once; the
+/// time limits only bound how long a stalled neighbour goes unnoticed.
+const QUARANTINE_TIMING: FeedTiming = FeedTiming {
+    max_age: Duration::from_secs(20),
+    poll_wait: Duration::from_secs(5),
+    watch_wait: Duration::from_secs(10),
+};
 const MICROS_IN_SECOND: u64 = 1_000_000;
 const NANOS_IN_MICRO: u64 = 1_000;
 
@@ -35,6 +42,7 @@
 pub(crate) struct FeedReplica {
     state: Mutex<ReplicaState>,
     changed: Event,
+    interrupted: Event,
 }
 
 #[derive(Debug, Default)]
@@ -91,6 +99,16 @@
         self.state().store_lost = lost;
     }
 
+    /// Ends a wait for changes, so that they are requested again at once.
+    pub(crate) fn interrupt(&self) {
+        self.interrupted.notify(usize::MAX);
+    }
+
+    /// Waits for [`Self::interrupt`].
+    pub(crate) async fn wait_for_interrupt(&self) {
+        self.interrupted.listen().await;
+    }
+
     pub(crate) fn revision(&self) -> StoreRevision {
         self.state().feed.revision()
     }
@@ -146,6 +164,7 @@
     configuration: FeedReplica,
     upstreams: FeedReplica,
     evacuations: FeedReplica,
+    quarantine: FeedReplica,
 }
 
 impl FeedRegistry {
@@ -158,6 +177,7 @@
             configuration: FeedReplica::default(),
             upstreams: FeedReplica::default(),
             evacuations: FeedReplica::default(),
+            quarantine: FeedReplica::default(),
         }
     }
 
@@ -166,6 +186,7 @@
         match kind {
             FeedKind::Configuration | FeedKind::Upstreams => self.timing,
             FeedKind::Evacuations => self.evacuation_timing,
+            FeedKind::Quarantine => self.timing.map(|_| QUARANTINE_TIMING),
         }
     }
 
@@ -174,6 +195,7 @@
             FeedKind::Configuration => &self.configuration,
             FeedKind::Upstreams => &self.upstreams,
             FeedKind::Evacuations => &self.evacuations,
+            FeedKind::Quarantine => &self.quarantine,
         }
     }
 
--- a/crates/sagespool-gateway/src/follow.rs
+++ b/crates/sagespool-gateway/src/follow.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_lite::future::or;
 use sagespool_forward::{FeedObject, PlanIndex, REPLY_TIMEOUT, UpstreamChange, UpstreamRecord};
 use sagespool_log::log_event;
 use sagespool_messages::{ChangedObject, FeedKind, FeedReply};
@@ -17,7 +18,7 @@
 
 /// Wait time of a long poll of the store. A dead connection is noticed only after this time, and a
 /// configuration must take effect within two seconds after it is stored.
-const WATCH_WAIT: Duration = Duration::from_millis(2000);
+pub(crate) const WATCH_WAIT: Duration = Duration::from_millis(2000);
 /// Pause between two polls for upstream changes. Upstreams write all the time and each poll is a
 /// call of the store, so changes are batched. Leaving upstreams still serve for two seconds.
 const UPSTREAM_PAUSE: Duration = Duration::from_millis(400);
@@ -46,6 +47,8 @@
     pub(crate) kind: FeedKind,
     pub(crate) prefix: &'static str,
     pub(crate) pause: fn(&GatewayState) -> Duration,
+    /// Wait time of a long poll of the store, if no neighbours are followed.
+    pub(crate) wait: Duration,
     pub(crate) on_listing: fn(&GatewayState, RawListing),
     /// Applies a change; false if it is irrelevant to neighbours.
     pub(crate) on_change: fn(&GatewayState, RawChange) -> bool,
@@ -60,6 +63,7 @@
         kind: FeedKind::Configuration,
         prefix: state.dialect.plan_prefix,
         pause: |_| Duration::ZERO,
+        wait: WATCH_WAIT,
         on_listing: |state, listing| {
             for (key, object) in listing.items {
                 apply_plan_object(state, &key, &object.value);
@@ -83,6 +87,7 @@
         kind: FeedKind::Upstreams,
         prefix: state.dialect.upstream_prefix,
         pause: upstream_pause,
+        wait: WATCH_WAIT,
         on_listing: |state, listing| {
             let items = listing.items.iter();
             let records =
@@ -110,7 +115,10 @@
             }
             is_relevant
         },
-        on_recovery: |state, outage| state.upstreams().store_returned(outage, ClockTime::now()),
+        on_recovery: |state, outage| {
+            state.upstreams().store_returned(outage, ClockTime::now());
+            state.feeds.replica(FeedKind::Quarantine).interrupt();
+        },
     };
     follow(&state, followed).await;
 }
@@ -153,7 +161,15 @@
             wait_for_neighbours(state, &followed).await;
         }
         may_be_stale = false;
-        while follow_changes(state, &followed, &mut health).await.is_ok() {}
+        loop {
+            let interrupted = async {
+                state.feeds.replica(followed.kind).wait_for_interrupt().await;
+                Ok(())
+            };
+            if or(follow_changes(state, &followed, &mut health), interrupted).await.is_err() {
+                break;
+            }
+        }
     }
 }
 
@@ -181,7 +197,7 @@
 ) -> Result<(), HistoryGone> {
     let source = state.feeds.source(&state.fleet, followed.kind, ClockTime::now());
     let Some(ChangeSource { neighbour, wait }) = source else {
-        return watch_store(state, followed, health, WATCH_WAIT).await;
+        return watch_store(state, followed, health, followed.wait).await;
     };
     if let Some(neighbour) = neighbour {
         health.set_source(followed, Some(&neighbour));
--- a/crates/sagespool-gateway/src/peers.rs
+++ b/crates/sagespool-gateway/src/peers.rs
@@ -56,13 +56,16 @@
             let document = (state.plan_version() > query.have).then(|| state.plan_document());
             PeerReply::Plan(PlanReply { document: document.flatten() })
         }
-        PeerRequest::ReportCrashes(known) => PeerReply::Crashes(record_reports(state, &known)),
+        PeerRequest::ReportCrashes(known) => {
+            PeerReply::Crashes(record_reports(state, &known, ClockTime::now()))
+        }
         PeerRequest::WithdrawCrashes(withdrawn) => {
             state.crashes.withdraw(&withdrawn);
             PeerReply::Done
         }
         PeerRequest::Quarantine(notice) => {
-            state.crashes.apply_notice(&notice, ClockTime::now());
+            let agreed = state.crashes.apply_quarantine(&notice, ClockTime::now());
+            log_event!(info, "quarantine-announced", content = notice.content, agreed = agreed);
             PeerReply::Done
         }
         PeerRequest::ReturnRest(unspent) => {
--- a/crates/sagespool-gateway/src/role.rs
+++ b/crates/sagespool-gateway/src/role.rs
@@ -14,6 +14,7 @@
 use smol::{Task, Timer};
 
 use crate::callers::accept;
+use crate::crashes::{follow_quarantine, save_quarantine};
 use crate::dialect::WireDialect;
 use crate::evacuations::follow_evacuations;
 use crate::follow::{follow_plan, follow_upstreams, sweep};
@@ -118,6 +119,8 @@
         let mut tasks = vec![
             smol::spawn(follow_plan(state.clone())),
             smol::spawn(follow_upstreams(state.clone())),
+            smol::spawn(follow_quarantine(state.clone())),
+            smol::spawn(save_quarantine(state.clone())),
             smol::spawn(sweep(state.clone())),
             smol::spawn(log_store_calls(state.store.clone())),
         ];
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -333,7 +333,7 @@
         !self.is_stopping() && self.plan().is_some() && self.knows_upstreams()
     }
 
-    /// Whether the upstreams and the evacuations are known as of a known time.
+    /// Whether the upstreams, the evacuations and the quarantined contents are known as of a known time.
     ///
     /// Guards against requests by an old listing: while too few gateways are ready, the load balancer
     /// sends callers to all of them. After a kill of all machines a gateway tried 72 upstreams that
@@ -341,6 +341,7 @@
     pub(crate) fn knows_upstreams(&self) -> bool {
         let is_loaded = |kind| self.feeds.replica(kind).is_loaded();
         is_loaded(FeedKind::Upstreams)
+            && is_loaded(FeedKind::Quarantine)
             && (!self.follows_evacuations() || is_loaded(FeedKind::Evacuations))
     }
 
--- a/crates/sagespool-messages/src/gateways.rs
+++ b/crates/sagespool-messages/src/gateways.rs
@@ -119,6 +119,8 @@
         Upstreams,
         /// Data centres whose upstreams receive no new requests.
         Evacuations,
+        /// Contents that no upstream may run.
+        Quarantine,
     }
 }
 
@@ -129,6 +131,7 @@
             Self::Configuration => "configuration",
             Self::Upstreams => "upstreams",
             Self::Evacuations => "evacuations",
+            Self::Quarantine => "quarantine",
         }
     }
 }
