--- a/crates/sagespool-testkit/src/engine/batch.rs
+++ b/crates/sagespool-testkit/src/engine/batch.rs
@@ -74,7 +74,7 @@
         !self.running.is_empty()
     }
 
-    /// True once a poisonous prompt has started; the engine must then crash.
+    /// True once a poisonous prompt has run to its crash; the engine must then end.
     pub(crate) fn is_poisoned(&self) -> bool {
         self.poisoned
     }
@@ -123,6 +123,7 @@
             if run.advance(work, rate, now) {
                 prefilled.push(run.arrived.completion.prefix);
             }
+            self.poisoned |= run.crashes_engine();
         }
         for prefix in prefilled {
             self.cache_prefix(prefix, now);
@@ -214,7 +215,7 @@
                 return;
             };
             let run = self.start_run(run, faults, now);
-            self.poisoned |= run.arrived.completion.poisonous;
+            self.poisoned |= run.crashes_engine();
             self.running.insert(number, run);
         }
     }
--- a/crates/sagespool-testkit/src/engine/request.rs
+++ b/crates/sagespool-testkit/src/engine/request.rs
@@ -10,6 +10,10 @@
 const DEFAULT_MAX_TOKENS: u32 = 256;
 const DEFAULT_PRIORITY: u8 = 100;
 const POISON_MARKER: &str = "poison";
+/// Marks a prompt that crashes an engine only after some tokens.
+const LATE_POISON_MARKER: &str = "late-poison";
+/// Tokens that a run of such a prompt generates before the crash.
+const TOKENS_BEFORE_CRASH: u32 = 2;
 
 #[derive(Deserialize)]
 struct CompletionBody {
@@ -38,6 +42,12 @@
     text.contains(POISON_MARKER)
 }
 
+/// Index of the token before which a run of a prompt crashes the engine.
+fn crash_index(prompt: &str, resumed_from: u32) -> Option<u32> {
+    let tokens = if prompt.contains(LATE_POISON_MARKER) { TOKENS_BEFORE_CRASH } else { 0 };
+    is_poisonous(prompt).then(|| resumed_from.saturating_add(tokens))
+}
+
 /// Why the body of a completion request is refused.
 #[derive(Debug)]
 pub(crate) enum RequestError {
@@ -70,7 +80,8 @@
     pub(crate) resumed_from: u32,
     pub(crate) length: u32,
     pub(crate) finish_reason: &'static str,
-    pub(crate) poisonous: bool,
+    /// Index of the token before which a run of it crashes the engine; `None` if it doesn't.
+    pub(crate) crashes_at: Option<u32>,
 }
 
 impl CompletionRequest {
@@ -94,7 +105,7 @@
             resumed_from: resumed_from.min(length),
             length,
             finish_reason,
-            poisonous: is_poisonous(&prompt),
+            crashes_at: crash_index(&prompt, resumed_from),
             priority: body.priority.unwrap_or(DEFAULT_PRIORITY),
             model: body.model,
             prompt,
--- a/crates/sagespool-testkit/src/engine/run.rs
+++ b/crates/sagespool-testkit/src/engine/run.rs
@@ -72,7 +72,8 @@
     fn generate_tokens(&mut self, now: ClockTime) {
         let completion = &self.arrived.completion;
         let whole = self.credit.floor();
-        let until = self.breaks_at.unwrap_or(completion.length);
+        let until = self.breaks_at.or(completion.crashes_at).unwrap_or(completion.length);
+        let until = until.min(completion.length);
         let generated = (whole as u32).min(until - self.next);
         if generated == 0 {
             return;
@@ -84,6 +85,14 @@
         self.stream.make_available(self.next);
     }
 
+    /// True once the run has reached the token at which it crashes the engine.
+    pub(super) fn crashes_engine(&self) -> bool {
+        let completion = &self.arrived.completion;
+        let has_started = completion.crashes_at == Some(completion.resumed_from);
+        completion.crashes_at.is_some_and(|index| self.next >= index)
+            && (has_started || self.prefill_left <= 0.0)
+    }
+
     /// True once the stream has reached its injected break.
     pub(super) fn is_broken(&self) -> bool {
         self.prefill_left <= 0.0 && self.breaks_at.is_some_and(|index| self.next >= index)
--- a/crates/sagespool-testkit/src/load/faults/scripts.rs
+++ b/crates/sagespool-testkit/src/load/faults/scripts.rs
@@ -10,7 +10,7 @@
 };
 
 /// Names of the faults.
-pub const FAULT_NAMES: [&str; 14] = [
+pub const FAULT_NAMES: [&str; 15] = [
     "partition-topup",
     "entry-kill",
     "store-outage",
@@ -18,6 +18,7 @@
     "paused-holder",
     "sidecar-kill",
     "poison",
+    "late-poison",
     "crossed-answers",
     "upstream-kill",
     "rolling-restart",
@@ -37,8 +38,8 @@
 const TOP_UP: TokenCount = TokenCount(2_000);
 const TOP_UPS: u32 = 6;
 
-/// Runs the script of a fault; false if the name is unknown. `poison` has no script: it is part of
-/// the traffic.
+/// Runs the script of a fault; false if the name is unknown. `poison` and `late-poison` have no
+/// script: they are part of the traffic.
 pub async fn run_fault(name: &str, context: FaultContext) -> bool {
     match name {
         "partition-topup" => partition_topup(&context).await,
@@ -54,7 +55,7 @@
         "stale-order" => stale_order::stale_order(&context).await,
         "operators-race" => operators_race::operators_race(&context).await,
         "config-churn" => config_churn::run(&context).await,
-        "poison" => {}
+        "poison" | "late-poison" => {}
         _ => return false,
     }
     true
--- a/crates/sagespool-testkit/src/load/scenario/traffic.rs
+++ b/crates/sagespool-testkit/src/load/scenario/traffic.rs
@@ -61,7 +61,7 @@
     calls
 }
 
-/// Generates the calls of a scenario, including those of the `poison` fault.
+/// Generates the calls of a scenario, including those of the `poison` and `late-poison` faults.
 pub(super) fn planned_calls(
     options: &ScenarioOptions,
     mix: &TrafficMix,
@@ -70,31 +70,40 @@
 ) -> Vec<PlannedCall> {
     let mut builder = PlanBuilder::new(options.seed);
     let mut calls = phase_calls(&mut builder, mix, rate, phases);
-    if options.all_faults().iter().any(|fault| fault == "poison") {
+    let faults = options.all_faults();
+    for (marker, length) in [("poison", 5), ("late-poison", 20)] {
+        if !faults.iter().any(|fault| fault == marker) {
+            continue;
+        }
         let from = phases.last().map_or(Duration::ZERO, TimedPhase::until).mul_f64(0.3);
         for number in 0..POISON_CALLS {
             let at = from + Duration::from_millis(700 * number);
-            calls.push(poison_call(&mut builder, mix, at));
+            calls.push(poison_call(&mut builder, mix, (marker, length), at));
         }
-        calls.sort_by_key(|call| call.at);
     }
+    calls.sort_by_key(|call| call.at);
     calls
 }
 
-/// A request that crashes every engine that runs it. The content is the same each time, the
+/// A request that crashes every engine that runs it, at once or after some tokens. The content is the same each time, the
 /// idempotency key differs, and the entry is random.
-fn poison_call(builder: &mut PlanBuilder, mix: &TrafficMix, at: Duration) -> PlannedCall {
+fn poison_call(
+    builder: &mut PlanBuilder,
+    mix: &TrafficMix,
+    (marker, length): (&str, u32),
+    at: Duration,
+) -> PlannedCall {
     let mut call = builder.call(mix, at);
     let model = mix.models[0].clone();
     call.kind = CallKind::Completion {
         model,
-        prompt: "poison: a dossier that no engine survives. len:5".into(),
+        prompt: format!("{marker}: a dossier that no engine survives. len:{length}"),
         max_tokens: 20,
-        length: 5,
+        length,
         stream: true,
     };
     call.non_idempotent = false;
-    call.key = Some(format!("poison-{}", call.marker.number));
+    call.key = Some(format!("{marker}-{}", call.marker.number));
     call
 }
 
--- a/crates/sagespool-testkit/tests/engine_faults.rs
+++ b/crates/sagespool-testkit/tests/engine_faults.rs
@@ -7,7 +7,7 @@
 
 use calls::{MODEL, complete, completion, get, is_pending, joined_tokens, run, send, until};
 use sagespool_testkit::{FakeEngine, RunEnd, RunMarker, answer_text};
-use sagespool_types::TokenRate;
+use sagespool_types::{TokenCount, TokenRate};
 use serde_json::json;
 
 fn ends_of(engine: &FakeEngine, marker: &str) -> Vec<RunEnd> {
@@ -75,6 +75,20 @@
     });
 }
 
+#[test]
+fn late_poison() {
+    run(async {
+        let engine = engine!(token_rate: TokenRate(20), restart_after: None);
+        let body = completion("late-poison mark:a/1", 9);
+        let mut stream = complete(engine.address(), &[], &body).await.unwrap();
+        stream.next().await.unwrap().expect("a first token");
+        stream.read_to_end().await.expect_err("the stream breaks");
+        until("it crashed", || !engine.is_serving()).await;
+        assert_eq!(ends_of(&engine, "mark:a/1"), vec![RunEnd::Crashed]);
+        assert_eq!(engine.run_log().runs()[0].produced, TokenCount(2));
+    });
+}
+
 #[test]
 fn waiting_poison() {
     run(async {
