Crashes: a content is the same under each key of its account; tests of weights

What callers could see: a request that crashes upstreams runs three times more with each key that its account is given.

Cause: the digest of a content held the key of its caller. Keys change with the configuration; the account is what a request is run for.

--- a/crates/sagespool-claims/tests/crash_tracker.rs
+++ b/crates/sagespool-claims/tests/crash_tracker.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use sagespool_claims::{CrashTracker, CrashVerdict, QuarantineRecord, StopOutcome};
-use sagespool_messages::CrashReport;
+use sagespool_messages::{ContentCrashes, CrashReport};
 use sagespool_types::{AttemptNumber, ClockTime, ContentDigest, CrashWeight, RequestId, WallTime};
 
 const CRASHING: ContentDigest = ContentDigest(66);
@@ -201,3 +201,50 @@
     idle.apply_record(&record, at(12));
     assert!(!idle.is_stopped(frequent));
 }
+
+fn weighted(request: u128, upstream: usize, weight: CrashWeight) -> CrashReport {
+    CrashReport { weight, ..report(CRASHING, request, upstream) }
+}
+
+/// Guards against breaks that are no crashes and are counted again for the same upstream.
+#[test]
+fn weighted_reports() {
+    let tracker = CrashTracker::new();
+    let half = CrashWeight(500);
+    let crash = weighted(2, 0, CrashWeight::FULL);
+    assert_eq!(tracker.record(&weighted(1, 0, half), at(0)), CrashVerdict::Suspected);
+    assert_eq!(tracker.record(&crash, at(1)), CrashVerdict::Suspected, "in place of its break");
+    assert_eq!(tracker.record(&weighted(3, 0, half), at(60)), CrashVerdict::Repeated);
+    assert_eq!(tracker.record(&weighted(4, 1, half), at(61)), CrashVerdict::Suspected);
+    assert_eq!(tracker.record(&weighted(5, 2, half), at(62)), CrashVerdict::Stopped);
+}
+
+/// Guards against reports that outlive the success by which they were withdrawn, or arrive after it.
+#[test]
+fn withdrawn_reports() {
+    let tracker = CrashTracker::new();
+    let (first, second) = (report(CRASHING, 1, 0), report(CRASHING, 2, 1));
+    tracker.record(&first, at(0));
+    let late = report(CRASHING, 3, 2);
+    let reports = vec![first, late.clone()];
+    assert!(!tracker.withdraw(&ContentCrashes { content: CRASHING, reports }));
+    assert_eq!(tracker.record(&late, at(1)), CrashVerdict::Repeated);
+    assert_eq!(tracker.record(&second, at(2)), CrashVerdict::Suspected);
+    assert_eq!(tracker.record(&report(CRASHING, 4, 3), at(3)), CrashVerdict::Stopped);
+    assert!(tracker.withdraw(&tracker.crashes_of(CRASHING)));
+    assert!(!tracker.is_stopped(CRASHING));
+    assert_eq!(tracker.count(), 0);
+}
+
+/// Guards against two processes that stop a content at once, tell each other, and both take it for
+/// saved.
+#[test]
+fn unsaved_stop() {
+    let tracker = CrashTracker::new();
+    tracker.record(&report(CRASHING, 1, 0), at(0));
+    tracker.record(&report(CRASHING, 2, 1), at(1));
+    assert!(tracker.stop(&tracker.crashes_of(CRASHING), at(2)));
+    assert_eq!(tracker.unsaved().len(), 1);
+    tracker.mark_stored(CRASHING);
+    assert!(tracker.unsaved().is_empty());
+}
--- a/crates/sagespool-gateway/src/crashes.rs
+++ b/crates/sagespool-gateway/src/crashes.rs
@@ -23,7 +23,7 @@
     ContentCrashes, CrashReport, MemberInfo, MemberRole, PeerReply, PeerRequest,
 };
 use sagespool_types::{
-    AttemptNumber, ClockTime, ContentDigest, CrashWeight, RequestId, UpstreamName,
+    AttemptNumber, BranchName, ClockTime, ContentDigest, CrashWeight, RequestId, UpstreamName,
 };
 use smol::Timer;
 
@@ -165,7 +165,8 @@
     /// Identifies equal requests across all gateways.
     pub(crate) fn content(&self) -> ContentDigest {
         *self.content.get_or_init(|| {
-            content_of(self.request.attributes.key.as_deref(), &self.head, &self.request.body)
+            let key = self.request.attributes.key.as_deref();
+            content_of(self.request.branch.as_ref(), key, &self.head, &self.request.body)
         })
     }
 
@@ -238,13 +239,16 @@
     }
 }
 
-/// The digest of a request's caller key, method, target and body.
+/// The digest of a request's caller, method, target and body. The caller is the client account, whose
+/// keys may change, or the key on routes without accounts.
 pub(crate) fn content_of(
+    branch: Option<&BranchName>,
     key: Option<&str>,
     head: &hyper::http::request::Parts,
     body: &[u8],
 ) -> ContentDigest {
-    let target = format!("{} {} {}", key.unwrap_or_default(), head.method, head.uri);
+    let caller = branch.map(BranchName::as_str).or(key).unwrap_or_default();
+    let target = format!("{caller} {} {}", head.method, head.uri);
     ContentDigest::of(&target, body)
 }
 
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -126,7 +126,9 @@
         }
     };
     let body = read_body(&index, body, &mut permit, deadline.since(ClockTime::now())).await?;
-    if state.crashes.is_quarantined(|| content_of(attributes.key.as_deref(), head, &body)) {
+    let branch_name = branch.map(|branch| &branch.name);
+    let key = attributes.key.as_deref();
+    if state.crashes.is_quarantined(|| content_of(branch_name, key, head, &body)) {
         return Err(Refusal::Quarantined);
     }
     if deadline.since(ClockTime::now()) < MIN_TIME_LEFT {
