Crashes: a culprit explains the crashes of what was in flight beside it

Cause: at the start its first three runs were in flight on three upstreams that a crashing content took down; both had three confirmed crashes, and no run had succeeded yet that could speak for it.

Evidence: the gateways' logs: the crashing content broke f-2, f-3, f-1 and f-5, the harmless one f-3, f-1 and f-5, each within a millisecond of the other.

Change: the crash of an upstream on which a stopped content was in flight isn't counted for others. A stopped content whose upstreams are a proper part of another one's is lifted, here and in the store, whichever came first.

explained_crashes and two_culprits are new.

What remains: two contents with the very same upstreams are both refused.

A late reply of a neighbour about quarantined contents no longer keeps its copies of the configuration and the upstreams from being used.

--- a/crates/sagespool-claims/src/crash.rs
+++ b/crates/sagespool-claims/src/crash.rs
@@ -28,6 +28,9 @@
     /// Time for which a content stays suspected after a crash with it in flight.
     #[builder(default = Duration::from_secs(3600))]
     pub suspicion_duration: Duration,
+    /// True if a crash with a stopped content in flight doesn't count for the other contents there.
+    #[builder(default = false)]
+    pub blames_stopped: bool,
     /// Maximum number of suspects kept; the oldest is evicted first.
     #[builder(default = 10_000)]
     pub max_suspects: usize,
@@ -50,6 +53,8 @@
 pub enum CrashVerdict {
     /// Not counted: the crash was reported before, or was cleared.
     Repeated,
+    /// Not counted: a stopped content was in flight on the upstream.
+    Explained,
     /// Counted. The content is suspected, and may run again on an upstream without
     /// another suspect.
     Suspected,
@@ -64,6 +69,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Repeated => "repeated",
+            Self::Explained => "explained",
             Self::Suspected => "suspected",
             Self::Stopped => "stopped",
             Self::AlreadyStopped => "already-stopped",
@@ -114,6 +120,16 @@
         known.map(|(known, _)| known)
     }
 
+    fn upstreams(&self) -> BTreeSet<&UpstreamName> {
+        self.crashes.iter().map(|(note, _)| &note.upstream).collect()
+    }
+
+    /// True if another content was in flight at all crashes of this one, and at more.
+    fn is_explained_by(&self, other: &Self) -> bool {
+        let (own, others) = (self.upstreams(), other.upstreams());
+        own.len() < others.len() && own.is_subset(&others)
+    }
+
     fn weight(&self) -> CrashWeight {
         self.crashes.iter().map(|(note, _)| note.weight).sum()
     }
@@ -131,6 +147,8 @@
     records: BTreeMap<ContentDigest, CrashRecord>,
     /// Crashes that no longer count, by content.
     cleared: BTreeMap<ContentDigest, BTreeSet<CrashNote>>,
+    /// Stopped contents whose crashes another stopped content explains, until they are taken.
+    explained: BTreeSet<ContentDigest>,
 }
 
 /// The crashes known to one process.
@@ -176,6 +194,9 @@
         if cleared.is_some_and(|cleared| cleared.contains(&note)) {
             return CrashVerdict::Repeated;
         }
+        if self.policy.blames_stopped && state.has_culprit(report.content, &note.upstream) {
+            return CrashVerdict::Explained;
+        }
         let record = state.records.entry(report.content).or_default();
         if !record.notes.insert(note.clone()) {
             return CrashVerdict::Repeated;
@@ -190,7 +211,13 @@
             return CrashVerdict::AlreadyStopped;
         }
         record.stopped = record.weight() >= self.policy.stop_weight();
-        if record.stopped { CrashVerdict::Stopped } else { CrashVerdict::Suspected }
+        if !record.stopped {
+            return CrashVerdict::Suspected;
+        }
+        if self.policy.blames_stopped {
+            state.explain_others(report.content);
+        }
+        CrashVerdict::Stopped
     }
 
     /// Stops a content that another process has stopped, and saves, by the reports of its crashes,
@@ -226,6 +253,12 @@
         was_stopped && !is_stopped
     }
 
+    /// Stopped contents whose crashes another stopped content explains; they no longer are stopped
+    /// here, and must be lifted in the store too.
+    pub fn take_explained(&self) -> BTreeSet<ContentDigest> {
+        std::mem::take(&mut self.state().explained)
+    }
+
     /// What is known of a content's crashes.
     pub fn crashes_of(&self, content: ContentDigest) -> ContentCrashes {
         let state = self.state();
@@ -359,6 +392,33 @@
         }
     }
 
+    /// True if another content, which is stopped, was in flight at a crash of the upstream.
+    fn has_culprit(&self, content: ContentDigest, upstream: &UpstreamName) -> bool {
+        let others = self.records.iter().filter(|(other, _)| **other != content);
+        let mut stopped = others.filter(|(_, record)| record.stopped);
+        stopped.any(|(_, record)| record.crashes.iter().any(|(note, _)| note.upstream == *upstream))
+    }
+
+    /// Clears other contents' crashes that a stopped content explains: those of suspects on the same
+    /// upstreams, and stopped contents that it [explains](CrashRecord::is_explained_by).
+    fn explain_others(&mut self, culprit: ContentDigest) {
+        let Some(record) = self.records.get(&culprit).cloned() else { return };
+        let upstreams = record.upstreams();
+        let mut explained = Vec::new();
+        for (content, other) in self.records.iter_mut().filter(|(other, _)| **other != culprit) {
+            if other.stopped && other.is_explained_by(&record) {
+                explained.push(*content);
+            } else if !other.stopped {
+                other.crashes.retain(|(note, _)| !upstreams.contains(&note.upstream));
+            }
+        }
+        for content in explained {
+            let notes = self.records.remove(&content).unwrap_or_default().notes;
+            self.add_cleared(content, &notes);
+            self.explained.insert(content);
+        }
+    }
+
     fn evict(&mut self, policy: &CrashPolicy, now: ClockTime) {
         let keep = |record: &CrashRecord| {
             record.stopped || now.since(record.last_report_at) < policy.suspicion_duration
@@ -399,6 +459,18 @@
         record.stopped = true;
         record.stored = true;
         record.last_report_at = now;
+        if !policy.blames_stopped {
+            return true;
+        }
+        let record = record.clone();
+        let others = self.records.iter().filter(|(other, _)| **other != content);
+        let mut stopped = others.filter(|(_, other)| other.stopped);
+        if stopped.any(|(_, other)| record.is_explained_by(other)) {
+            self.records.remove(&content);
+            self.add_cleared(content, &record.notes);
+            return false;
+        }
+        self.explain_others(content);
         true
     }
 
--- a/crates/sagespool-claims/tests/crash_tracker.rs
+++ b/crates/sagespool-claims/tests/crash_tracker.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sagespool_claims::{CrashTracker, CrashVerdict, QuarantineRecord, StopOutcome};
+use sagespool_claims::{CrashPolicy, CrashTracker, CrashVerdict, QuarantineRecord, StopOutcome};
 use sagespool_messages::{ContentCrashes, CrashReport};
 use sagespool_types::{AttemptNumber, ClockTime, ContentDigest, CrashWeight, RequestId, WallTime};
 
@@ -248,3 +248,52 @@
     tracker.mark_stored(CRASHING);
     assert!(tracker.unsaved().is_empty());
 }
+
+fn gateway_tracker() -> CrashTracker {
+    CrashTracker::with_policy(CrashPolicy::builder().stop_at(3).blames_stopped(true).build())
+}
+
+/// Guards against the stop of a harmless content that was in flight at each crash of a culprit but
+/// one: at another process, or beside it.
+#[test]
+fn explained_crashes() {
+    let harmless = ContentDigest(1);
+    for order in 0..2 {
+        let tracker = gateway_tracker();
+        tracker.record(&report(CRASHING, 1, 0), at(0));
+        for crash in 1..3 {
+            tracker.record(&report(harmless, 10 + crash, crash as usize), at(10));
+            tracker.record(&report(CRASHING, 2 + crash, crash as usize), at(10));
+        }
+        assert!(tracker.is_stopped(CRASHING));
+        assert_eq!(tracker.record(&report(harmless, 19, 2), at(11)), CrashVerdict::Explained);
+        let reports = (1..4).map(|crash| report(harmless, 10 + crash, crash as usize)).collect();
+        let elsewhere = ContentCrashes { content: harmless, reports };
+        let reports = (0..4).map(|crash| report(CRASHING, 20 + crash, crash as usize)).collect();
+        let culprit = ContentCrashes { content: CRASHING, reports };
+        if order == 0 {
+            assert!(tracker.stop(&culprit, at(12)));
+            assert!(!tracker.stop(&elsewhere, at(12)));
+        } else {
+            assert!(tracker.stop(&elsewhere, at(12)));
+            assert!(tracker.stop(&culprit, at(12)));
+            assert_eq!(tracker.take_explained(), [harmless].into());
+        }
+        assert!(tracker.is_stopped(CRASHING));
+        assert!(!tracker.is_stopped(harmless), "order {order}");
+    }
+}
+
+/// Guards against a culprit that stays because another content crashed upstreams before it.
+#[test]
+fn two_culprits() {
+    let tracker = gateway_tracker();
+    let other = ContentDigest(1);
+    for crash in 0..3 {
+        tracker.record(&report(CRASHING, crash, crash as usize), at(0));
+    }
+    for crash in 3..6 {
+        tracker.record(&report(other, crash, crash as usize), at(10));
+    }
+    assert!(tracker.is_stopped(CRASHING) && tracker.is_stopped(other));
+}
--- a/crates/sagespool-gateway/src/crashes.rs
+++ b/crates/sagespool-gateway/src/crashes.rs
@@ -65,7 +65,7 @@
 
 impl CrashReports {
     pub(crate) fn new() -> Self {
-        let policy = CrashPolicy::builder().stop_at(CRASHES_TO_QUARANTINE);
+        let policy = CrashPolicy::builder().stop_at(CRASHES_TO_QUARANTINE).blames_stopped(true);
         let tracker = CrashTracker::with_policy(policy.max_suspects(MAX_SUSPECTS).build());
         Self {
             tracker,
@@ -94,7 +94,11 @@
         self.evidence.note_send(now);
     }
 
+    /// Applies the effects of a change of the tracker.
     fn refresh_watched(&self) {
+        for content in self.tracker.take_explained() {
+            self.stored.request_lift(content);
+        }
         let count = self.tracker.count() + self.evidence.count();
         self.watched.store(count, Ordering::Relaxed);
     }
--- a/crates/sagespool-gateway/src/feeds.rs
+++ b/crates/sagespool-gateway/src/feeds.rs
@@ -260,7 +260,11 @@
                 kind = kind.as_str(),
                 cause = cause,
             );
-            self.source_selector().avoid(neighbour.incarnation, ClockTime::now());
+            // Quarantined contents are held for long and aren't urgent: a late reply says nothing about
+            // the neighbour's other copies, and the store is asked next.
+            if kind != FeedKind::Quarantine {
+                self.source_selector().avoid(neighbour.incarnation, ClockTime::now());
+            }
         }
         fresh
     }
