--- a/crates/sagespool-claims/src/crash.rs
+++ b/crates/sagespool-claims/src/crash.rs
@@ -394,9 +394,13 @@
 
     /// True if another content, which is stopped, was in flight at a crash of the upstream.
     fn has_culprit(&self, content: ContentDigest, upstream: &UpstreamName) -> bool {
-        let others = self.records.iter().filter(|(other, _)| **other != content);
-        let mut stopped = others.filter(|(_, record)| record.stopped);
-        stopped.any(|(_, record)| record.crashes.iter().any(|(note, _)| note.upstream == *upstream))
+        self.stopped_others(content).any(|record| record.upstreams().contains(upstream))
+    }
+
+    /// The records of the other contents that are stopped.
+    fn stopped_others(&self, content: ContentDigest) -> impl Iterator<Item = &CrashRecord> {
+        let others = self.records.iter().filter(move |(other, _)| **other != content);
+        others.map(|(_, record)| record).filter(|record| record.stopped)
     }
 
     /// Clears other contents' crashes that a stopped content explains: those of suspects on the same
@@ -463,9 +467,7 @@
             return true;
         }
         let record = record.clone();
-        let others = self.records.iter().filter(|(other, _)| **other != content);
-        let mut stopped = others.filter(|(_, other)| other.stopped);
-        if stopped.any(|(_, other)| record.is_explained_by(other)) {
+        if self.stopped_others(content).any(|other| record.is_explained_by(other)) {
             self.records.remove(&content);
             self.add_cleared(content, &record.notes);
             return false;
--- a/crates/sagespool-gateway/src/crashes.rs
+++ b/crates/sagespool-gateway/src/crashes.rs
@@ -95,7 +95,7 @@
     }
 
     /// Applies the effects of a change of the tracker.
-    fn refresh_watched(&self) {
+    fn apply_tracker_change(&self) {
         for content in self.tracker.take_explained() {
             self.stored.request_lift(content);
         }
@@ -106,7 +106,7 @@
     /// Records a report of this gateway or another one. True if it quarantines the content.
     fn record(&self, report: &CrashReport, now: ClockTime) -> bool {
         let verdict = self.tracker.record(report, now);
-        self.refresh_watched();
+        self.apply_tracker_change();
         log_event!(
             info,
             "crash-reported",
@@ -134,7 +134,7 @@
     pub(crate) fn apply_quarantine(&self, stopped: &ContentCrashes, now: ClockTime) -> bool {
         let succeeded = self.evidence.succeeded_lately(stopped.content, now);
         let agreed = !succeeded && self.tracker.stop(stopped, now);
-        self.refresh_watched();
+        self.apply_tracker_change();
         if !agreed {
             self.stored.request_lift(stopped.content);
         }
@@ -144,7 +144,7 @@
     /// Withdraws reports, since a run of their content has succeeded at another gateway.
     pub(crate) fn withdraw(&self, withdrawn: &ContentCrashes) {
         let lifted = self.tracker.withdraw(withdrawn);
-        self.refresh_watched();
+        self.apply_tracker_change();
         if lifted {
             self.stored.request_lift(withdrawn.content);
         }
@@ -208,7 +208,7 @@
             events = self.log.events,
         );
         self.state.crashes.evidence.begin(broken.content);
-        self.state.crashes.refresh_watched();
+        self.state.crashes.apply_tracker_change();
         let (recorded, wait) = bounded(1);
         smol::spawn(report_broken(self.state.clone(), broken, recorded)).detach();
         let _ = within(EXAMINATION_WAIT, wait.recv()).await;
@@ -227,7 +227,7 @@
             return;
         }
         let stopped = crashes.tracker.record_success(content);
-        crashes.refresh_watched();
+        crashes.apply_tracker_change();
         if stopped {
             crashes.stored.request_lift(content);
         }
@@ -265,7 +265,7 @@
     let succeeded = state.crashes.evidence.succeeded_lately(content, now);
     let known = state.upstreams().count();
     let weight = state.crashes.evidence.weigh(content, &upstream.name, finding, known, now);
-    state.crashes.refresh_watched();
+    state.crashes.apply_tracker_change();
     state.metrics.count_break(finding.as_str());
     log_event!(
         info,
--- a/crates/sagespool-gateway/src/crashes/stored.rs
+++ b/crates/sagespool-gateway/src/crashes/stored.rs
@@ -168,7 +168,7 @@
     stored.announced.remove(&content);
     drop(stored);
     let lifted = state.crashes.tracker.lift(content);
-    state.crashes.refresh_watched();
+    state.crashes.apply_tracker_change();
     log_event!(info, "quarantine-lifted", content = content, stopped = lifted);
 }
 
