Load tool: calls with the content of others count in the bound of what is spent

Cause: the judgement's. It sums the calls whose runs the upstreams' log has begun, by the marker in their content. Calls that crash upstreams have the same content each time and so no marker: what they cost was expected to be nothing.

Change: a call without a marker in its content counts with its greatest cost once it was sent. The bound for all other calls is as before. unmarked_runs holds it: one token above the cost is still false, and so is any before the call was sent.

--- a/crates/sagespool-testkit/src/load/operator_oracle/spend.rs
+++ b/crates/sagespool-testkit/src/load/operator_oracle/spend.rs
@@ -41,7 +41,11 @@
         .filter_map(|run| run.start.marker.as_ref())
         .filter(|marker| marker.branch == *branch)
         .collect();
-    let records = facts.records.iter().filter(|record| begun.contains(&record.call.marker));
+    let records = facts.records.iter().filter(|record| match record.call.is_marked() {
+        true => begun.contains(&record.call.marker),
+        // Its runs can't be told from those of other calls with the same content.
+        false => record.call.branch() == branch && record.sends.iter().any(|send| send.sent <= at),
+    });
     let most = records.map(|record| match record.is_answered() {
         true => record.billed(),
         false => record.call.greatest_cost(),
--- a/crates/sagespool-testkit/src/load/plan.rs
+++ b/crates/sagespool-testkit/src/load/plan.rs
@@ -74,6 +74,15 @@
         &self.marker.branch
     }
 
+    /// Whether the upstreams' run log has its marker. Calls that crash upstreams all have the same
+    /// content.
+    pub fn is_marked(&self) -> bool {
+        match &self.kind {
+            CallKind::Completion { prompt, .. } => RunMarker::find(prompt).is_some(),
+            CallKind::Service { .. } => true,
+        }
+    }
+
     /// The upper bound of its cost, which is what is reserved.
     pub fn greatest_cost(&self) -> TokenCount {
         match &self.kind {
--- a/crates/sagespool-testkit/tests/answer_oracle.rs
+++ b/crates/sagespool-testkit/tests/answer_oracle.rs
@@ -7,7 +7,8 @@
 
 use sagespool_messages::UpstreamKind;
 use sagespool_testkit::load::{
-    AnswerFacts, AnswerSample, DepositLog, FaultLog, judge_answers, judge_leaving,
+    AnswerFacts, AnswerSample, CallKind, CallOutcome, CallRecord, DepositLog, FaultLog,
+    PlannedCall, SendRecord, judge_answers, judge_leaving,
 };
 use sagespool_testkit::{RunEnd, RunLog, RunStart};
 use sagespool_types::{BranchName, ClockTime, TokenCount, UpstreamName};
@@ -44,6 +45,10 @@
 }
 
 fn false_statements(sample: AnswerSample) -> u64 {
+    false_statements_about(&[], sample)
+}
+
+fn false_statements_about(records: &[CallRecord], sample: AnswerSample) -> u64 {
     let branch: BranchName = "first".parse().unwrap();
     let mut deposits = DepositLog::default();
     for (amount, at) in [(100, 1), (50, 10), (30, 30)] {
@@ -51,7 +56,7 @@
         deposits.note(&branch, TokenCount(amount), seconds(at + 1));
     }
     let facts = AnswerFacts {
-        records: &[],
+        records,
         runs: &[],
         deposits: &deposits,
         fault_log: &FaultLog::default(),
@@ -73,6 +78,50 @@
     assert_eq!(false_statements(spend_sample(150, 0, 5)), 1, "nothing was spent");
 }
 
+/// A call of 5 tokens at most that was sent at 15 s and is refused. Its runs have no marker.
+fn unmarked_call(sent: ClockTime) -> CallRecord {
+    let call = PlannedCall::builder()
+        .marker("mark:first/7".parse().unwrap())
+        .at(Duration::ZERO)
+        .token("token".to_owned())
+        .kind(CallKind::Completion {
+            model: "small".parse().unwrap(),
+            prompt: "late".to_owned(),
+            max_tokens: 4,
+            length: 4,
+            stream: true,
+        })
+        .entry(0)
+        .build();
+    assert_eq!(call.greatest_cost(), TokenCount(5));
+    let outcome = CallOutcome::Refused {
+        reason: "quarantined".to_owned(),
+        run_state: "unknown".to_owned(),
+        billed: TokenCount(3),
+    };
+    let send = SendRecord {
+        entry: 0,
+        sent,
+        ended: seconds(16),
+        first_token: None,
+        request: None,
+        outcome,
+    };
+    CallRecord { call, sends: vec![send] }
+}
+
+/// Guards against true answers judged false: calls with the content of others have runs without a
+/// marker, and what they are billed wasn't expected.
+#[test]
+fn unmarked_runs() {
+    let sent = [unmarked_call(seconds(15))];
+    assert_eq!(false_statements_about(&sent, spend_sample(150, 5, 5)), 0);
+    assert_eq!(false_statements_about(&sent, spend_sample(150, 6, 0)), 1, "above its cost");
+    assert_eq!(false_statements_about(&sent, spend_sample(150, 0, 6)), 1, "above its cost");
+    let later = [unmarked_call(seconds(21))];
+    assert_eq!(false_statements_about(&later, spend_sample(150, 0, 1)), 1, "not sent yet");
+}
+
 /// A run that arrived 4 s after its upstream began to leave, and one that was interrupted.
 #[test]
 fn late_runs() {
