Test harness: its processes end with it, also when it is killed

What was seen: a soak whose harness was killed left five processes behind.

Cause: the harness ends its processes when they are dropped, and a killed one drops nothing.

A process that is paused at that moment stays paused.

Ruled out: a signal at the parent's death, which comes with the end of the thread that started the process, and restarts come from short-lived threads.

--- a/crates/sagespool-daemon/src/main.rs
+++ b/crates/sagespool-daemon/src/main.rs
@@ -2,6 +2,7 @@
 
 mod options;
 mod process;
+mod stdin;
 
 use std::process::ExitCode;
 
@@ -24,5 +25,11 @@
         );
         return ExitCode::from(EXIT_USAGE);
     };
+    if options.end_with_stdin
+        && let Err(error) = stdin::end_with_stdin()
+    {
+        eprintln!("can't watch standard input: {error}");
+        return ExitCode::from(process::EXIT_START_FAILED);
+    }
     process::run(&path)
 }
--- a/crates/sagespool-daemon/src/process.rs
+++ b/crates/sagespool-daemon/src/process.rs
@@ -19,7 +19,7 @@
 /// Exit code: the settings are invalid.
 const EXIT_INVALID_SETTINGS: u8 = 2;
 /// Exit code: the process couldn't start.
-const EXIT_START_FAILED: u8 = 1;
+pub const EXIT_START_FAILED: u8 = 1;
 /// Exit code: requests were cut off at the stop, or state couldn't be written or returned.
 const EXIT_UNCLEAN_STOP: u8 = 3;
 
--- a/crates/sagespool-testkit/src/fleet/running.rs
+++ b/crates/sagespool-testkit/src/fleet/running.rs
@@ -20,7 +20,7 @@
 use super::member::{FleetMember, free_addresses};
 use super::settings_file::{PlatformAddresses, entry_settings, sidecar_settings};
 use super::{FleetError, FleetOptions, ProcessEvent, ProcessEventKind, ServicePlan};
-use crate::processes::ChildProcess;
+use crate::processes::{ChildProcess, END_WITH_STDIN};
 use crate::{
     EngineOptions, FakeEngine, FakeInstanceList, FakeObjectStore, FakeService, FaultProxy,
     InstanceEntry, InstanceListOptions, InstanceState, ObjectStoreOptions, RunLog, ServiceOptions,
@@ -283,7 +283,8 @@
         let member = &mut self.members[index];
         let fault = || FleetError::new(format!("starting {}", member.instance));
         let argument = member.settings.display().to_string();
-        let process = ChildProcess::start(&daemon, &[argument.as_str()], &member.log);
+        let arguments = [END_WITH_STDIN, argument.as_str()];
+        let process = ChildProcess::start(&daemon, &arguments, &member.log);
         member.process = Some(process.change_context_lazy(fault)?);
         self.record_process_event(index, ProcessEventKind::Started);
         Ok(())
--- a/crates/sagespool-testkit/src/lib.rs
+++ b/crates/sagespool-testkit/src/lib.rs
@@ -28,7 +28,9 @@
 pub use loopback_server::StartError;
 pub use object_api::{AppliedWrite, FakeObjectStore, ObjectStoreOptions, StoreCounts, StoreFaults};
 pub use plain_service::{FailureShares, FakeService, ServiceLoad, ServiceOptions, service_answer};
-pub use processes::{ChildProcess, ProcessError, ProcessUsage, free_tcp_port, free_udp_port};
+pub use processes::{
+    ChildProcess, END_WITH_STDIN, ProcessError, ProcessUsage, free_tcp_port, free_udp_port,
+};
 pub use proxy::{FaultProxy, PairBytes};
 pub use restartable_server::ListenError;
 pub use run_log::{RunEnd, RunLog, RunMarker, RunRecord, RunRecorder, RunStart, TokenUsage};
--- a/crates/sagespool-testkit/src/processes.rs
+++ b/crates/sagespool-testkit/src/processes.rs
@@ -66,6 +66,10 @@
 
 impl Error for ProcessError {}
 
+/// The argument by which `sagespoold` ends when its standard input closes. A harness that is killed
+/// can't kill its processes, but its end closes their standard input.
+pub const END_WITH_STDIN: &str = "--end-with-stdin";
+
 /// A child process, killed when dropped.
 #[derive(Debug)]
 pub struct ChildProcess {
@@ -75,7 +79,8 @@
 }
 
 impl ChildProcess {
-    /// Starts a program. Its output is appended to the log file.
+    /// Starts a program. Its output is appended to the log file. Its standard input stays open until
+    /// this process ends.
     pub fn start<Argument: AsRef<OsStr>>(
         program: &Path,
         arguments: &[Argument],
@@ -98,7 +103,7 @@
         let child = Command::new(program)
             .args(arguments)
             .envs(variables.iter().map(|(name, value)| (name, value)))
-            .stdin(Stdio::null())
+            .stdin(Stdio::piped())
             .stdout(output)
             .stderr(errors)
             .spawn()
