Change feed: the store is asked at once after a neighbour that doesn't reply

Log of frontend-riga-b-4: at 24.18 its neighbour hadn't replied for 0.85 s, its copy was from 23.33 and thus fresh enough for a pause and a wait of 0.5 s each; that call had no response by 26.2, nor had the members; the leaving of 23.607 was known at 27.02. Both neighbours and the store were silent several times from 20 to 28. Suspected, not shown: the gateway's link (10 Mbit/s) is full of its callers' bodies. That it stays ready and admits then isn't mended.

Change: store_query asks at once if the copy would become too old during pause and wait, not only if it is too old.

Test: lost_call_of_stale_copy has the age after a silent neighbour too. By its own arithmetic it holds with the rule before as well (2.9 s, limit 3 s), so the evidence for this change is the trace.

--- a/crates/sagespool-forward/src/feed.rs
+++ b/crates/sagespool-forward/src/feed.rs
@@ -168,9 +168,10 @@
     /// pause, and `wait` the time from one response to the next.
     ///
     /// Pause and wait share that time: a change may come right after a response, and the call that
-    /// would return it may be lost. A copy that is already too old leaves no time for either.
+    /// would return it may be lost. A copy that would become too old meanwhile, such as one whose
+    /// source hasn't replied, leaves no time for either.
     pub fn store_query(self, own_age: Duration, pause: Duration, wait: Duration) -> StoreQuery {
-        if own_age > self.max_age {
+        if own_age + wait > self.max_age {
             return StoreQuery { pause: Duration::ZERO, wait: Duration::ZERO };
         }
         let pause = pause.min(wait / 2);
--- a/crates/sagespool-forward/tests/change_feed.rs
+++ b/crates/sagespool-forward/tests/change_feed.rs
@@ -169,15 +169,18 @@
     }
 }
 
-/// A copy that is too old to be passed on: the change may be as old as the copy.
+/// The same for a copy that is old already, since a neighbour hasn't replied or its copy was too old:
+/// the change may be as old as the copy.
 #[test]
 fn lost_call_of_stale_copy() {
     for in_force in [3000, 4000, 5000].map(Duration::from_millis) {
         let timing = FeedTiming::within(in_force).unwrap();
-        let age = timing.max_age + Duration::from_millis(1);
-        let query = timing.store_query(age, Duration::from_millis(1100), timing.watch_wait);
-        let latest = age + query.pause + query.wait + STORE_TIMEOUT;
-        assert!(latest < in_force, "in force after {latest:?}, limit {in_force:?}, {query:?}");
+        let after_silence = timing.poll_wait + REPLY_TIMEOUT;
+        for age in [after_silence, timing.max_age + Duration::from_millis(1)] {
+            let query = timing.store_query(age, Duration::from_millis(1100), timing.watch_wait);
+            let latest = age + query.pause + query.wait + STORE_TIMEOUT;
+            assert!(latest < in_force, "in force after {latest:?}, limit {in_force:?}, {query:?}");
+        }
     }
 }
 
