Crashes: an unconfirmed quarantine ends after its 30 seconds, not an hour later

What callers saw: a content whose first responses were lost, each at another upstream that went on to accept connections, was refused for an hour and 30 s.

Cause: due_lifts compared the end of an entry with the clock as if it were its beginning, and added the hour of a confirmed quarantine. Nothing showed it: the store's stand-in answered each DELETE with 409, so no test could see an object go.

Change: an entry is due when its end has come.

--- a/crates/sagespool-gateway/src/crashes/stored.rs
+++ b/crates/sagespool-gateway/src/crashes/stored.rs
@@ -74,10 +74,8 @@
         now: WallTime,
     ) -> Vec<ContentDigest> {
         let state = self.state();
-        let is_over =
-            |at: &WallTime| now.0.saturating_sub(at.0) >= QUARANTINE_DURATION.as_millis() as u64;
         let expired =
-            state.stored.iter().filter(|(_, at)| is_over(at)).map(|(content, _)| *content);
+            state.stored.iter().filter(|(_, end)| now >= **end).map(|(content, _)| *content);
         let mut due: BTreeSet<ContentDigest> = expired.filter(|content| is_own(*content)).collect();
         due.extend(&state.lifted);
         if state.stored.len() > MAX_STORED {
