Crashes: a quarantine is confirmed by two upstreams that have ended

Cause: only a quarantine all of whose breaks are ends of upstreams counted as confirmed.

Change: two upstreams that have ended confirm it; one may have ended by chance while the content was there. Lost responses alone end no upstream.

--- a/crates/sagespool-gateway/src/crashes/stored.rs
+++ b/crates/sagespool-gateway/src/crashes/stored.rs
@@ -27,9 +27,12 @@
 const SAVE_PERIOD: Duration = Duration::from_secs(1);
 /// Time after which a quarantine ends. Its content is then quarantined again by its next crashes.
 const QUARANTINE_DURATION: Duration = Duration::from_secs(3600);
-/// The same if upstreams still accepted connections after some of its crashes: the responses may have
-/// been lost, and no gateway has seen a run succeed yet.
+/// The same if upstreams still accepted connections after nearly all of its crashes: the responses may
+/// have been lost, and no gateway has seen a run succeed yet.
 const UNCONFIRMED_DURATION: Duration = Duration::from_secs(30);
+/// Upstreams that have ended by which a quarantine is confirmed. One may have ended by chance while
+/// the content was there.
+const CONFIRMING_CRASHES: usize = 2;
 /// Maximum number of objects in the store; the first to end is deleted.
 const MAX_STORED: usize = 500;
 
@@ -139,8 +142,11 @@
 
 /// When the quarantine of an entry ends.
 fn end_of(entry: &QuarantineEntry) -> WallTime {
-    let is_confirmed = entry.crashes.iter().all(|note| note.weight == CrashWeight::FULL);
-    let duration = if is_confirmed { QUARANTINE_DURATION } else { UNCONFIRMED_DURATION };
+    let ended = entry.crashes.iter().filter(|note| note.weight == CrashWeight::FULL).count();
+    let duration = match ended >= CONFIRMING_CRASHES {
+        true => QUARANTINE_DURATION,
+        false => UNCONFIRMED_DURATION,
+    };
     WallTime(entry.at.0.saturating_add(duration.as_millis() as u64))
 }
 
