--- a/crates/sagespool-forward/src/feed.rs
+++ b/crates/sagespool-forward/src/feed.rs
@@ -163,6 +163,11 @@
     pub wait: Duration,
 }
 
+impl StoreQuery {
+    /// Returns what has changed so far, at once.
+    pub const IMMEDIATE: Self = Self { pause: Duration::ZERO, wait: Duration::ZERO };
+}
+
 impl FeedTiming {
     /// The next query to the store of an instance whose copy has an age. `pause` is the preferred
     /// pause, and `wait` the time from one response to the next.
@@ -172,7 +177,7 @@
     /// source hasn't replied, leaves no time for either.
     pub fn store_query(self, own_age: Duration, pause: Duration, wait: Duration) -> StoreQuery {
         if own_age + wait > self.max_age {
-            return StoreQuery { pause: Duration::ZERO, wait: Duration::ZERO };
+            return StoreQuery::IMMEDIATE;
         }
         let pause = pause.min(wait / 2);
         StoreQuery { pause, wait: wait - pause }
--- a/crates/sagespool-gateway/src/follow.rs
+++ b/crates/sagespool-gateway/src/follow.rs
@@ -260,7 +260,7 @@
     let pause = (followed.pause)(state);
     let query = match (replica.age(), state.feeds.timing(followed.kind)) {
         // The first watch after a stale listing only brings it up to date.
-        (None, _) => StoreQuery { pause: Duration::ZERO, wait: Duration::ZERO },
+        (None, _) => StoreQuery::IMMEDIATE,
         (Some(age), Some(timing)) => timing.store_query(age, pause, wait),
         (Some(_), None) => StoreQuery { pause, wait },
     };
