--- a/crates/sagespool-testkit/src/processes.rs
+++ b/crates/sagespool-testkit/src/processes.rs
@@ -129,6 +129,11 @@
         child.wait().change_context_lazy(refused)
     }
 
+    /// Closes the process's standard input, as the end of this process would.
+    pub fn close_stdin(&self) {
+        drop(self.child().stdin.take());
+    }
+
     /// Requests a graceful stop (SIGTERM).
     pub fn terminate(&self) -> Result<(), Report<ProcessError>> {
         self.signal(Signal::TERM, "terminate")
