Gateway log: what ended a response's body, and within which event

`request-ended` says now what ends the body of the last response that an upstream began (`framing`) and how many bytes of an event were left at a stream's end (`partial`). No behaviour changes.

--- a/crates/sagespool-forward/src/events.rs
+++ b/crates/sagespool-forward/src/events.rs
@@ -39,9 +39,9 @@
         complete
     }
 
-    /// Returns the bytes after the last complete event, once the stream has ended normally.
-    pub fn take_remainder(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.partial)
+    /// The bytes after the last complete event.
+    pub fn remainder(&self) -> &[u8] {
+        &self.partial
     }
 }
 
--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -6,6 +6,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Request, Response};
 use sagespool_forward::{PlacedAttempt, RequestProfile, SendOutcome};
@@ -27,6 +28,38 @@
     pub(crate) placement: PlacementGuard,
 }
 
+/// What ends the body of an upstream's response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ResponseFraming {
+    /// Its declared length.
+    Length,
+    /// The last chunk.
+    Chunked,
+    /// The end of its connection.
+    UntilClose,
+}
+
+impl ResponseFraming {
+    /// The framing that a response head declares.
+    pub(crate) fn of(head: &Parts) -> Self {
+        if head.headers.contains_key(TRANSFER_ENCODING) {
+            Self::Chunked
+        } else if head.headers.contains_key(CONTENT_LENGTH) {
+            Self::Length
+        } else {
+            Self::UntilClose
+        }
+    }
+
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunked => "chunked",
+            Self::UntilClose => "until-close",
+        }
+    }
+}
+
 /// Why an attempt produced no response that can be forwarded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum SendFailure {
@@ -354,7 +387,7 @@
 
 /// Checks whether a response belongs to this request and whether the upstream ran the request.
 fn check_response(
-    context: &RequestContext,
+    context: &mut RequestContext,
     response: Response<Incoming>,
     mut connection: UpstreamConnection,
     placement: PlacementGuard,
@@ -362,6 +395,7 @@
 ) -> Result<OpenResponse, SendFailure> {
     let (mut head, body) = response.into_parts();
     connection.note_idle_limit(idle_limit(&head));
+    context.log.framing = Some(ResponseFraming::of(&head));
     let metadata = (context.state.dialect.read_response_metadata)(head.status, &mut head.headers);
     // An upstream may send a second response to an earlier request on this connection. The current
     // request may be running, but its response can no longer be identified.
--- a/crates/sagespool-gateway/src/context.rs
+++ b/crates/sagespool-gateway/src/context.rs
@@ -15,6 +15,7 @@
 };
 
 use crate::admission::RequestPermit;
+use crate::attempt::ResponseFraming;
 use crate::budget::Reservation;
 use crate::metrics::Outcome;
 use crate::refusal::Refusal;
@@ -130,6 +131,10 @@
     pub(crate) upstream: Option<UpstreamName>,
     pub(crate) sends: u32,
     pub(crate) events: u64,
+    /// The framing of the last response that an upstream began; `None` before it.
+    pub(crate) framing: Option<ResponseFraming>,
+    /// Bytes of the event within which the last stream ended.
+    pub(crate) partial: usize,
     /// Tokens charged to its account.
     pub(crate) charged: TokenCount,
     /// `None` until the request is concluded.
@@ -153,6 +158,8 @@
             upstream: None,
             sends: 0,
             events: 0,
+            framing: None,
+            partial: 0,
             charged: TokenCount::ZERO,
             outcome: None,
             status: 0,
@@ -195,6 +202,8 @@
             upstream = upstream,
             sends = self.sends,
             events = self.events,
+            framing = self.framing.map_or("-", ResponseFraming::as_str),
+            partial = self.partial,
             charged = self.charged,
             first_ms = first.since(self.started_at).as_millis(),
             total_ms = now.since(self.started_at).as_millis(),
--- a/crates/sagespool-gateway/src/stream.rs
+++ b/crates/sagespool-gateway/src/stream.rs
@@ -127,7 +127,9 @@
     sender: &Sender<BodyChunk>,
 ) -> StreamEnd {
     let OpenResponse { head, mut body, connection, placement } = response;
-    let end = relay_body(context, &mut body, &placement, sender).await;
+    let mut splitter = EventSplitter::default();
+    let end = relay_body(context, &mut body, &mut splitter, &placement, sender).await;
+    context.log.partial = splitter.remainder().len();
     let now = ClockTime::now();
     match end {
         StreamEnd::Whole => {
@@ -151,16 +153,16 @@
 async fn relay_body(
     context: &mut RequestContext,
     body: &mut Incoming,
+    splitter: &mut EventSplitter,
     placement: &PlacementGuard,
     sender: &Sender<BodyChunk>,
 ) -> StreamEnd {
-    let mut splitter = EventSplitter::default();
     loop {
         let Some(frame) = in_time(context, body.frame()).await else {
             return StreamEnd::TimeOver;
         };
         let bytes = match frame {
-            None => return finish_stream(context, &mut splitter, sender).await,
+            None => return finish_stream(context, splitter, sender).await,
             Some(Err(_)) => return StreamEnd::Broken,
             Some(Ok(frame)) => match frame.into_data() {
                 Ok(bytes) => bytes,
@@ -188,15 +190,15 @@
 /// Forwards the data after the last complete event; the upstream ended its stream there.
 async fn finish_stream(
     context: &mut RequestContext,
-    splitter: &mut EventSplitter,
+    splitter: &EventSplitter,
     sender: &Sender<BodyChunk>,
 ) -> StreamEnd {
-    let remainder = splitter.take_remainder();
+    let remainder = splitter.remainder();
     if remainder.is_empty() {
         return StreamEnd::Whole;
     }
     context.charge_events(1);
-    match in_time(context, sender.send(BodyChunk::Data(Bytes::from(remainder)))).await {
+    match in_time(context, sender.send(BodyChunk::Data(Bytes::copy_from_slice(remainder)))).await {
         None => StreamEnd::TimeOver,
         Some(Err(_)) => StreamEnd::CallerGone,
         Some(Ok(())) => StreamEnd::Whole,
