Streams: one that ends within an event has broken off, whatever ends its body

Cause: the gateway took the end of a body for the end of the stream. With neither length nor chunks, the connection of an upstream that has crashed closes like that of one that has finished; the bytes after the last whole event were even forwarded, and the response ended as complete. All that hangs on that verdict was wrong with it: the charge, the crash reports (never quarantined), the balancer's outcome, the log.

Change: a body that ends with an event unfinished, by its framing or not, is a broken stream, and so is one without framing that ends before its first event. The unfinished event isn't forwarded. Everything else follows from StreamEnd::Broken as for a reset: resumption, aborted response, 502 before the first event, crash report.

Ruled out: that the abort was lost (H3): stream_cut and burst_delivered hold.

--- a/crates/sagespool-gateway/src/stream.rs
+++ b/crates/sagespool-gateway/src/stream.rs
@@ -6,12 +6,12 @@
 use futures_lite::future::or;
 use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::body::{Bytes, Incoming};
+use hyper::body::Incoming;
 use sagespool_forward::{EventSplitter, SendOutcome};
 use sagespool_link::within;
 use sagespool_types::ClockTime;
 
-use crate::attempt::{OpenResponse, PlacementGuard, SendFailure, send_once};
+use crate::attempt::{OpenResponse, PlacementGuard, ResponseFraming, SendFailure, send_once};
 use crate::body::{BodyChunk, ResponseBody};
 use crate::context::RequestContext;
 use crate::hop_by_hop::strip_hop_by_hop;
@@ -27,7 +27,7 @@
 enum StreamEnd {
     /// Complete.
     Whole,
-    /// The connection broke.
+    /// The connection broke, or the stream ended within an event.
     Broken,
     /// The request's deadline passed.
     TimeOver,
@@ -127,9 +127,17 @@
     sender: &Sender<BodyChunk>,
 ) -> StreamEnd {
     let OpenResponse { head, mut body, connection, placement } = response;
+    let events_before = context.log.events;
     let mut splitter = EventSplitter::default();
     let end = relay_body(context, &mut body, &mut splitter, &placement, sender).await;
     context.log.partial = splitter.remainder().len();
+    let has_events = context.log.events > events_before;
+    let end = match end {
+        StreamEnd::Whole if !is_complete(ResponseFraming::of(&head), &splitter, has_events) => {
+            StreamEnd::Broken
+        }
+        end => end,
+    };
     let now = ClockTime::now();
     match end {
         StreamEnd::Whole => {
@@ -162,7 +170,7 @@
             return StreamEnd::TimeOver;
         };
         let bytes = match frame {
-            None => return finish_stream(context, splitter, sender).await,
+            None => return StreamEnd::Whole,
             Some(Err(_)) => return StreamEnd::Broken,
             Some(Ok(frame)) => match frame.into_data() {
                 Ok(bytes) => bytes,
@@ -187,22 +195,12 @@
     }
 }
 
-/// Forwards the data after the last complete event; the upstream ended its stream there.
-async fn finish_stream(
-    context: &mut RequestContext,
-    splitter: &EventSplitter,
-    sender: &Sender<BodyChunk>,
-) -> StreamEnd {
-    let remainder = splitter.remainder();
-    if remainder.is_empty() {
-        return StreamEnd::Whole;
-    }
-    context.charge_events(1);
-    match in_time(context, sender.send(BodyChunk::Data(Bytes::copy_from_slice(remainder)))).await {
-        None => StreamEnd::TimeOver,
-        Some(Err(_)) => StreamEnd::CallerGone,
-        Some(Ok(())) => StreamEnd::Whole,
-    }
+/// Whether a stream whose body has ended without an error is complete.
+///
+/// Without a length and chunks, the connection of an upstream that crashed closes like that of one
+/// that has finished. A stream that ends within an event has broken off whatever its framing.
+fn is_complete(framing: ResponseFraming, splitter: &EventSplitter, has_events: bool) -> bool {
+    splitter.remainder().is_empty() && (has_events || framing != ResponseFraming::UntilClose)
 }
 
 /// Awaits a step until the request's deadline; `None` after it.
