Responses without framing: a crash between two events isn't an end

Without a length and chunks, nothing in the bytes tells an upstream that crashed between two events, or within a plain body, from one that has finished: the caller got such an answer framed as complete. What tells them apart is whether the process still accepts connections. The gateway opens one after each response that only its connection ended (the pool needs a new one there anyway) and takes the response for broken if it is refused. An upstream that is leaving is not asked: it may end right after its last response.

What can't be told remains: an upstream with several processes of which one crashes, and one that is back within milliseconds.

--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -4,17 +4,18 @@
 use std::time::Duration;
 
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::TrySendError;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Request, Response};
-use sagespool_forward::{PlacedAttempt, RequestProfile, SendOutcome};
+use sagespool_forward::{PlacedAttempt, RequestProfile, SendOutcome, UpstreamRecord};
 use sagespool_link::within;
 use sagespool_log::log_event;
 use sagespool_types::{ClockTime, UpstreamName};
 
 use crate::context::RequestContext;
+use crate::crashes::refuses_connections;
 use crate::dialect::{ResponseMetadata, UpstreamRequestTerms};
 use crate::hop_by_hop::strip_hop_by_hop;
 use crate::pool::{UpstreamConnection, connect};
@@ -24,6 +25,7 @@
 pub(crate) struct OpenResponse {
     pub(crate) head: Parts,
     pub(crate) body: Incoming,
+    pub(crate) framing: ResponseFraming,
     pub(crate) connection: UpstreamConnection,
     pub(crate) placement: PlacementGuard,
 }
@@ -31,7 +33,7 @@
 /// What ends the body of an upstream's response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ResponseFraming {
-    /// Its declared length.
+    /// Its declared length, or that its status allows no body.
     Length,
     /// The last chunk.
     Chunked,
@@ -40,11 +42,11 @@
 }
 
 impl ResponseFraming {
-    /// The framing that a response head declares.
-    pub(crate) fn of(head: &Parts) -> Self {
+    /// The framing of a response.
+    fn of(head: &Parts, body: &Incoming) -> Self {
         if head.headers.contains_key(TRANSFER_ENCODING) {
             Self::Chunked
-        } else if head.headers.contains_key(CONTENT_LENGTH) {
+        } else if head.headers.contains_key(CONTENT_LENGTH) || body.is_end_stream() {
             Self::Length
         } else {
             Self::UntilClose
@@ -395,7 +397,8 @@
 ) -> Result<OpenResponse, SendFailure> {
     let (mut head, body) = response.into_parts();
     connection.note_idle_limit(idle_limit(&head));
-    context.log.framing = Some(ResponseFraming::of(&head));
+    let framing = ResponseFraming::of(&head, &body);
+    context.log.framing = Some(framing);
     let metadata = (context.state.dialect.read_response_metadata)(head.status, &mut head.headers);
     // An upstream may send a second response to an earlier request on this connection. The current
     // request may be running, but its response can no longer be identified.
@@ -432,7 +435,7 @@
         placement.finish(SendOutcome::Broken, now);
         return Err(SendFailure::Lost("unsigned"));
     }
-    Ok(OpenResponse { head, body, connection, placement })
+    Ok(OpenResponse { head, body, framing, connection, placement })
 }
 
 /// Applies the state that an upstream reports about itself in its response headers.
@@ -461,6 +464,20 @@
     }
 }
 
+/// Whether the end of a response's body is the end of the upstream's process.
+///
+/// Without a length and chunks, a crash between two events or in a plain body closes the connection
+/// like a complete response does. An upstream that is leaving may end right after its last response.
+pub(crate) async fn ended_by_exit(
+    state: &GatewayState,
+    framing: ResponseFraming,
+    upstream: &UpstreamRecord,
+) -> bool {
+    framing == ResponseFraming::UntilClose
+        && state.upstreams().is_ready(&upstream.run())
+        && refuses_connections(state, upstream).await
+}
+
 /// The idle timeout in the upstream's `Keep-Alive` header.
 fn idle_limit(head: &Parts) -> Option<Duration> {
     let text = head.headers.get("keep-alive")?.to_str().ok()?;
--- a/crates/sagespool-gateway/src/crashes.rs
+++ b/crates/sagespool-gateway/src/crashes.rs
@@ -29,7 +29,7 @@
 
 use crate::context::RequestContext;
 use crate::state::GatewayState;
-use evidence::{BreakEvidence, examine};
+use evidence::{BreakEvidence, UpstreamFinding, examine};
 use stored::StoredQuarantine;
 
 pub(crate) use stored::{follow_quarantine, save_quarantine};
@@ -256,6 +256,11 @@
     ContentDigest::of(&target, body)
 }
 
+/// Whether an upstream refuses connections, since its process has ended.
+pub(crate) async fn refuses_connections(state: &GatewayState, upstream: &UpstreamRecord) -> bool {
+    examine(state, upstream).await == UpstreamFinding::Refuses
+}
+
 /// Weighs a broken response and reports it; drops `recorded` once it counts here.
 async fn report_broken(state: Arc<GatewayState>, broken: BrokenResponse, recorded: Sender<()>) {
     let BrokenResponse { content, upstream, attempt } = broken;
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -14,7 +14,7 @@
 use sagespool_link::within;
 use sagespool_types::{ByteCount, ClockTime};
 
-use crate::attempt::{OpenResponse, SendFailure, UnavailableCause, send_once};
+use crate::attempt::{OpenResponse, SendFailure, UnavailableCause, ended_by_exit, send_once};
 use crate::body::ResponseBody;
 use crate::budget::{BudgetRequest, Reservation};
 use crate::context::{AdmittedRequest, RequestContext, RequestLog};
@@ -297,14 +297,19 @@
     response: OpenResponse,
 ) -> Result<CompleteResponse, SendFailure> {
     context.may_have_run = true;
-    let OpenResponse { head, body, connection, mut placement } = response;
+    let OpenResponse { head, body, framing, connection, mut placement } = response;
     placement.note_first_event(ClockTime::now());
     let left = context.time_left(ClockTime::now());
     let collected = async {
         let collected = Limited::new(body, MAX_BUFFERED_BYTES).collect().await;
         collected.map(|whole| whole.to_bytes()).map_err(|_| SendFailure::Lost("answer-broken"))
     };
-    let collected = within(left, collected).await.unwrap_or(Err(SendFailure::TimedOut));
+    let mut collected = within(left, collected).await.unwrap_or(Err(SendFailure::TimedOut));
+    if collected.is_ok()
+        && ended_by_exit(&context.state, framing, &placement.attempt().upstream).await
+    {
+        collected = Err(SendFailure::Lost("answer-broken"));
+    }
     let now = ClockTime::now();
     let bytes = match collected {
         Ok(bytes) => bytes,
--- a/crates/sagespool-gateway/src/stream.rs
+++ b/crates/sagespool-gateway/src/stream.rs
@@ -11,7 +11,9 @@
 use sagespool_link::within;
 use sagespool_types::ClockTime;
 
-use crate::attempt::{OpenResponse, PlacementGuard, ResponseFraming, SendFailure, send_once};
+use crate::attempt::{
+    OpenResponse, PlacementGuard, ResponseFraming, SendFailure, ended_by_exit, send_once,
+};
 use crate::body::{BodyChunk, ResponseBody};
 use crate::context::RequestContext;
 use crate::hop_by_hop::strip_hop_by_hop;
@@ -126,14 +128,17 @@
     response: OpenResponse,
     sender: &Sender<BodyChunk>,
 ) -> StreamEnd {
-    let OpenResponse { head, mut body, connection, placement } = response;
+    let OpenResponse { head, mut body, framing, connection, placement } = response;
     let events_before = context.log.events;
     let mut splitter = EventSplitter::default();
     let end = relay_body(context, &mut body, &mut splitter, &placement, sender).await;
     context.log.partial = splitter.remainder().len();
     let has_events = context.log.events > events_before;
     let end = match end {
-        StreamEnd::Whole if !is_complete(ResponseFraming::of(&head), &splitter, has_events) => {
+        StreamEnd::Whole if !is_complete(framing, &splitter, has_events) => StreamEnd::Broken,
+        StreamEnd::Whole
+            if ended_by_exit(&context.state, framing, &placement.attempt().upstream).await =>
+        {
             StreamEnd::Broken
         }
         end => end,
