Aborted responses without chunks end with a reset

A caller of HTTP/1.0 gets streams without chunks; the end of the connection is their end. An aborted response to such a caller resets the connection now, after what came before it has been written.

--- a/crates/sagespool-gateway/src/body.rs
+++ b/crates/sagespool-gateway/src/body.rs
@@ -9,6 +9,7 @@
 
 use async_channel::Receiver;
 use futures_lite::Stream;
+use hyper::Version;
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 use smol::{Task, Timer};
 
@@ -70,6 +71,8 @@
     _relay: Task<()>,
     /// The flush counter of the caller's connection.
     flushes: Option<Arc<FlushCounter>>,
+    /// Whether only the end of the connection ends this response at the caller.
+    ends_with_connection: bool,
     /// Set once the response is aborted.
     abort: Option<PendingAbort>,
 }
@@ -95,9 +98,22 @@
     /// A streamed body. `relay` sends the chunks after `first` and is cancelled with this body.
     pub fn stream(first: BodyChunk, chunks: Receiver<BodyChunk>, relay: Task<()>) -> Self {
         let chunks = Box::pin(chunks);
-        let body =
-            StreamedBody { first: Some(first), chunks, _relay: relay, flushes: None, abort: None };
-        Self::Stream(body)
+        Self::Stream(StreamedBody {
+            first: Some(first),
+            chunks,
+            _relay: relay,
+            flushes: None,
+            ends_with_connection: false,
+            abort: None,
+        })
+    }
+
+    /// Prepares a streamed body for a caller's HTTP version; before 1.1 there are no chunks.
+    pub(crate) fn with_version(mut self, version: Version) -> Self {
+        if let Self::Stream(body) = &mut self {
+            body.ends_with_connection = version < Version::HTTP_11;
+        }
+        self
     }
 
     /// Sets the flush counter of the connection that the response is sent over.
@@ -151,6 +167,9 @@
             }
         }
         ready!(self.poll_abort(context));
+        if let Some(flushes) = self.flushes.as_ref().filter(|_| self.ends_with_connection) {
+            flushes.request_reset();
+        }
         Poll::Ready(Some(Err(ResponseAborted)))
     }
 }
--- a/crates/sagespool-gateway/src/callers.rs
+++ b/crates/sagespool-gateway/src/callers.rs
@@ -9,10 +9,11 @@
 use std::time::Duration;
 
 use futures_lite::future::{or, poll_fn};
-use hyper::Response;
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use hyper::{Request, Response, Version};
 use sagespool_log::log_event;
 use sagespool_types::ClockTime;
 use smol::Timer;
@@ -56,12 +57,13 @@
 fn prepare_response(
     mut response: Response<ResponseBody>,
     is_nearly_full: bool,
+    version: Version,
     flushes: &Arc<FlushCounter>,
 ) -> Response<ResponseBody> {
     if is_nearly_full {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    response.map(|body| body.with_flush_counter(flushes))
+    response.map(|body| body.with_version(version).with_flush_counter(flushes))
 }
 
 fn log_unread(state: &GatewayState, peer: SocketAddr) {
@@ -98,13 +100,14 @@
     let flushes = Arc::new(FlushCounter::default());
     let stream = FlushCountingStream::new(stream, flushes.clone()).with_write_timeout(idle);
     let shared = state.clone();
-    let service = service_fn(move |request| {
+    let service = service_fn(move |request: Request<Incoming>| {
         let (state, flushes) = (shared.clone(), flushes.clone());
         async move {
             let limiter = state.limiter.clone();
+            let version = request.version();
             let response = serve(state, request).await;
             let is_nearly_full = limiter.is_nearly_full();
-            Ok::<_, Infallible>(prepare_response(response, is_nearly_full, &flushes))
+            Ok::<_, Infallible>(prepare_response(response, is_nearly_full, version, &flushes))
         }
     });
     let mut builder = http1::Builder::new();
--- a/crates/sagespool-gateway/src/flush.rs
+++ b/crates/sagespool-gateway/src/flush.rs
@@ -3,12 +3,13 @@
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
 use futures_lite::{AsyncRead, AsyncWrite};
+use rustix::net::sockopt::set_socket_linger;
 use smol::Timer;
 use smol::net::TcpStream;
 
@@ -17,6 +18,8 @@
 pub struct FlushCounter {
     flushes: AtomicU64,
     waiting: Mutex<Option<Waker>>,
+    /// Whether the connection is to be reset instead of closed.
+    resets: AtomicBool,
 }
 
 impl FlushCounter {
@@ -34,6 +37,12 @@
         Poll::Pending
     }
 
+    /// Makes the connection end with a reset. The end of a connection completes a response without a
+    /// length and chunks, so an aborted one must not end like that.
+    pub(crate) fn request_reset(&self) {
+        self.resets.store(true, Ordering::Release);
+    }
+
     fn note(&self) {
         let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
         self.flushes.fetch_add(1, Ordering::AcqRel);
@@ -88,6 +97,15 @@
     }
 }
 
+impl Drop for FlushCountingStream {
+    fn drop(&mut self) {
+        if self.flushes.resets.load(Ordering::Acquire) {
+            // Fails if the connection is closed already.
+            let _ = set_socket_linger(&self.stream, Some(Duration::ZERO));
+        }
+    }
+}
+
 impl AsyncRead for FlushCountingStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
