--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -6,7 +6,7 @@
 use futures_lite::future::or;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Bytes, Incoming};
-use hyper::header::{CONNECTION, HOST};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue};
 use hyper::http::request::Parts as RequestParts;
 use hyper::http::response::Parts as ResponseParts;
 use hyper::{Request, Response};
@@ -14,7 +14,9 @@
 use sagespool_link::within;
 use sagespool_types::{ByteCount, ClockTime};
 
-use crate::attempt::{OpenResponse, SendFailure, UnavailableCause, ended_by_exit, send_once};
+use crate::attempt::{
+    OpenResponse, ResponseFraming, SendFailure, UnavailableCause, ended_by_exit, send_once,
+};
 use crate::body::ResponseBody;
 use crate::budget::{BudgetRequest, Reservation};
 use crate::context::{AdmittedRequest, RequestContext, RequestLog};
@@ -39,6 +41,8 @@
 /// The same for streams, whose first event may queue behind other requests' long prompts:
 /// processing the prompt again on another upstream costs more than a late first event.
 const STREAM_TIMEOUT_SHARE: f64 = 1.5;
+/// The media type of streams of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 /// The lowest priority (largest number) that upstreams accept.
 const LOWEST_PRIORITY: u8 = 9;
 
@@ -241,8 +245,20 @@
     }
 }
 
+/// Whether a response is a stream of events. An upstream may also send a plain body on a streaming
+/// route, which ends in no event.
 fn is_stream(context: &RequestContext, response: &OpenResponse) -> bool {
-    context.request.route.streaming && response.head.status.is_success()
+    if !context.request.route.streaming || !response.head.status.is_success() {
+        return false;
+    }
+    match response.head.headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes) {
+        Some(media_type) => {
+            let essence = media_type.split(|byte| *byte == b';').next().unwrap_or_default();
+            essence.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM)
+        }
+        // No upstream knows the length of a stream in advance.
+        None => response.framing != ResponseFraming::Length,
+    }
 }
 
 /// The time limit of an attempt until the response head arrives.
@@ -343,6 +359,9 @@
     let outcome = if head.status.is_server_error() { Outcome::Failed } else { Outcome::Answered };
     strip_hop_by_hop(&mut head.headers);
     let now = ClockTime::now();
+    if context.request.route.streaming && head.status.is_success() {
+        context.charge_answer_limit();
+    }
     // A response of 5xx doesn't show that the request is harmless.
     if outcome == Outcome::Answered {
         context.clear_crashes(now);
