Gateway log: an upstream's software version, and the attempt that a caller resumes

The gateways' logs showed neither that a request resumes another one nor the version of an upstream, so a mix within a response (by the gateway's own resumption) and one by the caller couldn't be told apart. `request-ended` names both now.

--- a/crates/sagespool-forward/src/registry.rs
+++ b/crates/sagespool-forward/src/registry.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use sagespool_types::{CentreName, ClockTime, ServiceName, UpstreamName, UpstreamStartTime};
+use sagespool_types::{
+    CentreName, ClockTime, ServiceName, SoftwareVersion, UpstreamName, UpstreamStartTime,
+};
 
 /// An upstream's entry in the store.
 #[derive(Debug, Clone, PartialEq)]
@@ -15,6 +17,8 @@
     pub born: Option<UpstreamStartTime>,
     /// The service that it belongs to.
     pub service: ServiceName,
+    /// Version of its software.
+    pub version: SoftwareVersion,
     /// Address for requests.
     pub address: SocketAddr,
     /// Its data centre.
--- a/crates/sagespool-forward/src/request.rs
+++ b/crates/sagespool-forward/src/request.rs
@@ -19,6 +19,8 @@
     pub parts: Vec<PromptPart>,
     /// Id of the last event that the caller has received, if it resumes a stream.
     pub resume_after: Option<u64>,
+    /// The caller's id of the attempt that brought the stream's first event, if it resumes one.
+    pub resumes: Option<String>,
 }
 
 /// The tokens that a request declares.
--- a/crates/sagespool-forward/tests/evacuated_centres.rs
+++ b/crates/sagespool-forward/tests/evacuated_centres.rs
@@ -21,6 +21,7 @@
         name: name.parse().expect("valid name"),
         born: None,
         service: service(),
+        version: "v1".to_owned().into(),
         address: SocketAddr::from(([10, 0, 0, 1], port)),
         centre: centre(at),
         slots: 8,
--- a/crates/sagespool-forward/tests/failing_upstreams.rs
+++ b/crates/sagespool-forward/tests/failing_upstreams.rs
@@ -18,6 +18,7 @@
         name: name.parse().unwrap(),
         born: None,
         service: "plain".parse().unwrap(),
+        version: "v1".to_owned().into(),
         address: "127.0.0.1:9000".parse().unwrap(),
         centre: centre(),
         slots: 6,
--- a/crates/sagespool-forward/tests/lapsed_entries.rs
+++ b/crates/sagespool-forward/tests/lapsed_entries.rs
@@ -21,6 +21,7 @@
         name: name.parse().unwrap(),
         born: None,
         service: service(),
+        version: "v1".to_owned().into(),
         address: SocketAddr::from(([127, 0, 0, host], 9000)),
         centre: "east".parse().unwrap(),
         slots: 4,
--- a/crates/sagespool-forward/tests/leaving_responses.rs
+++ b/crates/sagespool-forward/tests/leaving_responses.rs
@@ -21,6 +21,7 @@
         name: format!("i-{number}").parse().unwrap(),
         born: Some(UpstreamStartTime(born)),
         service: service(),
+        version: "v1".to_owned().into(),
         address: SocketAddr::from(([127, 0, 0, number as u8 + 1], 9000)),
         centre: "east".parse().unwrap(),
         slots: 4,
--- a/crates/sagespool-forward/tests/restarted_upstreams.rs
+++ b/crates/sagespool-forward/tests/restarted_upstreams.rs
@@ -21,6 +21,7 @@
         name: "i-1".parse().unwrap(),
         born: Some(UpstreamStartTime(born)),
         service: "plain".parse().unwrap(),
+        version: "v1".to_owned().into(),
         address: "127.0.0.1:9000".parse().unwrap(),
         centre: centre(),
         slots: 6,
--- a/crates/sagespool-forward/tests/shared_prompts.rs
+++ b/crates/sagespool-forward/tests/shared_prompts.rs
@@ -37,6 +37,7 @@
         name: format!("engine-{number}").parse().unwrap(),
         born: None,
         service: "engines".parse().unwrap(),
+        version: "v1".to_owned().into(),
         address: "127.0.0.1:9000".parse().unwrap(),
         centre: centre(),
         slots: 64,
--- a/crates/sagespool-forward/tests/stalled_upstreams.rs
+++ b/crates/sagespool-forward/tests/stalled_upstreams.rs
@@ -28,6 +28,7 @@
         name: name.parse().unwrap(),
         born: None,
         service: "engines".parse().unwrap(),
+        version: "v1".to_owned().into(),
         address: "127.0.0.1:9000".parse().unwrap(),
         centre: "east".parse().unwrap(),
         slots: 64,
--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -210,6 +210,7 @@
     let upstream = placement.attempt().upstream.clone();
     context.tried.push(upstream.run());
     context.log.upstream = Some(upstream.name.clone());
+    context.log.version = Some(upstream.version.clone());
     let result = exchange(context, &placement, timeout).await;
     let now = ClockTime::now();
     let failure = match result {
--- a/crates/sagespool-gateway/src/context.rs
+++ b/crates/sagespool-gateway/src/context.rs
@@ -11,7 +11,8 @@
 };
 use sagespool_log::log_event;
 use sagespool_types::{
-    BranchName, CentreName, ClockTime, ContentDigest, ServiceName, TokenCount, UpstreamName,
+    BranchName, CentreName, ClockTime, ContentDigest, ServiceName, SoftwareVersion, TokenCount,
+    UpstreamName,
 };
 
 use crate::admission::RequestPermit;
@@ -139,6 +140,10 @@
     pub(crate) started_at: ClockTime,
     pub(crate) first: Option<ClockTime>,
     pub(crate) upstream: Option<UpstreamName>,
+    /// The software version of `upstream`.
+    pub(crate) version: Option<SoftwareVersion>,
+    /// The attempt that the caller resumes.
+    pub(crate) resumes: Option<String>,
     pub(crate) sends: u32,
     pub(crate) events: u64,
     /// The framing of the last response that an upstream began; `None` before it.
@@ -166,6 +171,8 @@
             started_at,
             first: None,
             upstream: None,
+            version: None,
+            resumes: None,
             sends: 0,
             events: 0,
             framing: None,
@@ -210,6 +217,8 @@
             outcome = outcome.as_str(),
             status = self.status,
             upstream = upstream,
+            version = self.version.as_ref().map_or_else(none, SoftwareVersion::to_string),
+            resumes = self.resumes.as_deref().unwrap_or("-"),
             sends = self.sends,
             events = self.events,
             framing = self.framing.map_or("-", ResponseFraming::as_str),
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -101,6 +101,7 @@
     let attributes =
         (state.dialect.read_caller_headers)(&head.headers).map_err(Refusal::BadHeader)?;
     log.request.clone_from(&attributes.request);
+    log.resumes.clone_from(&attributes.resumes);
     let host = host_of(head).ok_or(Refusal::NoHost)?;
     let found = index.route(&host, head.uri.path(), &attributes.request);
     let found = found.ok_or(Refusal::UnknownRoute)?;
--- a/crates/sagespool-types/src/lib.rs
+++ b/crates/sagespool-types/src/lib.rs
@@ -22,6 +22,7 @@
 mod rates;
 mod refusal;
 mod sizes;
+mod versions;
 
 pub use clock::{ClockTime, WallTime};
 pub use digest::{ContentDigest, KeyDigest, SecretHash};
@@ -40,3 +41,4 @@
     BookNumber, ByteCount, ConfigVersion, CrashWeight, InstanceCapacity, RequestRate,
     StoreRevision, TokenCount, TokenRate, UpstreamStartTime,
 };
+pub use versions::SoftwareVersion;
