--- a/crates/sagespool-gateway/src/context.rs
+++ b/crates/sagespool-gateway/src/context.rs
@@ -107,16 +107,6 @@
         self.note_charge();
     }
 
-    /// Charges all declared tokens of the answer: a plain body doesn't show how many it has.
-    pub(crate) fn charge_answer_limit(&mut self) {
-        let answer =
-            self.request.attributes.tokens.map_or(TokenCount::ZERO, |tokens| tokens.answer);
-        if let Some(reservation) = &mut self.request.reservation {
-            reservation.add_answer(answer);
-        }
-        self.note_charge();
-    }
-
     /// Charges the configured number of tokens for each event forwarded to the caller. An event may
     /// hold fewer tokens than that; the total charge never exceeds the reservation.
     pub(crate) fn charge_events(&mut self, count: u64) {
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -360,8 +360,9 @@
     let outcome = if head.status.is_server_error() { Outcome::Failed } else { Outcome::Answered };
     strip_hop_by_hop(&mut head.headers);
     let now = ClockTime::now();
+    // A plain body is charged like one event: nothing shows how many tokens it has.
     if context.request.route.streaming && head.status.is_success() {
-        context.charge_answer_limit();
+        context.charge_events(1);
     }
     // A response of 5xx doesn't show that the request is harmless.
     if outcome == Outcome::Answered {
