Streams go on only at the software version that began them

Cause: the version in an upstream's entry was decoded and dropped, and `Resumes` was read by nothing; the gateway's own resumption and a caller's went to whichever upstream was cheapest. Class: an attempt's identity (which software wrote the first piece) wasn't part of its state, in a response or across gateways.

Change: the version of the run that sent the first forwarded event binds the stream. Unless a gateway's history of the list proves that there is one version, it notes the stream at two homes by rendezvous of the request's id before its first event is forwarded, and notes recent streams when a further version is listed. A resumption asks four homes; where nobody can vouch for the version, it is refused as not run. Split routes choose the service by the resumed id.

Ruled out: a hash of the request's id over the versions, without notes: the versions change while streams last.

--- a/crates/sagespool-entry/src/peers.rs
+++ b/crates/sagespool-entry/src/peers.rs
@@ -99,9 +99,9 @@
         | PeerRequest::AskLimits(_)
         | PeerRequest::Quarantine(_)
         | PeerRequest::ReportCrashes(_)
-        | PeerRequest::WithdrawCrashes(_) => {
-            PeerReply::Unsupported("this process is an entry".into())
-        }
+        | PeerRequest::WithdrawCrashes(_)
+        | PeerRequest::NoteStreams(_)
+        | PeerRequest::FindStream(_) => PeerReply::Unsupported("this process is an entry".into()),
     }
 }
 
--- a/crates/sagespool-forward/src/lib.rs
+++ b/crates/sagespool-forward/src/lib.rs
@@ -5,7 +5,8 @@
 //! upstreams that are eligible for requests, [`LoadBalancer`] chooses among them, [`RetryBudget`]
 //! limits retries, [`AdmissionController`] rejects requests that an overloaded instance can't
 //! answer in time, [`UpstreamThrottle`] limits requests to upstreams that are cold, name a rate
-//! limit or request backoff, and [`EventSplitter`] splits streams into complete events.
+//! limit or request backoff, [`EventSplitter`] splits streams into complete events, and
+//! [`StreamOrigins`] and [`VersionHistory`] tell at which software version a stream may be resumed.
 //!
 //! ```
 //! use sagespool_forward::EventSplitter;
@@ -28,6 +29,7 @@
 mod request;
 mod retry;
 mod sender_selector;
+mod stream_versions;
 mod throttle;
 
 pub use admission::{AdmissionController, ArrivedRequest};
@@ -48,6 +50,9 @@
 pub use request::{DeclaredTokens, PromptPart, RequestAttributes};
 pub use retry::{RetryBudget, RetryPolicy};
 pub use sender_selector::{MIN_INSTANCES, SenderSelector};
+pub use stream_versions::{
+    AllowedVersion, StreamOrigin, StreamOrigins, VersionHistory, agreed_version,
+};
 pub use throttle::{
     RateLimitChange, RateLimitStatus, UpstreamThrottle, WarmupPolicy, WarmupProfile,
 };
--- a/crates/sagespool-forward/src/registry.rs
+++ b/crates/sagespool-forward/src/registry.rs
@@ -319,6 +319,13 @@
             && !self.evacuated.contains(&record.centre)
     }
 
+    /// Whether an upstream's current run still has the software version of a record.
+    pub fn has_version(&self, record: &UpstreamRecord) -> bool {
+        self.get(&record.name).is_none_or(|current| {
+            current.version == record.version && !is_other_run(record.born, current.born)
+        })
+    }
+
     /// Whether another upstream owns this one's address. The entry of a crashed upstream stays
     /// listed for seconds beside its successor's, and each request sent to it comes back unserved.
     /// A successor that was itself marked as replaced is no proof, since another writer may have
@@ -356,6 +363,11 @@
         self.evacuated.iter()
     }
 
+    /// The services and software versions of all upstreams, also of those that are leaving.
+    pub fn versions(&self) -> impl Iterator<Item = (&ServiceName, &SoftwareVersion)> {
+        self.entries.values().map(|entry| (&entry.record.service, &entry.record.version))
+    }
+
     /// The number of listed upstreams.
     pub fn count(&self) -> usize {
         self.entries.len()
--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -9,10 +9,12 @@
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Request, Response};
-use sagespool_forward::{PlacedAttempt, RequestProfile, SendOutcome, UpstreamRecord};
+use sagespool_forward::{
+    AllowedVersion, PlacedAttempt, RequestProfile, SendOutcome, UpstreamRecord,
+};
 use sagespool_link::within;
 use sagespool_log::log_event;
-use sagespool_types::{ClockTime, UpstreamName};
+use sagespool_types::ClockTime;
 
 use crate::context::RequestContext;
 use crate::crashes::refuses_connections;
@@ -93,6 +95,8 @@
     Evacuated,
     /// No upstream is in a region where the request may run.
     AwayFromHome,
+    /// The stream has events of a software version that no eligible upstream has.
+    OtherVersion,
     /// All are cold, and other instances are assigned to send to them.
     Cold,
     /// All are rate-limited or in backoff; holds the time until the first accepts a request.
@@ -139,6 +143,7 @@
             Self::NoUpstream(UnavailableCause::None) => "no-upstream",
             Self::NoUpstream(UnavailableCause::Evacuated) => "evacuated",
             Self::NoUpstream(UnavailableCause::AwayFromHome) => "away-from-home",
+            Self::NoUpstream(UnavailableCause::OtherVersion) => "other-version",
             Self::NoUpstream(UnavailableCause::Cold) => "all-cold",
             Self::NoUpstream(UnavailableCause::Limited(_)) => "all-limited",
             Self::NotSent(detail) | Self::Lost(detail) => detail,
@@ -200,12 +205,7 @@
     timeout: Duration,
 ) -> Result<OpenResponse, SendFailure> {
     let now = ClockTime::now();
-    let suspect_upstreams = context.suspect_upstreams();
-    let placement = match choose_upstream(context, &suspect_upstreams, now) {
-        // The upstreams on which the content broke are better than none.
-        Err(_) if !suspect_upstreams.is_empty() => choose_upstream(context, &[], now),
-        placement => placement,
-    };
+    let placement = choose_among_preferred(context, now);
     let placement = placement.map_err(SendFailure::NoUpstream)?;
     let upstream = placement.attempt().upstream.clone();
     context.tried.push(upstream.run());
@@ -255,10 +255,34 @@
     Err(failure)
 }
 
-/// Chooses the eligible upstream with the lowest expected latency, without the avoided ones.
+/// Chooses an upstream, at first without those on which the content broke, and for the beginning of a
+/// resumable stream without those of a new software version. Either are better than none.
+fn choose_among_preferred(
+    context: &RequestContext,
+    now: ClockTime,
+) -> Result<PlacementGuard, UnavailableCause> {
+    let suspects = context.suspect_upstreams();
+    let begins_stream = context.request.route.resumable && context.allowed == AllowedVersion::Any;
+    if begins_stream {
+        let versions = context.state.versions();
+        let preferred = |record: &UpstreamRecord| {
+            !suspects.contains(&record.name)
+                && versions.is_settled(&record.service, &record.version, now)
+        };
+        if let Ok(placement) = choose_upstream(context, preferred, now) {
+            return Ok(placement);
+        }
+    }
+    match choose_upstream(context, |record| !suspects.contains(&record.name), now) {
+        Err(_) if !suspects.is_empty() => choose_upstream(context, |_| true, now),
+        placement => placement,
+    }
+}
+
+/// Chooses the eligible upstream with the lowest expected latency among the preferred ones.
 fn choose_upstream(
     context: &RequestContext,
-    avoided: &[UpstreamName],
+    is_preferred: impl Fn(&UpstreamRecord) -> bool,
     now: ClockTime,
 ) -> Result<PlacementGuard, UnavailableCause> {
     let state = &context.state;
@@ -279,13 +303,17 @@
         false => UnavailableCause::None,
     };
     let ready = upstreams.ready(&context.request.service).filter(|record| {
-        if avoided.contains(&record.name) {
+        if !is_preferred(record) {
             return false;
         }
         if !context.may_run_in(&record.centre) {
             cause = UnavailableCause::AwayFromHome;
             return false;
         }
+        if !context.allowed.allows(&record.version) {
+            cause = UnavailableCause::OtherVersion;
+            return false;
+        }
         let admitted = throttle.admits(&record.name, warmup, &sender_selector, now);
         if !admitted {
             let delay = throttle.next_send_delay(&record.name, &sender_selector, now);
@@ -342,7 +370,11 @@
 /// Guards against requests to an upstream that has left: connecting takes up to 300 ms, and the news
 /// of its leaving may arrive meanwhile.
 fn confirm_dispatch(state: &GatewayState, attempt: &PlacedAttempt, now: ClockTime) -> bool {
-    if !state.upstreams().is_ready(&attempt.upstream.run()) {
+    let is_eligible = {
+        let upstreams = state.upstreams();
+        upstreams.is_ready(&attempt.upstream.run()) && upstreams.has_version(&attempt.upstream)
+    };
+    if !is_eligible {
         return false;
     }
     let mut throttle = state.throttle();
--- a/crates/sagespool-gateway/src/context.rs
+++ b/crates/sagespool-gateway/src/context.rs
@@ -7,7 +7,8 @@
 use hyper::body::Bytes;
 use hyper::http::request::Parts;
 use sagespool_forward::{
-    AllowedRegions, ForwardRoute, PlanIndex, RepeatRule, RequestAttributes, UpstreamRun,
+    AllowedRegions, AllowedVersion, ForwardRoute, PlanIndex, RepeatRule, RequestAttributes,
+    UpstreamRun,
 };
 use sagespool_log::log_event;
 use sagespool_types::{
@@ -53,6 +54,8 @@
     pub(crate) may_have_run: bool,
     /// The ID of the last event forwarded to the caller.
     pub(crate) last_event: Option<u64>,
+    /// The software versions that may continue the stream.
+    pub(crate) allowed: AllowedVersion,
     /// The digest that identifies equal requests, once it is needed.
     pub(crate) content: OnceLock<ContentDigest>,
     pub(crate) log: RequestLog,
--- a/crates/sagespool-gateway/src/follow.rs
+++ b/crates/sagespool-gateway/src/follow.rs
@@ -99,6 +99,7 @@
             records.iter().for_each(|record| state.note_cold(&record.name, record.cold_left, now));
             let changes = state.upstreams().replace(records, now);
             changes.into_iter().for_each(|change| note_change(state, change));
+            state.observe_versions(now);
         },
         on_change: |state, change| {
             let now = ClockTime::now();
@@ -106,6 +107,7 @@
             let noted = match &change.value {
                 Some(value) => read_upstream(state, &change.key, value).map(|record| {
                     state.note_cold(&record.name, record.cold_left, now);
+                    state.note_version(&record, now);
                     state.upstreams().put(record)
                 }),
                 None => name.parse().ok().map(|name| state.upstreams().remove(&name, now)),
@@ -392,6 +394,7 @@
         state.pool.sweep(is_listed, now);
         state.throttle().sweep(is_listed, now);
         state.observe_senders(now);
+        state.observe_versions(now);
         state.budgets.return_idle_loans(&state.fleet, now);
         state.budgets.note_homes(state.fleet.members.home_count());
     }
--- a/crates/sagespool-gateway/src/lib.rs
+++ b/crates/sagespool-gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod refusal;
 mod relay_role;
 mod request_body;
+mod resumption;
 mod role;
 mod signal;
 mod state;
--- a/crates/sagespool-gateway/src/metrics.rs
+++ b/crates/sagespool-gateway/src/metrics.rs
@@ -71,6 +71,11 @@
     upstream: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OriginLabel {
+    origin: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct BranchLabel {
     branch: String,
@@ -103,6 +108,7 @@
     limited: Gauge,
     in_backoff: Gauge,
     breaks: Family<BreakLabel, Counter>,
+    resumptions: Family<OriginLabel, Counter>,
     quarantined: Gauge,
 }
 
@@ -167,6 +173,9 @@
         let breaks = Family::default();
         let help = "Broken responses, by whether their upstream accepts connections afterwards";
         registry.register("broken_responses", help, breaks.clone());
+        let resumptions = Family::default();
+        let help = "Streams that callers resumed, by who knew the version that began them";
+        registry.register("resumptions", help, resumptions.clone());
         let quarantined = Gauge::default();
         let help = "Contents that are refused since they crash upstreams";
         registry.register("quarantined_contents", help, quarantined.clone());
@@ -189,6 +198,7 @@
             limited,
             in_backoff,
             breaks,
+            resumptions,
             quarantined,
         }
     }
@@ -228,6 +238,10 @@
     }
 
     /// Counts a broken response by whether its upstream accepts connections afterwards.
+    pub(crate) fn count_resumption(&self, origin: &'static str) {
+        self.resumptions.get_or_create(&OriginLabel { origin }).inc();
+    }
+
     pub(crate) fn count_break(&self, upstream: &'static str) {
         self.breaks.get_or_create(&BreakLabel { upstream }).inc();
     }
--- a/crates/sagespool-gateway/src/peers.rs
+++ b/crates/sagespool-gateway/src/peers.rs
@@ -18,6 +18,7 @@
 use crate::crashes::record_reports;
 use crate::fleet::handle_store_call;
 use crate::limits::limits_reply;
+use crate::resumption::{record_note, stream_reply};
 use crate::state::GatewayState;
 
 const PLAN_TIMEOUT: Duration = Duration::from_millis(500);
@@ -76,6 +77,14 @@
         PeerRequest::AskLimits(query) => {
             PeerReply::Limits(limits_reply(state, &query, ClockTime::now()))
         }
+        PeerRequest::NoteStreams(notes) => {
+            let now = ClockTime::now();
+            notes.into_iter().for_each(|note| record_note(state, note, now));
+            PeerReply::Done
+        }
+        PeerRequest::FindStream(query) => {
+            PeerReply::Stream(stream_reply(state, &query, ClockTime::now()))
+        }
         PeerRequest::CallStore(call) => handle_store_call(&state.store, call).await,
         _ => PeerReply::Unsupported("this process is a gateway".to_owned()),
     }
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -10,7 +10,9 @@
 use hyper::http::request::Parts as RequestParts;
 use hyper::http::response::Parts as ResponseParts;
 use hyper::{Request, Response};
-use sagespool_forward::{ArrivedRequest, BranchPlan, PlanIndex, RequestAttributes, SendOutcome};
+use sagespool_forward::{
+    AllowedVersion, ArrivedRequest, BranchPlan, PlanIndex, RequestAttributes, SendOutcome,
+};
 use sagespool_link::within;
 use sagespool_types::{ByteCount, ClockTime};
 
@@ -66,6 +68,7 @@
         tried: Vec::new(),
         may_have_run: false,
         last_event: None,
+        allowed: AllowedVersion::Any,
         content: OnceLock::new(),
         log,
     };
@@ -103,7 +106,9 @@
     log.request.clone_from(&attributes.request);
     log.resumes.clone_from(&attributes.resumes);
     let host = host_of(head).ok_or(Refusal::NoHost)?;
-    let found = index.route(&host, head.uri.path(), &attributes.request);
+    // A stream is resumed at the service that began it.
+    let stream = attributes.resumes.as_ref().unwrap_or(&attributes.request);
+    let found = index.route(&host, head.uri.path(), stream);
     let found = found.ok_or(Refusal::UnknownRoute)?;
     log.route.clone_from(&found.route.name);
     let (route, service) = (found.route.clone(), found.service.clone());
@@ -217,6 +222,9 @@
 
 /// Makes attempts until an upstream responds or no further attempt is allowed.
 async fn run(mut context: RequestContext) -> Response<ResponseBody> {
+    if !context.find_version().await {
+        return refuse(context.log, Refusal::UnknownVersion, Refusal::UnknownVersion.reason());
+    }
     // The last 5xx response, which is forwarded if no other upstream succeeds.
     let mut failed: Option<CompleteResponse> = None;
     loop {
--- a/crates/sagespool-gateway/src/refusal.rs
+++ b/crates/sagespool-gateway/src/refusal.rs
@@ -47,6 +47,8 @@
     /// The service's upstreams are rate-limited or in backoff; holds the time until the first
     /// accepts a request. It hasn't run.
     Limited(Duration),
+    /// Nobody knows which software version began the stream to resume; it hasn't run.
+    UnknownVersion,
     /// The upstreams rejected it; it hasn't run.
     UpstreamsBusy,
     /// Too little time was left before its deadline; it hasn't run.
@@ -76,6 +78,7 @@
             | Self::NoUpstream
             | Self::Evacuated
             | Self::Limited(_)
+            | Self::UnknownVersion
             | Self::UpstreamsBusy
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Self::Failed | Self::Aborted => StatusCode::BAD_GATEWAY,
@@ -102,6 +105,7 @@
             Self::NoUpstream => "no-upstream",
             Self::Evacuated => "evacuated",
             Self::Limited(_) => "limited",
+            Self::UnknownVersion => "unknown-version",
             Self::UpstreamsBusy => "busy",
             Self::TooLate => "too-late",
             Self::Failed => "failed",
@@ -121,6 +125,8 @@
             Self::NoPlan => 300,
             // The time of some store calls, or of an upstream's restart.
             Self::BudgetUnreachable | Self::NoUpstream => 400,
+            // A home that didn't reply may do so after a lost packet is sent again.
+            Self::UnknownVersion => 200,
             // Operators end an evacuation after seconds or minutes.
             Self::Evacuated => 2000,
             // A quarantine without cause is lifted within this time.
@@ -184,6 +190,9 @@
             Self::Limited(_) => {
                 f.write_str("the upstreams take few requests at present; nothing ran")
             }
+            Self::UnknownVersion => {
+                f.write_str("the version that began this stream isn't known here; nothing ran")
+            }
             Self::UpstreamsBusy => f.write_str("the upstreams are full; nothing ran"),
             Self::TooLate => f.write_str("no time was left to send the request; nothing ran"),
             Self::Failed => f.write_str("the upstream failed; the request may have run"),
--- /dev/null
+++ b/crates/sagespool-gateway/src/resumption.rs
@@ -0,0 +1,344 @@
+//! The software version at which a stream may be resumed.
+//!
+//! The gateway that forwards a stream's first event notes the version that sent it at the stream's
+//! homes, two gateways chosen by the request's id, unless it knows that there is one version, and notes
+//! its recent streams when another one is listed. Before a gateway resumes a stream it asks these, and
+//! refuses what nobody can vouch for: pieces of two versions don't fit together.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_channel::bounded;
+use event_listener::Event;
+use futures_util::StreamExt;
+use futures_util::future::join_all;
+use futures_util::stream::FuturesUnordered;
+use sagespool_forward::{AllowedVersion, StreamOrigin, UpstreamRecord, agreed_version};
+use sagespool_link::within;
+use sagespool_log::log_event;
+use sagespool_messages::{
+    MemberInfo, PeerReply, PeerRequest, StreamNote, StreamQuery, StreamReply,
+};
+use sagespool_types::{ClockTime, IncarnationId, ServiceName, SoftwareVersion};
+
+use crate::context::RequestContext;
+use crate::state::GatewayState;
+
+/// Gateways at which a stream is noted.
+const NOTED_HOMES: usize = 2;
+/// Gateways that are asked for a stream. More than note it: those who note it and those who ask may
+/// know other members.
+const ASKED_HOMES: usize = 4;
+/// How long the first event waits until one home has the note, so that the stream can go on when this
+/// gateway is killed.
+const NOTE_WAIT: Duration = Duration::from_millis(60);
+const NOTE_TIMEOUT: Duration = Duration::from_millis(500);
+const QUERY_TIMEOUT: Duration = Duration::from_millis(300);
+/// Limit on the wait if the own history already tells the version.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time beyond a route's time limit in which a caller's further attempt may arrive.
+const RESUME_MARGIN: Duration = Duration::from_millis(500);
+
+/// Notes sent to a home at once when a version is listed.
+const MAX_SENT_NOTES: usize = 256;
+
+/// The services with a software version that has just been listed.
+#[derive(Debug, Default)]
+pub(crate) struct NewVersions {
+    services: Mutex<BTreeSet<ServiceName>>,
+    added: Event,
+}
+
+impl NewVersions {
+    pub(crate) fn add(&self, services: impl IntoIterator<Item = ServiceName>) {
+        self.services().extend(services);
+        self.added.notify(usize::MAX);
+    }
+
+    fn services(&self) -> MutexGuard<'_, BTreeSet<ServiceName>> {
+        self.services.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits for services, and takes them.
+    async fn take(&self) -> BTreeSet<ServiceName> {
+        loop {
+            let added = self.added.listen();
+            let services = std::mem::take(&mut *self.services());
+            if !services.is_empty() {
+                return services;
+            }
+            added.await;
+        }
+    }
+}
+
+/// Notes the streams that began before a further version was listed, until cancelled.
+pub(crate) async fn note_recent_streams(state: Arc<GatewayState>) {
+    loop {
+        for service in state.new_versions.take().await {
+            let now = ClockTime::now();
+            let recent = state.origins.recent(&service, longest_span(&state), now);
+            log_event!(info, "version-listed", service = service, streams = recent.len());
+            send_recent(&state, recent, now).await;
+        }
+    }
+}
+
+/// The longest time after which a stream of any route is resumed.
+fn longest_span(state: &GatewayState) -> Duration {
+    let index = state.plan();
+    let routes = index.iter().flat_map(|index| &index.plan().routes);
+    let resumable = routes.filter(|route| route.resumable).map(|route| route.time_limit);
+    resumable.max().unwrap_or_default() + RESUME_MARGIN
+}
+
+async fn send_recent(state: &GatewayState, recent: Vec<(String, StreamOrigin)>, now: ClockTime) {
+    let mut notes: BTreeMap<IncarnationId, (MemberInfo, Vec<StreamNote>)> = BTreeMap::new();
+    for (stream, origin) in recent {
+        for home in noted_homes(state, &stream, now) {
+            let (_, of_home) = notes.entry(home.incarnation).or_insert((home, Vec::new()));
+            of_home.push(note_of(&stream, origin.clone(), now));
+        }
+    }
+    let messages = notes.into_values().flat_map(|(home, notes)| {
+        let chunks: Vec<Vec<StreamNote>> =
+            notes.chunks(MAX_SENT_NOTES).map(<[StreamNote]>::to_vec).collect();
+        chunks.into_iter().map(move |notes| (home.clone(), PeerRequest::NoteStreams(notes)))
+    });
+    join_all(
+        messages.map(|(home, request)| async move { send_to_home(state, &home, &request).await }),
+    )
+    .await;
+}
+
+/// Sends notes to a home. True if it has them.
+async fn send_to_home(state: &GatewayState, home: &MemberInfo, request: &PeerRequest) -> bool {
+    let reply = state.fleet.call(home.address, request, NOTE_TIMEOUT).await;
+    if matches!(reply, Ok(PeerReply::Done)) {
+        return true;
+    }
+    let error = reply.err().map(|error| error.to_string()).unwrap_or_default();
+    log_event!(warn, "stream-note-failed", to = home.instance, error = error);
+    false
+}
+
+/// How the version of a resumed stream became known, or that it didn't.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OriginSource {
+    /// This gateway began or resumed the stream.
+    Own,
+    /// A home had the note.
+    Home,
+    /// There was one version.
+    History,
+    /// Nobody could tell.
+    Nobody,
+}
+
+impl OriginSource {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Home => "home",
+            Self::History => "history",
+            Self::Nobody => "nobody",
+        }
+    }
+}
+
+/// The homes' replies to a query.
+#[derive(Debug, Default)]
+struct HomeReplies {
+    found: Option<StreamNote>,
+    unnoted: Vec<Vec<SoftwareVersion>>,
+    /// Whether every home replied.
+    all: bool,
+}
+
+impl RequestContext {
+    /// The longest time since the first event of a stream that is resumed on this request's route. A
+    /// caller's attempts share one deadline.
+    fn resume_span(&self) -> Duration {
+        self.request.route.time_limit + RESUME_MARGIN
+    }
+
+    /// The caller's id of the attempt that brought the stream's first event.
+    fn stream_id(&self) -> &str {
+        self.request.attributes.resumes.as_ref().unwrap_or(&self.request.attributes.request)
+    }
+
+    /// Whether its caller resumes a stream.
+    fn is_resumption(&self) -> bool {
+        self.request.route.resumable && self.request.attributes.resume_after.is_some()
+    }
+
+    /// Finds the version that a resumption has to go on at. False if nobody knows it.
+    pub(crate) async fn find_version(&mut self) -> bool {
+        if !self.is_resumption() {
+            return true;
+        }
+        let (version, source) = find_origin(self).await;
+        log_event!(
+            info,
+            "stream-resumed",
+            request = self.request.attributes.request,
+            resumes = self.stream_id(),
+            after = self.request.attributes.resume_after.unwrap_or(0),
+            version = version.as_ref().map_or_else(|| "-".to_owned(), SoftwareVersion::to_string),
+            source = source.as_str(),
+        );
+        self.state.metrics.count_resumption(source.as_str());
+        if let (Some(version), OriginSource::History) = (&version, source) {
+            self.share_origin(version.clone()).await;
+        }
+        self.allowed = version.map_or(AllowedVersion::Unknown, AllowedVersion::Only);
+        self.allowed != AllowedVersion::Unknown
+    }
+
+    /// Notes the version that sends a stream's first event, before it is forwarded.
+    pub(crate) async fn note_origin(&mut self, upstream: &UpstreamRecord) {
+        if !self.request.route.resumable || self.allowed != AllowedVersion::Any {
+            return;
+        }
+        // An upstream that has restarted meanwhile may have had another version already.
+        if !self.state.upstreams().has_version(upstream) {
+            self.allowed = AllowedVersion::Unknown;
+            return;
+        }
+        self.allowed = AllowedVersion::Only(upstream.version.clone());
+        self.share_origin(upstream.version.clone()).await;
+    }
+
+    /// Records the version of this stream, also at its homes unless there is only one version.
+    async fn share_origin(&self, version: SoftwareVersion) {
+        let now = ClockTime::now();
+        let service = self.request.service.clone();
+        let origin = StreamOrigin { service, version, began_at: now };
+        self.state.origins.record(self.stream_id(), origin.clone(), now);
+        if self.state.versions().only_version(&origin.service, self.resume_span(), now).is_some() {
+            return;
+        }
+        let homes = noted_homes(&self.state, self.stream_id(), now);
+        let note = note_of(self.stream_id(), origin, now);
+        send_note(&self.state, homes, note).await;
+    }
+}
+
+fn note_of(request: &str, origin: StreamOrigin, now: ClockTime) -> StreamNote {
+    let StreamOrigin { service, version, began_at } = origin;
+    StreamNote { request: request.to_owned(), service, version, age: now.since(began_at) }
+}
+
+/// The homes of a stream without this gateway, in the order of their rank.
+fn homes_of(state: &GatewayState, stream: &str, now: ClockTime) -> Vec<MemberInfo> {
+    let mut homes = state.fleet.members.homes_of_subject(stream, ASKED_HOMES, now);
+    homes.retain(|home| home.incarnation != state.fleet.run);
+    homes
+}
+
+/// The homes at which a stream is noted: the first one, and the first in another data centre.
+fn noted_homes(state: &GatewayState, stream: &str, now: ClockTime) -> Vec<MemberInfo> {
+    let mut homes = homes_of(state, stream, now);
+    if let Some(first) = homes.first().map(|home| home.centre.clone()) {
+        homes[1..].sort_by_key(|home| home.centre == first);
+    }
+    homes.truncate(NOTED_HOMES);
+    homes
+}
+
+/// Sends a note to homes; returns once one of them has it, or after [`NOTE_WAIT`].
+async fn send_note(state: &Arc<GatewayState>, homes: Vec<MemberInfo>, note: StreamNote) {
+    if homes.is_empty() {
+        return;
+    }
+    let (noted, wait) = bounded::<()>(homes.len());
+    for home in homes {
+        let (state, noted) = (state.clone(), noted.clone());
+        let request = PeerRequest::NoteStreams(vec![note.clone()]);
+        smol::spawn(async move {
+            if send_to_home(&state, &home, &request).await {
+                // Fails once nobody waits any more.
+                let _ = noted.try_send(());
+            }
+        })
+        .detach();
+    }
+    drop(noted);
+    let _ = within(NOTE_WAIT, wait.recv()).await;
+}
+
+async fn find_origin(context: &RequestContext) -> (Option<SoftwareVersion>, OriginSource) {
+    let (state, now) = (&context.state, ClockTime::now());
+    let (stream, span) = (context.stream_id(), context.resume_span());
+    let service = &context.request.service;
+    // Another service's version says nothing.
+    let version_of = |note: StreamNote| (note.service == *service).then_some(note.version);
+    if let Some(origin) = state.origins.find(stream, now) {
+        return (version_of(note_of(stream, origin, now)), OriginSource::Own);
+    }
+    let only = state.versions().only_version(service, span, now).cloned();
+    let unnoted = state.versions().unnoted_versions(service, span, now);
+    let timeout = if only.is_some() { CONFIRM_TIMEOUT } else { QUERY_TIMEOUT };
+    let query = StreamQuery { request: stream.to_owned(), service: service.clone(), span };
+    let replies = ask_homes(state, homes_of(state, stream, now), query, timeout).await;
+    if let Some(note) = replies.found {
+        record_note(state, note.clone(), ClockTime::now());
+        return (version_of(note), OriginSource::Home);
+    }
+    let version = match replies.all {
+        true => agreed_version(unnoted.into_iter().chain(replies.unnoted)),
+        false => only,
+    };
+    let source = if version.is_some() { OriginSource::History } else { OriginSource::Nobody };
+    (version, source)
+}
+
+/// Asks the homes of a stream at the same time, until one of them knows it.
+async fn ask_homes(
+    state: &GatewayState,
+    homes: Vec<MemberInfo>,
+    query: StreamQuery,
+    timeout: Duration,
+) -> HomeReplies {
+    let mut replies = HomeReplies::default();
+    let asked = homes.len();
+    let request = PeerRequest::FindStream(query);
+    let calls = homes.iter().map(|home| state.fleet.call(home.address, &request, timeout));
+    let mut calls: FuturesUnordered<_> = calls.collect();
+    let mut replied = 0;
+    while let Some(reply) = calls.next().await {
+        let Ok(PeerReply::Stream(StreamReply { origin, unnoted })) = reply else {
+            continue;
+        };
+        replied += 1;
+        replies.unnoted.extend(unnoted);
+        if origin.is_some() {
+            replies.found = origin;
+            return replies;
+        }
+    }
+    // Without a home this gateway may be cut off.
+    replies.all = asked > 0 && replied == asked;
+    replies
+}
+
+/// Records another gateway's note.
+pub(crate) fn record_note(state: &GatewayState, note: StreamNote, now: ClockTime) {
+    let StreamNote { request, service, version, age } = note;
+    let origin = StreamOrigin { service, version, began_at: now.before(age) };
+    state.origins.record(&request, origin, now);
+}
+
+/// Replies to a gateway that resumes a stream.
+pub(crate) fn stream_reply(
+    state: &GatewayState,
+    query: &StreamQuery,
+    now: ClockTime,
+) -> StreamReply {
+    let origin = state.origins.find(&query.request, now);
+    StreamReply {
+        origin: origin.map(|origin| note_of(&query.request, origin, now)),
+        unnoted: state.versions().unnoted_versions(&query.service, query.span, now),
+    }
+}
--- a/crates/sagespool-gateway/src/role.rs
+++ b/crates/sagespool-gateway/src/role.rs
@@ -20,6 +20,7 @@
 use crate::follow::{follow_plan, follow_upstreams, sweep};
 use crate::limits::query_limits;
 use crate::peers::run_peers;
+use crate::resumption::note_recent_streams;
 use crate::state::GatewayState;
 use crate::status::serve_status;
 use crate::store_calls::log_store_calls;
@@ -130,6 +131,7 @@
         if state.settings.link.is_some() {
             tasks.push(smol::spawn(run_peers(state.clone())));
             tasks.push(smol::spawn(query_limits(state.clone())));
+            tasks.push(smol::spawn(note_recent_streams(state.clone())));
         }
         Ok(Self { state, accepting, _tasks: tasks })
     }
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -6,7 +6,8 @@
 
 use sagespool_forward::{
     LoadBalancer, PlacementPolicy, PlanIndex, RateLimitChange, RetryBudget, RetryPolicy,
-    SenderSelector, UpstreamRegistry, UpstreamThrottle, WarmupPolicy, WarmupProfile,
+    SenderSelector, StreamOrigins, UpstreamRecord, UpstreamRegistry, UpstreamThrottle,
+    VersionHistory, WarmupPolicy, WarmupProfile,
 };
 use sagespool_ledger::GrantPolicy;
 use sagespool_log::log_event;
@@ -26,6 +27,7 @@
 use crate::fleet::{FleetClient, LocalMember};
 use crate::metrics::GatewayMetrics;
 use crate::pool::UpstreamPool;
+use crate::resumption::NewVersions;
 use crate::signal::OnceSignal;
 
 /// Minimum interval between log lines about malformed response headers: a faulty upstream sends
@@ -61,6 +63,11 @@
     retries: Mutex<RetryBudget>,
     throttle: Mutex<UpstreamThrottle>,
     sender_selector: Mutex<SenderSelector>,
+    /// The software versions that began streams, here or at gateways that noted them here.
+    pub(crate) origins: StreamOrigins,
+    versions: Mutex<VersionHistory>,
+    /// Services with a software version that has just been listed.
+    pub(crate) new_versions: NewVersions,
     /// When a malformed response header was last logged.
     malformed_logged_at: Mutex<Option<ClockTime>>,
 }
@@ -130,6 +137,9 @@
             retries: Mutex::new(RetryBudget::new(retry_policy)),
             throttle: Mutex::new(UpstreamThrottle::new(warmup_policy)),
             sender_selector: Mutex::new(sender_selector),
+            origins: StreamOrigins::default(),
+            versions: Mutex::default(),
+            new_versions: NewVersions::default(),
             malformed_logged_at: Mutex::default(),
         }
     }
@@ -211,6 +221,24 @@
         self.sender_selector.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn versions(&self) -> MutexGuard<'_, VersionHistory> {
+        self.versions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records which software versions are listed.
+    pub(crate) fn observe_versions(&self, now: ClockTime) {
+        let view_age = self.feeds.replica(FeedKind::Upstreams).age();
+        let changed = self.versions().observe(self.upstreams().versions(), view_age, now);
+        self.new_versions.add(changed);
+    }
+
+    /// Records that an upstream is listed with its software version.
+    pub(crate) fn note_version(&self, record: &UpstreamRecord, now: ClockTime) {
+        if self.versions().note_listed(&record.service, &record.version, now) {
+            self.new_versions.add([record.service.clone()]);
+        }
+    }
+
     /// Updates the set of instances that may send to cold upstreams.
     pub(crate) fn observe_senders(&self, now: ClockTime) {
         let members = self.fleet.members.members().into_iter();
--- a/crates/sagespool-gateway/src/stream.rs
+++ b/crates/sagespool-gateway/src/stream.rs
@@ -188,6 +188,9 @@
         if whole.count == 0 {
             continue;
         }
+        if context.log.events == 0 {
+            context.note_origin(&placement.attempt().upstream).await;
+        }
         context.log.first.get_or_insert_with(ClockTime::now);
         context.charge_events(whole.count);
         context.last_event = whole.last_id.or(context.last_event);
--- a/crates/sagespool-messages/src/gateways.rs
+++ b/crates/sagespool-messages/src/gateways.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use sagespool_types::{
-    BranchName, ConfigVersion, IncarnationId, StoreRevision, TokenCount, UpstreamName, derives,
+    BranchName, ConfigVersion, IncarnationId, ServiceName, SoftwareVersion, StoreRevision,
+    TokenCount, UpstreamName, derives,
 };
 
 derives! { record;
@@ -203,3 +204,40 @@
         pub words: Vec<UpstreamRateLimit>,
     }
 }
+
+derives! { record;
+    /// The software version that began a resumable stream.
+    pub struct StreamNote {
+        /// The caller's id of the attempt that brought the first event.
+        pub request: String,
+        /// The service.
+        pub service: ServiceName,
+        /// The software version of the upstream that sent the first event.
+        pub version: SoftwareVersion,
+        /// Time since the first event.
+        pub age: Duration,
+    }
+}
+
+derives! { record;
+    /// A query for the software version that began a stream.
+    pub struct StreamQuery {
+        /// The caller's id of the attempt that brought the first event.
+        pub request: String,
+        /// The service that the resumption is for.
+        pub service: ServiceName,
+        /// The longest time since the first event.
+        pub span: Duration,
+    }
+}
+
+derives! { record;
+    /// The reply to a [`StreamQuery`].
+    pub struct StreamReply {
+        /// `None` if the receiver doesn't know the stream.
+        pub origin: Option<StreamNote>,
+        /// The versions that can have begun a stream which nobody has noted, by the receiver's history;
+        /// `None` if it can't tell.
+        pub unnoted: Option<Vec<SoftwareVersion>>,
+    }
+}
--- a/crates/sagespool-messages/src/lib.rs
+++ b/crates/sagespool-messages/src/lib.rs
@@ -29,8 +29,8 @@
 };
 pub use gateways::{
     ChangedObject, FeedKind, FeedQuery, FeedReply, LendReply, LendRequest, PlanQuery, PlanReply,
-    RateLimitQuery, RateLimitReply, StoreCall, StoreCallReply, StoreMethod, UnspentBudget,
-    UpstreamRateLimit,
+    RateLimitQuery, RateLimitReply, StoreCall, StoreCallReply, StoreMethod, StreamNote,
+    StreamQuery, StreamReply, UnspentBudget, UpstreamRateLimit,
 };
 pub use members::{
     Heartbeat, LoadReport, MemberInfo, MemberRole, ServedUpstream, SuspectedMember, UpstreamKind,
--- a/crates/sagespool-messages/src/wire.rs
+++ b/crates/sagespool-messages/src/wire.rs
@@ -66,6 +66,11 @@
         /// Gateway to a content's collectors after a run that succeeded: these crashes no longer
         /// count; answered by [`PeerReply::Done`].
         WithdrawCrashes(ContentCrashes),
+        /// Gateway to the homes of resumable streams that have begun; answered by
+        /// [`PeerReply::Done`].
+        NoteStreams(Vec<StreamNote>),
+        /// Gateway to a stream's homes before it is resumed; answered by [`PeerReply::Stream`].
+        FindStream(StreamQuery),
     }
 }
 
@@ -108,5 +113,7 @@
         Limits(RateLimitReply),
         /// All crashes of a content that the receiver knows.
         Crashes(ContentCrashes),
+        /// The software version that began a stream.
+        Stream(StreamReply),
     }
 }
--- a/crates/sagespool-sidecar/src/role/peers.rs
+++ b/crates/sagespool-sidecar/src/role/peers.rs
@@ -82,7 +82,9 @@
         | PeerRequest::AskLimits(_)
         | PeerRequest::Quarantine(_)
         | PeerRequest::ReportCrashes(_)
-        | PeerRequest::WithdrawCrashes(_) => {
+        | PeerRequest::WithdrawCrashes(_)
+        | PeerRequest::NoteStreams(_)
+        | PeerRequest::FindStream(_) => {
             PeerReply::Unsupported("this process is a sidecar".to_owned())
         }
     };
