Charges: a run that ended without an answer costs its account nothing

Cause: the prompt's charge hung on whether the request may have run, which also decides whether a refusal as not run is true; a stream cut before its first event never gave it back. Change: it hangs on how the attempt ended, by one exhaustive match (SendFailure::ended_without_answer): lost, unusable and crossed responses close the connection, which ends the run, and nothing was forwarded. Deadlines and callers that leave still cost the prompt.

Evidence: each_end and crashing_runs of charges failed before (timed out waiting for the next request) and pass now; charged_once and caller_gone passed before too.

--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -138,6 +138,22 @@
         )
     }
 
+    /// Whether no run goes on after it, and nothing of an answer was forwarded. A lost response's
+    /// connection is closed, which ends its run.
+    pub(crate) fn ended_without_answer(self) -> bool {
+        match self {
+            Self::NoUpstream(_)
+            | Self::NotSent(_)
+            | Self::DispatchBlocked
+            | Self::Quarantined
+            | Self::Rejected
+            | Self::Misdirected
+            | Self::Lost(_) => true,
+            // The request used its time at the upstream.
+            Self::TimedOut => false,
+        }
+    }
+
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::NoUpstream(UnavailableCause::None) => "no-upstream",
@@ -236,11 +252,10 @@
         // The intended upstream wasn't reached, so this doesn't count as an attempt.
         context.sends -= 1;
     }
-    if failure.did_not_run() {
+    if failure.ended_without_answer() {
         context.uncharge_prompt();
-    } else {
-        context.may_have_run = true;
     }
+    context.may_have_run |= !failure.did_not_run();
     log_event!(
         warn,
         "send-failed",
--- a/crates/sagespool-gateway/src/context.rs
+++ b/crates/sagespool-gateway/src/context.rs
@@ -99,9 +99,10 @@
         self.note_charge();
     }
 
-    /// Reverses the charge of the prompt, unless an upstream may have processed it.
+    /// Reverses the charge of the prompt after a run that has ended, unless the caller got some of the
+    /// answer.
     pub(crate) fn uncharge_prompt(&mut self) {
-        if self.may_have_run {
+        if self.log.events > 0 {
             return;
         }
         if let Some(reservation) = &mut self.request.reservation {
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -303,7 +303,9 @@
 }
 
 fn refuse_failed(mut context: RequestContext, failure: SendFailure) -> Response<ResponseBody> {
-    context.uncharge_prompt();
+    if failure.ended_without_answer() {
+        context.uncharge_prompt();
+    }
     let refusal = match failure {
         SendFailure::TimedOut => Refusal::TimedOut,
         _ if context.may_have_run => Refusal::Failed,
@@ -368,6 +370,8 @@
     let outcome = if head.status.is_server_error() { Outcome::Failed } else { Outcome::Answered };
     strip_hop_by_hop(&mut head.headers);
     let now = ClockTime::now();
+    // An earlier attempt's response may be forwarded after a later one that cost nothing.
+    context.charge_prompt();
     // A plain body is charged like one event: nothing shows how many tokens it has.
     if context.request.route.streaming && head.status.is_success() {
         context.charge_events(1);
--- a/crates/sagespool-gateway/src/stream.rs
+++ b/crates/sagespool-gateway/src/stream.rs
@@ -87,6 +87,7 @@
             }
             StreamEnd::Broken => SendFailure::Lost("stream-broken"),
         };
+        context.uncharge_prompt();
         response = match go_on(&mut context, failure).await {
             Some(response) => response,
             None => {
