poison: neighbours start together, so that they meet on each engine

Traced: its preparation starts one stream after the other and needs all three engines to run one at once; a stream ends before the next ones have spread when starts are slow. With a pause of 0.4 s after each start the test fails on the idle machine in the same way (28 s). Neighbours start ten at a time now; what is asserted is the same. It passed three times before on the idle machine and passes twice now.

--- a/crates/sagespool-daemon/tests/poison.rs
+++ b/crates/sagespool-daemon/tests/poison.rs
@@ -11,6 +11,9 @@
 /// Long enough that a crash falls into its run.
 const LONG_ANSWER: u32 = 300;
 const MAX_NEIGHBOURS: usize = 60;
+/// Neighbours that start together. On a slow machine one that starts alone ends before the next ones
+/// have spread over the engines.
+const STARTED_TOGETHER: usize = 10;
 
 /// A completion that crashes each engine that runs it.
 fn poison(name: &str) -> PlannedCall {
@@ -32,10 +35,15 @@
     };
     while busy() < fleet.engines.len() {
         assert!(neighbours.len() < MAX_NEIGHBOURS, "an engine gets no request");
-        let call = completion(OTHER_BRANCH, LONG_ANSWER);
-        let task = start_send(fleet, &call, entries[neighbours.len() % entries.len()]);
-        wait_until("the neighbour runs", || !runs_of(fleet, &call).is_empty()).await;
-        neighbours.push((call, task));
+        let started = neighbours.len();
+        for number in started..started + STARTED_TOGETHER {
+            let call = completion(OTHER_BRANCH, LONG_ANSWER);
+            let task = start_send(fleet, &call, entries[number % entries.len()]);
+            neighbours.push((call, task));
+        }
+        for (call, _) in &neighbours[started..] {
+            wait_until("the neighbour runs", || !runs_of(fleet, call).is_empty()).await;
+        }
     }
     neighbours
 }
