--- a/crates/sagespool-gateway/src/crashes.rs
+++ b/crates/sagespool-gateway/src/crashes.rs
@@ -16,7 +16,7 @@
 use async_channel::{Sender, bounded};
 use futures_util::future::join_all;
 use sagespool_claims::{CrashPolicy, CrashTracker, CrashVerdict};
-use sagespool_forward::UpstreamRecord;
+use sagespool_forward::{RequestAttributes, UpstreamRecord};
 use sagespool_link::within;
 use sagespool_log::log_event;
 use sagespool_messages::{
@@ -206,6 +206,7 @@
             upstream = upstream.name,
             cause = cause,
             events = self.log.events,
+            parts = shared_parts(&self.request.attributes),
         );
         self.state.crashes.evidence.begin(broken.content);
         self.state.crashes.apply_tracker_change();
@@ -256,6 +257,13 @@
     ContentDigest::of(&target, body)
 }
 
+/// The ids of the prompt's parts that other requests may share, as callers name them, for the log.
+fn shared_parts(attributes: &RequestAttributes) -> String {
+    let parts = attributes.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    let ids: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
+    ids.join(",")
+}
+
 /// Whether an upstream refuses connections, since its process has ended.
 pub(crate) async fn refuses_connections(state: &GatewayState, upstream: &UpstreamRecord) -> bool {
     examine(state, upstream).await == UpstreamFinding::Refuses
