Quarantine of a part of prompts that crashes upstreams

Cause: crashes are added up by the digest of a whole request. Change: a broken run is reported for its content and for each part of its prompt but the last that hasn't succeeded here lately, to the collectors of each. A report names the run's other digests. A part that comes to three crashes is refused in requests that hold what all its crashes had in common, and a crash with less in common widens the refusal (one write of its object). A whole answer frees its parts. Events before the break make a run weaker evidence. Ruled out: counting each part by itself. Parts that always come together reach three at the same crash, and the one that is recorded first explains the others away; if it is the common one, it is never run again (shared_company; told by others as a coin's toss).

--- a/crates/sagespool-claims/src/crash.rs
+++ b/crates/sagespool-claims/src/crash.rs
@@ -13,8 +13,15 @@
 /// Maximum number of notes of one content that are remembered as cleared. They only have to outlive
 /// reports on their way.
 const MAX_CLEARED_NOTES: usize = 64;
+/// Maximum number of notes kept of a stopped content.
+const MAX_STOPPED_NOTES: usize = 64;
 
-/// When a content is stopped. A content is a request's target and body.
+/// When a content is stopped. A content is a request's target and body, or a part of prompts.
+///
+/// Requests that share a part differ in everything else, and the parts of one request come to every
+/// crash together. A part that is stopped is therefore refused only in a request that also has what
+/// all requests of its crashes had in common: its company. A request with some of the parts is new
+/// evidence: it succeeds and shows that they are harmless, or its crash reduces the company.
 #[derive(Debug, Clone, PartialEq, Builder)]
 pub struct CrashPolicy {
     /// Number of crashes with the content in flight that stop it. Reports count by their weight.
@@ -62,6 +69,9 @@
     Stopped,
     /// Counted. The content was stopped before.
     AlreadyStopped,
+    /// Counted. The content was stopped before, and is so in less company from now on, which must be
+    /// written to the store.
+    Widened,
 }
 
 impl CrashVerdict {
@@ -73,6 +83,7 @@
             Self::Suspected => "suspected",
             Self::Stopped => "stopped",
             Self::AlreadyStopped => "already-stopped",
+            Self::Widened => "widened",
         }
     }
 }
@@ -124,10 +135,28 @@
         self.crashes.iter().map(|(note, _)| &note.upstream).collect()
     }
 
-    /// True if another content was in flight at all crashes of this one, and at more.
-    fn is_explained_by(&self, other: &Self) -> bool {
+    /// What all requests of its crashes had in common, beside the content itself.
+    fn company(&self) -> BTreeSet<ContentDigest> {
+        common_company(self.crashes.iter().map(|(note, _)| note))
+    }
+
+    /// True if the record of another content has requests of its own at all crashes of this one, and
+    /// at more.
+    fn is_explained_by(&self, culprit: ContentDigest, other: &Self) -> bool {
         let (own, others) = (self.upstreams(), other.upstreams());
-        own.len() < others.len() && own.is_subset(&others)
+        own.len() < others.len() && own.is_subset(&others) && !self.company().contains(&culprit)
+    }
+
+    /// True if this content's crash at an upstream is the crash of another request there.
+    fn has_crashed(&self, upstream: &UpstreamName, other: ContentDigest) -> bool {
+        let mut notes = self.crashes.iter().map(|(note, _)| note);
+        notes.any(|note| note.upstream == *upstream && !note.company.contains(&other))
+    }
+
+    /// True if the company of a stopped content with this digest is in a request.
+    fn stops(&self, content: ContentDigest, request: &BTreeSet<ContentDigest>) -> bool {
+        // A request's digest stands for all of the request.
+        self.stopped && (content.part_id().is_none() || self.company().is_subset(request))
     }
 
     fn weight(&self) -> CrashWeight {
@@ -142,6 +171,13 @@
     }
 }
 
+/// What all requests of some crashes had in common.
+fn common_company<'a>(notes: impl Iterator<Item = &'a CrashNote>) -> BTreeSet<ContentDigest> {
+    let mut companies = notes.map(|note| &note.company);
+    let first = companies.next().cloned().unwrap_or_default();
+    companies.fold(first, |common, company| &common & company)
+}
+
 #[derive(Debug, Default)]
 struct CrashState {
     records: BTreeMap<ContentDigest, CrashRecord>,
@@ -194,21 +230,27 @@
         if cleared.is_some_and(|cleared| cleared.contains(&note)) {
             return CrashVerdict::Repeated;
         }
-        if self.policy.blames_stopped && state.has_culprit(report.content, &note.upstream) {
+        if self.policy.blames_stopped && state.has_culprit(report.content, &note) {
             return CrashVerdict::Explained;
         }
         let record = state.records.entry(report.content).or_default();
+        if record.stopped && record.notes.len() >= MAX_STOPPED_NOTES {
+            return CrashVerdict::AlreadyStopped;
+        }
         if !record.notes.insert(note.clone()) {
             return CrashVerdict::Repeated;
         }
         record.last_report_at = now;
+        let company = record.company();
         match record.find_known_crash(&note, self.policy.crash_window, now) {
             Some(known) if known.weight >= note.weight => return CrashVerdict::Repeated,
             Some(known) => *known = note,
             None => record.crashes.push((note, now)),
         }
         if record.stopped {
-            return CrashVerdict::AlreadyStopped;
+            let is_widened = record.company() != company;
+            record.stored &= !is_widened;
+            return if is_widened { CrashVerdict::Widened } else { CrashVerdict::AlreadyStopped };
         }
         record.stopped = record.weight() >= self.policy.stop_weight();
         if !record.stopped {
@@ -282,6 +324,15 @@
         self.state().records.get(&content).is_some_and(|record| record.stopped)
     }
 
+    /// The content because of which a request with these digests must not run anywhere.
+    pub fn find_stopped(&self, request: &BTreeSet<ContentDigest>) -> Option<ContentDigest> {
+        let state = self.state();
+        let stops = |content: &&ContentDigest| {
+            state.records.get(content).is_some_and(|record| record.stops(**content, request))
+        };
+        request.iter().find(stops).copied()
+    }
+
     /// True if a content was in flight at a crash and has not succeeded since, or is stopped.
     pub fn is_suspect(&self, content: ContentDigest) -> bool {
         self.state().records.contains_key(&content)
@@ -368,6 +419,14 @@
         }
     }
 
+    /// Records that the store has a stopped content with these crashes. It stays unsaved if it is
+    /// stopped here in less company.
+    pub fn mark_stored_with(&self, content: ContentDigest, crashes: &BTreeSet<CrashNote>) {
+        if let Some(record) = self.state().records.get_mut(&content) {
+            record.stored = common_company(crashes.iter()).is_subset(&record.company());
+        }
+    }
+
     /// All suspected or stopped contents.
     pub fn list(&self) -> Vec<SuspectContent> {
         let state = self.state();
@@ -392,28 +451,35 @@
         }
     }
 
-    /// True if another content, which is stopped, was in flight at a crash of the upstream.
-    fn has_culprit(&self, content: ContentDigest, upstream: &UpstreamName) -> bool {
-        self.stopped_others(content).any(|record| record.upstreams().contains(upstream))
+    /// True if another request, with a content that is stopped, was in flight at a crash.
+    fn has_culprit(&self, content: ContentDigest, note: &CrashNote) -> bool {
+        self.stopped_others(content).any(|(other, record)| {
+            !note.company.contains(&other) && record.has_crashed(&note.upstream, content)
+        })
     }
 
     /// The records of the other contents that are stopped.
-    fn stopped_others(&self, content: ContentDigest) -> impl Iterator<Item = &CrashRecord> {
+    fn stopped_others(
+        &self,
+        content: ContentDigest,
+    ) -> impl Iterator<Item = (ContentDigest, &CrashRecord)> {
         let others = self.records.iter().filter(move |(other, _)| **other != content);
-        others.map(|(_, record)| record).filter(|record| record.stopped)
+        let others = others.map(|(other, record)| (*other, record));
+        others.filter(|(_, record)| record.stopped)
     }
 
     /// Clears other contents' crashes that a stopped content explains: those of suspects on the same
     /// upstreams, and stopped contents that it [explains](CrashRecord::is_explained_by).
     fn explain_others(&mut self, culprit: ContentDigest) {
         let Some(record) = self.records.get(&culprit).cloned() else { return };
-        let upstreams = record.upstreams();
         let mut explained = Vec::new();
         for (content, other) in self.records.iter_mut().filter(|(other, _)| **other != culprit) {
-            if other.stopped && other.is_explained_by(&record) {
+            if other.stopped && other.is_explained_by(culprit, &record) {
                 explained.push(*content);
             } else if !other.stopped {
-                other.crashes.retain(|(note, _)| !upstreams.contains(&note.upstream));
+                other.crashes.retain(|(note, _)| {
+                    note.company.contains(&culprit) || !record.has_crashed(&note.upstream, *content)
+                });
             }
         }
         for content in explained {
@@ -467,7 +533,8 @@
             return true;
         }
         let record = record.clone();
-        if self.stopped_others(content).any(|other| record.is_explained_by(other)) {
+        let explains = |(other, known)| record.is_explained_by(other, known);
+        if self.stopped_others(content).any(explains) {
             self.records.remove(&content);
             self.add_cleared(content, &record.notes);
             return false;
--- a/crates/sagespool-claims/src/quarantine.rs
+++ b/crates/sagespool-claims/src/quarantine.rs
@@ -26,6 +26,9 @@
         /// How much it counts.
         #[serde(default = "full_weight")]
         pub weight: CrashWeight,
+        /// The other digests of the request: its content, and the parts of its prompt.
+        #[serde(default)]
+        pub company: BTreeSet<ContentDigest>,
     }
 }
 
@@ -42,6 +45,7 @@
             attempt: report.attempt,
             upstream: report.upstream.clone(),
             weight: report.weight,
+            company: report.company.clone(),
         }
     }
 
@@ -53,6 +57,7 @@
             upstream: self.upstream.clone(),
             attempt: self.attempt,
             weight: self.weight,
+            company: self.company.clone(),
         }
     }
 }
--- a/crates/sagespool-claims/tests/crash_tracker.rs
+++ b/crates/sagespool-claims/tests/crash_tracker.rs
@@ -1,5 +1,6 @@
 //! Requests that crash upstreams are stopped, and other requests are not.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use sagespool_claims::{CrashPolicy, CrashTracker, CrashVerdict, QuarantineRecord, StopOutcome};
@@ -16,6 +17,7 @@
         upstream: format!("core-{upstream}").parse().expect("a valid name"),
         attempt: AttemptNumber(1),
         weight: CrashWeight::FULL,
+        company: BTreeSet::new(),
     }
 }
 
--- a/crates/sagespool-daemon/tests/doubt_releases.rs
+++ b/crates/sagespool-daemon/tests/doubt_releases.rs
@@ -4,6 +4,8 @@
 
 mod operator;
 
+use std::collections::BTreeSet;
+
 use operator::{EAST, OperatorHarness, WEST, new_id, update_book};
 use sagespool_claims::{CrashNote, QUARANTINE_KEY, QuarantineRecord};
 use sagespool_ledger::GrantRecord;
@@ -61,6 +63,7 @@
             attempt: AttemptNumber(1),
             upstream: "engines-1".parse().unwrap(),
             weight: CrashWeight::FULL,
+            company: BTreeSet::new(),
         };
         record.stop(content, &[note(1), note(2)].into(), WallTime(5));
         harness.fleet.objects.put(QUARANTINE_KEY, StoreRevision::ZERO, &record).await.unwrap();
--- a/crates/sagespool-entry/src/run/next_step.rs
+++ b/crates/sagespool-entry/src/run/next_step.rs
@@ -1,5 +1,6 @@
 //! Decides the next step after a dispatch: the end, or another attempt.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use sagespool_log::log_event;
@@ -198,6 +199,7 @@
             upstream: placement.upstream.clone(),
             attempt: self.attempt,
             weight: CrashWeight::FULL,
+            company: BTreeSet::new(),
         };
         crate::home::broadcast_crash(self.state, &report).await;
     }
--- a/crates/sagespool-gateway/src/crashes.rs
+++ b/crates/sagespool-gateway/src/crashes.rs
@@ -1,14 +1,16 @@
 //! Quarantine of requests that crash upstreams.
 //!
-//! A request may crash every upstream that runs it, and its caller may retry it at any gateway.
-//! Each gateway reports responses that broke to two collectors, chosen by the request's content, with
-//! the weight of the [evidence]. When a content's reports reach the weight of three crashes, it is
-//! [stored] as quarantined, and all gateways refuse it. A run that succeeds withdraws the reports of
-//! its content and lifts its quarantine.
+//! A request may crash every upstream that runs it, and its caller may retry it at any gateway. It may
+//! do so because of a part of its prompt that other requests share. Each gateway reports responses that
+//! broke to two collectors, chosen by the request's content or by the part, with the weight of the
+//! [evidence]. When the reports of a content reach the weight of three crashes, it is [stored] as
+//! quarantined, and all gateways refuse it. A run that succeeds withdraws the reports of its content
+//! and its parts, and lifts their quarantines.
 
 mod evidence;
 mod stored;
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -48,6 +50,8 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 const REPORT_TRIES: usize = 2;
 const RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Maximum number of parts of a prompt whose crashes are counted, from its beginning.
+const MAX_PARTS: usize = 32;
 /// Gateways that collect the reports of a content.
 const COLLECTORS: usize = 2;
 /// Gateways to which the reports of a quarantined content are sent at the same time.
@@ -79,9 +83,15 @@
         self.watched.load(Ordering::Relaxed) > 0
     }
 
-    /// Whether a content is refused.
-    pub(crate) fn is_quarantined(&self, content: impl FnOnce() -> ContentDigest) -> bool {
-        self.is_watching() && self.tracker.is_stopped(content())
+    /// The quarantined content because of which a request with these digests is refused.
+    pub(crate) fn find_quarantined(
+        &self,
+        digests: impl FnOnce() -> BTreeSet<ContentDigest>,
+    ) -> Option<ContentDigest> {
+        if !self.is_watching() {
+            return None;
+        }
+        self.tracker.find_stopped(&digests())
     }
 
     /// The number of contents that are refused.
@@ -103,7 +113,8 @@
         self.watched.store(count, Ordering::Relaxed);
     }
 
-    /// Records a report of this gateway or another one. True if it quarantines the content.
+    /// Records a report of this gateway or another one. True if the quarantine of its content must be
+    /// written.
     fn record(&self, report: &CrashReport, now: ClockTime) -> bool {
         let verdict = self.tracker.record(report, now);
         self.apply_tracker_change();
@@ -115,10 +126,11 @@
             weight = report.weight,
             verdict = verdict.as_str(),
         );
-        verdict == CrashVerdict::Stopped
+        matches!(verdict, CrashVerdict::Stopped | CrashVerdict::Widened)
     }
 
-    /// Records all reports that another gateway knows. True if they quarantine the content.
+    /// Records all reports that another gateway knows. True if the quarantine of their content must be
+    /// written.
     fn merge(&self, known: &ContentCrashes, now: ClockTime) -> bool {
         let before = self.tracker.crashes_of(known.content);
         let fresh = known.reports.iter().filter(|report| !before.reports.contains(report));
@@ -161,6 +173,9 @@
 /// A response that broke before it was complete.
 struct BrokenResponse {
     content: ContentDigest,
+    parts: BTreeSet<ContentDigest>,
+    /// True if events of it were forwarded.
+    has_events: bool,
     upstream: UpstreamRecord,
     attempt: AttemptNumber,
 }
@@ -174,9 +189,12 @@
         })
     }
 
-    /// Whether its content has been quarantined, perhaps since it was admitted.
+    /// Whether its content or a part of its prompt has been quarantined, perhaps since it was admitted.
     pub(crate) fn is_quarantined(&self) -> bool {
-        self.state.crashes.is_quarantined(|| self.content())
+        let crashes = &self.state.crashes;
+        let attributes = &self.request.attributes;
+        let found = crashes.find_quarantined(|| digests_of(self.content(), attributes));
+        found.inspect(|content| log_quarantined(attributes, *content)).is_some()
     }
 
     /// The upstreams on which its content broke. Another break on one of them says nothing about the
@@ -195,6 +213,8 @@
     pub(crate) async fn report_break(&self, upstream: &UpstreamRecord, cause: &str) {
         let broken = BrokenResponse {
             content: self.content(),
+            parts: shared_parts(&self.request.attributes).collect(),
+            has_events: self.log.events > 0,
             upstream: upstream.clone(),
             attempt: AttemptNumber(self.sends),
         };
@@ -206,7 +226,7 @@
             upstream = upstream.name,
             cause = cause,
             events = self.log.events,
-            parts = shared_parts(&self.request.attributes),
+            parts = name_parts(&self.request.attributes),
         );
         self.state.crashes.evidence.begin(broken.content);
         self.state.crashes.apply_tracker_change();
@@ -215,14 +235,29 @@
         let _ = within(EXAMINATION_WAIT, wait.recv()).await;
     }
 
-    /// Withdraws the reports of this content after a run that succeeded.
+    /// Withdraws the reports of this content and of the parts of its prompt after a run that wrote a
+    /// whole answer.
     pub(crate) fn clear_crashes(&self, now: ClockTime) {
+        self.clear_content_crashes(now);
+        for part in shared_parts(&self.request.attributes) {
+            self.state.crashes.evidence.note_success(part, now);
+            self.withdraw_crashes(part);
+        }
+    }
+
+    /// Withdraws the reports of this content after a run that succeeded.
+    pub(crate) fn clear_content_crashes(&self, now: ClockTime) {
+        if self.state.crashes.is_watching() {
+            self.state.crashes.evidence.note_success(self.content(), now);
+            self.withdraw_crashes(self.content());
+        }
+    }
+
+    fn withdraw_crashes(&self, content: ContentDigest) {
         let crashes = &self.state.crashes;
         if !crashes.is_watching() {
             return;
         }
-        let content = self.content();
-        crashes.evidence.note_success(content, now);
         let known = crashes.tracker.crashes_of(content);
         if known.reports.is_empty() {
             return;
@@ -257,13 +292,42 @@
     ContentDigest::of(&target, body)
 }
 
-/// The ids of the prompt's parts that other requests may share, as callers name them, for the log.
-fn shared_parts(attributes: &RequestAttributes) -> String {
+/// The parts of a prompt that other requests may share: all but the last.
+fn shared_parts(attributes: &RequestAttributes) -> impl Iterator<Item = ContentDigest> {
     let parts = attributes.parts.split_last().map_or(&[][..], |(_, shared)| shared);
-    let ids: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
+    parts.iter().take(MAX_PARTS).map(|part| ContentDigest::of_part(part.id))
+}
+
+/// The digests of a request by which crashes are counted.
+pub(crate) fn digests_of(
+    content: ContentDigest,
+    attributes: &RequestAttributes,
+) -> BTreeSet<ContentDigest> {
+    shared_parts(attributes).chain([content]).collect()
+}
+
+/// The ids of the parts that other requests may share, as callers name them.
+fn name_parts(attributes: &RequestAttributes) -> String {
+    let ids: Vec<String> = shared_parts(attributes).map(name_part).collect();
     ids.join(",")
 }
 
+/// The id of a part as callers name it; empty for the digest of a request.
+fn name_part(content: ContentDigest) -> String {
+    content.part_id().map_or_else(String::new, |id| format!("{id:x}"))
+}
+
+/// Logs because of what a request is refused.
+pub(crate) fn log_quarantined(attributes: &RequestAttributes, content: ContentDigest) {
+    log_event!(
+        info,
+        "request-quarantined",
+        request = attributes.request,
+        content = content,
+        part = name_part(content),
+    );
+}
+
 /// Whether an upstream refuses connections, since its process has ended.
 pub(crate) async fn refuses_connections(state: &GatewayState, upstream: &UpstreamRecord) -> bool {
     examine(state, upstream).await == UpstreamFinding::Refuses
@@ -271,7 +335,7 @@
 
 /// Weighs a broken response and reports it; drops `recorded` once it counts here.
 async fn report_broken(state: Arc<GatewayState>, broken: BrokenResponse, recorded: Sender<()>) {
-    let BrokenResponse { content, upstream, attempt } = broken;
+    let BrokenResponse { content, parts, has_events, upstream, attempt } = broken;
     let finding = examine(&state, &upstream).await;
     let now = ClockTime::now();
     state.crashes.evidence.end(content);
@@ -280,6 +344,7 @@
     let weight = state.crashes.evidence.weigh(content, &upstream.name, finding, known, now);
     state.crashes.apply_tracker_change();
     state.metrics.count_break(finding.as_str());
+    let parts = state.crashes.evidence.suspect_parts(&parts, &upstream.name, now);
     log_event!(
         info,
         "break-examined",
@@ -288,20 +353,28 @@
         finding = finding.as_str(),
         weight = weight,
         succeeded = succeeded,
+        suspect_parts = parts.len(),
     );
+    let part_weight = BreakEvidence::weigh_part(weight, has_events);
+    let mut suspects: Vec<_> = parts.iter().map(|part| (*part, part_weight)).collect();
     // A content that succeeds here doesn't take down whatever runs it.
-    if succeeded {
-        return;
+    if !succeeded {
+        suspects.push((content, weight));
     }
     let crash = RequestId::random();
-    let report = CrashReport { content, crash, upstream: upstream.name, attempt, weight };
-    if state.crashes.record(&report, now) {
-        state.crashes.stored.request_save();
+    let digests: BTreeSet<ContentDigest> = parts.iter().copied().chain([content]).collect();
+    for (suspect, weight) in &suspects {
+        let company = digests.iter().copied().filter(|digest| digest != suspect).collect();
+        let upstream = upstream.name.clone();
+        let report =
+            CrashReport { content: *suspect, crash, upstream, attempt, weight: *weight, company };
+        if state.crashes.record(&report, now) {
+            state.crashes.stored.request_save();
+        }
     }
     drop(recorded);
-    if weight >= MIN_REPORTED_WEIGHT {
-        send_reports(&state, content).await;
-    }
+    let reported = suspects.iter().filter(|(_, weight)| *weight >= MIN_REPORTED_WEIGHT);
+    join_all(reported.map(|(suspect, _)| send_reports(&state, *suspect))).await;
 }
 
 /// Records the reports that another gateway knows, and returns all that are known here. If they
--- a/crates/sagespool-gateway/src/crashes/evidence.rs
+++ b/crates/sagespool-gateway/src/crashes/evidence.rs
@@ -20,8 +20,15 @@
 const REFUSAL_WINDOW: Duration = Duration::from_secs(2);
 /// Time for which a success speaks against other gateways' reports of its content.
 const SUCCESS_WINDOW: Duration = Duration::from_secs(30);
+/// The same for a part of prompts. It is in many requests, so that its success is mostly recent, and it
+/// may have become harmful after an earlier one.
+const PART_SUCCESS_WINDOW: Duration = Duration::from_secs(5);
+/// A success isn't recorded again within this time.
+const SUCCESS_RESOLUTION: Duration = Duration::from_secs(1);
 /// Maximum number of successes kept, in 0.4 MB; the oldest are dropped first.
 const MAX_SUCCESSES: usize = 4096;
+/// Weight of a break after events of the run: the run didn't crash its upstream as it began to write.
+const BEGUN_RUN_WEIGHT: f64 = 0.6;
 
 /// Whether an upstream still accepts connections after a response broke.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -60,17 +67,30 @@
 /// The number of breaks under examination, by content.
 type ExaminedContents = BTreeMap<ContentDigest, usize>;
 
+#[derive(Debug)]
+struct RunSuccess {
+    at: ClockTime,
+    /// The first upstream at which a run of the content has broken since.
+    broken_at: Option<UpstreamName>,
+}
+
 /// When runs of contents last succeeded.
 #[derive(Debug, Default)]
 struct RecentSuccesses {
-    times: BTreeMap<ContentDigest, ClockTime>,
+    times: BTreeMap<ContentDigest, RunSuccess>,
     /// All recorded successes, the oldest first.
     order: VecDeque<(ClockTime, ContentDigest)>,
 }
 
 impl RecentSuccesses {
     fn record(&mut self, content: ContentDigest, now: ClockTime) {
-        self.times.insert(content, now);
+        let is_known = |success: &RunSuccess| {
+            success.broken_at.is_none() && now.since(success.at) < SUCCESS_RESOLUTION
+        };
+        if self.times.get(&content).is_some_and(is_known) {
+            return;
+        }
+        self.times.insert(content, RunSuccess { at: now, broken_at: None });
         self.order.push_back((now, content));
         let is_over = |at: ClockTime| now.since(at) >= SUCCESS_WINDOW;
         while let Some((at, oldest)) = self.order.front().copied() {
@@ -78,11 +98,28 @@
                 break;
             }
             self.order.pop_front();
-            if self.times.get(&oldest) == Some(&at) {
+            if self.times.get(&oldest).is_some_and(|success| success.at == at) {
                 self.times.remove(&oldest);
             }
         }
     }
+
+    fn is_within(&self, content: ContentDigest, window: Duration, now: ClockTime) -> bool {
+        self.times.get(&content).is_some_and(|success| now.since(success.at) < window)
+    }
+
+    /// Whether a content that has broken at an upstream succeeded lately, and has broken nowhere else
+    /// since.
+    fn outweigh_break(
+        &mut self,
+        content: ContentDigest,
+        upstream: &UpstreamName,
+        now: ClockTime,
+    ) -> bool {
+        let Some(success) = self.times.get_mut(&content) else { return false };
+        let broken_at = success.broken_at.get_or_insert_with(|| upstream.clone());
+        broken_at == upstream && now.since(success.at) < SUCCESS_WINDOW
+    }
 }
 
 /// The recent breaks, refused connections and successes of this gateway.
@@ -92,6 +129,7 @@
     refusals: Mutex<VecDeque<(ClockTime, UpstreamName)>>,
     examined: Mutex<ExaminedContents>,
     successes: Mutex<RecentSuccesses>,
+    part_successes: Mutex<RecentSuccesses>,
 }
 
 impl BreakEvidence {
@@ -99,8 +137,13 @@
         self.rate.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn successes(&self) -> MutexGuard<'_, RecentSuccesses> {
-        self.successes.lock().unwrap_or_else(PoisonError::into_inner)
+    /// The successes of a request's content, or of the part of prompts that it is.
+    fn successes(&self, content: ContentDigest) -> MutexGuard<'_, RecentSuccesses> {
+        let successes = match content.part_id() {
+            None => &self.successes,
+            Some(_) => &self.part_successes,
+        };
+        successes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn examined(&self) -> MutexGuard<'_, ExaminedContents> {
@@ -133,13 +176,29 @@
 
     /// Records a run that succeeded.
     pub(super) fn note_success(&self, content: ContentDigest, now: ClockTime) {
-        self.successes().record(content, now);
+        self.successes(content).record(content, now);
     }
 
-    /// Whether a run of the content has succeeded lately.
+    /// Whether a run of the content has succeeded so lately that it is harmless whatever other
+    /// gateways report.
     pub(super) fn succeeded_lately(&self, content: ContentDigest, now: ClockTime) -> bool {
-        let successes = self.successes();
-        successes.times.get(&content).is_some_and(|at| now.since(*at) < SUCCESS_WINDOW)
+        let window = match content.part_id() {
+            None => SUCCESS_WINDOW,
+            Some(_) => PART_SUCCESS_WINDOW,
+        };
+        self.successes(content).is_within(content, window, now)
+    }
+
+    /// The parts of a prompt whose run has broken at an upstream that aren't known to be harmless.
+    pub(super) fn suspect_parts(
+        &self,
+        parts: &BTreeSet<ContentDigest>,
+        upstream: &UpstreamName,
+        now: ClockTime,
+    ) -> BTreeSet<ContentDigest> {
+        let is_harmless =
+            |part: ContentDigest| self.successes(part).outweigh_break(part, upstream, now);
+        parts.iter().copied().filter(|part| !is_harmless(*part)).collect()
     }
 
     /// How much a break counts as a crash, with `known` upstreams in all.
@@ -159,6 +218,11 @@
         rate.weight_of(content, now)
     }
 
+    /// How much a break counts for the parts of its prompt.
+    pub(super) fn weigh_part(weight: CrashWeight, has_events: bool) -> CrashWeight {
+        if has_events { weight.scaled(BEGUN_RUN_WEIGHT) } else { weight }
+    }
+
     /// Records a refused connection. True if most upstreams have refused one lately: then this
     /// gateway's network is at fault, not they.
     fn refused_by_most(&self, upstream: &UpstreamName, known: usize, now: ClockTime) -> bool {
--- a/crates/sagespool-gateway/src/crashes/stored.rs
+++ b/crates/sagespool-gateway/src/crashes/stored.rs
@@ -33,6 +33,8 @@
 /// Upstreams that have ended by which a quarantine is confirmed. One may have ended by chance while
 /// the content was there.
 const CONFIRMING_CRASHES: usize = 2;
+/// Tries to write an entry that other gateways change too.
+const MAX_WRITE_TRIES: usize = 3;
 /// Maximum number of objects in the store; the first to end is deleted.
 const MAX_STORED: usize = 500;
 
@@ -159,7 +161,7 @@
     let reports = entry.crashes.iter().map(|note| note.to_report(content)).collect();
     let is_new = state.crashes.stored.state().stored.insert(content, end_of(entry)).is_none();
     let agreed = state.crashes.apply_quarantine(&ContentCrashes { content, reports }, now);
-    state.crashes.tracker.mark_stored(content);
+    state.crashes.tracker.mark_stored_with(content, &entry.crashes);
     if is_new {
         log_event!(info, "quarantine-read", content = content, agreed = agreed);
     }
@@ -197,13 +199,13 @@
     homes.first().is_none_or(|home| home.incarnation == state.fleet.run)
 }
 
-/// Creates the object of a quarantined content. Other gateways are told directly if it fails.
+/// Creates the object of a quarantined content, or adds the crashes that are known here to it. Other
+/// gateways are told directly if it fails.
 async fn save(state: &Arc<GatewayState>, content: ContentDigest, crashes: BTreeSet<CrashNote>) {
-    let entry = QuarantineEntry { crashes, at: WallTime::now(), lifted: false };
     let key = quarantine_key(state, content);
-    match state.store.put(&key, StoreRevision::ZERO, &entry).await {
-        Ok(_) | Err(StoreError::Conflict { .. }) => {
-            state.crashes.tracker.mark_stored(content);
+    match put_entry(state, &key, crashes).await {
+        Ok(entry) => {
+            state.crashes.tracker.mark_stored_with(content, &entry.crashes);
             log_event!(info, "quarantine-stored", content = content);
         }
         Err(error) => {
@@ -215,6 +217,32 @@
     }
 }
 
+/// Writes an entry with these crashes and those that it has in the store. Returns what is stored.
+async fn put_entry(
+    state: &GatewayState,
+    key: &str,
+    crashes: BTreeSet<CrashNote>,
+) -> Result<QuarantineEntry, StoreError> {
+    let mut entry = QuarantineEntry { crashes, at: WallTime::now(), lifted: false };
+    let mut revision = StoreRevision::ZERO;
+    for _ in 0..MAX_WRITE_TRIES {
+        match state.store.put(key, revision, &entry).await {
+            Err(StoreError::Conflict { .. }) => {}
+            result => return result.map(|_| entry),
+        }
+        let Some(stored) = state.store.get::<QuarantineEntry>(key).await? else {
+            revision = StoreRevision::ZERO;
+            continue;
+        };
+        if entry.crashes.is_subset(&stored.value.crashes) {
+            return Ok(stored.value);
+        }
+        entry.crashes.extend(stored.value.crashes);
+        revision = stored.version;
+    }
+    Err(StoreError::Conflict { present: revision })
+}
+
 /// Deletes the object of a content, if it exists. Its removal is applied as for all gateways.
 async fn remove(state: &GatewayState, content: ContentDigest) {
     let key = quarantine_key(state, content);
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -22,7 +22,7 @@
 use crate::body::ResponseBody;
 use crate::budget::{BudgetRequest, Reservation};
 use crate::context::{AdmittedRequest, RequestContext, RequestLog};
-use crate::crashes::content_of;
+use crate::crashes::{content_of, digests_of, log_quarantined};
 use crate::hop_by_hop::strip_hop_by_hop;
 use crate::metrics::Outcome;
 use crate::refusal::Refusal;
@@ -138,7 +138,9 @@
     let body = read_body(&index, body, &mut permit, deadline.since(ClockTime::now())).await?;
     let branch_name = branch.map(|branch| &branch.name);
     let key = attributes.key.as_deref();
-    if state.crashes.is_quarantined(|| content_of(branch_name, key, head, &body)) {
+    let digests = || digests_of(content_of(branch_name, key, head, &body), &attributes);
+    if let Some(content) = state.crashes.find_quarantined(digests) {
+        log_quarantined(&attributes, content);
         return Err(Refusal::Quarantined);
     }
     if deadline.since(ClockTime::now()) < MIN_TIME_LEFT {
@@ -376,9 +378,12 @@
     if context.request.route.streaming && head.status.is_success() {
         context.charge_events(1);
     }
-    // A response of 5xx doesn't show that the request is harmless.
-    if outcome == Outcome::Answered {
+    // A response of 5xx doesn't show that the request is harmless, and one of 4xx only that its content
+    // is: nothing was written on its prompt.
+    if head.status.is_success() {
         context.clear_crashes(now);
+    } else if outcome == Outcome::Answered {
+        context.clear_content_crashes(now);
     }
     context.log.first = Some(now);
     context.log.conclude(outcome, head.status.as_u16(), "");
--- a/crates/sagespool-gateway/src/stream.rs
+++ b/crates/sagespool-gateway/src/stream.rs
@@ -74,7 +74,10 @@
         let failure = match end {
             StreamEnd::Whole => {
                 context.log.conclude(Outcome::Answered, context.log.status, "");
-                context.clear_crashes(ClockTime::now());
+                match context.log.events {
+                    0 => context.clear_content_crashes(ClockTime::now()),
+                    _ => context.clear_crashes(ClockTime::now()),
+                }
                 // Settle the charge before the caller receives the end of the stream.
                 drop(context.request.reservation.take());
                 let _ = sender.send(BodyChunk::End).await;
--- a/crates/sagespool-messages/src/claims.rs
+++ b/crates/sagespool-messages/src/claims.rs
@@ -1,5 +1,7 @@
 //! Claims on callers' keys before a non-idempotent run, and the state of a key.
 
+use std::collections::BTreeSet;
+
 use sagespool_types::{
     AttemptNumber, BranchName, ChargeId, ContentDigest, CrashWeight, IncarnationId, KeyDigest,
     RequestId, ServiceName, UpstreamName, derives,
@@ -96,7 +98,7 @@
 derives! { record;
     /// An entry's report to the other entries of a request in flight when its upstream crashed.
     pub struct CrashReport {
-        /// Digest of the request's target and body.
+        /// Digest of the request's target and body, or of a part of its prompt.
         pub content: ContentDigest,
         /// The request that was in flight; identifies repeated reports of one crash.
         pub crash: RequestId,
@@ -106,13 +108,16 @@
         pub attempt: AttemptNumber,
         /// How much it counts.
         pub weight: CrashWeight,
+        /// The other digests of the request: its content, and the parts of its prompt that aren't
+        /// known to be harmless.
+        pub company: BTreeSet<ContentDigest>,
     }
 }
 
 derives! { record;
     /// What a process knows of the crashes with a content in flight.
     pub struct ContentCrashes {
-        /// Digest of the request's target and body.
+        /// Digest of the request's target and body, or of a part of prompts.
         pub content: ContentDigest,
         /// One report of each crash.
         pub reports: Vec<CrashReport>,
--- a/crates/sagespool-types/src/digest.rs
+++ b/crates/sagespool-types/src/digest.rs
@@ -35,10 +35,14 @@
     )*};
 }
 
+/// The upper half of the identities of prompt parts.
+const PART_TAG: u128 = (u64::MAX as u128) << u64::BITS;
+
 digest_newtypes! {
     /// Digest of a branch and a caller's idempotency key, the same in every process.
     KeyDigest, "a key digest";
-    /// Digest of a request's target and body. It doesn't depend on the key or the entry.
+    /// Digest of a request's target and body, or the identity of a part of prompts. It doesn't depend
+    /// on the key or the entry.
     ContentDigest, "a content digest";
 }
 
@@ -69,6 +73,16 @@
         Self(sha256_prefix(&[target.as_bytes(), body]))
     }
 
+    /// The identity of a part of prompts. A request's digest equals one with a chance of 2^-64.
+    pub fn of_part(id: u64) -> Self {
+        Self(PART_TAG | u128::from(id))
+    }
+
+    /// The id of a part of prompts; `None` for the digest of a request.
+    pub fn part_id(self) -> Option<u64> {
+        ((self.0 ^ PART_TAG) >> u64::BITS == 0).then_some(self.0 as u64)
+    }
+
     /// A fast, non-sha256_prefix digest, for content that callers can't choose.
     pub fn fast(body: &[u8]) -> Self {
         Self(XxHash3_128::oneshot(body))
