--- a/crates/sagespool-claims/src/crash.rs
+++ b/crates/sagespool-claims/src/crash.rs
@@ -16,11 +16,20 @@
 /// Maximum number of notes kept of a stopped content.
 const MAX_STOPPED_NOTES: usize = 64;
 
+/// Weight of a break after events of its run for the parts of the prompt: the run hasn't crashed its
+/// upstream as it began to write on them.
+const BEGUN_RUN_WEIGHT: f64 = 0.6;
+
+/// How much a break counts for the parts of its prompt.
+pub fn part_weight(weight: CrashWeight, has_events: bool) -> CrashWeight {
+    if has_events { weight.scaled(BEGUN_RUN_WEIGHT) } else { weight }
+}
+
 /// When a content is stopped. A content is a request's target and body, or a part of prompts.
 ///
 /// Requests that share a part differ in everything else, and the parts of one request come to every
 /// crash together. A part that is stopped is therefore refused only in a request that also has what
-/// all requests of its crashes had in common: its company. A request with some of the parts is new
+/// the requests of its crashes had in common: its company. A request with some of the parts is new
 /// evidence: it succeeds and shows that they are harmless, or its crash reduces the company.
 #[derive(Debug, Clone, PartialEq, Builder)]
 pub struct CrashPolicy {
@@ -135,7 +144,7 @@
         self.crashes.iter().map(|(note, _)| &note.upstream).collect()
     }
 
-    /// What all requests of its crashes had in common, beside the content itself.
+    /// What the requests of its crashes had in common, beside the content itself.
     fn company(&self) -> BTreeSet<ContentDigest> {
         common_company(self.crashes.iter().map(|(note, _)| note))
     }
@@ -465,12 +474,15 @@
     ) -> impl Iterator<Item = (ContentDigest, &CrashRecord)> {
         let others = self.records.iter().filter(move |(other, _)| **other != content);
         let others = others.map(|(other, record)| (*other, record));
-        others.filter(|(_, record)| record.stopped)
+        others.filter(|(other, record)| record.stopped && other.part_id().is_none())
     }
 
     /// Clears other contents' crashes that a stopped content explains: those of suspects on the same
     /// upstreams, and stopped contents that it [explains](CrashRecord::is_explained_by).
     fn explain_others(&mut self, culprit: ContentDigest) {
+        if culprit.part_id().is_some() {
+            return;
+        }
         let Some(record) = self.records.get(&culprit).cloned() else { return };
         let mut explained = Vec::new();
         for (content, other) in self.records.iter_mut().filter(|(other, _)| **other != culprit) {
--- a/crates/sagespool-claims/src/lib.rs
+++ b/crates/sagespool-claims/src/lib.rs
@@ -51,11 +51,12 @@
 mod quarantine;
 mod record;
 mod refusal;
+mod successes;
 
 pub use aged::{AgedClaims, FingerprintSet};
 pub use batch::{BatchPolicy, ClaimBatch, ClaimResult, ClaimVerdict};
 pub use break_rate::BreakRate;
-pub use crash::{CrashPolicy, CrashTracker, CrashVerdict, SuspectContent};
+pub use crash::{CrashPolicy, CrashTracker, CrashVerdict, SuspectContent, part_weight};
 pub use entry::{ClaimEntry, ClaimIntent, FencedClaim};
 pub use key_lookup::{KeyLookup, LookupOutcome};
 pub use key_record::KeyPolicy;
@@ -66,3 +67,4 @@
     claim_shard,
 };
 pub use refusal::{EarlierRun, claim_refusal, claimed_key_state, earlier_run};
+pub use successes::SuccessLog;
--- a/crates/sagespool-gateway/src/crashes.rs
+++ b/crates/sagespool-gateway/src/crashes.rs
@@ -17,7 +17,7 @@
 
 use async_channel::{Sender, bounded};
 use futures_util::future::join_all;
-use sagespool_claims::{CrashPolicy, CrashTracker, CrashVerdict};
+use sagespool_claims::{CrashPolicy, CrashTracker, CrashVerdict, part_weight};
 use sagespool_forward::{RequestAttributes, UpstreamRecord};
 use sagespool_link::within;
 use sagespool_log::log_event;
@@ -355,7 +355,7 @@
         succeeded = succeeded,
         suspect_parts = parts.len(),
     );
-    let part_weight = BreakEvidence::weigh_part(weight, has_events);
+    let part_weight = part_weight(weight, has_events);
     let mut suspects: Vec<_> = parts.iter().map(|part| (*part, part_weight)).collect();
     // A content that succeeds here doesn't take down whatever runs it.
     if !succeeded {
--- a/crates/sagespool-gateway/src/crashes/evidence.rs
+++ b/crates/sagespool-gateway/src/crashes/evidence.rs
@@ -9,7 +9,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use sagespool_claims::BreakRate;
+use sagespool_claims::{BreakRate, SuccessLog};
 use sagespool_forward::UpstreamRecord;
 use sagespool_types::{ClockTime, ContentDigest, CrashWeight, UpstreamName};
 
@@ -18,17 +18,6 @@
 
 /// Refused connections within this time are compared with the number of upstreams.
 const REFUSAL_WINDOW: Duration = Duration::from_secs(2);
-/// Time for which a success speaks against other gateways' reports of its content.
-const SUCCESS_WINDOW: Duration = Duration::from_secs(30);
-/// The same for a part of prompts. It is in many requests, so that its success is mostly recent, and it
-/// may have become harmful after an earlier one.
-const PART_SUCCESS_WINDOW: Duration = Duration::from_secs(5);
-/// A success isn't recorded again within this time.
-const SUCCESS_RESOLUTION: Duration = Duration::from_secs(1);
-/// Maximum number of successes kept, in 0.4 MB; the oldest are dropped first.
-const MAX_SUCCESSES: usize = 4096;
-/// Weight of a break after events of the run: the run didn't crash its upstream as it began to write.
-const BEGUN_RUN_WEIGHT: f64 = 0.6;
 
 /// Whether an upstream still accepts connections after a response broke.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,69 +56,14 @@
 /// The number of breaks under examination, by content.
 type ExaminedContents = BTreeMap<ContentDigest, usize>;
 
-#[derive(Debug)]
-struct RunSuccess {
-    at: ClockTime,
-    /// The first upstream at which a run of the content has broken since.
-    broken_at: Option<UpstreamName>,
-}
-
-/// When runs of contents last succeeded.
-#[derive(Debug, Default)]
-struct RecentSuccesses {
-    times: BTreeMap<ContentDigest, RunSuccess>,
-    /// All recorded successes, the oldest first.
-    order: VecDeque<(ClockTime, ContentDigest)>,
-}
-
-impl RecentSuccesses {
-    fn record(&mut self, content: ContentDigest, now: ClockTime) {
-        let is_known = |success: &RunSuccess| {
-            success.broken_at.is_none() && now.since(success.at) < SUCCESS_RESOLUTION
-        };
-        if self.times.get(&content).is_some_and(is_known) {
-            return;
-        }
-        self.times.insert(content, RunSuccess { at: now, broken_at: None });
-        self.order.push_back((now, content));
-        let is_over = |at: ClockTime| now.since(at) >= SUCCESS_WINDOW;
-        while let Some((at, oldest)) = self.order.front().copied() {
-            if !is_over(at) && self.order.len() <= MAX_SUCCESSES {
-                break;
-            }
-            self.order.pop_front();
-            if self.times.get(&oldest).is_some_and(|success| success.at == at) {
-                self.times.remove(&oldest);
-            }
-        }
-    }
-
-    fn is_within(&self, content: ContentDigest, window: Duration, now: ClockTime) -> bool {
-        self.times.get(&content).is_some_and(|success| now.since(success.at) < window)
-    }
-
-    /// Whether a content that has broken at an upstream succeeded lately, and has broken nowhere else
-    /// since.
-    fn outweigh_break(
-        &mut self,
-        content: ContentDigest,
-        upstream: &UpstreamName,
-        now: ClockTime,
-    ) -> bool {
-        let Some(success) = self.times.get_mut(&content) else { return false };
-        let broken_at = success.broken_at.get_or_insert_with(|| upstream.clone());
-        broken_at == upstream && now.since(success.at) < SUCCESS_WINDOW
-    }
-}
-
 /// The recent breaks, refused connections and successes of this gateway.
 #[derive(Debug, Default)]
 pub(super) struct BreakEvidence {
     rate: Mutex<BreakRate>,
     refusals: Mutex<VecDeque<(ClockTime, UpstreamName)>>,
     examined: Mutex<ExaminedContents>,
-    successes: Mutex<RecentSuccesses>,
-    part_successes: Mutex<RecentSuccesses>,
+    successes: Mutex<SuccessLog>,
+    part_successes: Mutex<SuccessLog>,
 }
 
 impl BreakEvidence {
@@ -138,7 +72,7 @@
     }
 
     /// The successes of a request's content, or of the part of prompts that it is.
-    fn successes(&self, content: ContentDigest) -> MutexGuard<'_, RecentSuccesses> {
+    fn successes(&self, content: ContentDigest) -> MutexGuard<'_, SuccessLog> {
         let successes = match content.part_id() {
             None => &self.successes,
             Some(_) => &self.part_successes,
@@ -182,11 +116,7 @@
     /// Whether a run of the content has succeeded so lately that it is harmless whatever other
     /// gateways report.
     pub(super) fn succeeded_lately(&self, content: ContentDigest, now: ClockTime) -> bool {
-        let window = match content.part_id() {
-            None => SUCCESS_WINDOW,
-            Some(_) => PART_SUCCESS_WINDOW,
-        };
-        self.successes(content).is_within(content, window, now)
+        self.successes(content).is_recent(content, now)
     }
 
     /// The parts of a prompt whose run has broken at an upstream that aren't known to be harmless.
@@ -218,11 +148,6 @@
         rate.weight_of(content, now)
     }
 
-    /// How much a break counts for the parts of its prompt.
-    pub(super) fn weigh_part(weight: CrashWeight, has_events: bool) -> CrashWeight {
-        if has_events { weight.scaled(BEGUN_RUN_WEIGHT) } else { weight }
-    }
-
     /// Records a refused connection. True if most upstreams have refused one lately: then this
     /// gateway's network is at fault, not they.
     fn refused_by_most(&self, upstream: &UpstreamName, known: usize, now: ClockTime) -> bool {
