Company of a part: what came with it to most of its crashes

Cause: the company was the intersection of all crashes, so one crash without the bad part sufficed to refuse the harmless one by itself; refused, it could never succeed. Change: a part is company if it came to at least two crashes and was missing at fewer than two, or at fewer than half as many. A bad part whose company changes costs one crash more until it is refused by itself. Ruled out: a majority alone (three further crashes), and counting only a part's crashes without company. Tests: usual_company and widened_stop failed before.

--- a/crates/sagespool-claims/src/crash.rs
+++ b/crates/sagespool-claims/src/crash.rs
@@ -180,11 +180,29 @@
     }
 }
 
-/// What all requests of some crashes had in common.
-fn common_company<'a>(notes: impl Iterator<Item = &'a CrashNote>) -> BTreeSet<ContentDigest> {
-    let mut companies = notes.map(|note| &note.company);
-    let first = companies.next().cloned().unwrap_or_default();
-    companies.fold(first, |common, company| &common & company)
+/// What the requests of a content's crashes had in common, beside the content: what came with it to at
+/// least two crashes, and was missing at too few to show that the content crashes without it.
+///
+/// Guards against the refusal of a harmless part that mostly comes with a harmful one, and was in
+/// flight once when an upstream crashed for another reason.
+fn common_company<'a>(
+    notes: impl Iterator<Item = &'a CrashNote> + Clone,
+) -> BTreeSet<ContentDigest> {
+    let total: CrashWeight = notes.clone().map(|note| note.weight).sum();
+    let mut shares: BTreeMap<ContentDigest, (usize, CrashWeight)> = BTreeMap::new();
+    for note in notes {
+        for other in &note.company {
+            let (crashes, weight) = shares.entry(*other).or_default();
+            *crashes += 1;
+            *weight = *weight + note.weight;
+        }
+    }
+    let is_common = |crashes: usize, weight: CrashWeight| {
+        let sufficient = CrashWeight::of_crashes(2).max(weight.scaled(0.5));
+        crashes > 1 && total.saturating_sub(weight) < sufficient
+    };
+    let common = shares.into_iter().filter(|(_, (crashes, weight))| is_common(*crashes, *weight));
+    common.map(|(other, _)| other).collect()
 }
 
 #[derive(Debug, Default)]
--- a/crates/sagespool-claims/tests/crash_tracker.rs
+++ b/crates/sagespool-claims/tests/crash_tracker.rs
@@ -299,3 +299,58 @@
     }
     assert!(tracker.is_stopped(CRASHING) && tracker.is_stopped(other));
 }
+
+fn in_company(part: u64, upstream: usize, others: &[u64]) -> CrashReport {
+    let company = others.iter().map(|other| ContentDigest::of_part(*other)).collect();
+    CrashReport { company, ..report(ContentDigest::of_part(part), upstream as u128, upstream) }
+}
+
+fn refuses(tracker: &CrashTracker, parts: &[u64]) -> bool {
+    let parts = parts.iter().map(|part| ContentDigest::of_part(*part)).collect();
+    tracker.find_stopped(&parts).is_some()
+}
+
+/// Guards against the refusal of a harmless part that comes with a bad one, and was in flight once when
+/// an upstream crashed for another reason.
+#[test]
+fn usual_company() {
+    let tracker = gateway_tracker();
+    for crash in 0..3 {
+        tracker.record(&in_company(7, crash, &[1]), at(crash as u64));
+    }
+    assert!(refuses(&tracker, &[7, 1]) && !refuses(&tracker, &[7]));
+    tracker.record(&in_company(7, 3, &[2]), at(4));
+    assert!(!refuses(&tracker, &[7, 2]), "one crash without its company");
+    tracker.record(&in_company(7, 4, &[3]), at(5));
+    assert!(refuses(&tracker, &[7]), "two crashes without its company");
+}
+
+/// Guards against a part that is refused only beside another one because some of its crashes had it.
+#[test]
+fn changing_company() {
+    let tracker = gateway_tracker();
+    for crash in 0..3 {
+        tracker.record(&in_company(7, crash, &[crash as u64]), at(crash as u64));
+    }
+    assert!(refuses(&tracker, &[7]));
+}
+
+/// Guards against a stop that stays unwritten, or is written again and again, when its company changes.
+#[test]
+fn widened_stop() {
+    let tracker = gateway_tracker();
+    let part = ContentDigest::of_part(7);
+    for crash in 0..3 {
+        tracker.record(&in_company(7, crash, &[1]), at(crash as u64));
+    }
+    let (_, crashes) = tracker.unsaved().pop().expect("to be written");
+    tracker.mark_stored_with(part, &crashes);
+    assert_eq!(tracker.record(&in_company(7, 3, &[2]), at(4)), CrashVerdict::AlreadyStopped);
+    assert!(tracker.unsaved().is_empty());
+    assert_eq!(tracker.record(&in_company(7, 4, &[2]), at(5)), CrashVerdict::Widened);
+    let (_, widened) = tracker.unsaved().pop().expect("to be written");
+    tracker.mark_stored_with(part, &crashes);
+    assert_eq!(tracker.unsaved().len(), 1, "the store has the stop in more company");
+    tracker.mark_stored_with(part, &widened);
+    assert!(tracker.unsaved().is_empty());
+}
