Parts of prompts: some other gateways are asked for a success before a quarantine

What callers saw: nothing yet; sound parts whose requests were in flight at three crashes were quarantined, until a gateway disputed it, up to a second later, or for good if the last success was older than some seconds. Cause: a success is known where it happened; only gateways that have a report withdraw it, and most successes are at others. Change: the gateway that counts the third crash asks eight others for their last success of the part. One after the first crash shows that it is harmless: its reports are withdrawn, nothing is stored. Until the answers are there the part isn't refused. Reports carry the age of their crash, as the receiver counts from it. Nothing goes to all; a stop costs eight calls.

--- a/crates/sagespool-claims/src/crash.rs
+++ b/crates/sagespool-claims/src/crash.rs
@@ -117,6 +117,9 @@
     /// One report of each crash, with the time of its first report.
     crashes: Vec<(CrashNote, ClockTime)>,
     stopped: bool,
+    /// True if no success of the stopped content is known elsewhere. Requests' own contents need no
+    /// confirmation.
+    confirmed: bool,
     stored: bool,
     last_report_at: ClockTime,
 }
@@ -165,7 +168,8 @@
     /// True if the company of a stopped content with this digest is in a request.
     fn stops(&self, content: ContentDigest, request: &BTreeSet<ContentDigest>) -> bool {
         // A request's digest stands for all of the request.
-        self.stopped && (content.part_id().is_none() || self.company().is_subset(request))
+        let is_in_company = || self.confirmed && self.company().is_subset(request);
+        self.stopped && (content.part_id().is_none() || is_in_company())
     }
 
     fn weight(&self) -> CrashWeight {
@@ -194,7 +198,7 @@
         for other in &note.company {
             let (crashes, weight) = shares.entry(*other).or_default();
             *crashes += 1;
-            *weight = *weight + note.weight;
+            *weight += note.weight;
         }
     }
     let is_common = |crashes: usize, weight: CrashWeight| {
@@ -272,7 +276,7 @@
         match record.find_known_crash(&note, self.policy.crash_window, now) {
             Some(known) if known.weight >= note.weight => return CrashVerdict::Repeated,
             Some(known) => *known = note,
-            None => record.crashes.push((note, now)),
+            None => record.crashes.push((note, now.before(report.age))),
         }
         if record.stopped {
             let is_widened = record.company() != company;
@@ -329,13 +333,35 @@
     }
 
     /// What is known of a content's crashes.
-    pub fn crashes_of(&self, content: ContentDigest) -> ContentCrashes {
+    pub fn crashes_of(&self, content: ContentDigest, now: ClockTime) -> ContentCrashes {
         let state = self.state();
         let crashes = state.records.get(&content).into_iter().flat_map(|record| &record.crashes);
-        let reports = crashes.map(|(note, _)| note.to_report(content)).collect();
+        let reports = crashes.map(|(note, at)| note.to_report(content, now.since(*at))).collect();
         ContentCrashes { content, reports }
     }
 
+    /// The notes of a content's crashes.
+    pub fn notes_of(&self, content: ContentDigest) -> BTreeSet<CrashNote> {
+        let state = self.state();
+        state.records.get(&content).map(CrashRecord::distinct_crashes).unwrap_or_default()
+    }
+
+    /// Confirms that a part of prompts that was stopped here is harmful. Until then it isn't refused.
+    /// False if it no longer is stopped.
+    pub fn confirm(&self, content: ContentDigest) -> bool {
+        let mut state = self.state();
+        let Some(record) = state.records.get_mut(&content) else { return false };
+        record.confirmed = record.stopped;
+        record.confirmed
+    }
+
+    /// How long ago the first crash that counts for a content was reported.
+    pub fn first_crash_age(&self, content: ContentDigest, now: ClockTime) -> Option<Duration> {
+        let state = self.state();
+        let crashes = state.records.get(&content)?.crashes.iter();
+        crashes.map(|(_, at)| now.since(*at)).max()
+    }
+
     /// The number of suspected and stopped contents.
     pub fn count(&self) -> usize {
         self.state().records.len()
@@ -557,6 +583,7 @@
             }
         }
         record.stopped = true;
+        record.confirmed = true;
         record.stored = true;
         record.last_report_at = now;
         if !policy.blames_stopped {
--- a/crates/sagespool-claims/src/quarantine.rs
+++ b/crates/sagespool-claims/src/quarantine.rs
@@ -1,6 +1,7 @@
 //! The stored record of stopped contents.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use sagespool_messages::CrashReport;
 use sagespool_types::{
@@ -49,8 +50,8 @@
         }
     }
 
-    /// The report of a note of a content's crash.
-    pub fn to_report(&self, content: ContentDigest) -> CrashReport {
+    /// The report of a note of a content's crash, which was `age` ago.
+    pub fn to_report(&self, content: ContentDigest, age: Duration) -> CrashReport {
         CrashReport {
             content,
             crash: self.request,
@@ -58,6 +59,7 @@
             attempt: self.attempt,
             weight: self.weight,
             company: self.company.clone(),
+            age,
         }
     }
 }
--- a/crates/sagespool-claims/tests/crash_tracker.rs
+++ b/crates/sagespool-claims/tests/crash_tracker.rs
@@ -18,6 +18,7 @@
         attempt: AttemptNumber(1),
         weight: CrashWeight::FULL,
         company: BTreeSet::new(),
+        age: Duration::ZERO,
     }
 }
 
@@ -233,7 +234,7 @@
     assert_eq!(tracker.record(&late, at(1)), CrashVerdict::Repeated);
     assert_eq!(tracker.record(&second, at(2)), CrashVerdict::Suspected);
     assert_eq!(tracker.record(&report(CRASHING, 4, 3), at(3)), CrashVerdict::Stopped);
-    assert!(tracker.withdraw(&tracker.crashes_of(CRASHING)));
+    assert!(tracker.withdraw(&tracker.crashes_of(CRASHING, at(3))));
     assert!(!tracker.is_stopped(CRASHING));
     assert_eq!(tracker.count(), 0);
 }
@@ -245,7 +246,7 @@
     let tracker = CrashTracker::new();
     tracker.record(&report(CRASHING, 1, 0), at(0));
     tracker.record(&report(CRASHING, 2, 1), at(1));
-    assert!(tracker.stop(&tracker.crashes_of(CRASHING), at(2)));
+    assert!(tracker.stop(&tracker.crashes_of(CRASHING, at(2)), at(2)));
     assert_eq!(tracker.unsaved().len(), 1);
     tracker.mark_stored(CRASHING);
     assert!(tracker.unsaved().is_empty());
@@ -306,7 +307,8 @@
 }
 
 fn refuses(tracker: &CrashTracker, parts: &[u64]) -> bool {
-    let parts = parts.iter().map(|part| ContentDigest::of_part(*part)).collect();
+    let parts: BTreeSet<_> = parts.iter().map(|part| ContentDigest::of_part(*part)).collect();
+    parts.iter().for_each(|part| _ = tracker.confirm(*part));
     tracker.find_stopped(&parts).is_some()
 }
 
--- a/crates/sagespool-claims/tests/part_model/world.rs
+++ b/crates/sagespool-claims/tests/part_model/world.rs
@@ -15,6 +15,7 @@
 const PROPAGATION: Duration = Duration::from_millis(300);
 /// Time until a run's first event.
 const FIRST_EVENT: Duration = Duration::from_millis(150);
+const ASKED_GATEWAYS: usize = 8;
 /// Time after the fifth crash from which runs of a bad part count as late.
 const LATE_AFTER: Duration = Duration::from_secs(3);
 /// Crashes of a part after which its runs may be late.
@@ -213,7 +214,15 @@
             let upstream = upstream.clone();
             let has_events = now.since(run.started_at) > FIRST_EVENT;
             let (attempt, weight) = (AttemptNumber(1), part_weight(CrashWeight::FULL, has_events));
-            let report = CrashReport { content, crash, upstream, attempt, weight, company };
+            let report = CrashReport {
+                content,
+                crash,
+                upstream,
+                attempt,
+                weight,
+                company,
+                age: Duration::ZERO,
+            };
             self.record(run.gateway, &report);
             for collector in self.collectors(content) {
                 self.exchange(run.gateway, collector, content);
@@ -243,16 +252,25 @@
             return;
         }
         for (sender, receiver) in [(from, to), (to, from)] {
-            let known = self.gateways[sender].tracker.crashes_of(content);
-            let before = self.gateways[receiver].tracker.crashes_of(content);
-            for report in known.reports.iter().filter(|report| !before.reports.contains(report)) {
+            let known = self.gateways[sender].tracker.crashes_of(content, self.now);
+            let before = self.gateways[receiver].tracker.notes_of(content);
+            let is_new = |report: &&CrashReport| !before.contains(&CrashNote::of(report));
+            for report in known.reports.iter().filter(is_new) {
                 self.record(receiver, report);
             }
         }
     }
 
     fn store(&mut self, gateway: usize, content: ContentDigest) {
-        let known = self.gateways[gateway].tracker.crashes_of(content);
+        let known = self.gateways[gateway].tracker.crashes_of(content, self.now);
+        if content.part_id().is_some() && self.has_succeeded(gateway, content) {
+            self.gateways[gateway].tracker.record_success(content);
+            for collector in self.collectors(content) {
+                self.gateways[collector].tracker.withdraw(&known);
+            }
+            return;
+        }
+        self.gateways[gateway].tracker.confirm(content);
         let notes = known.reports.iter().map(CrashNote::of);
         let stored = self.stored.entry(content).or_default();
         stored.extend(notes);
@@ -260,6 +278,17 @@
         self.changes.push_back(StoredChange { at: self.now.after(PROPAGATION), content, crashes });
     }
 
+    /// Whether one of some other gateways has had a success since the first crash.
+    fn has_succeeded(&mut self, gateway: usize, content: ContentDigest) -> bool {
+        let first = self.gateways[gateway].tracker.first_crash_age(content, self.now);
+        let count = self.gateways.len();
+        let asked: Vec<usize> = (0..ASKED_GATEWAYS).map(|_| self.rng.usize(0..count)).collect();
+        let ages = asked.into_iter().filter(|other| *other != gateway);
+        let mut ages =
+            ages.filter_map(|other| self.gateways[other].successes.age(content, self.now));
+        ages.any(|age| first.is_some_and(|first| age < first))
+    }
+
     fn lift(&mut self, content: ContentDigest) {
         if self.stored.remove(&content).is_some() {
             let at = self.now.after(PROPAGATION);
@@ -275,7 +304,8 @@
                 gateway.tracker.lift(content);
                 continue;
             };
-            let reports = crashes.iter().map(|note| note.to_report(content)).collect();
+            let reports =
+                crashes.iter().map(|note| note.to_report(content, Duration::ZERO)).collect();
             let stopped = ContentCrashes { content, reports };
             let succeeded = gateway.successes.is_recent(content, self.now);
             if succeeded || !gateway.tracker.stop(&stopped, self.now) {
@@ -290,7 +320,7 @@
         for part in run.request.parts.clone() {
             let gateway = &mut self.gateways[run.gateway];
             gateway.successes.record(part, self.now);
-            let known = gateway.tracker.crashes_of(part);
+            let known = gateway.tracker.crashes_of(part, self.now);
             if known.reports.is_empty() {
                 continue;
             }
--- a/crates/sagespool-entry/src/peers.rs
+++ b/crates/sagespool-entry/src/peers.rs
@@ -101,7 +101,8 @@
         | PeerRequest::ReportCrashes(_)
         | PeerRequest::WithdrawCrashes(_)
         | PeerRequest::NoteStreams(_)
-        | PeerRequest::FindStream(_) => PeerReply::Unsupported("this process is an entry".into()),
+        | PeerRequest::FindStream(_)
+        | PeerRequest::FindSuccess(_) => PeerReply::Unsupported("this process is an entry".into()),
     }
 }
 
--- a/crates/sagespool-entry/src/run/next_step.rs
+++ b/crates/sagespool-entry/src/run/next_step.rs
@@ -200,6 +200,7 @@
             attempt: self.attempt,
             weight: CrashWeight::FULL,
             company: BTreeSet::new(),
+            age: Duration::ZERO,
         };
         crate::home::broadcast_crash(self.state, &report).await;
     }
--- a/crates/sagespool-gateway/src/crashes.rs
+++ b/crates/sagespool-gateway/src/crashes.rs
@@ -17,7 +17,7 @@
 
 use async_channel::{Sender, bounded};
 use futures_util::future::join_all;
-use sagespool_claims::{CrashPolicy, CrashTracker, CrashVerdict, part_weight};
+use sagespool_claims::{CrashNote, CrashPolicy, CrashTracker, CrashVerdict, part_weight};
 use sagespool_forward::{RequestAttributes, UpstreamRecord};
 use sagespool_link::within;
 use sagespool_log::log_event;
@@ -54,6 +54,8 @@
 const MAX_PARTS: usize = 32;
 /// Gateways that collect the reports of a content.
 const COLLECTORS: usize = 2;
+/// Gateways that are asked for a success of a part before it is quarantined.
+const ASKED_GATEWAYS: usize = 8;
 /// Gateways to which the reports of a quarantined content are sent at the same time.
 const CONCURRENT_SENDS: usize = 8;
 
@@ -99,6 +101,11 @@
         self.tracker.count_stopped()
     }
 
+    /// How long ago a run of a content last succeeded here.
+    pub(crate) fn success_age(&self, content: ContentDigest, now: ClockTime) -> Option<Duration> {
+        self.evidence.success_age(content, now)
+    }
+
     /// Counts a request sent to an upstream.
     pub(crate) fn note_send(&self, now: ClockTime) {
         self.evidence.note_send(now);
@@ -132,8 +139,8 @@
     /// Records all reports that another gateway knows. True if the quarantine of their content must be
     /// written.
     fn merge(&self, known: &ContentCrashes, now: ClockTime) -> bool {
-        let before = self.tracker.crashes_of(known.content);
-        let fresh = known.reports.iter().filter(|report| !before.reports.contains(report));
+        let before = self.tracker.notes_of(known.content);
+        let fresh = known.reports.iter().filter(|report| !before.contains(&CrashNote::of(report)));
         let verdicts: Vec<bool> = fresh.map(|report| self.record(report, now)).collect();
         verdicts.contains(&true)
     }
@@ -203,8 +210,8 @@
         if !self.state.crashes.is_watching() {
             return Vec::new();
         }
-        let known = self.state.crashes.tracker.crashes_of(self.content());
-        known.reports.into_iter().map(|report| report.upstream).collect()
+        let known = self.state.crashes.tracker.notes_of(self.content());
+        known.into_iter().map(|note| note.upstream).collect()
     }
 
     /// Records that an upstream's connection broke before the response was complete. If it may be the
@@ -241,7 +248,7 @@
         self.clear_content_crashes(now);
         for part in shared_parts(&self.request.attributes) {
             self.state.crashes.evidence.note_success(part, now);
-            self.withdraw_crashes(part);
+            self.withdraw_crashes(part, now);
         }
     }
 
@@ -249,16 +256,16 @@
     pub(crate) fn clear_content_crashes(&self, now: ClockTime) {
         if self.state.crashes.is_watching() {
             self.state.crashes.evidence.note_success(self.content(), now);
-            self.withdraw_crashes(self.content());
+            self.withdraw_crashes(self.content(), now);
         }
     }
 
-    fn withdraw_crashes(&self, content: ContentDigest) {
+    fn withdraw_crashes(&self, content: ContentDigest, now: ClockTime) {
         let crashes = &self.state.crashes;
         if !crashes.is_watching() {
             return;
         }
-        let known = crashes.tracker.crashes_of(content);
+        let known = crashes.tracker.crashes_of(content, now);
         if known.reports.is_empty() {
             return;
         }
@@ -366,8 +373,15 @@
     for (suspect, weight) in &suspects {
         let company = digests.iter().copied().filter(|digest| digest != suspect).collect();
         let upstream = upstream.name.clone();
-        let report =
-            CrashReport { content: *suspect, crash, upstream, attempt, weight: *weight, company };
+        let report = CrashReport {
+            content: *suspect,
+            crash,
+            upstream,
+            attempt,
+            weight: *weight,
+            company,
+            age: Duration::ZERO,
+        };
         if state.crashes.record(&report, now) {
             state.crashes.stored.request_save();
         }
@@ -391,7 +405,7 @@
     if state.crashes.merge(known, now) {
         state.crashes.stored.request_save();
     }
-    state.crashes.tracker.crashes_of(known.content)
+    state.crashes.tracker.crashes_of(known.content, now)
 }
 
 fn collectors(state: &GatewayState, content: ContentDigest, now: ClockTime) -> Vec<MemberInfo> {
@@ -404,7 +418,8 @@
 /// gateway that reports brings those of the other collector along.
 async fn send_reports(state: &Arc<GatewayState>, content: ContentDigest) {
     for collector in collectors(state, content, ClockTime::now()) {
-        let request = PeerRequest::ReportCrashes(state.crashes.tracker.crashes_of(content));
+        let known = state.crashes.tracker.crashes_of(content, ClockTime::now());
+        let request = PeerRequest::ReportCrashes(known);
         if let Some(PeerReply::Crashes(known)) = send(state, &collector, &request).await {
             state.crashes.merge(&known, ClockTime::now());
         }
@@ -419,9 +434,40 @@
     }
 }
 
+/// Withdraws the reports of a part if a run of it has succeeded at some gateway since its first crash.
+///
+/// Guards against the refusal of a harmless part that was in flight at several crashes: most of its
+/// successes are at gateways that have no report of it, and don't withdraw any.
+async fn clear_harmless_part(state: &Arc<GatewayState>, part: ContentDigest) {
+    let mut others = state.fleet.others(MemberRole::Entry, ClockTime::now());
+    others.truncate(ASKED_GATEWAYS);
+    let request = PeerRequest::FindSuccess(part);
+    let ask = async |other: &MemberInfo| match state
+        .fleet
+        .call(other.address, &request, REPORT_TIMEOUT)
+        .await
+    {
+        Ok(PeerReply::Success(age)) => age,
+        _ => None,
+    };
+    let ages = join_all(others.iter().map(ask)).await;
+    let last = ages.into_iter().flatten().min();
+    let crashes = &state.crashes;
+    let now = ClockTime::now();
+    let first_crash = crashes.tracker.first_crash_age(part, now);
+    if first_crash.zip(last).is_some_and(|(crash, success)| success < crash) {
+        let known = crashes.tracker.crashes_of(part, now);
+        log_event!(info, "part-harmless", part = name_part(part), reports = known.reports.len());
+        crashes.tracker.record_success(part);
+        crashes.apply_tracker_change();
+        send_withdrawal(state.clone(), known).await;
+    }
+}
+
 /// Sends the reports of a quarantined content to all other gateways, while the store doesn't.
 async fn announce(state: Arc<GatewayState>, content: ContentDigest) {
-    let request = PeerRequest::Quarantine(state.crashes.tracker.crashes_of(content));
+    let known = state.crashes.tracker.crashes_of(content, ClockTime::now());
+    let request = PeerRequest::Quarantine(known);
     let others = state.fleet.others(MemberRole::Entry, ClockTime::now());
     for group in others.chunks(CONCURRENT_SENDS) {
         join_all(group.iter().map(|other| send(&state, other, &request))).await;
--- a/crates/sagespool-gateway/src/crashes/evidence.rs
+++ b/crates/sagespool-gateway/src/crashes/evidence.rs
@@ -119,6 +119,11 @@
         self.successes(content).is_recent(content, now)
     }
 
+    /// How long ago a run of the content last succeeded here.
+    pub(super) fn success_age(&self, content: ContentDigest, now: ClockTime) -> Option<Duration> {
+        self.successes(content).age(content, now)
+    }
+
     /// The parts of a prompt whose run has broken at an upstream that aren't known to be harmless.
     pub(super) fn suspect_parts(
         &self,
--- a/crates/sagespool-gateway/src/crashes/stored.rs
+++ b/crates/sagespool-gateway/src/crashes/stored.rs
@@ -16,7 +16,7 @@
 use sagespool_types::{ClockTime, ContentDigest, CrashWeight, StoreRevision, WallTime};
 use serde_json::value::RawValue;
 
-use super::announce;
+use super::{announce, clear_harmless_part};
 use crate::follow::{FollowedPrefix, follow, key_name};
 use crate::state::GatewayState;
 
@@ -158,7 +158,8 @@
     entry: &QuarantineEntry,
     now: ClockTime,
 ) {
-    let reports = entry.crashes.iter().map(|note| note.to_report(content)).collect();
+    let reports =
+        entry.crashes.iter().map(|note| note.to_report(content, Duration::ZERO)).collect();
     let is_new = state.crashes.stored.state().stored.insert(content, end_of(entry)).is_none();
     let agreed = state.crashes.apply_quarantine(&ContentCrashes { content, reports }, now);
     state.crashes.tracker.mark_stored_with(content, &entry.crashes);
@@ -183,6 +184,13 @@
     loop {
         let changed = state.crashes.stored.changed.listen();
         for (content, crashes) in state.crashes.tracker.unsaved() {
+            if content.part_id().is_some() {
+                clear_harmless_part(&state, content).await;
+            }
+            // Its reports may have been withdrawn meanwhile.
+            if !state.crashes.tracker.confirm(content) {
+                continue;
+            }
             save(&state, content, crashes).await;
         }
         let is_own = |content| is_first_collector(&state, content);
--- a/crates/sagespool-gateway/src/peers.rs
+++ b/crates/sagespool-gateway/src/peers.rs
@@ -85,6 +85,9 @@
         PeerRequest::FindStream(query) => {
             PeerReply::Stream(stream_reply(state, &query, ClockTime::now()))
         }
+        PeerRequest::FindSuccess(content) => {
+            PeerReply::Success(state.crashes.success_age(content, ClockTime::now()))
+        }
         PeerRequest::CallStore(call) => handle_store_call(&state.store, call).await,
         _ => PeerReply::Unsupported("this process is a gateway".to_owned()),
     }
--- a/crates/sagespool-messages/src/claims.rs
+++ b/crates/sagespool-messages/src/claims.rs
@@ -1,6 +1,7 @@
 //! Claims on callers' keys before a non-idempotent run, and the state of a key.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use sagespool_types::{
     AttemptNumber, BranchName, ChargeId, ContentDigest, CrashWeight, IncarnationId, KeyDigest,
@@ -32,7 +33,7 @@
         /// kept in the home's memory only.
         pub durable: bool,
         /// Time left until the request's deadline.
-        pub time_left: std::time::Duration,
+        pub time_left: Duration,
     }
 }
 
@@ -111,6 +112,8 @@
         /// The other digests of the request: its content, and the parts of its prompt that aren't
         /// known to be harmless.
         pub company: BTreeSet<ContentDigest>,
+        /// Time since the crash when the report was sent.
+        pub age: Duration,
     }
 }
 
--- a/crates/sagespool-messages/src/wire.rs
+++ b/crates/sagespool-messages/src/wire.rs
@@ -1,6 +1,8 @@
 //! The request and reply envelopes of the link.
 
-use sagespool_types::derives;
+use std::time::Duration;
+
+use sagespool_types::{ContentDigest, derives};
 
 use crate::*;
 
@@ -71,6 +73,9 @@
         NoteStreams(Vec<StreamNote>),
         /// Gateway to a stream's homes before it is resumed; answered by [`PeerReply::Stream`].
         FindStream(StreamQuery),
+        /// Gateway to some others before it quarantines a part of prompts; answered by
+        /// [`PeerReply::Success`].
+        FindSuccess(ContentDigest),
     }
 }
 
@@ -115,5 +120,7 @@
         Crashes(ContentCrashes),
         /// The software version that began a stream.
         Stream(StreamReply),
+        /// How long ago a run of the content last succeeded at the receiver; `None` if it isn't known.
+        Success(Option<Duration>),
     }
 }
--- a/crates/sagespool-sidecar/src/role/peers.rs
+++ b/crates/sagespool-sidecar/src/role/peers.rs
@@ -84,7 +84,8 @@
         | PeerRequest::ReportCrashes(_)
         | PeerRequest::WithdrawCrashes(_)
         | PeerRequest::NoteStreams(_)
-        | PeerRequest::FindStream(_) => {
+        | PeerRequest::FindStream(_)
+        | PeerRequest::FindSuccess(_) => {
             PeerReply::Unsupported("this process is a sidecar".to_owned())
         }
     };
