Callers' connections: room for the first request is set aside with a connection

Cause: connections were accepted up to the whole memory of callers, requests up to 0.85 of it, so a crowd of connections took the room that its own requests needed. Change: a connection is accepted if there is room for it and for a request of the usual size below 0.85 of the memory; requests may use all of it, so that open connections have the rest. The bound on what is held stays.

--- a/crates/sagespool-gateway/src/admission.rs
+++ b/crates/sagespool-gateway/src/admission.rs
@@ -39,9 +39,11 @@
 const MAX_SCHEDULING_DELAY: Duration = Duration::from_millis(120);
 /// Minimum interval between log lines about connections that were closed unread.
 const UNREAD_LOG_PERIOD: Duration = Duration::from_millis(200);
-/// Share of the memory limit that requests may use. Below 1, so that a caller whose connection is
-/// still accepted gets the reason why its request is refused.
-const REQUEST_MEMORY_SHARE: f64 = 0.85;
+/// Share of the memory limit up to which connections are accepted. The rest is for further requests on
+/// open connections.
+const ACCEPT_MEMORY_SHARE: f64 = 0.85;
+/// One in so many parts of the expected size of a request is replaced by that of each new one.
+const SIZE_PARTS: u64 = 8;
 
 /// The resource that is too scarce to admit a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -60,6 +62,8 @@
     /// Bytes accounted for connections, requests and their responses.
     held: AtomicU64,
     connections: AtomicUsize,
+    /// Exponential average of the memory of admitted requests.
+    request_bytes: AtomicU64,
     unread: Mutex<UnreadCount>,
 }
 
@@ -83,6 +87,7 @@
             connection_limit: descriptors.saturating_sub(RESERVED_DESCRIPTORS) / 2,
             held: AtomicU64::new(0),
             connections: AtomicUsize::new(0),
+            request_bytes: AtomicU64::new(REQUEST_BYTES),
             unread: Mutex::default(),
         }
     }
@@ -112,17 +117,23 @@
     /// each connection holds buffers and unread bytes, and the memory of a small machine is full
     /// within seconds. All requests in flight would be lost. A connection that is closed unread
     /// shows its caller that nothing has run.
+    ///
+    /// Room for its first request is set aside with it. Otherwise a crowd of new connections takes the
+    /// memory that their requests need, and each of these is read and refused.
     pub(crate) fn open_connection(self: &Arc<Self>) -> Option<ConnectionPermit> {
         if self.controller().scheduling_delay(ClockTime::now()) > MAX_SCHEDULING_DELAY {
             return None;
         }
         let open = self.connections.load(Ordering::Relaxed);
-        let memory = self.reserve_memory(CONNECTION_BYTES, self.memory_limit)?;
+        let memory = self.reserve_memory(CONNECTION_BYTES, self.accept_limit())?;
+        let request_bytes = self.request_bytes.load(Ordering::Relaxed);
+        let first_request = self.reserve_memory(request_bytes, self.accept_limit())?;
         if open >= self.connection_limit {
             return None;
         }
         self.connections.fetch_add(1, Ordering::Relaxed);
-        Some(ConnectionPermit { limiter: self.clone(), _memory: memory })
+        let first_request = Mutex::new(Some(first_request));
+        Some(ConnectionPermit { limiter: self.clone(), _memory: memory, first_request })
     }
 
     /// The scheduling delay: how long a ready task waits for the processor.
@@ -166,8 +177,10 @@
             return Err(Refusal::Overloaded(ShortResource::Processor));
         }
         let bytes = REQUEST_BYTES + body.0.saturating_mul(BODY_COPIES);
-        let memory = self.reserve_memory(bytes, self.request_limit());
+        let memory = self.reserve_memory(bytes, self.memory_limit);
         let memory = memory.ok_or(Refusal::Overloaded(ShortResource::Memory))?;
+        let average = |expected: u64| Some(expected - expected / SIZE_PARTS + bytes / SIZE_PARTS);
+        let _ = self.request_bytes.fetch_update(Ordering::Relaxed, Ordering::Relaxed, average);
         if let Some(branch) = request.branch {
             controller.begin(branch);
         }
@@ -175,8 +188,8 @@
         Ok(RequestPermit { limiter: self.clone(), branch, memory })
     }
 
-    fn request_limit(&self) -> u64 {
-        (self.memory_limit as f64 * REQUEST_MEMORY_SHARE) as u64
+    fn accept_limit(&self) -> u64 {
+        (self.memory_limit as f64 * ACCEPT_MEMORY_SHARE) as u64
     }
 
     fn reserve_memory(self: &Arc<Self>, bytes: u64, limit: u64) -> Option<HeldMemory> {
@@ -243,6 +256,16 @@
 pub(crate) struct ConnectionPermit {
     limiter: Arc<ResourceLimiter>,
     _memory: HeldMemory,
+    /// Room for its first request, until that arrives.
+    first_request: Mutex<Option<HeldMemory>>,
+}
+
+impl ConnectionPermit {
+    /// Frees the room that is set aside for the first request, which is about to be admitted.
+    pub(crate) fn begin_request(&self) {
+        let mut first_request = self.first_request.lock().unwrap_or_else(PoisonError::into_inner);
+        drop(first_request.take());
+    }
 }
 
 impl Drop for ConnectionPermit {
@@ -265,7 +288,7 @@
     /// If the memory limit is reached. The request hasn't been sent to an upstream yet.
     pub(crate) fn count_body(&mut self, bytes: usize) -> Result<(), Refusal> {
         let bytes = (bytes as u64).saturating_mul(BODY_COPIES);
-        match self.memory.grow(bytes, self.limiter.request_limit()) {
+        match self.memory.grow(bytes, self.limiter.memory_limit) {
             true => Ok(()),
             false => Err(Refusal::Overloaded(ShortResource::Memory)),
         }
--- a/crates/sagespool-gateway/src/callers.rs
+++ b/crates/sagespool-gateway/src/callers.rs
@@ -88,7 +88,7 @@
 /// Serves the requests of one connection. When the caller closes it, hyper drops the request in
 /// flight, which cancels its attempt too.
 async fn serve_connection(state: Arc<GatewayState>, stream: TcpStream, permit: ConnectionPermit) {
-    let _open = permit;
+    let permit = Arc::new(permit);
     if stream.set_nodelay(true).is_err() {
         // The connection is closed already.
         return;
@@ -102,6 +102,7 @@
     let shared = state.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let (state, flushes) = (shared.clone(), flushes.clone());
+        permit.begin_request();
         async move {
             let limiter = state.limiter.clone();
             let version = request.version();
