Crash tracker: suspects are evicted before what is stopped

Cause: the record with the oldest report was evicted, stopped or not. Change: records that aren't stopped are evicted first.

--- a/crates/sagespool-claims/src/crash.rs
+++ b/crates/sagespool-claims/src/crash.rs
@@ -47,7 +47,7 @@
     /// True if a crash with a stopped content in flight doesn't count for the other contents there.
     #[builder(default = false)]
     pub blames_stopped: bool,
-    /// Maximum number of suspects kept; the oldest is evicted first.
+    /// Maximum number of suspects kept; the oldest that isn't stopped is evicted first.
     #[builder(default = 10_000)]
     pub max_suspects: usize,
 }
@@ -551,7 +551,8 @@
         };
         self.records.retain(|_, record| keep(record));
         if self.records.len() >= policy.max_suspects {
-            let oldest = self.records.iter().min_by_key(|(_, record)| record.last_report_at);
+            let age = |record: &CrashRecord| (record.stopped, record.last_report_at);
+            let oldest = self.records.iter().min_by_key(|(_, record)| age(record));
             let oldest = oldest.map(|(content, _)| *content);
             oldest.and_then(|content| self.records.remove(&content));
         }
--- a/crates/sagespool-claims/tests/crash_tracker.rs
+++ b/crates/sagespool-claims/tests/crash_tracker.rs
@@ -356,3 +356,17 @@
     tracker.mark_stored_with(part, &widened);
     assert!(tracker.unsaved().is_empty());
 }
+
+/// Guards against a stopped content that runs again because many others became suspects after it.
+#[test]
+fn stops_outlast_suspects() {
+    let policy = CrashPolicy::builder().stop_at(2).max_suspects(4).build();
+    let tracker = CrashTracker::with_policy(policy);
+    tracker.record(&report(CRASHING, 1, 0), at(0));
+    tracker.record(&report(CRASHING, 2, 1), at(1));
+    for suspect in 100..120 {
+        tracker.record(&report(ContentDigest(suspect), suspect, suspect as usize), at(10));
+    }
+    assert!(tracker.is_stopped(CRASHING));
+    assert!(tracker.count() <= 4);
+}
