Gateway: one typed verdict of how an attempt ended

Placement, crash report, charge, retry and log followed StreamEnd, SendFailure or a text, in four places. Change: AttemptFailure (attempt_end.rs) has every end, streams' among them, with typed causes of a loss; each consumer is one exhaustive match on it. The placement is released and the crash reported in one function (end_attempt), the charge in one (settle_failure). Behaviour and log texts stay.

--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -16,6 +16,7 @@
 use sagespool_log::log_event;
 use sagespool_types::ClockTime;
 
+use crate::attempt_end::{AttemptFailure, LossCause, UnavailableCause};
 use crate::context::RequestContext;
 use crate::crashes::refuses_connections;
 use crate::dialect::{ResponseMetadata, UpstreamRequestTerms};
@@ -64,114 +65,6 @@
     }
 }
 
-/// Why an attempt produced no response that can be forwarded.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum SendFailure {
-    /// No upstream is eligible.
-    NoUpstream(UnavailableCause),
-    /// No byte of the request was written.
-    NotSent(&'static str),
-    /// Nothing was written: after it was chosen, the upstream became ineligible, named a limit or
-    /// started a backoff.
-    DispatchBlocked,
-    /// Nothing was written: the content has been quarantined since the request was admitted.
-    Quarantined,
-    /// The upstream rejected the request without running it.
-    Rejected,
-    /// Another run has the upstream's address; the intended run has ended.
-    Misdirected,
-    /// The response was lost or is unusable; the request may have run.
-    Lost(&'static str),
-    /// The attempt timed out; the request may be running.
-    TimedOut,
-}
-
-/// Why a service has no eligible upstream for a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum UnavailableCause {
-    /// All known upstreams have been tried, or there are none.
-    None,
-    /// The data centres of all upstreams are evacuated.
-    Evacuated,
-    /// No upstream is in a region where the request may run.
-    AwayFromHome,
-    /// The stream has events of a software version that no eligible upstream has.
-    OtherVersion,
-    /// All are cold, and other instances are assigned to send to them.
-    Cold,
-    /// All are rate-limited or in backoff; holds the time until the first accepts a request.
-    Limited(Duration),
-}
-
-impl UnavailableCause {
-    /// Adds a cold upstream.
-    fn or_cold(self) -> Self {
-        match self {
-            Self::Limited(_) => self,
-            _ => Self::Cold,
-        }
-    }
-
-    /// Adds an upstream that accepts a request again after `delay`.
-    fn or_limited(self, delay: Duration) -> Self {
-        match self {
-            Self::Limited(first) => Self::Limited(first.min(delay)),
-            _ => Self::Limited(delay),
-        }
-    }
-}
-
-impl SendFailure {
-    /// The connection closed before the response began.
-    pub(crate) const BROKEN: Self = Self::Lost("broken");
-
-    /// Whether the request has certainly not run, so that a retry or a refusal as not run is safe.
-    pub(crate) fn did_not_run(self) -> bool {
-        matches!(
-            self,
-            Self::NoUpstream(_)
-                | Self::NotSent(_)
-                | Self::DispatchBlocked
-                | Self::Quarantined
-                | Self::Rejected
-                | Self::Misdirected
-        )
-    }
-
-    /// Whether no run goes on after it, and nothing of an answer was forwarded. A lost response's
-    /// connection is closed, which ends its run.
-    pub(crate) fn ended_without_answer(self) -> bool {
-        match self {
-            Self::NoUpstream(_)
-            | Self::NotSent(_)
-            | Self::DispatchBlocked
-            | Self::Quarantined
-            | Self::Rejected
-            | Self::Misdirected
-            | Self::Lost(_) => true,
-            // The request used its time at the upstream.
-            Self::TimedOut => false,
-        }
-    }
-
-    pub(crate) fn as_str(self) -> &'static str {
-        match self {
-            Self::NoUpstream(UnavailableCause::None) => "no-upstream",
-            Self::NoUpstream(UnavailableCause::Evacuated) => "evacuated",
-            Self::NoUpstream(UnavailableCause::AwayFromHome) => "away-from-home",
-            Self::NoUpstream(UnavailableCause::OtherVersion) => "other-version",
-            Self::NoUpstream(UnavailableCause::Cold) => "all-cold",
-            Self::NoUpstream(UnavailableCause::Limited(_)) => "all-limited",
-            Self::NotSent(detail) | Self::Lost(detail) => detail,
-            Self::DispatchBlocked => "held-back",
-            Self::Quarantined => "quarantined",
-            Self::Rejected => "turned-away",
-            Self::Misdirected => "misdirected",
-            Self::TimedOut => "silent",
-        }
-    }
-}
-
 /// A request's slot at its chosen upstream. Released on drop, so also when the caller disconnects
 /// during an attempt.
 pub(crate) struct PlacementGuard {
@@ -219,10 +112,10 @@
 pub(crate) async fn send_once(
     context: &mut RequestContext,
     timeout: Duration,
-) -> Result<OpenResponse, SendFailure> {
+) -> Result<OpenResponse, AttemptFailure> {
     let now = ClockTime::now();
     let placement = choose_among_preferred(context, now);
-    let placement = placement.map_err(SendFailure::NoUpstream)?;
+    let placement = placement.map_err(AttemptFailure::NoUpstream)?;
     let upstream = placement.attempt().upstream.clone();
     context.tried.push(upstream.run());
     context.log.upstream = Some(upstream.name.clone());
@@ -237,24 +130,15 @@
             }
         }
         Err(failure) => {
-            let outcome = match failure {
-                SendFailure::DispatchBlocked | SendFailure::Quarantined => SendOutcome::Cancelled,
-                _ => SendOutcome::Broken,
-            };
-            placement.finish(outcome, now);
-            if failure == SendFailure::BROKEN {
-                context.report_break(&upstream, failure.as_str()).await;
-            }
+            context.end_attempt(placement, failure, now).await;
             failure
         }
     };
-    if failure == SendFailure::Misdirected {
+    if failure == AttemptFailure::Misdirected {
         // The intended upstream wasn't reached, so this doesn't count as an attempt.
         context.sends -= 1;
     }
-    if failure.ended_without_answer() {
-        context.uncharge_prompt();
-    }
+    context.settle_failure(failure);
     context.may_have_run |= !failure.did_not_run();
     log_event!(
         warn,
@@ -345,24 +229,24 @@
     context: &mut RequestContext,
     placement: &PlacementGuard,
     timeout: Duration,
-) -> Result<(Response<Incoming>, UpstreamConnection), SendFailure> {
+) -> Result<(Response<Incoming>, UpstreamConnection), AttemptFailure> {
     let upstream = &placement.attempt().upstream;
     let kept = context.state.pool.take(upstream, ClockTime::now());
     let mut connection = match kept {
         Some(connection) => connection,
         None => match connect(upstream).await {
             Ok(connection) => connection,
-            Err(_) => return Err(SendFailure::NotSent("not-connected")),
+            Err(_) => return Err(AttemptFailure::NotSent("not-connected")),
         },
     };
     let now = ClockTime::now();
     if context.is_quarantined() {
         context.state.pool.keep(&upstream.name, connection, now);
-        return Err(SendFailure::Quarantined);
+        return Err(AttemptFailure::Quarantined);
     }
     if !confirm_dispatch(&context.state, placement.attempt(), now) {
         context.state.pool.keep(&upstream.name, connection, now);
-        return Err(SendFailure::DispatchBlocked);
+        return Err(AttemptFailure::DispatchBlocked);
     }
     context.state.crashes.note_send(now);
     context.state.metrics.record_send(connection.requests_sent == 0);
@@ -373,7 +257,7 @@
     context.charge_prompt();
     let sent = connection.sender.try_send_request(request);
     let response = match within(timeout, sent).await {
-        None => return Err(SendFailure::TimedOut),
+        None => return Err(AttemptFailure::TimedOut),
         Some(Ok(response)) => response,
         Some(Err(error)) => return Err(map_send_error(context, error)),
     };
@@ -404,13 +288,17 @@
 fn map_send_error(
     context: &mut RequestContext,
     mut error: TrySendError<Request<Full<hyper::body::Bytes>>>,
-) -> SendFailure {
+) -> AttemptFailure {
     if error.take_message().is_some() {
         context.sends -= 1;
         context.log.sends = context.sends;
-        return SendFailure::NotSent("connection-closed");
+        return AttemptFailure::NotSent("connection-closed");
+    }
+    if error.error().is_parse() {
+        AttemptFailure::Lost(LossCause::Garbled)
+    } else {
+        AttemptFailure::Lost(LossCause::BeforeHead)
     }
-    if error.error().is_parse() { SendFailure::Lost("garbled") } else { SendFailure::BROKEN }
 }
 
 fn build_request(
@@ -442,7 +330,7 @@
     mut connection: UpstreamConnection,
     placement: PlacementGuard,
     now: ClockTime,
-) -> Result<OpenResponse, SendFailure> {
+) -> Result<OpenResponse, AttemptFailure> {
     let (mut head, body) = response.into_parts();
     connection.note_idle_limit(idle_limit(&head));
     let framing = ResponseFraming::of(&head, &body);
@@ -455,8 +343,9 @@
         .as_ref()
         .is_some_and(|request| *request != context.request.attributes.request);
     if crossed {
-        placement.finish(SendOutcome::Broken, now);
-        return Err(SendFailure::Lost("crossed"));
+        let failure = AttemptFailure::Lost(LossCause::Crossed);
+        placement.finish(failure.send_outcome(), now);
+        return Err(failure);
     }
     if !metadata.misdirected {
         apply_metadata(context, placement.attempt(), &metadata, now);
@@ -472,16 +361,20 @@
             own = context.state.balancer().running(&placement.attempt().upstream.name),
         );
         let name = placement.attempt().upstream.name.clone();
-        placement.finish(SendOutcome::Refused, now);
-        if metadata.misdirected {
+        let failure = match metadata.misdirected {
+            true => AttemptFailure::Misdirected,
+            false => AttemptFailure::Rejected,
+        };
+        placement.finish(failure.send_outcome(), now);
+        if failure == AttemptFailure::Misdirected {
             context.state.forget_upstream(&name);
-            return Err(SendFailure::Misdirected);
         }
-        return Err(SendFailure::Rejected);
+        return Err(failure);
     }
     if head.status.is_success() && !metadata.signed {
-        placement.finish(SendOutcome::Broken, now);
-        return Err(SendFailure::Lost("unsigned"));
+        let failure = AttemptFailure::Lost(LossCause::Unsigned);
+        placement.finish(failure.send_outcome(), now);
+        return Err(failure);
     }
     Ok(OpenResponse { head, body, framing, connection, placement })
 }
--- a/crates/sagespool-gateway/src/lib.rs
+++ b/crates/sagespool-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod addresses;
 mod admission;
 mod attempt;
+mod attempt_end;
 mod body;
 mod budget;
 mod callers;
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -16,9 +16,8 @@
 use sagespool_link::within;
 use sagespool_types::{ByteCount, ClockTime};
 
-use crate::attempt::{
-    OpenResponse, ResponseFraming, SendFailure, UnavailableCause, ended_by_exit, send_once,
-};
+use crate::attempt::{OpenResponse, ResponseFraming, ended_by_exit, send_once};
+use crate::attempt_end::{AttemptFailure, LossCause, UnavailableCause};
 use crate::body::ResponseBody;
 use crate::budget::{BudgetRequest, Reservation};
 use crate::context::{AdmittedRequest, RequestContext, RequestLog};
@@ -241,7 +240,7 @@
         let failure = match result {
             Ok(response) if response.is_failure() && context.is_idempotent() => {
                 failed = Some(response);
-                SendFailure::Lost("failure-status")
+                AttemptFailure::Lost(LossCause::FailureStatus)
             }
             Ok(response) => return respond(context, response),
             Err(failure) => failure,
@@ -285,8 +284,8 @@
 }
 
 /// Whether a request whose last attempt failed may be sent to another upstream.
-pub(crate) fn may_retry(context: &RequestContext, failure: SendFailure, now: ClockTime) -> bool {
-    let is_final = matches!(failure, SendFailure::NoUpstream(_) | SendFailure::Quarantined);
+pub(crate) fn may_retry(context: &RequestContext, failure: AttemptFailure, now: ClockTime) -> bool {
+    let is_final = matches!(failure, AttemptFailure::NoUpstream(_) | AttemptFailure::Quarantined);
     if is_final || context.time_left(now) < MIN_TIME_LEFT {
         return false;
     }
@@ -297,24 +296,22 @@
         return false;
     }
     // Nothing was sent, so a retry adds no load to upstreams and needs no retry budget.
-    if matches!(failure, SendFailure::NotSent(_) | SendFailure::DispatchBlocked) {
+    if matches!(failure, AttemptFailure::NotSent(_) | AttemptFailure::DispatchBlocked) {
         return true;
     }
     let instances = context.state.instances();
     context.state.retries().try_retry(&context.request.service, instances, now)
 }
 
-fn refuse_failed(mut context: RequestContext, failure: SendFailure) -> Response<ResponseBody> {
-    if failure.ended_without_answer() {
-        context.uncharge_prompt();
-    }
+fn refuse_failed(mut context: RequestContext, failure: AttemptFailure) -> Response<ResponseBody> {
+    context.settle_failure(failure);
     let refusal = match failure {
-        SendFailure::TimedOut => Refusal::TimedOut,
+        AttemptFailure::TimedOut => Refusal::TimedOut,
         _ if context.may_have_run => Refusal::Failed,
-        SendFailure::Quarantined => Refusal::Quarantined,
-        SendFailure::Rejected => Refusal::UpstreamsBusy,
-        SendFailure::NoUpstream(UnavailableCause::Evacuated) => Refusal::Evacuated,
-        SendFailure::NoUpstream(UnavailableCause::Limited(delay)) => Refusal::Limited(delay),
+        AttemptFailure::Quarantined => Refusal::Quarantined,
+        AttemptFailure::Rejected => Refusal::UpstreamsBusy,
+        AttemptFailure::NoUpstream(UnavailableCause::Evacuated) => Refusal::Evacuated,
+        AttemptFailure::NoUpstream(UnavailableCause::Limited(delay)) => Refusal::Limited(delay),
         _ => Refusal::NoUpstream,
     };
     refuse(context.log, refusal, failure.as_str())
@@ -324,30 +321,28 @@
 async fn read_response(
     context: &mut RequestContext,
     response: OpenResponse,
-) -> Result<CompleteResponse, SendFailure> {
+) -> Result<CompleteResponse, AttemptFailure> {
     context.may_have_run = true;
     let OpenResponse { head, body, framing, connection, mut placement } = response;
     placement.note_first_event(ClockTime::now());
     let left = context.time_left(ClockTime::now());
     let collected = async {
         let collected = Limited::new(body, MAX_BUFFERED_BYTES).collect().await;
-        collected.map(|whole| whole.to_bytes()).map_err(|_| SendFailure::Lost("answer-broken"))
+        collected
+            .map(|whole| whole.to_bytes())
+            .map_err(|_| AttemptFailure::Lost(LossCause::WithinBody))
     };
-    let mut collected = within(left, collected).await.unwrap_or(Err(SendFailure::TimedOut));
+    let mut collected = within(left, collected).await.unwrap_or(Err(AttemptFailure::TimedOut));
     if collected.is_ok()
         && ended_by_exit(&context.state, framing, &placement.attempt().upstream).await
     {
-        collected = Err(SendFailure::Lost("answer-broken"));
+        collected = Err(AttemptFailure::Lost(LossCause::WithinBody));
     }
     let now = ClockTime::now();
     let bytes = match collected {
         Ok(bytes) => bytes,
         Err(failure) => {
-            let upstream = placement.attempt().upstream.clone();
-            placement.finish(SendOutcome::Broken, now);
-            if let SendFailure::Lost(cause) = failure {
-                context.report_break(&upstream, cause).await;
-            }
+            context.end_attempt(placement, failure, now).await;
             return Err(failure);
         }
     };
--- a/crates/sagespool-gateway/src/stream.rs
+++ b/crates/sagespool-gateway/src/stream.rs
@@ -11,9 +11,8 @@
 use sagespool_link::within;
 use sagespool_types::ClockTime;
 
-use crate::attempt::{
-    OpenResponse, PlacementGuard, ResponseFraming, SendFailure, ended_by_exit, send_once,
-};
+use crate::attempt::{OpenResponse, PlacementGuard, ResponseFraming, ended_by_exit, send_once};
+use crate::attempt_end::{AttemptFailure, LossCause};
 use crate::body::{BodyChunk, ResponseBody};
 use crate::context::RequestContext;
 use crate::hop_by_hop::strip_hop_by_hop;
@@ -24,18 +23,8 @@
 /// Chunks buffered for the caller's connection. Beyond these, a slow caller causes backpressure on
 /// its upstream instead of using this process's memory.
 const BUFFERED_CHUNKS: usize = 8;
-
-/// How the stream of one upstream ended.
-enum StreamEnd {
-    /// Complete.
-    Whole,
-    /// The connection broke, or the stream ended within an event.
-    Broken,
-    /// The request's deadline passed.
-    TimeOver,
-    /// The caller disconnected.
-    CallerGone,
-}
+/// The connection broke, or the stream ended within an event.
+const BROKEN_STREAM: AttemptFailure = AttemptFailure::Lost(LossCause::WithinStream);
 
 /// Responds with a stream whose events are forwarded by a task of its own.
 ///
@@ -70,9 +59,8 @@
     sender: Sender<BodyChunk>,
 ) {
     loop {
-        let end = relay_one(&mut context, response, &sender).await;
-        let failure = match end {
-            StreamEnd::Whole => {
+        let failure = match relay_one(&mut context, response, &sender).await {
+            Ok(()) => {
                 context.log.conclude(Outcome::Answered, context.log.status, "");
                 match context.log.events {
                     0 => context.clear_content_crashes(ClockTime::now()),
@@ -83,14 +71,10 @@
                 let _ = sender.send(BodyChunk::End).await;
                 return;
             }
-            StreamEnd::CallerGone => return,
-            StreamEnd::TimeOver => {
-                conclude_cut(&mut context, "timed-out");
-                return;
-            }
-            StreamEnd::Broken => SendFailure::Lost("stream-broken"),
+            Err(AttemptFailure::CallerGone) => return,
+            Err(failure) => failure,
         };
-        context.uncharge_prompt();
+        context.settle_failure(failure);
         response = match go_on(&mut context, failure).await {
             Some(response) => response,
             None => {
@@ -109,7 +93,7 @@
 }
 
 /// Sends the request to another upstream, to resume after the last forwarded event.
-async fn go_on(context: &mut RequestContext, mut failure: SendFailure) -> Option<OpenResponse> {
+async fn go_on(context: &mut RequestContext, mut failure: AttemptFailure) -> Option<OpenResponse> {
     while context.request.route.resumable && may_retry(context, failure, ClockTime::now()) {
         let timeout = attempt_timeout(context, ClockTime::now());
         match send_once(context, timeout).await {
@@ -119,7 +103,7 @@
             }
             Ok(response) => {
                 response.placement.finish(SendOutcome::Failed, ClockTime::now());
-                failure = SendFailure::Lost("failure-status");
+                failure = AttemptFailure::Lost(LossCause::FailureStatus);
             }
             Err(next) => failure = next,
         }
@@ -131,38 +115,26 @@
     context: &mut RequestContext,
     response: OpenResponse,
     sender: &Sender<BodyChunk>,
-) -> StreamEnd {
+) -> Result<(), AttemptFailure> {
     let OpenResponse { head, mut body, framing, connection, placement } = response;
     let events_before = context.log.events;
     let mut splitter = EventSplitter::default();
     let end = relay_body(context, &mut body, &mut splitter, &placement, sender).await;
     context.log.partial = splitter.remainder().len();
     let has_events = context.log.events > events_before;
-    let end = match end {
-        StreamEnd::Whole if !is_complete(framing, &splitter, has_events) => StreamEnd::Broken,
-        StreamEnd::Whole
-            if ended_by_exit(&context.state, framing, &placement.attempt().upstream).await =>
-        {
-            StreamEnd::Broken
-        }
-        end => end,
-    };
+    let is_broken = end.is_ok()
+        && (!is_complete(framing, &splitter, has_events)
+            || ended_by_exit(&context.state, framing, &placement.attempt().upstream).await);
+    let end = if is_broken { Err(BROKEN_STREAM) } else { end };
     let now = ClockTime::now();
     match end {
-        StreamEnd::Whole => {
+        Ok(()) => {
             if !closes_connection(&head) {
                 context.state.pool.keep(&placement.attempt().upstream.name, connection, now);
             }
             placement.finish(SendOutcome::Answered, now);
         }
-        StreamEnd::Broken => {
-            let upstream = placement.attempt().upstream.clone();
-            placement.finish(SendOutcome::Broken, now);
-            context.report_break(&upstream, "stream-broken").await;
-        }
-        StreamEnd::TimeOver | StreamEnd::CallerGone => {
-            placement.finish(SendOutcome::Cancelled, now)
-        }
+        Err(failure) => context.end_attempt(placement, failure, now).await,
     }
     end
 }
@@ -173,14 +145,14 @@
     splitter: &mut EventSplitter,
     placement: &PlacementGuard,
     sender: &Sender<BodyChunk>,
-) -> StreamEnd {
+) -> Result<(), AttemptFailure> {
     loop {
         let Some(frame) = in_time(context, body.frame()).await else {
-            return StreamEnd::TimeOver;
+            return Err(AttemptFailure::Overrun);
         };
         let bytes = match frame {
-            None => return StreamEnd::Whole,
-            Some(Err(_)) => return StreamEnd::Broken,
+            None => return Ok(()),
+            Some(Err(_)) => return Err(BROKEN_STREAM),
             Some(Ok(frame)) => match frame.into_data() {
                 Ok(bytes) => bytes,
                 // Trailers aren't forwarded.
@@ -200,8 +172,8 @@
         context.last_event = whole.last_id.or(context.last_event);
         let chunk = BodyChunk::Data(whole.bytes.into());
         match in_time(context, sender.send(chunk)).await {
-            None => return StreamEnd::TimeOver,
-            Some(Err(_)) => return StreamEnd::CallerGone,
+            None => return Err(AttemptFailure::Overrun),
+            Some(Err(_)) => return Err(AttemptFailure::CallerGone),
             Some(Ok(())) => {}
         }
     }
