--- a/crates/sagespool-report/src/line.rs
+++ b/crates/sagespool-report/src/line.rs
@@ -7,6 +7,7 @@
 /// The fields of a log line.
 #[derive(Debug, Clone, Copy)]
 pub struct LogLine<'a> {
+    prefix: &'a str,
     fields: &'a str,
 }
 
@@ -15,10 +16,15 @@
     /// there is none.
     pub fn parse(text: &'a str) -> Option<Self> {
         let start = text.find("time=")?;
-        let line = Self { fields: &text[start..] };
+        let line = Self { prefix: &text[..start], fields: &text[start..] };
         line.field("event").map(|_| line)
     }
 
+    /// The name of the instance that a log collector put before the line; `None` if there is none.
+    pub fn source(self) -> Option<&'a str> {
+        self.prefix.split_ascii_whitespace().next_back()
+    }
+
     /// The text of a field, without its quotes; `None` if there is no such field.
     pub fn field(self, name: &str) -> Option<&'a str> {
         let values = self.fields.split_ascii_whitespace().filter_map(|pair| pair.split_once('='));
--- a/crates/sagespool-report/tests/day_reports.rs
+++ b/crates/sagespool-report/tests/day_reports.rs
@@ -1,8 +1,8 @@
-//! Account and loss reports from log lines.
+//! Account, loss and arrival reports from log lines.
 
 #![allow(clippy::unwrap_used, reason = "test helpers")]
 
-use sagespool_report::{AccountReport, LogLine, LossGroup, LossReport};
+use sagespool_report::{AccountReport, ArrivalLoss, ArrivalReport, LogLine, LossGroup, LossReport};
 use sagespool_types::TokenCount;
 
 const LOG: &str = r#"
@@ -12,6 +12,9 @@
   2.5000 gateway-2 time=2026-01-07T09:27:48.500Z level=info event=request-ended request=3 route=digest branch=b-1 outcome=refused status=502 upstream=i-1 sends=1 events=0 charged=40 first_ms=9 total_ms=9 plan=27 detail=broken
   2.6000 gateway-2 time=2026-01-07T09:27:48.600Z level=info event=request-ended request=4 route=digest branch=b-1 outcome=refused status=402 upstream="" sends=0 events=0 charged=0 first_ms=9 total_ms=9 plan=27 detail=budget-spent
   2.6000 gateway-2 time=2026-01-07T09:27:48.700Z level=info event=budget-lent branch=b-1 to=c1fd wanted=30 lent=20
+  2.7000 gateway-2 time=2026-01-07T09:27:48.800Z level=warn event=connections-closed-unread count=18 last_peer=10.0.0.7:1 turn_ms=0 open=9
+  2.8000 gateway-2 time=2026-01-07T09:27:48.900Z level=warn event=send-failed request=3 upstream=i-1 cause=not-connected not_run=true sends=0
+  2.9000 gateway-2 time=2026-01-07T09:27:48.950Z level=warn event=send-failed request=3 upstream=i-1 cause=broken not_run=false sends=1
 text that some other program wrote
 "#;
 
@@ -46,3 +49,22 @@
     assert_eq!(report.count(&group(2, "refused budget-spent")), 1);
     assert_eq!(report.count(&group(0, "answered")), 0);
 }
+
+#[test]
+fn arrivals_by_gateway() {
+    let mut report = ArrivalReport::default();
+    lines().for_each(|line| report.add_line(line.source().unwrap(), line));
+    let first = report.of("gateway-1").unwrap();
+    assert_eq!((first.ended, first.answered, first.closed_unread), (2, 1, 0));
+    let second = report.of("gateway-2").unwrap();
+    assert_eq!((second.ended, second.closed_unread, second.unsent), (2, 18, 1));
+    assert_eq!(second.busiest(), Some(("b-1", 2)));
+    let loss = |gateway: &str, reason: &str| ArrivalLoss {
+        gateway: gateway.to_owned(),
+        branch: "b-1".to_owned(),
+        reason: reason.to_owned(),
+    };
+    assert_eq!(report.count(&loss("gateway-2", "refused budget-spent")), 1);
+    assert_eq!(report.count(&loss("gateway-1", "refused budget-spent")), 0);
+    assert!(report.to_string().contains("caller-gone"), "{report}");
+}
