--- a/crates/sagespool-entry/src/peers.rs
+++ b/crates/sagespool-entry/src/peers.rs
@@ -102,7 +102,9 @@
         | PeerRequest::WithdrawCrashes(_)
         | PeerRequest::NoteStreams(_)
         | PeerRequest::FindStream(_)
-        | PeerRequest::FindSuccess(_) => PeerReply::Unsupported("this process is an entry".into()),
+        | PeerRequest::FindSuccess(_)
+        | PeerRequest::AskCover(_)
+        | PeerRequest::ReleaseCover(_) => PeerReply::Unsupported("this process is an entry".into()),
     }
 }
 
--- a/crates/sagespool-forward/src/admission.rs
+++ b/crates/sagespool-forward/src/admission.rs
@@ -69,9 +69,14 @@
         }
     }
 
+    /// How long a request waits for the processor in all its steps.
+    pub fn processor_wait(&self, now: ClockTime) -> Duration {
+        self.scheduling_delay(now) * SCHEDULING_STEPS
+    }
+
     /// Whether this instance's processor is expected to answer the request in time.
     pub fn admits(&self, request: ArrivedRequest<'_>, now: ClockTime) -> bool {
-        let delay = self.scheduling_delay(now) * SCHEDULING_STEPS;
+        let delay = self.processor_wait(now);
         if delay > request.time_left {
             return false;
         }
--- a/crates/sagespool-forward/src/lib.rs
+++ b/crates/sagespool-forward/src/lib.rs
@@ -18,10 +18,12 @@
 //! ```
 
 mod admission;
+mod connect_budget;
 mod events;
 mod feed;
 mod feed_tree;
 mod index;
+mod link_meter;
 mod placement;
 mod plan;
 mod prefix_cache;
@@ -33,6 +35,7 @@
 mod throttle;
 
 pub use admission::{AdmissionController, ArrivedRequest};
+pub use connect_budget::ConnectBudget;
 pub use events::{CompleteEvents, EventSplitter};
 pub use feed::{
     ChangeFeed, FeedObject, FeedPage, FeedSource, FeedSourceSelector, FeedTiming, REPLY_TIMEOUT,
@@ -40,6 +43,7 @@
 };
 pub use feed_tree::{FeedPeer, FeedTree};
 pub use index::{PlanIndex, RouteMatch};
+pub use link_meter::LinkMeter;
 pub use placement::{LoadBalancer, PlacedAttempt, PlacementPolicy, RequestProfile, SendOutcome};
 pub use plan::{
     AllowedRegions, BranchPlan, CallerLimits, EngineProfile, ForwardPlan, ForwardRoute, RepeatRule,
--- a/crates/sagespool-gateway/src/admission.rs
+++ b/crates/sagespool-gateway/src/admission.rs
@@ -9,7 +9,7 @@
 
 use futures_lite::future::yield_now;
 use rustix::process::{Resource, getrlimit};
-use sagespool_forward::{AdmissionController, ArrivedRequest};
+use sagespool_forward::{AdmissionController, ArrivedRequest, LinkMeter};
 use sagespool_settings::ResourceSettings;
 use sagespool_types::{BranchName, ByteCount, ClockTime};
 
@@ -65,6 +65,7 @@
     /// Exponential average of the memory of admitted requests.
     request_bytes: AtomicU64,
     unread: Mutex<UnreadCount>,
+    link: Mutex<LinkMeter>,
 }
 
 /// The connections closed unread since the last log line.
@@ -89,20 +90,41 @@
             connections: AtomicUsize::new(0),
             request_bytes: AtomicU64::new(REQUEST_BYTES),
             unread: Mutex::default(),
+            link: Mutex::new(LinkMeter::new(settings.link_mbps)),
         }
     }
 
+    fn link(&self) -> MutexGuard<'_, LinkMeter> {
+        self.link.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts bytes that are written to an upstream or a caller.
+    pub(crate) fn note_written(&self, bytes: usize) {
+        self.link().write(ByteCount(bytes as u64), ClockTime::now());
+    }
+
+    /// Records how long a connection to an upstream took.
+    pub(crate) fn note_connect(&self, took: Duration, now: ClockTime) {
+        self.link().note_connect(took, now);
+    }
+
     fn controller(&self) -> MutexGuard<'_, AdmissionController> {
         self.controller.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The current use of the limits.
     pub(crate) fn usage(&self, now: ClockTime) -> ResourceUsage {
+        let link_wait = self.link().wait(now);
+        let controller = self.controller();
         ResourceUsage {
             held: ByteCount(self.held.load(Ordering::Relaxed)),
             limit: ByteCount(self.memory_limit),
+            accept_limit: ByteCount(self.accept_limit()),
             connections: self.connections(),
-            scheduling_delay: self.controller().scheduling_delay(now),
+            connection_limit: self.connection_limit,
+            scheduling_delay: controller.scheduling_delay(now),
+            processor_wait: controller.processor_wait(now),
+            link_wait,
         }
     }
 
@@ -136,11 +158,6 @@
         Some(ConnectionPermit { limiter: self.clone(), _memory: memory, first_request })
     }
 
-    /// The scheduling delay: how long a ready task waits for the processor.
-    pub(crate) fn scheduling_delay(&self, now: ClockTime) -> Duration {
-        self.controller().scheduling_delay(now)
-    }
-
     /// Counts a connection that was closed unread. Returns the count since the last log line if
     /// another line is due: one line per connection would take CPU time from admitted requests.
     pub(crate) fn note_unread(&self, now: ClockTime) -> Option<u64> {
@@ -185,7 +202,8 @@
             controller.begin(branch);
         }
         let branch = request.branch.cloned();
-        Ok(RequestPermit { limiter: self.clone(), branch, memory })
+        self.link().announce(body);
+        Ok(RequestPermit { limiter: self.clone(), branch, memory, announced: body })
     }
 
     fn accept_limit(&self) -> u64 {
@@ -217,10 +235,18 @@
     pub(crate) held: ByteCount,
     /// The limit of `held`.
     pub(crate) limit: ByteCount,
+    /// The part of `limit` up to which connections are accepted.
+    pub(crate) accept_limit: ByteCount,
     /// Open connections.
     pub(crate) connections: usize,
+    /// The limit of `connections`.
+    pub(crate) connection_limit: usize,
     /// The scheduling delay: how long a ready task waits for the processor.
     pub(crate) scheduling_delay: Duration,
+    /// How long a request waits for the processor in all.
+    pub(crate) processor_wait: Duration,
+    /// How long a byte waits for the link.
+    pub(crate) link_wait: Duration,
 }
 
 /// Bytes accounted for until this is dropped.
@@ -279,9 +305,16 @@
     limiter: Arc<ResourceLimiter>,
     branch: Option<BranchName>,
     memory: HeldMemory,
+    /// Bytes of the body that were announced and not read yet.
+    announced: ByteCount,
 }
 
 impl RequestPermit {
+    /// Ends the wait for the body, which was read.
+    pub(crate) fn end_body(&mut self) {
+        self.limiter.link().settle(std::mem::replace(&mut self.announced, ByteCount::ZERO));
+    }
+
     /// Accounts for bytes of a body without a declared length.
     ///
     /// # Errors
@@ -297,6 +330,7 @@
 
 impl Drop for RequestPermit {
     fn drop(&mut self) {
+        self.end_body();
         if let Some(branch) = &self.branch {
             self.limiter.controller().end(branch);
         }
--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: sending a request to one upstream.
 
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use sagespool_link::within;
 use sagespool_log::log_event;
 use sagespool_types::ClockTime;
+use smol::Timer;
 
 use crate::attempt_end::{AttemptFailure, LossCause, UnavailableCause};
 use crate::context::RequestContext;
@@ -24,6 +26,9 @@
 use crate::pool::{UpstreamConnection, connect};
 use crate::state::GatewayState;
 
+/// The connection to the upstream couldn't be opened.
+pub(crate) const NOT_CONNECTED: AttemptFailure = AttemptFailure::NotSent("not-connected");
+
 /// An upstream's response whose body hasn't been read.
 pub(crate) struct OpenResponse {
     pub(crate) head: Parts,
@@ -140,6 +145,11 @@
     }
     context.settle_failure(failure);
     context.may_have_run |= !failure.did_not_run();
+    if failure == NOT_CONNECTED {
+        let pause = context.state.connects().pause(context.log.unsent);
+        context.log.unsent += 1;
+        Timer::after(pause).await;
+    }
     log_event!(
         warn,
         "send-failed",
@@ -234,10 +244,7 @@
     let kept = context.state.pool.take(upstream, ClockTime::now());
     let mut connection = match kept {
         Some(connection) => connection,
-        None => match connect(upstream).await {
-            Ok(connection) => connection,
-            Err(_) => return Err(AttemptFailure::NotSent("not-connected")),
-        },
+        None => open_connection(&context.state, upstream).await?,
     };
     let now = ClockTime::now();
     if context.is_quarantined() {
@@ -255,6 +262,7 @@
     context.sends += 1;
     context.log.sends = context.sends;
     context.charge_prompt();
+    context.state.limiter.note_written(context.request.body.len());
     let sent = connection.sender.try_send_request(request);
     let response = match within(timeout, sent).await {
         None => return Err(AttemptFailure::TimedOut),
@@ -264,6 +272,30 @@
     Ok((response, connection))
 }
 
+/// Opens a connection and records how long it took, or that it failed.
+async fn open_connection(
+    state: &GatewayState,
+    upstream: &UpstreamRecord,
+) -> Result<UpstreamConnection, AttemptFailure> {
+    let began = ClockTime::now();
+    let opened = connect(upstream).await;
+    let now = ClockTime::now();
+    match opened {
+        Ok(connection) => {
+            state.limiter.note_connect(now.since(began), now);
+            state.connects().note_connected(now);
+            Ok(connection)
+        }
+        Err(error) => {
+            if error.kind() == io::ErrorKind::TimedOut {
+                state.limiter.note_connect(now.since(began), now);
+            }
+            state.connects().note_failed(&upstream.name, now);
+            Err(NOT_CONNECTED)
+        }
+    }
+}
+
 /// Records that a request is being sent; false if the upstream no longer allows it.
 ///
 /// Guards against requests to an upstream that has left: connecting takes up to 300 ms, and the news
--- a/crates/sagespool-gateway/src/callers.rs
+++ b/crates/sagespool-gateway/src/callers.rs
@@ -53,14 +53,15 @@
     }
 }
 
-/// Prepares a response for the caller's connection, which closes after it if resources are short.
+/// Prepares a response for the caller's connection, which closes after it if resources are short or the caller
+/// is better served elsewhere.
 fn prepare_response(
     mut response: Response<ResponseBody>,
-    is_nearly_full: bool,
+    closes: bool,
     version: Version,
     flushes: &Arc<FlushCounter>,
 ) -> Response<ResponseBody> {
-    if is_nearly_full {
+    if closes {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response.map(|body| body.with_version(version).with_flush_counter(flushes))
@@ -104,11 +105,10 @@
         let (state, flushes) = (shared.clone(), flushes.clone());
         permit.begin_request();
         async move {
-            let limiter = state.limiter.clone();
             let version = request.version();
-            let response = serve(state, request).await;
-            let is_nearly_full = limiter.is_nearly_full();
-            Ok::<_, Infallible>(prepare_response(response, is_nearly_full, version, &flushes))
+            let response = serve(state.clone(), request).await;
+            let closes = state.limiter.is_nearly_full() || state.rotation.closes_connections();
+            Ok::<_, Infallible>(prepare_response(response, closes, version, &flushes))
         }
     });
     let mut builder = http1::Builder::new();
--- a/crates/sagespool-gateway/src/context.rs
+++ b/crates/sagespool-gateway/src/context.rs
@@ -139,6 +139,8 @@
     /// The attempt that the caller resumes.
     pub(crate) resumes: Option<String>,
     pub(crate) sends: u32,
+    /// Attempts that couldn't connect.
+    pub(crate) unsent: u32,
     pub(crate) events: u64,
     /// The framing of the last response that an upstream began; `None` before it.
     pub(crate) framing: Option<ResponseFraming>,
@@ -152,6 +154,8 @@
     pub(crate) detail: String,
     /// Scheduling delay when it arrived: how long a ready task waited for the processor.
     pub(crate) scheduling_delay: Duration,
+    /// How long a byte waited for the link when it arrived.
+    pub(crate) link_wait: Duration,
 }
 
 impl RequestLog {
@@ -168,6 +172,7 @@
             version: None,
             resumes: None,
             sends: 0,
+            unsent: 0,
             events: 0,
             framing: None,
             partial: 0,
@@ -176,6 +181,7 @@
             status: 0,
             detail: String::new(),
             scheduling_delay: Duration::ZERO,
+            link_wait: Duration::ZERO,
         }
     }
 
@@ -214,6 +220,7 @@
             version = self.version.as_ref().map_or_else(none, SoftwareVersion::to_string),
             resumes = self.resumes.as_deref().unwrap_or("-"),
             sends = self.sends,
+            unsent = self.unsent,
             events = self.events,
             framing = self.framing.map_or("-", ResponseFraming::as_str),
             partial = self.partial,
@@ -221,6 +228,7 @@
             first_ms = first.since(self.started_at).as_millis(),
             total_ms = now.since(self.started_at).as_millis(),
             turn_ms = self.scheduling_delay.as_millis(),
+            link_ms = self.link_wait.as_millis(),
             plan = self.state.plan_version(),
             detail = self.detail,
         );
--- a/crates/sagespool-gateway/src/lib.rs
+++ b/crates/sagespool-gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod request_body;
 mod resumption;
 mod role;
+mod rotation;
 mod signal;
 mod state;
 mod status;
--- a/crates/sagespool-gateway/src/metrics.rs
+++ b/crates/sagespool-gateway/src/metrics.rs
@@ -15,6 +15,7 @@
 use sagespool_types::BranchName;
 
 use crate::admission::ResourceUsage;
+use crate::rotation::RotationStatus;
 
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -71,6 +72,11 @@
     upstream: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ResourceLabel {
+    resource: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct OriginLabel {
     origin: &'static str,
@@ -110,6 +116,12 @@
     breaks: Family<BreakLabel, Counter>,
     resumptions: Family<OriginLabel, Counter>,
     quarantined: Gauge,
+    pressure: Family<ResourceLabel, Gauge>,
+    link_wait: Gauge<f64, AtomicU64>,
+    out_of_rotation: Gauge,
+    promised: Gauge,
+    out_seconds: Histogram,
+    uncovered: Counter,
 }
 
 /// The current restrictions on sending to upstreams.
@@ -179,6 +191,23 @@
         let quarantined = Gauge::default();
         let help = "Contents that are refused since they crash upstreams";
         registry.register("quarantined_contents", help, quarantined.clone());
+        let pressure = Family::default();
+        let help = "Use of the resource nearest to its limit, in thousandths";
+        registry.register("pressure", help, pressure.clone());
+        let link_wait = Gauge::<f64, AtomicU64>::default();
+        registry.register("link_seconds", "How long a byte waits for the link", link_wait.clone());
+        let out_of_rotation = Gauge::default();
+        let help = "1 while it takes no new callers, so that others of its data centre do";
+        registry.register("out_of_rotation", help, out_of_rotation.clone());
+        let promised = Gauge::default();
+        let help = "Slots of cover promised to gateways that are out of rotation";
+        registry.register("promised_cover", help, promised.clone());
+        let out_seconds = histogram();
+        let help = "Times spent out of rotation, when they end";
+        registry.register("out_of_rotation_seconds", help, out_seconds.clone());
+        let uncovered = Counter::default();
+        let help = "Times that it was pressed and found no cover to leave the rotation";
+        registry.register("rotation_uncovered", help, uncovered.clone());
         Self {
             registry,
             requests,
@@ -200,9 +229,32 @@
             breaks,
             resumptions,
             quarantined,
+            pressure,
+            link_wait,
+            out_of_rotation,
+            promised,
+            out_seconds,
+            uncovered,
         }
     }
 
+    pub(crate) fn observe_out_of_rotation(&self, out_for: Duration) {
+        self.out_seconds.observe(out_for.as_secs_f64());
+    }
+
+    pub(crate) fn count_uncovered(&self) {
+        self.uncovered.inc();
+    }
+
+    /// Sets the gauges of the rotation.
+    pub(crate) fn set_rotation(&self, rotation: RotationStatus) {
+        self.pressure.clear();
+        let label = ResourceLabel { resource: rotation.source.as_str() };
+        self.pressure.get_or_create(&label).set(i64::from(rotation.pressure.0));
+        self.out_of_rotation.set(i64::from(rotation.out_for.is_some()));
+        self.promised.set(i64::from(rotation.promised));
+    }
+
     pub(crate) fn count_outcome(&self, outcome: Outcome, route: &str) {
         let labels = RequestLabels { route: route.to_owned(), outcome };
         self.requests.get_or_create(&labels).inc();
@@ -266,6 +318,7 @@
         self.held.set(usage.held.0 as i64);
         self.held_limit.set(i64::try_from(usage.limit.0).unwrap_or(i64::MAX));
         self.open.set(usage.connections as i64);
+        self.link_wait.set(usage.link_wait.as_secs_f64());
         self.scheduling_delay.set(usage.scheduling_delay.as_secs_f64());
         let mut text = String::new();
         encode(&mut text, &self.registry).expect("writing to a String is infallible");
--- a/crates/sagespool-gateway/src/peers.rs
+++ b/crates/sagespool-gateway/src/peers.rs
@@ -19,6 +19,7 @@
 use crate::fleet::handle_store_call;
 use crate::limits::limits_reply;
 use crate::resumption::{record_note, stream_reply};
+use crate::rotation::{cover_reply, release_cover};
 use crate::state::GatewayState;
 
 const PLAN_TIMEOUT: Duration = Duration::from_millis(500);
@@ -88,6 +89,11 @@
         PeerRequest::FindSuccess(content) => {
             PeerReply::Success(state.crashes.success_age(content, ClockTime::now()))
         }
+        PeerRequest::AskCover(request) => PeerReply::Cover(cover_reply(state, request)),
+        PeerRequest::ReleaseCover(release) => {
+            release_cover(state, release);
+            PeerReply::Done
+        }
         PeerRequest::CallStore(call) => handle_store_call(&state.store, call).await,
         _ => PeerReply::Unsupported("this process is a gateway".to_owned()),
     }
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -16,7 +16,7 @@
 use sagespool_link::within;
 use sagespool_types::{ByteCount, ClockTime};
 
-use crate::attempt::{OpenResponse, ResponseFraming, ended_by_exit, send_once};
+use crate::attempt::{NOT_CONNECTED, OpenResponse, ResponseFraming, ended_by_exit, send_once};
 use crate::attempt_end::{AttemptFailure, LossCause, UnavailableCause};
 use crate::body::ResponseBody;
 use crate::budget::{BudgetRequest, Reservation};
@@ -126,7 +126,8 @@
         time_left: deadline.since(started_at),
     };
     let taken = state.limiter.admit(arrived, declared_length(&body)).await;
-    log.scheduling_delay = state.limiter.scheduling_delay(ClockTime::now());
+    let usage = state.limiter.usage(ClockTime::now());
+    (log.scheduling_delay, log.link_wait) = (usage.scheduling_delay, usage.link_wait);
     let mut permit = match taken {
         Ok(permit) => permit,
         Err(refusal) => {
@@ -135,6 +136,7 @@
         }
     };
     let body = read_body(&index, body, &mut permit, deadline.since(ClockTime::now())).await?;
+    permit.end_body();
     let branch_name = branch.map(|branch| &branch.name);
     let key = attributes.key.as_deref();
     let digests = || digests_of(content_of(branch_name, key, head, &body), &attributes);
@@ -295,7 +297,11 @@
     if context.sends >= context.request.route.attempts {
         return false;
     }
-    // Nothing was sent, so a retry adds no load to upstreams and needs no retry budget.
+    // Nothing was sent, so a retry adds no load to upstreams and needs no retry budget. It loads this
+    // instance's own link.
+    if failure == NOT_CONNECTED && !context.state.connects().admits(context.log.unsent, now) {
+        return false;
+    }
     if matches!(failure, AttemptFailure::NotSent(_) | AttemptFailure::DispatchBlocked) {
         return true;
     }
@@ -382,6 +388,7 @@
     }
     context.log.first = Some(now);
     context.log.conclude(outcome, head.status.as_u16(), "");
+    context.state.limiter.note_written(response.bytes.len());
     let held = context.state.limiter.hold(ByteCount(response.bytes.len() as u64));
     Response::from_parts(head, ResponseBody::counted(response.bytes, held))
 }
--- a/crates/sagespool-gateway/src/role.rs
+++ b/crates/sagespool-gateway/src/role.rs
@@ -21,6 +21,7 @@
 use crate::limits::query_limits;
 use crate::peers::run_peers;
 use crate::resumption::note_recent_streams;
+use crate::rotation::run_rotation;
 use crate::state::GatewayState;
 use crate::status::serve_status;
 use crate::store_calls::log_store_calls;
@@ -132,6 +133,9 @@
             tasks.push(smol::spawn(run_peers(state.clone())));
             tasks.push(smol::spawn(query_limits(state.clone())));
             tasks.push(smol::spawn(note_recent_streams(state.clone())));
+            if state.settings.rotation.is_some() {
+                tasks.push(smol::spawn(run_rotation(state.clone())));
+            }
         }
         Ok(Self { state, accepting, _tasks: tasks })
     }
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -5,14 +5,15 @@
 use std::time::Duration;
 
 use sagespool_forward::{
-    LoadBalancer, PlacementPolicy, PlanIndex, RateLimitChange, RetryBudget, RetryPolicy,
-    SenderSelector, StreamOrigins, UpstreamRecord, UpstreamRegistry, UpstreamThrottle,
+    ConnectBudget, LoadBalancer, PlacementPolicy, PlanIndex, RateLimitChange, RetryBudget,
+    RetryPolicy, SenderSelector, StreamOrigins, UpstreamRecord, UpstreamRegistry, UpstreamThrottle,
     VersionHistory, WarmupPolicy, WarmupProfile,
 };
 use sagespool_ledger::GrantPolicy;
 use sagespool_log::log_event;
 use sagespool_messages::{FeedKind, MemberRole};
 use sagespool_platform::ObjectClient;
+use sagespool_rotation::CoverPeer;
 use sagespool_settings::{GatewaySettings, GrantSettings};
 use sagespool_types::{
     CentreName, ClockTime, ConfigVersion, IncarnationId, RegionName, SendRate, ServiceName,
@@ -28,6 +29,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::pool::UpstreamPool;
 use crate::resumption::NewVersions;
+use crate::rotation::CallerRotation;
 use crate::signal::OnceSignal;
 
 /// Minimum interval between log lines about malformed response headers: a faulty upstream sends
@@ -53,6 +55,7 @@
     /// Number of requests in flight.
     pub(crate) requests: AtomicUsize,
     pub(crate) limiter: Arc<ResourceLimiter>,
+    pub(crate) rotation: CallerRotation,
     pub(crate) feeds: FeedRegistry,
     pub(crate) fleet: Arc<FleetClient>,
     plan: RwLock<Option<LoadedPlan>>,
@@ -61,6 +64,7 @@
     upstreams: Mutex<UpstreamRegistry>,
     balancer: Mutex<LoadBalancer>,
     retries: Mutex<RetryBudget>,
+    connects: Mutex<ConnectBudget>,
     throttle: Mutex<UpstreamThrottle>,
     sender_selector: Mutex<SenderSelector>,
     /// The software versions that began streams, here or at gateways that noted them here.
@@ -114,8 +118,11 @@
         };
         let feeds = FeedRegistry::new(settings.in_force);
         let limiter = Arc::new(ResourceLimiter::new(settings.limits));
+        let own = CoverPeer { id: run, capacity: settings.limits.capacity() };
+        let rotation = CallerRotation::new(settings.rotation, own);
         Self {
             limiter,
+            rotation,
             settings,
             dialect,
             store,
@@ -135,6 +142,7 @@
             upstreams: Mutex::default(),
             balancer: Mutex::new(LoadBalancer::new(PlacementPolicy::default())),
             retries: Mutex::new(RetryBudget::new(retry_policy)),
+            connects: Mutex::default(),
             throttle: Mutex::new(UpstreamThrottle::new(warmup_policy)),
             sender_selector: Mutex::new(sender_selector),
             origins: StreamOrigins::default(),
@@ -213,6 +221,10 @@
         self.retries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn connects(&self) -> MutexGuard<'_, ConnectBudget> {
+        self.connects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn throttle(&self) -> MutexGuard<'_, UpstreamThrottle> {
         self.throttle.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -355,9 +367,14 @@
         self.closing.is_set() && ClockTime(self.closing_by.load(Ordering::SeqCst)) < deadline
     }
 
+    /// Whether the load balancer is to send new callers to this instance.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.can_serve() && !self.rotation.is_out()
+    }
+
     /// Whether this instance can serve requests: its copies of the store are confirmed, and no stop
     /// has begun.
-    pub(crate) fn is_ready(&self) -> bool {
+    pub(crate) fn can_serve(&self) -> bool {
         !self.is_stopping() && self.plan().is_some() && self.knows_upstreams()
     }
 
--- a/crates/sagespool-gateway/src/status.rs
+++ b/crates/sagespool-gateway/src/status.rs
@@ -10,6 +10,7 @@
 use trillium::{Conn, KnownHeaderName, Status};
 
 use crate::metrics::RestrictionCounts;
+use crate::rotation::RotationStatus;
 use crate::state::GatewayState;
 
 const METRICS_PATH: &str = "/metrics";
@@ -40,6 +41,7 @@
 
 fn metrics_text(state: &GatewayState) -> String {
     state.metrics.set_store_calls(state.store.call_counts());
+    state.metrics.set_rotation(state.rotation.status());
     let now = ClockTime::now();
     let usage = state.limiter.usage(now);
     // Lock one at a time: the choice of an upstream locks them in another order.
@@ -55,5 +57,19 @@
 
 fn respond_readiness(state: &GatewayState, conn: Conn) -> Conn {
     let status = if state.is_ready() { Status::Ok } else { Status::ServiceUnavailable };
-    conn.with_status(status).with_body("").halt()
+    conn.with_status(status).with_body(readiness_text(state)).halt()
+}
+
+/// Why the load balancer sends no new callers here, for operators; empty if it does.
+fn readiness_text(state: &GatewayState) -> String {
+    let RotationStatus { pressure, source, out_for, .. } = state.rotation.status();
+    match out_for {
+        _ if state.is_stopping() => "stopping".to_owned(),
+        _ if !state.can_serve() => "starting".to_owned(),
+        Some(out_for) => {
+            let millis = out_for.as_millis();
+            format!("out of rotation for {millis} ms: {source} at {pressure} thousandths")
+        }
+        None => String::new(),
+    }
 }
--- a/crates/sagespool-link/src/identity.rs
+++ b/crates/sagespool-link/src/identity.rs
@@ -22,7 +22,7 @@
 
 /// The ALPN protocol of both sides. A version that can't decode the messages of
 /// this one uses another number.
-const PROTOCOL: &[u8] = b"sagespool/3";
+const PROTOCOL: &[u8] = b"sagespool/4";
 
 /// The failure to load a certificate, a key or an authority.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/sagespool-messages/src/gateways.rs
+++ b/crates/sagespool-messages/src/gateways.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use sagespool_types::{
-    BranchName, ConfigVersion, IncarnationId, ServiceName, SoftwareVersion, StoreRevision,
-    TokenCount, UpstreamName, derives,
+    BranchName, ConfigVersion, IncarnationId, LoadPressure, ServiceName, SoftwareVersion,
+    StoreRevision, TokenCount, UpstreamName, derives,
 };
 
 derives! { record;
@@ -241,3 +241,76 @@
         pub unnoted: Option<Vec<SoftwareVersion>>,
     }
 }
+
+derives! { value;
+    /// A question for promises to stay in the load balancer's rotation while the sender is out of it.
+    pub struct CoverRequest {
+        /// The run of the sender.
+        pub leaver: IncarnationId,
+        /// Increases with each question of the sender.
+        pub number: u64,
+        /// The slots that it asks for.
+        pub slots: u32,
+        /// Its pressure.
+        pub pressure: LoadPressure,
+        /// The share of the recent time that it was out of rotation, in thousandths.
+        pub out_share: u32,
+    }
+}
+
+derives! { value;
+    /// The reply to a [`CoverRequest`].
+    pub enum CoverReply {
+        /// The receiver stays in rotation for the lease, from the moment of the reply on.
+        Promised {
+            /// The promised slots.
+            slots: u32,
+            /// How long the promise stands.
+            lease: Duration,
+        },
+        /// None, for this reason.
+        Denied(CoverDenial),
+    }
+}
+
+derives! { value;
+    /// Why a gateway promises no cover.
+    pub enum CoverDenial {
+        /// Its run has just begun, so it may have forgotten promises.
+        Starting,
+        /// It is out of rotation, about to leave it, or not ready.
+        NotTaking,
+        /// It is under pressure itself.
+        Pressed,
+        /// Its slots are promised to others.
+        NoSlot,
+        /// Another gateway waits that was out for less time.
+        OthersTurn,
+        /// It has no settings for rotation.
+        Off,
+    }
+}
+
+impl CoverDenial {
+    /// The name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Starting => "starting",
+            Self::NotTaking => "not-taking",
+            Self::Pressed => "pressed",
+            Self::NoSlot => "no-slot",
+            Self::OthersTurn => "others-turn",
+            Self::Off => "off",
+        }
+    }
+}
+
+derives! { value;
+    /// The end of a sender's need for the promises of one receiver.
+    pub struct CoverRelease {
+        /// The run of the sender.
+        pub leaver: IncarnationId,
+        /// The number of its newest question to the receiver.
+        pub number: u64,
+    }
+}
--- a/crates/sagespool-messages/src/lib.rs
+++ b/crates/sagespool-messages/src/lib.rs
@@ -28,9 +28,10 @@
     FinishReason, HeaderPair, PrefixCacheEvent, PrefixCacheUpdate, PrefixDigest, ResumePoint,
 };
 pub use gateways::{
-    ChangedObject, FeedKind, FeedQuery, FeedReply, LendReply, LendRequest, PlanQuery, PlanReply,
-    RateLimitQuery, RateLimitReply, StoreCall, StoreCallReply, StoreMethod, StreamNote,
-    StreamQuery, StreamReply, UnspentBudget, UpstreamRateLimit,
+    ChangedObject, CoverDenial, CoverRelease, CoverReply, CoverRequest, FeedKind, FeedQuery,
+    FeedReply, LendReply, LendRequest, PlanQuery, PlanReply, RateLimitQuery, RateLimitReply,
+    StoreCall, StoreCallReply, StoreMethod, StreamNote, StreamQuery, StreamReply, UnspentBudget,
+    UpstreamRateLimit,
 };
 pub use members::{
     Heartbeat, LoadReport, MemberInfo, MemberRole, ServedUpstream, SuspectedMember, UpstreamKind,
--- a/crates/sagespool-messages/src/wire.rs
+++ b/crates/sagespool-messages/src/wire.rs
@@ -76,6 +76,10 @@
         /// Gateway to some others before it quarantines a part of prompts; answered by
         /// [`PeerReply::Success`].
         FindSuccess(ContentDigest),
+        /// Gateway to a gateway of its data centre; answered by [`PeerReply::Cover`].
+        AskCover(CoverRequest),
+        /// Gateway to one that promised cover; answered by [`PeerReply::Done`].
+        ReleaseCover(CoverRelease),
     }
 }
 
@@ -122,5 +126,7 @@
         Stream(StreamReply),
         /// How long ago a run of the content last succeeded at the receiver; `None` if it isn't known.
         Success(Option<Duration>),
+        /// Promises to stay in rotation.
+        Cover(CoverReply),
     }
 }
--- a/crates/sagespool-settings/src/lib.rs
+++ b/crates/sagespool-settings/src/lib.rs
@@ -29,9 +29,10 @@
     AnswerSettings, BudgetStrategy, EntrySettings, GatewayOrRelaySettings, GatewaySettings,
     GrantSettings, HttpSettings, LedgerSettings, LinkSettings, LogSettings, PlatformSettings,
     PolicySettings, ProcessSettings, PropagationSettings, QueueSettings, RelaySettings,
-    ResourceSettings, RetrySettings, RoleSettings, RoutingStrategy, SettingsError, SidecarSettings,
-    UpstreamSettings, WarmupSettings, check_files, is_gateway_or_relay, load_gateway_or_relay,
-    load_process_settings, parse_gateway_or_relay, parse_process_settings,
+    ResourceSettings, RetrySettings, RoleSettings, RotationSettings, RoutingStrategy,
+    SettingsError, SidecarSettings, UpstreamSettings, WarmupSettings, check_files,
+    is_gateway_or_relay, load_gateway_or_relay, load_process_settings, parse_gateway_or_relay,
+    parse_process_settings,
 };
 pub use sagespool_log::LogLevel;
 pub use secret::SecretText;
--- a/crates/sagespool-settings/src/process/gateway.rs
+++ b/crates/sagespool-settings/src/process/gateway.rs
@@ -54,6 +54,8 @@
     pub retries: RetrySettings,
     /// How much of a budget an instance takes at a time.
     pub grants: GrantSettings,
+    /// When this gateway leaves the load balancer's rotation under pressure; `None` if it never does.
+    pub rotation: Option<RotationSettings>,
     /// Resource limits of the process; limits that aren't set are read from the system.
     pub limits: ResourceSettings,
     /// Log settings.
@@ -132,6 +134,15 @@
     pub idle: f64,
 }
 
+/// Leaving the load balancer's rotation under pressure, while other gateways of the data centre stay in.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RotationSettings {
+    /// How long another gateway's promise to stay in stands without renewal.
+    pub lease: Duration,
+    /// How long this gateway stays out at least.
+    pub hold: Duration,
+}
+
 /// Resource limits of a process. The amount of work accepted from callers depends on them.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct ResourceSettings {
@@ -193,6 +204,11 @@
 const MAX_GRANT_AHEAD_S: f64 = 3_600.0;
 const DEFAULT_WARMUP: WarmupSettings = WarmupSettings { overage: 1.0, slack: 0.0 };
 const MAX_WARMUP_OVERAGE: f64 = 100.0;
+const DEFAULT_ROTATION: RotationSettings =
+    RotationSettings { lease: Duration::from_secs(3), hold: Duration::from_secs(3) };
+/// A lease covers some renewals over links that lose packets.
+const MIN_ROTATION_MS: u64 = 1_000;
+const MAX_ROTATION_MS: u64 = 60_000;
 const CENTRE_NAME_ALLOWED: &str = "the name of a data centre as the key of its region";
 const DEFAULT_RETRIES: RetrySettings =
     RetrySettings { ratio: 0.2, slack: 10.0, window: Duration::from_secs(10) };
@@ -275,6 +291,7 @@
     let warmup = object.or_default("warmup", DEFAULT_WARMUP, |node| node.object(read_warmup));
     let retries = object.or_default("retries", DEFAULT_RETRIES, |node| node.object(read_retries));
     let grants = object.or_default("grants", DEFAULT_GRANTS, |node| node.object(read_grants));
+    let rotation = object.optional("rotation", |node| node.object(read_rotation));
     let limits =
         object.or_default("limits", ResourceSettings::default(), |node| node.object(read_limits));
     let log = object.or_default("log", DEFAULT_LOG, |node| node.object(read_log));
@@ -296,6 +313,7 @@
         stop_limit: stop_limit?,
         retries: retries?,
         grants: grants?,
+        rotation: rotation?,
         limits: limits?,
         log: log?,
     })
@@ -319,6 +337,13 @@
     Some(GrantSettings { ahead: ahead?, share: share?, idle: idle? })
 }
 
+fn read_rotation(object: &ObjectNode) -> Option<RotationSettings> {
+    let millis = |node: ValueNode| node.millis(MIN_ROTATION_MS..=MAX_ROTATION_MS);
+    let lease = object.or_default("lease_ms", DEFAULT_ROTATION.lease, millis);
+    let hold = object.or_default("hold_ms", DEFAULT_ROTATION.hold, millis);
+    Some(RotationSettings { lease: lease?, hold: hold? })
+}
+
 /// One watch covers the configuration and the upstreams, so the shorter of their limits applies.
 fn read_propagation(object: &ObjectNode) -> Option<PropagationSettings> {
     let configuration = object.required("configuration_ms", read_propagation_time);
--- a/crates/sagespool-settings/src/process/mod.rs
+++ b/crates/sagespool-settings/src/process/mod.rs
@@ -16,7 +16,7 @@
 pub use file::{SettingsError, check_files, load_process_settings};
 pub use gateway::{
     GatewayOrRelaySettings, GatewaySettings, GrantSettings, PropagationSettings, RelaySettings,
-    ResourceSettings, RetrySettings, WarmupSettings, is_gateway_or_relay, load_gateway_or_relay,
-    parse_gateway_or_relay,
+    ResourceSettings, RetrySettings, RotationSettings, WarmupSettings, is_gateway_or_relay,
+    load_gateway_or_relay, parse_gateway_or_relay,
 };
 pub use sidecar::{AnswerSettings, SidecarSettings, UpstreamSettings};
--- a/crates/sagespool-sidecar/src/role/peers.rs
+++ b/crates/sagespool-sidecar/src/role/peers.rs
@@ -85,7 +85,9 @@
         | PeerRequest::WithdrawCrashes(_)
         | PeerRequest::NoteStreams(_)
         | PeerRequest::FindStream(_)
-        | PeerRequest::FindSuccess(_) => {
+        | PeerRequest::FindSuccess(_)
+        | PeerRequest::AskCover(_)
+        | PeerRequest::ReleaseCover(_) => {
             PeerReply::Unsupported("this process is a sidecar".to_owned())
         }
     };
--- a/crates/sagespool-types/src/sizes.rs
+++ b/crates/sagespool-types/src/sizes.rs
@@ -28,6 +28,8 @@
     /// How much a broken response counts as evidence that its request crashes upstreams, in
     /// thousandths of a crash.
     CrashWeight(u32), "a crash weight in thousandths";
+    /// How much of a limit is in use, in thousandths; more than 1000 if the limit is exceeded.
+    LoadPressure(u32), "a pressure in thousandths";
     /// A rate in requests per second.
     RequestRate(u64), "a number of requests per second";
     /// A rate in tokens per second.
