--- a/crates/sagespool-forward/src/admission.rs
+++ b/crates/sagespool-forward/src/admission.rs
@@ -80,10 +80,18 @@
         if delay > request.time_left {
             return false;
         }
-        let fraction = (MAX_DELAY_FRACTION - RANK_FRACTION_STEP * f64::from(request.rank))
-            .max(MIN_DELAY_FRACTION);
-        let fraction = fraction / request.branch.map_or(1.0, |branch| self.excess_ratio(branch));
-        delay <= request.latency_target.mul_f64(fraction)
+        let excess_ratio = request.branch.map_or(1.0, |branch| self.excess_ratio(branch));
+        delay <= request.latency_target.mul_f64(delay_fraction(request.rank) / excess_ratio)
+    }
+
+    /// Whether a request that waits so long for the link is expected to be answered in time.
+    ///
+    /// Answers a burst of large bodies at a small link. What is refused is refused by its head, while another
+    /// instance can still answer it in time. A body that takes most of its target on an idle link is admitted:
+    /// another instance of this size wouldn't be faster.
+    pub fn admits_link_wait(&self, request: ArrivedRequest<'_>, wait: Duration) -> bool {
+        wait <= request.time_left
+            && wait <= request.latency_target.mul_f64(delay_fraction(request.rank))
     }
 
     /// Ratio of an account's running requests to the mean over all accounts, at least 1.
@@ -110,3 +118,8 @@
         }
     }
 }
+
+/// The fraction of the latency target that a wait may take, by rank.
+fn delay_fraction(rank: u8) -> f64 {
+    (MAX_DELAY_FRACTION - RANK_FRACTION_STEP * f64::from(rank)).max(MIN_DELAY_FRACTION)
+}
--- a/crates/sagespool-gateway/src/admission.rs
+++ b/crates/sagespool-gateway/src/admission.rs
@@ -50,6 +50,8 @@
 pub(crate) enum ShortResource {
     /// The scheduling delay is too long.
     Processor,
+    /// The wait for the link is too long.
+    Link,
     /// Callers' memory is at its limit.
     Memory,
 }
@@ -120,6 +122,7 @@
             held: ByteCount(self.held.load(Ordering::Relaxed)),
             limit: ByteCount(self.memory_limit),
             accept_limit: ByteCount(self.accept_limit()),
+            next_caller: ByteCount(CONNECTION_BYTES + self.request_bytes.load(Ordering::Relaxed)),
             connections: self.connections(),
             connection_limit: self.connection_limit,
             scheduling_delay: controller.scheduling_delay(now),
@@ -193,6 +196,11 @@
         if !controller.admits(request, now) {
             return Err(Refusal::Overloaded(ShortResource::Processor));
         }
+        // Only the wait counts, not the time that the body itself takes.
+        let link_wait = self.link().wait(now);
+        if !controller.admits_link_wait(request, link_wait) {
+            return Err(Refusal::Overloaded(ShortResource::Link));
+        }
         let bytes = REQUEST_BYTES + body.0.saturating_mul(BODY_COPIES);
         let memory = self.reserve_memory(bytes, self.memory_limit);
         let memory = memory.ok_or(Refusal::Overloaded(ShortResource::Memory))?;
@@ -237,6 +245,8 @@
     pub(crate) limit: ByteCount,
     /// The part of `limit` up to which connections are accepted.
     pub(crate) accept_limit: ByteCount,
+    /// What the next connection would add to `held`.
+    pub(crate) next_caller: ByteCount,
     /// Open connections.
     pub(crate) connections: usize,
     /// The limit of `connections`.
--- a/crates/sagespool-gateway/src/refusal.rs
+++ b/crates/sagespool-gateway/src/refusal.rs
@@ -100,6 +100,7 @@
             Self::BudgetUnreachable => "budget-unreachable",
             Self::Quarantined => "crashes-upstreams",
             Self::Overloaded(ShortResource::Processor) => "crowded-processor",
+            Self::Overloaded(ShortResource::Link) => "crowded-link",
             Self::Overloaded(ShortResource::Memory) => "crowded-memory",
             Self::Stopping => "stopping",
             Self::NoUpstream => "no-upstream",
--- a/crates/sagespool-rotation/src/pressure.rs
+++ b/crates/sagespool-rotation/src/pressure.rs
@@ -8,7 +8,7 @@
 use crate::policy::PRESSED;
 
 /// Part of the tightest latency target that a resource's wait may take before callers lose by it.
-const TARGET_FRACTION: f64 = 0.5;
+const TARGET_FRACTION: f64 = 0.25;
 /// Weight of a new sample in the exponential average; samples come several times a second.
 const SAMPLE_WEIGHT: f64 = 0.5;
 
