--- a/crates/sagespool-gateway/src/admission.rs
+++ b/crates/sagespool-gateway/src/admission.rs
@@ -122,7 +122,6 @@
             held: ByteCount(self.held.load(Ordering::Relaxed)),
             limit: ByteCount(self.memory_limit),
             accept_limit: ByteCount(self.accept_limit()),
-            next_caller: ByteCount(CONNECTION_BYTES + self.request_bytes.load(Ordering::Relaxed)),
             connections: self.connections(),
             connection_limit: self.connection_limit,
             scheduling_delay: controller.scheduling_delay(now),
@@ -245,8 +244,6 @@
     pub(crate) limit: ByteCount,
     /// The part of `limit` up to which connections are accepted.
     pub(crate) accept_limit: ByteCount,
-    /// What the next connection would add to `held`.
-    pub(crate) next_caller: ByteCount,
     /// Open connections.
     pub(crate) connections: usize,
     /// The limit of `connections`.
--- a/crates/sagespool-gateway/src/rotation.rs
+++ b/crates/sagespool-gateway/src/rotation.rs
@@ -131,8 +131,8 @@
     GatewayLoad {
         link_wait: usage.link_wait,
         processor_wait: usage.processor_wait,
-        memory: share((usage.held + usage.next_caller).0 as f64, usage.accept_limit.0 as f64),
-        connections: share((usage.connections + 1) as f64, usage.connection_limit as f64),
+        memory: share(usage.held.0 as f64, usage.accept_limit.0 as f64),
+        connections: share(usage.connections as f64, usage.connection_limit as f64),
         latency_target: routes.map(|route| route.latency_target).min(),
     }
 }
--- a/crates/sagespool-rotation/src/pressure.rs
+++ b/crates/sagespool-rotation/src/pressure.rs
@@ -9,6 +9,9 @@
 
 /// Part of the tightest latency target that a resource's wait may take before callers lose by it.
 const TARGET_FRACTION: f64 = 0.25;
+/// The use of memory or connections that counts as full. What doesn't fit is closed unread, so all of them are
+/// never in use.
+const FULL_SHARE: f64 = 0.95;
 /// Weight of a new sample in the exponential average; samples come several times a second.
 const SAMPLE_WEIGHT: f64 = 0.5;
 
@@ -85,8 +88,8 @@
         let samples = [
             wait_share(load.link_wait),
             wait_share(load.processor_wait),
-            load.memory,
-            load.connections,
+            load.memory / FULL_SHARE,
+            load.connections / FULL_SHARE,
         ];
         for (average, sample) in self.averages.iter_mut().zip(samples) {
             *average += (sample - *average) * SAMPLE_WEIGHT;
--- a/crates/sagespool-testkit/src/fleet/running.rs
+++ b/crates/sagespool-testkit/src/fleet/running.rs
@@ -8,12 +8,13 @@
 use error_stack::{Report, ResultExt};
 use sagespool_ledger::{BookRecord, TopUpOutcome, book_key, book_of};
 use sagespool_messages::MemberRole;
-use sagespool_platform::{ObjectClient, ObjectOptions, UpdateChoice, update_object};
+use sagespool_platform::{ObjectClient, ObjectOptions, StoreError, UpdateChoice, update_object};
 use sagespool_settings::{FLEET_OBJECT_KEY, branch_object_key, split_branches};
 use sagespool_types::{
     BranchName, CentreName, ClockTime, CommandId, InstanceName, ServiceName, StoreRevision,
     TokenCount, TokenRate, UpstreamName,
 };
+use serde::Serialize;
 use tempfile::TempDir;
 
 use super::certificates::CertificateSet;
@@ -26,6 +27,7 @@
     InstanceEntry, InstanceListOptions, InstanceState, ObjectStoreOptions, RunLog, ServiceOptions,
 };
 
+const MAX_CREATE_TRIES: u32 = 4;
 const STORE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Names of the platform's servers at the fault proxy.
 const STORE_NAME: &str = "store";
@@ -103,16 +105,29 @@
 
     async fn write_configuration(&self) -> Result<(), Report<FleetError>> {
         let fault = || FleetError::new("writing the configuration to the store");
-        let none = StoreRevision::ZERO;
-        let put = self.objects.put(FLEET_OBJECT_KEY, none, &self.options.fleet).await;
-        put.change_context_lazy(fault)?;
+        self.create(FLEET_OBJECT_KEY, &self.options.fleet).await.change_context_lazy(fault)?;
         for (shard, object) in split_branches(self.options.branches.clone()) {
-            let put = self.objects.put(&branch_object_key(shard), none, &object).await;
-            put.change_context_lazy(fault)?;
+            let created = self.create(&branch_object_key(shard), &object).await;
+            created.change_context_lazy(fault)?;
         }
         Ok(())
     }
 
+    /// Creates an object of the new store. A write whose response was lost is tried again; that it exists then
+    /// shows that it was written, since nobody else writes yet.
+    async fn create<T: Serialize>(&self, key: &str, value: &T) -> Result<(), StoreError> {
+        let mut is_uncertain = false;
+        for _ in 0..MAX_CREATE_TRIES {
+            match self.objects.put(key, StoreRevision::ZERO, value).await {
+                Ok(_) => return Ok(()),
+                Err(StoreError::Conflict { .. }) if is_uncertain => return Ok(()),
+                Err(StoreError::Uncertain) => is_uncertain = true,
+                Err(error) => return Err(error),
+            }
+        }
+        Err(StoreError::Uncertain)
+    }
+
     async fn top_up_branches(&self) -> Result<(), Report<FleetError>> {
         for (branch, deposit) in &self.options.deployment.branches {
             top_up(&self.objects, branch, deposit.prepaid, CommandId::random()).await?;
