Balancer: an upstream that rejects requests at once no longer looks idle

Callers saw: refusals (503, busy) of kinds with one attempt while other upstreams had room. Cause: a rejection ends an attempt in a millisecond, so nothing runs at that upstream and it has the lowest expected time.

--- a/crates/sagespool-forward/src/placement.rs
+++ b/crates/sagespool-forward/src/placement.rs
@@ -201,6 +201,7 @@
             }
         };
         let expected_ms = expected_ms * load.slowness;
+        let rejection_factor = load.rejection_factor(now);
         let is_stale = load.cache.is_none() && now.since(load.last_chosen_at) > STALE_AFTER;
         let response_ms = match is_stale {
             true if load.is_untried() => policy.initial_response_ms * UNTRIED_COST_FACTOR,
@@ -209,7 +210,7 @@
         };
         // Slowness is learnt from responses only. Without this bound, an upstream that never responds
         // looks faster than those whose responses were slow.
-        let response_ms = response_ms.max(load.unanswered_ms(now));
+        let response_ms = response_ms.max(load.unanswered_ms(now)) * rejection_factor;
         let cost_ms = response_ms + reprefill_ms + distance_ms + jitter;
         CostEstimate { cost_ms, expected_ms, uncached_tokens }
     }
@@ -307,6 +308,11 @@
             }
             SendOutcome::Broken | SendOutcome::Cancelled => {}
         }
+        match outcome {
+            SendOutcome::Refused => load.note_rejection(now),
+            SendOutcome::Answered => load.note_answer(),
+            SendOutcome::Failed | SendOutcome::Broken | SendOutcome::Cancelled => {}
+        }
         if load.running == 0 {
             load.stall.reset();
         }
--- a/crates/sagespool-forward/src/placement/load.rs
+++ b/crates/sagespool-forward/src/placement/load.rs
@@ -12,6 +12,15 @@
 /// A load report loses half its weight in this time, since requests last about a second.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(700);
 
+/// A rejection loses half its weight in this time: a full queue drains within about a second.
+const REJECTION_HALF_LIFE: Duration = Duration::from_millis(700);
+/// Increase of the expected time for each recent rejection.
+const REJECTION_FACTOR: f64 = 4.0;
+/// An answer shows that there is room, for the request after a few rejections at least.
+const ANSWERED_FACTOR: f64 = 0.5;
+/// Recent rejections count up to this number, so that an upstream is tried again about once a second.
+const MAX_REJECTIONS: f64 = 8.0;
+
 /// One upstream's load: the requests of this instance, and the reported load of others.
 #[derive(Debug)]
 pub(super) struct UpstreamLoad {
@@ -32,6 +41,9 @@
     pub(super) slowness_updated_at: ClockTime,
     /// When the upstream was last chosen.
     pub(super) last_chosen_at: ClockTime,
+    /// Requests that the upstream rejected, decayed by the time since the last one.
+    rejected: f64,
+    rejected_at: ClockTime,
     pub(super) cache: Option<CacheEstimate>,
     pub(super) health: UpstreamHealth,
     pub(super) stall: StallDetector,
@@ -50,6 +62,8 @@
             slowness: 1.0,
             slowness_updated_at: ClockTime::default(),
             last_chosen_at: ClockTime::default(),
+            rejected: 0.0,
+            rejected_at: ClockTime::default(),
             cache: engine.map(|profile| CacheEstimate::new(profile.memory)),
             health: UpstreamHealth::default(),
             stall: StallDetector::default(),
@@ -70,6 +84,30 @@
         }
     }
 
+    /// Factor on the expected time for recent rejections.
+    ///
+    /// Guards against an upstream that rejects requests at once: none of them runs there, so it looks idle and
+    /// would draw all further requests.
+    pub(super) fn rejection_factor(&self, now: ClockTime) -> f64 {
+        1.0 + REJECTION_FACTOR * self.rejected_now(now)
+    }
+
+    fn rejected_now(&self, now: ClockTime) -> f64 {
+        let age = now.since(self.rejected_at).as_secs_f64() / REJECTION_HALF_LIFE.as_secs_f64();
+        self.rejected * 0.5f64.powf(age)
+    }
+
+    /// Notes that the upstream rejected a request.
+    pub(super) fn note_rejection(&mut self, now: ClockTime) {
+        self.rejected = (self.rejected_now(now) + 1.0).min(MAX_REJECTIONS);
+        self.rejected_at = now;
+    }
+
+    /// Notes that the upstream ran a request.
+    pub(super) fn note_answer(&mut self) {
+        self.rejected *= ANSWERED_FACTOR;
+    }
+
     /// Estimated requests of other instances, decayed by the age of the report.
     pub(super) fn other_requests_now(&self, now: ClockTime) -> f64 {
         let age = now.since(self.reported_at).as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64();
