--- a/crates/sagespool-gateway/src/role.rs
+++ b/crates/sagespool-gateway/src/role.rs
@@ -140,10 +140,11 @@
         Ok(Self { state, accepting, _tasks: tasks })
     }
 
-    /// Compares reloaded settings with the current ones and logs whether they differ. Changes take
-    /// effect at the next start.
+    /// Compares reloaded settings with the current ones and logs whether they differ. Whether an operator keeps
+    /// the gateway out of rotation takes effect at once, other changes at the next start.
     pub fn reload(&self, settings: &GatewaySettings) {
         let changed = *settings != self.state.settings;
+        self.state.rotation.reload(settings.rotation);
         log_event!(info, "settings-read", changed = changed, in_force = "at the next start");
     }
 
--- a/crates/sagespool-gateway/src/rotation.rs
+++ b/crates/sagespool-gateway/src/rotation.rs
@@ -29,6 +29,8 @@
     /// `None` if the settings name no rotation.
     state: Option<Mutex<RotationState>>,
     gauge: Mutex<PressureGauge>,
+    /// Since when an operator keeps it out.
+    kept_out: Mutex<Option<ClockTime>>,
 }
 
 /// What operators see of the rotation.
@@ -46,10 +48,38 @@
 
 impl CallerRotation {
     pub(crate) fn new(settings: Option<RotationSettings>, own: CoverPeer) -> Self {
-        let state = settings.map(|RotationSettings { lease, hold }| {
-            Mutex::new(RotationState::new(RotationPolicy { lease, hold }, own, lease_clock()))
+        let now = lease_clock();
+        let kept_out = settings.filter(|settings| settings.keep_out).map(|_| now);
+        let state = settings.map(|RotationSettings { lease, hold, .. }| {
+            Mutex::new(RotationState::new(RotationPolicy { lease, hold }, own, now))
         });
-        Self { state, gauge: Mutex::default() }
+        Self { state, gauge: Mutex::default(), kept_out: Mutex::new(kept_out) }
+    }
+
+    /// Applies reloaded settings: whether an operator keeps the gateway out.
+    pub(crate) fn reload(&self, settings: Option<RotationSettings>) {
+        let keep_out = settings.is_some_and(|settings| settings.keep_out);
+        let mut kept_out = self.kept_out();
+        if keep_out == kept_out.is_some() {
+            return;
+        }
+        *kept_out = keep_out.then(lease_clock);
+        log_event!(info, "rotation-kept-out", kept_out = keep_out);
+    }
+
+    fn kept_out(&self) -> MutexGuard<'_, Option<ClockTime>> {
+        self.kept_out.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether an operator keeps the gateway out.
+    pub(crate) fn is_kept_out(&self) -> bool {
+        self.kept_out().is_some()
+    }
+
+    /// Since when the load balancer is told to send no new callers.
+    fn out_since(&self, now: ClockTime) -> Option<ClockTime> {
+        let left = self.state().and_then(|state| state.out_since(now));
+        self.kept_out().into_iter().chain(left).min()
     }
 
     fn state(&self) -> Option<MutexGuard<'_, RotationState>> {
@@ -61,28 +91,28 @@
         self.gauge.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Whether the gateway has left the rotation.
+    /// Whether the gateway has left the rotation, or is kept out.
     pub(crate) fn is_out(&self) -> bool {
-        self.state().is_some_and(|state| state.out_since(lease_clock()).is_some())
+        self.out_since(lease_clock()).is_some()
     }
 
     /// Whether connections are to close after their current response: new ones go elsewhere by now.
     pub(crate) fn closes_connections(&self) -> bool {
         let now = lease_clock();
-        let since = self.state().and_then(|state| state.out_since(now));
-        since.is_some_and(|since| now.since(since) >= NOTICE_TIME)
+        self.out_since(now).is_some_and(|since| now.since(since) >= NOTICE_TIME)
     }
 
     pub(crate) fn status(&self) -> RotationStatus {
         let now = lease_clock();
         let (pressure, source) = self.gauge().pressure();
+        let out_for = self.out_since(now).map(|since| now.since(since));
         let Some(state) = self.state() else {
-            return RotationStatus { pressure, source, ..RotationStatus::default() };
+            return RotationStatus { pressure, source, out_for, ..RotationStatus::default() };
         };
         RotationStatus {
             pressure,
             source,
-            out_for: state.out_since(now).map(|since| now.since(since)),
+            out_for,
             promised: state.promised(now),
             out_share: state.out_share(now),
         }
@@ -105,7 +135,7 @@
         rotation.gauge().add(load);
         let (pressure, _) = rotation.gauge().pressure();
         let peers = cover_peers(&state);
-        let is_ready = state.can_serve();
+        let is_ready = state.can_serve() && !rotation.is_kept_out();
         let Some(step) =
             rotation.state().map(|mut own| own.decide(pressure, is_ready, &peers, lease_clock()))
         else {
@@ -183,7 +213,7 @@
 /// The reply to another gateway's question.
 pub(crate) fn cover_reply(state: &GatewayState, request: CoverRequest) -> CoverReply {
     let (pressure, _) = state.rotation.gauge().pressure();
-    let takes_callers = state.can_serve();
+    let takes_callers = state.can_serve() && !state.rotation.is_kept_out();
     let Some(mut own) = state.rotation.state() else {
         return CoverReply::Denied(CoverDenial::Off);
     };
--- a/crates/sagespool-gateway/src/status.rs
+++ b/crates/sagespool-gateway/src/status.rs
@@ -66,6 +66,7 @@
     match out_for {
         _ if state.is_stopping() => "stopping".to_owned(),
         _ if !state.can_serve() => "starting".to_owned(),
+        _ if state.rotation.is_kept_out() => "kept out of rotation by the settings".to_owned(),
         Some(out_for) => {
             let millis = out_for.as_millis();
             format!("out of rotation for {millis} ms: {source} at {pressure} thousandths")
--- a/crates/sagespool-settings/src/process/gateway.rs
+++ b/crates/sagespool-settings/src/process/gateway.rs
@@ -141,6 +141,8 @@
     pub lease: Duration,
     /// How long this gateway stays out at least.
     pub hold: Duration,
+    /// Keeps this gateway out of rotation until it is unset. Takes effect when the settings are reloaded.
+    pub keep_out: bool,
 }
 
 /// Resource limits of a process. The amount of work accepted from callers depends on them.
@@ -204,8 +206,11 @@
 const MAX_GRANT_AHEAD_S: f64 = 3_600.0;
 const DEFAULT_WARMUP: WarmupSettings = WarmupSettings { overage: 1.0, slack: 0.0 };
 const MAX_WARMUP_OVERAGE: f64 = 100.0;
-const DEFAULT_ROTATION: RotationSettings =
-    RotationSettings { lease: Duration::from_secs(3), hold: Duration::from_secs(3) };
+const DEFAULT_ROTATION: RotationSettings = RotationSettings {
+    lease: Duration::from_secs(3),
+    hold: Duration::from_secs(3),
+    keep_out: false,
+};
 /// A lease covers some renewals over links that lose packets.
 const MIN_ROTATION_MS: u64 = 1_000;
 const MAX_ROTATION_MS: u64 = 60_000;
@@ -341,7 +346,8 @@
     let millis = |node: ValueNode| node.millis(MIN_ROTATION_MS..=MAX_ROTATION_MS);
     let lease = object.or_default("lease_ms", DEFAULT_ROTATION.lease, millis);
     let hold = object.or_default("hold_ms", DEFAULT_ROTATION.hold, millis);
-    Some(RotationSettings { lease: lease?, hold: hold? })
+    let keep_out = object.or_default("keep_out", DEFAULT_ROTATION.keep_out, ValueNode::boolean);
+    Some(RotationSettings { lease: lease?, hold: hold?, keep_out: keep_out? })
 }
 
 /// One watch covers the configuration and the upstreams, so the shorter of their limits applies.
--- a/crates/sagespool-settings/tests/gateway_settings.rs
+++ b/crates/sagespool-settings/tests/gateway_settings.rs
@@ -27,6 +27,9 @@
     assert_eq!(in_force.evacuations, Some(Duration::from_secs(5)));
     assert_eq!(gateway.regions.len(), 2);
     assert_eq!(gateway.warmup, WarmupSettings { overage: 1.5, slack: 5.0 });
+    let rotation = gateway.rotation.expect("the example sets `rotation`");
+    assert_eq!((rotation.lease, rotation.hold), (Duration::from_secs(3), Duration::from_secs(8)));
+    assert!(!rotation.keep_out);
     assert_eq!(gateway.limits.memory, Some(ByteCount(110 << 20)));
     assert_eq!(gateway.limits.descriptors, Some(4100));
     assert_eq!(gateway.limits.capacity(), InstanceCapacity(8));
@@ -51,6 +54,17 @@
     assert!(matches!(parse_gateway_or_relay(RELAY), Ok(GatewayOrRelaySettings::Relay(_))));
 }
 
+#[test]
+fn rotation_off() {
+    let rotation = r#""rotation": {"lease_ms": 3000, "hold_ms": 8000, "keep_out": false},"#;
+    let text = GATEWAY.replace(rotation, "");
+    assert_ne!(text, GATEWAY);
+    let Ok(GatewayOrRelaySettings::Gateway(gateway)) = parse_gateway_or_relay(&text) else {
+        panic!("not a gateway");
+    };
+    assert_eq!(gateway.rotation, None);
+}
+
 #[test]
 fn other_roles() {
     assert!(!is_gateway_or_relay(ENTRY));
@@ -78,6 +92,9 @@
         ("\"west\": \"local\"", "\"west\": 7", "$.regions.west: found 7"),
         ("\"east\": \"local\"", "\"\": \"local\"", "the name of a data centre"),
         ("\"overage\": 1.5", "\"overage\": -1", "$.warmup.overage: found -1"),
+        ("\"lease_ms\": 3000", "\"lease_ms\": 999", "$.rotation.lease_ms: found 999"),
+        ("\"hold_ms\": 8000", "\"hold_ms\": 60001", "$.rotation.hold_ms: found 60001"),
+        ("\"keep_out\": false", "\"keep_out\": 1", "$.rotation.keep_out: found 1"),
         ("\"level\": \"info\"", "\"level\": \"loud\"", "$.log.level: found \"loud\""),
         ("\"peers\": [\"127.0.0.1:7302\"]", "\"peers\": 5", "$.peers: found"),
     ];
