--- a/crates/sagespool-forward/tests/failing_upstreams.rs
+++ b/crates/sagespool-forward/tests/failing_upstreams.rs
@@ -1,7 +1,9 @@
-//! Upstreams that fail although they look healthy: their ejection, and when they are probed again.
+//! Upstreams that fail although they look healthy, or reject requests although they look idle: when they are left
+//! out, and when they are tried again.
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests")]
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use sagespool_forward::{
@@ -9,6 +11,10 @@
 };
 use sagespool_types::{CentreName, ClockTime};
 
+const PERIOD_MS: u64 = 20;
+const ANSWER_MS: u64 = 60;
+const REJECTION_MS: u64 = 2;
+
 fn centre() -> CentreName {
     "east".parse().unwrap()
 }
@@ -99,3 +105,67 @@
     }
     assert_eq!(chosen.len(), upstreams.len(), "upstreams chosen within 20 s");
 }
+
+/// Requests that arrive each 20 ms, some of which run at the same time. Counts them by upstream.
+fn simulate_load(
+    balancer: &mut LoadBalancer,
+    from_ms: u64,
+    until_ms: u64,
+    rejects: impl Fn(&str) -> bool,
+) -> BTreeMap<String, u64> {
+    let (upstreams, centre) = (upstreams(), centre());
+    let profile = RequestProfile { parts: &[], engine: None, centre: &centre, repeatable: true };
+    let mut counts = BTreeMap::new();
+    let mut running = Vec::new();
+    for now in from_ms..until_ms {
+        let (ended, later): (Vec<_>, Vec<_>) =
+            running.into_iter().partition(|(end, _, _)| *end <= now);
+        running = later;
+        for (_, attempt, outcome) in ended {
+            balancer.finish(attempt, outcome, ClockTime::from_millis(now));
+        }
+        if now % PERIOD_MS != 0 {
+            continue;
+        }
+        let at = ClockTime::from_millis(now);
+        let attempt = balancer.choose(upstreams.iter(), profile, &[], at).unwrap();
+        let name = attempt.upstream.name.to_string();
+        *counts.entry(name.clone()).or_default() += 1;
+        let (length, outcome) = match rejects(&name) {
+            true => (REJECTION_MS, SendOutcome::Refused),
+            false => (ANSWER_MS, SendOutcome::Answered),
+        };
+        running.push((now + length, attempt, outcome));
+    }
+    counts
+}
+
+fn count(counts: &BTreeMap<String, u64>, name: &str) -> u64 {
+    counts.get(name).copied().unwrap_or_default()
+}
+
+#[test]
+fn rejecting_upstream() {
+    // Guards against an upstream that rejects all requests at once and draws the most of them, since none runs.
+    let mut balancer = LoadBalancer::new(PlacementPolicy::default());
+    let counts = simulate_load(&mut balancer, 1000, 11_000, |name| name == "i-1");
+    assert!(count(&counts, "i-1") <= 10, "more than a probe a second: {counts:?}");
+}
+
+#[test]
+fn accepts_again() {
+    let mut balancer = LoadBalancer::new(PlacementPolicy::default());
+    simulate_load(&mut balancer, 1000, 6000, |name| name == "i-1");
+    simulate_load(&mut balancer, 6000, 8000, |_| false);
+    let counts = simulate_load(&mut balancer, 8000, 13_000, |_| false);
+    assert!(count(&counts, "i-1") * 6 >= 250, "less than two thirds of its share: {counts:?}");
+}
+
+#[test]
+fn all_reject() {
+    let mut balancer = LoadBalancer::new(PlacementPolicy::default());
+    let counts = simulate_load(&mut balancer, 1000, 11_000, |_| true);
+    for name in ["i-1", "i-2", "i-3", "i-4"] {
+        assert!(count(&counts, name) >= 62, "half of its share: {counts:?}");
+    }
+}
