--- a/crates/sagespool-rotation/tests/cover_model.rs
+++ b/crates/sagespool-rotation/tests/cover_model.rs
@@ -65,7 +65,7 @@
 impl ModelWorld {
     fn new(way: RotationWay, seed: u64) -> Self {
         let mut rng = Rng::with_seed(seed);
-        let size = if seed % 2 == 0 { rng.usize(2..=9) } else { rng.usize(3..=5) };
+        let size = if seed.is_multiple_of(2) { rng.usize(2..=9) } else { rng.usize(3..=5) };
         let mut world = Self {
             way,
             gateways: Vec::new(),
