--- a/crates/sagespool-messages/examples/message_sizes.rs
+++ b/crates/sagespool-messages/examples/message_sizes.rs
@@ -7,13 +7,14 @@
 use std::time::Duration;
 
 use sagespool_messages::{
-    ChargeRecord, ChargeReport, ChargesDurable, ClaimReply, ClaimRequest, FinishReport,
-    FinishState, Heartbeat, LoadReport, MemberInfo, MemberRole, PeerReply, PeerRequest,
-    ReserveReply, ReserveRequest, ReservedCharge, ServedUpstream, UpstreamKind,
+    ChargeRecord, ChargeReport, ChargesDurable, ClaimReply, ClaimRequest, CoverReply, CoverRequest,
+    FinishReport, FinishState, Heartbeat, LoadReport, MemberInfo, MemberRole, PeerReply,
+    PeerRequest, ReserveReply, ReserveRequest, ReservedCharge, ServedUpstream, UpstreamKind,
 };
 use sagespool_types::{
     AttemptNumber, ChargeId, ConfigVersion, ContentDigest, GrantId, IncarnationId,
-    InstanceCapacity, KeyDigest, RequestId, SequenceNumber, StoreRevision, TokenCount,
+    InstanceCapacity, KeyDigest, LoadPressure, RequestId, SequenceNumber, StoreRevision,
+    TokenCount,
 };
 use serde::Serialize;
 
@@ -124,6 +125,16 @@
     ChargesDurable { charges: (0..charges).map(|at| charge(1000 + at)).collect() }
 }
 
+fn cover() -> CoverRequest {
+    CoverRequest {
+        leaver: HOLDER,
+        number: 1000,
+        slots: 4,
+        pressure: LoadPressure(2500),
+        out_share: 340,
+    }
+}
+
 fn show(name: &str, message: &impl Serialize) {
     println!("{name}: {} bytes", postcard::to_allocvec(message).unwrap().len());
 }
@@ -144,6 +155,9 @@
     show("claim, reply", &PeerReply::Claim(ClaimReply::Durable));
     show("finish", &PeerRequest::Finish(finish()));
     show("finish, reply", &PeerReply::Done);
+    show("question for cover", &PeerRequest::AskCover(cover()));
+    let promised = CoverReply::Promised { slots: 4, lease: Duration::from_secs(3) };
+    show("question for cover, reply", &PeerReply::Cover(promised));
     for charges in [1, 10, 100] {
         let name = format!("report of {charges} charges");
         show(&name, &PeerRequest::ReportCharges(report(charges)));
