Rotation: neighbours are listed under pressure only; pauses come before a further attempt

Found in reading: each gateway cloned its data centre's members ten times a second and looked through all routes for their tightest target; a request that makes no further attempt waited for its pause before it was refused. The target is kept with the configuration now, the members are listed at a full pressure. Decisions are the same.

--- a/crates/sagespool-forward/src/index.rs
+++ b/crates/sagespool-forward/src/index.rs
@@ -1,6 +1,7 @@
 //! Looks up the route and the client account of a request.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use sagespool_types::ServiceName;
 use twox_hash::XxHash3_64;
@@ -15,6 +16,7 @@
     hosts: HashMap<String, Vec<usize>>,
     keys: HashMap<String, usize>,
     services: HashMap<ServiceName, usize>,
+    tightest_target: Option<Duration>,
 }
 
 /// A request's route, and the service that it goes to.
@@ -43,7 +45,13 @@
         }
         let names = plan.services.iter().enumerate();
         let services = names.map(|(position, service)| (service.name.clone(), position)).collect();
-        Self { plan, hosts, keys, services }
+        let tightest_target = plan.routes.iter().map(|route| route.latency_target).min();
+        Self { plan, hosts, keys, services, tightest_target }
+    }
+
+    /// The tightest latency target of the routes; `None` if there are none.
+    pub fn tightest_target(&self) -> Option<Duration> {
+        self.tightest_target
     }
 
     /// The indexed plan.
--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -118,6 +118,10 @@
     context: &mut RequestContext,
     timeout: Duration,
 ) -> Result<OpenResponse, AttemptFailure> {
+    let pause = context.state.connects().pause(context.log.unsent);
+    if !pause.is_zero() {
+        Timer::after(pause).await;
+    }
     let now = ClockTime::now();
     let placement = choose_among_preferred(context, now);
     let placement = placement.map_err(AttemptFailure::NoUpstream)?;
@@ -146,9 +150,7 @@
     context.settle_failure(failure);
     context.may_have_run |= !failure.did_not_run();
     if failure == NOT_CONNECTED {
-        let pause = context.state.connects().pause(context.log.unsent);
         context.log.unsent += 1;
-        Timer::after(pause).await;
     }
     log_event!(
         warn,
--- a/crates/sagespool-gateway/src/rotation.rs
+++ b/crates/sagespool-gateway/src/rotation.rs
@@ -134,7 +134,10 @@
         let rotation = &state.rotation;
         rotation.gauge().add(load);
         let (pressure, _) = rotation.gauge().pressure();
-        let peers = cover_peers(&state);
+        let peers = match pressure >= LoadPressure::FULL {
+            true => cover_peers(&state),
+            false => Vec::new(),
+        };
         let is_ready = state.can_serve() && !rotation.is_kept_out();
         let Some(step) =
             rotation.state().map(|mut own| own.decide(pressure, is_ready, &peers, lease_clock()))
@@ -156,14 +159,12 @@
 fn gateway_load(state: &GatewayState, now: ClockTime) -> GatewayLoad {
     let usage = state.limiter.usage(now);
     let share = |part: f64, whole: f64| if whole > 0.0 { part / whole } else { 0.0 };
-    let plan = state.plan();
-    let routes = plan.iter().flat_map(|index| index.plan().routes.iter());
     GatewayLoad {
         link_wait: usage.link_wait,
         processor_wait: usage.processor_wait,
         memory: share(usage.held.0 as f64, usage.accept_limit.0 as f64),
         connections: share(usage.connections as f64, usage.connection_limit as f64),
-        latency_target: routes.map(|route| route.latency_target).min(),
+        latency_target: state.plan().and_then(|index| index.tightest_target()),
     }
 }
 
--- a/crates/sagespool-rotation/src/policy.rs
+++ b/crates/sagespool-rotation/src/policy.rs
@@ -12,8 +12,6 @@
 
 /// A gateway promises cover below this pressure: it has to take a part of the leaver's callers.
 pub(crate) const COMFORT: LoadPressure = LoadPressure(500);
-/// The pressure from which callers lose by arriving here.
-pub(crate) const PRESSED: LoadPressure = LoadPressure(1000);
 /// Promises are renewed so often within a lease.
 pub(crate) const RENEWALS_PER_LEASE: u32 = 3;
 /// A round of questions that takes longer is given up: the pressure it answers is old.
--- a/crates/sagespool-rotation/src/pressure.rs
+++ b/crates/sagespool-rotation/src/pressure.rs
@@ -5,8 +5,6 @@
 
 use sagespool_types::LoadPressure;
 
-use crate::policy::PRESSED;
-
 /// Part of the tightest latency target that a resource's wait may take before callers lose by it.
 const TARGET_FRACTION: f64 = 0.25;
 /// The use of memory or connections that counts as full. What doesn't fit is closed unread, so all of them are
@@ -101,6 +99,6 @@
         let fullest = self.averages.iter().zip(SOURCES).max_by(|a, b| a.0.total_cmp(b.0));
         let (share, source) =
             fullest.map_or((0.0, PressureSource::Link), |(s, source)| (*s, source));
-        (LoadPressure((share * f64::from(PRESSED.0)) as u32), source)
+        (LoadPressure((share * f64::from(LoadPressure::FULL.0)) as u32), source)
     }
 }
--- a/crates/sagespool-rotation/src/state.rs
+++ b/crates/sagespool-rotation/src/state.rs
@@ -10,8 +10,8 @@
 use crate::history::OutHistory;
 use crate::ledger::CoverLedger;
 use crate::policy::{
-    COMFORT, COVER_SLOTS, FAIR_SHARE, MAX_ASKED, MAX_HOLD_FACTOR, NEEDED_SLOTS, PRESSED,
-    RELAPSE_TIME, RENEWALS_PER_LEASE, ROUND_PAUSE, ROUND_TIMEOUT, RotationPolicy,
+    COMFORT, COVER_SLOTS, FAIR_SHARE, MAX_ASKED, MAX_HOLD_FACTOR, NEEDED_SLOTS, RELAPSE_TIME,
+    RENEWALS_PER_LEASE, ROUND_PAUSE, ROUND_TIMEOUT, RotationPolicy,
 };
 
 /// Successive samples of pressure after which a gateway asks for cover.
@@ -167,7 +167,7 @@
     }
 
     /// Decides for a new sample of the pressure. `peers` are the other gateways of the data centre that this
-    /// one believes to take callers; `is_ready` is false while it can't serve for other reasons.
+    /// one believes to take callers, needed with a full pressure only; `is_ready` is false while it can't serve for other reasons.
     pub fn decide(
         &mut self,
         pressure: LoadPressure,
@@ -175,7 +175,7 @@
         peers: &[CoverPeer],
         now: ClockTime,
     ) -> RotationStep {
-        let is_pressed = pressure >= PRESSED && is_ready;
+        let is_pressed = pressure >= LoadPressure::FULL && is_ready;
         self.pressed_samples = if is_pressed { self.pressed_samples + 1 } else { 0 };
         match self.phase {
             RotationPhase::In => {
@@ -362,7 +362,7 @@
         }
         let is_renewal = self.ledger.covers(request.leaver, now);
         let is_pressed = match is_renewal {
-            true => pressure >= PRESSED,
+            true => pressure >= LoadPressure::FULL,
             false => pressure >= COMFORT || pressure.0.saturating_mul(2) > request.pressure.0,
         };
         if is_pressed {
--- a/crates/sagespool-types/src/sizes.rs
+++ b/crates/sagespool-types/src/sizes.rs
@@ -36,6 +36,11 @@
     TokenRate(u64), "a number of tokens per second";
 }
 
+impl LoadPressure {
+    /// All of a limit is in use.
+    pub const FULL: Self = Self(1000);
+}
+
 impl CrashWeight {
     /// The weight of a crash.
     pub const FULL: Self = Self(1000);
