--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -122,6 +122,7 @@
     if !pause.is_zero() {
         Timer::after(pause).await;
     }
+    let timeout = timeout.saturating_sub(pause);
     let now = ClockTime::now();
     let placement = choose_among_preferred(context, now);
     let placement = placement.map_err(AttemptFailure::NoUpstream)?;
