--- a/crates/sagespool-forward/src/placement/load.rs
+++ b/crates/sagespool-forward/src/placement/load.rs
@@ -12,14 +12,14 @@
 /// A load report loses half its weight in this time, since requests last about a second.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(700);
 
-/// A rejection loses half its weight in this time: a full queue drains within about a second.
+/// Rejections lose half their weight in this time: a full queue drains within about a second.
 const REJECTION_HALF_LIFE: Duration = Duration::from_millis(700);
-/// Increase of the expected time for each recent rejection.
+/// Increase of the expected time for each rejection that counts.
 const REJECTION_FACTOR: f64 = 4.0;
-/// An answer shows that there is room, for the request after a few rejections at least.
-const ANSWERED_FACTOR: f64 = 0.5;
-/// Recent rejections count up to this number, so that an upstream is tried again about once a second.
-const MAX_REJECTIONS: f64 = 8.0;
+/// Consecutive rejections that don't count: a queue may be full for a moment.
+const FREE_REJECTIONS: u32 = 1;
+/// The most that count, so that an upstream that accepts again gets a request within some seconds.
+const MAX_REJECTIONS: u32 = 2;
 
 /// One upstream's load: the requests of this instance, and the reported load of others.
 #[derive(Debug)]
@@ -41,8 +41,8 @@
     pub(super) slowness_updated_at: ClockTime,
     /// When the upstream was last chosen.
     pub(super) last_chosen_at: ClockTime,
-    /// Requests that the upstream rejected, decayed by the time since the last one.
-    rejected: f64,
+    /// Requests that the upstream has rejected since its last answer.
+    rejections: u32,
     rejected_at: ClockTime,
     pub(super) cache: Option<CacheEstimate>,
     pub(super) health: UpstreamHealth,
@@ -62,7 +62,7 @@
             slowness: 1.0,
             slowness_updated_at: ClockTime::default(),
             last_chosen_at: ClockTime::default(),
-            rejected: 0.0,
+            rejections: 0,
             rejected_at: ClockTime::default(),
             cache: engine.map(|profile| CacheEstimate::new(profile.memory)),
             health: UpstreamHealth::default(),
@@ -84,28 +84,25 @@
         }
     }
 
-    /// Factor on the expected time for recent rejections.
+    /// Factor on the expected time for consecutive rejections, decayed by the time since the last one.
     ///
     /// Guards against an upstream that rejects requests at once: none of them runs there, so it looks idle and
     /// would draw all further requests.
     pub(super) fn rejection_factor(&self, now: ClockTime) -> f64 {
-        1.0 + REJECTION_FACTOR * self.rejected_now(now)
-    }
-
-    fn rejected_now(&self, now: ClockTime) -> f64 {
+        let counted = self.rejections.saturating_sub(FREE_REJECTIONS).min(MAX_REJECTIONS);
         let age = now.since(self.rejected_at).as_secs_f64() / REJECTION_HALF_LIFE.as_secs_f64();
-        self.rejected * 0.5f64.powf(age)
+        1.0 + REJECTION_FACTOR * f64::from(counted) * 0.5f64.powf(age)
     }
 
     /// Notes that the upstream rejected a request.
     pub(super) fn note_rejection(&mut self, now: ClockTime) {
-        self.rejected = (self.rejected_now(now) + 1.0).min(MAX_REJECTIONS);
+        self.rejections = self.rejections.saturating_add(1);
         self.rejected_at = now;
     }
 
     /// Notes that the upstream ran a request.
     pub(super) fn note_answer(&mut self) {
-        self.rejected *= ANSWERED_FACTOR;
+        self.rejections = 0;
     }
 
     /// Estimated requests of other instances, decayed by the age of the report.
