Review case 1: a stream cut by a crash ends as complete

A ready worker that answers without a length is killed; part of the cut streams reach their clients as whole ones.

--- a/review/common/stand.py
+++ b/review/common/stand.py
@@ -217,6 +217,8 @@
     def __init__(self, target):
         self.target = target
         self.open = set()
+        # Keeps silent connections open: nothing else refers to their tasks.
+        self.kept = []
         self.address = None
 
     async def start(self, ip):
@@ -241,6 +243,7 @@
             return
         ends = [asyncio.create_task(self.pump(reader, up_writer, link)),
                 asyncio.create_task(self.pump(up_reader, writer, link))]
+        self.kept.append((ends, reader, writer, up_reader, up_writer))
         await asyncio.wait(ends)
         self.open.discard(link)
 
