--- a/review/common/stand.py
+++ b/review/common/stand.py
@@ -433,8 +433,9 @@
 
 
 def finish(code, text, record):
+    """Ends the script with a verdict, once `run` has seen that main's own clean-up is done."""
     record(text)
-    print(text)
+    print(text, flush=True)
     sys.exit(code)
 
 
@@ -522,11 +523,18 @@
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         # Connections that are cut in the middle of a call are part of the disruptions.
         asyncio.get_running_loop().set_exception_handler(lambda _loop, _context: None)
-        await main()
-
-    try:
-        asyncio.run(guarded())
-    except asyncio.CancelledError:
-        finish(2, "the time was over", record)
-    except Exception as error:  # Only a judged rule may end with 1.
-        finish(2, f"the case couldn't run: {error!r}", record)
+        code, text = 2, "the case ended without a verdict"
+        try:
+            await main()
+        except SystemExit as verdict:
+            # The loop's other tasks are stand-ins, which nothing has to wait for.
+            os._exit(verdict.code)
+        except asyncio.CancelledError:
+            text = "the time was over"
+        except Exception as error:  # Only a judged rule may end with 1.
+            text = f"the case couldn't run: {error!r}"
+        record(text)
+        print(text, flush=True)
+        os._exit(code)
+
+    asyncio.run(guarded())
