--- a/review/common/stand.py
+++ b/review/common/stand.py
@@ -341,9 +341,6 @@
         for machine in self.gateways + self.relays:
             await self.start(machine, bootstrap=True)
 
-    def signal(self, machine, number):
-        self.processes[machine["name"]].send_signal(number)
-
     async def wait_ready(self, limit=20):
         """Waits until each gateway reports itself ready; False if one doesn't in time."""
         end = now() + limit
