--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -6,10 +6,13 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 PROGRAM = os.path.join(ROOT, "target", "release", "sagespoold")
+# A script that is ended early still ends what it started.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 ZONES = ["ghala", "rusayl", "seeb", "qurum"]
 METRICS_PORT = "9464"
 
--- a/review/common-2/worker.py
+++ b/review/common-2/worker.py
@@ -23,7 +23,7 @@
         self.slots, self.work_s, self.events, self.gap_s = slots, work_s, events, gap_s
         self.run, self.id = run, f"i-{next(_numbers):06x}"
         self.state, self.sequence, self.running, self.port = "ready", 0, 0, 0
-        self.server, self.beating, self.writers = None, None, set()
+        self.server, self.beating, self.writers, self.silent = None, None, set(), set()
 
     async def start(self, host="127.0.0.1", port=0):
         self.server = await asyncio.start_server(self.serve, host, port, limit=8 << 20)
@@ -50,6 +50,11 @@
         self.write()
         self.record.note(f"{self.id} reports draining, and the store acknowledges it")
 
+    def silence(self):
+        """All open connections go silent for good, without a reset; new ones work."""
+        self.silent |= self.writers
+        return len(self.writers)
+
     def crash(self):
         """Its process ends: all connections break, and new ones are refused."""
         self.beating.cancel()
@@ -64,11 +69,14 @@
                 request = await asyncio.wait_for(http11.read_request(reader), IDLE_S)
                 if request is None:
                     return
+                if writer in self.silent:
+                    await asyncio.sleep(3600)
                 await self.answer(request, writer)
         except (ConnectionError, asyncio.TimeoutError, asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
+            self.silent.discard(writer)
             writer.close()
 
     def fields(self, request):
