Log the sequence and the store's revision of each change of an upstream

A draining upstream was seen `joined` again, and the log couldn't tell a write that the store executes late from an old listing, an old reply of a neighbour or an entry that was unreadable for a while.

`upstream-changed` now has `sequence` (the number of the entry's write by its upstream, decoded from now on) and `revision` (the store's).

--- a/crates/sagespool-forward/src/registry.rs
+++ b/crates/sagespool-forward/src/registry.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use sagespool_types::{
-    CentreName, ClockTime, ServiceName, SoftwareVersion, UpstreamName, UpstreamStartTime,
+    CentreName, ClockTime, EntrySequence, ServiceName, SoftwareVersion, UpstreamName,
+    UpstreamStartTime,
 };
 
 /// An upstream's entry in the store.
@@ -15,6 +16,8 @@
     pub name: UpstreamName,
     /// Start time of the current run, if the entry has one.
     pub born: Option<UpstreamStartTime>,
+    /// The number of the write, counted from the start of the run.
+    pub sequence: EntrySequence,
     /// The service that it belongs to.
     pub service: ServiceName,
     /// Version of its software.
@@ -32,6 +35,11 @@
 }
 
 impl UpstreamRecord {
+    /// Whether an entry differs from this one in its sequence at most.
+    fn is_renewed_by(&self, renewed: &Self) -> bool {
+        Self { sequence: renewed.sequence, ..self.clone() } == *renewed
+    }
+
     /// The run that the entry describes.
     pub fn run(&self) -> UpstreamRun {
         UpstreamRun { name: self.name.clone(), born: self.born }
@@ -187,7 +195,7 @@
         let known = self.entries.get(&name);
         let restarted = known.is_some_and(|known| is_other_run(known.record.born, record.born));
         let change = match known {
-            Some(known) if known.record == record => UpstreamChange::Unchanged,
+            Some(known) if known.record.is_renewed_by(&record) => UpstreamChange::Unchanged,
             _ if restarted => UpstreamChange::Restarted,
             _ if record.leaving => UpstreamChange::Leaving,
             _ => UpstreamChange::Joined,
--- a/crates/sagespool-forward/tests/evacuated_centres.rs
+++ b/crates/sagespool-forward/tests/evacuated_centres.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use sagespool_forward::{AllowedRegions, UpstreamChange, UpstreamRecord, UpstreamRegistry};
-use sagespool_types::{CentreName, ClockTime, RegionName, ServiceName};
+use sagespool_types::{CentreName, ClockTime, EntrySequence, RegionName, ServiceName};
 
 const NOW: ClockTime = ClockTime(1_000_000);
 
@@ -20,6 +20,7 @@
     UpstreamRecord {
         name: name.parse().expect("valid name"),
         born: None,
+        sequence: EntrySequence(1),
         service: service(),
         version: "v1".to_owned().into(),
         address: SocketAddr::from(([10, 0, 0, 1], port)),
--- a/crates/sagespool-forward/tests/failing_upstreams.rs
+++ b/crates/sagespool-forward/tests/failing_upstreams.rs
@@ -9,7 +9,7 @@
 use sagespool_forward::{
     LoadBalancer, PlacementPolicy, RequestProfile, SendOutcome, UpstreamRecord,
 };
-use sagespool_types::{CentreName, ClockTime};
+use sagespool_types::{CentreName, ClockTime, EntrySequence};
 
 const PERIOD_MS: u64 = 20;
 const ANSWER_MS: u64 = 60;
@@ -23,6 +23,7 @@
     let upstream = |name: &str| UpstreamRecord {
         name: name.parse().unwrap(),
         born: None,
+        sequence: EntrySequence(1),
         service: "plain".parse().unwrap(),
         version: "v1".to_owned().into(),
         address: "127.0.0.1:9000".parse().unwrap(),
--- a/crates/sagespool-forward/tests/lapsed_entries.rs
+++ b/crates/sagespool-forward/tests/lapsed_entries.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use sagespool_forward::{UpstreamChange, UpstreamRecord, UpstreamRegistry};
-use sagespool_types::{ClockTime, ServiceName, UpstreamName};
+use sagespool_types::{ClockTime, EntrySequence, ServiceName, UpstreamName};
 
 const OUTAGE: Duration = Duration::from_secs(4);
 const SHORT_OUTAGE: Duration = Duration::from_millis(120);
@@ -20,6 +20,7 @@
     UpstreamRecord {
         name: name.parse().unwrap(),
         born: None,
+        sequence: EntrySequence(1),
         service: service(),
         version: "v1".to_owned().into(),
         address: SocketAddr::from(([127, 0, 0, host], 9000)),
--- a/crates/sagespool-forward/tests/leaving_responses.rs
+++ b/crates/sagespool-forward/tests/leaving_responses.rs
@@ -8,7 +8,7 @@
 
 use quickcheck::quickcheck;
 use sagespool_forward::{UpstreamRecord, UpstreamRegistry, UpstreamRun};
-use sagespool_types::{ClockTime, ServiceName, UpstreamStartTime};
+use sagespool_types::{ClockTime, EntrySequence, ServiceName, UpstreamStartTime};
 
 const UPSTREAMS: u64 = 3;
 
@@ -20,6 +20,7 @@
     UpstreamRecord {
         name: format!("i-{number}").parse().unwrap(),
         born: Some(UpstreamStartTime(born)),
+        sequence: EntrySequence(1),
         service: service(),
         version: "v1".to_owned().into(),
         address: SocketAddr::from(([127, 0, 0, number as u8 + 1], 9000)),
--- a/crates/sagespool-forward/tests/restarted_upstreams.rs
+++ b/crates/sagespool-forward/tests/restarted_upstreams.rs
@@ -8,7 +8,7 @@
     LoadBalancer, PlacedAttempt, PlacementPolicy, RequestProfile, SendOutcome, UpstreamChange,
     UpstreamRecord, UpstreamRegistry, UpstreamRun,
 };
-use sagespool_types::{CentreName, ClockTime, UpstreamStartTime};
+use sagespool_types::{CentreName, ClockTime, EntrySequence, UpstreamStartTime};
 
 const REQUESTS: usize = 5;
 
@@ -20,6 +20,7 @@
     UpstreamRecord {
         name: "i-1".parse().unwrap(),
         born: Some(UpstreamStartTime(born)),
+        sequence: EntrySequence(1),
         service: "plain".parse().unwrap(),
         version: "v1".to_owned().into(),
         address: "127.0.0.1:9000".parse().unwrap(),
--- a/crates/sagespool-forward/tests/shared_prompts.rs
+++ b/crates/sagespool-forward/tests/shared_prompts.rs
@@ -15,7 +15,7 @@
     EngineProfile, LoadBalancer, PlacedAttempt, PlacementPolicy, PromptPart, RequestProfile,
     SendOutcome, UpstreamRecord,
 };
-use sagespool_types::{CentreName, ClockTime, TokenCount};
+use sagespool_types::{CentreName, ClockTime, EntrySequence, TokenCount};
 
 const ENGINES: usize = 9;
 const INSTANCES: usize = 4;
@@ -36,6 +36,7 @@
     let engine = |number: usize| UpstreamRecord {
         name: format!("engine-{number}").parse().unwrap(),
         born: None,
+        sequence: EntrySequence(1),
         service: "engines".parse().unwrap(),
         version: "v1".to_owned().into(),
         address: "127.0.0.1:9000".parse().unwrap(),
--- a/crates/sagespool-forward/tests/stalled_upstreams.rs
+++ b/crates/sagespool-forward/tests/stalled_upstreams.rs
@@ -11,7 +11,7 @@
 use sagespool_forward::{
     LoadBalancer, PlacedAttempt, PlacementPolicy, RequestProfile, SendOutcome, UpstreamRecord,
 };
-use sagespool_types::{CentreName, ClockTime};
+use sagespool_types::{CentreName, ClockTime, EntrySequence};
 
 const REQUEST_INTERVAL_MS: u64 = 20;
 const RESPONSE_TIME: Duration = Duration::from_millis(40);
@@ -27,6 +27,7 @@
     let upstream = |name: &str| UpstreamRecord {
         name: name.parse().unwrap(),
         born: None,
+        sequence: EntrySequence(1),
         service: "engines".parse().unwrap(),
         version: "v1".to_owned().into(),
         address: "127.0.0.1:9000".parse().unwrap(),
--- a/crates/sagespool-gateway/src/follow.rs
+++ b/crates/sagespool-gateway/src/follow.rs
@@ -10,7 +10,7 @@
 use sagespool_log::log_event;
 use sagespool_messages::{ChangedObject, FeedKind, FeedReply};
 use sagespool_platform::{ObjectChange, ObjectListing, StoreError, StoredObject};
-use sagespool_types::{ClockTime, UpstreamName};
+use sagespool_types::{ClockTime, StoreRevision, UpstreamName};
 use serde_json::value::RawValue;
 use smol::Timer;
 
@@ -98,7 +98,7 @@
             let now = ClockTime::now();
             records.iter().for_each(|record| state.note_cold(&record.name, record.cold_left, now));
             let changes = state.upstreams().replace(records, now);
-            changes.into_iter().for_each(|change| note_change(state, change));
+            changes.into_iter().for_each(|change| note_change(state, change, listing.revision));
             state.observe_versions(now);
         },
         on_change: |state, change| {
@@ -115,7 +115,7 @@
             let is_relevant =
                 noted.as_ref().is_some_and(|(_, change)| *change != UpstreamChange::Unchanged);
             if let Some(noted) = noted {
-                note_change(state, noted);
+                note_change(state, noted, change.version);
             }
             is_relevant
         },
@@ -359,7 +359,13 @@
     key.rsplit_once('/').map_or(key, |(_, name)| name)
 }
 
-fn note_change(state: &GatewayState, (name, change): (UpstreamName, UpstreamChange)) {
+/// Logs a change of the list of upstreams that the store had at `revision`, and drops what no longer
+/// applies.
+fn note_change(
+    state: &GatewayState,
+    (name, change): (UpstreamName, UpstreamChange),
+    revision: StoreRevision,
+) {
     let label = match change {
         UpstreamChange::Unchanged => return,
         UpstreamChange::Joined => "joined",
@@ -368,7 +374,15 @@
         UpstreamChange::Missing => "missing",
         UpstreamChange::Gone => "gone",
     };
-    log_event!(info, "upstream-changed", upstream = name, change = label);
+    let sequence = state.upstreams().get(&name).map(|record| record.sequence);
+    log_event!(
+        info,
+        "upstream-changed",
+        upstream = name,
+        change = label,
+        sequence = sequence.map_or_else(|| "-".to_owned(), |sequence| sequence.to_string()),
+        revision = revision,
+    );
     if matches!(change, UpstreamChange::Gone | UpstreamChange::Restarted) {
         state.balancer().forget(&name);
     }
@@ -387,8 +401,9 @@
         Timer::after(SWEEP_PERIOD).await;
         let now = ClockTime::now();
         let expired = state.upstreams().expire(now);
+        let revision = state.feeds.replica(FeedKind::Upstreams).revision();
         for name in expired {
-            note_change(&state, (name, UpstreamChange::Gone));
+            note_change(&state, (name, UpstreamChange::Gone), revision);
         }
         let is_listed = |name: &UpstreamName| state.upstreams().get(name).is_some();
         state.pool.sweep(is_listed, now);
--- a/crates/sagespool-types/src/lib.rs
+++ b/crates/sagespool-types/src/lib.rs
@@ -38,7 +38,7 @@
 pub use rates::SendRate;
 pub use refusal::{RefusalReason, RunState};
 pub use sizes::{
-    BookNumber, ByteCount, ConfigVersion, CrashWeight, InstanceCapacity, LoadPressure, RequestRate,
-    StoreRevision, TokenCount, TokenRate, UpstreamStartTime,
+    BookNumber, ByteCount, ConfigVersion, CrashWeight, EntrySequence, InstanceCapacity,
+    LoadPressure, RequestRate, StoreRevision, TokenCount, TokenRate, UpstreamStartTime,
 };
 pub use versions::SoftwareVersion;
--- a/crates/sagespool-types/src/sizes.rs
+++ b/crates/sagespool-types/src/sizes.rs
@@ -19,6 +19,9 @@
     /// Different values mean different runs. Clocks may step back, so a larger value isn't always
     /// the later run.
     UpstreamStartTime(u64), "the time of an upstream's start";
+    /// The number of an upstream's write of its own entry, counted from the start of its run. The
+    /// store may execute an earlier write after a later one.
+    EntrySequence(u64), "the number of an entry's write";
     /// The number of one of the books that the branches are distributed over; the number of books
     /// is fixed.
     BookNumber(u64), "a book number";
