Order the writes of an upstream's entry by run and sequence

Cause: a heartbeat without a response is executed by the store seconds later, after the report that the upstream drains. The list took the entry that the store listed last for the one that was written last; `sequence` was decoded and dropped. The log shows it: leaving at sequence 21, revision 390, joined at sequence 17, revision 422.

Change: EntryOrder orders the writes of an entry by the start of the run and the sequence. An older one within 10 s of the newest is kept aside, by watch and by listing, also of an earlier run and after the removal of a drained entry. One that the store lists for three heartbeats and a second is renewed by its upstream, which has restarted without a start time; it is taken over then, so no restarted run is ignored for good. The heartbeat that follows a late write is passed on to neighbours although they know its content: a gateway that started meanwhile has listed the late write and gets changes from them alone.

Ruled out: old reads (the revision rises), unreadable entries (not logged), and making `draining` final for a run, which would exclude a run that restarts under its name without a start time, and leaves versions and warm-up times of late writes in force.

--- a/crates/sagespool-forward/src/lib.rs
+++ b/crates/sagespool-forward/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod admission;
 mod connect_budget;
+mod entry_order;
 mod events;
 mod feed;
 mod feed_tree;
--- a/crates/sagespool-forward/src/registry.rs
+++ b/crates/sagespool-forward/src/registry.rs
@@ -9,6 +9,8 @@
     UpstreamStartTime,
 };
 
+use crate::entry_order::EntryOrder;
+
 /// An upstream's entry in the store.
 #[derive(Debug, Clone, PartialEq)]
 pub struct UpstreamRecord {
@@ -36,7 +38,7 @@
 
 impl UpstreamRecord {
     /// Whether an entry differs from this one in its sequence at most.
-    fn is_renewed_by(&self, renewed: &Self) -> bool {
+    pub(crate) fn is_renewed_by(&self, renewed: &Self) -> bool {
         Self { sequence: renewed.sequence, ..self.clone() } == *renewed
     }
 
@@ -69,6 +71,10 @@
     Gone,
     /// The entry is missing but may only have lapsed. It is kept for now.
     Missing,
+    /// The store lists an older entry than the known one, which is kept.
+    Late,
+    /// The store lists the known entry again after an older one.
+    Restored,
     /// No relevant change.
     Unchanged,
 }
@@ -95,9 +101,13 @@
 /// send to although all are healthy. Entries found missing just after an outage are therefore kept
 /// for a grace period if they are the larger part of a service. An entry that is removed later or
 /// alone is dropped at once: that upstream is leaving and serves only for a limited time.
-#[derive(Debug, Default)]
+///
+/// An entry that the store lists after a newer one is ignored: an upstream that is leaving would become
+/// eligible again, or one that restarted would be addressed as its earlier run.
+#[derive(Debug)]
 pub struct UpstreamRegistry {
     entries: BTreeMap<UpstreamName, RegistryEntry>,
+    order: EntryOrder,
     /// Data centres whose upstreams get no new requests, whatever their entries contain.
     evacuated: BTreeSet<CentreName>,
     /// Runs that have reported in a response that they are leaving, and when they last did. Entries
@@ -117,7 +127,27 @@
 /// becomes visible at the first failed call, two or three seconds into it.
 const MIN_OUTAGE: Duration = Duration::from_millis(500);
 
+/// Time between two writes of an entry, if the platform states no other.
+const DEFAULT_HEARTBEAT: Duration = Duration::from_millis(1200);
+
+impl Default for UpstreamRegistry {
+    fn default() -> Self {
+        Self::new(DEFAULT_HEARTBEAT)
+    }
+}
+
 impl UpstreamRegistry {
+    /// An empty registry of upstreams that renew their entries every `heartbeat`.
+    pub fn new(heartbeat: Duration) -> Self {
+        Self {
+            entries: BTreeMap::new(),
+            order: EntryOrder::new(heartbeat),
+            evacuated: BTreeSet::new(),
+            leaving_runs: BTreeMap::new(),
+            recovered_at: None,
+        }
+    }
+
     /// Notes that the store has recovered after calls had failed for `outage`.
     pub fn store_returned(&mut self, outage: Duration, now: ClockTime) {
         if outage >= MIN_OUTAGE {
@@ -135,14 +165,16 @@
         records: Vec<UpstreamRecord>,
         now: ClockTime,
     ) -> Vec<(UpstreamName, UpstreamChange)> {
-        let listed: Vec<UpstreamName> = records.iter().map(|record| record.name.clone()).collect();
+        let listed: BTreeSet<UpstreamName> =
+            records.iter().map(|record| record.name.clone()).collect();
+        self.order.note_listed(&listed);
         let missing: Vec<UpstreamName> =
             self.entries.keys().filter(|name| !listed.contains(name)).cloned().collect();
         // Owners before this listing: of two new upstreams at one address, either may be the later
         // one.
         let owners = self.owners_by_address();
         let mut changes: Vec<_> =
-            records.into_iter().map(|record| self.put_with_owners(record, &owners)).collect();
+            records.into_iter().map(|record| self.put_with_owners(record, &owners, now)).collect();
         self.prefer_cold_owners();
         for name in &missing {
             self.mark_missing(name, now);
@@ -170,33 +202,88 @@
         }
     }
 
-    /// Adds or updates an entry.
-    pub fn put(&mut self, record: UpstreamRecord) -> (UpstreamName, UpstreamChange) {
-        if self.entries.contains_key(&record.name) {
-            return self.put_with_owners(record, &BTreeMap::new());
+    /// Whether a listed entry is older than one that was read before.
+    pub fn is_late(&self, record: &UpstreamRecord, now: ClockTime) -> bool {
+        self.order.is_late(record, now)
+    }
+
+    /// Adds or updates an entry, unless it is older than the known one.
+    pub fn put(
+        &mut self,
+        record: UpstreamRecord,
+        now: ClockTime,
+    ) -> (UpstreamName, UpstreamChange) {
+        let owners = self.owners_before(&record);
+        self.put_with_owners(record, &owners, now)
+    }
+
+    /// The owners of addresses, if the record is of a new upstream.
+    fn owners_before(&self, record: &UpstreamRecord) -> BTreeMap<SocketAddr, UpstreamName> {
+        match self.entries.contains_key(&record.name) {
+            true => BTreeMap::new(),
+            false => self.owners_by_address(),
         }
-        let owners = self.owners_by_address();
-        self.put_with_owners(record, &owners)
     }
 
-    /// Adds or updates an entry. A new upstream at a known upstream's address becomes its
-    /// successor.
+    /// Takes the entries that seemed older than the known ones, but are listed for so long that their
+    /// upstreams must have restarted. To be passed to [`restart`](Self::restart).
+    pub fn take_restarted(&mut self, now: ClockTime) -> Vec<UpstreamRecord> {
+        self.order.take_current(now)
+    }
+
+    /// Replaces an entry by one of a run that has restarted.
+    pub fn restart(
+        &mut self,
+        record: UpstreamRecord,
+        now: ClockTime,
+    ) -> (UpstreamName, UpstreamChange) {
+        let owners = self.owners_before(&record);
+        self.put_current(record, &owners, now)
+    }
+
     fn put_with_owners(
         &mut self,
         record: UpstreamRecord,
         owners: &BTreeMap<SocketAddr, UpstreamName>,
+        now: ClockTime,
     ) -> (UpstreamName, UpstreamChange) {
+        if !self.order.is_late(&record, now) {
+            return self.put_current(record, owners, now);
+        }
         let name = record.name.clone();
+        self.order.hold(record, now);
+        (name, UpstreamChange::Late)
+    }
+
+    /// Adds or updates an entry that isn't older than the known one. A new upstream at a known
+    /// upstream's address becomes its successor.
+    fn put_current(
+        &mut self,
+        record: UpstreamRecord,
+        owners: &BTreeMap<SocketAddr, UpstreamName>,
+        now: ClockTime,
+    ) -> (UpstreamName, UpstreamChange) {
+        let name = record.name.clone();
+        let is_older = self.order.is_restart(&record);
+        let is_restored = self.order.note(&record, now);
+        if is_older && record.born.is_none() {
+            // What the earlier run reported can't be told from this one's by a start time.
+            self.leaving_runs.remove(&name);
+        }
         let is_new = !self.entries.contains_key(&name);
         let former = owners.get(&record.address).filter(|former| is_new && **former != name);
         if let Some(entry) = former.and_then(|former| self.entries.get_mut(former)) {
             entry.successor = Some(name.clone());
         }
         let known = self.entries.get(&name);
-        let restarted = known.is_some_and(|known| is_other_run(known.record.born, record.born));
+        let restarted =
+            known.is_some_and(|known| is_older || is_other_run(known.record.born, record.born));
         let change = match known {
-            Some(known) if known.record.is_renewed_by(&record) => UpstreamChange::Unchanged,
             _ if restarted => UpstreamChange::Restarted,
+            Some(known) if known.record.is_renewed_by(&record) => match is_restored {
+                true => UpstreamChange::Restored,
+                false => UpstreamChange::Unchanged,
+            },
             _ if record.leaving => UpstreamChange::Leaving,
             _ => UpstreamChange::Joined,
         };
@@ -255,10 +342,12 @@
             return (name.clone(), UpstreamChange::Missing);
         }
         self.entries.remove(name);
+        self.order.note_removed(name, now);
         (name.clone(), UpstreamChange::Gone)
     }
 
     fn mark_missing(&mut self, name: &UpstreamName, now: ClockTime) {
+        self.order.note_missing(name);
         if let Some(entry) = self.entries.get_mut(name) {
             entry.missing_since.get_or_insert(now);
         }
@@ -283,6 +372,7 @@
         let gone: Vec<UpstreamName> = self.entries.iter().filter_map(lapsed).collect();
         for name in &gone {
             self.entries.remove(name);
+            self.order.note_removed(name, now);
         }
         gone
     }
--- a/crates/sagespool-gateway/src/follow.rs
+++ b/crates/sagespool-gateway/src/follow.rs
@@ -96,7 +96,9 @@
                 items.filter_map(|(key, object)| read_upstream(state, key, &object.value));
             let records: Vec<UpstreamRecord> = records.collect();
             let now = ClockTime::now();
-            records.iter().for_each(|record| state.note_cold(&record.name, record.cold_left, now));
+            let is_late = |record: &UpstreamRecord| state.upstreams().is_late(record, now);
+            let current = records.iter().filter(|record| !is_late(record));
+            current.for_each(|record| state.note_cold(&record.name, record.cold_left, now));
             let changes = state.upstreams().replace(records, now);
             changes.into_iter().for_each(|change| note_change(state, change, listing.revision));
             state.observe_versions(now);
@@ -106,9 +108,11 @@
             let name = key_name(&change.key);
             let noted = match &change.value {
                 Some(value) => read_upstream(state, &change.key, value).map(|record| {
-                    state.note_cold(&record.name, record.cold_left, now);
-                    state.note_version(&record, now);
-                    state.upstreams().put(record)
+                    if !state.upstreams().is_late(&record, now) {
+                        state.note_cold(&record.name, record.cold_left, now);
+                        state.note_version(&record, now);
+                    }
+                    state.upstreams().put(record, now)
                 }),
                 None => name.parse().ok().map(|name| state.upstreams().remove(&name, now)),
             };
@@ -372,8 +376,11 @@
         UpstreamChange::Restarted => "restarted",
         UpstreamChange::Leaving => "leaving",
         UpstreamChange::Missing => "missing",
+        UpstreamChange::Late => "late-write",
+        UpstreamChange::Restored => "restored",
         UpstreamChange::Gone => "gone",
     };
+    // After a late write this is the sequence of the entry that holds.
     let sequence = state.upstreams().get(&name).map(|record| record.sequence);
     log_event!(
         info,
@@ -405,6 +412,13 @@
         for name in expired {
             note_change(&state, (name, UpstreamChange::Gone), revision);
         }
+        let restarted = state.upstreams().take_restarted(now);
+        for record in restarted {
+            state.note_cold(&record.name, record.cold_left, now);
+            state.note_version(&record, now);
+            let change = state.upstreams().restart(record, now);
+            note_change(&state, change, revision);
+        }
         let is_listed = |name: &UpstreamName| state.upstreams().get(name).is_some();
         state.pool.sweep(is_listed, now);
         state.throttle().sweep(is_listed, now);
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -116,6 +116,7 @@
             Some(_) => SenderSelector::new(settings.instance.clone()),
             None => SenderSelector::alone(settings.instance.clone()),
         };
+        let upstreams = UpstreamRegistry::new(settings.upstream_heartbeat);
         let feeds = FeedRegistry::new(settings.in_force);
         let limiter = Arc::new(ResourceLimiter::new(settings.limits));
         let own = CoverPeer { id: run, capacity: settings.limits.capacity() };
@@ -139,7 +140,7 @@
             fleet,
             plan: RwLock::default(),
             awaited_plan: AtomicU64::new(0),
-            upstreams: Mutex::default(),
+            upstreams: Mutex::new(upstreams),
             balancer: Mutex::new(LoadBalancer::new(PlacementPolicy::default())),
             retries: Mutex::new(RetryBudget::new(retry_policy)),
             connects: Mutex::default(),
--- a/crates/sagespool-settings/src/process/gateway.rs
+++ b/crates/sagespool-settings/src/process/gateway.rs
@@ -38,6 +38,8 @@
     pub peers: Vec<SocketAddr>,
     /// The platform's object API.
     pub object_api: SocketAddr,
+    /// Time between two writes of an upstream's entry in the store.
+    pub upstream_heartbeat: Duration,
     /// Time limits for applying changes of the store. If set, instances of a data centre watch the
     /// store for each other, as far as the limits allow.
     pub in_force: Option<PropagationSettings>,
@@ -178,6 +180,9 @@
     Relay,
 }
 
+const DEFAULT_HEARTBEAT: Duration = Duration::from_millis(1200);
+const MIN_HEARTBEAT_MS: u64 = 50;
+const MAX_HEARTBEAT_MS: u64 = 3_600_000;
 const DEFAULT_LOG: LogSettings = LogSettings { level: LogLevel::Info };
 const MAX_STOP_S: f64 = 86_400.0;
 const MAX_PROPAGATION_MS: u64 = 3_600_000;
@@ -291,6 +296,10 @@
     let stop_limit =
         object.or_default("stop_limit_s", default_stop, |node| node.seconds(0.1..=MAX_STOP_S));
     let first_start = object.or_default("first_start", false, ValueNode::boolean);
+    let upstream_heartbeat =
+        object.or_default("upstream_heartbeat_ms", DEFAULT_HEARTBEAT, |node| {
+            node.millis(MIN_HEARTBEAT_MS..=MAX_HEARTBEAT_MS)
+        });
     let in_force = object.optional("in_force", |node| node.object(read_propagation));
     let regions = object.or_default("regions", BTreeMap::new(), read_regions);
     let warmup = object.or_default("warmup", DEFAULT_WARMUP, |node| node.object(read_warmup));
@@ -311,6 +320,7 @@
         advertise: advertise?,
         peers: peers?,
         object_api: object_api?,
+        upstream_heartbeat: upstream_heartbeat?,
         in_force: in_force?,
         regions: regions?,
         warmup: warmup?,
--- a/crates/sagespool-settings/tests/gateway_settings.rs
+++ b/crates/sagespool-settings/tests/gateway_settings.rs
@@ -78,6 +78,7 @@
         ("\"centre\": \"east\",", "", "$.centre: found nothing"),
         ("\"127.0.0.1:8301\"", "\"here\"", "$.callers: found \"here\""),
         ("\"stop_limit_s\": 8", "\"stop_limit_s\": -1", "$.stop_limit_s: found -1"),
+        ("heartbeat_ms\": 1200", "heartbeat_ms\": 0", "$.upstream_heartbeat_ms: found 0"),
         ("\"share\": 0.2", "\"share\": 1.5", "$.grants.share: found 1.5"),
         ("\"idle\": 0.04", "\"idle\": -1", "$.grants.idle: found -1"),
         ("\"ahead_s\": 3", "\"ahead_s\": \"long\"", "$.grants.ahead_s: found \"long\""),
