Bound what an upstream may send, in each framing

Cause: only what was decoded had a bound. An event was kept until the deadline and searched again with each chunk, plain bodies had a bound each but none together, and bytes that decode to nothing (lengths and extensions of chunks) had none, while the task that reads them never paused.

Events are searched in one pass (event_splitting: the same events as before, in any chunks). More events than the request declares tokens for, and 16, end the stream.

Ruled out: a bound on bodies as decoded (lengths of chunks pass it), one bound for all responses of a connection.

--- a/crates/sagespool-forward/src/events.rs
+++ b/crates/sagespool-forward/src/events.rs
@@ -1,5 +1,8 @@
 //! Splits an event stream into complete events.
 
+/// Length of what ends an event, less one: it may begin in an earlier chunk.
+const END_BYTES: usize = 3;
+
 /// Buffers the bytes of an event stream and returns complete events only.
 ///
 /// An upstream may stop in the middle of an event. The partial event must not reach the caller if
@@ -7,6 +10,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: Vec<u8>,
+    /// Length of the start of `partial` in which no event ends.
+    searched: usize,
 }
 
 /// The events that a chunk of a stream completes.
@@ -26,14 +31,20 @@
         self.partial.extend_from_slice(bytes);
         let mut complete = CompleteEvents::default();
         let mut taken = 0;
-        while let Some(end) = event_end(&self.partial[taken..]) {
+        // The bytes before were searched with an earlier chunk. A long event would otherwise be searched
+        // once for each of its chunks.
+        let mut from = self.searched;
+        while let Some(end) = event_end(&self.partial[from..]) {
+            let end = from + end - taken;
             let event = &self.partial[taken..taken + end];
             if let Some(id) = event_id(event) {
                 complete.last_id = Some(id);
             }
             complete.count += 1;
             taken += end;
+            from = taken;
         }
+        self.searched = self.partial.len().saturating_sub(END_BYTES).max(taken) - taken;
         let partial = self.partial.split_off(taken);
         complete.bytes = std::mem::replace(&mut self.partial, partial);
         complete
@@ -47,16 +58,15 @@
 
 /// Length of the first event, including the empty line that ends it.
 fn event_end(bytes: &[u8]) -> Option<usize> {
-    let lf = find(bytes, b"\n\n").map(|at| at + 2);
-    let crlf = find(bytes, b"\r\n\r\n").map(|at| at + 4);
-    match (lf, crlf) {
-        (Some(lf), Some(crlf)) => Some(lf.min(crlf)),
-        (lf, crlf) => lf.or(crlf),
-    }
-}
-
-fn find(bytes: &[u8], wanted: &[u8]) -> Option<usize> {
-    bytes.windows(wanted.len()).position(|window| window == wanted)
+    // One pass: a search for each form of line end would read the rest once for each event.
+    let line_ends = bytes.iter().enumerate().filter(|(_, byte)| **byte == b'\n');
+    line_ends.map(|(at, _)| at).find_map(|at| {
+        let (line, rest) = (&bytes[..at], &bytes[at + 1..]);
+        if rest.starts_with(b"\n") {
+            return Some(at + 2);
+        }
+        (line.ends_with(b"\r") && rest.starts_with(b"\r\n")).then_some(at + 3)
+    })
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
--- a/crates/sagespool-gateway/src/admission.rs
+++ b/crates/sagespool-gateway/src/admission.rs
@@ -24,6 +24,10 @@
 /// File descriptors not used for callers or upstreams: files, the link, the store, the load
 /// balancer.
 const RESERVED_DESCRIPTORS: usize = 400;
+/// Share of the remaining memory for responses that are being received, beyond what their requests
+/// cover. It is apart from that of callers, who would otherwise be turned away while upstreams send
+/// responses without end.
+const RESPONSE_MEMORY_SHARE: f64 = 0.2;
 /// Memory of an open connection: hyper's read and write buffers, its task, the kernel's part.
 const CONNECTION_BYTES: u64 = 48 << 10;
 /// Memory of a request in flight without its body: the connection to its upstream, and the response
@@ -60,9 +64,12 @@
 pub(crate) struct ResourceLimiter {
     controller: Mutex<AdmissionController>,
     memory_limit: u64,
+    response_limit: u64,
     connection_limit: usize,
     /// Bytes accounted for connections, requests and their responses.
     held: AtomicU64,
+    /// Bytes accounted for responses that are being received.
+    received: AtomicU64,
     connections: AtomicUsize,
     /// Exponential average of the memory of admitted requests.
     request_bytes: AtomicU64,
@@ -86,9 +93,11 @@
         Self {
             controller: Mutex::default(),
             memory_limit: (spare * CALLER_MEMORY_SHARE) as u64,
+            response_limit: (spare * RESPONSE_MEMORY_SHARE) as u64,
             // A request may need a connection to its upstream in addition to its caller's.
             connection_limit: descriptors.saturating_sub(RESERVED_DESCRIPTORS) / 2,
             held: AtomicU64::new(0),
+            received: AtomicU64::new(0),
             connections: AtomicUsize::new(0),
             request_bytes: AtomicU64::new(REQUEST_BYTES),
             unread: Mutex::default(),
@@ -285,6 +294,38 @@
     }
 }
 
+/// Memory of a response that is being received, accounted for until this is dropped.
+pub(crate) struct ReceivedMemory {
+    limiter: Arc<ResourceLimiter>,
+    bytes: u64,
+}
+
+impl ReceivedMemory {
+    pub(crate) fn new(limiter: &Arc<ResourceLimiter>) -> Self {
+        Self { limiter: limiter.clone(), bytes: 0 }
+    }
+
+    /// Accounts for the buffered bytes beyond those that the request covers; false if that would
+    /// exceed the limit of all responses.
+    pub(crate) fn cover(&mut self, buffered: ByteCount) -> bool {
+        let missing = buffered.0.saturating_sub(REQUEST_BYTES + self.bytes);
+        let limit = self.limiter.response_limit;
+        let add = |received: u64| received.checked_add(missing).filter(|sum| *sum <= limit);
+        let taken =
+            self.limiter.received.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add).is_ok();
+        if taken {
+            self.bytes += missing;
+        }
+        taken
+    }
+}
+
+impl Drop for ReceivedMemory {
+    fn drop(&mut self) {
+        self.limiter.received.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
 /// The permit of a caller's open connection.
 pub(crate) struct ConnectionPermit {
     limiter: Arc<ResourceLimiter>,
--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -24,6 +24,7 @@
 use crate::dialect::{ResponseMetadata, UpstreamRequestTerms};
 use crate::hop_by_hop::strip_hop_by_hop;
 use crate::pool::{UpstreamConnection, connect};
+use crate::received::MAX_HEAD;
 use crate::state::GatewayState;
 
 /// The connection to the upstream couldn't be opened.
@@ -266,10 +267,14 @@
     context.log.sends = context.sends;
     context.charge_prompt();
     context.state.limiter.note_written(context.request.body.len());
+    connection.allowance.set(MAX_HEAD);
     let sent = connection.sender.try_send_request(request);
     let response = match within(timeout, sent).await {
         None => return Err(AttemptFailure::TimedOut),
         Some(Ok(response)) => response,
+        Some(Err(_)) if connection.allowance.is_exhausted() => {
+            return Err(AttemptFailure::Lost(LossCause::Oversized));
+        }
         Some(Err(error)) => return Err(map_send_error(context, error)),
     };
     Ok((response, connection))
--- a/crates/sagespool-gateway/src/attempt_end.rs
+++ b/crates/sagespool-gateway/src/attempt_end.rs
@@ -48,6 +48,8 @@
     WithinStream,
     /// The bytes are no response.
     Garbled,
+    /// It has more bytes than a response may have, and may have no end.
+    Oversized,
     /// It is the response to another request.
     Crossed,
     /// A success without the upstream's signature.
@@ -63,6 +65,7 @@
             Self::WithinBody => "answer-broken",
             Self::WithinStream => "stream-broken",
             Self::Garbled => "garbled",
+            Self::Oversized => "oversized",
             Self::Crossed => "crossed",
             Self::Unsigned => "unsigned",
             Self::FailureStatus => "failure-status",
@@ -126,6 +129,7 @@
             Self::Lost(cause) => match cause {
                 LossCause::BeforeHead | LossCause::WithinBody | LossCause::WithinStream => true,
                 LossCause::Garbled
+                | LossCause::Oversized
                 | LossCause::Crossed
                 | LossCause::Unsigned
                 | LossCause::FailureStatus => false,
--- a/crates/sagespool-gateway/src/context.rs
+++ b/crates/sagespool-gateway/src/context.rs
@@ -23,6 +23,9 @@
 use crate::refusal::Refusal;
 use crate::state::GatewayState;
 
+/// Events of a stream that hold no token, such as one that ends it.
+const MAX_EMPTY_EVENTS: u64 = 16;
+
 /// A request that passed admission: its route is known and its tokens are reserved.
 pub(crate) struct AdmittedRequest {
     pub(crate) index: Arc<PlanIndex>,
@@ -111,6 +114,15 @@
         self.note_charge();
     }
 
+    /// Whether a stream with `count` further events has more than the request declares tokens for. An
+    /// event holds a token at least, but for a few that hold none.
+    pub(crate) fn exceeds_declared_events(&self, count: u64) -> bool {
+        let declared = self.request.attributes.tokens;
+        declared.is_some_and(|tokens| {
+            self.log.events + count > tokens.answer.0.saturating_add(MAX_EMPTY_EVENTS)
+        })
+    }
+
     /// Charges the configured number of tokens for each event forwarded to the caller. An event may
     /// hold fewer tokens than that; the total charge never exceeds the reservation.
     pub(crate) fn charge_events(&mut self, count: u64) {
--- a/crates/sagespool-gateway/src/lib.rs
+++ b/crates/sagespool-gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod peers;
 mod pipeline;
 mod pool;
+mod received;
 mod refusal;
 mod relay_role;
 mod request_body;
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -3,8 +3,9 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
+use bytes::BytesMut;
 use futures_lite::future::or;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue};
 use hyper::http::request::Parts as RequestParts;
@@ -16,6 +17,7 @@
 use sagespool_link::within;
 use sagespool_types::{ByteCount, ClockTime};
 
+use crate::admission::ReceivedMemory;
 use crate::attempt::{NOT_CONNECTED, OpenResponse, ResponseFraming, ended_by_exit, send_once};
 use crate::attempt_end::{AttemptFailure, LossCause, UnavailableCause};
 use crate::body::ResponseBody;
@@ -24,6 +26,7 @@
 use crate::crashes::{content_of, digests_of, log_quarantined};
 use crate::hop_by_hop::strip_hop_by_hop;
 use crate::metrics::Outcome;
+use crate::received::MAX_PLAIN_BODY;
 use crate::refusal::Refusal;
 use crate::request_body::{declared_length, discard, read_body};
 use crate::state::GatewayState;
@@ -34,9 +37,8 @@
 /// Reserved for sending the response to the caller, so that it arrives before the caller's
 /// deadline.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(10);
-/// Maximum length in bytes of a response that isn't streamed. Such a response is buffered before it
-/// is forwarded, so that a truncated one is detected and the request can be retried.
-const MAX_BUFFERED_BYTES: usize = 16 << 20;
+/// Copies of a body in memory while its pieces are joined.
+const BODY_COPIES: usize = 2;
 /// Attempt timeout of an idempotent request, as a share of the route's latency target.
 const TIMEOUT_SHARE: f64 = 0.6;
 /// The same for streams, whose first event may queue behind other requests' long prompts:
@@ -332,13 +334,14 @@
     let OpenResponse { head, body, framing, connection, mut placement } = response;
     placement.note_first_event(ClockTime::now());
     let left = context.time_left(ClockTime::now());
-    let collected = async {
-        let collected = Limited::new(body, MAX_BUFFERED_BYTES).collect().await;
-        collected
-            .map(|whole| whole.to_bytes())
-            .map_err(|_| AttemptFailure::Lost(LossCause::WithinBody))
-    };
-    let mut collected = within(left, collected).await.unwrap_or(Err(AttemptFailure::TimedOut));
+    connection.allowance.set(MAX_PLAIN_BODY);
+    // Guards against many responses without end, each within its own bound.
+    let mut memory = ReceivedMemory::new(&context.state.limiter);
+    let collected = within(left, collect_body(body, &mut memory)).await;
+    let mut collected = collected.unwrap_or(Err(AttemptFailure::TimedOut));
+    if collected.is_err() && connection.allowance.is_exhausted() {
+        collected = Err(AttemptFailure::Lost(LossCause::Oversized));
+    }
     if collected.is_ok()
         && ended_by_exit(&context.state, framing, &placement.attempt().upstream).await
     {
@@ -361,6 +364,33 @@
     Ok(response)
 }
 
+/// Reads a body to its end. It is in memory twice while its pieces are joined.
+async fn collect_body(
+    mut body: Incoming,
+    memory: &mut ReceivedMemory,
+) -> Result<Bytes, AttemptFailure> {
+    let mut first = Bytes::new();
+    let mut joined = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| AttemptFailure::Lost(LossCause::WithinBody))?;
+        // Trailers aren't forwarded.
+        let Ok(bytes) = frame.into_data() else {
+            continue;
+        };
+        let buffered = first.len() + joined.len() + bytes.len();
+        if !memory.cover(ByteCount((BODY_COPIES * buffered) as u64)) {
+            return Err(AttemptFailure::Lost(LossCause::Oversized));
+        }
+        if first.is_empty() && joined.is_empty() {
+            first = bytes;
+            continue;
+        }
+        joined.extend_from_slice(&std::mem::take(&mut first));
+        joined.extend_from_slice(&bytes);
+    }
+    Ok(if joined.is_empty() { first } else { joined.freeze() })
+}
+
 /// Whether the upstream closes the connection after this response.
 pub(crate) fn closes_connection(head: &ResponseParts) -> bool {
     let value = head.headers.get(CONNECTION);
--- a/crates/sagespool-gateway/src/pool.rs
+++ b/crates/sagespool-gateway/src/pool.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use http_body_util::Full;
@@ -16,6 +16,8 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
+use crate::received::{BoundedStream, MAX_HEAD, READ_AHEAD_BYTES, ReadAllowance};
+
 /// Connect timeout. The round trip within a region takes 1 to 2 ms and upstreams take one more. TCP
 /// resends a lost SYN only after 1 s, by which time another upstream would have responded.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -38,6 +40,8 @@
     run: UpstreamRun,
     idle_limit: Duration,
     idle_since: ClockTime,
+    /// What it may receive.
+    pub(crate) allowance: Arc<ReadAllowance>,
     _driver: Task<()>,
 }
 
@@ -120,8 +124,11 @@
 pub(crate) async fn connect(upstream: &UpstreamRecord) -> io::Result<UpstreamConnection> {
     let opened = within(CONNECT_TIMEOUT, open_stream(upstream.address)).await;
     let stream = opened.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))?;
-    let (sender, driver) =
-        http1::handshake(FuturesIo::new(stream)).await.map_err(io::Error::other)?;
+    let allowance = Arc::new(ReadAllowance::new(MAX_HEAD));
+    let stream = FuturesIo::new(BoundedStream::new(stream, allowance.clone()));
+    let mut client = http1::Builder::new();
+    client.max_buf_size(READ_AHEAD_BYTES);
+    let (sender, driver) = client.handshake(stream).await.map_err(io::Error::other)?;
     // A connection error is reported to the request in flight.
     let driver = smol::spawn(async move {
         let _ = driver.await;
@@ -132,6 +139,7 @@
         run: upstream.run(),
         idle_limit: DEFAULT_IDLE_TIMEOUT,
         idle_since: ClockTime::default(),
+        allowance,
         _driver: driver,
     })
 }
--- a/crates/sagespool-gateway/src/stream.rs
+++ b/crates/sagespool-gateway/src/stream.rs
@@ -9,8 +9,9 @@
 use hyper::body::Incoming;
 use sagespool_forward::{EventSplitter, SendOutcome};
 use sagespool_link::within;
-use sagespool_types::ClockTime;
+use sagespool_types::{ByteCount, ClockTime};
 
+use crate::admission::ReceivedMemory;
 use crate::attempt::{OpenResponse, PlacementGuard, ResponseFraming, ended_by_exit, send_once};
 use crate::attempt_end::{AttemptFailure, LossCause};
 use crate::body::{BodyChunk, ResponseBody};
@@ -18,6 +19,7 @@
 use crate::hop_by_hop::strip_hop_by_hop;
 use crate::metrics::Outcome;
 use crate::pipeline::{attempt_timeout, closes_connection, may_retry};
+use crate::received::{MAX_EVENT, ReadAllowance};
 use crate::refusal::Refusal;
 
 /// Chunks buffered for the caller's connection. Beyond these, a slow caller causes backpressure on
@@ -25,6 +27,8 @@
 const BUFFERED_CHUNKS: usize = 8;
 /// The connection broke, or the stream ended within an event.
 const BROKEN_STREAM: AttemptFailure = AttemptFailure::Lost(LossCause::WithinStream);
+/// An event, or the number of events, is larger than it may be.
+const OVERSIZED_STREAM: AttemptFailure = AttemptFailure::Lost(LossCause::Oversized);
 
 /// Responds with a stream whose events are forwarded by a task of its own.
 ///
@@ -119,7 +123,11 @@
     let OpenResponse { head, mut body, framing, connection, placement } = response;
     let events_before = context.log.events;
     let mut splitter = EventSplitter::default();
-    let end = relay_body(context, &mut body, &mut splitter, &placement, sender).await;
+    let allowance = &connection.allowance;
+    let end = relay_body(context, &mut body, &mut splitter, &placement, allowance, sender).await;
+    let is_oversized =
+        end.is_err_and(|failure| failure == BROKEN_STREAM) && allowance.is_exhausted();
+    let end = if is_oversized { Err(OVERSIZED_STREAM) } else { end };
     context.log.partial = splitter.remainder().len();
     let has_events = context.log.events > events_before;
     let is_broken = end.is_ok()
@@ -144,8 +152,11 @@
     body: &mut Incoming,
     splitter: &mut EventSplitter,
     placement: &PlacementGuard,
+    allowance: &ReadAllowance,
     sender: &Sender<BodyChunk>,
 ) -> Result<(), AttemptFailure> {
+    let mut memory = ReceivedMemory::new(&context.state.limiter);
+    allowance.set(MAX_EVENT);
     loop {
         let Some(frame) = in_time(context, body.frame()).await else {
             return Err(AttemptFailure::Overrun);
@@ -161,9 +172,16 @@
         };
         placement.note_progress(ClockTime::now());
         let whole = splitter.push(&bytes);
+        if !memory.cover(ByteCount(splitter.remainder().len() as u64)) {
+            return Err(OVERSIZED_STREAM);
+        }
         if whole.count == 0 {
             continue;
         }
+        allowance.set(MAX_EVENT);
+        if context.exceeds_declared_events(whole.count) {
+            return Err(OVERSIZED_STREAM);
+        }
         if context.log.events == 0 {
             context.note_origin(&placement.attempt().upstream).await;
         }
