Note resumable streams at relays, which outlive a kill of all gateways

Callers saw (by stand-ins): after all gateways were killed at once while two versions serve, or one has just left, no stream was joined from two versions, but none went on either: the first of 40 was refused, source=nobody, though its version served.

Cause: streams were noted at gateways only, which lose all notes at once.

Change: a stream is noted at a relay and a gateway of another data centre in place of two gateways, as many messages as before; who resumes one asks three relays too. `sagespool_gateway_relays` shows how many are known.

Ruled out: reading the store's history of entries after a start (revisions have no times, and it tells versions, not which of two began a stream); following the list at relays (a poll each half second on each of them).

--- a/crates/sagespool-gateway/src/metrics.rs
+++ b/crates/sagespool-gateway/src/metrics.rs
@@ -103,6 +103,7 @@
     sends: Counter,
     connects: Counter,
     members: Gauge,
+    relays: Gauge,
     closed_unread: Counter,
     held: Gauge,
     held_limit: Gauge,
@@ -154,6 +155,8 @@
         registry.register("connects", "Connections opened to upstreams", connects.clone());
         let members = Gauge::default();
         registry.register("members", "Gateways that are heard of, with this one", members.clone());
+        let relays = Gauge::default();
+        registry.register("relays", "Relays that are heard of", relays.clone());
         let closed_unread = Counter::default();
         let help = "Callers' connections that were closed unread for want of memory or descriptors";
         registry.register("closed_unread", help, closed_unread.clone());
@@ -216,6 +219,7 @@
             sends,
             connects,
             members,
+            relays,
             closed_unread,
             held,
             held_limit,
@@ -305,7 +309,7 @@
     /// All metrics in the text format, with the given current values of the gauges.
     pub(crate) fn encode(
         &self,
-        members: usize,
+        (members, relays): (usize, usize),
         usage: ResourceUsage,
         restrictions: RestrictionCounts,
     ) -> String {
@@ -315,6 +319,7 @@
         self.in_backoff.set(restrictions.in_backoff as i64);
         self.quarantined.set(restrictions.quarantined as i64);
         self.members.set(members as i64);
+        self.relays.set(relays as i64);
         self.held.set(usage.held.0 as i64);
         self.held_limit.set(i64::try_from(usage.limit.0).unwrap_or(i64::MAX));
         self.open.set(usage.connections as i64);
--- a/crates/sagespool-gateway/src/peers.rs
+++ b/crates/sagespool-gateway/src/peers.rs
@@ -18,7 +18,7 @@
 use crate::crashes::record_reports;
 use crate::fleet::handle_store_call;
 use crate::limits::limits_reply;
-use crate::resumption::{record_note, stream_reply};
+use crate::resumption::{record_notes, stream_reply};
 use crate::rotation::{cover_reply, release_cover};
 use crate::state::GatewayState;
 
@@ -79,8 +79,7 @@
             PeerReply::Limits(limits_reply(state, &query, ClockTime::now()))
         }
         PeerRequest::NoteStreams(notes) => {
-            let now = ClockTime::now();
-            notes.into_iter().for_each(|note| record_note(state, note, now));
+            record_notes(&state.origins, notes, ClockTime::now());
             PeerReply::Done
         }
         PeerRequest::FindStream(query) => {
--- a/crates/sagespool-gateway/src/resumption.rs
+++ b/crates/sagespool-gateway/src/resumption.rs
@@ -1,7 +1,7 @@
 //! The software version at which a stream may be resumed.
 //!
 //! The gateway that forwards a stream's first event notes the version that sent it at the stream's
-//! homes, two gateways chosen by the request's id, unless it knows that there is one version, and notes
+//! homes, a gateway and a relay chosen by the request's id, unless it knows that there is one version, and notes
 //! its recent streams when another one is listed. Before a gateway resumes a stream it asks these, and
 //! refuses what nobody can vouch for: pieces of two versions don't fit together.
 
@@ -14,22 +14,26 @@
 use futures_util::StreamExt;
 use futures_util::future::join_all;
 use futures_util::stream::FuturesUnordered;
-use sagespool_forward::{AllowedVersion, StreamOrigin, UpstreamRecord, agreed_version};
+use sagespool_forward::{
+    AllowedVersion, StreamOrigin, StreamOrigins, UpstreamRecord, agreed_version,
+};
 use sagespool_link::within;
 use sagespool_log::log_event;
 use sagespool_messages::{
-    MemberInfo, PeerReply, PeerRequest, StreamNote, StreamQuery, StreamReply,
+    MemberInfo, MemberRole, PeerReply, PeerRequest, StreamNote, StreamQuery, StreamReply,
 };
 use sagespool_types::{ClockTime, IncarnationId, ServiceName, SoftwareVersion};
 
 use crate::context::RequestContext;
 use crate::state::GatewayState;
 
-/// Gateways at which a stream is noted.
+/// Processes at which a stream is noted: a gateway and a relay, or two gateways without relays.
 const NOTED_HOMES: usize = 2;
 /// Gateways that are asked for a stream. More than note it: those who note it and those who ask may
 /// know other members.
 const ASKED_HOMES: usize = 4;
+/// Relays that are asked for a stream.
+const ASKED_RELAYS: usize = 3;
 /// How long the first event waits until one home has the note, so that the stream can go on when this
 /// gateway is killed.
 const NOTE_WAIT: Duration = Duration::from_millis(60);
@@ -152,7 +156,7 @@
 struct HomeReplies {
     found: Option<StreamNote>,
     unnoted: Vec<Vec<SoftwareVersion>>,
-    /// Whether every home replied.
+    /// Whether every gateway replied.
     all: bool,
 }
 
@@ -237,9 +241,12 @@
     homes
 }
 
-/// The homes at which a stream is noted: the first one, and the first in another data centre.
+/// The homes at which a stream is noted: the first relay, and the first gateway in another data centre.
+///
+/// Guards against streams that nobody knows after all gateways were killed at once.
 fn noted_homes(state: &GatewayState, stream: &str, now: ClockTime) -> Vec<MemberInfo> {
-    let mut homes = homes_of(state, stream, now);
+    let mut homes = state.fleet.members.sidecars_of_subject(stream, 1, now);
+    homes.extend(homes_of(state, stream, now));
     if let Some(first) = homes.first().map(|home| home.centre.clone()) {
         homes[1..].sort_by_key(|home| home.centre == first);
     }
@@ -281,9 +288,11 @@
     let unnoted = state.versions().unnoted_versions(service, span, now);
     let timeout = if only.is_some() { CONFIRM_TIMEOUT } else { QUERY_TIMEOUT };
     let query = StreamQuery { request: stream.to_owned(), service: service.clone(), span };
-    let replies = ask_homes(state, homes_of(state, stream, now), query, timeout).await;
+    let homes = homes_of(state, stream, now);
+    let relays = state.fleet.members.sidecars_of_subject(stream, ASKED_RELAYS, now);
+    let replies = ask_homes(state, homes, relays, query, timeout).await;
     if let Some(note) = replies.found {
-        record_note(state, note.clone(), ClockTime::now());
+        record_notes(&state.origins, vec![note.clone()], ClockTime::now());
         return (version_of(note), OriginSource::Home);
     }
     let version = match replies.all {
@@ -294,24 +303,29 @@
     (version, source)
 }
 
-/// Asks the homes of a stream at the same time, until one of them knows it.
+/// Asks the gateways and relays at which a stream may be noted at the same time, until one of them knows
+/// it.
 async fn ask_homes(
     state: &GatewayState,
     homes: Vec<MemberInfo>,
+    relays: Vec<MemberInfo>,
     query: StreamQuery,
     timeout: Duration,
 ) -> HomeReplies {
     let mut replies = HomeReplies::default();
     let asked = homes.len();
     let request = PeerRequest::FindStream(query);
-    let calls = homes.iter().map(|home| state.fleet.call(home.address, &request, timeout));
-    let mut calls: FuturesUnordered<_> = calls.collect();
+    let call = |home: MemberInfo| {
+        let request = &request;
+        async move { (home.role, state.fleet.call(home.address, request, timeout).await) }
+    };
+    let mut calls: FuturesUnordered<_> = homes.into_iter().chain(relays).map(call).collect();
     let mut replied = 0;
-    while let Some(reply) = calls.next().await {
+    while let Some((role, reply)) = calls.next().await {
         let Ok(PeerReply::Stream(StreamReply { origin, unnoted })) = reply else {
             continue;
         };
-        replied += 1;
+        replied += usize::from(role == MemberRole::Entry);
         replies.unnoted.extend(unnoted);
         if origin.is_some() {
             replies.found = origin;
@@ -323,11 +337,21 @@
     replies
 }
 
-/// Records another gateway's note.
-pub(crate) fn record_note(state: &GatewayState, note: StreamNote, now: ClockTime) {
-    let StreamNote { request, service, version, age } = note;
-    let origin = StreamOrigin { service, version, began_at: now.before(age) };
-    state.origins.record(&request, origin, now);
+/// Records other gateways' notes.
+pub(crate) fn record_notes(origins: &StreamOrigins, notes: Vec<StreamNote>, now: ClockTime) {
+    for StreamNote { request, service, version, age } in notes {
+        let origin = StreamOrigin { service, version, began_at: now.before(age) };
+        origins.record(&request, origin, now);
+    }
+}
+
+/// The note of a stream, if it is known.
+pub(crate) fn find_note(
+    origins: &StreamOrigins,
+    stream: &str,
+    now: ClockTime,
+) -> Option<StreamNote> {
+    origins.find(stream, now).map(|origin| note_of(stream, origin, now))
 }
 
 /// Replies to a gateway that resumes a stream.
@@ -336,9 +360,8 @@
     query: &StreamQuery,
     now: ClockTime,
 ) -> StreamReply {
-    let origin = state.origins.find(&query.request, now);
     StreamReply {
-        origin: origin.map(|origin| note_of(&query.request, origin, now)),
+        origin: find_note(&state.origins, &query.request, now),
         unnoted: state.versions().unnoted_versions(&query.service, query.span, now),
     }
 }
--- a/crates/sagespool-gateway/src/status.rs
+++ b/crates/sagespool-gateway/src/status.rs
@@ -52,7 +52,8 @@
     drop(throttle);
     let quarantined = state.crashes.count_quarantined();
     let restrictions = RestrictionCounts { evacuated, cold, limited, in_backoff, quarantined };
-    state.metrics.encode(state.fleet.count(MemberRole::Entry), usage, restrictions)
+    let members = (state.fleet.count(MemberRole::Entry), state.fleet.count(MemberRole::Sidecar));
+    state.metrics.encode(members, usage, restrictions)
 }
 
 fn respond_readiness(state: &GatewayState, conn: Conn) -> Conn {
--- a/crates/sagespool-membership/src/table.rs
+++ b/crates/sagespool-membership/src/table.rs
@@ -7,7 +7,7 @@
 use sagespool_messages::{Heartbeat, MemberInfo, MemberRole};
 use sagespool_types::{BranchName, CentreName, ClockTime, IncarnationId};
 
-use crate::home::home_order;
+use crate::home::{HomeCandidate, hash_of, home_order};
 use crate::policy::MembershipPolicy;
 use crate::record::ListedMember;
 use crate::view::MemberView;
@@ -217,6 +217,32 @@
         order.into_iter().filter_map(info_of).cloned().collect()
     }
 
+    /// The first `limit` reachable sidecars of the own region in the rendezvous order of anything that
+    /// has a name.
+    pub fn sidecars_of_subject(
+        &self,
+        subject: &str,
+        limit: usize,
+        now: ClockTime,
+    ) -> Vec<MemberInfo> {
+        let region = self.own().region;
+        let is_wanted =
+            |info: &MemberInfo| info.role == MemberRole::Sidecar && info.region == region;
+        let mut sidecars = self.live_where(is_wanted, now);
+        let candidates: Vec<HomeCandidate> = sidecars
+            .iter()
+            .map(|info| HomeCandidate {
+                incarnation: info.incarnation,
+                name_hash: hash_of(&info.instance),
+            })
+            .collect();
+        let order = home_order(&candidates, subject, limit);
+        let rank = |info: &MemberInfo| order.iter().position(|found| *found == info.incarnation);
+        sidecars.retain(|info| rank(info).is_some());
+        sidecars.sort_by_key(rank);
+        sidecars
+    }
+
     /// Since when this process has been home of a branch: since then no entry before it in the
     /// branch's order was fit for work, and this process was neither suspected nor paused. `None`
     /// if it isn't home now. Keys of the branch that an earlier home received aren't known here.
