Remember longer time limits until their streams have ended

Callers would see a stream joined from two versions: it began under a time limit of 8 s, the limit is lowered to 1 s and its version leaves; 5 s later the only version within the new limit is taken for the one that began it.

Cause: the span within which a stream can have begun came from the configuration in force when it is resumed.

Change: a longer limit that was replaced counts until its streams have ended (StreamLimits).

--- a/crates/sagespool-forward/src/lib.rs
+++ b/crates/sagespool-forward/src/lib.rs
@@ -56,7 +56,7 @@
 pub use retry::{RetryBudget, RetryPolicy};
 pub use sender_selector::{MIN_INSTANCES, SenderSelector};
 pub use stream_versions::{
-    AllowedVersion, StreamOrigin, StreamOrigins, VersionHistory, agreed_version,
+    AllowedVersion, StreamLimits, StreamOrigin, StreamOrigins, VersionHistory, agreed_version,
 };
 pub use throttle::{
     RateLimitChange, RateLimitStatus, UpstreamThrottle, WarmupPolicy, WarmupProfile,
--- a/crates/sagespool-forward/src/stream_versions.rs
+++ b/crates/sagespool-forward/src/stream_versions.rs
@@ -155,6 +155,42 @@
     }
 }
 
+/// The longest time limit of resumable streams, in the configuration and in those that it replaced.
+///
+/// Guards against streams that began under a longer limit: when their version has left for longer than
+/// the present limit, the versions within it tell nothing about them.
+#[derive(Debug, Default)]
+pub struct StreamLimits {
+    current: Duration,
+    /// Longer limits, and when they were replaced.
+    replaced: Vec<(Duration, ClockTime)>,
+}
+
+impl StreamLimits {
+    /// Records the longest limit of a configuration that comes into force.
+    pub fn set(&mut self, limit: Duration, now: ClockTime) {
+        self.replaced.retain(|(former, at)| now.since(*at) < *former);
+        if limit < self.current {
+            self.replaced.push((self.current, now));
+        }
+        self.current = limit;
+    }
+
+    /// The longest limit under which a stream that is still awaited may have begun.
+    pub fn longest(&self, now: ClockTime) -> Duration {
+        let replaced = self.replaced.iter().filter(|(limit, at)| now.since(*at) < *limit);
+        replaced.map(|(limit, _)| *limit).fold(self.current, Duration::max)
+    }
+
+    /// The longest limit under which a stream of a route may have begun.
+    pub fn longest_of(&self, route_limit: Duration, now: ClockTime) -> Duration {
+        match self.longest(now) {
+            longest if longest > self.current => longest,
+            _ => route_limit,
+        }
+    }
+}
+
 /// The version that began a stream which no instance has noted, by what several histories tell; `None`
 /// if it can have been more than one.
 pub fn agreed_version(
--- a/crates/sagespool-forward/tests/stream_versions.rs
+++ b/crates/sagespool-forward/tests/stream_versions.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use sagespool_forward::{StreamOrigin, StreamOrigins, VersionHistory, agreed_version};
+use sagespool_forward::{
+    StreamLimits, StreamOrigin, StreamOrigins, VersionHistory, agreed_version,
+};
 use sagespool_types::{ClockTime, ServiceName, SoftwareVersion};
 
 /// The longest time since the first event of a resumed stream.
@@ -272,3 +274,19 @@
     assert_eq!(mixed, 0, "{resumed} resumed, {refused} refused");
     assert!(resumed >= refused, "{resumed} resumed, {refused} refused");
 }
+
+/// Guards against a stream that began under a longer limit than the present one, and goes on at another
+/// version because its own left before the present limit.
+#[test]
+fn limit_lowered() {
+    let (long, short) = (Duration::from_secs(8), Duration::from_secs(1));
+    let mut limits = StreamLimits::default();
+    limits.set(long, at(0));
+    limits.set(short, at(10_000));
+    let history = history(|millis| if millis < 10_000 { vec!["v1"] } else { vec!["v2"] }, 15_000);
+    let now = at(15_000);
+    assert_eq!(history.only_version(&service(), short, now), Some(&version("v2")));
+    assert_eq!(history.only_version(&service(), limits.longest_of(short, now), now), None);
+    // All streams that began under the longer limit have ended.
+    assert_eq!(limits.longest_of(short, at(18_000)), short);
+}
--- a/crates/sagespool-gateway/src/resumption.rs
+++ b/crates/sagespool-gateway/src/resumption.rs
@@ -82,21 +82,14 @@
     loop {
         for service in state.new_versions.take().await {
             let now = ClockTime::now();
-            let recent = state.origins.recent(&service, longest_span(&state), now);
+            let longest = state.stream_limits().longest(now) + RESUME_MARGIN;
+            let recent = state.origins.recent(&service, longest, now);
             log_event!(info, "version-listed", service = service, streams = recent.len());
             send_recent(&state, recent, now).await;
         }
     }
 }
 
-/// The longest time after which a stream of any route is resumed.
-fn longest_span(state: &GatewayState) -> Duration {
-    let index = state.plan();
-    let routes = index.iter().flat_map(|index| &index.plan().routes);
-    let resumable = routes.filter(|route| route.resumable).map(|route| route.time_limit);
-    resumable.max().unwrap_or_default() + RESUME_MARGIN
-}
-
 async fn send_recent(state: &GatewayState, recent: Vec<(String, StreamOrigin)>, now: ClockTime) {
     let mut notes: BTreeMap<IncarnationId, (MemberInfo, Vec<StreamNote>)> = BTreeMap::new();
     for (stream, origin) in recent {
@@ -163,8 +156,9 @@
 impl RequestContext {
     /// The longest time since the first event of a stream that is resumed on this request's route. A
     /// caller's attempts share one deadline.
-    fn resume_span(&self) -> Duration {
-        self.request.route.time_limit + RESUME_MARGIN
+    fn resume_span(&self, now: ClockTime) -> Duration {
+        let limits = self.state.stream_limits();
+        limits.longest_of(self.request.route.time_limit, now) + RESUME_MARGIN
     }
 
     /// The caller's id of the attempt that brought the stream's first event.
@@ -220,7 +214,8 @@
         let service = self.request.service.clone();
         let origin = StreamOrigin { service, version, began_at: now };
         self.state.origins.record(self.stream_id(), origin.clone(), now);
-        if self.state.versions().only_version(&origin.service, self.resume_span(), now).is_some() {
+        if self.state.versions().only_version(&origin.service, self.resume_span(now), now).is_some()
+        {
             return;
         }
         let homes = noted_homes(&self.state, self.stream_id(), now);
@@ -277,7 +272,7 @@
 
 async fn find_origin(context: &RequestContext) -> (Option<SoftwareVersion>, OriginSource) {
     let (state, now) = (&context.state, ClockTime::now());
-    let (stream, span) = (context.stream_id(), context.resume_span());
+    let (stream, span) = (context.stream_id(), context.resume_span(now));
     let service = &context.request.service;
     // Another service's version says nothing.
     let version_of = |note: StreamNote| (note.service == *service).then_some(note.version);
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -6,8 +6,8 @@
 
 use sagespool_forward::{
     ConnectBudget, LoadBalancer, PlacementPolicy, PlanIndex, RateLimitChange, RetryBudget,
-    RetryPolicy, SenderSelector, StreamOrigins, UpstreamRecord, UpstreamRegistry, UpstreamThrottle,
-    VersionHistory, WarmupPolicy, WarmupProfile,
+    RetryPolicy, SenderSelector, StreamLimits, StreamOrigins, UpstreamRecord, UpstreamRegistry,
+    UpstreamThrottle, VersionHistory, WarmupPolicy, WarmupProfile,
 };
 use sagespool_ledger::GrantPolicy;
 use sagespool_log::log_event;
@@ -69,6 +69,8 @@
     sender_selector: Mutex<SenderSelector>,
     /// The software versions that began streams, here or at gateways that noted them here.
     pub(crate) origins: StreamOrigins,
+    /// Time limits of streams, with those that were replaced lately.
+    stream_limits: Mutex<StreamLimits>,
     versions: Mutex<VersionHistory>,
     /// Services with a software version that has just been listed.
     pub(crate) new_versions: NewVersions,
@@ -148,6 +150,7 @@
             sender_selector: Mutex::new(sender_selector),
             origins: StreamOrigins::default(),
             versions: Mutex::default(),
+            stream_limits: Mutex::default(),
             new_versions: NewVersions::default(),
             malformed_logged_at: Mutex::default(),
         }
@@ -195,6 +198,9 @@
         if plan.as_ref().is_some_and(|loaded| loaded.index.plan().version >= version) {
             return false;
         }
+        let resumable = fresh.index.plan().routes.iter().filter(|route| route.resumable);
+        let longest = resumable.map(|route| route.time_limit).max().unwrap_or_default();
+        self.stream_limits().set(longest, ClockTime::now());
         *plan = Some(fresh);
         drop(plan);
         self.fleet.members.update_own(|own| own.config = version);
@@ -234,6 +240,10 @@
         self.sender_selector.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn stream_limits(&self) -> MutexGuard<'_, StreamLimits> {
+        self.stream_limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn versions(&self) -> MutexGuard<'_, VersionHistory> {
         self.versions.lock().unwrap_or_else(PoisonError::into_inner)
     }
