Ignore late writes of a run with a start time for good

A late heartbeat that stays listed for over ten seconds after the report of draining, with the same start time, counted as a restart, though the start time shows that it is none.

--- a/crates/sagespool-forward/src/entry_order.rs
+++ b/crates/sagespool-forward/src/entry_order.rs
@@ -62,6 +62,11 @@
         let has_left = self.removed && self.leaving && !record.leaving;
         self.sequence > record.sequence || has_left
     }
+
+    /// Whether the start times show that a record is of the same run.
+    fn is_same_run(&self, record: &UpstreamRecord) -> bool {
+        self.born.is_some() && self.born == record.born
+    }
 }
 
 /// Tells the writes that the store executed late from the current ones.
@@ -85,7 +90,8 @@
     /// Whether a listed record was written before one that was read earlier.
     pub(crate) fn is_late(&self, record: &UpstreamRecord, now: ClockTime) -> bool {
         self.latest.get(&record.name).is_some_and(|latest| {
-            latest.is_after(record) && now.since(latest.read_at) < LATE_WRITE_PERIOD
+            latest.is_after(record)
+                && (latest.is_same_run(record) || now.since(latest.read_at) < LATE_WRITE_PERIOD)
         })
     }
 
@@ -145,7 +151,12 @@
     pub(crate) fn take_current(&mut self, now: ClockTime) -> Vec<UpstreamRecord> {
         let expiry = self.expiry;
         let held = self.latest.values_mut().filter_map(|latest| {
-            latest.held.take_if(|held| now.since(held.since) >= expiry).map(|held| held.record)
+            let held = latest.held.take()?;
+            if latest.is_same_run(&held.record) || now.since(held.since) < expiry {
+                latest.held = Some(held);
+                return None;
+            }
+            Some(held.record)
         });
         let current = held.collect();
         self.latest.retain(|_, latest| {
--- a/crates/sagespool-forward/tests/late_entries.rs
+++ b/crates/sagespool-forward/tests/late_entries.rs
@@ -106,6 +106,19 @@
     }
 }
 
+/// Guards against an upstream that is eligible again because its late heartbeat stays listed: the start
+/// time shows that it hasn't restarted.
+#[test]
+fn late_of_same_run() {
+    let mut registry = registry_of(&[of_run(1, ready(1)), of_run(1, draining(9))]);
+    for second in [4, 20] {
+        let late = of_run(1, ready(5));
+        assert_eq!(registry.put(late, at(1_000 * second)).1, UpstreamChange::Late);
+        assert_eq!(take_restarted(&mut registry, at(1_000 * second + EXPIRED_MS)), []);
+        assert_eq!(eligible(&registry), 0);
+    }
+}
+
 /// Guards against a write that brings back the entry of an upstream that has left.
 #[test]
 fn late_after_removal() {
