Take a response without a length as complete only if its upstream is shown to run

Cause: a body without a length and chunks ends with its connection. The gateway asked once whether the upstream accepts connections, which its listening socket may still do while the process ends, and didn't ask at all where it was leaving.

Change: the gateway asks the upstream's health path on a new connection. A reply of that upstream, or a connection that stays open, shows that it runs; a connection that is closed without a reply is tried again, four times with pauses of 25 ms, until one is refused. Without proof the response counts as broken. The same finding weighs broken responses.

Ruled out: a fixed pause before one question (a process that ends takes as long as it takes), trusting leaving upstreams. Known cost: a complete response of an upstream that ends right after it counts as broken; a probe for each break.

--- a/crates/sagespool-forward/src/plan.rs
+++ b/crates/sagespool-forward/src/plan.rs
@@ -97,6 +97,8 @@
         pub name: ServiceName,
         /// Maximum connections that each of its upstreams accepts from all instances together.
         pub most_connections: u32,
+        /// Path at which its upstreams tell that they run; None if they don't.
+        pub health_path: Option<String>,
         /// Profile of its upstreams if they are model engines.
         pub engine: Option<EngineProfile>,
         /// Request rate of its upstreams while they are cold; None if they need no warm-up.
--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -20,7 +20,7 @@
 
 use crate::attempt_end::{AttemptFailure, LossCause, UnavailableCause};
 use crate::context::RequestContext;
-use crate::crashes::refuses_connections;
+use crate::crashes::is_running;
 use crate::dialect::{ResponseMetadata, UpstreamRequestTerms};
 use crate::hop_by_hop::strip_hop_by_hop;
 use crate::pool::{UpstreamConnection, connect};
@@ -445,18 +445,17 @@
     }
 }
 
-/// Whether the end of a response's body is the end of the upstream's process.
+/// Whether the end of a response's body may be the end of the upstream's process.
 ///
 /// Without a length and chunks, a crash between two events or in a plain body closes the connection
-/// like a complete response does. An upstream that is leaving may end right after its last response.
+/// like a complete response does, also while the upstream is leaving. So the response counts as
+/// complete only if the upstream is shown to run.
 pub(crate) async fn ended_by_exit(
     state: &GatewayState,
     framing: ResponseFraming,
     upstream: &UpstreamRecord,
 ) -> bool {
-    framing == ResponseFraming::UntilClose
-        && state.upstreams().is_ready(&upstream.run())
-        && refuses_connections(state, upstream).await
+    framing == ResponseFraming::UntilClose && !is_running(state, upstream).await
 }
 
 /// The idle timeout in the upstream's `Keep-Alive` header.
--- a/crates/sagespool-gateway/src/crashes.rs
+++ b/crates/sagespool-gateway/src/crashes.rs
@@ -335,9 +335,9 @@
     );
 }
 
-/// Whether an upstream refuses connections, since its process has ended.
-pub(crate) async fn refuses_connections(state: &GatewayState, upstream: &UpstreamRecord) -> bool {
-    examine(state, upstream).await == UpstreamFinding::Refuses
+/// Whether an upstream's process runs, as far as it can be shown.
+pub(crate) async fn is_running(state: &GatewayState, upstream: &UpstreamRecord) -> bool {
+    examine(state, upstream).await == UpstreamFinding::Accepts
 }
 
 /// Weighs a broken response and reports it; drops `recorded` once it counts here.
--- a/crates/sagespool-gateway/src/crashes/evidence.rs
+++ b/crates/sagespool-gateway/src/crashes/evidence.rs
@@ -1,32 +1,44 @@
 //! What a broken response says about its request.
 //!
 //! A crash, a lost response and a fault of the network break a connection alike. After a break the
-//! gateway looks whether the upstream still accepts connections, and weighs breaks of upstreams that
-//! do by how common they are.
+//! gateway asks whether the upstream still runs, and weighs breaks of upstreams that do by how common
+//! they are.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::ErrorKind;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use http_body_util::Full;
+use hyper::Request;
+use hyper::body::{Body, Bytes};
+use hyper::header::{HOST, HeaderValue};
 use sagespool_claims::{BreakRate, SuccessLog};
 use sagespool_forward::UpstreamRecord;
-use sagespool_types::{ClockTime, ContentDigest, CrashWeight, UpstreamName};
+use sagespool_link::within;
+use sagespool_types::{ClockTime, ContentDigest, CrashWeight, RequestId, UpstreamName};
+use smol::Timer;
 
-use crate::pool::connect;
+use crate::pipeline::closes_connection;
+use crate::pool::{UpstreamConnection, connect};
 use crate::state::GatewayState;
 
 /// Refused connections within this time are compared with the number of upstreams.
 const REFUSAL_WINDOW: Duration = Duration::from_secs(2);
+/// Connections that are opened until one is refused or brings a reply.
+const PROBE_ATTEMPTS: u32 = 4;
+/// Pause between two of them. The end of a process with hundreds of connections takes some milliseconds.
+const PROBE_PAUSE: Duration = Duration::from_millis(25);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Whether an upstream still accepts connections after a response broke.
+/// Whether an upstream still runs after a response ended or broke.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum UpstreamFinding {
-    /// A new connection was accepted.
+    /// It has replied on a new connection, or holds it open.
     Accepts,
-    /// New connections are refused: its process has ended.
+    /// New connections are refused, or lead to another upstream: its process has ended.
     Refuses,
-    /// No reply: it can't be reached from here, or is very slow.
+    /// It can't be reached from here, or closes each new connection.
     Unknown,
 }
 
@@ -40,17 +52,65 @@
     }
 }
 
-/// Looks whether an upstream still accepts connections. A connection that is opened for this goes to
-/// the pool in place of the broken one.
+/// Asks an upstream whether it runs.
+///
+/// An accepted connection is no proof: while a process with hundreds of connections ends, its listening
+/// socket may be the last to close. A connection that was accepted then is closed without a reply, and
+/// the next one is refused. An upstream that has too many connections closes new ones too, but doesn't
+/// refuse them.
 pub(super) async fn examine(state: &GatewayState, upstream: &UpstreamRecord) -> UpstreamFinding {
-    match connect(upstream).await {
-        Ok(connection) => {
-            state.pool.keep(&upstream.name, connection, ClockTime::now());
-            UpstreamFinding::Accepts
+    for attempt in 0..PROBE_ATTEMPTS {
+        if attempt > 0 {
+            Timer::after(PROBE_PAUSE).await;
         }
-        Err(error) if error.kind() == ErrorKind::ConnectionRefused => UpstreamFinding::Refuses,
-        Err(_) => UpstreamFinding::Unknown,
+        let connection = match connect(upstream).await {
+            Ok(connection) => connection,
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+                return UpstreamFinding::Refuses;
+            }
+            Err(_) => return UpstreamFinding::Unknown,
+        };
+        if let Some(finding) = ask(state, upstream, connection).await {
+            return finding;
+        }
+    }
+    UpstreamFinding::Unknown
+}
+
+/// Asks an upstream whether it runs on a new connection, which goes to the pool after a reply. `None` if
+/// it is closed without one.
+async fn ask(
+    state: &GatewayState,
+    upstream: &UpstreamRecord,
+    mut connection: UpstreamConnection,
+) -> Option<UpstreamFinding> {
+    let index = state.plan();
+    let service = index.as_ref().and_then(|index| index.service(&upstream.service));
+    let Some(path) = service.and_then(|service| service.health_path.clone()) else {
+        state.pool.keep(&upstream.name, connection, ClockTime::now());
+        return Some(UpstreamFinding::Accepts);
+    };
+    let id = RequestId::random().to_string();
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = path.parse().ok()?;
+    *request.headers_mut() = (state.dialect.write_probe_headers)(&upstream.name, &id);
+    let host = HeaderValue::from_str(&upstream.address.to_string());
+    request.headers_mut().insert(HOST, host.expect("an address is a valid header value"));
+    let Some(sent) = within(PROBE_TIMEOUT, connection.sender.send_request(request)).await else {
+        // An upstream without a free slot replies late. The kernel closes the connections of a process
+        // that has ended within milliseconds.
+        return Some(UpstreamFinding::Accepts);
+    };
+    let (mut head, body) = sent.ok()?.into_parts();
+    let metadata = (state.dialect.read_response_metadata)(head.status, &mut head.headers);
+    let is_other = metadata.upstream.is_some_and(|name| name != upstream.name.as_str());
+    if metadata.misdirected || is_other {
+        return Some(UpstreamFinding::Refuses);
+    }
+    if body.is_end_stream() && !closes_connection(&head) {
+        state.pool.keep(&upstream.name, connection, ClockTime::now());
     }
+    Some(UpstreamFinding::Accepts)
 }
 
 /// The number of breaks under examination, by content.
--- a/crates/sagespool-gateway/src/dialect.rs
+++ b/crates/sagespool-gateway/src/dialect.rs
@@ -35,6 +35,8 @@
     pub read_caller_headers: fn(&HeaderMap) -> Result<RequestAttributes, CallerHeaderError>,
     /// Converts a caller's request headers to those that are sent to an upstream.
     pub write_upstream_headers: fn(&mut HeaderMap, &UpstreamRequestTerms<'_>),
+    /// The headers of a question whether an upstream runs, with the ID of the question.
+    pub write_probe_headers: fn(&UpstreamName, &str) -> HeaderMap,
     /// Parses an upstream's response headers, and removes those not meant for callers.
     pub read_response_metadata: fn(StatusCode, &mut HeaderMap) -> ResponseMetadata,
 }
@@ -83,6 +85,8 @@
 pub struct ResponseMetadata {
     /// The ID of the request that the response belongs to, if it has one.
     pub request: Option<String>,
+    /// The name of the upstream that responds, if it tells.
+    pub upstream: Option<String>,
     /// The upstream guarantees that it hasn't run the request.
     pub not_run: bool,
     /// The address belongs to another upstream now.
