Drop all connections to the store once one is silent

Cause: the pool of connections has no age and no check, so each silent one was found by a timeout of its own, up to 2.5 s for a watch, one after the other; relays, to which a gateway then turns, have the same pool.

Change: a call without a response in time drops the idle connections of its pool. A read is sent once more at once, on a new connection, if the pool had brought responses before; a write is not, since it may have been executed.

Ruled out: keep-alive probes (a connection that is silent may still answer them), an age limit (new connections for all calls).

Test: silent_connections all_silent fails before (Unavailable), passes after; silent_write guards the second half. The tests of the package pass.

--- a/crates/sagespool-platform/src/caller.rs
+++ b/crates/sagespool-platform/src/caller.rs
@@ -10,9 +10,10 @@
 use sagespool_types::{ClockTime, StoreRevision};
 use serde::de::DeserializeOwned;
 use smol::Timer;
-use trillium_client::{Client, Conn, KnownHeaderName, Version};
+use trillium_client::{Conn, KnownHeaderName, Version};
 
-use crate::connector::{TimeoutConnector, is_connect_error};
+use crate::connections::ConnectionPool;
+use crate::connector::is_connect_error;
 use crate::counters::{CallCategory, CallKind, CallMeter, StoreCounters};
 use crate::dialect::{DialectError, RawRequest};
 use crate::fallback::{FallbackCall, RawFailure, RawResponse, StoreAccess, StoreFallback};
@@ -22,9 +23,6 @@
 const CONNECT_TIMEOUT_DIVISOR: u32 = 2;
 /// Longer response bodies count as lost. A listing of all books is well below this.
 const MAX_RESPONSE_BYTES: u64 = 256 << 20;
-/// The HTTP library sends `Expect: 100-continue` before a longer body, which costs a round trip, and
-/// a second with a server that doesn't support it. Objects are at most 1 MB, so it is never sent.
-const MAX_BYTES_WITHOUT_EXPECT: usize = 4 << 20;
 /// The backoff after a 429 response without a `retry-after-ms` header.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(200);
 const REVISION_HEADER: &str = "x-store-revision";
@@ -40,7 +38,7 @@
 
 #[derive(Debug)]
 struct CallerShared {
-    client: Client,
+    connections: ConnectionPool,
     address: SocketAddr,
     token: Option<String>,
     seen_revision: AtomicU64,
@@ -66,6 +64,12 @@
         let subject = key.split_once('/').map_or(key, |(subject, _)| subject);
         Self { kind, request, subject, wait: Duration::ZERO }
     }
+
+    /// The same call once more.
+    fn again(&self) -> Self {
+        let Self { kind, subject, wait, .. } = *self;
+        Self { kind, request: self.request.clone(), subject, wait }
+    }
 }
 
 /// A response with a complete head. `body` is `None` if it was cut off or too long.
@@ -81,6 +85,8 @@
     NotSent,
     /// The request may have been processed.
     Lost,
+    /// The same: there was no response in time, on connections that had brought responses before.
+    Silent,
 }
 
 /// Reads the present version of an object from the body of a 409 response.
@@ -93,13 +99,19 @@
         timeout: Duration,
         read_version: VersionReader,
     ) -> Self {
-        let client = Client::new(TimeoutConnector::new(timeout / CONNECT_TIMEOUT_DIVISOR))
-            .with_max_buffered_request_body(MAX_BYTES_WITHOUT_EXPECT);
+        let connections = ConnectionPool::new(timeout / CONNECT_TIMEOUT_DIVISOR);
         let seen_revision = AtomicU64::new(0);
         let meter = CallMeter::default();
         let access = StoreAccess::default();
-        let shared =
-            CallerShared { client, address, token, seen_revision, read_version, meter, access };
+        let shared = CallerShared {
+            connections,
+            address,
+            token,
+            seen_revision,
+            read_version,
+            meter,
+            access,
+        };
         Self { shared: Arc::new(shared), timeout }
     }
 
@@ -140,7 +152,7 @@
         let result = match self.send_with_fallback(call).await {
             Ok(response) => interpret_response(kind, response, read, self.shared.read_version),
             Err(CallFailure::NotSent) => Err(StoreError::Unavailable),
-            Err(CallFailure::Lost) => Err(lost_response_error(kind)),
+            Err(CallFailure::Lost | CallFailure::Silent) => Err(lost_response_error(kind)),
         };
         if let Err(error) = &result {
             self.shared.meter.count_error(error);
@@ -170,7 +182,7 @@
         match self.send(call).await {
             Ok(response) => Ok(RawResponse { status: response.status, body: response.body }),
             Err(CallFailure::NotSent) => Err(RawFailure::NotSent),
-            Err(CallFailure::Lost) => Err(RawFailure::Lost),
+            Err(CallFailure::Lost | CallFailure::Silent) => Err(RawFailure::Lost),
         }
     }
 
@@ -191,7 +203,13 @@
         if access.allows_direct(kind, ClockTime::now())
             && let Some(call) = call.take()
         {
+            let again = call.again();
             direct = self.send_direct(call).await;
+            if matches!(direct, Err(CallFailure::Silent)) && kind != CallKind::Write {
+                // Without the wait of a watch: another process may take the call if this connection is
+                // silent too.
+                direct = self.send_direct(PlatformCall { wait: Duration::ZERO, ..again }).await;
+            }
             if !had_no_effect(kind, &direct) {
                 return direct;
             }
@@ -247,18 +265,27 @@
     async fn send(&self, call: PlatformCall<'_>) -> Result<PlatformResponse, CallFailure> {
         self.shared.meter.count_sent(call.kind, call.subject);
         let timeout = self.timeout.saturating_add(call.wait);
+        let connections = &self.shared.connections;
+        let generation = connections.generation();
         let exchange = self.exchange(call);
         let timer = async {
             Timer::after(timeout).await;
-            Err(CallFailure::Lost)
+            match connections.drop_silent(generation) {
+                true => Err(CallFailure::Silent),
+                false => Err(CallFailure::Lost),
+            }
         };
-        or(exchange, timer).await
+        let sent = or(exchange, timer).await;
+        if sent.is_ok() {
+            connections.note_response(generation);
+        }
+        sent
     }
 
     async fn exchange(&self, call: PlatformCall<'_>) -> Result<PlatformResponse, CallFailure> {
         let request = call.request;
         let url = format!("http://{}{}", self.shared.address, request.path);
-        let mut conn = self.shared.client.build_conn(request.method, url);
+        let mut conn = self.shared.connections.build(request.method, url);
         // HTTP/1.1 is set explicitly: otherwise concurrent calls wait for each other's connect.
         conn.set_http_version(Version::Http1_1);
         if let Some(token) = &self.shared.token {
@@ -311,7 +338,7 @@
     match sent {
         Ok(response) => is_rejected(response),
         Err(CallFailure::NotSent) => true,
-        Err(CallFailure::Lost) => kind != CallKind::Write,
+        Err(CallFailure::Lost | CallFailure::Silent) => kind != CallKind::Write,
     }
 }
 
--- a/crates/sagespool-platform/src/lib.rs
+++ b/crates/sagespool-platform/src/lib.rs
@@ -27,6 +27,7 @@
 //! ```
 
 mod caller;
+mod connections;
 mod connector;
 mod counters;
 mod dialect;
