Collect reports of crashes at a relay, which outlives restarts of all gateways

Cause: reports were in gateways' memory alone until three had come together.

Change: a relay collects the reports of a content beside two gateways, and returns what it knows to each gateway that reports. A lifted quarantine is withdrawn there by the content's first collector.

Ruled out: a store object for each report (a write a break), a longer stop that hands reports on (kills have none).

--- a/crates/sagespool-gateway/src/crashes.rs
+++ b/crates/sagespool-gateway/src/crashes.rs
@@ -54,6 +54,8 @@
 const MAX_PARTS: usize = 32;
 /// Gateways that collect the reports of a content.
 const COLLECTORS: usize = 2;
+/// Relays that collect the reports of a content.
+const RELAY_COLLECTORS: usize = 1;
 /// Gateways that are asked for a success of a part before it is quarantined.
 const ASKED_GATEWAYS: usize = 8;
 /// Gateways to which the reports of a quarantined content are sent at the same time.
@@ -408,12 +410,30 @@
     state.crashes.tracker.crashes_of(known.content, now)
 }
 
+/// The processes that collect the reports of a content: two gateways, and a relay.
+///
+/// Guards against a content that is never quarantined, since all gateways restart between two of its
+/// crashes and forget the earlier ones.
 fn collectors(state: &GatewayState, content: ContentDigest, now: ClockTime) -> Vec<MemberInfo> {
-    let mut found = state.fleet.members.homes_of_subject(&content.to_string(), COLLECTORS, now);
+    let (subject, members) = (content.to_string(), &state.fleet.members);
+    let mut found = members.homes_of_subject(&subject, COLLECTORS, now);
     found.retain(|collector| collector.incarnation != state.fleet.run);
+    found.extend(members.sidecars_of_subject(&subject, RELAY_COLLECTORS, now));
     found
 }
 
+/// Withdraws the reports of a content whose quarantine was lifted from its relay, which doesn't follow
+/// the store.
+async fn clear_relay(state: &GatewayState, lifted: ContentCrashes) {
+    let subject = lifted.content.to_string();
+    let members = &state.fleet.members;
+    let relays = members.sidecars_of_subject(&subject, RELAY_COLLECTORS, ClockTime::now());
+    let request = PeerRequest::WithdrawCrashes(lifted);
+    for relay in relays {
+        send(state, &relay, &request).await;
+    }
+}
+
 /// Sends all known reports of a content to its collectors. They may have lost earlier ones, and each
 /// gateway that reports brings those of the other collector along.
 async fn send_reports(state: &Arc<GatewayState>, content: ContentDigest) {
--- a/crates/sagespool-gateway/src/crashes/stored.rs
+++ b/crates/sagespool-gateway/src/crashes/stored.rs
@@ -16,7 +16,7 @@
 use sagespool_types::{ClockTime, ContentDigest, CrashWeight, StoreRevision, WallTime};
 use serde_json::value::RawValue;
 
-use super::{announce, clear_harmless_part};
+use super::{announce, clear_harmless_part, clear_relay};
 use crate::follow::{FollowedPrefix, follow, key_name};
 use crate::state::GatewayState;
 
@@ -53,6 +53,8 @@
     lifted: BTreeSet<ContentDigest>,
     /// Contents that other gateways have been sent, because the store wasn't reachable.
     announced: BTreeSet<ContentDigest>,
+    /// The reports of contents whose quarantine was lifted, which relays don't know yet.
+    cleared: Vec<ContentCrashes>,
 }
 
 impl StoredQuarantine {
@@ -169,7 +171,9 @@
 }
 
 fn apply_removed(state: &GatewayState, content: ContentDigest) {
+    let known = state.crashes.tracker.crashes_of(content, ClockTime::now());
     let mut stored = state.crashes.stored.state();
+    stored.cleared.push(known);
     stored.stored.remove(&content);
     stored.lifted.remove(&content);
     stored.announced.remove(&content);
@@ -194,6 +198,10 @@
             save(&state, content, crashes).await;
         }
         let is_own = |content| is_first_collector(&state, content);
+        let cleared = std::mem::take(&mut state.crashes.stored.state().cleared);
+        for lifted in cleared.into_iter().filter(|lifted| is_own(lifted.content)) {
+            clear_relay(&state, lifted).await;
+        }
         for content in state.crashes.stored.due_lifts(is_own, WallTime::now()) {
             remove(&state, content).await;
         }
--- a/crates/sagespool-gateway/src/relay_role.rs
+++ b/crates/sagespool-gateway/src/relay_role.rs
@@ -1,16 +1,17 @@
 //! A relay: a small process beside an upstream that forwards gateways' calls of the store.
 //!
 //! Gateways may lose the store, sometimes all at once, while the machines beside upstreams usually
-//! still reach it. A relay makes no decisions. Its only state are the origins of streams that gateways
-//! note at it: all gateways may be killed at once, and callers then resume streams that no other
-//! process knows.
+//! still reach it. A relay makes no decisions. Its only state is what gateways tell it because all of
+//! them may restart or be killed at once: the origins of streams, which callers resume then, and the
+//! reports of requests that crash upstreams.
 
 use std::sync::Arc;
 
+use sagespool_claims::{CrashNote, CrashTracker};
 use sagespool_forward::StreamOrigins;
 use sagespool_link::{PeerCall, PeerHandler};
 use sagespool_log::log_event;
-use sagespool_messages::{MemberRole, PeerReply, PeerRequest, StreamReply};
+use sagespool_messages::{ContentCrashes, MemberRole, PeerReply, PeerRequest, StreamReply};
 use sagespool_platform::{ObjectClient, ObjectOptions, StoreDialect};
 use sagespool_settings::RelaySettings;
 use sagespool_types::{ClockTime, IncarnationId};
@@ -59,23 +60,45 @@
     }
 }
 
-fn handler(
-    fleet: Arc<FleetClient>,
-    store: ObjectClient,
-    origins: Arc<StreamOrigins>,
-) -> PeerHandler {
+/// What gateways have told a relay.
+#[derive(Default)]
+struct RelayNotes {
+    origins: StreamOrigins,
+    crashes: CrashTracker,
+}
+
+impl RelayNotes {
+    /// Records the reports that a gateway knows, and returns all that are known here.
+    fn record_crashes(&self, known: &ContentCrashes, now: ClockTime) -> ContentCrashes {
+        let before = self.crashes.notes_of(known.content);
+        let fresh = known.reports.iter().filter(|report| !before.contains(&CrashNote::of(report)));
+        for report in fresh {
+            self.crashes.record(report, now);
+        }
+        self.crashes.crashes_of(known.content, now)
+    }
+}
+
+fn handler(fleet: Arc<FleetClient>, store: ObjectClient, notes: Arc<RelayNotes>) -> PeerHandler {
     Arc::new(move |call: PeerCall| {
-        let (fleet, store, origins) = (fleet.clone(), store.clone(), origins.clone());
+        let (fleet, store, notes) = (fleet.clone(), store.clone(), notes.clone());
         Box::pin(async move {
             let reply = match call.request {
                 PeerRequest::Heartbeat(beat) => fleet.handle_heartbeat(&beat),
                 PeerRequest::CallStore(call) => handle_store_call(&store, call).await,
-                PeerRequest::NoteStreams(notes) => {
-                    record_notes(&origins, notes, ClockTime::now());
+                PeerRequest::ReportCrashes(known) => {
+                    PeerReply::Crashes(notes.record_crashes(&known, ClockTime::now()))
+                }
+                PeerRequest::WithdrawCrashes(withdrawn) => {
+                    notes.crashes.withdraw(&withdrawn);
+                    PeerReply::Done
+                }
+                PeerRequest::NoteStreams(streams) => {
+                    record_notes(&notes.origins, streams, ClockTime::now());
                     PeerReply::Done
                 }
                 PeerRequest::FindStream(query) => {
-                    let origin = find_note(&origins, &query.request, ClockTime::now());
+                    let origin = find_note(&notes.origins, &query.request, ClockTime::now());
                     // A relay doesn't follow the list of upstreams.
                     PeerReply::Stream(StreamReply { origin, unnoted: None })
                 }
