Read the id of an event whose data isn't UTF-8

A stream that broke after it would have been resumed one event too early, and its caller would have got that event twice. The id's line alone is read as text now. Test: id_beside_other_bytes fails before (None for Some(7)), passes after.

--- a/crates/sagespool-forward/src/events.rs
+++ b/crates/sagespool-forward/src/events.rs
@@ -70,7 +70,8 @@
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
-    let text = std::str::from_utf8(event).ok()?;
-    let id = text.lines().find_map(|line| line.strip_prefix("id:"))?;
-    id.trim().parse().ok()
+    // Bytes elsewhere in the event may be of any encoding.
+    let lines = event.split(|byte| *byte == b'\n');
+    let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
+    std::str::from_utf8(id).ok()?.trim().parse().ok()
 }
--- a/crates/sagespool-forward/tests/event_splitting.rs
+++ b/crates/sagespool-forward/tests/event_splitting.rs
@@ -28,6 +28,15 @@
     ends
 }
 
+/// Guards against a stream that is resumed too early after an event whose id was overlooked, since its
+/// data isn't UTF-8: the caller would get the event twice.
+#[test]
+fn id_beside_other_bytes() {
+    for event in [&b"data: \xff\xfe\nid: 7\n\n"[..], b"id: 7\r\ndata: \xff\r\n\r\n"] {
+        assert_eq!(EventSplitter::default().push(event).last_id, Some(7));
+    }
+}
+
 quickcheck! {
     /// Guards against an event that is missed or split because its end arrives in several chunks.
     fn any_chunks(pieces: Vec<u8>, lengths: Vec<u8>) -> bool {
