--- a/crates/sagespool-membership/tests/rendezvous_home.rs
+++ b/crates/sagespool-membership/tests/rendezvous_home.rs
@@ -2,7 +2,7 @@
 
 mod fleet;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use fleet::{Fleet, address, info};
 use sagespool_membership::MembershipPolicy;
@@ -78,6 +78,31 @@
     assert!(homes(&fleet, 30).values().all(|home| home.as_str() == "entry-30"));
 }
 
+/// What gateways note at a sidecar has to be found by those that start after all gateways were killed.
+#[test]
+fn sidecars_of_subject() {
+    let mut fleet = fleet();
+    let subjects: Vec<String> = (0..50).map(|number| format!("stream-{number}")).collect();
+    let first = |fleet: &Fleet, index, subject: &str| {
+        let found = fleet.at(index).sidecars_of_subject(subject, 2, fleet.now);
+        assert!(found.len() == 2 && found.iter().all(|info| info.role == MemberRole::Sidecar));
+        found[0].instance.clone()
+    };
+    let before: Vec<InstanceName> =
+        subjects.iter().map(|subject| first(&fleet, 0, subject)).collect();
+    assert!(before.iter().collect::<BTreeSet<_>>().len() > 1);
+    for entry in 0..5 {
+        fleet.kill(entry);
+    }
+    for entry in 0..5 {
+        fleet.join(info(entry, 2, MemberRole::Entry));
+    }
+    fleet.run(60);
+    for (subject, noted) in subjects.iter().zip(&before) {
+        assert_eq!(first(&fleet, 4, subject), *noted);
+    }
+}
+
 /// Requests to a home fail while its heartbeats still count as recent. Two consecutive failures
 /// switch to the next home in order, well before the silence timeout.
 #[test]
