Read the name of a stored object as all that follows its kind

Callers saw 503, or went to the wrong upstream, beside an entry of another writer whose name ends like an upstream's: `b/a-1`. Its name was taken for the last segment of its key, `a-1`, so it overwrote that upstream's entry, marked it as leaving if its value couldn't be read, and removed it when it was removed. An entry `b/east` among the evacuations emptied the data centre east.

Cause: key_name split the key at its last slash; names are free to hold one. The kind holds none, so the key is split at its first.

Evidence: foreign_suffix, by listing and by watch, failed before (timed out waiting for requests at all upstreams) and passes.

Ruled out: the same cut in platform/src/store.rs, which splits at the first slash already.

--- a/crates/sagespool-gateway/src/follow.rs
+++ b/crates/sagespool-gateway/src/follow.rs
@@ -358,9 +358,9 @@
     }
 }
 
-/// The last segment of a key.
+/// The name in a key, which follows its kind. Other writers' names may hold slashes.
 pub(crate) fn key_name(key: &str) -> &str {
-    key.rsplit_once('/').map_or(key, |(_, name)| name)
+    key.split_once('/').map_or(key, |(_, name)| name)
 }
 
 /// Logs a change of the list of upstreams that the store had at `revision`, and drops what no longer
