End a listing at a page that brings nothing new

A gateway that started beside a store which returns a page again and again, as it may after a name that it reads in another way, never became ready: its listing had no end and grew until the memory was gone.

Cause: a page's own word that there is more was the only end. A listing ends now at a page without a new object, or whose names can't be read. It is then incomplete and is applied as changes of the objects that it has: what it lacks isn't taken for gone. Upstreams beyond it arrive with their next heartbeats.

Evidence: repeated_page failed before (timed out waiting for readiness, with the queries escaped too) and passes: requests are served at once from what was read, at all upstreams after a heartbeat, and after a further such listing. A page whose names were all unreadable passed for the last one before, so that the upstreams behind it were removed.

What remains: after an incomplete listing an upstream that was removed while the history was lost stays listed here until its responses show it.

--- a/crates/sagespool-forward/src/feed.rs
+++ b/crates/sagespool-forward/src/feed.rs
@@ -78,15 +78,25 @@
 
     /// Notes that the copy includes all changes up to a revision, as of `valid_at`.
     pub fn advance(&mut self, revision: StoreRevision, valid_at: ClockTime) {
-        self.revision = self.revision.max(revision);
+        self.advance_unconfirmed(revision);
         self.valid_at = self.valid_at.max(Some(valid_at));
     }
 
+    /// Notes that the copy includes all changes up to a revision, as of an unknown time.
+    pub fn advance_unconfirmed(&mut self, revision: StoreRevision) {
+        self.revision = self.revision.max(revision);
+    }
+
     /// The revision up to which the copy is complete.
     pub fn revision(&self) -> StoreRevision {
         self.revision
     }
 
+    /// Whether the copy has been known to match the store at some time.
+    pub fn is_confirmed(&self) -> bool {
+        self.valid_at.is_some()
+    }
+
     /// Age of the copy; None while the time of its listing is unknown.
     pub fn age(&self, now: ClockTime) -> Option<Duration> {
         self.valid_at.map(|at| now.since(at))
@@ -94,7 +104,7 @@
 
     /// Whether there are changes after a revision.
     pub fn has_changes_after(&self, revision: StoreRevision) -> bool {
-        self.valid_at.is_some()
+        self.is_confirmed()
             && (revision < self.history_start
                 || self.objects.values().any(|object| object.revision > revision))
     }
--- a/crates/sagespool-gateway/src/feeds.rs
+++ b/crates/sagespool-gateway/src/feeds.rs
@@ -68,21 +68,25 @@
         self.changed.notify(usize::MAX);
     }
 
-    /// Applies relevant changes. The copy is then complete up to `revision` as of `valid_at`.
+    /// Applies relevant changes. The copy is then complete up to `revision` as of `valid_at`, or of an
+    /// unknown time.
     pub(crate) fn apply_changes(
         &self,
         changes: Vec<FeedObject>,
         revision: StoreRevision,
-        valid_at: ClockTime,
+        valid_at: Option<ClockTime>,
     ) {
         let mut state = self.state();
         // Neighbours that start together with this process wait for its first confirmed copy.
-        let is_first = state.feed.age(valid_at).is_none();
+        let is_first = !state.feed.is_confirmed();
         let has_changes = !changes.is_empty() || is_first;
         for change in changes {
             state.feed.apply_change(change);
         }
-        state.feed.advance(revision, valid_at);
+        match valid_at {
+            Some(valid_at) => state.feed.advance(revision, valid_at),
+            None => state.feed.advance_unconfirmed(revision),
+        }
         drop(state);
         if has_changes {
             self.changed.notify(usize::MAX);
--- a/crates/sagespool-gateway/src/follow.rs
+++ b/crates/sagespool-gateway/src/follow.rs
@@ -160,11 +160,10 @@
             what = followed.name,
             entries = listing.items.len(),
             revision = listing.revision,
+            complete = listing.complete,
             may_be_stale = may_be_stale,
         );
-        let objects = listing.items.iter().map(listed_object);
-        state.feeds.replica(followed.kind).apply_listing(listing.revision, objects.collect(), read);
-        (followed.on_listing)(state, listing);
+        apply_listing(state, &followed, listing, read);
         if may_be_stale {
             wait_for_neighbours(state, &followed).await;
         }
@@ -181,6 +180,34 @@
     }
 }
 
+/// Applies a listing that was current at `read`, or at an unknown time.
+///
+/// An incomplete one is applied as changes of the objects that it has: the others may exist. What
+/// another process writes regularly, such as the entries of upstreams, arrives by the next watches.
+fn apply_listing(
+    state: &GatewayState,
+    followed: &FollowedPrefix,
+    listing: RawListing,
+    read: Option<ClockTime>,
+) {
+    let replica = state.feeds.replica(followed.kind);
+    if listing.complete {
+        let objects = listing.items.iter().map(listed_object);
+        replica.apply_listing(listing.revision, objects.collect(), read);
+        (followed.on_listing)(state, listing);
+        return;
+    }
+    let change = |(key, object): (String, StoredObject<Box<RawValue>>)| {
+        apply(
+            state,
+            followed,
+            RawChange { key, version: object.version, value: Some(object.value) },
+        )
+    };
+    let relevant = listing.items.into_iter().filter_map(change).collect();
+    replica.apply_changes(relevant, listing.revision, read);
+}
+
 /// Waits until the neighbours of a starting gateway are probably known, if it may follow them.
 ///
 /// Without it, each gateway of a fleet that starts would take itself for a follower of the store.
@@ -244,13 +271,14 @@
     let changes: Vec<RawChange> = reply.objects.into_iter().filter_map(raw_change).collect();
     if !reply.whole {
         let relevant = changes.into_iter().filter_map(|change| apply(state, followed, change));
-        replica.apply_changes(relevant.collect(), reply.revision, valid_at);
+        replica.apply_changes(relevant.collect(), reply.revision, Some(valid_at));
         return;
     }
     let items = changes.into_iter().filter_map(|change| {
         Some((change.key, StoredObject { version: change.version, value: change.value? }))
     });
-    let listing = ObjectListing { revision: reply.revision, items: items.collect() };
+    let items = items.collect();
+    let listing = ObjectListing { revision: reply.revision, items, complete: true };
     let objects = listing.items.iter().map(listed_object);
     replica.apply_listing(reply.revision, objects.collect(), Some(valid_at));
     (followed.on_listing)(state, listing);
@@ -288,7 +316,7 @@
                 }
                 apply(state, followed, change)
             });
-            replica.apply_changes(relevant.collect(), latest, read);
+            replica.apply_changes(relevant.collect(), latest, Some(read));
             Ok(())
         }
         Err(StoreError::HistoryGone) => {
--- a/crates/sagespool-platform/src/dialect.rs
+++ b/crates/sagespool-platform/src/dialect.rs
@@ -46,8 +46,19 @@
     pub revision: StoreRevision,
     /// The objects of a listing, or the changed objects of a watch.
     pub items: Vec<RawObject>,
-    /// The key after which the next page starts; `None` on the last page.
-    pub more_after: Option<String>,
+    /// What follows the page.
+    pub rest: PageRest,
+}
+
+/// What follows a page.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PageRest {
+    /// Nothing: it is the last page.
+    None,
+    /// A page that starts after this key.
+    After(String),
+    /// A page that can't be requested, since no object of this one has a readable name.
+    Unreachable,
 }
 
 /// Why a response can't be decoded, as a message.
@@ -167,7 +178,7 @@
 
 fn native_page(revision: StoreRevision, objects: Vec<NativeObject>) -> ObjectPage {
     let items = objects.into_iter().map(RawObject::from).collect();
-    ObjectPage { revision, items, more_after: None }
+    ObjectPage { revision, items, rest: PageRest::None }
 }
 
 fn parse<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, DialectError> {
--- a/crates/sagespool-platform/src/lib.rs
+++ b/crates/sagespool-platform/src/lib.rs
@@ -39,7 +39,7 @@
 mod update;
 
 pub use counters::{CallCategory, CallKind, StoreCounters};
-pub use dialect::{DialectError, ObjectPage, RawObject, RawRequest, StoreDialect};
+pub use dialect::{DialectError, ObjectPage, PageRest, RawObject, RawRequest, StoreDialect};
 pub use error::StoreError;
 pub use fallback::{FallbackCall, RawFailure, RawResponse, RawResponseFuture, StoreFallback};
 pub use hedge::first_response;
--- a/crates/sagespool-platform/src/objects.rs
+++ b/crates/sagespool-platform/src/objects.rs
@@ -1,5 +1,6 @@
 //! Client of the object API.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 
 use crate::caller::{PlatformCall, PlatformCaller};
 use crate::counters::{CallCategory, CallKind};
-use crate::dialect::{RawRequest, StoreDialect};
+use crate::dialect::{PageRest, RawRequest, StoreDialect};
 use crate::fallback::{RawFailure, RawResponse, StoreFallback};
 use crate::{StoreCounters, StoreError};
 
@@ -51,6 +52,8 @@
     pub revision: StoreRevision,
     /// The objects, sorted by key.
     pub items: Vec<(String, StoredObject<T>)>,
+    /// False if the store's pages don't lead to all objects: one that is missing may exist.
+    pub complete: bool,
 }
 
 /// The newest change of one object.
@@ -177,7 +180,8 @@
     /// Reads all objects under a prefix.
     ///
     /// The listing has the revision of its first page: a watch from there repeats changes made while
-    /// the other pages were read, and misses none.
+    /// the other pages were read, and misses none. It ends at a page that brings nothing new, so that a
+    /// store that repeats pages can't prolong it without end.
     pub async fn list<T: DeserializeOwned>(
         &self,
         prefix: &str,
@@ -200,7 +204,7 @@
         prefix: &str,
     ) -> Result<ObjectListing<T>, StoreError> {
         let prefix = valid_key(prefix)?;
-        let mut items = Vec::new();
+        let mut items = BTreeMap::new();
         let mut first = None;
         let mut after: Option<String> = None;
         loop {
@@ -209,16 +213,22 @@
             let read = |body: &[u8]| (self.dialect.read_page)(prefix, body);
             let page = self.caller.call_read(call, read).await?;
             let page = page.ok_or_else(|| StoreError::Malformed(NO_SUCH_ENDPOINT.to_owned()))?;
+            let known = items.len();
             for item in page.items {
                 let value = item.value.as_deref().ok_or_else(|| missing_value(&item.key))?;
                 let value = decode(value)?;
-                items.push((item.key, StoredObject { version: item.version, value }));
+                items.insert(item.key, StoredObject { version: item.version, value });
             }
             let revision = *first.get_or_insert(page.revision);
-            after = page.more_after;
-            if after.is_none() {
-                return Ok(ObjectListing { revision, items });
-            }
+            let complete = match page.rest {
+                PageRest::After(key) if items.len() > known => {
+                    after = Some(key);
+                    continue;
+                }
+                PageRest::After(_) | PageRest::Unreachable => false,
+                PageRest::None => true,
+            };
+            return Ok(ObjectListing { revision, items: items.into_iter().collect(), complete });
         }
     }
 
