Keep an unreadable object from hiding the others of its kind

Gateways whose seeds were down never found each other while one record of another writer stood among the addresses in the store. Operators got no list of commands and no orders to upstreams (`store unreachable`) for one such record.

Cause: a listing or a watch failed as a whole when one value couldn't be decoded. It holds the others now and names the unreadable keys; addresses are logged (address-unreadable), the operators' answers say how many records or whose order can't be decoded, and a configuration's objects are decoded one by one where they are applied.

Not changed: a record that is read alone, such as an account's budget. If that one can't be decoded, the account's requests are refused, since nobody knows what was spent.

--- a/crates/sagespool-configuration/src/watcher.rs
+++ b/crates/sagespool-configuration/src/watcher.rs
@@ -7,7 +7,7 @@
 use sagespool_messages::ConfigObject;
 use sagespool_platform::StoreError;
 use sagespool_types::{ClockTime, StoreRevision};
-use serde_json::Value;
+use serde_json::value::RawValue;
 use smol::Timer;
 
 use crate::{ConfigFollower, FollowerContext};
@@ -73,7 +73,7 @@
             return self.list(context).await;
         }
         let prefix = self.scope.prefix();
-        match context.objects.watch::<Value>(prefix, after, wait).await {
+        match context.objects.watch::<Box<RawValue>>(prefix, after, wait).await {
             Ok(watched) => {
                 let changes = watched.changes.into_iter();
                 let changes =
@@ -91,7 +91,7 @@
     }
 
     async fn list(&self, context: FollowerContext<'_>) -> Result<(), StoreError> {
-        let listing = context.objects.list::<Value>(self.scope.prefix()).await?;
+        let listing = context.objects.list::<Box<RawValue>>(self.scope.prefix()).await?;
         let items = listing.items.into_iter();
         let items = items.map(|(key, stored)| object_of(key, stored.version, Some(stored.value)));
         let items: Vec<_> = items.collect();
@@ -103,6 +103,6 @@
     }
 }
 
-fn object_of(key: String, version: StoreRevision, value: Option<Value>) -> ConfigObject {
-    ConfigObject { key, version, value: value.map(|value| value.to_string()) }
+fn object_of(key: String, version: StoreRevision, value: Option<Box<RawValue>>) -> ConfigObject {
+    ConfigObject { key, version, value: value.map(|value| value.get().to_owned()) }
 }
--- a/crates/sagespool-entry/src/operator/fleet.rs
+++ b/crates/sagespool-entry/src/operator/fleet.rs
@@ -83,12 +83,16 @@
     (AnswerBody::Upstreams(UpstreamsAnswer { rows: rows.collect() }), basis)
 }
 
-/// The newest order to each upstream.
-async fn read_fences(state: &EntryState) -> Result<HashMap<String, FenceRecord>, StoreError> {
+/// The newest order to each upstream that has one; `None` if it can't be decoded.
+async fn read_fences(
+    state: &EntryState,
+) -> Result<HashMap<String, Option<FenceRecord>>, StoreError> {
     let listing = state.objects.list::<FenceRecord>(FENCES_PREFIX).await?;
-    let named = listing.items.into_iter().filter_map(|(key, stored)| {
-        Some((key.strip_prefix(FENCES_PREFIX)?.to_owned(), stored.value))
-    });
+    let read = listing.items.into_iter().map(|(key, stored)| (key, Some(stored.value)));
+    let unreadable = listing.unreadable.into_iter().map(|key| (key, None));
+    let named = read
+        .chain(unreadable)
+        .filter_map(|(key, fence)| Some((key.strip_prefix(FENCES_PREFIX)?.to_owned(), fence)));
     Ok(named.collect())
 }
 
@@ -96,12 +100,14 @@
 fn upstream_row(
     sidecar: &MemberInfo,
     reply: Option<&StatusReply>,
-    fences: Option<&HashMap<String, FenceRecord>>,
+    fences: Option<&HashMap<String, Option<FenceRecord>>>,
 ) -> Option<UpstreamRow> {
     let info = reply.map_or(sidecar, |reply| &reply.member.info);
     let served = info.serves.as_ref()?;
-    let drain_ordered = fences
-        .map(|fences| fences.get(served.upstream.as_str()).is_some_and(|record| record.drained));
+    let drain_ordered = fences.and_then(|fences| match fences.get(served.upstream.as_str()) {
+        Some(fence) => fence.as_ref().map(|fence| fence.drained),
+        None => Some(false),
+    });
     Some(UpstreamRow {
         upstream: served.upstream.clone(),
         service: served.service.clone(),
--- a/crates/sagespool-entry/src/operator/record.rs
+++ b/crates/sagespool-entry/src/operator/record.rs
@@ -31,6 +31,9 @@
     basis.note_store_read(state.objects.seen_revision());
     let rows = match state.objects.list::<CommandRecord>(COMMANDS_PREFIX).await {
         Ok(listing) => {
+            if !listing.unreadable.is_empty() {
+                basis.note(format!("{} records can't be decoded", listing.unreadable.len()));
+            }
             let records = listing.items.iter().rev().take(MAX_ROWS);
             Some(records.map(|(_, stored)| CommandSummary::of(&stored.value)).collect())
         }
--- a/crates/sagespool-gateway/src/addresses.rs
+++ b/crates/sagespool-gateway/src/addresses.rs
@@ -102,6 +102,9 @@
             return None;
         }
     };
+    for key in &listing.unreadable {
+        log_event!(warn, "address-unreadable", key = key);
+    }
     let own = fleet.local.public_address();
     let known = listing.items.iter().filter_map(|(_, object)| object.value.address);
     let addresses: Vec<SocketAddr> = known.filter(|address| *address != own).collect();
--- a/crates/sagespool-gateway/src/follow.rs
+++ b/crates/sagespool-gateway/src/follow.rs
@@ -278,7 +278,8 @@
         Some((change.key, StoredObject { version: change.version, value: change.value? }))
     });
     let items = items.collect();
-    let listing = ObjectListing { revision: reply.revision, items, complete: true };
+    let listing =
+        ObjectListing { revision: reply.revision, items, unreadable: Vec::new(), complete: true };
     let objects = listing.items.iter().map(listed_object);
     replica.apply_listing(reply.revision, objects.collect(), Some(valid_at));
     (followed.on_listing)(state, listing);
--- a/crates/sagespool-platform/src/objects.rs
+++ b/crates/sagespool-platform/src/objects.rs
@@ -1,6 +1,6 @@
 //! Client of the object API.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -52,6 +52,8 @@
     pub revision: StoreRevision,
     /// The objects, sorted by key.
     pub items: Vec<(String, StoredObject<T>)>,
+    /// The keys of objects whose values another writer wrote in a form that can't be decoded.
+    pub unreadable: Vec<String>,
     /// False if the store's pages don't lead to all objects: one that is missing may exist.
     pub complete: bool,
 }
@@ -74,6 +76,8 @@
     pub revision: StoreRevision,
     /// The newest change of each changed key.
     pub changes: Vec<ObjectChange<T>>,
+    /// The changed keys whose new values another writer wrote in a form that can't be decoded.
+    pub unreadable: Vec<String>,
 }
 
 /// Client of the object API. Clones share connections and counters.
@@ -177,7 +181,8 @@
         }
     }
 
-    /// Reads all objects under a prefix.
+    /// Reads all objects under a prefix. One that another writer wrote in another form doesn't hide the
+    /// others.
     ///
     /// The listing has the revision of its first page: a watch from there repeats changes made while
     /// the other pages were read, and misses none. It ends at a page that brings nothing new, so that a
@@ -205,6 +210,7 @@
     ) -> Result<ObjectListing<T>, StoreError> {
         let prefix = valid_key(prefix)?;
         let mut items = BTreeMap::new();
+        let mut unreadable = BTreeSet::new();
         let mut first = None;
         let mut after: Option<String> = None;
         loop {
@@ -213,22 +219,29 @@
             let read = |body: &[u8]| (self.dialect.read_page)(prefix, body);
             let page = self.caller.call_read(call, read).await?;
             let page = page.ok_or_else(|| StoreError::Malformed(NO_SUCH_ENDPOINT.to_owned()))?;
-            let known = items.len();
+            let known = items.len() + unreadable.len();
             for item in page.items {
-                let value = item.value.as_deref().ok_or_else(|| missing_value(&item.key))?;
-                let value = decode(value)?;
-                items.insert(item.key, StoredObject { version: item.version, value });
+                match item.value.as_deref().map(decode) {
+                    Some(Ok(value)) => {
+                        items.insert(item.key, StoredObject { version: item.version, value });
+                    }
+                    Some(Err(_)) | None => {
+                        unreadable.insert(item.key);
+                    }
+                }
             }
             let revision = *first.get_or_insert(page.revision);
             let complete = match page.rest {
-                PageRest::After(key) if items.len() > known => {
+                PageRest::After(key) if items.len() + unreadable.len() > known => {
                     after = Some(key);
                     continue;
                 }
                 PageRest::After(_) | PageRest::Unreachable => false,
                 PageRest::None => true,
             };
-            return Ok(ObjectListing { revision, items: items.into_iter().collect(), complete });
+            let items = items.into_iter().collect();
+            let unreadable = unreadable.into_iter().collect();
+            return Ok(ObjectListing { revision, items, unreadable, complete });
         }
     }
 
@@ -252,11 +265,16 @@
         let watched = self.caller.call_read(call, read).await?;
         let watched = watched.ok_or_else(|| StoreError::Malformed(NO_SUCH_ENDPOINT.to_owned()))?;
         let mut changes = Vec::with_capacity(watched.items.len());
+        let mut unreadable = Vec::new();
         for item in watched.items {
-            let value = item.value.as_deref().map(decode).transpose()?;
-            changes.push(ObjectChange { key: item.key, version: item.version, value });
+            match item.value.as_deref().map(decode).transpose() {
+                Ok(value) => {
+                    changes.push(ObjectChange { key: item.key, version: item.version, value });
+                }
+                Err(_) => unreadable.push(item.key),
+            }
         }
-        Ok(ObjectChanges { revision: watched.revision, changes })
+        Ok(ObjectChanges { revision: watched.revision, changes, unreadable })
     }
 
     /// Sets the fallback for calls whose direct attempt is known to have had no effect. False if
--- a/crates/sagespool-platform/tests/object_client.rs
+++ b/crates/sagespool-platform/tests/object_client.rs
@@ -189,3 +189,31 @@
         assert_eq!(platform.requests(), []);
     });
 }
+
+/// Guards against an object of another writer that hides all others under its prefix.
+#[test]
+fn unreadable_objects() {
+    smol::block_on(async {
+        let platform = ScriptedPlatform::start([
+            done(
+                r#"{"revision":43,"items":[{"key":"books/6","version":4,"value":"?"},
+                    {"key":"books/7","version":5,"value":[1]},{"key":"books/8","version":6}]}"#,
+            ),
+            done(
+                r#"{"revision":44,"changes":[{"key":"books/7","version":7,"value":[2]},
+                    {"key":"books/8","version":8,"value":{}},{"key":"books/9","version":9,"value":null}]}"#,
+            ),
+        ]);
+        let client = ObjectClient::new(ObjectOptions::builder().address(platform.address).build());
+        let listing = client.list::<Vec<u8>>("books/").await.unwrap();
+        let stored = StoredObject { version: V5, value: vec![1] };
+        assert_eq!(listing.items, [("books/7".to_owned(), stored)]);
+        assert_eq!(listing.unreadable, ["books/6", "books/8"]);
+        assert!(listing.complete);
+        let changes = client.watch::<Vec<u8>>("books/", V5, Duration::ZERO).await.unwrap();
+        let changed: Vec<_> =
+            changes.changes.iter().map(|change| (change.key.as_str(), &change.value)).collect();
+        assert_eq!(changed, [("books/7", &Some(vec![2])), ("books/9", &None)]);
+        assert_eq!(changes.unreadable, ["books/8"]);
+    });
+}
