Ask the next process when the store rejects a relayed call

Callers of gateways that the store had turned away got 503 for as long as it also turned away the first of the relays that these gateways ask, although it served the other two: after a restart of all processes, or a lost history, no list could be read.

Cause: a 429 or 503 through a relay was taken for the store's word to all. It says only that this process is turned away, and that the call had no effect. The next process is asked now, for reads and for writes; a rejection is returned if none has another response. Class: the word to one process taken for all.

What it costs: while the store rejects everybody, a read is tried by three processes in place of one, until the backoff after two failures.

--- a/crates/sagespool-gateway/src/fleet.rs
+++ b/crates/sagespool-gateway/src/fleet.rs
@@ -263,18 +263,16 @@
             });
             return first_response(calls.collect(), stagger).await;
         }
-        let mut failure = RawFailure::NotSent;
+        let mut outcome = Err(RawFailure::NotSent);
         for other in others {
             match self.call_store_at(other.address, &request, timeout).await {
                 Err(RawFailure::NotSent) => {}
-                Err(error) => {
-                    failure = error;
-                    break;
-                }
-                answered => return answered,
+                // The store may turn this member away and serve the next one.
+                Ok(rejected) if rejected.is_rejected() => outcome = Ok(rejected),
+                ended => return ended,
             }
         }
-        Err(failure)
+        outcome
     }
 
     /// Makes a call of the store through one member.
--- a/crates/sagespool-platform/src/caller.rs
+++ b/crates/sagespool-platform/src/caller.rs
@@ -16,7 +16,9 @@
 use crate::connector::is_connect_error;
 use crate::counters::{CallCategory, CallKind, CallMeter, StoreCounters};
 use crate::dialect::{DialectError, RawRequest};
-use crate::fallback::{FallbackCall, RawFailure, RawResponse, StoreAccess, StoreFallback};
+use crate::fallback::{
+    FallbackCall, RawFailure, RawResponse, StoreAccess, StoreFallback, is_rejection,
+};
 use crate::{CallMethod, StoreError};
 
 /// The connect timeout is the call timeout divided by this, so that time is left for the exchange.
@@ -330,7 +332,7 @@
 }
 
 fn is_rejected(response: &PlatformResponse) -> bool {
-    matches!(response.status, 429 | 503)
+    is_rejection(response.status)
 }
 
 /// Whether a call is known to have had no effect: it wasn't sent, was rejected, or only reads.
--- a/crates/sagespool-platform/src/fallback.rs
+++ b/crates/sagespool-platform/src/fallback.rs
@@ -35,6 +35,18 @@
     pub body: Option<Vec<u8>>,
 }
 
+impl RawResponse {
+    /// Whether the platform rejected the call, which had no effect.
+    pub fn is_rejected(&self) -> bool {
+        is_rejection(self.status)
+    }
+}
+
+/// Whether a status says that the platform rejected a call, which had no effect.
+pub(crate) fn is_rejection(status: u16) -> bool {
+    matches!(status, 429 | 503)
+}
+
 /// Why a call made by another process has no response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RawFailure {
--- a/crates/sagespool-platform/src/hedge.rs
+++ b/crates/sagespool-platform/src/hedge.rs
@@ -9,8 +9,9 @@
 
 use crate::fallback::{RawFailure, RawResponse, RawResponseFuture};
 
-/// Makes the calls in order until one of them has a response. The next one starts when a call fails,
-/// or when all calls so far haven't ended within `stagger`; these continue.
+/// Makes the calls in order until one of them has a response. The next one starts when a call fails or is
+/// rejected, since the platform may turn away some processes only, or when all calls so far haven't ended
+/// within `stagger`; these continue. Without another response, the last rejection is returned.
 ///
 /// Only for reads: a call that is dropped may have taken effect.
 ///
@@ -23,7 +24,7 @@
 ) -> Result<RawResponse, RawFailure> {
     let mut waiting = calls.into_iter();
     let mut running: FuturesUnordered<RawResponseFuture> = waiting.next().into_iter().collect();
-    let mut failure = RawFailure::NotSent;
+    let mut outcome = Err(RawFailure::NotSent);
     while !running.is_empty() {
         let timer = match waiting.len() {
             0 => Timer::never(),
@@ -34,11 +35,12 @@
             None
         };
         match or(running.next(), late).await {
-            Some(Ok(response)) => return Ok(response),
-            Some(Err(error)) => failure = error,
-            None => {}
+            Some(Ok(response)) if !response.is_rejected() => return Ok(response),
+            Some(Ok(rejected)) => outcome = Ok(rejected),
+            Some(Err(error)) if outcome.is_err() => outcome = Err(error),
+            Some(Err(_)) | None => {}
         }
         running.extend(waiting.next());
     }
-    Err(failure)
+    outcome
 }
--- a/crates/sagespool-platform/tests/hedged_reads.rs
+++ b/crates/sagespool-platform/tests/hedged_reads.rs
@@ -61,6 +61,18 @@
     assert_eq!(started.load(Ordering::Relaxed), 1);
 }
 
+/// Guards against a process that the store turns away, and whose rejection is taken for the store's word
+/// while the next process is served.
+#[test]
+fn rejected_process() {
+    for status in [429, 503] {
+        let calls = vec![ended(Ok(response(status))), ended(Ok(response(200)))];
+        assert_eq!(smol::block_on(first_response(calls, NEVER)), Ok(response(200)));
+        let calls = vec![ended(Ok(response(status))), ended(Err(RawFailure::Lost))];
+        assert_eq!(smol::block_on(first_response(calls, NEVER)), Ok(response(status)));
+    }
+}
+
 /// Without a response the last failure is returned.
 #[test]
 fn all_fail() {
