Try the store directly again while relayed calls fail

Callers of a gateway that had started while the store turned it away got 503 for good if its peers' calls had no response either: the gateway never became ready, although the store served it again.

Cause: after a failed direct call, only a watch tries the direct connection again. A starting process has no watch before its first listing, and its listings went to its peers alone unless none could take them. Any call tries directly again now, once in 0.8 s, while the last relayed call had no response but a rejection. Class: a start that waits for what only another process gives.

--- a/crates/sagespool-platform/src/caller.rs
+++ b/crates/sagespool-platform/src/caller.rs
@@ -224,6 +224,7 @@
             return direct;
         };
         let relayed = fallback.await;
+        access.note_fallback(&relayed);
         // A reply lost between processes is no evidence about the platform: this process may be too
         // busy to receive it.
         let conclusive = !matches!(relayed, Err(RawFailure::Lost));
--- a/crates/sagespool-platform/src/fallback.rs
+++ b/crates/sagespool-platform/src/fallback.rs
@@ -6,7 +6,7 @@
 
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -15,8 +15,8 @@
 use crate::counters::CallKind;
 use crate::dialect::RawRequest;
 
-/// The time from a failure of the direct connection to the next direct attempt, which only a watch
-/// makes, since no request waits for it.
+/// The time from a failure of the direct connection to the next direct attempt. While the fallback works,
+/// only a watch makes it, since no request waits for it.
 const DIRECT_RETRY_DELAY: Duration = Duration::from_millis(800);
 /// Consecutive failures of direct call and fallback that start the backoff. A single one may be the
 /// failure of one process only.
@@ -103,6 +103,8 @@
     failed_at: AtomicU64,
     /// Consecutive failures of both.
     failures: AtomicU32,
+    /// Whether the last call through the fallback had no response but a rejection.
+    fallback_failed: AtomicBool,
 }
 
 impl StoreAccess {
@@ -112,13 +114,24 @@
     }
 
     /// Whether a call may be sent directly: always without a fallback, else while the direct
-    /// connection works or a watch is due to try it again.
+    /// connection works or is due to be tried again.
+    ///
+    /// Guards against a starting process that waits for its peers for good: it has no watch before its
+    /// first listing.
     pub(crate) fn allows_direct(&self, kind: CallKind, now: ClockTime) -> bool {
         let failed_at = self.shared.direct_failed_at.load(Ordering::Relaxed);
         if failed_at == 0 || self.shared.fallback.get().is_none() {
             return true;
         }
-        kind == CallKind::Watch && now.since(ClockTime(failed_at)) >= DIRECT_RETRY_DELAY
+        let tries_again =
+            kind == CallKind::Watch || self.shared.fallback_failed.load(Ordering::Relaxed);
+        tries_again && now.since(ClockTime(failed_at)) >= DIRECT_RETRY_DELAY
+    }
+
+    /// Records how a call through the fallback ended.
+    pub(crate) fn note_fallback(&self, relayed: &Result<RawResponse, RawFailure>) {
+        let has_failed = !matches!(relayed, Ok(response) if !response.is_rejected());
+        self.shared.fallback_failed.store(has_failed, Ordering::Relaxed);
     }
 
     pub(crate) fn note_direct_failure(&self, now: ClockTime) {
--- a/crates/sagespool-platform/tests/store_fallback.rs
+++ b/crates/sagespool-platform/tests/store_fallback.rs
@@ -4,15 +4,19 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use sagespool_platform::{
     ObjectClient, ObjectOptions, RawFailure, RawResponse, StoreError, StoreFallback,
 };
 use sagespool_testkit::{FakeObjectStore, ObjectStoreOptions, StoreFaults};
 use sagespool_types::StoreRevision;
+use smol::Timer;
 
 const TIMEOUT: Duration = Duration::from_secs(20);
+/// The time within which calls must succeed again, far above what they take.
+const RETURN_TIMEOUT: Duration = Duration::from_secs(15);
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
 const ABSENT: StoreRevision = StoreRevision::ZERO;
 
 fn start() -> (FakeObjectStore, ObjectClient) {
@@ -98,6 +102,33 @@
     });
 }
 
+/// A process starts while the store rejects it, and no peer's call gets a response. It follows nothing yet,
+/// so no watch tries the direct connection. Guards against a start that never ends although the store
+/// serves this process again.
+#[test]
+fn no_watch_yet() {
+    smol::block_on(async {
+        for relayed in [
+            Err(RawFailure::Lost),
+            Err(RawFailure::Unanswered),
+            Ok(RawResponse { status: 503, body: None }),
+        ] {
+            let (stand, client) = start();
+            client.put("books/1", ABSENT, &1).await.unwrap();
+            let (fallback, _) = counting_fallback(relayed.clone());
+            assert!(client.set_fallback(fallback));
+            stand.set_faults(StoreFaults::builder().outage(true).build());
+            assert_eq!(client.get::<u8>("books/1").await, Err(StoreError::Unavailable));
+            stand.set_faults(StoreFaults::builder().build());
+            let end = Instant::now() + RETURN_TIMEOUT;
+            while client.get::<u8>("books/1").await.is_err() {
+                assert!(Instant::now() < end, "{relayed:?}");
+                Timer::after(RETRY_PAUSE).await;
+            }
+        }
+    });
+}
+
 /// The store is down for the whole fleet. Guards against a multiple of the normal call rate: each
 /// process would call it for every request, directly and through several peers, which call it in
 /// turn. After two failures of direct call and fallback, calls fail at once without either.
