Tell what a starting gateway waits for

Operators of a gateway that didn't become ready saw `starting` and one line store-lost for each list, and couldn't tell a listing that never ends from a store that turns callers away.

--- a/crates/sagespool-gateway/src/feeds.rs
+++ b/crates/sagespool-gateway/src/feeds.rs
@@ -48,7 +48,8 @@
 #[derive(Debug, Default)]
 struct ReplicaState {
     feed: ChangeFeed,
-    store_lost: bool,
+    /// Why the store can't be read; `None` while it can.
+    store_error: Option<String>,
 }
 
 impl FeedReplica {
@@ -98,9 +99,14 @@
         self.age().is_some()
     }
 
-    /// Records whether the store is unreachable.
-    pub(crate) fn note_store(&self, lost: bool) {
-        self.state().store_lost = lost;
+    /// Records why the store can't be read, or that it can be.
+    pub(crate) fn note_store_error(&self, error: Option<String>) {
+        self.state().store_error = error;
+    }
+
+    /// Why the store couldn't be read last, if it can't be read now.
+    pub(crate) fn store_error(&self) -> Option<String> {
+        self.state().store_error.clone()
     }
 
     /// Ends a wait for changes, so that they are requested again at once.
@@ -135,7 +141,7 @@
         FeedReply {
             revision,
             age: state.feed.age(boot_time_now()),
-            store_lost: state.store_lost,
+            store_lost: state.store_error.is_some(),
             whole,
             objects: objects.into_iter().map(wire_object).collect(),
         }
--- a/crates/sagespool-gateway/src/lib.rs
+++ b/crates/sagespool-gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod role;
 mod rotation;
 mod signal;
+mod start;
 mod state;
 mod status;
 mod store_calls;
--- a/crates/sagespool-gateway/src/metrics.rs
+++ b/crates/sagespool-gateway/src/metrics.rs
@@ -11,6 +11,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use sagespool_messages::FeedKind;
 use sagespool_platform::CallCategory;
 use sagespool_types::BranchName;
 
@@ -82,6 +83,11 @@
     origin: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ListLabel {
+    list: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct BranchLabel {
     branch: String,
@@ -110,6 +116,7 @@
     open: Gauge,
     scheduling_delay: Gauge<f64, AtomicU64>,
     calls: Family<CallLabels, Gauge>,
+    awaited: Family<ListLabel, Gauge>,
     evacuated: Gauge,
     cold: Gauge,
     limited: Gauge,
@@ -175,6 +182,9 @@
         registry.register("turn_seconds", help, scheduling_delay.clone());
         let calls = Family::default();
         registry.register("store_calls", "Calls of the store, by cause", calls.clone());
+        let awaited = Family::default();
+        let help = "1 for each list that a gateway needs before it serves, and hasn't read yet";
+        registry.register("awaited_lists", help, awaited.clone());
         let evacuated = Gauge::default();
         let help = "Data centres whose upstreams get no new work";
         registry.register("evacuated_centres", help, evacuated.clone());
@@ -226,6 +236,7 @@
             open,
             scheduling_delay,
             calls,
+            awaited,
             evacuated,
             cold,
             limited,
@@ -293,11 +304,20 @@
         }
     }
 
-    /// Counts a broken response by whether its upstream accepts connections afterwards.
+    /// Sets which lists aren't read yet.
+    pub(crate) fn set_awaited_lists(&self, lists: impl Iterator<Item = FeedKind>) {
+        self.awaited.clear();
+        for list in lists {
+            self.awaited.get_or_create(&ListLabel { list: list.as_str() }).set(1);
+        }
+    }
+
+    /// Counts a resumed stream by who knew the version that began it.
     pub(crate) fn count_resumption(&self, origin: &'static str) {
         self.resumptions.get_or_create(&OriginLabel { origin }).inc();
     }
 
+    /// Counts a broken response by whether its upstream accepts connections afterwards.
     pub(crate) fn count_break(&self, upstream: &'static str) {
         self.breaks.get_or_create(&BreakLabel { upstream }).inc();
     }
--- a/crates/sagespool-gateway/src/role.rs
+++ b/crates/sagespool-gateway/src/role.rs
@@ -22,6 +22,7 @@
 use crate::peers::run_peers;
 use crate::resumption::note_recent_streams;
 use crate::rotation::run_rotation;
+use crate::start::log_start;
 use crate::state::GatewayState;
 use crate::status::serve_status;
 use crate::store_calls::log_store_calls;
@@ -125,6 +126,7 @@
             smol::spawn(save_quarantine(state.clone())),
             smol::spawn(sweep(state.clone())),
             smol::spawn(log_store_calls(state.store.clone())),
+            smol::spawn(log_start(state.clone())),
         ];
         if state.follows_evacuations() {
             tasks.push(smol::spawn(follow_evacuations(state.clone())));
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -386,7 +386,13 @@
     /// Whether this instance can serve requests: its copies of the store are confirmed, and no stop
     /// has begun.
     pub(crate) fn can_serve(&self) -> bool {
-        !self.is_stopping() && self.plan().is_some() && self.knows_upstreams()
+        !self.is_stopping() && self.awaited_lists().next().is_none()
+    }
+
+    /// The lists that this gateway needs before it serves, and hasn't read yet.
+    pub(crate) fn awaited_lists(&self) -> impl Iterator<Item = FeedKind> + '_ {
+        let plan = self.plan().is_none().then_some(FeedKind::Configuration);
+        plan.into_iter().chain(self.awaited_constraints())
     }
 
     /// Whether the upstreams, the evacuations and the quarantined contents are known as of a known time.
@@ -395,10 +401,14 @@
     /// sends callers to all of them. After a kill of all machines a gateway tried 72 upstreams that
     /// had all been replaced.
     pub(crate) fn knows_upstreams(&self) -> bool {
-        let is_loaded = |kind| self.feeds.replica(kind).is_loaded();
-        is_loaded(FeedKind::Upstreams)
-            && is_loaded(FeedKind::Quarantine)
-            && (!self.follows_evacuations() || is_loaded(FeedKind::Evacuations))
+        self.awaited_constraints().next().is_none()
+    }
+
+    /// The lists that tell where requests may be sent, and that aren't known as of a known time.
+    fn awaited_constraints(&self) -> impl Iterator<Item = FeedKind> + '_ {
+        let evacuations = self.follows_evacuations().then_some(FeedKind::Evacuations);
+        let needed = [FeedKind::Upstreams, FeedKind::Quarantine].into_iter().chain(evacuations);
+        needed.filter(|kind| !self.feeds.replica(*kind).is_loaded())
     }
 
     /// Whether operators may evacuate data centres.
--- a/crates/sagespool-gateway/src/status.rs
+++ b/crates/sagespool-gateway/src/status.rs
@@ -11,6 +11,7 @@
 
 use crate::metrics::RestrictionCounts;
 use crate::rotation::RotationStatus;
+use crate::start::describe_awaited;
 use crate::state::GatewayState;
 
 const METRICS_PATH: &str = "/metrics";
@@ -42,6 +43,7 @@
 fn metrics_text(state: &GatewayState) -> String {
     state.metrics.set_store_calls(state.store.call_counts());
     state.metrics.set_rotation(state.rotation.status());
+    state.metrics.set_awaited_lists(state.awaited_lists());
     let now = ClockTime::now();
     let usage = state.limiter.usage(now);
     // Lock one at a time: the choice of an upstream locks them in another order.
@@ -66,7 +68,7 @@
     let RotationStatus { pressure, source, out_for, .. } = state.rotation.status();
     match out_for {
         _ if state.is_stopping() => "stopping".to_owned(),
-        _ if !state.can_serve() => "starting".to_owned(),
+        _ if !state.can_serve() => format!("starting: {}", describe_awaited(state)),
         _ if state.rotation.is_kept_out() => "kept out of rotation by the settings".to_owned(),
         Some(out_for) => {
             let millis = out_for.as_millis();
--- a/crates/sagespool-gateway/src/store_health.rs
+++ b/crates/sagespool-gateway/src/store_health.rs
@@ -48,7 +48,7 @@
         followed: &FollowedPrefix,
         error: &dyn Display,
     ) {
-        state.feeds.replica(followed.kind).note_store(true);
+        state.feeds.replica(followed.kind).note_store_error(Some(error.to_string()));
         if self.lost.is_none() {
             self.lost = Some(ClockTime::now());
             log_event!(warn, "store-lost", what = followed.name, error = error);
@@ -58,7 +58,7 @@
     /// Records that the store is reachable.
     pub(crate) fn mark_reachable(&mut self, state: &GatewayState, followed: &FollowedPrefix) {
         self.failures = 0;
-        state.feeds.replica(followed.kind).note_store(false);
+        state.feeds.replica(followed.kind).note_store_error(None);
         if let Some(since) = self.lost.take() {
             let outage = ClockTime::now().since(since);
             let away_ms = outage.as_millis();
