Request a rejected page of a listing again, not the whole listing

A gateway that lists many upstreams while the store rejects some of its calls, as when all processes start at once and share its rate, got no further than the first rejection: the listing started over, which costs the others more calls. Its callers got 503 meanwhile.

Cause: one rejected page failed the listing. A page after the first is requested up to six times, after the pause that the store asks for.

Evidence: rejected_pages (18 upstreams on six pages, each page rejected twice) timed out waiting for readiness before, and passes.

--- a/crates/sagespool-platform/src/objects.rs
+++ b/crates/sagespool-platform/src/objects.rs
@@ -9,15 +9,20 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::value::RawValue;
+use smol::Timer;
 
 use crate::caller::{PlatformCall, PlatformCaller};
 use crate::counters::{CallCategory, CallKind};
-use crate::dialect::{PageRest, RawRequest, StoreDialect};
+use crate::dialect::{ObjectPage, PageRest, RawRequest, StoreDialect};
 use crate::fallback::{RawFailure, RawResponse, StoreFallback};
 use crate::{StoreCounters, StoreError};
 
 /// The largest value that is sent. The platform's limit of 1 MB may be slightly lower.
 const MAX_VALUE_BYTES: usize = 1 << 20;
+/// Requests of one page of a listing before the listing fails.
+const MAX_PAGE_TRIES: u32 = 6;
+const PAGE_RETRY_PAUSE: Duration = Duration::from_millis(150);
+const MAX_PAGE_PAUSE: Duration = Duration::from_secs(1);
 const NO_SUCH_ENDPOINT: &str = "the platform has no such endpoint (404)";
 
 /// Options of an [`ObjectClient`].
@@ -214,11 +219,7 @@
         let mut first = None;
         let mut after: Option<String> = None;
         loop {
-            let request = self.read_request(kind, (self.dialect.list)(prefix, after.as_deref()));
-            let call = PlatformCall::new(kind, request, prefix);
-            let read = |body: &[u8]| (self.dialect.read_page)(prefix, body);
-            let page = self.caller.call_read(call, read).await?;
-            let page = page.ok_or_else(|| StoreError::Malformed(NO_SUCH_ENDPOINT.to_owned()))?;
+            let page = self.read_page(kind, prefix, after.as_deref()).await?;
             let known = items.len() + unreadable.len();
             for item in page.items {
                 match item.value.as_deref().map(decode) {
@@ -245,6 +246,39 @@
         }
     }
 
+    /// Reads a page. One after the first is requested again when the store rejects it.
+    ///
+    /// Guards against listings that start over again and again, while many processes list at once and
+    /// the store's rate limit rejects some of their calls.
+    async fn read_page(
+        &self,
+        kind: CallKind,
+        prefix: &str,
+        after: Option<&str>,
+    ) -> Result<ObjectPage, StoreError> {
+        let mut tries = 1;
+        loop {
+            let request = self.read_request(kind, (self.dialect.list)(prefix, after));
+            let call = PlatformCall::new(kind, request, prefix);
+            let read = |body: &[u8]| (self.dialect.read_page)(prefix, body);
+            let error = match self.caller.call_read(call, read).await {
+                Ok(Some(page)) => return Ok(page),
+                Ok(None) => return Err(StoreError::Malformed(NO_SUCH_ENDPOINT.to_owned())),
+                Err(error) => error,
+            };
+            let pause = match &error {
+                StoreError::RateLimited { retry_after } => (*retry_after).min(MAX_PAGE_PAUSE),
+                StoreError::Unavailable => PAGE_RETRY_PAUSE,
+                _ => return Err(error),
+            };
+            if after.is_none() || tries == MAX_PAGE_TRIES {
+                return Err(error);
+            }
+            tries += 1;
+            Timer::after(pause.mul_f64(0.5 + fastrand::f64())).await;
+        }
+    }
+
     /// Waits for changes under a prefix after a revision. Returns at once if there are any, else
     /// without changes after at most `wait`.
     ///
