Take a response without a length as complete only if its request was taken whole

A caller that uploaded a long body got the first part of a response as all of it: the upstream answered at once with a 200 without a length, sent a part, and ended its connection while the upload was still being written. On connections that end so the kernel may show a close before the reset that follows it, and a close ends such a body regularly. The health path then said that the upstream runs, which was all that was asked.

Besides, the whole request must have been written now, and its connection must not have been reset by the time the upstream has replied on the health path. A connection shares its socket with the task that drives it, so that a reset after a close can be told.

Evidence: cut_responses (close after a part of a 12 MB upload) failed before on plain routes: 200, complete. Resets held before, with 12 MB and with 100 kB that fit into the kernel's buffers; they are kept in the test, on plain and streaming routes. whole_responses holds the other side: a response whose connection is closed after the upstream has read the upload stays whole, early or not.

--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -445,17 +445,22 @@
     }
 }
 
-/// Whether the end of a response's body may be the end of the upstream's process.
+/// Whether the end of a response's body may be something else than its end.
 ///
 /// Without a length and chunks, a crash between two events or in a plain body closes the connection
-/// like a complete response does, also while the upstream is leaving. So the response counts as
-/// complete only if the upstream is shown to run.
-pub(crate) async fn ended_by_exit(
+/// like a complete response does, also while the upstream is leaving. A connection that is reset while
+/// the request is still being written may show its close first. So the response counts as complete only
+/// if the upstream is shown to run and its connection took the whole request.
+pub(crate) async fn may_be_cut(
     state: &GatewayState,
     framing: ResponseFraming,
+    connection: &UpstreamConnection,
     upstream: &UpstreamRecord,
 ) -> bool {
-    framing == ResponseFraming::UntilClose && !is_running(state, upstream).await
+    framing == ResponseFraming::UntilClose
+        && (connection.cut_request()
+            || !is_running(state, upstream).await
+            || connection.cut_request())
 }
 
 /// The idle timeout in the upstream's `Keep-Alive` header.
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -18,7 +18,7 @@
 use sagespool_types::{ByteCount, ClockTime};
 
 use crate::admission::ReceivedMemory;
-use crate::attempt::{NOT_CONNECTED, OpenResponse, ResponseFraming, ended_by_exit, send_once};
+use crate::attempt::{NOT_CONNECTED, OpenResponse, ResponseFraming, may_be_cut, send_once};
 use crate::attempt_end::{AttemptFailure, LossCause, UnavailableCause};
 use crate::body::ResponseBody;
 use crate::budget::{BudgetRequest, Reservation};
@@ -343,7 +343,7 @@
         collected = Err(AttemptFailure::Lost(LossCause::Oversized));
     }
     if collected.is_ok()
-        && ended_by_exit(&context.state, framing, &placement.attempt().upstream).await
+        && may_be_cut(&context.state, framing, &connection, &placement.attempt().upstream).await
     {
         collected = Err(AttemptFailure::Lost(LossCause::WithinBody));
     }
--- a/crates/sagespool-gateway/src/pool.rs
+++ b/crates/sagespool-gateway/src/pool.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{self, SendRequest};
+use rustix::net::sockopt::socket_error;
 use sagespool_forward::{UpstreamRecord, UpstreamRun};
 use sagespool_link::within;
 use sagespool_types::{ClockTime, UpstreamName};
@@ -16,7 +17,7 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
-use crate::received::{BoundedStream, MAX_HEAD, READ_AHEAD_BYTES, ReadAllowance};
+use crate::received::{BoundedStream, MAX_HEAD, READ_AHEAD_BYTES, ReadAllowance, WriteProgress};
 
 /// Connect timeout. The round trip within a region takes 1 to 2 ms and upstreams take one more. TCP
 /// resends a lost SYN only after 1 s, by which time another upstream would have responded.
@@ -42,6 +43,9 @@
     idle_since: ClockTime,
     /// What it may receive.
     pub(crate) allowance: Arc<ReadAllowance>,
+    progress: Arc<WriteProgress>,
+    /// Shares the driver's socket, to tell a close from a reset after the driver has ended.
+    socket: TcpStream,
     _driver: Task<()>,
 }
 
@@ -52,6 +56,12 @@
             self.idle_limit = timeout.mul_f64(IDLE_SHARE);
         }
     }
+
+    /// Whether the upstream's connection ended before it had taken the whole request: a part wasn't
+    /// written, or was answered by a reset after the upstream had closed its side.
+    pub(crate) fn cut_request(&self) -> bool {
+        self.progress.is_unwritten() || !matches!(socket_error(&self.socket), Ok(Ok(())))
+    }
 }
 
 /// Idle connections by upstream. Each is reused only for the run that it was opened to: an upstream
@@ -125,7 +135,10 @@
     let opened = within(CONNECT_TIMEOUT, open_stream(upstream.address)).await;
     let stream = opened.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))?;
     let allowance = Arc::new(ReadAllowance::new(MAX_HEAD));
-    let stream = FuturesIo::new(BoundedStream::new(stream, allowance.clone()));
+    let progress = Arc::new(WriteProgress::default());
+    let socket = stream.clone();
+    let stream = BoundedStream::new(stream, allowance.clone(), progress.clone());
+    let stream = FuturesIo::new(stream);
     let mut client = http1::Builder::new();
     client.max_buf_size(READ_AHEAD_BYTES);
     let (sender, driver) = client.handshake(stream).await.map_err(io::Error::other)?;
@@ -140,6 +153,8 @@
         idle_limit: DEFAULT_IDLE_TIMEOUT,
         idle_since: ClockTime::default(),
         allowance,
+        progress,
+        socket,
         _driver: driver,
     })
 }
--- a/crates/sagespool-gateway/src/received.rs
+++ b/crates/sagespool-gateway/src/received.rs
@@ -1,4 +1,4 @@
-//! Bounds on the bytes that an upstream sends.
+//! Bounds on the bytes that an upstream sends, and what its connection has taken.
 //!
 //! An upstream in trouble may send bytes without end: in a head, as interim responses, in the length
 //! or the extension of a chunk, in a body. Nothing above the connection counts all of these, so the
@@ -7,7 +7,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll};
 
 use futures_lite::{AsyncRead, AsyncWrite};
@@ -58,6 +58,23 @@
     }
 }
 
+/// Whether a connection has taken all that was to be written to it.
+#[derive(Debug, Default)]
+pub(crate) struct WriteProgress {
+    is_unwritten: AtomicBool,
+}
+
+impl WriteProgress {
+    /// Whether a part of the request is still to be written.
+    pub(crate) fn is_unwritten(&self) -> bool {
+        self.is_unwritten.load(Ordering::Acquire)
+    }
+
+    fn set_unwritten(&self, is_unwritten: bool) {
+        self.is_unwritten.store(is_unwritten, Ordering::Release);
+    }
+}
+
 /// A connection to an upstream that fails once it has received more than its allowance.
 ///
 /// Guards also against an upstream that sends as fast as this process reads: the task that reads would
@@ -66,13 +83,18 @@
 pub(crate) struct BoundedStream {
     stream: TcpStream,
     allowance: Arc<ReadAllowance>,
+    progress: Arc<WriteProgress>,
     /// Bytes received since the last pause.
     burst: usize,
 }
 
 impl BoundedStream {
-    pub(crate) fn new(stream: TcpStream, allowance: Arc<ReadAllowance>) -> Self {
-        Self { stream, allowance, burst: 0 }
+    pub(crate) fn new(
+        stream: TcpStream,
+        allowance: Arc<ReadAllowance>,
+        progress: Arc<WriteProgress>,
+    ) -> Self {
+        Self { stream, allowance, progress, burst: 0 }
     }
 }
 
@@ -111,11 +133,17 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.progress.set_unwritten(true);
         Pin::new(&mut self.stream).poll_write(context, buffer)
     }
 
+    /// The HTTP client flushes once it has written all of its buffer, which holds the whole request.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let polled = Pin::new(&mut self.stream).poll_flush(context);
+        if let Poll::Ready(Ok(())) = polled {
+            self.progress.set_unwritten(false);
+        }
+        polled
     }
 
     fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/sagespool-gateway/src/stream.rs
+++ b/crates/sagespool-gateway/src/stream.rs
@@ -12,7 +12,7 @@
 use sagespool_types::{ByteCount, ClockTime};
 
 use crate::admission::ReceivedMemory;
-use crate::attempt::{OpenResponse, PlacementGuard, ResponseFraming, ended_by_exit, send_once};
+use crate::attempt::{OpenResponse, PlacementGuard, ResponseFraming, may_be_cut, send_once};
 use crate::attempt_end::{AttemptFailure, LossCause};
 use crate::body::{BodyChunk, ResponseBody};
 use crate::context::RequestContext;
@@ -132,7 +132,8 @@
     let has_events = context.log.events > events_before;
     let is_broken = end.is_ok()
         && (!is_complete(framing, &splitter, has_events)
-            || ended_by_exit(&context.state, framing, &placement.attempt().upstream).await);
+            || may_be_cut(&context.state, framing, &connection, &placement.attempt().upstream)
+                .await);
     let end = if is_broken { Err(BROKEN_STREAM) } else { end };
     let now = ClockTime::now();
     match end {
