Reject responses with a status that no final response may have

Callers got a status 101 of an upstream in trouble as an answer, and, as told by others, 600 and 999. A status 000, and other texts that aren't three digits from 100 on, were taken for no response before (502); the HTTP client lets 100 to 999 pass. What isn't 200 to 599 is garbled now: tried again where the request may be, else 502.

Evidence: odd_statuses (nine texts, plain, repeatable and streaming routes) failed before at its seventh, 101: the caller got 101. Those before it, 000 among them, passed.

--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt: sending a request to one upstream.
 
 use std::io;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,6 +31,9 @@
 /// The connection to the upstream couldn't be opened.
 pub(crate) const NOT_CONNECTED: AttemptFailure = AttemptFailure::NotSent("not-connected");
 
+/// The statuses of final responses to requests that don't switch protocols.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// An upstream's response whose body hasn't been read.
 pub(crate) struct OpenResponse {
     pub(crate) head: Parts,
@@ -372,6 +376,11 @@
     now: ClockTime,
 ) -> Result<OpenResponse, AttemptFailure> {
     let (mut head, body) = response.into_parts();
+    if !FINAL_STATUSES.contains(&head.status.as_u16()) {
+        let failure = AttemptFailure::Lost(LossCause::Garbled);
+        placement.finish(failure.send_outcome(), now);
+        return Err(failure);
+    }
     connection.note_idle_limit(idle_limit(&head));
     let framing = ResponseFraming::of(&head, &body);
     context.log.framing = Some(framing);
