Bound what the store may send, and give way to other tasks meanwhile

A store in trouble that sent bytes without end took up to 256 MB of each process that called it, where a machine has 110 MB, and with interim responses or small chunks it held the calling thread for good: no timeout fired, and all callers of that gateway waited (seen in the test: no end after 12 s, 130 to 280 MB taken).

Cause: only decoded bytes were counted, and a response whose connection always has bytes never paused.

Not changed: the client of a sidecar for its engine, which has no bound.

--- a/crates/sagespool-gateway/src/pool.rs
+++ b/crates/sagespool-gateway/src/pool.rs
@@ -11,13 +11,14 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use rustix::net::sockopt::socket_error;
 use sagespool_forward::{UpstreamRecord, UpstreamRun};
+use sagespool_http::{BoundedStream, ReadAllowance, WriteProgress};
 use sagespool_link::within;
 use sagespool_types::{ClockTime, UpstreamName};
 use smol::Task;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
-use crate::received::{BoundedStream, MAX_HEAD, READ_AHEAD_BYTES, ReadAllowance, WriteProgress};
+use crate::received::{MAX_HEAD, READ_AHEAD_BYTES};
 
 /// Connect timeout. The round trip within a region takes 1 to 2 ms and upstreams take one more. TCP
 /// resends a lost SYN only after 1 s, by which time another upstream would have responded.
--- a/crates/sagespool-gateway/src/relay_role.rs
+++ b/crates/sagespool-gateway/src/relay_role.rs
@@ -19,7 +19,7 @@
 
 use crate::fleet::{FleetClient, LocalMember, handle_store_call};
 use crate::resumption::{find_note, record_notes};
-use crate::role::STORE_TIMEOUT;
+use crate::role::{MAX_STORE_RESPONSE, STORE_TIMEOUT};
 use crate::store_calls::log_store_calls;
 
 /// A running relay. Dropping it stops it.
@@ -42,6 +42,7 @@
         let options = ObjectOptions::builder()
             .address(settings.object_api)
             .call_timeout(STORE_TIMEOUT)
+            .max_response(MAX_STORE_RESPONSE)
             .dialect(dialect);
         let store = ObjectClient::new(options.build());
         let local = LocalMember::builder()
--- a/crates/sagespool-gateway/src/role.rs
+++ b/crates/sagespool-gateway/src/role.rs
@@ -10,7 +10,7 @@
 use sagespool_log::log_event;
 use sagespool_platform::{ObjectClient, ObjectOptions};
 use sagespool_settings::GatewaySettings;
-use sagespool_types::{ClockTime, IncarnationId};
+use sagespool_types::{ByteCount, ClockTime, IncarnationId};
 use smol::{Task, Timer};
 
 use crate::callers::accept;
@@ -29,6 +29,8 @@
 
 /// Timeout of a call of the store. A call usually takes 4 ms, and 250 ms with a slow store.
 pub(crate) const STORE_TIMEOUT: Duration = Duration::from_millis(500);
+/// The largest response of the store. An object and a page have up to 1 MB; a watch may return more.
+pub(crate) const MAX_STORE_RESPONSE: ByteCount = ByteCount(16 << 20);
 /// The load balancer checks once a second and removes an instance after two failed checks. Until
 /// then new callers arrive and are served.
 const ROTATION_TIME: Duration = Duration::from_millis(2600);
@@ -96,6 +98,7 @@
         let options = ObjectOptions::builder()
             .address(settings.object_api)
             .call_timeout(STORE_TIMEOUT)
+            .max_response(MAX_STORE_RESPONSE)
             .dialect(dialect.store);
         let store = ObjectClient::new(options.build());
         log_event!(
--- a/crates/sagespool-gateway/src/stream.rs
+++ b/crates/sagespool-gateway/src/stream.rs
@@ -8,6 +8,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use sagespool_forward::{EventSplitter, SendOutcome};
+use sagespool_http::ReadAllowance;
 use sagespool_link::within;
 use sagespool_types::{ByteCount, ClockTime};
 
@@ -19,7 +20,7 @@
 use crate::hop_by_hop::strip_hop_by_hop;
 use crate::metrics::Outcome;
 use crate::pipeline::{attempt_timeout, closes_connection, may_retry};
-use crate::received::{MAX_EVENT, ReadAllowance};
+use crate::received::MAX_EVENT;
 use crate::refusal::Refusal;
 
 /// Chunks buffered for the caller's connection. Beyond these, a slow caller causes backpressure on
--- a/crates/sagespool-http/src/lib.rs
+++ b/crates/sagespool-http/src/lib.rs
@@ -5,8 +5,10 @@
 //! the link between processes on the other, and the threads contend for the reactor. Here all
 //! tasks of a process share smol's global executor, whose thread drives the reactor itself.
 
+mod bounded;
 mod listener;
 mod runtime;
 
+pub use bounded::{BoundedStream, ReadAllowance, WriteProgress};
 pub use listener::{HttpListener, http_server};
 pub use runtime::SharedRuntime;
--- a/crates/sagespool-platform/src/caller.rs
+++ b/crates/sagespool-platform/src/caller.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use futures_lite::future::or;
-use sagespool_types::{ClockTime, StoreRevision};
+use sagespool_types::{ByteCount, ClockTime, StoreRevision};
 use serde::de::DeserializeOwned;
 use smol::Timer;
 use trillium_client::{Conn, KnownHeaderName, Version};
@@ -23,12 +23,12 @@
 
 /// The connect timeout is the call timeout divided by this, so that time is left for the exchange.
 const CONNECT_TIMEOUT_DIVISOR: u32 = 2;
-/// Longer response bodies count as lost. A listing of all books is well below this.
-const MAX_RESPONSE_BYTES: u64 = 256 << 20;
 /// The backoff after a 429 response without a `retry-after-ms` header.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(200);
 const REVISION_HEADER: &str = "x-store-revision";
 const RETRY_HEADER: &str = "retry-after-ms";
+/// The connection bounds a response.
+const UNLIMITED: u64 = u64::MAX;
 const MAX_SHOWN_BYTES: usize = 200;
 
 /// Makes calls to one address. Clones share connections, circuit breakers and counters.
@@ -99,9 +99,10 @@
         address: SocketAddr,
         token: Option<String>,
         timeout: Duration,
+        max_response: ByteCount,
         read_version: VersionReader,
     ) -> Self {
-        let connections = ConnectionPool::new(timeout / CONNECT_TIMEOUT_DIVISOR);
+        let connections = ConnectionPool::new(timeout / CONNECT_TIMEOUT_DIVISOR, max_response);
         let seen_revision = AtomicU64::new(0);
         let meter = CallMeter::default();
         let access = StoreAccess::default();
@@ -328,7 +329,7 @@
 async fn read_response(mut conn: Conn) -> Result<PlatformResponse, CallFailure> {
     let status = conn.status().ok_or(CallFailure::Lost)? as u16;
     let retry_after = header_number(&conn, RETRY_HEADER).map(Duration::from_millis);
-    let body = conn.response_body().with_max_len(MAX_RESPONSE_BYTES).read_bytes().await.ok();
+    let body = conn.response_body().with_max_len(UNLIMITED).read_bytes().await.ok();
     Ok(PlatformResponse { status, retry_after, body })
 }
 
--- a/crates/sagespool-platform/src/connections.rs
+++ b/crates/sagespool-platform/src/connections.rs
@@ -3,6 +3,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use sagespool_types::ByteCount;
 use trillium_client::{Client, Conn};
 
 use crate::CallMethod;
@@ -20,6 +21,7 @@
 #[derive(Debug)]
 pub(crate) struct ConnectionPool {
     connect_timeout: Duration,
+    max_response: ByteCount,
     current: Mutex<PooledClient>,
 }
 
@@ -37,10 +39,10 @@
 pub(crate) struct PoolGeneration(u64);
 
 impl ConnectionPool {
-    pub(crate) fn new(connect_timeout: Duration) -> Self {
-        let client = new_client(connect_timeout);
+    pub(crate) fn new(connect_timeout: Duration, max_response: ByteCount) -> Self {
+        let client = new_client(connect_timeout, max_response);
         let current = PooledClient { client, generation: 0, has_responded: false };
-        Self { connect_timeout, current: Mutex::new(current) }
+        Self { connect_timeout, max_response, current: Mutex::new(current) }
     }
 
     fn current(&self) -> MutexGuard<'_, PooledClient> {
@@ -72,7 +74,7 @@
         }
         let has_responded = current.has_responded;
         *current = PooledClient {
-            client: new_client(self.connect_timeout),
+            client: new_client(self.connect_timeout, self.max_response),
             generation: current.generation + 1,
             has_responded: false,
         };
@@ -80,7 +82,7 @@
     }
 }
 
-fn new_client(connect_timeout: Duration) -> Client {
-    Client::new(TimeoutConnector::new(connect_timeout))
+fn new_client(connect_timeout: Duration, max_response: ByteCount) -> Client {
+    Client::new(TimeoutConnector::new(connect_timeout, max_response))
         .with_max_buffered_request_body(MAX_BYTES_WITHOUT_EXPECT)
 }
--- a/crates/sagespool-platform/src/connector.rs
+++ b/crates/sagespool-platform/src/connector.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use futures_lite::future::or;
-use sagespool_http::SharedRuntime;
+use sagespool_http::{BoundedStream, SharedRuntime};
+use sagespool_types::ByteCount;
 use smol::Timer;
 use trillium_server_common::{Connector, Destination, Url};
 use trillium_smol::ClientConfig;
@@ -17,6 +18,8 @@
 pub(crate) struct TimeoutConnector {
     connector: ClientConfig,
     timeout: Duration,
+    /// What a response may have, with its head and its framing.
+    max_response: ByteCount,
 }
 
 /// Marks an I/O error as a failure to connect.
@@ -40,26 +43,27 @@
 }
 
 impl TimeoutConnector {
-    pub(crate) fn new(timeout: Duration) -> Self {
-        Self { connector: ClientConfig::new().with_nodelay(true), timeout }
+    pub(crate) fn new(timeout: Duration, max_response: ByteCount) -> Self {
+        Self { connector: ClientConfig::new().with_nodelay(true), timeout, max_response }
     }
 
     async fn connect_with_timeout(
         &self,
         destination: Destination,
-    ) -> io::Result<<ClientConfig as Connector>::Transport> {
+    ) -> io::Result<<Self as Connector>::Transport> {
         let timer = async {
             Timer::after(self.timeout).await;
             Err(io::ErrorKind::TimedOut.into())
         };
-        or(self.connector.connect_to(destination), timer)
-            .await
-            .map_err(|error| io::Error::new(error.kind(), ConnectError(error)))
+        let connected = or(self.connector.connect_to(destination), timer).await;
+        let stream =
+            connected.map_err(|error| io::Error::new(error.kind(), ConnectError(error)))?;
+        Ok(BoundedStream::per_request(stream, self.max_response))
     }
 }
 
 impl Connector for TimeoutConnector {
-    type Transport = <ClientConfig as Connector>::Transport;
+    type Transport = BoundedStream<<ClientConfig as Connector>::Transport>;
     type Runtime = SharedRuntime;
     type Udp = <ClientConfig as Connector>::Udp;
 
--- a/crates/sagespool-platform/src/instances.rs
+++ b/crates/sagespool-platform/src/instances.rs
@@ -11,6 +11,7 @@
 use crate::caller::{PlatformCall, PlatformCaller};
 use crate::counters::CallKind;
 use crate::dialect::{RawRequest, StoreDialect};
+use crate::objects::DEFAULT_MAX_RESPONSE;
 use crate::{StoreCounters, StoreError};
 
 /// The timeout of a call; the time that a watch waits is added.
@@ -69,6 +70,7 @@
                 address,
                 token,
                 CALL_TIMEOUT,
+                DEFAULT_MAX_RESPONSE,
                 StoreDialect::native().read_version,
             ),
         }
--- a/crates/sagespool-platform/src/objects.rs
+++ b/crates/sagespool-platform/src/objects.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bon::Builder;
-use sagespool_types::StoreRevision;
+use sagespool_types::{ByteCount, StoreRevision};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::value::RawValue;
@@ -23,6 +23,7 @@
 const MAX_PAGE_TRIES: u32 = 6;
 const PAGE_RETRY_PAUSE: Duration = Duration::from_millis(150);
 const MAX_PAGE_PAUSE: Duration = Duration::from_secs(1);
+pub(crate) const DEFAULT_MAX_RESPONSE: ByteCount = ByteCount(256 << 20);
 const NO_SUCH_ENDPOINT: &str = "the platform has no such endpoint (404)";
 
 /// Options of an [`ObjectClient`].
@@ -36,6 +37,9 @@
     /// default.
     #[builder(default = Duration::from_secs(1))]
     pub call_timeout: Duration,
+    /// The largest response, which is lost beyond it. 256 MiB by default, far above a listing of all books.
+    #[builder(default = DEFAULT_MAX_RESPONSE)]
+    pub max_response: ByteCount,
     /// The wire format; that of `docs/PLATFORM.md` by default.
     #[builder(default)]
     pub dialect: StoreDialect,
@@ -99,8 +103,9 @@
 impl ObjectClient {
     /// Creates a client. It connects on its first call.
     pub fn new(options: ObjectOptions) -> Self {
-        let ObjectOptions { address, token, call_timeout, dialect } = options;
-        let caller = PlatformCaller::new(address, token, call_timeout, dialect.read_version);
+        let ObjectOptions { address, token, call_timeout, max_response, dialect } = options;
+        let caller =
+            PlatformCaller::new(address, token, call_timeout, max_response, dialect.read_version);
         Self { caller, dialect }
     }
 
