Judge the list of versions by its age at each decision

Reported of systems like ours: a stream that had begun at a new software version broke, was resumed at a gateway that had been out of step for some seconds, and went on at another version.

Here the history of versions was judged when it was last observed, each half second, and up to three seconds ago: a gateway that was cut off, or stood still, could take the version in a list of up to six seconds of age for the only one. With a suspended machine there was no bound, since the process's clock stands still too. Others begin streams at a version that they have listed for three seconds. Each decision now checks the list's age, by a clock that counts a suspension, before and after the other gateways are asked.

Not shown on a running fleet: a process can't suspend its clock in a test.

What remains: a stream that begins at a version listed for less than three seconds, because no upstream of an older one takes it, and whose notes reach neither of its homes.

--- a/crates/sagespool-forward/src/stream_versions.rs
+++ b/crates/sagespool-forward/src/stream_versions.rs
@@ -49,12 +49,8 @@
         view_age: Option<Duration>,
         now: ClockTime,
     ) -> BTreeSet<ServiceName> {
-        let is_current = view_age.is_some_and(|age| age <= MAX_VIEW_AGE);
-        let is_gapless = self.observed_at.is_some_and(|at| now.since(at) <= MAX_VIEW_AGE);
+        let is_current = self.check_view(view_age, now);
         self.observed_at = Some(now);
-        if !is_current || !is_gapless {
-            self.complete_since = None;
-        }
         if is_current {
             self.complete_since.get_or_insert(now);
         }
@@ -71,6 +67,21 @@
         changed
     }
 
+    /// Discards the history if the list is too old by now, or wasn't observed for too long. True if the
+    /// list is up to date. To be called before each decision by the history.
+    ///
+    /// Guards against an instance that stood still or was cut off since it last observed its list: others
+    /// begin streams at versions that it doesn't know. The age counts the time in which a machine is
+    /// suspended, which the process's clock doesn't.
+    pub fn check_view(&mut self, view_age: Option<Duration>, now: ClockTime) -> bool {
+        let is_current = view_age.is_some_and(|age| age <= MAX_VIEW_AGE);
+        let is_gapless = self.observed_at.is_some_and(|at| now.since(at) <= MAX_VIEW_AGE);
+        if !is_current || !is_gapless {
+            self.complete_since = None;
+        }
+        is_current
+    }
+
     /// Records that a version is listed now. True if it wasn't before.
     pub fn note_listed(
         &mut self,
--- a/crates/sagespool-forward/tests/stream_versions.rs
+++ b/crates/sagespool-forward/tests/stream_versions.rs
@@ -96,6 +96,41 @@
     assert_eq!(history.only_version(&service, SPAN, at(14_000)), None);
 }
 
+/// Guards against an instance out of step that takes the version in its list for the only one, while
+/// others, which have listed another one for so long that all up-to-date instances know it, begin streams
+/// there: it was cut off, then stood still, with or without its clock.
+#[test]
+fn instance_out_of_step() {
+    let (service, v1) = (service(), version("v1"));
+    // The last time at which the list was confirmed.
+    let confirmed = 20_000;
+    for (cut_ms, still_ms, is_suspended) in out_of_step_cases() {
+        let mut history = history(|_| vec!["v1"], confirmed);
+        for age in (500..=cut_ms).step_by(500) {
+            let age_now = Some(Duration::from_millis(age));
+            history.observe([(&service, &v1)].into_iter(), age_now, at(confirmed + age));
+        }
+        let age = cut_ms + still_ms;
+        let now = at(confirmed + if is_suspended { cut_ms } else { age });
+        history.check_view(Some(Duration::from_millis(age)), now);
+        let case = format!("cut off for {cut_ms} ms, still for {still_ms}, {is_suspended}");
+        // Another version that was listed just afterwards is settled elsewhere from there on.
+        let is_settled_elsewhere = age > 3000;
+        let takes_only = history.only_version(&service, SPAN, now).is_some();
+        assert_eq!(takes_only, !is_settled_elsewhere, "{case}");
+        let tells_others = history.unnoted_versions(&service, SPAN, now).is_some();
+        assert_eq!(tells_others, !is_settled_elsewhere, "{case}");
+    }
+}
+
+/// Times for which an instance is cut off and then stands still, and whether its clock stands still too.
+fn out_of_step_cases() -> impl Iterator<Item = (u64, u64, bool)> {
+    let times = (0..=3000).step_by(500);
+    let stills =
+        times.clone().flat_map(|cut| (0..=6000).step_by(250).map(move |still| (cut, still)));
+    stills.flat_map(|(cut, still)| [false, true].map(|suspended| (cut, still, suspended)))
+}
+
 /// Guards against memory that grows with the streams, and against old origins.
 #[test]
 fn bounded_origins() {
--- a/crates/sagespool-gateway/src/resumption.rs
+++ b/crates/sagespool-gateway/src/resumption.rs
@@ -214,8 +214,8 @@
         let service = self.request.service.clone();
         let origin = StreamOrigin { service, version, began_at: now };
         self.state.origins.record(self.stream_id(), origin.clone(), now);
-        if self.state.versions().only_version(&origin.service, self.resume_span(now), now).is_some()
-        {
+        let span = self.resume_span(now);
+        if self.state.checked_versions(now).only_version(&origin.service, span, now).is_some() {
             return;
         }
         let homes = noted_homes(&self.state, self.stream_id(), now);
@@ -279,8 +279,8 @@
     if let Some(origin) = state.origins.find(stream, now) {
         return (version_of(note_of(stream, origin, now)), OriginSource::Own);
     }
-    let only = state.versions().only_version(service, span, now).cloned();
-    let unnoted = state.versions().unnoted_versions(service, span, now);
+    let only = state.checked_versions(now).only_version(service, span, now).cloned();
+    let unnoted = state.checked_versions(now).unnoted_versions(service, span, now);
     let timeout = if only.is_some() { CONFIRM_TIMEOUT } else { QUERY_TIMEOUT };
     let query = StreamQuery { request: stream.to_owned(), service: service.clone(), span };
     let homes = homes_of(state, stream, now);
@@ -290,9 +290,12 @@
         record_notes(&state.origins, vec![note.clone()], ClockTime::now());
         return (version_of(note), OriginSource::Home);
     }
+    // Another version may have been listed, or the list may have become too old, while they were asked.
+    let now = ClockTime::now();
+    let still_only = state.checked_versions(now).only_version(service, span, now).cloned();
     let version = match replies.all {
         true => agreed_version(unnoted.into_iter().chain(replies.unnoted)),
-        false => only,
+        false => only.filter(|only| still_only.as_ref() == Some(only)),
     };
     let source = if version.is_some() { OriginSource::History } else { OriginSource::Nobody };
     (version, source)
@@ -357,6 +360,6 @@
 ) -> StreamReply {
     StreamReply {
         origin: find_note(&state.origins, &query.request, now),
-        unnoted: state.versions().unnoted_versions(&query.service, query.span, now),
+        unnoted: state.checked_versions(now).unnoted_versions(&query.service, query.span, now),
     }
 }
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -248,6 +248,14 @@
         self.versions.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The history of software versions, for a decision now.
+    pub(crate) fn checked_versions(&self, now: ClockTime) -> MutexGuard<'_, VersionHistory> {
+        let view_age = self.feeds.replica(FeedKind::Upstreams).age();
+        let mut versions = self.versions();
+        versions.check_view(view_age, now);
+        versions
+    }
+
     /// Records which software versions are listed.
     pub(crate) fn observe_versions(&self, now: ClockTime) {
         let view_age = self.feeds.replica(FeedKind::Upstreams).age();
