Refuse a request whose upload ends when the gateway is closing

In a planned stop, a request whose head came before the gateway stopped taking requests that outlast it, and whose body came after, was passed on to an upstream and cut at the end of the grace: the caller got a 502 for a request that may not be repeated and may have run. It is refused as not run (503 with Retry-After) now, as one is that begins then: whether it can end in time is asked again once the body is read.

Reported of systems like ours: requests taken late in the grace, cut with no answer. Requests that begin late were refused here before, and what is cut gets a 502, not a closed connection (unresponsive_upstream).

Evidence: late_upload failed before (502, passed on) and passes.

--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -139,6 +139,10 @@
     };
     let body = read_body(&index, body, &mut permit, deadline.since(ClockTime::now())).await?;
     permit.end_body();
+    // A stop may have begun to close meanwhile.
+    if state.may_stop_before(deadline) {
+        return Err(Refusal::Stopping);
+    }
     let branch_name = branch.map(|branch| &branch.name);
     let key = attributes.key.as_deref();
     let digests = || digests_of(content_of(branch_name, key, head, &body), &attributes);
