--- a/crates/sagespool-gateway/src/start.rs
+++ b/crates/sagespool-gateway/src/start.rs
@@ -14,12 +14,15 @@
 /// Interval of the log lines of a start that takes long.
 const LOG_PERIOD: Duration = Duration::from_secs(1);
 
-/// Logs what the start waits for, until the gateway can serve.
+/// Logs what the start waits for, until the gateway can serve or stops.
 pub(crate) async fn log_start(state: Arc<GatewayState>) {
     let began = ClockTime::now();
     let mut logged_at = began;
     while !state.can_serve() {
         Timer::after(CHECK_PERIOD).await;
+        if state.is_stopping() {
+            return;
+        }
         let now = ClockTime::now();
         if now.since(logged_at) >= LOG_PERIOD {
             logged_at = now;
