Try the link's port until it is free

A gateway or relay whose port was held by another process when it started had no link for good: no members, no loans of tokens, no relayed calls of the store. The line link-closed said so once.

Cause: the port was tried once.

Evidence: port_released failed before (timed out waiting for both members).

--- a/crates/sagespool-gateway/src/fleet.rs
+++ b/crates/sagespool-gateway/src/fleet.rs
@@ -7,7 +7,7 @@
 
 use bon::Builder;
 use sagespool_forward::MIN_INSTANCES;
-use sagespool_link::{LinkEndpoint, LinkError, PeerHandler};
+use sagespool_link::{LinkEndpoint, LinkError, LinkIdentity, PeerHandler};
 use sagespool_log::log_event;
 use sagespool_membership::{MemberTable, MembershipPolicy, initial_heartbeat_number};
 use sagespool_messages::{
@@ -161,9 +161,7 @@
         handler: PeerHandler,
         on_reply: impl Fn(&MemberInfo) + Clone + Send + 'static,
     ) {
-        let Some(endpoint) = self.open_link(&store, handler).await else {
-            return;
-        };
+        let endpoint = self.open_link(&store, handler).await;
         log_event!(info, "link-open", address = endpoint.local_address());
         if self.link.set(endpoint).is_err() {
             log_event!(error, "link-opened-twice", address = self.local.link);
@@ -194,28 +192,38 @@
         }
     }
 
-    /// Opens the link. It needs the fleet's certificate authority from the store, which is read
-    /// with retries until it succeeds.
-    async fn open_link(&self, store: &ObjectClient, handler: PeerHandler) -> Option<LinkEndpoint> {
+    /// Opens the link. The port is tried until it is free.
+    ///
+    /// Guards against a process without a link for good: after a kill and a start, another process may
+    /// still hold the port.
+    async fn open_link(&self, store: &ObjectClient, handler: PeerHandler) -> LinkEndpoint {
+        let identity = self.find_identity(store).await;
         let mut logged = false;
         loop {
-            match create_identity(store, &self.local.instance, self.local.is_seed()).await {
-                Ok(identity) => {
-                    return match LinkEndpoint::start(self.local.link, identity, handler) {
-                        Ok(endpoint) => Some(endpoint),
-                        Err(report) => {
-                            log_event!(error, "link-closed", detail = format!("{report:?}"));
-                            None
-                        }
-                    };
+            match LinkEndpoint::start(self.local.link, identity.clone(), handler.clone()) {
+                Ok(endpoint) => return endpoint,
+                Err(report) if !std::mem::replace(&mut logged, true) => {
+                    log_event!(error, "link-closed", detail = format!("{report:?}"));
                 }
-                Err(error) => {
-                    if !std::mem::replace(&mut logged, true) {
-                        log_event!(warn, "identity-missing", detail = error);
-                    }
-                    pause_after_failure().await;
+                Err(_) => {}
+            }
+            pause_after_failure().await;
+        }
+    }
+
+    /// Creates the identity of the link. It needs the fleet's certificate authority from the store, which
+    /// is read with retries until it succeeds.
+    async fn find_identity(&self, store: &ObjectClient) -> LinkIdentity {
+        let mut logged = false;
+        loop {
+            match create_identity(store, &self.local.instance, self.local.is_seed()).await {
+                Ok(identity) => return identity,
+                Err(error) if !std::mem::replace(&mut logged, true) => {
+                    log_event!(warn, "identity-missing", detail = error);
                 }
+                Err(_) => {}
             }
+            pause_after_failure().await;
         }
     }
 
