Give way to other tasks while an engine sends without end

An engine in trouble that sent interim responses without end held the thread of its sidecar: no timeout fired, no other request of that sidecar went on, none was answered.

The sidecar's connections to its engine are bounded and pause as those of gateways and of the store. What the client keeps was bounded before (10 MB of a stream), so the bound is only for what nobody keeps.

--- a/crates/sagespool-sidecar/src/upstream/connector.rs
+++ b/crates/sagespool-sidecar/src/upstream/connector.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
-use sagespool_http::SharedRuntime;
+use sagespool_http::{BoundedStream, SharedRuntime};
+use sagespool_types::ByteCount;
 use smol::Timer;
 use trillium_server_common::{Connector, Destination, Url};
 use trillium_smol::{ClientConfig, SmolTransport, SmolUdpSocket, async_net};
@@ -19,6 +20,10 @@
 /// unless its backlog is full.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The largest response. Services' bodies pass through, and the client bounds streams itself; the bound is
+/// for what neither keeps, such as interim responses.
+const MAX_RESPONSE: ByteCount = ByteCount(4 << 30);
+
 /// Opens connections to one address, regardless of the host in the URL.
 ///
 /// The host carries the id of the call instead, so that the connector can
@@ -74,7 +79,7 @@
 }
 
 impl Connector for UpstreamConnector {
-    type Transport = SmolTransport<async_net::TcpStream>;
+    type Transport = BoundedStream<SmolTransport<async_net::TcpStream>>;
     type Runtime = SharedRuntime;
     type Udp = SmolUdpSocket;
 
@@ -94,7 +99,7 @@
         if let Some(host) = destination.host() {
             lock(&self.shared.connected).insert(host.to_owned());
         }
-        Ok(transport)
+        Ok(BoundedStream::per_request(transport, MAX_RESPONSE))
     }
 
     fn runtime(&self) -> Self::Runtime {
