Test: count what the client takes, not what the server's buffer holds

The client's bound is 16 MiB; the server counts what it has written, with both ends' kernel buffers, up to 10 MiB under load. The server's own buffer is small now; the bound of 24 MiB stays, which is 16 MiB and the client's receive buffer.

--- a/crates/sagespool-platform/tests/endless_replies.rs
+++ b/crates/sagespool-platform/tests/endless_replies.rs
@@ -10,6 +10,7 @@
 use std::thread;
 use std::time::Duration;
 
+use rustix::net::sockopt::set_socket_send_buffer_size;
 use sagespool_platform::{ObjectClient, ObjectOptions, StoreError};
 use sagespool_types::ByteCount;
 
@@ -47,6 +48,8 @@
 }
 
 fn answer(mut stream: TcpStream, begin: &str, repeated: &str, sent: &AtomicUsize) {
+    // What waits in this end's buffer isn't taken by the client.
+    set_socket_send_buffer_size(&stream, PIECE_BYTES).unwrap();
     let mut lines = BufReader::new(stream.try_clone().unwrap()).lines();
     while lines.next().is_some_and(|line| line.is_ok_and(|line| !line.is_empty())) {}
     let piece = repeated.repeat(PIECE_BYTES / repeated.len());
