Test: a response's bound below the room for the kernel's buffers

The client's receive buffer may grow to 32 MiB on some machines, so 24 MiB could be passed with a bound of 16 MiB. The test's client has a bound of 4 MiB now and may take 20 MiB with all buffers, 4 less than before; without the bound 134 to 280 MB were taken.

--- a/crates/sagespool-platform/tests/endless_replies.rs
+++ b/crates/sagespool-platform/tests/endless_replies.rs
@@ -18,12 +18,12 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// A call that takes longer holds its thread.
 const HANG_TIMEOUT: Duration = Duration::from_secs(12);
-const MAX_RESPONSE: ByteCount = ByteCount(16 << 20);
+const MAX_RESPONSE: ByteCount = ByteCount(4 << 20);
 const PIECE_BYTES: usize = 64 << 10;
-/// What a head may have, with the buffers of the sockets.
+/// What a head may have, with the kernel's buffers.
 const SMALL: usize = 8 << 20;
-/// What a body may have, with the buffers of the sockets: a small machine has 110 MB for all.
-const LARGE: usize = 24 << 20;
+/// What a response may have, with the kernel's buffers, which aren't this process's memory.
+const LARGE: usize = 20 << 20;
 
 /// A store that answers each request with some bytes, and then with others again and again.
 struct EndlessStore {
