An upstream that was slow once gets requests again

What callers saw: nothing wrong in an answer. A plain upstream whose first responses were slower than the others' got no further request from that instance while the others were idle enough: with one response of 24 ms beside upstreams that answer in a millisecond, none in 30 s; with a higher learnt slowness, none until the others queue fifteen times their slots. The fleet works with one upstream less after a pause of one that has long recovered.

Reproduced: 4 of 200 runs, 32 at a time beside a build, each time with one upstream whose first response took 20 ms or more.

Cause: an upstream that wasn't chosen for 2 s is due, by a fixed factor of 0.4 on its expected time. The learnt slowness ranges from 0.3 to 12, a factor of 40, so 0.4 doesn't bring it below one in use unless its slowness is under 2.5 times the others'. The same had been seen and mended for upstreams never tried, not for those tried once.

Change: the factor halves with each 2 s without a request, down to a bound at which the slowest costs less than the fastest one in use. Equally stale upstreams keep their order, so a light load still goes to the fast ones.

Ruled out: ejection (no failure in the logs), the list (all three gateways had the upstream), the stand (it answered its health checks).

Before: slow_for_once fails, 0 of 400 requests after 24 ms.

--- a/crates/sagespool-forward/src/placement.rs
+++ b/crates/sagespool-forward/src/placement.rs
@@ -113,11 +113,16 @@
 /// A plain upstream that wasn't chosen for this long is due for a request. Its state is stale, and
 /// a slow or failed one would never be seen to recover.
 const STALE_AFTER: Duration = Duration::from_secs(2);
-/// Factor on the expected time of such an upstream.
+/// Factor on the expected time of an upstream once it is due.
 const STALE_COST_FACTOR: f64 = 0.4;
-/// Factor on the initial response time of an upstream that was never tried. Less than the lowest
-/// expected time of any other, so that a fast upstream doesn't keep all requests to itself.
-const UNTRIED_COST_FACTOR: f64 = MIN_SLOWNESS * STALE_COST_FACTOR;
+/// The factor halves each time this passes without a request.
+const STALE_COST_HALF_LIFE: Duration = Duration::from_secs(2);
+/// Lower bound of the factor. With it, the slowest upstream costs less than the fastest one that is
+/// in use, so that each becomes due in the end, but more than a faster one that is as stale.
+const MIN_STALE_COST_FACTOR: f64 = STALE_COST_FACTOR * MIN_SLOWNESS / MAX_SLOWNESS;
+/// Factor on the initial response time of an upstream that was never tried. No more than the lowest
+/// cost of any other, so that a fast upstream doesn't keep all requests to itself.
+const UNTRIED_COST_FACTOR: f64 = MIN_SLOWNESS * MIN_STALE_COST_FACTOR;
 /// Time from a request's arrival at an idle engine to its first event, excluding prefill.
 const FIRST_EVENT_BASE_MS: f64 = 20.0;
 /// Random cost that decides between nearly equal upstreams.
@@ -202,11 +207,10 @@
         };
         let expected_ms = expected_ms * load.slowness;
         let rejection_factor = load.rejection_factor(now);
-        let is_stale = load.cache.is_none() && now.since(load.last_chosen_at) > STALE_AFTER;
-        let response_ms = match is_stale {
-            true if load.is_untried() => policy.initial_response_ms * UNTRIED_COST_FACTOR,
-            true => expected_ms * STALE_COST_FACTOR,
-            false => expected_ms,
+        let response_ms = match load.cache {
+            None if load.is_untried() => policy.initial_response_ms * UNTRIED_COST_FACTOR,
+            None => expected_ms * stale_cost_factor(now.since(load.last_chosen_at)),
+            Some(_) => expected_ms,
         };
         // Slowness is learnt from responses only. Without this bound, an upstream that never responds
         // looks faster than those whose responses were slow.
@@ -351,6 +355,15 @@
     uncached_tokens: TokenCount,
 }
 
+/// Factor on the expected time of an upstream that wasn't chosen for `idle`.
+fn stale_cost_factor(idle: Duration) -> f64 {
+    if idle <= STALE_AFTER {
+        return 1.0;
+    }
+    let half_lives = (idle - STALE_AFTER).as_secs_f64() / STALE_COST_HALF_LIFE.as_secs_f64();
+    (STALE_COST_FACTOR * 0.5f64.powf(half_lives)).max(MIN_STALE_COST_FACTOR)
+}
+
 /// Id of the part of a prompt that other requests may share: all but its last part.
 fn shared_prefix_id(parts: &[PromptPart]) -> Option<u64> {
     let shared = parts.len().checked_sub(1)?;
