One trial frees a harmless part of prompts that is quarantined

They had run beside deadly ones on three of the first upstreams that crashed, before one of them had succeeded. A refused part can't succeed, so nothing could free it.

Cause: only a success withdraws the reports of a part, and a stop leaves no way to one. Which of the runs on a crashed upstream was the cause can't be told from three crashes on which both were.

Change: 3 s after a stop one request with the part is let run, and one more after 10 minutes. The gateway that refuses such a request counts the trial by a conditional write in the object of each part that stops it, and lets the next one run; so all gateways together run no more, also if they restart. Homes of the part go first, 0.25 s apart, so that few write at once. A request that is stopped as a whole has no trial: its own crashes are the evidence.

--- a/crates/sagespool-claims/src/crash.rs
+++ b/crates/sagespool-claims/src/crash.rs
@@ -377,13 +377,13 @@
         self.state().records.get(&content).is_some_and(|record| record.stopped)
     }
 
-    /// The content because of which a request with these digests must not run anywhere.
-    pub fn find_stopped(&self, request: &BTreeSet<ContentDigest>) -> Option<ContentDigest> {
+    /// The contents because of which a request with these digests must not run anywhere.
+    pub fn find_stopped(&self, request: &BTreeSet<ContentDigest>) -> BTreeSet<ContentDigest> {
         let state = self.state();
         let stops = |content: &&ContentDigest| {
             state.records.get(content).is_some_and(|record| record.stops(**content, request))
         };
-        request.iter().find(stops).copied()
+        request.iter().filter(stops).copied().collect()
     }
 
     /// True if a content was in flight at a crash and has not succeeded since, or is stopped.
--- a/crates/sagespool-claims/src/quarantine.rs
+++ b/crates/sagespool-claims/src/quarantine.rs
@@ -73,6 +73,16 @@
         pub at: WallTime,
         /// True if it was lifted; these crashes no longer count.
         pub lifted: bool,
+        /// Requests that were let run in spite of the stop, to see whether they succeed.
+        #[serde(default)]
+        pub trials: usize,
+    }
+}
+
+impl QuarantineEntry {
+    /// The entry of a content that is stopped now, without its crashes.
+    pub fn at(now: WallTime) -> Self {
+        Self { crashes: BTreeSet::new(), at: now, lifted: false, trials: 0 }
     }
 }
 
@@ -107,7 +117,7 @@
         crashes: &BTreeSet<CrashNote>,
         now: WallTime,
     ) -> StopOutcome {
-        let fresh = QuarantineEntry { crashes: BTreeSet::new(), at: now, lifted: false };
+        let fresh = QuarantineEntry::at(now);
         let is_new = !self.contents.contains_key(&content);
         let entry = self.contents.entry(content).or_insert(fresh);
         if entry.lifted && crashes.is_subset(&entry.crashes) {
@@ -115,7 +125,7 @@
         }
         let stopped_now = is_new || entry.lifted;
         if entry.lifted {
-            *entry = QuarantineEntry { crashes: BTreeSet::new(), at: now, lifted: false };
+            *entry = QuarantineEntry::at(now);
         }
         entry.crashes.extend(crashes.iter().cloned());
         self.evict_oldest();
--- a/crates/sagespool-claims/tests/crash_tracker.rs
+++ b/crates/sagespool-claims/tests/crash_tracker.rs
@@ -309,7 +309,7 @@
 fn refuses(tracker: &CrashTracker, parts: &[u64]) -> bool {
     let parts: BTreeSet<_> = parts.iter().map(|part| ContentDigest::of_part(*part)).collect();
     parts.iter().for_each(|part| _ = tracker.confirm(*part));
-    tracker.find_stopped(&parts).is_some()
+    !tracker.find_stopped(&parts).is_empty()
 }
 
 /// Guards against the refusal of a harmless part that comes with a bad one, and was in flight once when
--- a/crates/sagespool-claims/tests/part_model/world.rs
+++ b/crates/sagespool-claims/tests/part_model/world.rs
@@ -141,7 +141,7 @@
         let content = ContentDigest(self.fresh_id());
         let digests: BTreeSet<_> = request.parts.iter().copied().chain([content]).collect();
         let is_late_sound = !request.is_bad && self.is_after_crashes(Duration::from_secs(6));
-        let refused = self.gateways[gateway].tracker.find_stopped(&digests).is_some();
+        let refused = !self.gateways[gateway].tracker.find_stopped(&digests).is_empty();
         if !request.is_bad {
             self.figures.sound += 1;
             self.figures.sound_refused += usize::from(refused);
--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -255,7 +255,7 @@
         None => open_connection(&context.state, upstream).await?,
     };
     let now = ClockTime::now();
-    if context.is_quarantined() {
+    if !context.may_send() {
         context.state.pool.keep(&upstream.name, connection, now);
         return Err(AttemptFailure::Quarantined);
     }
--- a/crates/sagespool-gateway/src/crashes.rs
+++ b/crates/sagespool-gateway/src/crashes.rs
@@ -9,6 +9,7 @@
 
 mod evidence;
 mod stored;
+mod trials;
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -34,7 +35,10 @@
 use evidence::{BreakEvidence, UpstreamFinding, examine};
 use stored::StoredQuarantine;
 
+use trials::QuarantineTrials;
+
 pub(crate) use stored::{follow_quarantine, save_quarantine};
+pub(crate) use trials::consider_trial;
 
 /// Crashes until a content is refused. A lost response looks like a crash, and the caller's retry
 /// may lose its response too, so two aren't sufficient evidence.
@@ -66,6 +70,7 @@
     tracker: CrashTracker,
     evidence: BreakEvidence,
     stored: StoredQuarantine,
+    trials: QuarantineTrials,
     /// Number of contents with a report or a break under examination. While it is zero, requests'
     /// contents aren't hashed.
     watched: AtomicUsize,
@@ -79,6 +84,7 @@
             tracker,
             evidence: BreakEvidence::default(),
             stored: StoredQuarantine::default(),
+            trials: QuarantineTrials::default(),
             watched: AtomicUsize::new(0),
         }
     }
@@ -87,15 +93,27 @@
         self.watched.load(Ordering::Relaxed) > 0
     }
 
-    /// The quarantined content because of which a request with these digests is refused.
+    /// The quarantined contents because of which a request with these digests is refused.
+    fn find_stopped(
+        &self,
+        digests: impl FnOnce() -> BTreeSet<ContentDigest>,
+    ) -> BTreeSet<ContentDigest> {
+        match self.is_watching() {
+            true => self.tracker.find_stopped(&digests()),
+            false => BTreeSet::new(),
+        }
+    }
+
+    /// The same for a request that isn't sent yet: it may become a trial.
     pub(crate) fn find_quarantined(
         &self,
         digests: impl FnOnce() -> BTreeSet<ContentDigest>,
-    ) -> Option<ContentDigest> {
-        if !self.is_watching() {
-            return None;
+    ) -> BTreeSet<ContentDigest> {
+        let stopped = self.find_stopped(digests);
+        match self.trials.covers(&stopped) {
+            true => BTreeSet::new(),
+            false => stopped,
         }
-        self.tracker.find_stopped(&digests())
     }
 
     /// The number of contents that are refused.
@@ -198,12 +216,18 @@
         })
     }
 
-    /// Whether its content or a part of its prompt has been quarantined, perhaps since it was admitted.
-    pub(crate) fn is_quarantined(&self) -> bool {
+    /// Whether it may be sent: its content and the parts of its prompt aren't quarantined, perhaps since
+    /// it was admitted, or it is their trial. A trial is used up by it.
+    pub(crate) fn may_send(&self) -> bool {
         let crashes = &self.state.crashes;
         let attributes = &self.request.attributes;
-        let found = crashes.find_quarantined(|| digests_of(self.content(), attributes));
-        found.inspect(|content| log_quarantined(attributes, *content)).is_some()
+        let stopped = crashes.find_stopped(|| digests_of(self.content(), attributes));
+        if stopped.is_empty() {
+            return true;
+        }
+        let is_trial = crashes.trials.take(&stopped);
+        log_quarantined(attributes, &stopped, is_trial);
+        is_trial
     }
 
     /// The upstreams on which its content broke. Another break on one of them says nothing about the
@@ -326,15 +350,22 @@
     content.part_id().map_or_else(String::new, |id| format!("{id:x}"))
 }
 
-/// Logs because of what a request is refused.
-pub(crate) fn log_quarantined(attributes: &RequestAttributes, content: ContentDigest) {
-    log_event!(
-        info,
-        "request-quarantined",
-        request = attributes.request,
-        content = content,
-        part = name_part(content),
-    );
+/// Logs because of what a request is refused, or is a trial.
+pub(crate) fn log_quarantined(
+    attributes: &RequestAttributes,
+    stopped: &BTreeSet<ContentDigest>,
+    is_trial: bool,
+) {
+    for content in stopped {
+        log_event!(
+            info,
+            "request-quarantined",
+            request = attributes.request,
+            content = content,
+            part = name_part(*content),
+            trial = is_trial,
+        );
+    }
 }
 
 /// Whether an upstream's process runs, as far as it can be shown.
--- a/crates/sagespool-gateway/src/crashes/stored.rs
+++ b/crates/sagespool-gateway/src/crashes/stored.rs
@@ -16,6 +16,7 @@
 use sagespool_types::{ClockTime, ContentDigest, CrashWeight, StoreRevision, WallTime};
 use serde_json::value::RawValue;
 
+use super::trials::trial_due;
 use super::{announce, clear_harmless_part, clear_relay};
 use crate::follow::{FollowedPrefix, follow, key_name};
 use crate::state::GatewayState;
@@ -47,8 +48,8 @@
 
 #[derive(Debug, Default)]
 struct StoredState {
-    /// When the quarantine of each stored content ends, by its writer's wall clock.
-    stored: BTreeMap<ContentDigest, WallTime>,
+    /// The objects in the store.
+    stored: BTreeMap<ContentDigest, QuarantineEntry>,
     /// Contents to be removed from the store.
     lifted: BTreeSet<ContentDigest>,
     /// Contents that other gateways have been sent, because the store wasn't reachable.
@@ -73,6 +74,21 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// Whether the trial of a part is due at this gateway.
+    pub(super) fn is_trial_due(
+        &self,
+        gateway: &GatewayState,
+        part: ContentDigest,
+        now: WallTime,
+    ) -> bool {
+        let is_due = |rank| {
+            let due = self.state().stored.get(&part).and_then(|entry| trial_due(entry, rank));
+            due.is_some_and(|due| now >= due)
+        };
+        // The order of homes is determined only once it can matter.
+        is_due(0) && is_due(home_rank(gateway, part, ClockTime::now()))
+    }
+
     /// The contents to remove: those that were lifted, those whose time is over, and the first to end
     /// of too many.
     fn due_lifts(
@@ -81,12 +97,12 @@
         now: WallTime,
     ) -> Vec<ContentDigest> {
         let state = self.state();
-        let expired =
-            state.stored.iter().filter(|(_, end)| now >= **end).map(|(content, _)| *content);
+        let expired = state.stored.iter().filter(|(_, entry)| now >= end_of(entry));
+        let expired = expired.map(|(content, _)| *content);
         let mut due: BTreeSet<ContentDigest> = expired.filter(|content| is_own(*content)).collect();
         due.extend(&state.lifted);
         if state.stored.len() > MAX_STORED {
-            let first = state.stored.iter().min_by_key(|(_, end)| **end);
+            let first = state.stored.iter().min_by_key(|(_, entry)| end_of(entry));
             due.extend(first.map(|(content, _)| *content));
         }
         due.into_iter().collect()
@@ -162,7 +178,7 @@
 ) {
     let reports =
         entry.crashes.iter().map(|note| note.to_report(content, Duration::ZERO)).collect();
-    let is_new = state.crashes.stored.state().stored.insert(content, end_of(entry)).is_none();
+    let is_new = state.crashes.stored.state().stored.insert(content, entry.clone()).is_none();
     let agreed = state.crashes.apply_quarantine(&ContentCrashes { content, reports }, now);
     state.crashes.tracker.mark_stored_with(content, &entry.crashes);
     if is_new {
@@ -178,6 +194,7 @@
     stored.lifted.remove(&content);
     stored.announced.remove(&content);
     drop(stored);
+    state.crashes.trials.forget(content);
     let lifted = state.crashes.tracker.lift(content);
     state.crashes.apply_tracker_change();
     log_event!(info, "quarantine-lifted", content = content, stopped = lifted);
@@ -215,6 +232,13 @@
     homes.first().is_none_or(|home| home.incarnation == state.fleet.run)
 }
 
+/// This gateway's place in a content's order of homes.
+pub(super) fn home_rank(state: &GatewayState, content: ContentDigest, now: ClockTime) -> usize {
+    let homes = state.fleet.members.homes_of_subject(&content.to_string(), usize::MAX, now);
+    let place = homes.iter().position(|home| home.incarnation == state.fleet.run);
+    place.unwrap_or(homes.len())
+}
+
 /// Creates the object of a quarantined content, or adds the crashes that are known here to it. Other
 /// gateways are told directly if it fails.
 async fn save(state: &Arc<GatewayState>, content: ContentDigest, crashes: BTreeSet<CrashNote>) {
@@ -239,7 +263,7 @@
     key: &str,
     crashes: BTreeSet<CrashNote>,
 ) -> Result<QuarantineEntry, StoreError> {
-    let mut entry = QuarantineEntry { crashes, at: WallTime::now(), lifted: false };
+    let mut entry = QuarantineEntry { crashes, ..QuarantineEntry::at(WallTime::now()) };
     let mut revision = StoreRevision::ZERO;
     for _ in 0..MAX_WRITE_TRIES {
         match state.store.put(key, revision, &entry).await {
@@ -254,6 +278,7 @@
             return Ok(stored.value);
         }
         entry.crashes.extend(stored.value.crashes);
+        entry.trials = stored.value.trials;
         revision = stored.version;
     }
     Err(StoreError::Conflict { present: revision })
@@ -277,6 +302,6 @@
     }
 }
 
-fn quarantine_key(state: &GatewayState, content: ContentDigest) -> String {
+pub(super) fn quarantine_key(state: &GatewayState, content: ContentDigest) -> String {
     format!("{}{content}", state.dialect.quarantine_prefix)
 }
--- a/crates/sagespool-gateway/src/pipeline.rs
+++ b/crates/sagespool-gateway/src/pipeline.rs
@@ -23,7 +23,7 @@
 use crate::body::ResponseBody;
 use crate::budget::{BudgetRequest, Reservation};
 use crate::context::{AdmittedRequest, RequestContext, RequestLog};
-use crate::crashes::{content_of, digests_of, log_quarantined};
+use crate::crashes::{consider_trial, content_of, digests_of, log_quarantined};
 use crate::hop_by_hop::strip_hop_by_hop;
 use crate::metrics::Outcome;
 use crate::received::MAX_PLAIN_BODY;
@@ -146,8 +146,10 @@
     let branch_name = branch.map(|branch| &branch.name);
     let key = attributes.key.as_deref();
     let digests = || digests_of(content_of(branch_name, key, head, &body), &attributes);
-    if let Some(content) = state.crashes.find_quarantined(digests) {
-        log_quarantined(&attributes, content);
+    let stopped = state.crashes.find_quarantined(digests);
+    if !stopped.is_empty() {
+        log_quarantined(&attributes, &stopped, false);
+        consider_trial(state, stopped);
         return Err(Refusal::Quarantined);
     }
     if deadline.since(ClockTime::now()) < MIN_TIME_LEFT {
