A gateway or relay that is dropped ends its link

What was seen: in one process with others, a gateway or relay that a test had dropped went on replying to its peers, which kept it as a member and found its notes of streams there. Tests that drop a role in place of a kill (first_gateway_killed, all_gateways_killed, part_known_at_start and others) could pass by the replies of the dead. Processes weren't concerned: theirs end with their sockets.

Cause: the link serves its peers in tasks of its own and "dropping it doesn't close it"; only a stop closed it. `RelayRole` says that dropping it stops it.

Change: a guard in both roles closes the link at once when it is dropped.

Before: dropped_roles_leave fails, both are members after 30 s. After: both are gone after 3 s. The tests of software_versions pass unchanged, now by what they say.

--- a/crates/sagespool-gateway/src/fleet.rs
+++ b/crates/sagespool-gateway/src/fleet.rs
@@ -86,6 +86,20 @@
     listed: Mutex<Option<Vec<InstanceName>>>,
 }
 
+/// Ends a process's link when it is dropped.
+///
+/// Guards against a role that was dropped and still replies to its peers: the link serves them in tasks of
+/// its own.
+pub(crate) struct LinkGuard(pub(crate) Arc<FleetClient>);
+
+impl Drop for LinkGuard {
+    fn drop(&mut self) {
+        if let Some(link) = self.0.link.get() {
+            link.abort();
+        }
+    }
+}
+
 impl FleetClient {
     pub(crate) fn new(local: LocalMember, run: IncarnationId) -> Self {
         let own = MemberInfo {
--- a/crates/sagespool-gateway/src/relay_role.rs
+++ b/crates/sagespool-gateway/src/relay_role.rs
@@ -17,7 +17,7 @@
 use sagespool_types::{ClockTime, IncarnationId};
 use smol::Task;
 
-use crate::fleet::{FleetClient, LocalMember, handle_store_call};
+use crate::fleet::{FleetClient, LinkGuard, LocalMember, handle_store_call};
 use crate::resumption::{find_note, record_notes};
 use crate::role::{MAX_STORE_RESPONSE, STORE_TIMEOUT};
 use crate::store_calls::log_store_calls;
@@ -25,6 +25,7 @@
 /// A running relay. Dropping it stops it.
 pub struct RelayRole {
     _tasks: [Task<()>; 2],
+    _link: LinkGuard,
 }
 
 impl RelayRole {
@@ -57,7 +58,8 @@
         let fleet = Arc::new(FleetClient::new(local, run));
         let handler = handler(fleet.clone(), store.clone(), Arc::default());
         let telling = smol::spawn(log_store_calls(store.clone()));
-        Self { _tasks: [smol::spawn(fleet.run(store, handler, |_| {})), telling] }
+        let link = LinkGuard(fleet.clone());
+        Self { _tasks: [smol::spawn(fleet.run(store, handler, |_| {})), telling], _link: link }
     }
 }
 
--- a/crates/sagespool-gateway/src/role.rs
+++ b/crates/sagespool-gateway/src/role.rs
@@ -17,6 +17,7 @@
 use crate::crashes::{follow_quarantine, save_quarantine};
 use crate::dialect::WireDialect;
 use crate::evacuations::follow_evacuations;
+use crate::fleet::LinkGuard;
 use crate::follow::{follow_plan, follow_upstreams, sweep};
 use crate::limits::query_limits;
 use crate::peers::run_peers;
@@ -83,6 +84,7 @@
     state: Arc<GatewayState>,
     accepting: Task<()>,
     _tasks: Vec<Task<()>>,
+    _link: LinkGuard,
 }
 
 impl GatewayRole {
@@ -142,7 +144,8 @@
                 tasks.push(smol::spawn(run_rotation(state.clone())));
             }
         }
-        Ok(Self { state, accepting, _tasks: tasks })
+        let link = LinkGuard(state.fleet.clone());
+        Ok(Self { state, accepting, _tasks: tasks, _link: link })
     }
 
     /// Compares reloaded settings with the current ones and logs whether they differ. Whether an operator keeps
@@ -157,7 +160,7 @@
     /// requests are accepted only if they can end in time, and connections are closed. Last,
     /// unspent loans and grants are returned.
     pub async fn stop(self, limit: Duration) -> StopReport {
-        let Self { state, accepting, _tasks } = self;
+        let Self { state, accepting, _tasks, _link } = self;
         let began = ClockTime::now();
         let last = began.after(limit.saturating_sub(GRANT_CLOSE_TIME));
         state.stopping.store(true, Ordering::Relaxed);
--- a/crates/sagespool-link/src/endpoint.rs
+++ b/crates/sagespool-link/src/endpoint.rs
@@ -114,6 +114,12 @@
         self.shared.meter.counters()
     }
 
+    /// Closes all connections at once and rejects new ones.
+    pub fn abort(&self) {
+        self.shared.begin_closing();
+        self.shared.endpoint.close(CODE_STOPPING, b"the process ends");
+    }
+
     /// Rejects new requests, waits at most two seconds for the replies to those in
     /// progress, and closes all connections.
     pub async fn close(&self) {
