A note of a stream that its home doesn't acknowledge goes to the next one

What callers saw: a resumable stream refused with 503 at its second try, since no process that was left knew the software version that had begun it.

Cause: a note was sent once to its two homes; a failure was logged and nothing else. Those who resume ask up to seven processes.

Change: a note that a home doesn't acknowledge is sent to the next home among those that are asked, up to three rounds; the same for the notes of recent streams when a version is listed, which failed by whole batches. The first event waits no longer for it than before. `streams-unnoted` says when three rounds weren't enough, and `sagespool_gateway_known_streams` how many streams a gateway knows. The version history is looked at once where a stream's origin is sought, not twice.

Ruled out: waiting longer for a home (the first event of each stream would).

--- a/crates/sagespool-forward/src/stream_versions.rs
+++ b/crates/sagespool-forward/src/stream_versions.rs
@@ -287,6 +287,11 @@
         recent
     }
 
+    /// The number of streams whose origin is known.
+    pub fn count(&self) -> usize {
+        self.shards.iter().map(|shard| lock(shard).origins.len()).sum()
+    }
+
     /// The origin of a stream, if it is known.
     pub fn find(&self, request: &str, now: ClockTime) -> Option<StreamOrigin> {
         let origin = self.shard(request).origins.get(request).cloned();
--- a/crates/sagespool-gateway/src/metrics.rs
+++ b/crates/sagespool-gateway/src/metrics.rs
@@ -124,6 +124,7 @@
     breaks: Family<BreakLabel, Counter>,
     resumptions: Family<OriginLabel, Counter>,
     quarantined: Gauge,
+    known_streams: Gauge,
     pressure: Family<ResourceLabel, Gauge>,
     link_wait: Gauge<f64, AtomicU64>,
     out_of_rotation: Gauge,
@@ -204,6 +205,9 @@
         let quarantined = Gauge::default();
         let help = "Contents that are refused since they crash upstreams";
         registry.register("quarantined_contents", help, quarantined.clone());
+        let known_streams = Gauge::default();
+        let help = "Resumable streams whose software version is known here, own ones and others'";
+        registry.register("known_streams", help, known_streams.clone());
         let pressure = Family::default();
         let help = "Use of the resource nearest to its limit, in thousandths";
         registry.register("pressure", help, pressure.clone());
@@ -244,6 +248,7 @@
             breaks,
             resumptions,
             quarantined,
+            known_streams,
             pressure,
             link_wait,
             out_of_rotation,
@@ -304,6 +309,11 @@
         }
     }
 
+    /// Sets the number of streams whose software version is known.
+    pub(crate) fn set_known_streams(&self, count: usize) {
+        self.known_streams.set(count as i64);
+    }
+
     /// Sets which lists aren't read yet.
     pub(crate) fn set_awaited_lists(&self, lists: impl Iterator<Item = FeedKind>) {
         self.awaited.clear();
--- a/crates/sagespool-gateway/src/resumption.rs
+++ b/crates/sagespool-gateway/src/resumption.rs
@@ -8,6 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use std::vec::IntoIter;
 
 use async_channel::bounded;
 use event_listener::Event;
@@ -44,6 +45,10 @@
 /// Time beyond a route's time limit in which a caller's further attempt may arrive.
 const RESUME_MARGIN: Duration = Duration::from_millis(500);
 
+/// Times that a note is sent to further homes in place of those that don't acknowledge it, with the
+/// first.
+const NOTE_ROUNDS: usize = 3;
+
 /// Notes sent to a home at once when a version is listed.
 const MAX_SENT_NOTES: usize = 256;
 
@@ -91,22 +96,59 @@
 }
 
 async fn send_recent(state: &GatewayState, recent: Vec<(String, StreamOrigin)>, now: ClockTime) {
-    let mut notes: BTreeMap<IncarnationId, (MemberInfo, Vec<StreamNote>)> = BTreeMap::new();
-    for (stream, origin) in recent {
-        for home in noted_homes(state, &stream, now) {
-            let (_, of_home) = notes.entry(home.incarnation).or_insert((home, Vec::new()));
-            of_home.push(note_of(&stream, origin.clone(), now));
+    let pending = recent.into_iter().map(|(stream, origin)| {
+        PendingNote::new(note_of(&stream, origin, now), note_homes(state, &stream, now))
+    });
+    send_notes(state, pending.collect(), || ()).await;
+}
+
+/// A note that isn't at enough homes yet.
+struct PendingNote {
+    note: StreamNote,
+    /// The homes that weren't tried, in order.
+    homes: IntoIter<MemberInfo>,
+    /// The number of homes that lack it.
+    missing: usize,
+}
+
+impl PendingNote {
+    fn new(note: StreamNote, homes: Vec<MemberInfo>) -> Self {
+        Self { note, missing: NOTED_HOMES.min(homes.len()), homes: homes.into_iter() }
+    }
+}
+
+/// Sends notes to their homes, and those that a home doesn't acknowledge to the next ones. Calls
+/// `noted` for each message that was acknowledged.
+async fn send_notes(state: &GatewayState, mut pending: Vec<PendingNote>, noted: impl Fn()) {
+    for _ in 0..NOTE_ROUNDS {
+        let mut notes: BTreeMap<IncarnationId, (MemberInfo, Vec<usize>)> = BTreeMap::new();
+        for (index, note) in pending.iter_mut().enumerate() {
+            let homes: Vec<MemberInfo> = note.homes.by_ref().take(note.missing).collect();
+            note.missing -= homes.len();
+            for home in homes {
+                let (_, of_home) = notes.entry(home.incarnation).or_insert((home, Vec::new()));
+                of_home.push(index);
+            }
+        }
+        let chunks = notes.values().flat_map(|(home, indexes)| {
+            indexes.chunks(MAX_SENT_NOTES).map(move |indexes| (home, indexes))
+        });
+        let sent = chunks.map(async |(home, indexes)| {
+            let notes = indexes.iter().map(|index| pending[*index].note.clone()).collect();
+            let is_noted = send_to_home(state, home, &PeerRequest::NoteStreams(notes)).await;
+            if is_noted {
+                noted();
+            }
+            (!is_noted).then(|| indexes.to_vec())
+        });
+        let failed: Vec<usize> = join_all(sent).await.into_iter().flatten().flatten().collect();
+        failed.into_iter().for_each(|index| pending[index].missing += 1);
+        pending.retain(|note| note.missing > 0);
+        if pending.is_empty() {
+            return;
         }
     }
-    let messages = notes.into_values().flat_map(|(home, notes)| {
-        let chunks: Vec<Vec<StreamNote>> =
-            notes.chunks(MAX_SENT_NOTES).map(<[StreamNote]>::to_vec).collect();
-        chunks.into_iter().map(move |notes| (home.clone(), PeerRequest::NoteStreams(notes)))
-    });
-    join_all(
-        messages.map(|(home, request)| async move { send_to_home(state, &home, &request).await }),
-    )
-    .await;
+    log_event!(warn, "streams-unnoted", streams = pending.len());
 }
 
 /// Sends notes to a home. True if it has them.
@@ -218,7 +260,7 @@
         if self.state.checked_versions(now).only_version(&origin.service, span, now).is_some() {
             return;
         }
-        let homes = noted_homes(&self.state, self.stream_id(), now);
+        let homes = note_homes(&self.state, self.stream_id(), now);
         let note = note_of(self.stream_id(), origin, now);
         send_note(&self.state, homes, note).await;
     }
@@ -236,16 +278,18 @@
     homes
 }
 
-/// The homes at which a stream is noted: the first relay, and the first gateway in another data centre.
+/// The homes at which a stream may be noted, in order: the first relay, the first gateway in another data
+/// centre, and then those that are asked too.
 ///
 /// Guards against streams that nobody knows after all gateways were killed at once.
-fn noted_homes(state: &GatewayState, stream: &str, now: ClockTime) -> Vec<MemberInfo> {
-    let mut homes = state.fleet.members.sidecars_of_subject(stream, 1, now);
+fn note_homes(state: &GatewayState, stream: &str, now: ClockTime) -> Vec<MemberInfo> {
+    let mut relays = state.fleet.members.sidecars_of_subject(stream, ASKED_RELAYS, now).into_iter();
+    let mut homes: Vec<MemberInfo> = relays.next().into_iter().collect();
     homes.extend(homes_of(state, stream, now));
     if let Some(first) = homes.first().map(|home| home.centre.clone()) {
         homes[1..].sort_by_key(|home| home.centre == first);
     }
-    homes.truncate(NOTED_HOMES);
+    homes.extend(relays);
     homes
 }
 
@@ -255,18 +299,16 @@
         return;
     }
     let (noted, wait) = bounded::<()>(homes.len());
-    for home in homes {
-        let (state, noted) = (state.clone(), noted.clone());
-        let request = PeerRequest::NoteStreams(vec![note.clone()]);
-        smol::spawn(async move {
-            if send_to_home(&state, &home, &request).await {
-                // Fails once nobody waits any more.
-                let _ = noted.try_send(());
-            }
-        })
-        .detach();
-    }
-    drop(noted);
+    let state = state.clone();
+    smol::spawn(async move {
+        let pending = vec![PendingNote::new(note, homes)];
+        let tell_noted = || {
+            // Fails once nobody waits any more.
+            let _ = noted.try_send(());
+        };
+        send_notes(&state, pending, tell_noted).await;
+    })
+    .detach();
     let _ = within(NOTE_WAIT, wait.recv()).await;
 }
 
@@ -279,8 +321,11 @@
     if let Some(origin) = state.origins.find(stream, now) {
         return (version_of(note_of(stream, origin, now)), OriginSource::Own);
     }
-    let only = state.checked_versions(now).only_version(service, span, now).cloned();
-    let unnoted = state.checked_versions(now).unnoted_versions(service, span, now);
+    let (only, unnoted) = {
+        let versions = state.checked_versions(now);
+        let only = versions.only_version(service, span, now).cloned();
+        (only, versions.unnoted_versions(service, span, now))
+    };
     let timeout = if only.is_some() { CONFIRM_TIMEOUT } else { QUERY_TIMEOUT };
     let query = StreamQuery { request: stream.to_owned(), service: service.clone(), span };
     let homes = homes_of(state, stream, now);
--- a/crates/sagespool-gateway/src/status.rs
+++ b/crates/sagespool-gateway/src/status.rs
@@ -44,6 +44,7 @@
     state.metrics.set_store_calls(state.store.call_counts());
     state.metrics.set_rotation(state.rotation.status());
     state.metrics.set_awaited_lists(state.awaited_lists());
+    state.metrics.set_known_streams(state.origins.count());
     let now = ClockTime::now();
     let usage = state.limiter.usage(now);
     // Lock one at a time: the choice of an upstream locks them in another order.
