--- a/crates/sagespool-gateway/src/crashes.rs
+++ b/crates/sagespool-gateway/src/crashes.rs
@@ -472,6 +472,7 @@
         let known = state.crashes.tracker.crashes_of(content, ClockTime::now());
         let request = PeerRequest::ReportCrashes(known);
         if let Some(PeerReply::Crashes(known)) = send(state, &collector, &request).await {
+            state.metrics.count_crash_report(collector.role);
             state.crashes.merge(&known, ClockTime::now());
         }
     }
--- a/crates/sagespool-gateway/src/metrics.rs
+++ b/crates/sagespool-gateway/src/metrics.rs
@@ -11,7 +11,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
-use sagespool_messages::FeedKind;
+use sagespool_messages::{FeedKind, MemberRole};
 use sagespool_platform::CallCategory;
 use sagespool_types::BranchName;
 
@@ -83,6 +83,11 @@
     origin: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RecipientLabel {
+    to: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ListLabel {
     list: &'static str,
@@ -122,6 +127,7 @@
     limited: Gauge,
     in_backoff: Gauge,
     breaks: Family<BreakLabel, Counter>,
+    crash_reports: Family<RecipientLabel, Counter>,
     resumptions: Family<OriginLabel, Counter>,
     quarantined: Gauge,
     known_streams: Gauge,
@@ -199,6 +205,9 @@
         let breaks = Family::default();
         let help = "Broken responses, by whether their upstream accepts connections afterwards";
         registry.register("broken_responses", help, breaks.clone());
+        let crash_reports = Family::default();
+        let help = "Reports of crashes that another gateway or a relay has taken";
+        registry.register("crash_reports", help, crash_reports.clone());
         let resumptions = Family::default();
         let help = "Streams that callers resumed, by who knew the version that began them";
         registry.register("resumptions", help, resumptions.clone());
@@ -246,6 +255,7 @@
             limited,
             in_backoff,
             breaks,
+            crash_reports,
             resumptions,
             quarantined,
             known_streams,
@@ -327,6 +337,15 @@
         self.resumptions.get_or_create(&OriginLabel { origin }).inc();
     }
 
+    /// Counts a report of crashes that a gateway or relay has taken.
+    pub(crate) fn count_crash_report(&self, role: MemberRole) {
+        let to = match role {
+            MemberRole::Entry => "gateway",
+            MemberRole::Sidecar => "relay",
+        };
+        self.crash_reports.get_or_create(&RecipientLabel { to }).inc();
+    }
+
     /// Counts a broken response by whether its upstream accepts connections afterwards.
     pub(crate) fn count_break(&self, upstream: &'static str) {
         self.breaks.get_or_create(&BreakLabel { upstream }).inc();
