--- a/crates/sagespool-gateway/src/attempt.rs
+++ b/crates/sagespool-gateway/src/attempt.rs
@@ -181,7 +181,7 @@
     let suspects = context.suspect_upstreams();
     let begins_stream = context.request.route.resumable && context.allowed == AllowedVersion::Any;
     if begins_stream {
-        let versions = context.state.versions();
+        let versions = context.state.checked_versions(now);
         let preferred = |record: &UpstreamRecord| {
             !suspects.contains(&record.name)
                 && versions.is_settled(&record.service, &record.version, now)
--- a/crates/sagespool-gateway/src/state.rs
+++ b/crates/sagespool-gateway/src/state.rs
@@ -244,7 +244,7 @@
         self.stream_limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(crate) fn versions(&self) -> MutexGuard<'_, VersionHistory> {
+    fn versions(&self) -> MutexGuard<'_, VersionHistory> {
         self.versions.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
