One copy of applying a listing, of a decay and of when a trial is due

No change of behaviour.

Looked at and left: the two loops in fleet.rs that try until they succeed. As one function over async closures it doesn't compile for spawned tasks (their Send isn't general enough).

--- a/crates/sagespool-forward/src/placement/load.rs
+++ b/crates/sagespool-forward/src/placement/load.rs
@@ -84,8 +84,7 @@
         let Some(stale_for) = now.since(self.last_chosen_at).checked_sub(STALE_AFTER) else {
             return self.slowness;
         };
-        let half_lives = stale_for.as_secs_f64() / STALE_HALF_LIFE.as_secs_f64();
-        let factor = STALE_SLOWNESS_FACTOR * 0.5f64.powf(half_lives);
+        let factor = STALE_SLOWNESS_FACTOR * decay(stale_for, STALE_HALF_LIFE);
         (self.slowness * factor).max(MIN_SLOWNESS)
     }
 
@@ -104,8 +103,8 @@
     /// would draw all further requests.
     pub(super) fn rejection_factor(&self, now: ClockTime) -> f64 {
         let counted = self.rejections.saturating_sub(FREE_REJECTIONS).min(MAX_REJECTIONS);
-        let age = now.since(self.rejected_at).as_secs_f64() / REJECTION_HALF_LIFE.as_secs_f64();
-        1.0 + REJECTION_FACTOR * f64::from(counted) * 0.5f64.powf(age)
+        let kept = decay(now.since(self.rejected_at), REJECTION_HALF_LIFE);
+        1.0 + REJECTION_FACTOR * f64::from(counted) * kept
     }
 
     /// Notes that the upstream rejected a request.
@@ -121,7 +120,11 @@
 
     /// Estimated requests of other instances, decayed by the age of the report.
     pub(super) fn other_requests_now(&self, now: ClockTime) -> f64 {
-        let age = now.since(self.reported_at).as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64();
-        self.other_requests * 0.5f64.powf(age)
+        self.other_requests * decay(now.since(self.reported_at), REPORT_HALF_LIFE)
     }
 }
+
+/// The part of a weight that is left at an age.
+fn decay(age: Duration, half_life: Duration) -> f64 {
+    0.5f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
+}
--- a/crates/sagespool-gateway/src/crashes.rs
+++ b/crates/sagespool-gateway/src/crashes.rs
@@ -34,7 +34,6 @@
 use crate::state::GatewayState;
 use evidence::{BreakEvidence, UpstreamFinding, examine};
 use stored::StoredQuarantine;
-
 use trials::QuarantineTrials;
 
 pub(crate) use stored::{follow_quarantine, save_quarantine};
--- a/crates/sagespool-gateway/src/crashes/stored.rs
+++ b/crates/sagespool-gateway/src/crashes/stored.rs
@@ -16,7 +16,7 @@
 use sagespool_types::{ClockTime, ContentDigest, CrashWeight, StoreRevision, WallTime};
 use serde_json::value::RawValue;
 
-use super::trials::trial_due;
+use super::trials::has_due_trial;
 use super::{announce, clear_harmless_part, clear_relay};
 use crate::follow::{FollowedPrefix, follow, key_name};
 use crate::state::GatewayState;
@@ -82,8 +82,7 @@
         now: WallTime,
     ) -> bool {
         let is_due = |rank| {
-            let due = self.state().stored.get(&content).and_then(|entry| trial_due(entry, rank));
-            due.is_some_and(|due| now >= due)
+            self.state().stored.get(&content).is_some_and(|entry| has_due_trial(entry, rank, now))
         };
         // The order of homes is determined only once it can matter.
         is_due(0) && is_due(home_rank(gateway, content, ClockTime::now()))
--- a/crates/sagespool-gateway/src/crashes/trials.rs
+++ b/crates/sagespool-gateway/src/crashes/trials.rs
@@ -56,11 +56,14 @@
     }
 }
 
-/// The time at which the next trial of a quarantined content is due at a gateway of this rank in its order
-/// of homes. `None` if it had all.
-pub(super) fn trial_due(entry: &QuarantineEntry, rank: usize) -> Option<WallTime> {
-    let delay = *TRIAL_DELAYS.get(entry.trials)? + HOME_DELAY.saturating_mul(rank as u32);
-    Some(WallTime(entry.at.0.saturating_add(delay.as_millis() as u64)))
+/// Whether the next trial of a quarantined content is due at a gateway of this rank in its order of homes.
+/// False if it had all.
+pub(super) fn has_due_trial(entry: &QuarantineEntry, rank: usize, now: WallTime) -> bool {
+    let Some(delay) = TRIAL_DELAYS.get(entry.trials) else {
+        return false;
+    };
+    let delay = *delay + HOME_DELAY.saturating_mul(rank as u32);
+    now.0 >= entry.at.0.saturating_add(delay.as_millis() as u64)
 }
 
 /// Prepares a trial for a later request with these quarantined digests, if the trial of each is due. To be
@@ -110,7 +113,7 @@
         return Ok(false);
     };
     let rank = home_rank(state, content, ClockTime::now());
-    if trial_due(&stored.value, rank).is_none_or(|due| WallTime::now() < due) {
+    if !has_due_trial(&stored.value, rank, WallTime::now()) {
         return Ok(false);
     }
     let entry = QuarantineEntry { trials: stored.value.trials + 1, ..stored.value };
--- a/crates/sagespool-gateway/src/follow.rs
+++ b/crates/sagespool-gateway/src/follow.rs
@@ -280,9 +280,7 @@
     let items = items.collect();
     let listing =
         ObjectListing { revision: reply.revision, items, unreadable: Vec::new(), complete: true };
-    let objects = listing.items.iter().map(listed_object);
-    replica.apply_listing(reply.revision, objects.collect(), Some(valid_at));
-    (followed.on_listing)(state, listing);
+    apply_listing(state, followed, listing, Some(valid_at));
 }
 
 async fn watch_store(
