--- a/crates/sagespool-forward/tests/evacuated_centres.rs
+++ b/crates/sagespool-forward/tests/evacuated_centres.rs
@@ -1,10 +1,13 @@
 //! Eligible upstreams while data centres are evacuated, and when upstreams change addresses.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use sagespool_forward::{AllowedRegions, UpstreamChange, UpstreamRecord, UpstreamRegistry};
-use sagespool_types::{CentreName, ClockTime, EntrySequence, RegionName, ServiceName};
+use sagespool_types::{CentreName, ClockTime, RegionName, ServiceName};
+use support::upstream;
 
 const NOW: ClockTime = ClockTime(1_000_000);
 
@@ -18,16 +21,11 @@
 
 fn record(name: &str, at: &str, port: u16) -> UpstreamRecord {
     UpstreamRecord {
-        name: name.parse().expect("valid name"),
-        born: None,
-        sequence: EntrySequence(1),
         service: service(),
-        version: "v1".to_owned().into(),
         address: SocketAddr::from(([10, 0, 0, 1], port)),
         centre: centre(at),
         slots: 8,
-        leaving: false,
-        cold_left: Duration::ZERO,
+        ..upstream(name)
     }
 }
 
--- a/crates/sagespool-forward/tests/failing_upstreams.rs
+++ b/crates/sagespool-forward/tests/failing_upstreams.rs
@@ -3,35 +3,22 @@
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests")]
 
+mod support;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use sagespool_forward::{
     LoadBalancer, PlacementPolicy, RequestProfile, SendOutcome, UpstreamRecord,
 };
-use sagespool_types::{CentreName, ClockTime, EntrySequence};
+use sagespool_types::ClockTime;
+use support::{centre, upstream};
 
 const PERIOD_MS: u64 = 20;
 const ANSWER_MS: u64 = 60;
 const REJECTION_MS: u64 = 2;
 
-fn centre() -> CentreName {
-    "east".parse().unwrap()
-}
-
 fn upstreams() -> Vec<UpstreamRecord> {
-    let upstream = |name: &str| UpstreamRecord {
-        name: name.parse().unwrap(),
-        born: None,
-        sequence: EntrySequence(1),
-        service: "plain".parse().unwrap(),
-        version: "v1".to_owned().into(),
-        address: "127.0.0.1:9000".parse().unwrap(),
-        centre: centre(),
-        slots: 6,
-        leaving: false,
-        cold_left: Duration::ZERO,
-    };
     ["i-1", "i-2", "i-3", "i-4"].map(upstream).to_vec()
 }
 
--- a/crates/sagespool-forward/tests/lapsed_entries.rs
+++ b/crates/sagespool-forward/tests/lapsed_entries.rs
@@ -2,11 +2,14 @@
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests")]
 
+mod support;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use sagespool_forward::{UpstreamChange, UpstreamRecord, UpstreamRegistry};
-use sagespool_types::{ClockTime, EntrySequence, ServiceName, UpstreamName};
+use sagespool_types::{ClockTime, ServiceName, UpstreamName};
+use support::upstream;
 
 const OUTAGE: Duration = Duration::from_secs(4);
 const SHORT_OUTAGE: Duration = Duration::from_millis(120);
@@ -18,16 +21,10 @@
 fn record(name: &str) -> UpstreamRecord {
     let host = name.bytes().last().unwrap();
     UpstreamRecord {
-        name: name.parse().unwrap(),
-        born: None,
-        sequence: EntrySequence(1),
         service: service(),
-        version: "v1".to_owned().into(),
         address: SocketAddr::from(([127, 0, 0, host], 9000)),
-        centre: "east".parse().unwrap(),
         slots: 4,
-        leaving: false,
-        cold_left: Duration::ZERO,
+        ..upstream(name)
     }
 }
 
--- a/crates/sagespool-forward/tests/late_entries.rs
+++ b/crates/sagespool-forward/tests/late_entries.rs
@@ -2,12 +2,12 @@
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests")]
 
-use std::net::SocketAddr;
-use std::time::Duration;
+mod support;
 
 use quickcheck::quickcheck;
 use sagespool_forward::{UpstreamChange, UpstreamRecord, UpstreamRegistry};
 use sagespool_types::{ClockTime, EntrySequence, ServiceName, UpstreamStartTime};
+use support::upstream;
 
 /// Longer than the store lists the entry of a silent upstream.
 const EXPIRED_MS: u64 = 5_000;
@@ -20,16 +20,11 @@
 
 fn record(sequence: u64, leaving: bool) -> UpstreamRecord {
     UpstreamRecord {
-        name: "i-1".parse().unwrap(),
-        born: None,
         sequence: EntrySequence(sequence),
         service: service(),
-        version: "v1".to_owned().into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 9000)),
-        centre: "east".parse().unwrap(),
         slots: 4,
         leaving,
-        cold_left: Duration::ZERO,
+        ..upstream("i-1")
     }
 }
 
--- a/crates/sagespool-forward/tests/leaving_responses.rs
+++ b/crates/sagespool-forward/tests/leaving_responses.rs
@@ -2,13 +2,16 @@
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests")]
 
+mod support;
+
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use quickcheck::quickcheck;
 use sagespool_forward::{UpstreamRecord, UpstreamRegistry, UpstreamRun};
-use sagespool_types::{ClockTime, EntrySequence, ServiceName, UpstreamStartTime};
+use sagespool_types::{ClockTime, ServiceName, UpstreamStartTime};
+use support::upstream;
 
 const UPSTREAMS: u64 = 3;
 
@@ -18,16 +21,11 @@
 
 fn record(number: u64, born: u64) -> UpstreamRecord {
     UpstreamRecord {
-        name: format!("i-{number}").parse().unwrap(),
         born: Some(UpstreamStartTime(born)),
-        sequence: EntrySequence(1),
         service: service(),
-        version: "v1".to_owned().into(),
         address: SocketAddr::from(([127, 0, 0, number as u8 + 1], 9000)),
-        centre: "east".parse().unwrap(),
         slots: 4,
-        leaving: false,
-        cold_left: Duration::ZERO,
+        ..upstream(&format!("i-{number}"))
     }
 }
 
--- a/crates/sagespool-forward/tests/restarted_upstreams.rs
+++ b/crates/sagespool-forward/tests/restarted_upstreams.rs
@@ -2,35 +2,21 @@
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests")]
 
-use std::time::Duration;
+mod support;
 
 use sagespool_forward::{
     LoadBalancer, PlacedAttempt, PlacementPolicy, RequestProfile, SendOutcome, UpstreamChange,
     UpstreamRecord, UpstreamRegistry, UpstreamRun,
 };
-use sagespool_types::{CentreName, ClockTime, EntrySequence, UpstreamStartTime};
+use sagespool_types::{ClockTime, UpstreamStartTime};
+use support::{centre, upstream};
 
 const REQUESTS: usize = 5;
 /// When an entry is listed for so long that only an upstream that renews it can have written it.
 const RENEWED_MS: u64 = 5_000;
 
-fn centre() -> CentreName {
-    "east".parse().unwrap()
-}
-
 fn record(born: u64) -> UpstreamRecord {
-    UpstreamRecord {
-        name: "i-1".parse().unwrap(),
-        born: Some(UpstreamStartTime(born)),
-        sequence: EntrySequence(1),
-        service: "plain".parse().unwrap(),
-        version: "v1".to_owned().into(),
-        address: "127.0.0.1:9000".parse().unwrap(),
-        centre: centre(),
-        slots: 6,
-        leaving: false,
-        cold_left: Duration::ZERO,
-    }
+    UpstreamRecord { born: Some(UpstreamStartTime(born)), ..upstream("i-1") }
 }
 
 fn at(millis: u64) -> ClockTime {
--- a/crates/sagespool-forward/tests/shared_prompts.rs
+++ b/crates/sagespool-forward/tests/shared_prompts.rs
@@ -8,14 +8,16 @@
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests")]
 
+mod support;
+
 use std::collections::{HashMap, HashSet};
-use std::time::Duration;
 
 use sagespool_forward::{
     EngineProfile, LoadBalancer, PlacedAttempt, PlacementPolicy, PromptPart, RequestProfile,
     SendOutcome, UpstreamRecord,
 };
-use sagespool_types::{CentreName, ClockTime, EntrySequence, TokenCount};
+use sagespool_types::{ClockTime, TokenCount};
+use support::{centre, upstream};
 
 const ENGINES: usize = 9;
 const INSTANCES: usize = 4;
@@ -28,22 +30,11 @@
 /// Time from the first event to the end of a response: 17 events of some thirty milliseconds.
 const RESPONSE_MS: u64 = 500;
 
-fn centre() -> CentreName {
-    "east".parse().unwrap()
-}
-
 fn engines() -> Vec<UpstreamRecord> {
     let engine = |number: usize| UpstreamRecord {
-        name: format!("engine-{number}").parse().unwrap(),
-        born: None,
-        sequence: EntrySequence(1),
         service: "engines".parse().unwrap(),
-        version: "v1".to_owned().into(),
-        address: "127.0.0.1:9000".parse().unwrap(),
-        centre: centre(),
         slots: 64,
-        leaving: false,
-        cold_left: Duration::ZERO,
+        ..upstream(&format!("engine-{number}"))
     };
     (0..ENGINES).map(engine).collect()
 }
--- a/crates/sagespool-forward/tests/slow_upstreams.rs
+++ b/crates/sagespool-forward/tests/slow_upstreams.rs
@@ -2,13 +2,16 @@
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests")]
 
+mod support;
+
 use std::time::Duration;
 
 use sagespool_forward::{
     EngineProfile, LoadBalancer, PlacedAttempt, PlacementPolicy, PromptPart, RequestProfile,
-    SendOutcome, UpstreamRecord,
+    SendOutcome,
 };
-use sagespool_types::{CentreName, ClockTime, EntrySequence, TokenCount};
+use sagespool_types::{ClockTime, TokenCount};
+use support::{centre, upstream};
 
 const UPSTREAMS: [&str; 4] = ["i-1", "i-2", "i-3", "i-4"];
 const PERIOD_MS: u64 = 20;
@@ -19,25 +22,6 @@
 /// How soon after its recovery an upstream must have its share of the requests again.
 const RECOVERY_MS: u64 = 10_000;
 
-fn centre() -> CentreName {
-    "east".parse().unwrap()
-}
-
-fn upstream(name: &str) -> UpstreamRecord {
-    UpstreamRecord {
-        name: name.parse().unwrap(),
-        born: None,
-        sequence: EntrySequence(1),
-        service: "plain".parse().unwrap(),
-        version: "v1".to_owned().into(),
-        address: "127.0.0.1:9000".parse().unwrap(),
-        centre: centre(),
-        slots: 6,
-        leaving: false,
-        cold_left: Duration::ZERO,
-    }
-}
-
 /// Sends single requests, `PERIOD_MS` apart, and counts those sent to the first upstream.
 fn count_first(
     balancer: &mut LoadBalancer,
--- a/crates/sagespool-forward/tests/stalled_upstreams.rs
+++ b/crates/sagespool-forward/tests/stalled_upstreams.rs
@@ -6,12 +6,15 @@
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests")]
 
+mod support;
+
 use std::time::Duration;
 
 use sagespool_forward::{
     LoadBalancer, PlacedAttempt, PlacementPolicy, RequestProfile, SendOutcome, UpstreamRecord,
 };
-use sagespool_types::{CentreName, ClockTime, EntrySequence};
+use sagespool_types::{CentreName, ClockTime};
+use support::upstream;
 
 const REQUEST_INTERVAL_MS: u64 = 20;
 const RESPONSE_TIME: Duration = Duration::from_millis(40);
@@ -24,19 +27,12 @@
 const TIE_SEEDS: u64 = 500;
 
 fn upstreams() -> Vec<UpstreamRecord> {
-    let upstream = |name: &str| UpstreamRecord {
-        name: name.parse().unwrap(),
-        born: None,
-        sequence: EntrySequence(1),
+    let engine = |name: &str| UpstreamRecord {
         service: "engines".parse().unwrap(),
-        version: "v1".to_owned().into(),
-        address: "127.0.0.1:9000".parse().unwrap(),
-        centre: "east".parse().unwrap(),
         slots: 64,
-        leaving: false,
-        cold_left: Duration::ZERO,
+        ..upstream(name)
     };
-    ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6"].map(upstream).to_vec()
+    ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6"].map(engine).to_vec()
 }
 
 /// Requests sent to the stalled upstream.
